Define the design, the domain types and the driver interfaces

Cause: the entry and control decisions need one interface that any driver can use. Change: add docs/design.md, the workspace, identifiers, quantities, the membership view, messages, and the event and action types of both machines. Conclusion: the decisions can be written without a socket, file or clock.

--- /dev/null
+++ b/hickoryspan_core/src/entry/mod.rs
@@ -0,0 +1,3 @@
+//! Decisions of an entry process: the request path under load and faults (`docs/design.md`, section 6).
+
+pub mod interface;
--- /dev/null
+++ b/hickoryspan_core/src/lib.rs
@@ -0,0 +1,13 @@
+//! Decisions of hickoryspan as state machines, free of sockets, files, clocks and ambient randomness.
+//!
+//! Every policy takes a typed event and the current time and returns typed actions, so that a daemon,
+//! a test or a bench can drive it unchanged. See `docs/design.md`, section 2.
+
+#![warn(missing_docs)]
+
+pub mod control;
+pub mod entry;
+pub mod membership;
+pub mod messages;
+pub mod sheet;
+pub mod types;
--- /dev/null
+++ b/hickoryspan_core/src/types/quantity.rs
@@ -0,0 +1,152 @@
+//! Sizes, counts and rates.
+
+use std::fmt;
+use std::str::FromStr;
+
+use serde::{Deserialize, Serialize};
+
+/// A text that is not a value of the named type.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("{kind}: {text:?} is not valid; expected {expected}")]
+pub struct ParseValueError {
+    kind: &'static str,
+    text: Box<str>,
+    expected: &'static str,
+}
+
+impl ParseValueError {
+    /// Longest part of the rejected text that is kept, in characters, so that errors stay short.
+    const MAX_SHOWN_CHARACTERS: usize = 160;
+
+    /// Names the type, the rejected text and what was expected.
+    pub fn new(kind: &'static str, text: &str, expected: &'static str) -> Self {
+        Self { kind, text: text.chars().take(Self::MAX_SHOWN_CHARACTERS).collect(), expected }
+    }
+}
+
+// A macro is used because every count needs the same parser, arithmetic and `Display`.
+macro_rules! count_quantity {
+    ($($(#[$meta:meta])* $name:ident($inner:ty);)*) => {$(
+        $(#[$meta])*
+        #[derive(
+            Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+        )]
+        #[serde(transparent)]
+        pub struct $name(pub $inner);
+
+        impl fmt::Display for $name {
+            fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+                write!(formatter, "{}", self.0)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = ParseValueError;
+
+            fn from_str(text: &str) -> Result<Self, Self::Err> {
+                text.parse()
+                    .map(Self)
+                    .map_err(|_| ParseValueError::new(stringify!($name), text, "a whole number"))
+            }
+        }
+
+        impl std::ops::Add for $name {
+            type Output = Self;
+
+            fn add(self, other: Self) -> Self {
+                Self(self.0.saturating_add(other.0))
+            }
+        }
+
+        impl std::iter::Sum for $name {
+            fn sum<I: Iterator<Item = Self>>(values: I) -> Self {
+                values.fold(Self::default(), |sum, value| sum + value)
+            }
+        }
+    )*};
+}
+
+count_quantity! {
+    /// A size in bytes.
+    ByteCount(u64);
+    /// A number of documents in a partition.
+    DocumentCount(u64);
+    /// The requests that a target can run at the same time.
+    SlotCount(u32);
+    /// A number of connections to a target.
+    ConnectionCount(u32);
+}
+
+// A macro is used because both real quantities need the same checked parser.
+macro_rules! real_quantity {
+    ($($(#[$meta:meta])* $name:ident;)*) => {$(
+        $(#[$meta])*
+        #[derive(Clone, Copy, Debug, Default, PartialEq, PartialOrd, Serialize, Deserialize)]
+        #[serde(transparent)]
+        pub struct $name(pub f64);
+
+        impl fmt::Display for $name {
+            fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+                write!(formatter, "{}", self.0)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = ParseValueError;
+
+            fn from_str(text: &str) -> Result<Self, Self::Err> {
+                match text.parse::<f64>() {
+                    Ok(value) if value.is_finite() && value >= 0.0 => Ok(Self(value)),
+                    _ => Err(ParseValueError::new(
+                        stringify!($name), text, "a finite number of zero or more")),
+                }
+            }
+        }
+    )*};
+}
+
+real_quantity! {
+    /// Cost of work on targets; one unit is one plain sub-request.
+    CostUnits;
+    /// Cost units per second.
+    CostRate;
+}
+
+/// The share of a snapshot's documents that an answer covers, from 0 to 1.
+#[derive(Clone, Copy, Debug, PartialEq, PartialOrd, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct CoverageShare(f64);
+
+impl CoverageShare {
+    /// Nothing answered.
+    pub const NONE: Self = Self(0.0);
+    /// Every document answered.
+    pub const FULL: Self = Self(1.0);
+
+    /// A share clamped to the range 0 to 1; not-a-number counts as nothing.
+    pub fn new(value: f64) -> Self {
+        if value.is_nan() { Self::NONE } else { Self(value.clamp(0.0, 1.0)) }
+    }
+
+    /// The share as a number from 0 to 1.
+    pub fn value(self) -> f64 {
+        self.0
+    }
+}
+
+impl fmt::Display for CoverageShare {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{}", self.0)
+    }
+}
+
+impl FromStr for CoverageShare {
+    type Err = ParseValueError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        match text.parse::<f64>() {
+            Ok(value) if (0.0..=1.0).contains(&value) => Ok(Self(value)),
+            _ => Err(ParseValueError::new("CoverageShare", text, "a number from 0 to 1")),
+        }
+    }
+}
--- /dev/null
+++ b/hickoryspan_local/src/main.rs
@@ -0,0 +1,2 @@
+//! Placeholder.
+fn main() {}
--- /dev/null
+++ b/hickoryspan_store/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
