Add frames between own processes and the shared runtime

Cause: both daemons need settings, logs, metrics, an HTTP server with limits, an HTTP client that knows whether a byte was written, and authenticated links between own processes. Change: add hickoryspan_wire and hickoryspan_runtime with tests. Measured: not measured.

--- a/hickoryspan_core/src/types/key_range.rs
+++ b/hickoryspan_core/src/types/key_range.rs
@@ -9,7 +9,6 @@
 
 /// Keys from `first` to `last`, both included; the whole space is `0` to `u64::MAX`.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
 pub struct KeyRange {
     /// First key of the range.
     pub first: u64,
--- a/hickoryspan_core/src/types/time.rs
+++ b/hickoryspan_core/src/types/time.rs
@@ -80,7 +80,6 @@
 
 /// One reading of both clocks, taken by the driver for each event.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
 pub struct ClockReading {
     /// For leases, timeouts and rates; never steps.
     pub monotonic: MonotonicTime,
--- a/hickoryspan_runtime/src/lib.rs
+++ b/hickoryspan_runtime/src/lib.rs
@@ -1,1 +1,12 @@
-//! Placeholder.
+//! Plumbing that all processes share: settings, logs, metrics, HTTP server, peer links and the credential.
+
+#![warn(missing_docs)]
+
+pub mod clock;
+pub mod credential;
+pub mod http_client;
+pub mod http_server;
+pub mod logs;
+pub mod metrics_page;
+pub mod peer_link;
+pub mod settings;
--- /dev/null
+++ b/hickoryspan_runtime/src/logs.rs
@@ -0,0 +1,119 @@
+//! Structured logs on standard error, as text or JSON lines.
+
+use std::fmt;
+use std::str::FromStr;
+use std::sync::Arc;
+
+use anyhow::Context;
+use hickoryspan_core::types::ParseValueError;
+use spdlog::formatter::{Formatter, FullFormatter, JsonFormatter};
+use spdlog::sink::{StdStream, StdStreamSink};
+use spdlog::{LevelFilter, Logger};
+
+/// The form of log lines.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum LogFormat {
+    /// Lines for people.
+    #[default]
+    Text,
+    /// One JSON object a line.
+    Json,
+}
+
+impl fmt::Display for LogFormat {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(match self {
+            Self::Text => "text",
+            Self::Json => "json",
+        })
+    }
+}
+
+impl FromStr for LogFormat {
+    type Err = ParseValueError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        match text {
+            "text" => Ok(Self::Text),
+            "json" => Ok(Self::Json),
+            _ => Err(ParseValueError::new("LogFormat", text, "text or json")),
+        }
+    }
+}
+
+/// The least severe level that is logged.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum LogLevel {
+    /// Failures only.
+    Error,
+    /// Failures and what may lead to them.
+    Warn,
+    /// Changes of state.
+    #[default]
+    Info,
+    /// Single requests.
+    Debug,
+    /// Everything.
+    Trace,
+}
+
+impl LogLevel {
+    const NAMES: [(Self, &'static str); 5] = [
+        (Self::Error, "error"),
+        (Self::Warn, "warn"),
+        (Self::Info, "info"),
+        (Self::Debug, "debug"),
+        (Self::Trace, "trace"),
+    ];
+
+    fn to_filter(self) -> LevelFilter {
+        LevelFilter::MoreSevereEqual(match self {
+            Self::Error => spdlog::Level::Error,
+            Self::Warn => spdlog::Level::Warn,
+            Self::Info => spdlog::Level::Info,
+            Self::Debug => spdlog::Level::Debug,
+            Self::Trace => spdlog::Level::Trace,
+        })
+    }
+}
+
+impl fmt::Display for LogLevel {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let name = Self::NAMES.iter().find(|(level, _)| level == self).map(|(_, name)| *name);
+        formatter.write_str(name.unwrap_or_default())
+    }
+}
+
+impl FromStr for LogLevel {
+    type Err = ParseValueError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        Self::NAMES.iter().find(|(_, name)| *name == text).map(|(level, _)| *level).ok_or_else(
+            || ParseValueError::new("LogLevel", text, "error, warn, info, debug or trace"),
+        )
+    }
+}
+
+fn build_sink(formatter: impl Formatter + 'static) -> anyhow::Result<StdStreamSink> {
+    StdStreamSink::builder()
+        .std_stream(StdStream::Stderr)
+        .formatter(formatter)
+        .build()
+        .context("install logs: build the sink")
+}
+
+/// Sets the process's default logger.
+pub fn install_logs(format: LogFormat, level: LogLevel) -> anyhow::Result<()> {
+    let sink = match format {
+        LogFormat::Text => build_sink(FullFormatter::new()),
+        LogFormat::Json => build_sink(JsonFormatter::new()),
+    }?;
+    let logger = Logger::builder()
+        .sink(Arc::new(sink))
+        .level_filter(level.to_filter())
+        .flush_level_filter(LevelFilter::All)
+        .build()
+        .context("install logs: build the logger")?;
+    spdlog::set_default_logger(Arc::new(logger));
+    Ok(())
+}
--- /dev/null
+++ b/hickoryspan_runtime/src/metrics_page.rs
@@ -0,0 +1,40 @@
+//! The metrics endpoint in the Prometheus text format.
+
+use std::sync::OnceLock;
+
+use anyhow::{Context, anyhow};
+use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+
+/// Upper bounds of latency histograms in seconds, from well below to well above the deadlines of both tenants.
+const LATENCY_BUCKETS_SECONDS: [f64; 16] =
+    [0.001, 0.002, 0.005, 0.01, 0.02, 0.03, 0.05, 0.076, 0.1, 0.15, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0];
+
+static HANDLE: OnceLock<Result<PrometheusHandle, String>> = OnceLock::new();
+
+/// Renders what the process has recorded.
+#[derive(Clone)]
+pub struct MetricsPage {
+    handle: PrometheusHandle,
+}
+
+impl MetricsPage {
+    /// Installs the process's recorder, or returns the page of the one that is installed: the roles of a local
+    /// deployment share one process.
+    pub fn install() -> anyhow::Result<Self> {
+        let installed = HANDLE.get_or_init(|| {
+            PrometheusBuilder::new()
+                .set_buckets(&LATENCY_BUCKETS_SECONDS)
+                .and_then(|builder| builder.install_recorder())
+                .map_err(|error| error.to_string())
+        });
+        let handle =
+            installed.clone().map_err(|error| anyhow!(error)).context("install metrics")?;
+        Ok(Self { handle })
+    }
+
+    /// The metrics in the Prometheus text format; call it regularly, as it also compacts histograms.
+    pub fn render(&self) -> String {
+        self.handle.run_upkeep();
+        self.handle.render()
+    }
+}
--- /dev/null
+++ b/hickoryspan_runtime/tests/http.rs
@@ -0,0 +1,123 @@
+//! Guards against a server that accepts unbounded input or cuts requests at a planned stop, and against a client
+//! that mistakes a sent request for one that was not sent.
+
+#![allow(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hickoryspan_runtime::http_client::{HttpConnection, SendError};
+use hickoryspan_runtime::http_server::{
+    HttpHandler, HttpLimits, HttpServer, ResponseFuture, read_body, text_response,
+};
+use http::{Request, StatusCode};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use tokio::io::AsyncReadExt;
+use tokio::net::TcpListener;
+use tokio::sync::Notify;
+use tokio_util::sync::CancellationToken;
+
+const TIMEOUT: Duration = Duration::from_secs(10);
+const ANSWER_BYTES: usize = 1024;
+
+/// Answers `/slow` only after it is notified.
+struct TestHandler {
+    limits: HttpLimits,
+    arrived: Notify,
+    release: Notify,
+}
+
+impl HttpHandler for TestHandler {
+    fn handle(&self, request: Request<Incoming>, _peer: SocketAddr) -> ResponseFuture<'_> {
+        Box::pin(async move {
+            if request.uri().path() == "/slow" {
+                self.arrived.notify_one();
+                self.release.notified().await;
+            }
+            match read_body(request.into_body(), &self.limits).await {
+                Ok(body) => text_response(StatusCode::OK, body.len().to_string()),
+                Err(error) => text_response(error.status(), error.to_string()),
+            }
+        })
+    }
+}
+
+async fn start(
+    limits: HttpLimits,
+) -> (SocketAddr, Arc<TestHandler>, CancellationToken, tokio::task::JoinHandle<()>) {
+    let server = HttpServer::bind("127.0.0.1:0".parse().unwrap(), limits.clone()).await.unwrap();
+    let address = server.local_address().unwrap();
+    let handler = Arc::new(TestHandler { limits, arrived: Notify::new(), release: Notify::new() });
+    let stop = CancellationToken::new();
+    let task = tokio::spawn(server.serve(handler.clone(), stop.clone()));
+    (address, handler, stop, task)
+}
+
+fn request(path: &str, body: impl Into<Bytes>) -> Request<Full<Bytes>> {
+    Request::post(path).header("host", "test").body(Full::new(body.into())).unwrap()
+}
+
+#[tokio::test]
+async fn large_bodies_are_refused() {
+    let limits = HttpLimits { body_bytes: 16, ..Default::default() };
+    let (address, _handler, stop, task) = start(limits).await;
+    let mut connection = HttpConnection::open(address, TIMEOUT).await.unwrap();
+    let small = connection.send(request("/", "0123456789"), ANSWER_BYTES).await.unwrap();
+    assert_eq!((small.status, &small.body[..]), (StatusCode::OK, b"10".as_slice()));
+    let large = connection.send(request("/", vec![b'x'; 17]), ANSWER_BYTES).await.unwrap();
+    assert_eq!(large.status, StatusCode::PAYLOAD_TOO_LARGE);
+    connection.close().await;
+    stop.cancel();
+    task.await.unwrap();
+}
+
+#[tokio::test]
+async fn a_stop_finishes_the_request_in_flight() {
+    let (address, handler, stop, task) = start(HttpLimits::default()).await;
+    let mut connection = HttpConnection::open(address, TIMEOUT).await.unwrap();
+    let send = connection.send(request("/slow", "abc"), ANSWER_BYTES);
+    let stop_during = async {
+        handler.arrived.notified().await;
+        stop.cancel();
+        handler.release.notify_one();
+    };
+    let (answer, ()) = tokio::join!(send, stop_during);
+    assert_eq!(answer.unwrap().status, StatusCode::OK);
+    task.await.unwrap();
+    assert!(HttpConnection::open(address, TIMEOUT).await.is_err());
+}
+
+#[tokio::test]
+async fn a_closed_connection_reports_that_nothing_was_sent() {
+    let (address, _handler, stop, task) = start(HttpLimits::default()).await;
+    let mut connection = HttpConnection::open(address, TIMEOUT).await.unwrap();
+    connection.send(request("/", ""), ANSWER_BYTES).await.unwrap();
+    stop.cancel();
+    task.await.unwrap();
+    // The end of the connection reaches this side only when its task has read it.
+    while !connection.is_closed() {
+        tokio::task::yield_now().await;
+    }
+    let error = connection.send(request("/", "abc"), ANSWER_BYTES).await.unwrap_err();
+    assert!(matches!(error, SendError::NotSent(_)), "{error}");
+}
+
+#[tokio::test]
+async fn a_connection_cut_after_the_request_reports_a_loss() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let server = async {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let mut buffer = [0; 64];
+        assert!(stream.read(&mut buffer).await.unwrap() > 0);
+    };
+    let client = async {
+        let mut connection = HttpConnection::open(address, TIMEOUT).await.unwrap();
+        connection.send(request("/", "abc"), ANSWER_BYTES).await.unwrap_err()
+    };
+    let ((), error) = tokio::join!(server, client);
+    assert!(matches!(error, SendError::ConnectionLost(_)), "{error}");
+}
--- a/hickoryspan_wire/src/lib.rs
+++ b/hickoryspan_wire/src/lib.rs
@@ -1,1 +1,112 @@
-//! Placeholder.
+//! Frames between the system's own processes: CBOR envelopes with a version and a message kind.
+//!
+//! Two adjacent releases can talk: unknown fields are skipped, and a kind that the receiver does not know is
+//! answered with [`InboundFrame::Unsupported`] instead of a closed connection. See `docs/design.md`, section 8.
+
+#![warn(missing_docs)]
+
+use std::sync::Arc;
+
+use ciborium::Value;
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+
+/// The version of the frame layout that this release writes.
+pub const FRAME_VERSION: u16 = 1;
+/// The oldest version that this release reads.
+pub const OLDEST_FRAME_VERSION: u16 = 1;
+/// Largest accepted frame in bytes; a view of 8,200 targets fits many times over.
+pub const MAX_FRAME_BYTES: usize = 64 * 1024 * 1024;
+/// The kind that reports an unknown kind to its sender.
+const UNSUPPORTED_KIND: &str = "unsupported";
+
+#[derive(Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+struct FrameEnvelope {
+    version: u16,
+    kind: Arc<str>,
+    body: Value,
+}
+
+/// A decoded frame.
+#[derive(Clone, Debug, PartialEq)]
+pub enum InboundFrame<M> {
+    /// A message.
+    Message(M),
+    /// The frame is well formed, but this release does not know its kind or content; answer it with
+    /// [`encode_unsupported`].
+    Unknown(Arc<str>),
+    /// The other side did not know a message of this kind that we sent.
+    Unsupported(Arc<str>),
+}
+
+/// A frame that cannot be encoded or decoded.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum FrameError {
+    /// The message cannot be represented.
+    #[error("encode frame: {0}")]
+    Encode(Arc<str>),
+    /// The bytes are not a frame.
+    #[error("decode frame: {0}")]
+    Decode(Arc<str>),
+    /// The frame is larger than [`MAX_FRAME_BYTES`].
+    #[error("decode frame: {0} bytes exceed the limit of {MAX_FRAME_BYTES}")]
+    TooLarge(usize),
+    /// The frame's layout is older than this release reads.
+    #[error("decode frame: version {0} is older than {OLDEST_FRAME_VERSION}")]
+    TooOld(u16),
+}
+
+/// Encodes a message as one frame; enum variants become kinds.
+pub fn encode_message(message: &impl Serialize) -> Result<Vec<u8>, FrameError> {
+    let value = Value::serialized(message).map_err(|error| encode_error(&error))?;
+    match value {
+        Value::Text(kind) => encode_envelope(kind.into(), Value::Null),
+        Value::Map(mut fields) if fields.len() == 1 => match fields.pop() {
+            Some((Value::Text(kind), body)) => encode_envelope(kind.into(), body),
+            _ => Err(FrameError::Encode("message kind is not text".into())),
+        },
+        _ => Err(FrameError::Encode("message is not an enum".into())),
+    }
+}
+
+/// Encodes the answer to a frame of an unknown kind.
+pub fn encode_unsupported(kind: &str) -> Result<Vec<u8>, FrameError> {
+    encode_envelope(UNSUPPORTED_KIND.into(), Value::Text(kind.to_owned()))
+}
+
+/// Decodes one frame.
+pub fn decode_message<M: DeserializeOwned>(bytes: &[u8]) -> Result<InboundFrame<M>, FrameError> {
+    if bytes.len() > MAX_FRAME_BYTES {
+        return Err(FrameError::TooLarge(bytes.len()));
+    }
+    let envelope: FrameEnvelope = ciborium::from_reader(bytes)
+        .map_err(|error| FrameError::Decode(error.to_string().into()))?;
+    if envelope.version < OLDEST_FRAME_VERSION {
+        return Err(FrameError::TooOld(envelope.version));
+    }
+    if &*envelope.kind == UNSUPPORTED_KIND {
+        let kind = envelope.body.as_text().unwrap_or_default();
+        return Ok(InboundFrame::Unsupported(kind.into()));
+    }
+    let text = Value::Text(envelope.kind.to_string());
+    let value = match envelope.body {
+        Value::Null => text,
+        body => Value::Map(vec![(text, body)]),
+    };
+    match value.deserialized() {
+        Ok(message) => Ok(InboundFrame::Message(message)),
+        Err(_) => Ok(InboundFrame::Unknown(envelope.kind)),
+    }
+}
+
+fn encode_envelope(kind: Arc<str>, body: Value) -> Result<Vec<u8>, FrameError> {
+    let envelope = FrameEnvelope { version: FRAME_VERSION, kind, body };
+    let mut bytes = Vec::new();
+    ciborium::into_writer(&envelope, &mut bytes).map_err(|error| encode_error(&error))?;
+    Ok(bytes)
+}
+
+fn encode_error(error: &impl ToString) -> FrameError {
+    FrameError::Encode(error.to_string().into())
+}
