--- /dev/null
+++ b/hickoryspan_control/src/actor.rs
@@ -0,0 +1,250 @@
+//! The actor that owns the control machine and performs its actions.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use hickoryspan_core::control::interface::{
+    ControlAction, ControlEvent, ControlReply, LinkId, ReplyToken,
+};
+use hickoryspan_core::control::machine::ControlMachine;
+use hickoryspan_core::messages::ControlMessage;
+use hickoryspan_core::types::MonotonicTime;
+use hickoryspan_runtime::clock::SystemClock;
+use tokio::sync::{Semaphore, mpsc, oneshot, watch};
+use tokio_util::sync::CancellationToken;
+use xtra::prelude::*;
+
+use crate::persistence::PersistenceThread;
+use crate::replica_links::ReplicaLinks;
+
+/// Events that may wait for the machine; links and requests beyond it are refused, which bounds memory.
+const MAX_WAITING_EVENTS: usize = 16 * 1024;
+
+/// Owns the machine; all events pass through its mailbox in order.
+#[derive(xtra::Actor)]
+pub(crate) struct ControlActor {
+    pub(crate) machine: ControlMachine,
+    pub(crate) clock: SystemClock,
+    pub(crate) persistence: PersistenceThread,
+    pub(crate) replica_links: ReplicaLinks,
+    pub(crate) entry_links: HashMap<LinkId, mpsc::Sender<ControlMessage>>,
+    pub(crate) replies: HashMap<ReplyToken, oneshot::Sender<ControlReply>>,
+    pub(crate) wakeup: watch::Sender<Option<MonotonicTime>>,
+    /// Cancelled when the machine has stopped.
+    pub(crate) stopped: CancellationToken,
+    pub(crate) actions: Vec<ControlAction>,
+}
+
+impl ControlActor {
+    fn handle_event(&mut self, event: ControlEvent) {
+        let mut actions = std::mem::take(&mut self.actions);
+        self.machine.handle(self.clock.reading(), event, &mut actions);
+        for action in actions.drain(..) {
+            self.perform(action);
+        }
+        self.actions = actions;
+        self.wakeup.send_replace(self.machine.next_wakeup());
+    }
+
+    fn perform(&mut self, action: ControlAction) {
+        match action {
+            ControlAction::Persist(sequence, batch) => self.persistence.persist(sequence, batch),
+            ControlAction::SendReplica { to, address, message } => {
+                self.replica_links.send(to, address, message);
+            }
+            ControlAction::SendEntry(link, message) => self.send_entry(link, message),
+            ControlAction::CloseLink(link) => {
+                self.entry_links.remove(&link);
+            }
+            ControlAction::Reply(token, reply) => {
+                // The other side may have gone away while its request was decided.
+                let _ = self.replies.remove(&token).map(|reply_to| reply_to.send(reply));
+            }
+            ControlAction::Stop(reason) => {
+                spdlog::critical!("control replica must stop: {}", reason);
+                self.stopped.cancel();
+            }
+            ControlAction::Stopped => self.stopped.cancel(),
+        }
+    }
+
+    fn send_entry(&mut self, link: LinkId, message: ControlMessage) {
+        let Some(sender) = self.entry_links.get(&link) else { return };
+        // Dropping the sender closes the link; the entry then connects again and resynchronizes.
+        if sender.try_send(message).is_err() {
+            spdlog::warn!("entry link {}: queue full, closing", link.0);
+            self.entry_links.remove(&link);
+        }
+    }
+}
+
+/// An event for the machine.
+struct DeliverEvent(ControlEvent, Option<tokio::sync::OwnedSemaphorePermit>);
+
+impl Handler<DeliverEvent> for ControlActor {
+    type Return = ();
+
+    async fn handle(&mut self, message: DeliverEvent, _context: &mut Context<Self>) {
+        self.handle_event(message.0);
+        drop(message.1);
+    }
+}
+
+/// A request that waits for a reply.
+struct AskMachine {
+    token: ReplyToken,
+    event: ControlEvent,
+    reply_to: oneshot::Sender<ControlReply>,
+}
+
+impl Handler<AskMachine> for ControlActor {
+    type Return = ();
+
+    async fn handle(&mut self, message: AskMachine, _context: &mut Context<Self>) {
+        self.replies.retain(|_, reply_to| !reply_to.is_closed());
+        self.replies.insert(message.token, message.reply_to);
+        self.handle_event(message.event);
+    }
+}
+
+/// A new entry link.
+struct OpenEntryLink(LinkId, mpsc::Sender<ControlMessage>);
+
+impl Handler<OpenEntryLink> for ControlActor {
+    type Return = ();
+
+    async fn handle(&mut self, message: OpenEntryLink, _context: &mut Context<Self>) {
+        self.entry_links.insert(message.0, message.1);
+    }
+}
+
+/// An entry link that ended.
+struct CloseEntryLink(LinkId);
+
+impl Handler<CloseEntryLink> for ControlActor {
+    type Return = ();
+
+    async fn handle(&mut self, message: CloseEntryLink, _context: &mut Context<Self>) {
+        self.entry_links.remove(&message.0);
+        self.handle_event(ControlEvent::LinkClosed(message.0));
+    }
+}
+
+/// Ends the actor after its links and its persistence thread ended.
+struct ShutDown;
+
+impl Handler<ShutDown> for ControlActor {
+    type Return = ();
+
+    async fn handle(&mut self, _message: ShutDown, context: &mut Context<Self>) {
+        self.replica_links.close().await;
+        self.entry_links.clear();
+        self.replies.clear();
+        self.persistence.join();
+        context.stop_self();
+    }
+}
+
+/// Delivers events to the actor from any task or thread.
+#[derive(Clone)]
+pub(crate) struct ControlInbox {
+    address: Address<ControlActor>,
+    permits: Arc<Semaphore>,
+    next_token: Arc<AtomicU64>,
+}
+
+impl ControlInbox {
+    /// An inbox for the actor.
+    pub(crate) fn new(address: Address<ControlActor>) -> Self {
+        Self {
+            address,
+            permits: Arc::new(Semaphore::new(MAX_WAITING_EVENTS)),
+            next_token: Arc::new(AtomicU64::new(1)),
+        }
+    }
+
+    /// Queues an event unless too many wait; false closes the link that the event came from.
+    pub(crate) fn try_deliver(&self, event: ControlEvent) -> bool {
+        let Ok(permit) = Arc::clone(&self.permits).try_acquire_owned() else { return false };
+        self.deliver(event, Some(permit))
+    }
+
+    /// Queues an event of this process itself, which must not be lost.
+    pub(crate) fn deliver_own(&self, event: ControlEvent) -> bool {
+        self.deliver(event, None)
+    }
+
+    fn deliver(
+        &self,
+        event: ControlEvent,
+        permit: Option<tokio::sync::OwnedSemaphorePermit>,
+    ) -> bool {
+        if !self.address.is_connected() {
+            return false;
+        }
+        // The mailbox is unbounded, so that the message is queued when the future is first polled.
+        let send = self.address.send(DeliverEvent(event, permit)).detach();
+        matches!(futures::FutureExt::now_or_never(send), Some(Ok(_)))
+    }
+
+    /// Waits for the machine's reply; nothing if the daemon stops meanwhile.
+    pub(crate) async fn ask(
+        &self,
+        event: impl FnOnce(ReplyToken) -> ControlEvent,
+    ) -> Option<ControlReply> {
+        let _permit = self.permits.try_acquire().ok()?;
+        let token = ReplyToken(self.next_token.fetch_add(1, Ordering::Relaxed));
+        let (reply_to, reply) = oneshot::channel();
+        let message = AskMachine { token, event: event(token), reply_to };
+        self.address.send(message).await.ok()?;
+        reply.await.ok()
+    }
+
+    /// Registers an entry link before its first message.
+    pub(crate) async fn open_entry_link(&self, link: LinkId, sender: mpsc::Sender<ControlMessage>) {
+        // An error means that the daemon stops, which ends the link as well.
+        let _ = self.address.send(OpenEntryLink(link, sender)).await;
+    }
+
+    /// Reports that an entry link ended.
+    pub(crate) async fn close_entry_link(&self, link: LinkId) {
+        let _ = self.address.send(CloseEntryLink(link)).await;
+    }
+
+    /// Ends the actor and waits until everything it owns has ended.
+    pub(crate) async fn shut_down(&self) {
+        let _ = self.address.send(ShutDown).await;
+    }
+}
+
+/// Sends `Tick` whenever the machine's wake-up time has come.
+pub(crate) async fn run_timer(
+    clock: SystemClock,
+    mut wakeup: watch::Receiver<Option<MonotonicTime>>,
+    inbox: ControlInbox,
+    stop: CancellationToken,
+) {
+    loop {
+        let next = *wakeup.borrow_and_update();
+        let sleep = async {
+            match next {
+                Some(time) => tokio::time::sleep_until(clock.instant(time).into()).await,
+                None => std::future::pending().await,
+            }
+        };
+        tokio::select! {
+            () = stop.cancelled() => return,
+            changed = wakeup.changed() => {
+                if changed.is_err() {
+                    return;
+                }
+            }
+            () = sleep => {
+                if !inbox.deliver_own(ControlEvent::Tick) || wakeup.changed().await.is_err() {
+                    return;
+                }
+            }
+        }
+    }
+}
--- a/hickoryspan_control/src/lib.rs
+++ b/hickoryspan_control/src/lib.rs
@@ -1,1 +1,19 @@
-//! Placeholder.
+//! The control daemon: drives the control machine with real sockets, files and clocks.
+//!
+//! It holds no policy of its own; see `docs/design.md`, sections 2 to 5.
+
+#![warn(missing_docs)]
+
+mod actor;
+mod admin_json;
+mod daemon;
+mod http_routes;
+mod persistence;
+mod replica_links;
+mod settings;
+mod link_server;
+
+pub use admin_json::{CommandRequest, HistoryPage, QuarantinePage, TargetPage};
+pub use daemon::ControlDaemon;
+pub use http_routes::ROUTES;
+pub use settings::{ControlDaemonSettings, ControlOptions};
--- /dev/null
+++ b/hickoryspan_control/src/settings.rs
@@ -0,0 +1,239 @@
+//! Settings of the control daemon, from flags and environment variables.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use gumdrop::Options;
+use hickoryspan_runtime::credential::SharedCredential;
+use hickoryspan_runtime::http_server::HttpLimits;
+use hickoryspan_runtime::logs::{LogFormat, LogLevel};
+use hickoryspan_runtime::settings::{SettingFaults, SettingValue, SettingsReader};
+
+/// Flags of `hickoryspan-control`.
+#[derive(Debug, Default, Options)]
+pub struct ControlOptions {
+    /// Prints the flags.
+    #[options(help = "print this help", no_short)]
+    pub help: bool,
+    /// Prints the version.
+    #[options(help = "print the version", no_short)]
+    pub version: bool,
+    /// Checks the settings only.
+    #[options(help = "check the settings and exit", no_short)]
+    pub check_settings: bool,
+    /// Prints the settings.
+    #[options(help = "print the settings in force and exit", no_short)]
+    pub print_settings: bool,
+    /// The data folder.
+    #[options(help = "folder for the durable state (required)", no_short, meta = "FOLDER")]
+    pub data_folder: Option<String>,
+    /// Creates a new deployment.
+    #[options(
+        help = "true creates the data folder as the first replica of a new deployment (default false)",
+        no_short,
+        meta = "BOOL"
+    )]
+    pub new_deployment: Option<String>,
+    /// The peer address.
+    #[options(
+        help = "address for entries and other replicas (default 127.0.0.1:7100)",
+        no_short,
+        meta = "IP:PORT"
+    )]
+    pub peer_address: Option<String>,
+    /// The HTTP address.
+    #[options(
+        help = "address for operators, targets and monitoring (default 127.0.0.1:7101)",
+        no_short,
+        meta = "IP:PORT"
+    )]
+    pub http_address: Option<String>,
+    /// The credential file.
+    #[options(
+        help = "file with the shared credential; or variable HICKORYSPAN_CREDENTIAL (required)",
+        no_short,
+        meta = "FILE"
+    )]
+    pub credential_file: Option<String>,
+    /// The log level.
+    #[options(
+        help = "error, warn, info, debug or trace (default info)",
+        no_short,
+        meta = "LEVEL"
+    )]
+    pub log_level: Option<String>,
+    /// The log format.
+    #[options(help = "text or json (default text)", no_short, meta = "FORMAT")]
+    pub log_format: Option<String>,
+    /// Body limit.
+    #[options(
+        help = "largest request body in bytes, 1024 to 67108864 (default 8388608)",
+        no_short,
+        meta = "BYTES"
+    )]
+    pub max_body_bytes: Option<String>,
+    /// Connection limit.
+    #[options(
+        help = "HTTP connections at the same time, 1 to 65536 (default 4096)",
+        no_short,
+        meta = "COUNT"
+    )]
+    pub max_connections: Option<String>,
+    /// Read time limit.
+    #[options(
+        help = "time to read a request, 100ms to 1m (default 5s)",
+        no_short,
+        meta = "DURATION"
+    )]
+    pub read_time: Option<String>,
+    /// Drain time limit.
+    #[options(
+        help = "time that a stop leaves to requests in flight, 1s to 1h (default 30s)",
+        no_short,
+        meta = "DURATION"
+    )]
+    pub drain_time: Option<String>,
+}
+
+/// Checked settings of the control daemon.
+#[derive(Clone, Debug)]
+pub struct ControlDaemonSettings {
+    /// Folder of the durable state.
+    pub data_folder: PathBuf,
+    /// Whether the data folder is created as the first replica of a new deployment.
+    pub is_new_deployment: bool,
+    /// Address for entries and other replicas.
+    pub peer_address: SocketAddr,
+    /// Address for operators, targets and monitoring.
+    pub http_address: SocketAddr,
+    /// The shared credential.
+    pub credential: SharedCredential,
+    /// Limits of the HTTP port.
+    pub limits: HttpLimits,
+    /// Least severe level in the log.
+    pub log_level: LogLevel,
+    /// Form of log lines.
+    pub log_format: LogFormat,
+    /// Seed of the generator for election timeouts; from the operating system unless a test sets it.
+    pub seed: Option<u64>,
+}
+
+/// Settings together with their text form.
+#[derive(Clone, Debug)]
+pub struct CheckedSettings {
+    /// The settings.
+    pub settings: ControlDaemonSettings,
+    /// Their text form for `--print-settings`.
+    pub values: Vec<SettingValue>,
+}
+
+const ADDRESS: &str = "an IP address and a port, such as 127.0.0.1:7100";
+const MAX_BODY_BYTES: usize = 64 * 1024 * 1024;
+const DEFAULT_BODY_BYTES: usize = 8 * 1024 * 1024;
+const DEFAULT_CONNECTIONS: usize = 4096;
+
+impl ControlDaemonSettings {
+    /// Checks all settings; the error lists every fault.
+    pub fn read(
+        options: &ControlOptions,
+        mut reader: SettingsReader,
+    ) -> Result<CheckedSettings, SettingFaults> {
+        let folder = reader.required::<PathBuf>(
+            "data-folder",
+            options.data_folder.as_deref(),
+            "a folder on a disk that survives restarts",
+            |folder| !folder.as_os_str().is_empty(),
+        );
+        let is_new_deployment = reader.with_default(
+            "new-deployment",
+            options.new_deployment.as_deref(),
+            false,
+            "true or false",
+            |_| true,
+        );
+        let peer_address = read_address(
+            &mut reader,
+            "peer-address",
+            options.peer_address.as_deref(),
+            SocketAddr::from(([127, 0, 0, 1], 7100)),
+        );
+        let http_address = read_address(
+            &mut reader,
+            "http-address",
+            options.http_address.as_deref(),
+            SocketAddr::from(([127, 0, 0, 1], 7101)),
+        );
+        let credential = reader.credential(options.credential_file.as_deref());
+        let log_level = reader.with_default(
+            "log-level",
+            options.log_level.as_deref(),
+            LogLevel::default(),
+            "error, warn, info, debug or trace",
+            |_| true,
+        );
+        let log_format = reader.with_default(
+            "log-format",
+            options.log_format.as_deref(),
+            LogFormat::default(),
+            "text or json",
+            |_| true,
+        );
+        let limits = read_limits(options, &mut reader);
+        let values = reader.finish()?;
+        let (Some(data_folder), Some(credential)) = (folder, credential) else {
+            return Err(SettingFaults(Vec::new()));
+        };
+        let settings = Self {
+            data_folder,
+            is_new_deployment,
+            peer_address,
+            http_address,
+            credential,
+            limits,
+            log_level,
+            log_format,
+            seed: None,
+        };
+        Ok(CheckedSettings { settings, values })
+    }
+}
+
+fn read_address(
+    reader: &mut SettingsReader,
+    flag: &str,
+    given: Option<&str>,
+    default: SocketAddr,
+) -> SocketAddr {
+    reader.with_default(flag, given, default, ADDRESS, |_| true)
+}
+
+fn read_limits(options: &ControlOptions, reader: &mut SettingsReader) -> HttpLimits {
+    let body_bytes = reader.with_default(
+        "max-body-bytes",
+        options.max_body_bytes.as_deref(),
+        DEFAULT_BODY_BYTES,
+        "a number from 1024 to 67108864",
+        |bytes| (1024..=MAX_BODY_BYTES).contains(bytes),
+    );
+    let connections = reader.with_default(
+        "max-connections",
+        options.max_connections.as_deref(),
+        DEFAULT_CONNECTIONS,
+        "a number from 1 to 65536",
+        |count| (1..=65536).contains(count),
+    );
+    let read_time = reader.duration(
+        "read-time",
+        options.read_time.as_deref(),
+        Duration::from_secs(5),
+        Duration::from_millis(100)..=Duration::from_secs(60),
+    );
+    let drain_time = reader.duration(
+        "drain-time",
+        options.drain_time.as_deref(),
+        Duration::from_secs(30),
+        Duration::from_secs(1)..=Duration::from_secs(3600),
+    );
+    HttpLimits { body_bytes, connections, read_time, drain_time, ..Default::default() }
+}
