--- a/hickoryspan_runtime/src/http_client.rs
+++ b/hickoryspan_runtime/src/http_client.rs
@@ -17,7 +17,8 @@
 use hyper_util::rt::TokioIo;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
-use tokio::task::JoinHandle;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::AbortOnDropHandle;
 
 /// A stream that counts the bytes handed to the operating system.
 struct CountingStream {
@@ -101,11 +102,12 @@
     TooLarge(usize),
 }
 
-/// One open connection; requests on it run one after another.
+/// One open connection; requests on it run one after another. Dropping it ends the connection.
 pub struct HttpConnection {
     sender: http1::SendRequest<Full<Bytes>>,
     written: Arc<AtomicU64>,
-    driver: JoinHandle<()>,
+    driver: AbortOnDropHandle<()>,
+    ended: CancellationToken,
     peer: SocketAddr,
 }
 
@@ -120,12 +122,15 @@
         let counting = CountingStream { inner: stream, written: Arc::clone(&written) };
         let (sender, connection) =
             http1::handshake(TokioIo::new(counting)).await.map_err(io::Error::other)?;
-        let driver = tokio::spawn(async move {
+        let ended = CancellationToken::new();
+        let guard = ended.clone().drop_guard();
+        let driver = AbortOnDropHandle::new(tokio::spawn(async move {
+            let _guard = guard;
             if let Err(error) = connection.await {
                 spdlog::debug!("HTTP connection: {}: {}", address, error);
             }
-        });
-        Ok(Self { sender, written, driver, peer: address })
+        }));
+        Ok(Self { sender, written, driver, ended, peer: address })
     }
 
     /// The other side's address.
@@ -138,6 +143,11 @@
         self.sender.is_closed()
     }
 
+    /// Cancelled when the connection has ended, also while no request is in flight.
+    pub fn ended(&self) -> CancellationToken {
+        self.ended.clone()
+    }
+
     /// Waits until the connection can take a request, or has ended.
     pub async fn ready(&mut self) -> bool {
         self.sender.ready().await.is_ok()
--- a/hickoryspan_runtime/src/lib.rs
+++ b/hickoryspan_runtime/src/lib.rs
@@ -9,4 +9,5 @@
 pub mod logs;
 pub mod metrics_page;
 pub mod peer_link;
+pub mod process;
 pub mod settings;
--- /dev/null
+++ b/hickoryspan_target/src/handler.rs
@@ -0,0 +1,302 @@
+//! The routes of a target.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use hickoryspan_core::types::{ShardId, SnapshotVersion};
+use hickoryspan_runtime::clock::wall_time;
+use hickoryspan_runtime::http_server::{
+    HttpLimits, ResponseBody, json_response, read_body, text_response,
+};
+use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode};
+use hyper::body::Incoming;
+use serde::Serialize;
+
+use crate::documents::{DocumentHit, find_hits};
+use crate::faults::FaultCommand;
+use crate::record::{RunEnd, RunKind, RunRecord};
+use crate::state::{AdmitRefusal, ConnectionIndex, TargetState};
+
+/// The header that carries the load report.
+const LOAD_HEADER: &str = "hs-load";
+
+/// A body of a reply; absent fields are left out.
+#[derive(Debug, Default, Serialize)]
+#[serde(rename_all = "snake_case")]
+struct ReplyBody<'a> {
+    status: &'static str,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    snapshot: Option<SnapshotVersion>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    hits: Option<Vec<DocumentHit>>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    result: Option<OrderReceipt<'a>>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    detail: Option<&'a str>,
+}
+
+#[derive(Debug, Serialize)]
+#[serde(rename_all = "snake_case")]
+struct OrderReceipt<'a> {
+    request: &'a str,
+    target: &'a str,
+}
+
+fn reply(status: StatusCode, body: &ReplyBody<'_>) -> Response<ResponseBody> {
+    json_response(status, body)
+}
+
+fn refuse(status: StatusCode, name: &'static str) -> Response<ResponseBody> {
+    reply(status, &ReplyBody { status: name, ..ReplyBody::default() })
+}
+
+fn fault(status: StatusCode, detail: &str) -> Response<ResponseBody> {
+    let body = ReplyBody { status: "error", detail: Some(detail), ..ReplyBody::default() };
+    reply(status, &body)
+}
+
+fn find_header<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name).and_then(|value| value.to_str().ok())
+}
+
+/// The headers of a query or order.
+struct WorkHeaders {
+    request: String,
+    attempt: String,
+    deadline: Instant,
+    shard: Option<ShardId>,
+    snapshot: Option<SnapshotVersion>,
+}
+
+impl WorkHeaders {
+    fn parse(headers: &HeaderMap) -> Result<Self, &'static str> {
+        let attempt = find_header(headers, "hs-attempt-id").ok_or("hs-attempt-id is missing")?;
+        let millis = find_header(headers, "hs-deadline-ms")
+            .and_then(|text| text.parse().ok())
+            .ok_or("hs-deadline-ms is missing or not a whole number")?;
+        let deadline = Instant::now()
+            .checked_add(Duration::from_millis(millis))
+            .ok_or("hs-deadline-ms is too large")?;
+        Ok(Self {
+            request: find_header(headers, "hs-request-id").unwrap_or_default().to_owned(),
+            attempt: attempt.to_owned(),
+            deadline,
+            shard: parse_optional(headers, "hs-shard").ok_or("hs-shard is not valid")?,
+            snapshot: parse_optional(headers, "hs-snapshot").ok_or("hs-snapshot is not valid")?,
+        })
+    }
+
+    fn remaining(&self) -> Duration {
+        self.deadline.saturating_duration_since(Instant::now())
+    }
+}
+
+/// The outer option is empty if the header is present and does not parse.
+fn parse_optional<T: std::str::FromStr>(headers: &HeaderMap, name: &str) -> Option<Option<T>> {
+    let Some(value) = headers.get(name) else { return Some(None) };
+    value.to_str().ok()?.parse().ok().map(Some)
+}
+
+/// Answers the requests of one connection.
+pub(crate) struct TargetHandler {
+    pub(crate) state: Arc<TargetState>,
+    pub(crate) connection: ConnectionIndex,
+}
+
+impl TargetHandler {
+    /// Answers one request; a silent connection never does.
+    pub(crate) async fn handle(
+        &self,
+        request: Request<Incoming>,
+        peer: SocketAddr,
+    ) -> Response<ResponseBody> {
+        self.stay_silent().await;
+        let mut response = self.route(request).await;
+        // The connection may have gone silent while the request ran.
+        self.stay_silent().await;
+        spdlog::debug!("target: {}: status {}", peer, response.status());
+        if self.state.settings.reports_load {
+            let load = self.state.load();
+            let text = format!("running={},queued={}", load.running, load.queued);
+            if let Ok(value) = HeaderValue::from_str(&text) {
+                response.headers_mut().insert(LOAD_HEADER, value);
+            }
+        }
+        response
+    }
+
+    async fn stay_silent(&self) {
+        if self.state.is_silent(self.connection) {
+            std::future::pending::<()>().await;
+        }
+    }
+
+    async fn route(&self, request: Request<Incoming>) -> Response<ResponseBody> {
+        let (parts, body) = request.into_parts();
+        let settings = &self.state.settings;
+        if settings.credential.as_ref().is_some_and(|secret| !secret.is_carried_by(&parts.headers))
+        {
+            return fault(StatusCode::UNAUTHORIZED, "the credential is missing or wrong");
+        }
+        let limits = HttpLimits {
+            body_bytes: usize::try_from(settings.body_bytes.0).unwrap_or(usize::MAX),
+            read_time: settings.read_time,
+            ..HttpLimits::default()
+        };
+        let body = match read_body(body, &limits).await {
+            Ok(body) => body,
+            Err(error) => return fault(error.status(), &error.to_string()),
+        };
+        match (&parts.method, parts.uri.path()) {
+            (&Method::POST, "/v1/query") => self.run(RunKind::Query, &parts.headers, body).await,
+            (&Method::POST, "/v1/execute") => self.run(RunKind::Order, &parts.headers, body).await,
+            (&Method::POST, "/v1/cancel") => self.cancel(&parts.headers),
+            (&Method::POST, "/v1/drain") => {
+                self.state.drain();
+                refuse(StatusCode::OK, "draining")
+            }
+            (&Method::GET, "/v1/record") => {
+                json_response(StatusCode::OK, &self.state.record_page())
+            }
+            (&Method::POST, "/v1/faults") if settings.allow_faults => self.set_faults(&body),
+            _ => text_response(StatusCode::NOT_FOUND, "no such route"),
+        }
+    }
+
+    fn cancel(&self, headers: &HeaderMap) -> Response<ResponseBody> {
+        let Some(attempt) = find_header(headers, "hs-attempt-id") else {
+            return fault(StatusCode::BAD_REQUEST, "hs-attempt-id is missing");
+        };
+        let status = if self.state.cancel(attempt) { "cancelled" } else { "absent" };
+        refuse(StatusCode::OK, status)
+    }
+
+    fn set_faults(&self, body: &Bytes) -> Response<ResponseBody> {
+        let command: FaultCommand = match serde_json::from_slice(body) {
+            Ok(command) => command,
+            Err(error) => return fault(StatusCode::BAD_REQUEST, &error.to_string()),
+        };
+        if let Some(settings) = command.settings {
+            self.state.set_faults(settings);
+        }
+        if let Some(event) = command.event {
+            self.state.cause(event);
+        }
+        json_response(StatusCode::OK, &self.state.faults())
+    }
+
+    /// Waits for a slot and runs a query or order; every refusal comes before the run starts.
+    async fn run(&self, kind: RunKind, headers: &HeaderMap, body: Bytes) -> Response<ResponseBody> {
+        let work = match WorkHeaders::parse(headers) {
+            Ok(work) => work,
+            Err(detail) => return fault(StatusCode::BAD_REQUEST, detail),
+        };
+        if work.remaining() < self.state.settings.service_time {
+            return refuse(StatusCode::GATEWAY_TIMEOUT, "late");
+        }
+        let mut ticket = match self.state.admit(&work.attempt) {
+            Ok(ticket) => ticket,
+            Err(AdmitRefusal::Draining) => {
+                return refuse(StatusCode::SERVICE_UNAVAILABLE, "draining");
+            }
+            Err(AdmitRefusal::Shed) => return refuse(StatusCode::SERVICE_UNAVAILABLE, "shed"),
+        };
+        let cancelled = ticket.cancelled();
+        let permit = tokio::select! {
+            biased;
+            () = cancelled.cancelled() => return refuse(StatusCode::SERVICE_UNAVAILABLE, "shed"),
+            () = tokio::time::sleep(work.remaining()) => {
+                return refuse(StatusCode::GATEWAY_TIMEOUT, "late");
+            }
+            permit = ticket.wait() => permit,
+        };
+        let Some(permit) = permit else {
+            return refuse(StatusCode::SERVICE_UNAVAILABLE, "draining");
+        };
+        let partition = match (kind, &work.shard, work.snapshot) {
+            (RunKind::Query, Some(shard), Some(snapshot)) => {
+                match self.state.find_partition(shard, snapshot) {
+                    Some(partition) => Some(partition),
+                    None => return refuse(StatusCode::GONE, "snapshot_gone"),
+                }
+            }
+            _ => None,
+        };
+        ticket.start(permit, self.describe_run(kind, &work));
+        self.crash_on_marker(&body).await;
+        let end = self.occupy_slot(kind, &work, &cancelled).await;
+        ticket.finish(end);
+        match end {
+            RunEnd::Done => {}
+            RunEnd::Cancelled => return fault(StatusCode::INTERNAL_SERVER_ERROR, "cancelled"),
+            RunEnd::DeadlinePassed => {
+                return fault(StatusCode::INTERNAL_SERVER_ERROR, "the deadline passed");
+            }
+            _ => return fault(StatusCode::INTERNAL_SERVER_ERROR, "the run failed"),
+        }
+        let max_hits = self.state.settings.max_hits;
+        let hits = || partition.iter().flat_map(|held| find_hits(&body, held, max_hits)).collect();
+        let receipt =
+            || OrderReceipt { request: &work.request, target: self.state.settings.target.as_str() };
+        let answer = ReplyBody {
+            status: "done",
+            snapshot: work.snapshot,
+            hits: (kind == RunKind::Query).then(hits),
+            result: (kind == RunKind::Order).then(receipt),
+            detail: None,
+        };
+        reply(StatusCode::OK, &answer)
+    }
+
+    fn describe_run(&self, kind: RunKind, work: &WorkHeaders) -> RunRecord {
+        RunRecord {
+            request: work.request.clone(),
+            attempt: work.attempt.clone(),
+            kind,
+            shard: work.shard.as_ref().map(ToString::to_string),
+            snapshot: work.snapshot,
+            incarnation: self.state.incarnation(),
+            started: wall_time(),
+            ended: None,
+            end: None,
+        }
+    }
+
+    async fn crash_on_marker(&self, body: &Bytes) {
+        let Some(marker) = self.state.faults().crash_marker else { return };
+        if marker.is_empty() || !body.windows(marker.len()).any(|part| part == marker.as_bytes()) {
+            return;
+        }
+        self.state.cause(crate::faults::FaultEvent::Crash);
+        // The crash drops this connection, and with it this future.
+        std::future::pending::<()>().await;
+    }
+
+    /// An order that has started runs to its end, because it must not be left half done.
+    async fn occupy_slot(
+        &self,
+        kind: RunKind,
+        work: &WorkHeaders,
+        cancelled: &tokio_util::sync::CancellationToken,
+    ) -> RunEnd {
+        let service_time = tokio::time::sleep(self.state.draw_service_time());
+        let end = match kind {
+            RunKind::Order => {
+                service_time.await;
+                RunEnd::Done
+            }
+            RunKind::Query => tokio::select! {
+                biased;
+                () = cancelled.cancelled() => RunEnd::Cancelled,
+                () = service_time => RunEnd::Done,
+                () = tokio::time::sleep(work.remaining()) => RunEnd::DeadlinePassed,
+            },
+        };
+        match end {
+            RunEnd::Done if self.state.faults().fail_requests => RunEnd::Error,
+            end => end,
+        }
+    }
+}
--- /dev/null
+++ b/hickoryspan_target/src/listener.rs
@@ -0,0 +1,186 @@
+//! Accepts connections, within the limit and under the faults in force.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::JoinSet;
+use tokio_util::sync::CancellationToken;
+
+use crate::handler::TargetHandler;
+use crate::state::TargetState;
+
+/// Pause after a failed accept or bind, so that a lack of resources does not spin the processor.
+const RETRY_DELAY: Duration = Duration::from_millis(50);
+
+/// How a target ends.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct StopTokens {
+    /// Ends the accept loop; requests in flight finish within the drain time.
+    pub(crate) graceful: CancellationToken,
+    /// Drops all connections at once.
+    pub(crate) abrupt: CancellationToken,
+}
+
+enum ListenEnd {
+    Stopped,
+    Crashed,
+}
+
+/// Serves until a stop; crashes and refusals close the listener and bind it again later.
+pub(crate) async fn run_listener(
+    state: Arc<TargetState>,
+    listener: TcpListener,
+    address: SocketAddr,
+    stop: StopTokens,
+) {
+    let mut listener = Some(listener);
+    loop {
+        let mut connections = JoinSet::new();
+        let end = listen(&state, &mut listener, address, &stop, &mut connections).await;
+        drop(listener.take());
+        match end {
+            ListenEnd::Stopped => return finish_connections(&state, connections, &stop).await,
+            ListenEnd::Crashed => {
+                connections.shutdown().await;
+                tokio::select! {
+                    () = stop.graceful.cancelled() => return,
+                    () = tokio::time::sleep(state.settings.restart_time) => {}
+                }
+                listener = bind(address, &stop).await;
+                state.restart();
+            }
+        }
+    }
+}
+
+/// Binds the address again; nothing only if the target stops.
+async fn bind(address: SocketAddr, stop: &StopTokens) -> Option<TcpListener> {
+    loop {
+        match TcpListener::bind(address).await {
+            Ok(listener) => return Some(listener),
+            Err(error) => spdlog::warn!("bind target listener: {}: {}", address, error),
+        }
+        tokio::select! {
+            () = stop.graceful.cancelled() => return None,
+            () = tokio::time::sleep(RETRY_DELAY) => {}
+        }
+    }
+}
+
+async fn listen(
+    state: &Arc<TargetState>,
+    listener: &mut Option<TcpListener>,
+    address: SocketAddr,
+    stop: &StopTokens,
+    connections: &mut JoinSet<()>,
+) -> ListenEnd {
+    let crash = state.crash_token();
+    let mut faults = state.watch_faults();
+    loop {
+        while connections.try_join_next().is_some() {}
+        let refuses = faults.borrow_and_update().refuse_connections;
+        if refuses {
+            drop(listener.take());
+        } else if listener.is_none() {
+            *listener = bind(address, stop).await;
+        }
+        let accepted = async {
+            match listener {
+                Some(listener) => listener.accept().await,
+                None => std::future::pending().await,
+            }
+        };
+        tokio::select! {
+            biased;
+            () = stop.graceful.cancelled() => return ListenEnd::Stopped,
+            () = crash.cancelled() => return ListenEnd::Crashed,
+            _ = faults.changed() => {}
+            accepted = accepted => match accepted {
+                Ok((stream, peer)) => accept(state, stream, peer, stop, connections),
+                Err(error) => {
+                    spdlog::warn!("target listener: accept: {}", error);
+                    tokio::time::sleep(RETRY_DELAY).await;
+                }
+            },
+        }
+    }
+}
+
+fn accept(
+    state: &Arc<TargetState>,
+    stream: TcpStream,
+    peer: SocketAddr,
+    stop: &StopTokens,
+    connections: &mut JoinSet<()>,
+) {
+    let Some(connection) = state.open_connection() else {
+        spdlog::debug!("target listener: {}: closed because of the connection limit", peer);
+        return;
+    };
+    let guard = ConnectionGuard(Arc::clone(state));
+    let handler = Arc::new(TargetHandler { state: Arc::clone(state), connection });
+    let stop = stop.clone();
+    connections.spawn(async move {
+        let state = &guard.0;
+        tokio::time::sleep(state.settings.connection_cost).await;
+        serve_connection(stream, peer, handler, state.settings.read_time, stop).await;
+    });
+}
+
+/// Gives a connection's place back, also when its task is aborted.
+struct ConnectionGuard(Arc<TargetState>);
+
+impl Drop for ConnectionGuard {
+    fn drop(&mut self) {
+        self.0.close_connection();
+    }
+}
+
+async fn serve_connection(
+    stream: TcpStream,
+    peer: SocketAddr,
+    handler: Arc<TargetHandler>,
+    read_time: Duration,
+    stop: StopTokens,
+) {
+    if let Err(error) = stream.set_nodelay(true) {
+        spdlog::debug!("target listener: {}: set TCP_NODELAY: {}", peer, error);
+    }
+    let service = service_fn(|request| {
+        let handler = Arc::clone(&handler);
+        async move { Ok::<_, Infallible>(handler.handle(request, peer).await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(read_time)
+        .serve_connection(TokioIo::new(stream), service);
+    let mut connection = std::pin::pin!(connection);
+    let ended = tokio::select! {
+        ended = connection.as_mut() => ended,
+        () = stop.graceful.cancelled() => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = ended {
+        spdlog::debug!("target listener: {}: {}", peer, error);
+    }
+}
+
+async fn finish_connections(state: &TargetState, mut connections: JoinSet<()>, stop: &StopTokens) {
+    let finish = async { while connections.join_next().await.is_some() {} };
+    tokio::select! {
+        () = finish => return,
+        () = stop.abrupt.cancelled() => {}
+        () = tokio::time::sleep(state.settings.drain_time) => {
+            spdlog::warn!("target: requests in flight exceeded the drain time");
+        }
+    }
+    connections.shutdown().await;
+}
--- /dev/null
+++ b/hickoryspan_target/src/main.rs
@@ -0,0 +1,43 @@
+//! The stand-in target as a program.
+
+use std::process::ExitCode;
+
+use gumdrop::Options;
+use hickoryspan_runtime::process::{StopSignals, accept_settings};
+use hickoryspan_runtime::settings::SettingsReader;
+use hickoryspan_target::TargetServer;
+use hickoryspan_target::arguments::{TargetArguments, TargetProgram};
+
+fn main() -> ExitCode {
+    let arguments = TargetArguments::parse_args_default_or_exit();
+    if arguments.version {
+        println!("hickoryspan-target {}", env!("CARGO_PKG_VERSION"));
+        return ExitCode::SUCCESS;
+    }
+    let read = arguments.read(SettingsReader::from_environment());
+    let program = match accept_settings(read, arguments.to_request()) {
+        Ok(program) => program,
+        Err(code) => return code,
+    };
+    match run(program) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("hickoryspan-target: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+#[tokio::main]
+async fn run(program: TargetProgram) -> anyhow::Result<()> {
+    program.logs.install()?;
+    let mut signals = StopSignals::install()?;
+    let handle = TargetServer::start(program.target).await?;
+    signals.next().await;
+    spdlog::info!("stop: a second signal ends at once");
+    tokio::select! {
+        () = handle.stop() => {}
+        () = signals.next() => {}
+    }
+    Ok(())
+}
--- /dev/null
+++ b/hickoryspan_target/src/state.rs
@@ -0,0 +1,329 @@
+//! What a target's connections, handler and announcer share.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use hickoryspan_core::entry::interface::LoadReport;
+use hickoryspan_core::membership::{PartitionRecord, TargetRecord};
+use hickoryspan_core::types::{IncarnationNumber, ShardId, SnapshotVersion};
+use hickoryspan_runtime::clock::{start_incarnation, wall_time};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha12Rng;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
+use tokio_util::sync::CancellationToken;
+
+use crate::faults::{FaultEvent, FaultSettings};
+use crate::record::{RecordPage, RunEnd, RunLog, RunNumber, RunRecord};
+use crate::settings::TargetSettings;
+
+/// The order of a connection among all that the target accepted.
+pub(crate) type ConnectionIndex = u64;
+
+/// Why a request does not get a slot.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum AdmitRefusal {
+    Draining,
+    Shed,
+}
+
+struct TargetCore {
+    incarnation: IncarnationNumber,
+    draining: bool,
+    crashed: bool,
+    partitions: Vec<PartitionRecord>,
+    load: LoadReport,
+    log: RunLog,
+    attempts: HashMap<String, CancellationToken>,
+    generator: ChaCha12Rng,
+    cold_since: Instant,
+    crash: CancellationToken,
+    next_connection: ConnectionIndex,
+    silent_before: ConnectionIndex,
+    open_connections: u32,
+}
+
+/// The shared state of one target.
+pub(crate) struct TargetState {
+    pub(crate) settings: TargetSettings,
+    core: Mutex<TargetCore>,
+    slots: Arc<Semaphore>,
+    faults: watch::Sender<FaultSettings>,
+    /// Counts changes that control must hear of.
+    announcements: watch::Sender<u64>,
+    /// Requests that wait or run; a stop waits for zero.
+    in_flight: watch::Sender<u32>,
+}
+
+impl TargetState {
+    pub(crate) fn new(settings: TargetSettings) -> Arc<Self> {
+        let core = TargetCore {
+            incarnation: settings.incarnation.unwrap_or_else(start_incarnation),
+            draining: false,
+            crashed: false,
+            partitions: settings.partitions.clone(),
+            load: LoadReport::default(),
+            log: RunLog::new(settings.record_limit),
+            attempts: HashMap::new(),
+            generator: ChaCha12Rng::seed_from_u64(settings.seed),
+            cold_since: Instant::now(),
+            crash: CancellationToken::new(),
+            next_connection: 0,
+            silent_before: 0,
+            open_connections: 0,
+        };
+        Arc::new(Self {
+            slots: Arc::new(Semaphore::new(settings.slots.0 as usize)),
+            settings,
+            core: Mutex::new(core),
+            faults: watch::Sender::new(FaultSettings::default()),
+            announcements: watch::Sender::new(0),
+            in_flight: watch::Sender::new(0),
+        })
+    }
+
+    // A panic elsewhere leaves counters at worst off by one, so the state stays usable.
+    fn core(&self) -> MutexGuard<'_, TargetCore> {
+        self.core.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(crate) fn to_record(&self, address: std::net::SocketAddr) -> TargetRecord {
+        let core = self.core();
+        TargetRecord {
+            target: self.settings.target.clone(),
+            incarnation: core.incarnation,
+            address,
+            tenant: self.settings.tenant.clone(),
+            service: self.settings.service.clone(),
+            failure_domain: self.settings.failure_domain.clone(),
+            slots: self.settings.slots,
+            connections: self.settings.connections,
+            partitions: core.partitions.clone(),
+            draining: core.draining,
+        }
+    }
+
+    pub(crate) fn incarnation(&self) -> IncarnationNumber {
+        self.core().incarnation
+    }
+
+    pub(crate) fn is_crashed(&self) -> bool {
+        self.core().crashed
+    }
+
+    pub(crate) fn drain(&self) {
+        self.core().draining = true;
+        self.announce_change();
+    }
+
+    pub(crate) fn set_partitions(&self, partitions: Vec<PartitionRecord>) {
+        self.core().partitions = partitions;
+        self.announce_change();
+    }
+
+    fn announce_change(&self) {
+        self.announcements.send_modify(|count| *count += 1);
+    }
+
+    pub(crate) fn watch_announcements(&self) -> watch::Receiver<u64> {
+        self.announcements.subscribe()
+    }
+
+    pub(crate) fn watch_faults(&self) -> watch::Receiver<FaultSettings> {
+        self.faults.subscribe()
+    }
+
+    pub(crate) fn watch_in_flight(&self) -> watch::Receiver<u32> {
+        self.in_flight.subscribe()
+    }
+
+    pub(crate) fn faults(&self) -> FaultSettings {
+        self.faults.borrow().clone()
+    }
+
+    pub(crate) fn set_faults(&self, faults: FaultSettings) {
+        self.faults.send_replace(faults);
+    }
+
+    pub(crate) fn cause(&self, event: FaultEvent) {
+        let mut core = self.core();
+        match event {
+            FaultEvent::SilenceConnections => core.silent_before = core.next_connection,
+            FaultEvent::SlowStart => core.cold_since = Instant::now(),
+            FaultEvent::Crash => {
+                core.crashed = true;
+                core.crash.cancel();
+            }
+        }
+    }
+
+    /// Cancelled when the current incarnation crashes.
+    pub(crate) fn crash_token(&self) -> CancellationToken {
+        self.core().crash.clone()
+    }
+
+    /// Begins the next incarnation after a crash.
+    pub(crate) fn restart(&self) {
+        {
+            let mut core = self.core();
+            core.incarnation = core.incarnation.next().max(start_incarnation());
+            core.crashed = false;
+            core.draining = false;
+            core.attempts.clear();
+            core.cold_since = Instant::now();
+            core.crash = CancellationToken::new();
+        }
+        self.announce_change();
+    }
+
+    /// Counts a new connection, or refuses it because of the limit.
+    pub(crate) fn open_connection(&self) -> Option<ConnectionIndex> {
+        let mut core = self.core();
+        if core.open_connections >= self.settings.connections.0 {
+            return None;
+        }
+        core.open_connections += 1;
+        core.next_connection += 1;
+        Some(core.next_connection - 1)
+    }
+
+    pub(crate) fn close_connection(&self) {
+        self.core().open_connections -= 1;
+    }
+
+    pub(crate) fn open_connections(&self) -> u32 {
+        self.core().open_connections
+    }
+
+    pub(crate) fn is_silent(&self, connection: ConnectionIndex) -> bool {
+        connection < self.core().silent_before || self.faults.borrow().silent
+    }
+
+    pub(crate) fn load(&self) -> LoadReport {
+        self.faults.borrow().reported_load.unwrap_or_else(|| self.core().load)
+    }
+
+    pub(crate) fn find_partition(
+        &self,
+        shard: &ShardId,
+        snapshot: SnapshotVersion,
+    ) -> Option<PartitionRecord> {
+        let core = self.core();
+        let mut partitions = core.partitions.iter();
+        partitions.find(|held| held.snapshot == snapshot && held.shard == *shard).cloned()
+    }
+
+    /// A service time from the seeded distribution, with the cold start and the straggler fault.
+    pub(crate) fn draw_service_time(&self) -> Duration {
+        let straggler = self.faults.borrow().straggler_factor;
+        let mut core = self.core();
+        let spread = (self.settings.service_spread * draw_normal(&mut core.generator)).exp();
+        let cold = self.cold_factor(core.cold_since.elapsed());
+        self.settings.service_time.mul_f64((spread * cold * straggler).max(0.0))
+    }
+
+    fn cold_factor(&self, age: Duration) -> f64 {
+        if age >= self.settings.cold_time {
+            return 1.0;
+        }
+        let remaining = 1.0 - age.as_secs_f64() / self.settings.cold_time.as_secs_f64();
+        1.0 + (self.settings.cold_factor - 1.0) * remaining
+    }
+
+    /// Takes a place in the queue; the place is given back when the ticket is dropped.
+    pub(crate) fn admit(self: &Arc<Self>, attempt: &str) -> Result<QueueTicket, AdmitRefusal> {
+        let mut core = self.core();
+        if core.draining {
+            return Err(AdmitRefusal::Draining);
+        }
+        let LoadReport { running, queued } = core.load;
+        if running + queued >= self.settings.slots.0 + self.settings.queue.0 {
+            return Err(AdmitRefusal::Shed);
+        }
+        core.load.queued += 1;
+        let cancelled = CancellationToken::new();
+        core.attempts.insert(attempt.to_owned(), cancelled.clone());
+        drop(core);
+        self.in_flight.send_modify(|count| *count += 1);
+        Ok(QueueTicket {
+            state: Arc::clone(self),
+            attempt: attempt.to_owned(),
+            cancelled,
+            run: None,
+            released: false,
+        })
+    }
+
+    /// Cancels an attempt that waits or runs; false if there is none.
+    pub(crate) fn cancel(&self, attempt: &str) -> bool {
+        let Some(token) = self.core().attempts.get(attempt).cloned() else { return false };
+        token.cancel();
+        true
+    }
+
+    pub(crate) fn record_page(&self) -> RecordPage {
+        self.core().log.to_page()
+    }
+}
+
+/// A request that waits for a slot or runs.
+pub(crate) struct QueueTicket {
+    state: Arc<TargetState>,
+    attempt: String,
+    cancelled: CancellationToken,
+    run: Option<(RunNumber, OwnedSemaphorePermit)>,
+    released: bool,
+}
+
+impl QueueTicket {
+    /// Cancelled when the entry cancels the attempt.
+    pub(crate) fn cancelled(&self) -> CancellationToken {
+        self.cancelled.clone()
+    }
+
+    /// Waits for a slot.
+    pub(crate) async fn wait(&self) -> Option<OwnedSemaphorePermit> {
+        Arc::clone(&self.state.slots).acquire_owned().await.ok()
+    }
+
+    /// Records the start of the run.
+    pub(crate) fn start(&mut self, permit: OwnedSemaphorePermit, run: RunRecord) {
+        let mut core = self.state.core();
+        core.load.queued -= 1;
+        core.load.running += 1;
+        self.run = Some((core.log.start(run), permit));
+    }
+
+    /// Records the end of the run and frees the slot.
+    pub(crate) fn finish(mut self, end: RunEnd) {
+        self.release(end);
+    }
+
+    fn release(&mut self, end: RunEnd) {
+        self.released = true;
+        let mut core = self.state.core();
+        match self.run.take() {
+            Some((number, _permit)) => {
+                core.load.running -= 1;
+                core.log.finish(number, wall_time(), end);
+            }
+            None => core.load.queued -= 1,
+        }
+        core.attempts.remove(&self.attempt);
+    }
+}
+
+impl Drop for QueueTicket {
+    fn drop(&mut self) {
+        if !self.released {
+            self.release(RunEnd::Abandoned);
+        }
+        self.state.in_flight.send_modify(|count| *count -= 1);
+    }
+}
+
+/// A standard normal value by the Box-Muller transform.
+fn draw_normal(generator: &mut ChaCha12Rng) -> f64 {
+    let radius = (-2.0 * (1.0 - generator.random::<f64>()).ln()).sqrt();
+    radius * (std::f64::consts::TAU * generator.random::<f64>()).cos()
+}
