--- a/hickoryspan_core/src/entry/interface.rs
+++ b/hickoryspan_core/src/entry/interface.rs
@@ -165,6 +165,8 @@
     InProgress,
     /// No such order was claimed.
     NotFound,
+    /// A field of the request cannot be accepted.
+    Malformed,
 }
 
 /// The response to a caller.
--- /dev/null
+++ b/hickoryspan_core/src/entry/machine.rs
@@ -0,0 +1,600 @@
+//! The entry machine: takes callers' requests through the filter chain and answers them truthfully.
+//!
+//! It connects the policies of this module's siblings; see `docs/design.md`, sections 5 to 8.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use rand::Rng;
+use rand_chacha::ChaCha12Rng;
+use rand_chacha::rand_core::SeedableRng;
+
+use crate::messages::{ClaimKey, ControlMessage, RequestOutcome};
+use crate::types::{
+    CallerId, ClassId, ClockReading, CoverageShare, MonotonicTime, QueryToken, TenantId,
+};
+
+use super::configuration::{ConfigurationSettings, ResolvedRequest, ViewConfiguration, ViewUpdate};
+use super::engine::{EngineSettings, FanoutEngine, OrdinalShare};
+use super::interface::{
+    AddressAnswer, CallerRequest, CallerResponse, EntryAction, EntryEvent, EntryIdentity,
+    EntryMeasure, RequestKind, ResponseReason,
+};
+use super::orders::{OrderBook, OrderEffect, OrderReply, OrderRequest, OrderSettings};
+use super::plan::{EngineReport, FanoutMode, SearchPlan, SearchResult};
+use super::search_engine::SearchEngine;
+use super::session::{ControlSession, RenewalReport, SessionSettings, SessionStanding};
+
+/// Settings of all policies of an entry.
+#[derive(Clone, Debug, Default)]
+pub struct EntrySettings {
+    /// The link to control.
+    pub session: SessionSettings,
+    /// The configuration.
+    pub configuration: ConfigurationSettings,
+    /// The orders.
+    pub orders: OrderSettings,
+    /// The fan-out engine.
+    pub engine: EngineSettings,
+}
+
+/// A request that is not answered yet.
+#[derive(Debug)]
+struct ActiveRequest {
+    tenant: TenantId,
+    class: ClassId,
+    arrival: MonotonicTime,
+    deadline: MonotonicTime,
+    work: ActiveWork,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ActiveWork {
+    Search,
+    Order,
+    Lookup,
+}
+
+/// The decisions of one entry process.
+#[derive(Debug)]
+pub struct EntryMachine {
+    identity: EntryIdentity,
+    session: ControlSession,
+    configuration: ViewConfiguration,
+    orders: OrderBook,
+    engine: Box<dyn SearchEngine>,
+    engine_share: Option<OrdinalShare>,
+    requests: BTreeMap<QueryToken, ActiveRequest>,
+    deadlines: BTreeSet<(MonotonicTime, QueryToken)>,
+}
+
+impl EntryMachine {
+    /// A machine with the fan-out engine.
+    pub fn new(
+        identity: EntryIdentity,
+        settings: EntrySettings,
+        mut generator: ChaCha12Rng,
+    ) -> Self {
+        let domain = identity.registration.failure_domain.clone();
+        let engine_generator = split_generator(&mut generator);
+        let engine = FanoutEngine::new(settings.engine.clone(), domain, engine_generator);
+        Self::with_engine(identity, settings, generator, Box::new(engine))
+    }
+
+    /// A machine with another engine.
+    pub fn with_engine(
+        identity: EntryIdentity,
+        settings: EntrySettings,
+        mut generator: ChaCha12Rng,
+        engine: Box<dyn SearchEngine>,
+    ) -> Self {
+        let session_generator = split_generator(&mut generator);
+        let registration = &identity.registration;
+        let orders =
+            OrderBook::new(settings.orders, registration.entry.clone(), registration.incarnation);
+        Self {
+            session: ControlSession::new(settings.session, identity.clone(), session_generator),
+            identity,
+            configuration: ViewConfiguration::new(settings.configuration),
+            orders,
+            engine,
+            engine_share: None,
+            requests: BTreeMap::new(),
+            deadlines: BTreeSet::new(),
+        }
+    }
+
+    /// Handles one event; the driver performs the actions in order.
+    pub fn handle(&mut self, now: ClockReading, event: EntryEvent, actions: &mut Vec<EntryAction>) {
+        self.refresh_share(now, actions);
+        match event {
+            EntryEvent::ControlOpened(address) => {
+                let revision = self.configuration.revision();
+                self.session.opened(now.monotonic, address, revision, actions);
+            }
+            EntryEvent::ControlClosed => self.session.closed(now.monotonic),
+            EntryEvent::Control(message) => self.on_control(now, message, actions),
+            EntryEvent::Request(token, request) => self.on_request(now, token, *request, actions),
+            EntryEvent::Hangup(token) => self.on_hangup(now, token, actions),
+            EntryEvent::Addresses(token, caller) => self.on_addresses(token, &caller, actions),
+            EntryEvent::Drain => {}
+            EntryEvent::Tick
+            | EntryEvent::ConnectionOpened(_)
+            | EntryEvent::ConnectionClosed(_)
+            | EntryEvent::Answered { .. }
+            | EntryEvent::Failed { .. } => self.engine.handle(now, &event, actions),
+        }
+        self.take_reports(now, actions);
+        self.advance(now, actions);
+    }
+
+    /// When a `Tick` should be sent; a time in the past means at once.
+    pub fn next_wakeup(&self) -> Option<MonotonicTime> {
+        let deadline = self.deadlines.first().map(|(deadline, _)| *deadline);
+        [
+            Some(self.session.next_wakeup()),
+            self.orders.next_wakeup(),
+            self.engine.next_wakeup(),
+            deadline,
+        ]
+        .into_iter()
+        .flatten()
+        .min()
+    }
+
+    fn advance(&mut self, now: ClockReading, actions: &mut Vec<EntryAction>) {
+        self.session.advance(now.monotonic, actions);
+        if self.session.is_renewal_due(now.monotonic) {
+            let report = RenewalReport {
+                revision: self.configuration.revision(),
+                digest: self.configuration.view().digest,
+                draining: false,
+                demand: Vec::new(),
+            };
+            self.session.renew(now.monotonic, report, actions);
+        }
+        self.refresh_share(now, actions);
+        self.with_orders(now, actions, |orders, send, effects| {
+            orders.advance(now.monotonic, send, effects);
+        });
+        self.expire_searches(now, actions);
+        self.take_reports(now, actions);
+    }
+
+    /// Tells the engine when the ordinal may no longer, or may again, be used.
+    fn refresh_share(&mut self, now: ClockReading, actions: &mut Vec<EntryAction>) {
+        let share = self.session.standing(now.monotonic).share();
+        if share != self.engine_share {
+            self.engine_share = share;
+            self.engine.set_share(now, share, actions);
+            self.take_reports(now, actions);
+        }
+    }
+
+    fn on_control(
+        &mut self,
+        now: ClockReading,
+        message: ControlMessage,
+        actions: &mut Vec<EntryAction>,
+    ) {
+        if !self.session.hear(now.monotonic) {
+            return;
+        }
+        match message {
+            ControlMessage::Welcome { ordinal, max_ordinals, view } => {
+                let update = self.configuration.replace(*view);
+                if update == ViewUpdate::Regressed {
+                    // Control lost committed state; an older configuration must not come into force.
+                    self.session.refused(now.monotonic);
+                    return;
+                }
+                self.session.welcome(now.monotonic, ordinal, max_ordinals);
+                self.after_update(now, update, actions);
+                self.with_orders(now, actions, |orders, send, effects| {
+                    orders.reconnected(now.monotonic, send, effects);
+                });
+            }
+            ControlMessage::View(view) => {
+                let update = self.configuration.replace(*view);
+                self.after_update(now, update, actions);
+            }
+            ControlMessage::Delta { from, to, changes, digest } => {
+                let update = self.configuration.apply(from, to, changes, digest);
+                self.after_update(now, update, actions);
+            }
+            ControlMessage::Renewed { sequence, lease, committed, .. } => {
+                self.session.renewed(sequence, lease);
+                if self.configuration.lags_behind(committed) {
+                    self.after_update(now, ViewUpdate::Unfit, actions);
+                }
+            }
+            ControlMessage::ClaimAnswer { token, verdict } => {
+                let standing = self.session.standing(now.monotonic);
+                let may_start = matches!(standing, SessionStanding::Held(_));
+                self.with_orders(now, actions, |orders, send, effects| {
+                    orders.claim_answered(now.monotonic, token, verdict, may_start, send, effects);
+                });
+            }
+            ControlMessage::Settled(key) => {
+                self.with_orders(now, actions, |orders, _, effects| orders.settled(&key, effects));
+            }
+            ControlMessage::LookupAnswer { token, verdict } => {
+                self.with_orders(now, actions, |orders, send, effects| {
+                    orders.lookup_answered(now.monotonic, token, verdict, send, effects);
+                });
+            }
+            ControlMessage::NotLeader { leader, pledge } => {
+                self.session.not_leader(now.monotonic, leader, pledge, actions);
+            }
+            ControlMessage::Refused(_) => self.session.refused(now.monotonic),
+        }
+    }
+
+    fn after_update(
+        &mut self,
+        now: ClockReading,
+        update: ViewUpdate,
+        actions: &mut Vec<EntryAction>,
+    ) {
+        match update {
+            ViewUpdate::Changed => {
+                self.engine.update_view(now, self.configuration.view(), actions);
+                let revision = self.configuration.revision();
+                actions.push(EntryAction::Measure(EntryMeasure::Revision(revision)));
+            }
+            ViewUpdate::Unfit if self.configuration.may_resync(now.monotonic) => {
+                self.session.send(crate::messages::EntryMessage::Resync, actions);
+            }
+            _ => {}
+        }
+    }
+
+    fn on_request(
+        &mut self,
+        now: ClockReading,
+        token: QueryToken,
+        request: CallerRequest,
+        actions: &mut Vec<EntryAction>,
+    ) {
+        match &request.kind {
+            RequestKind::Lookup { .. } => self.on_lookup(now, token, request, actions),
+            RequestKind::Search { .. } | RequestKind::Order { .. } => {
+                self.on_work(now, token, request, actions);
+            }
+        }
+    }
+
+    fn on_work(
+        &mut self,
+        now: ClockReading,
+        token: QueryToken,
+        request: CallerRequest,
+        actions: &mut Vec<EntryAction>,
+    ) {
+        let resolved = match self.configuration.resolve(&request) {
+            Ok(resolved) => resolved,
+            Err(reason) => return self.refuse_unresolved(token, &request, reason, actions),
+        };
+        let active = ActiveRequest {
+            tenant: request.tenant.clone(),
+            class: resolved.class.clone(),
+            arrival: now.monotonic,
+            deadline: now.monotonic + resolved.deadline,
+            work: match request.kind {
+                RequestKind::Search { .. } => ActiveWork::Search,
+                _ => ActiveWork::Order,
+            },
+        };
+        if let Some(reason) = self.refusal(now, &request) {
+            let response = self.refused_response(reason);
+            return self.finish(now, &active, token, response, actions);
+        }
+        match &request.kind {
+            RequestKind::Search { pinned } => {
+                let plan = SearchPlan {
+                    service: resolved.service,
+                    kind: resolved.kind,
+                    scope: resolved.scope,
+                    pinned: *pinned,
+                    fingerprint: request.fingerprint,
+                    deadline: active.deadline,
+                    policy: resolved.class_spec.policy,
+                    coverage_floor: resolved.class_spec.coverage_floor,
+                    mode: FanoutMode::Normal,
+                };
+                self.deadlines.insert((active.deadline, token));
+                self.requests.insert(token, active);
+                self.engine.start_search(now, token, plan, actions);
+            }
+            RequestKind::Order { request: id, issued_at } => {
+                let key = ClaimKey {
+                    tenant: request.tenant.clone(),
+                    caller: request.caller.clone(),
+                    request: id.clone(),
+                    issued_at: *issued_at,
+                };
+                self.submit_order(now, token, &request, key, resolved, active, actions);
+            }
+            RequestKind::Lookup { .. } => {}
+        }
+    }
+
+    #[allow(clippy::too_many_arguments)] // All of it belongs to one request, and it is called once.
+    fn submit_order(
+        &mut self,
+        now: ClockReading,
+        token: QueryToken,
+        request: &CallerRequest,
+        key: ClaimKey,
+        resolved: ResolvedRequest,
+        active: ActiveRequest,
+        actions: &mut Vec<EntryAction>,
+    ) {
+        let order = OrderRequest {
+            key,
+            fingerprint: request.fingerprint,
+            service: resolved.service,
+            deadline: active.deadline,
+        };
+        self.requests.insert(token, active);
+        self.with_orders(now, actions, |orders, send, effects| {
+            orders.submit(now.monotonic, token, order, send, effects);
+        });
+    }
+
+    /// Why a request is refused before anything is done for it.
+    fn refusal(&self, now: ClockReading, request: &CallerRequest) -> Option<ResponseReason> {
+        let standing = self.session.standing(now.monotonic);
+        match &request.kind {
+            RequestKind::Order { issued_at, .. } => {
+                if !self.orders.accepts_issue_time(now.wall, *issued_at) {
+                    Some(ResponseReason::Malformed)
+                } else if !matches!(standing, SessionStanding::Held(_)) {
+                    Some(ResponseReason::CutOff)
+                } else if self.orders.is_full() {
+                    Some(ResponseReason::Overloaded)
+                } else {
+                    None
+                }
+            }
+            _ => (standing == SessionStanding::Ended).then_some(ResponseReason::CutOff),
+        }
+    }
+
+    fn on_lookup(
+        &mut self,
+        now: ClockReading,
+        token: QueryToken,
+        request: CallerRequest,
+        actions: &mut Vec<EntryAction>,
+    ) {
+        let (class, time) = match self.configuration.resolve_lookup(&request) {
+            Ok(resolved) => resolved,
+            Err(reason) => return self.refuse_unresolved(token, &request, reason, actions),
+        };
+        let RequestKind::Lookup { request: id, issued_at } = request.kind else { return };
+        let deadline = now.monotonic + time;
+        let active = ActiveRequest {
+            tenant: request.tenant.clone(),
+            class,
+            arrival: now.monotonic,
+            deadline,
+            work: ActiveWork::Lookup,
+        };
+        if self.session.standing(now.monotonic) == SessionStanding::Ended {
+            let mut response = self.refused_response(ResponseReason::CutOff);
+            response.outcome = RequestOutcome::Unknown;
+            return self.finish(now, &active, token, response, actions);
+        }
+        self.requests.insert(token, active);
+        let key =
+            ClaimKey { tenant: request.tenant, caller: request.caller, request: id, issued_at };
+        self.with_orders(now, actions, |orders, send, effects| {
+            orders.look_up(now.monotonic, token, key, deadline, send, effects);
+        });
+    }
+
+    fn on_hangup(&mut self, now: ClockReading, token: QueryToken, actions: &mut Vec<EntryAction>) {
+        let Some(active) = self.requests.get(&token) else { return };
+        match active.work {
+            // The order goes on, and its response tells the driver when its body is no longer needed.
+            ActiveWork::Order => {}
+            ActiveWork::Lookup => {
+                self.orders.forget_lookup(token);
+                self.requests.remove(&token);
+            }
+            ActiveWork::Search => {
+                self.deadlines.remove(&(active.deadline, token));
+                self.requests.remove(&token);
+                self.engine.cancel(now, token, actions);
+            }
+        }
+    }
+
+    fn on_addresses(
+        &mut self,
+        token: QueryToken,
+        _caller: &CallerId,
+        actions: &mut Vec<EntryAction>,
+    ) {
+        let answer = AddressAnswer {
+            addresses: vec![self.identity.registration.caller_address],
+            lifetime: std::time::Duration::from_secs(10),
+        };
+        actions.push(EntryAction::RespondAddresses(token, answer));
+    }
+
+    fn take_reports(&mut self, now: ClockReading, actions: &mut Vec<EntryAction>) {
+        while let Some(report) = self.engine.next_report() {
+            match report {
+                EngineReport::Search(token, result) => {
+                    self.search_ended(now, token, result, actions);
+                }
+                EngineReport::Order(token, result) => {
+                    self.with_orders(now, actions, |orders, send, effects| {
+                        orders.run_ended(now.monotonic, token, result, send, effects);
+                    });
+                }
+                EngineReport::Crash { .. }
+                | EngineReport::CanaryPassed(_)
+                | EngineReport::SubrequestLatency(..) => {}
+            }
+        }
+    }
+
+    fn search_ended(
+        &mut self,
+        now: ClockReading,
+        token: QueryToken,
+        result: SearchResult,
+        actions: &mut Vec<EntryAction>,
+    ) {
+        let Some(active) = self.requests.remove(&token) else { return };
+        self.deadlines.remove(&(active.deadline, token));
+        let response = self.search_response(result);
+        self.finish(now, &active, token, response, actions);
+    }
+
+    /// Ends searches that the engine did not end in time, so that no caller waits for ever.
+    fn expire_searches(&mut self, now: ClockReading, actions: &mut Vec<EntryAction>) {
+        while let Some(&(deadline, token)) = self.deadlines.first() {
+            if now.monotonic < deadline {
+                return;
+            }
+            self.deadlines.pop_first();
+            let Some(active) = self.requests.remove(&token) else { continue };
+            self.engine.cancel(now, token, actions);
+            let mut response = self.blank_response(RequestOutcome::Failed);
+            response.reason = Some(ResponseReason::Deadline);
+            self.finish(now, &active, token, response, actions);
+        }
+    }
+
+    /// Lets the order book act, then performs what it asks for.
+    fn with_orders(
+        &mut self,
+        now: ClockReading,
+        actions: &mut Vec<EntryAction>,
+        act: impl FnOnce(
+            &mut OrderBook,
+            &mut dyn FnMut(crate::messages::EntryMessage) -> bool,
+            &mut Vec<OrderEffect>,
+        ),
+    ) {
+        let mut effects = Vec::new();
+        let session = &self.session;
+        act(&mut self.orders, &mut |message| session.send(message, actions), &mut effects);
+        for effect in effects {
+            match effect {
+                OrderEffect::Start(token, plan) => {
+                    self.engine.start_order(now, token, plan, actions);
+                }
+                OrderEffect::Reply(token, reply) => self.order_ended(now, token, reply, actions),
+            }
+        }
+    }
+
+    fn order_ended(
+        &mut self,
+        now: ClockReading,
+        token: QueryToken,
+        reply: OrderReply,
+        actions: &mut Vec<EntryAction>,
+    ) {
+        let Some(active) = self.requests.remove(&token) else { return };
+        let mut response = self.blank_response(reply.outcome);
+        response.reason = reply.reason;
+        response.parts = reply.part.into_iter().collect();
+        response.recorded_body = reply.recorded_body;
+        response.attempts = reply.attempts;
+        if reply.outcome == RequestOutcome::Complete {
+            response.coverage = CoverageShare::FULL;
+        }
+        self.finish(now, &active, token, response, actions);
+    }
+
+    fn refuse_unresolved(
+        &mut self,
+        token: QueryToken,
+        request: &CallerRequest,
+        reason: ResponseReason,
+        actions: &mut Vec<EntryAction>,
+    ) {
+        let response = self.refused_response(reason);
+        // Names outside the sheet would let callers create any number of metrics.
+        if let Some((tenant, class)) = self.configuration.known_names(request) {
+            actions.push(EntryAction::Measure(EntryMeasure::Request {
+                tenant,
+                class,
+                outcome: response.outcome,
+                latency: std::time::Duration::ZERO,
+                coverage: response.coverage,
+            }));
+        }
+        actions.push(EntryAction::Respond(token, Box::new(response)));
+    }
+
+    fn finish(
+        &mut self,
+        now: ClockReading,
+        active: &ActiveRequest,
+        token: QueryToken,
+        response: CallerResponse,
+        actions: &mut Vec<EntryAction>,
+    ) {
+        actions.push(EntryAction::Measure(EntryMeasure::Request {
+            tenant: active.tenant.clone(),
+            class: active.class.clone(),
+            outcome: response.outcome,
+            latency: now.monotonic.since(active.arrival),
+            coverage: response.coverage,
+        }));
+        actions.push(EntryAction::Respond(token, Box::new(response)));
+    }
+
+    fn search_response(&self, result: SearchResult) -> CallerResponse {
+        let covers_nothing = result.parts.is_empty() && result.coverage == CoverageShare::NONE;
+        let outcome = if result.coverage == CoverageShare::FULL {
+            RequestOutcome::Complete
+        } else if !covers_nothing {
+            RequestOutcome::Partial
+        } else if result.may_have_run {
+            RequestOutcome::Failed
+        } else {
+            RequestOutcome::NotRun
+        };
+        CallerResponse {
+            reason: result.reason.filter(|_| outcome != RequestOutcome::Complete),
+            snapshot: result.snapshot,
+            coverage: result.coverage,
+            parts: result.parts,
+            attempts: result.attempts,
+            extra_attempts: result.extra_attempts,
+            ..self.blank_response(outcome)
+        }
+    }
+
+    fn refused_response(&self, reason: ResponseReason) -> CallerResponse {
+        CallerResponse { reason: Some(reason), ..self.blank_response(RequestOutcome::NotRun) }
+    }
+
+    fn blank_response(&self, outcome: RequestOutcome) -> CallerResponse {
+        CallerResponse {
+            outcome,
+            reason: None,
+            snapshot: None,
+            coverage: CoverageShare::NONE,
+            parts: Vec::new(),
+            recorded_body: None,
+            attempts: 0,
+            extra_attempts: 0,
+            retry_after: None,
+            other_addresses: Vec::new(),
+            revision: self.configuration.revision(),
+        }
+    }
+}
+
+/// A generator of its own for each policy, so that one policy's draws do not shift another's.
+fn split_generator(generator: &mut ChaCha12Rng) -> ChaCha12Rng {
+    ChaCha12Rng::seed_from_u64(generator.next_u64())
+}
--- /dev/null
+++ b/hickoryspan_core/src/entry/orders.rs
@@ -0,0 +1,782 @@
+//! Orders: claim before the first byte, one run per key, and an outcome that is recorded and never guessed.
+//!
+//! See `docs/design/orders.md`.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::membership::ServiceKey;
+use crate::messages::{
+    ClaimKey, ClaimState, ClaimVerdict, EntryMessage, LookupVerdict, OrderOutcome, RequestOutcome,
+};
+use crate::types::{
+    AttemptId, EntryId, IncarnationNumber, MonotonicTime, QueryToken, RequestFingerprint, WallTime,
+};
+
+use super::interface::{AnswerStatus, ResponseReason};
+use super::plan::{OrderPlan, OrderResult};
+
+/// Settings of orders.
+#[derive(Clone, Debug)]
+pub struct OrderSettings {
+    /// How far ahead of this host's clock an issue time may be; callers' clocks differ.
+    pub max_clock_lead: Duration,
+    /// Wait for the answer to a claim on a live link before it is repeated.
+    pub claim_interval: Duration,
+    /// Wait before a claim that could not be decided is repeated.
+    pub undecided_interval: Duration,
+    /// First wait between lookups of an order that another process runs; it doubles.
+    pub poll_base: Duration,
+    /// Longest wait between lookups and between settles.
+    pub poll_limit: Duration,
+    /// First wait for the confirmation of an outcome before it is sent again; it doubles.
+    pub settle_base: Duration,
+    /// How long an unanswered claim is looked up after its last caller was answered.
+    pub abandon_limit: Duration,
+    /// Runs held at once, unsettled ones included; more orders are refused, because a started order must
+    /// not be forgotten before it is settled.
+    pub max_runs: usize,
+    /// Lookup requests held at once.
+    pub max_lookups: usize,
+    /// Longest recorded answer in bytes.
+    pub max_body: usize,
+    /// Time before the deadline at which a known outcome is told even if it is not recorded yet, so that
+    /// the response still arrives in time.
+    pub reply_margin: Duration,
+}
+
+impl Default for OrderSettings {
+    fn default() -> Self {
+        Self {
+            max_clock_lead: Duration::from_secs(60),
+            claim_interval: Duration::from_secs(1),
+            undecided_interval: Duration::from_millis(100),
+            poll_base: Duration::from_millis(100),
+            poll_limit: Duration::from_secs(2),
+            settle_base: Duration::from_millis(500),
+            // Several election timeouts: a claim in the log of a failed leader is decided by then.
+            abandon_limit: Duration::from_secs(30),
+            max_runs: 10_000,
+            max_lookups: 1_000,
+            max_body: 16 * 1024,
+            reply_margin: Duration::from_millis(10),
+        }
+    }
+}
+
+/// What a caller is told about an order.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct OrderReply {
+    /// What became of it.
+    pub outcome: RequestOutcome,
+    /// Why it is not complete.
+    pub reason: Option<ResponseReason>,
+    /// The attempt whose body the driver holds for this caller.
+    pub part: Option<AttemptId>,
+    /// The recorded body, for callers whose own request was not the one that ran.
+    pub recorded_body: Option<Arc<str>>,
+    /// Attempts that this process sent.
+    pub attempts: u32,
+}
+
+impl OrderReply {
+    /// A reply without a body.
+    pub fn without_body(outcome: RequestOutcome, reason: ResponseReason) -> Self {
+        Self { outcome, reason: Some(reason), part: None, recorded_body: None, attempts: 0 }
+    }
+
+    fn recorded(outcome: OrderOutcome) -> Self {
+        Self {
+            outcome: outcome.outcome,
+            reason: None,
+            part: None,
+            recorded_body: outcome.body,
+            attempts: 0,
+        }
+    }
+}
+
+/// What the machine does for the orders.
+#[derive(Clone, Debug, PartialEq)]
+pub enum OrderEffect {
+    /// Starts the only attempt.
+    Start(QueryToken, OrderPlan),
+    /// Answers a caller.
+    Reply(QueryToken, OrderReply),
+}
+
+/// Sends to control if the session is established, and says whether it did.
+pub type ControlSender<'a> = &'a mut dyn FnMut(EntryMessage) -> bool;
+
+/// An order to be run.
+#[derive(Clone, Debug)]
+pub struct OrderRequest {
+    /// The order's key.
+    pub key: ClaimKey,
+    /// Its content.
+    pub fingerprint: RequestFingerprint,
+    /// The service that runs it.
+    pub service: ServiceKey,
+    /// When the response must be given.
+    pub deadline: MonotonicTime,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct OrderWaiter {
+    token: QueryToken,
+    deadline: MonotonicTime,
+}
+
+#[derive(Clone, Debug)]
+enum RunPhase {
+    /// Waits for control's decision; this process has not started the order.
+    Claiming { token: QueryToken, unanswered: u32, send_at: MonotonicTime },
+    /// The engine runs the only attempt.
+    Running { primary: QueryToken },
+    /// The outcome is known and is being recorded.
+    Settling {
+        primary: Option<QueryToken>,
+        reply: OrderReply,
+        outcome: OrderOutcome,
+        send_at: MonotonicTime,
+        interval: Duration,
+    },
+    /// Another process holds the claim.
+    Polling { token: QueryToken, send_at: MonotonicTime, interval: Duration },
+    /// Nobody waits any more, but a claim is unanswered: this process never starts it.
+    Abandoned {
+        token: QueryToken,
+        unanswered: u32,
+        send_at: MonotonicTime,
+        interval: Duration,
+        until: MonotonicTime,
+    },
+}
+
+#[derive(Debug)]
+struct OrderRun {
+    fingerprint: RequestFingerprint,
+    service: ServiceKey,
+    waiters: Vec<OrderWaiter>,
+    phase: RunPhase,
+}
+
+#[derive(Debug)]
+struct PendingLookup {
+    key: ClaimKey,
+    deadline: MonotonicTime,
+    send_at: MonotonicTime,
+    interval: Duration,
+}
+
+/// The orders and lookups of this process.
+#[derive(Debug)]
+pub struct OrderBook {
+    settings: OrderSettings,
+    entry: EntryId,
+    incarnation: IncarnationNumber,
+    runs: BTreeMap<ClaimKey, OrderRun>,
+    keys: BTreeMap<QueryToken, ClaimKey>,
+    lookups: BTreeMap<QueryToken, PendingLookup>,
+}
+
+impl OrderBook {
+    /// A book without orders, for this process.
+    pub fn new(settings: OrderSettings, entry: EntryId, incarnation: IncarnationNumber) -> Self {
+        Self {
+            settings,
+            entry,
+            incarnation,
+            runs: BTreeMap::new(),
+            keys: BTreeMap::new(),
+            lookups: BTreeMap::new(),
+        }
+    }
+
+    /// Orders that are not settled.
+    pub fn unsettled(&self) -> usize {
+        self.runs.len()
+    }
+
+    /// Lookup requests that are not answered.
+    pub fn pending_lookups(&self) -> usize {
+        self.lookups.len()
+    }
+
+    /// Whether a caller's issue time can be accepted.
+    pub fn accepts_issue_time(&self, now: WallTime, issued_at: WallTime) -> bool {
+        let lead = u64::try_from(self.settings.max_clock_lead.as_millis()).unwrap_or(u64::MAX);
+        issued_at.0 > 0 && issued_at.0 <= now.0.saturating_add(lead)
+    }
+
+    /// Whether another run would exceed the bound.
+    pub fn is_full(&self) -> bool {
+        self.runs.len() >= self.settings.max_runs
+    }
+
+    /// Whether a request with this key shares a run of this process instead of starting one.
+    pub fn shares_run(&self, key: &ClaimKey) -> bool {
+        self.runs.get(key).is_some_and(|run| !matches!(run.phase, RunPhase::Abandoned { .. }))
+    }
+
+    /// Takes an order over: joins the run with its key, or claims it.
+    pub fn submit(
+        &mut self,
+        now: MonotonicTime,
+        token: QueryToken,
+        request: OrderRequest,
+        send: ControlSender<'_>,
+        effects: &mut Vec<OrderEffect>,
+    ) {
+        let waiter = OrderWaiter { token, deadline: request.deadline };
+        if let Some(run) = self.runs.get_mut(&request.key) {
+            if run.fingerprint != request.fingerprint {
+                let reply =
+                    OrderReply::without_body(RequestOutcome::NotRun, ResponseReason::Conflict);
+                effects.push(OrderEffect::Reply(token, reply));
+                return;
+            }
+            run.waiters.push(waiter);
+            // An abandoned order was never started and no outcome was sent for it, so it may be claimed again.
+            if let RunPhase::Abandoned { unanswered, .. } = run.phase {
+                run.phase = RunPhase::Claiming { token, unanswered, send_at: now };
+                self.keys.insert(token, request.key);
+            }
+        } else {
+            self.keys.insert(token, request.key.clone());
+            let run = OrderRun {
+                fingerprint: request.fingerprint,
+                service: request.service,
+                waiters: vec![waiter],
+                phase: RunPhase::Claiming { token, unanswered: 0, send_at: now },
+            };
+            self.runs.insert(request.key, run);
+        }
+        self.advance(now, send, effects);
+    }
+
+    /// Asks what became of an order.
+    pub fn look_up(
+        &mut self,
+        now: MonotonicTime,
+        token: QueryToken,
+        key: ClaimKey,
+        deadline: MonotonicTime,
+        send: ControlSender<'_>,
+        effects: &mut Vec<OrderEffect>,
+    ) {
+        if let Some(reply) = self.known_state(&key) {
+            effects.push(OrderEffect::Reply(token, reply));
+            return;
+        }
+        if self.lookups.len() >= self.settings.max_lookups {
+            let reply =
+                OrderReply::without_body(RequestOutcome::Unknown, ResponseReason::Overloaded);
+            effects.push(OrderEffect::Reply(token, reply));
+            return;
+        }
+        let interval = self.settings.settle_base;
+        self.lookups.insert(token, PendingLookup { key, deadline, send_at: now, interval });
+        self.advance(now, send, effects);
+    }
+
+    /// The caller of a lookup went away.
+    pub fn forget_lookup(&mut self, token: QueryToken) {
+        self.lookups.remove(&token);
+    }
+
+    /// What this process knows about an order without asking control.
+    fn known_state(&self, key: &ClaimKey) -> Option<OrderReply> {
+        match &self.runs.get(key)?.phase {
+            RunPhase::Settling { reply, outcome, .. } => {
+                Some(OrderReply { reason: reply.reason, ..OrderReply::recorded(outcome.clone()) })
+            }
+            RunPhase::Claiming { .. } | RunPhase::Running { .. } => {
+                let reason = ResponseReason::InProgress;
+                Some(OrderReply::without_body(RequestOutcome::Unknown, reason))
+            }
+            RunPhase::Polling { .. } | RunPhase::Abandoned { .. } => None,
+        }
+    }
+
+    /// A new session began: everything unanswered is sent again at once.
+    pub fn reconnected(
+        &mut self,
+        now: MonotonicTime,
+        send: ControlSender<'_>,
+        effects: &mut Vec<OrderEffect>,
+    ) {
+        for run in self.runs.values_mut() {
+            match &mut run.phase {
+                RunPhase::Claiming { send_at, .. }
+                | RunPhase::Settling { send_at, .. }
+                | RunPhase::Polling { send_at, .. }
+                | RunPhase::Abandoned { send_at, .. } => *send_at = now,
+                RunPhase::Running { .. } => {}
+            }
+        }
+        for lookup in self.lookups.values_mut() {
+            lookup.send_at = now;
+        }
+        self.advance(now, send, effects);
+    }
+
+    /// Control decided a claim. `may_start` says whether the ordinal's lease runs.
+    pub fn claim_answered(
+        &mut self,
+        now: MonotonicTime,
+        token: QueryToken,
+        verdict: ClaimVerdict,
+        may_start: bool,
+        send: ControlSender<'_>,
+        effects: &mut Vec<OrderEffect>,
+    ) {
+        let Some(key) = self.keys.get(&token).cloned() else { return };
+        let Some(run) = self.runs.get_mut(&key) else { return };
+        match &mut run.phase {
+            RunPhase::Claiming { unanswered, .. } | RunPhase::Abandoned { unanswered, .. } => {
+                *unanswered = unanswered.saturating_sub(1);
+            }
+            _ => return,
+        }
+        match verdict {
+            ClaimVerdict::Granted => self.granted(now, &key, may_start, effects),
+            ClaimVerdict::Existing(ClaimState::Open { entry, incarnation }) => {
+                // The run never left the claiming phase, so a claim of this very process is one whose
+                // answer was lost before the order started.
+                if entry == self.entry && incarnation == self.incarnation {
+                    self.granted(now, &key, may_start, effects);
+                } else {
+                    self.poll(now, &key, token);
+                }
+            }
+            ClaimVerdict::Existing(ClaimState::Settled(outcome)) => {
+                self.finish(&key, &OrderReply::recorded(outcome), effects);
+            }
+            ClaimVerdict::Conflict => {
+                let reason = ResponseReason::Conflict;
+                let reply = OrderReply::without_body(RequestOutcome::NotRun, reason);
+                self.finish(&key, &reply, effects);
+            }
+            ClaimVerdict::Expired => {
+                let reason = ResponseReason::Expired;
+                let reply = OrderReply::without_body(RequestOutcome::Unknown, reason);
+                self.finish(&key, &reply, effects);
+            }
+            ClaimVerdict::Unavailable => match &mut run.phase {
+                RunPhase::Claiming { send_at, .. } => {
+                    *send_at = now + self.settings.undecided_interval;
+                }
+                // The last claim was not granted, so nothing is left to be settled.
+                RunPhase::Abandoned { unanswered: 0, .. } => self.remove(&key),
+                _ => {}
+            },
+        }
+        self.advance(now, send, effects);
+    }
+
+    /// Control answered a lookup.
+    pub fn lookup_answered(
+        &mut self,
+        now: MonotonicTime,
+        token: QueryToken,
+        verdict: LookupVerdict,
+        send: ControlSender<'_>,
+        effects: &mut Vec<OrderEffect>,
+    ) {
+        if self.lookups.contains_key(&token) {
+            self.answer_lookup(now, token, verdict, effects);
+        } else if let Some(key) = self.keys.get(&token).cloned() {
+            self.answer_own_lookup(now, &key, verdict, effects);
+        }
+        self.advance(now, send, effects);
+    }
+
+    fn answer_lookup(
+        &mut self,
+        now: MonotonicTime,
+        token: QueryToken,
+        verdict: LookupVerdict,
+        effects: &mut Vec<OrderEffect>,
+    ) {
+        let without_body = OrderReply::without_body;
+        let known = self.lookups.get(&token).and_then(|lookup| self.known_state(&lookup.key));
+        let reply = match verdict {
+            LookupVerdict::Found(ClaimState::Settled(outcome)) => OrderReply::recorded(outcome),
+            LookupVerdict::Found(ClaimState::Open { .. }) => {
+                without_body(RequestOutcome::Unknown, ResponseReason::InProgress)
+            }
+            // The order may have arrived here while the question was on its way.
+            LookupVerdict::Absent => known
+                .unwrap_or_else(|| without_body(RequestOutcome::NotRun, ResponseReason::NotFound)),
+            LookupVerdict::Expired => {
+                without_body(RequestOutcome::Unknown, ResponseReason::Expired)
+            }
+            LookupVerdict::Unavailable => {
+                if let Some(lookup) = self.lookups.get_mut(&token) {
+                    lookup.send_at = now + self.settings.undecided_interval;
+                }
+                return;
+            }
+        };
+        self.lookups.remove(&token);
+        effects.push(OrderEffect::Reply(token, reply));
+    }
+
+    fn answer_own_lookup(
+        &mut self,
+        now: MonotonicTime,
+        key: &ClaimKey,
+        verdict: LookupVerdict,
+        effects: &mut Vec<OrderEffect>,
+    ) {
+        let Some(run) = self.runs.get(key) else { return };
+        let is_abandoned = match run.phase {
+            RunPhase::Polling { .. } => false,
+            RunPhase::Abandoned { .. } => true,
+            _ => return,
+        };
+        match verdict {
+            LookupVerdict::Found(ClaimState::Settled(outcome)) => {
+                self.finish(key, &OrderReply::recorded(outcome), effects);
+            }
+            LookupVerdict::Found(ClaimState::Open { entry, incarnation }) => {
+                let is_own = entry == self.entry && incarnation == self.incarnation;
+                if is_abandoned && is_own {
+                    self.refuse_granted(now, key, ResponseReason::ControlUnavailable);
+                } else if is_abandoned {
+                    self.remove(key);
+                }
+            }
+            LookupVerdict::Expired => {
+                let reply =
+                    OrderReply::without_body(RequestOutcome::Unknown, ResponseReason::Expired);
+                self.finish(key, &reply, effects);
+            }
+            // An unanswered claim may still be committed after this answer, so the lookups go on.
+            LookupVerdict::Absent | LookupVerdict::Unavailable => {}
+        }
+    }
+
+    /// Control recorded an outcome.
+    pub fn settled(&mut self, key: &ClaimKey, effects: &mut Vec<OrderEffect>) {
+        let Some(run) = self.runs.get(key) else { return };
+        if !matches!(run.phase, RunPhase::Settling { .. }) {
+            return;
+        }
+        self.reply_all(key, effects);
+        self.remove(key);
+    }
+
+    /// The engine's attempt ended.
+    pub fn run_ended(
+        &mut self,
+        now: MonotonicTime,
+        token: QueryToken,
+        result: OrderResult,
+        send: ControlSender<'_>,
+        effects: &mut Vec<OrderEffect>,
+    ) {
+        let Some(key) = self.keys.get(&token).cloned() else { return };
+        let max_body = self.settings.max_body;
+        let settle_base = self.settings.settle_base;
+        let Some(run) = self.runs.get_mut(&key) else { return };
+        let RunPhase::Running { primary } = run.phase else { return };
+        let (mut outcome, reply) = judge_result(result);
+        outcome.body = outcome.body.filter(|body| body.len() <= max_body);
+        run.phase = RunPhase::Settling {
+            primary: Some(primary),
+            reply,
+            outcome,
+            send_at: now,
+            interval: settle_base,
+        };
+        self.advance(now, send, effects);
+    }
+
+    /// Sends what is due and answers callers whose time is over.
+    pub fn advance(
+        &mut self,
+        now: MonotonicTime,
+        send: ControlSender<'_>,
+        effects: &mut Vec<OrderEffect>,
+    ) {
+        self.send_due(now, &mut *send);
+        self.send_due_lookups(now, send, effects);
+        let margin = self.settings.reply_margin;
+        let late: Vec<ClaimKey> = self
+            .runs
+            .iter()
+            .filter(|(_, run)| run.is_due(now, margin))
+            .map(|(key, _)| key.clone())
+            .collect();
+        for key in late {
+            self.expire_waiters(now, &key, effects);
+        }
+    }
+
+    /// When the book wants to be woken.
+    pub fn next_wakeup(&self) -> Option<MonotonicTime> {
+        let margin = self.settings.reply_margin;
+        let runs = self.runs.values().flat_map(|run| run.wakeups(margin));
+        let lookups = self.lookups.values().flat_map(|lookup| [lookup.deadline, lookup.send_at]);
+        runs.chain(lookups).min()
+    }
+
+    fn granted(
+        &mut self,
+        now: MonotonicTime,
+        key: &ClaimKey,
+        may_start: bool,
+        effects: &mut Vec<OrderEffect>,
+    ) {
+        let Some(run) = self.runs.get_mut(key) else { return };
+        let waiter = run.waiters.iter().max_by_key(|waiter| waiter.deadline).copied();
+        let is_abandoned = matches!(run.phase, RunPhase::Abandoned { .. });
+        match waiter {
+            Some(waiter) if may_start && !is_abandoned && now < waiter.deadline => {
+                self.keys.insert(waiter.token, key.clone());
+                run.phase = RunPhase::Running { primary: waiter.token };
+                let plan = OrderPlan {
+                    service: run.service.clone(),
+                    fingerprint: run.fingerprint,
+                    deadline: waiter.deadline,
+                };
+                effects.push(OrderEffect::Start(waiter.token, plan));
+            }
+            _ if !may_start => self.refuse_granted(now, key, ResponseReason::CutOff),
+            _ if is_abandoned => {
+                self.refuse_granted(now, key, ResponseReason::ControlUnavailable);
+            }
+            _ => self.refuse_granted(now, key, ResponseReason::Deadline),
+        }
+    }
+
+    /// The claim is this process's own and the order is not started: it ends as not run.
+    fn refuse_granted(&mut self, now: MonotonicTime, key: &ClaimKey, reason: ResponseReason) {
+        let Some(run) = self.runs.get_mut(key) else { return };
+        run.phase = RunPhase::Settling {
+            primary: None,
+            reply: OrderReply::without_body(RequestOutcome::NotRun, reason),
+            outcome: OrderOutcome { outcome: RequestOutcome::NotRun, target: None, body: None },
+            send_at: now,
+            interval: self.settings.settle_base,
+        };
+    }
+
+    fn poll(&mut self, now: MonotonicTime, key: &ClaimKey, token: QueryToken) {
+        let Some(run) = self.runs.get_mut(key) else { return };
+        if matches!(run.phase, RunPhase::Abandoned { .. }) {
+            self.remove(key);
+            return;
+        }
+        let interval = self.settings.poll_base;
+        run.phase = RunPhase::Polling { token, send_at: now + interval, interval };
+    }
+
+    fn finish(&mut self, key: &ClaimKey, reply: &OrderReply, effects: &mut Vec<OrderEffect>) {
+        let waiters = self.runs.get_mut(key).map(|run| std::mem::take(&mut run.waiters));
+        for waiter in waiters.into_iter().flatten() {
+            effects.push(OrderEffect::Reply(waiter.token, reply.clone()));
+        }
+        self.remove(key);
+    }
+
+    fn reply_all(&mut self, key: &ClaimKey, effects: &mut Vec<OrderEffect>) {
+        let Some(run) = self.runs.get_mut(key) else { return };
+        for waiter in std::mem::take(&mut run.waiters) {
+            effects.push(OrderEffect::Reply(waiter.token, run.known_reply(waiter.token)));
+        }
+    }
+
+    fn remove(&mut self, key: &ClaimKey) {
+        self.runs.remove(key);
+        self.keys.retain(|_, other| other != key);
+    }
+
+    fn send_due(&mut self, now: MonotonicTime, send: ControlSender<'_>) {
+        for (key, run) in &mut self.runs {
+            match &mut run.phase {
+                RunPhase::Claiming { token, unanswered, send_at } if now >= *send_at => {
+                    *send_at = now + self.settings.claim_interval;
+                    let message = EntryMessage::Claim {
+                        token: *token,
+                        key: key.clone(),
+                        fingerprint: run.fingerprint,
+                    };
+                    *unanswered += u32::from(send(message));
+                }
+                RunPhase::Settling { outcome, send_at, interval, .. } if now >= *send_at => {
+                    *send_at = now + *interval;
+                    *interval = (*interval * 2).min(self.settings.poll_limit);
+                    send(EntryMessage::Settle { key: key.clone(), outcome: outcome.clone() });
+                }
+                RunPhase::Polling { token, send_at, interval }
+                | RunPhase::Abandoned { token, send_at, interval, .. }
+                    if now >= *send_at =>
+                {
+                    *send_at = now + *interval;
+                    *interval = (*interval * 2).min(self.settings.poll_limit);
+                    send(EntryMessage::Lookup { token: *token, key: key.clone() });
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn send_due_lookups(
+        &mut self,
+        now: MonotonicTime,
+        send: ControlSender<'_>,
+        effects: &mut Vec<OrderEffect>,
+    ) {
+        self.lookups.retain(|&token, lookup| {
+            if now >= lookup.deadline {
+                let reason = ResponseReason::ControlUnavailable;
+                let reply = OrderReply::without_body(RequestOutcome::Unknown, reason);
+                effects.push(OrderEffect::Reply(token, reply));
+                return false;
+            }
+            if now >= lookup.send_at {
+                lookup.send_at = now + lookup.interval;
+                send(EntryMessage::Lookup { token, key: lookup.key.clone() });
+            }
+            true
+        });
+    }
+
+    fn expire_waiters(
+        &mut self,
+        now: MonotonicTime,
+        key: &ClaimKey,
+        effects: &mut Vec<OrderEffect>,
+    ) {
+        let (poll_base, abandon_limit) = (self.settings.poll_base, self.settings.abandon_limit);
+        let margin = self.settings.reply_margin;
+        let Some(run) = self.runs.get_mut(key) else { return };
+        let (late, waiting): (Vec<_>, Vec<_>) =
+            run.waiters.iter().partition(|waiter| now >= run.reply_time(waiter, margin));
+        run.waiters = waiting;
+        for (index, waiter) in late.iter().enumerate() {
+            let is_last = run.waiters.is_empty() && index + 1 == late.len();
+            effects.push(OrderEffect::Reply(waiter.token, run.late_reply(waiter.token, is_last)));
+        }
+        if !run.waiters.is_empty() {
+            return;
+        }
+        match run.phase {
+            RunPhase::Claiming { unanswered: 0, .. } | RunPhase::Polling { .. } => self.remove(key),
+            RunPhase::Claiming { token, unanswered, .. } => {
+                run.phase = RunPhase::Abandoned {
+                    token,
+                    unanswered,
+                    send_at: now + poll_base,
+                    interval: poll_base,
+                    until: now + abandon_limit,
+                };
+            }
+            RunPhase::Abandoned { until, .. } if now >= until => self.remove(key),
+            _ => {}
+        }
+    }
+}
+
+impl OrderRun {
+    /// When a waiter must be answered.
+    fn reply_time(&self, waiter: &OrderWaiter, margin: Duration) -> MonotonicTime {
+        match self.phase {
+            RunPhase::Settling { .. } => waiter.deadline - margin,
+            _ => waiter.deadline,
+        }
+    }
+
+    fn is_due(&self, now: MonotonicTime, margin: Duration) -> bool {
+        let is_over = matches!(self.phase, RunPhase::Abandoned { until, .. } if now >= until);
+        is_over || self.waiters.iter().any(|waiter| now >= self.reply_time(waiter, margin))
+    }
+
+    fn wakeups(&self, margin: Duration) -> impl Iterator<Item = MonotonicTime> + '_ {
+        let send_at = match &self.phase {
+            RunPhase::Claiming { send_at, .. }
+            | RunPhase::Settling { send_at, .. }
+            | RunPhase::Polling { send_at, .. } => Some(*send_at),
+            RunPhase::Abandoned { send_at, until, .. } => Some((*send_at).min(*until)),
+            RunPhase::Running { .. } => None,
+        };
+        self.waiters.iter().map(move |waiter| self.reply_time(waiter, margin)).chain(send_at)
+    }
+
+    /// The known outcome, as told to one waiter; only the one whose request ran has the body at the driver.
+    fn known_reply(&self, token: QueryToken) -> OrderReply {
+        let RunPhase::Settling { primary, reply, outcome, .. } = &self.phase else {
+            return OrderReply::without_body(RequestOutcome::Unknown, ResponseReason::InProgress);
+        };
+        if *primary == Some(token) {
+            return reply.clone();
+        }
+        OrderReply { reason: reply.reason, ..OrderReply::recorded(outcome.clone()) }
+    }
+
+    /// What a waiter is told at its deadline. A claim that was sent and not answered may meet a run by
+    /// another process, so only orders without such a claim are reported as not run.
+    fn late_reply(&self, token: QueryToken, is_last: bool) -> OrderReply {
+        match &self.phase {
+            RunPhase::Claiming { unanswered: 0, .. } if is_last => {
+                let reason = ResponseReason::ControlUnavailable;
+                OrderReply::without_body(RequestOutcome::NotRun, reason)
+            }
+            RunPhase::Claiming { .. } | RunPhase::Abandoned { .. } => {
+                let reason = ResponseReason::ControlUnavailable;
+                OrderReply::without_body(RequestOutcome::Unknown, reason)
+            }
+            RunPhase::Running { .. } => OrderReply {
+                attempts: 1,
+                ..OrderReply::without_body(RequestOutcome::Unknown, ResponseReason::Deadline)
+            },
+            RunPhase::Polling { .. } => {
+                OrderReply::without_body(RequestOutcome::Unknown, ResponseReason::InProgress)
+            }
+            RunPhase::Settling { .. } => self.known_reply(token),
+        }
+    }
+}
+
+/// The outcome to record and the reply for the caller whose request ran.
+fn judge_result(result: OrderResult) -> (OrderOutcome, OrderReply) {
+    use RequestOutcome::{Complete, Failed, NotRun, Unknown};
+    match result {
+        OrderResult::NotSent(reason) => (
+            OrderOutcome { outcome: NotRun, target: None, body: None },
+            OrderReply::without_body(NotRun, reason),
+        ),
+        OrderResult::Lost { target } => (
+            OrderOutcome { outcome: Unknown, target: Some(target), body: None },
+            OrderReply {
+                attempts: 1,
+                ..OrderReply::without_body(Unknown, ResponseReason::TargetFailure)
+            },
+        ),
+        OrderResult::Answered { target, attempt, status, body } => {
+            let (outcome, reason) = match status {
+                AnswerStatus::Done => (Complete, None),
+                AnswerStatus::Error => (Failed, Some(ResponseReason::TargetFailure)),
+                AnswerStatus::Shed => (NotRun, Some(ResponseReason::Overloaded)),
+                AnswerStatus::Draining => (NotRun, Some(ResponseReason::NoTarget)),
+                AnswerStatus::Late => (NotRun, Some(ResponseReason::Deadline)),
+                // An order names no snapshot, so this answer does not fit the request it answers.
+                AnswerStatus::SnapshotGone => (Unknown, Some(ResponseReason::TargetFailure)),
+            };
+            let has_body = matches!(outcome, Complete | Failed);
+            let reply = OrderReply {
+                outcome,
+                reason,
+                part: has_body.then_some(attempt),
+                recorded_body: None,
+                attempts: 1,
+            };
+            let body = body.filter(|_| has_body);
+            (OrderOutcome { outcome, target: Some(target), body }, reply)
+        }
+    }
+}
--- a/hickoryspan_core/src/membership.rs
+++ b/hickoryspan_core/src/membership.rs
@@ -177,13 +177,20 @@
         changes: impl IntoIterator<Item = ViewChange>,
     ) {
         for change in changes {
-            let text = format!("{change:?}");
-            self.digest = StateDigest::of_parts([self.digest.0.as_slice(), text.as_bytes()]);
+            self.digest = chain_digest(self.digest, &change);
             self.apply_change(change);
         }
         self.revision = revision;
     }
 
+    /// The digest that results from the changes, so that they can be checked before they are applied.
+    pub fn digest_after<'a>(
+        &self,
+        changes: impl IntoIterator<Item = &'a ViewChange>,
+    ) -> StateDigest {
+        changes.into_iter().fold(self.digest, chain_digest)
+    }
+
     fn apply_change(&mut self, change: ViewChange) {
         match change {
             ViewChange::PutTarget(record) => {
@@ -235,3 +242,8 @@
         }
     }
 }
+
+fn chain_digest(digest: StateDigest, change: &ViewChange) -> StateDigest {
+    let text = format!("{change:?}");
+    StateDigest::of_parts([digest.0.as_slice(), text.as_bytes()])
+}
--- /dev/null
+++ b/hickoryspan_core/tests/entry_machine.rs
@@ -0,0 +1,116 @@
+//! Guards against untruthful outcomes, lost responses and wrong deadlines on the request path.
+
+mod entry_support;
+
+use entry_support::*;
+use hickoryspan_core::entry::interface::*;
+use hickoryspan_core::entry::plan::*;
+use hickoryspan_core::messages::*;
+use hickoryspan_core::types::*;
+use rstest::rstest;
+
+/// Guards against a coverage or outcome that differs from what the engine found.
+#[rstest]
+#[case::full(search_result(1.0, &[7]), RequestOutcome::Complete)]
+#[case::part(search_result(0.5, &[7]), RequestOutcome::Partial)]
+#[case::nothing_ran(search_result(0.0, &[]), RequestOutcome::NotRun)]
+#[case::ran_without_answer(
+    SearchResult { may_have_run: true, attempts: 2, ..search_result(0.0, &[]) },
+    RequestOutcome::Failed
+)]
+fn searches_are_answered_with_what_the_engine_found(
+    #[case] result: SearchResult,
+    #[case] outcome: RequestOutcome,
+) {
+    let mut bench = EntryBench::ready(1);
+    let token = bench.search();
+    bench.report(EngineReport::Search(token, result.clone()));
+    let response = bench.response(token).expect("a response");
+    assert_eq!(response.outcome, outcome);
+    assert_eq!(response.coverage, result.coverage);
+    assert_eq!(response.parts, result.parts);
+    assert_eq!(response.attempts, result.attempts);
+    assert_eq!(response.snapshot, result.snapshot);
+    assert_eq!(response.revision, RevisionNumber(5));
+    assert!(bench.take().iter().any(|action| matches!(
+        action,
+        EntryAction::Measure(EntryMeasure::Request { outcome: measured, .. }) if *measured == outcome
+    )));
+}
+
+/// Guards against a search that is refused, or started, in the wrong state or with the wrong name.
+#[rstest]
+#[case::order_as_search("order", ResponseReason::UnknownName)]
+#[case::unknown_search("nothing", ResponseReason::UnknownName)]
+fn unknown_names_are_not_run(#[case] search: &str, #[case] reason: ResponseReason) {
+    let mut bench = EntryBench::ready(1);
+    let token = bench.request(RequestKind::Search { pinned: None }, |request| {
+        request.search = id(search);
+    });
+    let response = bench.response(token).expect("a response");
+    assert_eq!((response.outcome, response.reason), (RequestOutcome::NotRun, Some(reason)));
+    assert!(bench.engine.script().searches.is_empty());
+}
+
+/// Guards against service before any sheet is known.
+#[test]
+fn requests_before_the_first_view_are_not_run() {
+    let mut bench = EntryBench::new(1);
+    bench.answers = false;
+    let token = bench.search();
+    let response = bench.response(token).expect("a response");
+    assert_eq!(response.outcome, RequestOutcome::NotRun);
+    assert_eq!(response.reason, Some(ResponseReason::NoConfiguration));
+}
+
+/// Guards against deadlines that exceed the class, ignore the caller, or cannot be met.
+#[rstest]
+#[case::class_default("phone", None, Some(1000))]
+#[case::callers_own("phone", Some(300), Some(300))]
+#[case::capped("phone", Some(60_000), Some(1000))]
+#[case::absent_class_uses_the_lowest("other", None, Some(2000))]
+#[case::zero("phone", Some(0), None)]
+#[case::too_short("phone", Some(1), None)]
+fn deadlines_follow_class_and_caller(
+    #[case] class: &str,
+    #[case] stated: Option<u64>,
+    #[case] expected: Option<u64>,
+) {
+    let mut bench = EntryBench::ready(1);
+    let token = bench.request(RequestKind::Search { pinned: None }, |request| {
+        request.class = id(class);
+        request.deadline = stated.map(millis);
+    });
+    let started = bench.engine.script().searches.first().cloned();
+    let Some(expected) = expected else {
+        let response = bench.response(token).expect("a response");
+        assert_eq!(response.outcome, RequestOutcome::NotRun);
+        assert_eq!(response.reason, Some(ResponseReason::Deadline));
+        return assert!(started.is_none());
+    };
+    let (_, plan) = started.expect("a started search");
+    assert_eq!(plan.deadline, bench.now.monotonic + millis(expected));
+}
+
+/// Guards against attempts that go on for a caller who went away.
+#[test]
+fn a_hangup_cancels_the_search() {
+    let mut bench = EntryBench::ready(1);
+    let token = bench.search();
+    bench.event(EntryEvent::Hangup(token));
+    assert_eq!(bench.engine.script().cancelled, [token]);
+    bench.report(EngineReport::Search(token, search_result(1.0, &[7])));
+    assert!(bench.response(token).is_none());
+}
+
+/// Guards against a caller who waits for ever because the engine never reports.
+#[test]
+fn a_search_without_a_report_ends_at_its_deadline() {
+    let mut bench = EntryBench::ready(1);
+    let token = bench.search();
+    bench.advance(millis(1500));
+    let response = bench.response(token).expect("a response");
+    assert_eq!(response.outcome, RequestOutcome::Failed);
+    assert_eq!(response.reason, Some(ResponseReason::Deadline));
+    assert_eq!(bench.engine.script().cancelled, [token]);
+}
--- /dev/null
+++ b/hickoryspan_core/tests/entry_support/mod.rs
@@ -0,0 +1,387 @@
+//! A bench for the entry machine: a scripted engine, a scripted control replica and an injected clock.
+
+#![allow(dead_code)] // Each test file uses a part of the bench.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use hickoryspan_core::entry::engine::OrdinalShare;
+use hickoryspan_core::entry::interface::*;
+use hickoryspan_core::entry::machine::{EntryMachine, EntrySettings};
+use hickoryspan_core::entry::plan::*;
+use hickoryspan_core::entry::search_engine::SearchEngine;
+use hickoryspan_core::membership::{EntryRecord, MembershipView, ViewChange};
+use hickoryspan_core::messages::*;
+use hickoryspan_core::sheet::*;
+use hickoryspan_core::types::*;
+use rand_chacha::ChaCha12Rng;
+use rand_chacha::rand_core::SeedableRng;
+
+pub const LEASE: Duration = Duration::from_secs(5);
+pub const SHARE_LEASE: Duration = Duration::from_secs(2);
+pub const MAX_ORDINALS: u32 = 14;
+pub const FULL_WALL: u64 = 1_800_000_000_000;
+
+pub fn id<T: std::str::FromStr>(text: &str) -> T {
+    text.parse().ok().expect("a valid identifier")
+}
+
+pub fn millis(count: u64) -> Duration {
+    Duration::from_millis(count)
+}
+
+/// What the scripted engine was asked, and what it reports next.
+#[derive(Debug, Default)]
+pub struct EngineScript {
+    pub searches: Vec<(QueryToken, SearchPlan)>,
+    pub orders: Vec<(QueryToken, OrderPlan)>,
+    pub cancelled: Vec<QueryToken>,
+    pub shares: Vec<Option<OrdinalShare>>,
+    pub reports: VecDeque<EngineReport>,
+    pub width: u32,
+    pub revision: RevisionNumber,
+}
+
+/// An engine that records calls and reports what the test says.
+#[derive(Clone, Debug, Default)]
+pub struct FakeEngine(pub Arc<Mutex<EngineScript>>);
+
+impl FakeEngine {
+    pub fn script(&self) -> std::sync::MutexGuard<'_, EngineScript> {
+        self.0.lock().expect("no test thread panicked")
+    }
+}
+
+type Actions<'a> = &'a mut Vec<EntryAction>;
+
+impl SearchEngine for FakeEngine {
+    fn update_view(&mut self, _: ClockReading, view: &MembershipView, _: Actions<'_>) {
+        self.script().revision = view.revision;
+    }
+    fn set_share(&mut self, _: ClockReading, share: Option<OrdinalShare>, _: Actions<'_>) {
+        self.script().shares.push(share);
+    }
+    fn start_search(
+        &mut self,
+        _: ClockReading,
+        token: QueryToken,
+        plan: SearchPlan,
+        _: Actions<'_>,
+    ) {
+        self.script().searches.push((token, plan));
+    }
+    fn start_order(&mut self, _: ClockReading, token: QueryToken, plan: OrderPlan, _: Actions<'_>) {
+        self.script().orders.push((token, plan));
+    }
+    fn cancel(&mut self, _: ClockReading, token: QueryToken, _: Actions<'_>) {
+        self.script().cancelled.push(token);
+    }
+    fn handle(&mut self, _: ClockReading, _: &EntryEvent, _: Actions<'_>) {}
+    fn next_report(&mut self) -> Option<EngineReport> {
+        self.script().reports.pop_front()
+    }
+    fn fanout_width(&self, _: &SearchPlan) -> u32 {
+        self.script().width
+    }
+    fn next_wakeup(&self) -> Option<MonotonicTime> {
+        None
+    }
+    fn in_flight(&self) -> usize {
+        0
+    }
+}
+
+/// One entry machine with its surroundings.
+pub struct EntryBench {
+    pub machine: EntryMachine,
+    pub engine: FakeEngine,
+    pub now: ClockReading,
+    /// Actions of the last calls, until taken.
+    pub actions: Vec<EntryAction>,
+    /// Whether control answers Hello and Renew by itself.
+    pub answers: bool,
+    pub view: MembershipView,
+    pub committed: Option<RevisionNumber>,
+    pub grants: Vec<ShareGrant>,
+    next_token: u64,
+}
+
+pub fn address(port: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], port))
+}
+
+pub fn control_addresses() -> Vec<SocketAddr> {
+    vec![address(7100), address(7101), address(7102)]
+}
+
+pub fn identity(entry: &str) -> EntryIdentity {
+    EntryIdentity {
+        registration: EntryRegistration {
+            entry: id(entry),
+            incarnation: IncarnationNumber(1),
+            caller_address: address(8000),
+            failure_domain: id("north"),
+        },
+        control_addresses: control_addresses(),
+    }
+}
+
+pub fn entry_record(entry: &str, port: u16, domain: &str) -> EntryRecord {
+    EntryRecord {
+        entry: id(entry),
+        incarnation: IncarnationNumber(1),
+        caller_address: address(port),
+        failure_domain: id(domain),
+        ordinal: OrdinalNumber(u64::from(port % 100)),
+        draining: false,
+    }
+}
+
+/// Two tenants with a search, an order, two classes and one caller each.
+pub fn sheet(rate: f64, burst: f64) -> SheetDocument {
+    let class = |priority, deadline| ClassSpec {
+        priority,
+        deadline: millis(deadline),
+        policy: CompletionPolicy::DeadlineFirst,
+        coverage_floor: CoverageShare::FULL,
+    };
+    let search = |service: &str, idempotent| SearchSpec {
+        service: id(service),
+        scope: ShardScope::All,
+        weight: CostUnits(1.0),
+        idempotent,
+    };
+    let tenant = TenantSheet {
+        services: BTreeMap::from([
+            (id("console"), ServiceSpec { kind: ServiceKind::Sharded }),
+            (id("print"), ServiceSpec { kind: ServiceKind::Single }),
+        ]),
+        searches: BTreeMap::from([
+            (id("history"), search("console", true)),
+            (id("order"), search("print", false)),
+        ]),
+        callers: BTreeMap::from([(
+            id("desk"),
+            CallerSpec { rate: CostRate(rate), burst: CostUnits(burst) },
+        )]),
+        classes: BTreeMap::from([(id("phone"), class(9, 1000)), (id("batch"), class(1, 2000))]),
+    };
+    SheetDocument {
+        number: SheetNumber(1),
+        date: "2026-12-04".into(),
+        tenants: BTreeMap::from([(id("quindio"), tenant.clone()), (id("vestera"), tenant)]),
+    }
+}
+
+pub fn view_with(sheet_document: SheetDocument) -> MembershipView {
+    let mut view = MembershipView::default();
+    let mut changes = vec![ViewChange::PutSheet(Arc::new(sheet_document))];
+    for (entry, port, domain) in
+        [("e0", 8000, "north"), ("e1", 8001, "south"), ("e2", 8002, "east"), ("e3", 8003, "south")]
+    {
+        changes.push(ViewChange::PutEntry(entry_record(entry, port, domain)));
+    }
+    view.apply(RevisionNumber(5), changes);
+    view
+}
+
+impl EntryBench {
+    pub fn new(seed: u64) -> Self {
+        Self::with_settings(seed, EntrySettings::default(), sheet(1e9, 1e9))
+    }
+
+    pub fn with_settings(seed: u64, settings: EntrySettings, document: SheetDocument) -> Self {
+        let engine = FakeEngine::default();
+        engine.script().width = 1;
+        let machine = EntryMachine::with_engine(
+            identity("e0"),
+            settings,
+            ChaCha12Rng::seed_from_u64(seed),
+            Box::new(engine.clone()),
+        );
+        Self {
+            machine,
+            engine,
+            now: ClockReading { monotonic: MonotonicTime(1_000_000), wall: WallTime(FULL_WALL) },
+            actions: Vec::new(),
+            answers: true,
+            view: view_with(document),
+            committed: None,
+            grants: Vec::new(),
+            next_token: 1,
+        }
+    }
+
+    /// A bench whose entry holds a lease and a view, and has served long enough to fill its buckets.
+    pub fn ready(seed: u64) -> Self {
+        let mut bench = Self::new(seed);
+        bench.advance(millis(2000));
+        assert!(bench.engine.script().shares.last().is_some_and(Option::is_some));
+        bench.take();
+        bench
+    }
+
+    pub fn event(&mut self, event: EntryEvent) {
+        let mut actions = Vec::new();
+        self.machine.handle(self.now, event, &mut actions);
+        for action in &actions {
+            self.answer(action);
+        }
+        let replies = if self.answers { self.replies(&actions) } else { Vec::new() };
+        self.actions.extend(actions);
+        for reply in replies {
+            self.event(reply);
+        }
+    }
+
+    fn answer(&mut self, _action: &EntryAction) {}
+
+    fn replies(&self, actions: &[EntryAction]) -> Vec<EntryEvent> {
+        actions
+            .iter()
+            .filter_map(|action| match action {
+                EntryAction::ConnectControl(address) => Some(EntryEvent::ControlOpened(*address)),
+                EntryAction::SendControl(EntryMessage::Hello { .. }) => Some(self.welcome(3)),
+                EntryAction::SendControl(EntryMessage::Resync) => {
+                    Some(EntryEvent::Control(ControlMessage::View(Box::new(self.view.clone()))))
+                }
+                EntryAction::SendControl(EntryMessage::Renew { sequence, .. }) => {
+                    Some(self.renewed(*sequence))
+                }
+                _ => None,
+            })
+            .collect()
+    }
+
+    pub fn welcome(&self, ordinal: u64) -> EntryEvent {
+        EntryEvent::Control(ControlMessage::Welcome {
+            ordinal: OrdinalNumber(ordinal),
+            max_ordinals: MAX_ORDINALS,
+            view: Box::new(self.view.clone()),
+        })
+    }
+
+    pub fn renewed(&self, sequence: u64) -> EntryEvent {
+        EntryEvent::Control(ControlMessage::Renewed {
+            sequence,
+            lease: LEASE,
+            committed: self.committed.unwrap_or(self.view.revision),
+            shares: self.grants.clone(),
+            share_lease: SHARE_LEASE,
+        })
+    }
+
+    pub fn control(&mut self, message: ControlMessage) {
+        self.event(EntryEvent::Control(message));
+    }
+
+    /// Lets time pass; wake-ups are served exactly when the machine asks for them.
+    pub fn advance(&mut self, duration: Duration) {
+        let end = self.now.monotonic + duration;
+        let mut idle_ticks = 0;
+        while let Some(wakeup) = self.machine.next_wakeup().filter(|&wakeup| wakeup <= end) {
+            idle_ticks = if wakeup <= self.now.monotonic { idle_ticks + 1 } else { 0 };
+            assert!(idle_ticks < 20, "the machine asks for a wake-up it has already had");
+            self.set_time(wakeup.max(self.now.monotonic));
+            self.event(EntryEvent::Tick);
+        }
+        self.set_time(end);
+    }
+
+    pub fn set_time(&mut self, time: MonotonicTime) {
+        let passed = time.since(self.now.monotonic);
+        self.now.wall.0 += passed.as_millis() as u64;
+        self.now.monotonic = time;
+    }
+
+    pub fn take(&mut self) -> Vec<EntryAction> {
+        std::mem::take(&mut self.actions)
+    }
+
+    pub fn request(
+        &mut self,
+        kind: RequestKind,
+        change: impl FnOnce(&mut CallerRequest),
+    ) -> QueryToken {
+        let token = QueryToken(self.next_token);
+        self.next_token += 1;
+        let search = if matches!(kind, RequestKind::Search { .. }) { "history" } else { "order" };
+        let mut request = CallerRequest {
+            tenant: id("quindio"),
+            caller: id("desk"),
+            class: id("phone"),
+            search: id(search),
+            kind,
+            fingerprint: fingerprint(1),
+            deadline: None,
+        };
+        change(&mut request);
+        self.event(EntryEvent::Request(token, Box::new(request)));
+        token
+    }
+
+    pub fn search(&mut self) -> QueryToken {
+        self.request(RequestKind::Search { pinned: None }, |_| {})
+    }
+
+    pub fn order(&mut self, name: &str) -> QueryToken {
+        let issued_at = WallTime(FULL_WALL);
+        self.request(RequestKind::Order { request: id(name), issued_at }, |_| {})
+    }
+
+    pub fn report(&mut self, report: EngineReport) {
+        self.engine.script().reports.push_back(report);
+        self.event(EntryEvent::Tick);
+    }
+
+    /// Takes the response to a request out of the actions.
+    pub fn response(&mut self, token: QueryToken) -> Option<CallerResponse> {
+        let position = self.actions.iter().position(
+            |action| matches!(action, EntryAction::Respond(other, _) if *other == token),
+        )?;
+        match self.actions.remove(position) {
+            EntryAction::Respond(_, response) => Some(*response),
+            _ => None,
+        }
+    }
+
+    /// Takes the messages sent to control out of the actions.
+    pub fn sent(&mut self) -> Vec<EntryMessage> {
+        let mut sent = Vec::new();
+        self.actions.retain(|action| match action {
+            EntryAction::SendControl(message) => {
+                sent.push(message.clone());
+                false
+            }
+            _ => true,
+        });
+        sent
+    }
+}
+
+pub fn fingerprint(number: u8) -> RequestFingerprint {
+    RequestFingerprint([number; 32])
+}
+
+pub fn claim_key(name: &str) -> ClaimKey {
+    ClaimKey {
+        tenant: id("quindio"),
+        caller: id("desk"),
+        request: id(name),
+        issued_at: WallTime(FULL_WALL),
+    }
+}
+
+pub fn search_result(coverage: f64, parts: &[u64]) -> SearchResult {
+    SearchResult {
+        snapshot: Some(SnapshotVersion(4)),
+        coverage: CoverageShare::new(coverage),
+        parts: parts.iter().copied().map(AttemptId).collect(),
+        attempts: parts.len() as u32,
+        extra_attempts: 0,
+        may_have_run: !parts.is_empty(),
+        reason: None,
+    }
+}
