--- a/hickoryspan_control/src/main.rs
+++ b/hickoryspan_control/src/main.rs
@@ -4,10 +4,7 @@
 
 use gumdrop::Options;
 use hickoryspan_control::{ControlDaemon, ControlDaemonSettings, ControlOptions};
-use hickoryspan_runtime::logs::install_logs;
-use hickoryspan_runtime::process::{
-    SettingsCommand, StopSignals, report_faults, run_settings_command,
-};
+use hickoryspan_runtime::process::{SettingsRequest, StopSignals, accept_settings};
 use hickoryspan_runtime::settings::SettingsReader;
 
 fn main() -> ExitCode {
@@ -16,16 +13,14 @@
         println!("hickoryspan-control {}", env!("CARGO_PKG_VERSION"));
         return ExitCode::SUCCESS;
     }
-    let checked = match ControlDaemonSettings::read(&options, SettingsReader::from_environment()) {
-        Ok(checked) => checked,
-        Err(faults) => return report_faults(&faults),
+    let read = ControlDaemonSettings::read(&options, SettingsReader::from_environment());
+    let request =
+        SettingsRequest { check: options.check_settings, print: options.print_settings };
+    let settings = match accept_settings(read, request) {
+        Ok(settings) => settings,
+        Err(code) => return code,
     };
-    let command =
-        SettingsCommand { check: options.check_settings, print: options.print_settings };
-    if let Some(code) = run_settings_command(command, checked.values) {
-        return code;
-    }
-    match run(checked.settings) {
+    match run(settings) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             spdlog::critical!("hickoryspan-control: {:#}", error);
@@ -36,7 +31,7 @@
 
 #[tokio::main]
 async fn run(settings: ControlDaemonSettings) -> anyhow::Result<()> {
-    install_logs(settings.log_format, settings.log_level)?;
+    settings.logs.install()?;
     let mut signals = StopSignals::install()?;
     let daemon = ControlDaemon::start(settings).await?;
     tokio::select! {
--- a/hickoryspan_control/src/settings.rs
+++ b/hickoryspan_control/src/settings.rs
@@ -7,7 +7,7 @@
 use gumdrop::Options;
 use hickoryspan_runtime::credential::SharedCredential;
 use hickoryspan_runtime::http_server::HttpLimits;
-use hickoryspan_runtime::logs::{LogFormat, LogLevel};
+use hickoryspan_runtime::process::LogSettings;
 use hickoryspan_runtime::settings::{SettingFaults, SettingValue, SettingsReader};
 
 /// Flags of `hickoryspan-control`.
@@ -111,23 +111,12 @@
     pub credential: SharedCredential,
     /// Limits of the HTTP port.
     pub limits: HttpLimits,
-    /// Least severe level in the log.
-    pub log_level: LogLevel,
-    /// Form of log lines.
-    pub log_format: LogFormat,
+    /// Form and level of the log.
+    pub logs: LogSettings,
     /// Seed of the generator for election timeouts; from the operating system unless a test sets it.
     pub seed: Option<u64>,
 }
 
-/// Settings together with their text form.
-#[derive(Clone, Debug)]
-pub struct CheckedSettings {
-    /// The settings.
-    pub settings: ControlDaemonSettings,
-    /// Their text form for `--print-settings`.
-    pub values: Vec<SettingValue>,
-}
-
 const ADDRESS: &str = "an IP address and a port, such as 127.0.0.1:7100";
 const MAX_BODY_BYTES: usize = 64 * 1024 * 1024;
 const DEFAULT_BODY_BYTES: usize = 8 * 1024 * 1024;
@@ -138,7 +127,7 @@
     pub fn read(
         options: &ControlOptions,
         mut reader: SettingsReader,
-    ) -> Result<CheckedSettings, SettingFaults> {
+    ) -> Result<(Self, Vec<SettingValue>), SettingFaults> {
         let folder = reader.required::<PathBuf>(
             "data-folder",
             options.data_folder.as_deref(),
@@ -165,19 +154,10 @@
             SocketAddr::from(([127, 0, 0, 1], 7101)),
         );
         let credential = reader.credential(options.credential_file.as_deref());
-        let log_level = reader.with_default(
-            "log-level",
-            options.log_level.as_deref(),
-            LogLevel::default(),
-            "error, warn, info, debug or trace",
-            |_| true,
-        );
-        let log_format = reader.with_default(
-            "log-format",
+        let logs = LogSettings::read(
+            &mut reader,
             options.log_format.as_deref(),
-            LogFormat::default(),
-            "text or json",
-            |_| true,
+            options.log_level.as_deref(),
         );
         let limits = read_limits(options, &mut reader);
         let values = reader.finish()?;
@@ -191,11 +171,10 @@
             http_address,
             credential,
             limits,
-            log_level,
-            log_format,
+            logs,
             seed: None,
         };
-        Ok(CheckedSettings { settings, values })
+        Ok((settings, values))
     }
 }
 
