--- /dev/null
+++ b/hickoryspan_core/src/control/claims.rs
@@ -0,0 +1,194 @@
+//! Claims of orders: who may run an order, and what became of it (`docs/design.md`, section 6.8).
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use super::commands::EntryProcess;
+use crate::messages::{
+    ClaimKey, ClaimState, ClaimVerdict, LookupVerdict, OrderOutcome, RequestOutcome,
+};
+use crate::types::{CallerId, RequestFingerprint, RequestId, TenantId, WallTime};
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+struct ClaimRecord {
+    fingerprint: RequestFingerprint,
+    state: ClaimState,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+struct CallerKey {
+    tenant: TenantId,
+    caller: CallerId,
+}
+
+// The time comes first, so that the claims at or below the horizon are one range.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+struct IssueKey {
+    issued_at: WallTime,
+    request: RequestId,
+}
+
+/// Every claim issued after the horizon.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case", default)]
+pub struct ClaimTable {
+    horizon: WallTime,
+    // By caller, so that a caller's name is stored once and not with each claim.
+    claims: BTreeMap<CallerKey, BTreeMap<IssueKey, ClaimRecord>>,
+    #[serde(skip)]
+    open: BTreeMap<EntryProcess, BTreeSet<ClaimKey>>,
+    #[serde(skip)]
+    count: u64,
+}
+
+impl ClaimTable {
+    /// The number of claims held.
+    pub fn len(&self) -> u64 {
+        self.count
+    }
+
+    /// Whether no claim is held.
+    pub fn is_empty(&self) -> bool {
+        self.count == 0
+    }
+
+    /// Claims issued at this time or earlier were dropped.
+    pub fn horizon(&self) -> WallTime {
+        self.horizon
+    }
+
+    /// Rebuilds what is not serialized.
+    pub fn rebuild(&mut self) {
+        self.open.clear();
+        self.count = 0;
+        for (caller, claims) in &self.claims {
+            self.count += claims.len() as u64;
+            for (issue, record) in claims {
+                let ClaimState::Open { entry, incarnation } = &record.state else { continue };
+                let process = EntryProcess { entry: entry.clone(), incarnation: *incarnation };
+                self.open.entry(process).or_default().insert(join_key(caller, issue));
+            }
+        }
+    }
+
+    /// Grants a claim once; every later claim gets the first one's state.
+    pub fn claim(
+        &mut self,
+        process: &EntryProcess,
+        key: &ClaimKey,
+        fingerprint: RequestFingerprint,
+        capacity: u64,
+    ) -> ClaimVerdict {
+        if key.issued_at <= self.horizon {
+            return ClaimVerdict::Expired;
+        }
+        if let Some(record) = self.record(key) {
+            if record.fingerprint != fingerprint {
+                return ClaimVerdict::Conflict;
+            }
+            return ClaimVerdict::Existing(record.state.clone());
+        }
+        if self.count >= capacity {
+            return ClaimVerdict::Unavailable;
+        }
+        let (caller, issue) = split_key(key);
+        let state =
+            ClaimState::Open { entry: process.entry.clone(), incarnation: process.incarnation };
+        self.claims.entry(caller).or_default().insert(issue, ClaimRecord { fingerprint, state });
+        self.open.entry(process.clone()).or_default().insert(key.clone());
+        self.count += 1;
+        ClaimVerdict::Granted
+    }
+
+    /// Records the end of an open claim of this process. The first recorded outcome stays, because a caller
+    /// may have been told it.
+    pub fn settle(&mut self, process: &EntryProcess, key: &ClaimKey, outcome: OrderOutcome) {
+        let Some(keys) = self.open.get_mut(process) else { return };
+        if !keys.remove(key) {
+            return;
+        }
+        if keys.is_empty() {
+            self.open.remove(process);
+        }
+        self.set_settled(key, outcome);
+    }
+
+    /// Settles the open claims of a process that is gone: nobody knows whether they ran.
+    pub fn abandon(&mut self, process: &EntryProcess) {
+        for key in self.open.remove(process).unwrap_or_default() {
+            let outcome =
+                OrderOutcome { outcome: RequestOutcome::Unknown, target: None, body: None };
+            self.set_settled(&key, outcome);
+        }
+    }
+
+    /// What became of an order.
+    pub fn lookup(&self, key: &ClaimKey) -> LookupVerdict {
+        if key.issued_at <= self.horizon {
+            return LookupVerdict::Expired;
+        }
+        match self.record(key) {
+            Some(record) => LookupVerdict::Found(record.state.clone()),
+            None => LookupVerdict::Absent,
+        }
+    }
+
+    /// Drops the claims issued at `horizon` or earlier; the horizon never moves back.
+    pub fn advance_horizon(&mut self, horizon: WallTime) {
+        if horizon <= self.horizon {
+            return;
+        }
+        self.horizon = horizon;
+        let mut dropped = 0;
+        self.claims.retain(|_, claims| {
+            let before = claims.len();
+            claims.retain(|issue, _| issue.issued_at > horizon);
+            dropped += (before - claims.len()) as u64;
+            !claims.is_empty()
+        });
+        self.count -= dropped;
+        self.open.retain(|_, keys| {
+            keys.retain(|key| key.issued_at > horizon);
+            !keys.is_empty()
+        });
+    }
+
+    fn record(&self, key: &ClaimKey) -> Option<&ClaimRecord> {
+        let (caller, issue) = split_key(key);
+        self.claims.get(&caller)?.get(&issue)
+    }
+
+    fn set_settled(&mut self, key: &ClaimKey, outcome: OrderOutcome) {
+        let (caller, issue) = split_key(key);
+        let Some(claims) = self.claims.get_mut(&caller) else { return };
+        let Some(record) = claims.get_mut(&issue) else { return };
+        record.state = ClaimState::Settled(outcome);
+    }
+}
+
+/// The outcome without an answer that is longer than `max_bytes`.
+pub fn bound_outcome(mut outcome: OrderOutcome, max_bytes: usize) -> OrderOutcome {
+    if outcome.body.as_ref().is_some_and(|body: &Arc<str>| body.len() > max_bytes) {
+        outcome.body = None;
+    }
+    outcome
+}
+
+fn split_key(key: &ClaimKey) -> (CallerKey, IssueKey) {
+    let caller = CallerKey { tenant: key.tenant.clone(), caller: key.caller.clone() };
+    (caller, IssueKey { issued_at: key.issued_at, request: key.request.clone() })
+}
+
+fn join_key(caller: &CallerKey, issue: &IssueKey) -> ClaimKey {
+    ClaimKey {
+        tenant: caller.tenant.clone(),
+        caller: caller.caller.clone(),
+        request: issue.request.clone(),
+        issued_at: issue.issued_at,
+    }
+}
--- a/hickoryspan_core/src/control/interface.rs
+++ b/hickoryspan_core/src/control/interface.rs
@@ -49,6 +49,7 @@
     /// The term of the leader that created it.
     pub term: TermNumber,
     /// The encoded command; empty for the entry that opens a term.
+    #[serde(with = "super::bytes")]
     pub payload: Arc<[u8]>,
 }
 
@@ -71,6 +72,7 @@
     /// The term of that entry.
     pub term: TermNumber,
     /// The encoded state, with the replica set.
+    #[serde(with = "super::bytes")]
     pub state: Arc<[u8]>,
 }
 
--- /dev/null
+++ b/hickoryspan_core/src/control/machine/entries.rs
@@ -0,0 +1,383 @@
+//! Messages of entry processes.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::ControlMachine;
+use super::leadership::{CommandWaiter, WaitingRead, entry_lease};
+use crate::control::claims::bound_outcome;
+use crate::control::commands::{CommandBody, EntryProcess};
+use crate::control::dissemination::LinkSession;
+use crate::control::interface::{ControlAction, LinkId};
+use crate::control::registry::find_entry;
+use crate::membership::{CrashEvidence, QuarantineLevel};
+use crate::messages::{
+    CallerDemand, ClaimKey, ClaimVerdict, ControlMessage, EntryMessage, EntryRegistration,
+    LookupVerdict, OrderOutcome,
+};
+use crate::types::{
+    ClockReading, EntryId, IncarnationNumber, MonotonicTime, OrdinalNumber, QueryToken,
+    RequestFingerprint, RevisionNumber, StateDigest,
+};
+
+/// Requests of one crash report that are taken; a target runs far fewer at the same time.
+const MAX_REPORTED_FINGERPRINTS: usize = 1_024;
+
+impl ControlMachine {
+    pub(super) fn take_entry_message(
+        &mut self,
+        now: ClockReading,
+        link: LinkId,
+        message: EntryMessage,
+        actions: &mut Vec<ControlAction>,
+    ) {
+        if self.leadership.is_none() {
+            return self.answer_not_leader(now.monotonic, link, &message, actions);
+        }
+        match message {
+            EntryMessage::Hello { registration, revision } => {
+                self.take_hello(now, link, registration, revision, actions);
+            }
+            EntryMessage::Renew { sequence, revision, digest, draining, demand } => {
+                let report = RenewalReport { revision, digest, draining, demand };
+                self.take_renewal(now, link, sequence, report, actions);
+            }
+            EntryMessage::Release => self.take_release(now, link),
+            EntryMessage::Resync => {
+                // A refused read is repeated by the entry.
+                let _ = self.wait_for_read(WaitingRead::View(link));
+            }
+            EntryMessage::Claim { token, key, fingerprint } => {
+                self.take_claim(now, link, token, key, fingerprint, actions);
+            }
+            EntryMessage::Settle { key, outcome } => self.take_settlement(now, link, key, outcome),
+            EntryMessage::Lookup { token, key } => {
+                let read = WaitingRead::Lookup(link, token, key.clone());
+                if self.wait_for_read(read).is_err() {
+                    self.fail_read(WaitingRead::Lookup(link, token, key), actions);
+                }
+            }
+            EntryMessage::ReportCrash { evidence, fingerprints } => {
+                self.take_crash(now, link, evidence, fingerprints);
+            }
+            EntryMessage::ClearSuspect(fingerprint) => self.take_clearance(now, link, fingerprint),
+        }
+    }
+
+    fn answer_not_leader(
+        &mut self,
+        now: MonotonicTime,
+        link: LinkId,
+        message: &EntryMessage,
+        actions: &mut Vec<ControlAction>,
+    ) {
+        let answer = match message {
+            EntryMessage::Claim { token, .. } => {
+                let verdict = ClaimVerdict::Unavailable;
+                Some(ControlMessage::ClaimAnswer { token: *token, verdict })
+            }
+            EntryMessage::Lookup { token, .. } => {
+                let verdict = LookupVerdict::Unavailable;
+                Some(ControlMessage::LookupAnswer { token: *token, verdict })
+            }
+            _ => None,
+        };
+        actions.extend(answer.map(|answer| ControlAction::SendEntry(link, answer)));
+        let leader = self.raft.leader_record().map(|record| record.peer_address);
+        let pledge = if leader.is_some() { Duration::ZERO } else { self.raft.pledge(now) };
+        let message = ControlMessage::NotLeader { leader, pledge };
+        actions.push(ControlAction::SendEntry(link, message));
+    }
+
+    fn take_hello(
+        &mut self,
+        now: ClockReading,
+        link: LinkId,
+        registration: EntryRegistration,
+        revision: RevisionNumber,
+        actions: &mut Vec<ControlAction>,
+    ) {
+        let (entry, incarnation) = (registration.entry.clone(), registration.incarnation);
+        let process = EntryProcess { entry, incarnation };
+        let known = find_entry(self.state.view(), &process).is_some_and(|record| {
+            record.caller_address == registration.caller_address
+                && record.failure_domain == registration.failure_domain
+        });
+        let lease_ends = now.monotonic + entry_lease(&self.settings);
+        let Some(leadership) = &mut self.leadership else { return };
+        let keeps = known && !leadership.expiring.contains(&process);
+        if keeps {
+            leadership.entries.renew(process.clone(), lease_ends);
+            leadership.reported.insert(process.clone(), revision);
+        }
+        self.links.insert(link, LinkSession { process, sent: None, draining: false });
+        let accepted = if keeps {
+            self.wait_for_read(WaitingRead::Welcome(link)).is_ok()
+        } else {
+            let max_ordinals = self.settings.max_ordinals;
+            let body = CommandBody::RegisterEntry { registration, max_ordinals };
+            self.propose_for(now, body, CommandWaiter::Registration(link)).is_ok()
+        };
+        if !accepted {
+            self.links.remove(&link);
+            let reason = "too much is waiting, try again".into();
+            actions.push(ControlAction::SendEntry(link, ControlMessage::Refused(reason)));
+        }
+    }
+
+    pub(super) fn answer_registration(
+        &mut self,
+        now: MonotonicTime,
+        link: LinkId,
+        result: Result<OrdinalNumber, Arc<str>>,
+        actions: &mut Vec<ControlAction>,
+    ) {
+        match result {
+            // The registration is committed in this term, which confirms the state as a read would.
+            Ok(_) => self.answer_hello(now, link, actions),
+            Err(reason) => {
+                self.links.remove(&link);
+                actions.push(ControlAction::SendEntry(link, ControlMessage::Refused(reason)));
+            }
+        }
+    }
+
+    pub(super) fn answer_hello(
+        &mut self,
+        now: MonotonicTime,
+        link: LinkId,
+        actions: &mut Vec<ControlAction>,
+    ) {
+        let view = self.state.view();
+        let Some(session) = self.links.get_mut(&link) else { return };
+        let Some(leadership) = &mut self.leadership else { return };
+        let record = find_entry(view, &session.process);
+        let Some(record) = record.filter(|_| !leadership.expiring.contains(&session.process))
+        else {
+            self.links.remove(&link);
+            let reason = "the ordinal's lease ended".into();
+            actions.push(ControlAction::SendEntry(link, ControlMessage::Refused(reason)));
+            return;
+        };
+        leadership.entries.renew(session.process.clone(), now + entry_lease(&self.settings));
+        session.sent = Some(view.revision);
+        session.draining = self.state.registry().is_leaving(&session.process);
+        let message = ControlMessage::Welcome {
+            ordinal: record.ordinal,
+            max_ordinals: self.state.registry().max_ordinals(),
+            view: Box::new(view.clone()),
+        };
+        actions.push(ControlAction::SendEntry(link, message));
+    }
+
+    fn take_renewal(
+        &mut self,
+        now: ClockReading,
+        link: LinkId,
+        sequence: u64,
+        report: RenewalReport,
+        actions: &mut Vec<ControlAction>,
+    ) {
+        let Some(process) = self.joined(link) else {
+            let reason = "the process has no ordinal on this link".into();
+            actions.push(ControlAction::SendEntry(link, ControlMessage::Refused(reason)));
+            return;
+        };
+        let lease_ends = now.monotonic + entry_lease(&self.settings);
+        let sheet = self.state.view().sheet.clone();
+        let Some(leadership) = &mut self.leadership else { return };
+        // The end of this lease is proposed; the process learns it when that is committed.
+        if leadership.expiring.contains(&process) {
+            return;
+        }
+        leadership.entries.renew(process.clone(), lease_ends);
+        leadership.reported.insert(process.clone(), report.revision);
+        leadership.shares.note_demand(now.monotonic, &process, &report.demand, sheet.as_deref());
+        self.note_digest(link, &report);
+        self.note_draining(now, link, &process, report.draining);
+        // An entry that gets no answer renews again.
+        let _ = self.wait_for_read(WaitingRead::Renewal(link, sequence));
+    }
+
+    // The entry takes a whole view only if it is newer, so this helps from the next revision on.
+    fn note_digest(&mut self, link: LinkId, report: &RenewalReport) {
+        let digest = self.history.digest_at(report.revision);
+        if digest.is_some_and(|digest| digest != report.digest)
+            && let Some(session) = self.links.get_mut(&link)
+        {
+            session.sent = Some(RevisionNumber(0));
+        }
+    }
+
+    fn note_draining(
+        &mut self,
+        now: ClockReading,
+        link: LinkId,
+        process: &EntryProcess,
+        draining: bool,
+    ) {
+        let reported = self.links.get(&link).map(|session| session.draining);
+        if reported == Some(draining) {
+            return;
+        }
+        let body = CommandBody::MarkEntry { process: process.clone(), draining };
+        if self.propose(now, body).is_ok()
+            && let Some(session) = self.links.get_mut(&link)
+        {
+            session.draining = draining;
+        }
+    }
+
+    pub(super) fn answer_renewal(
+        &mut self,
+        now: MonotonicTime,
+        link: LinkId,
+        sequence: u64,
+        actions: &mut Vec<ControlAction>,
+    ) {
+        let Some(process) = self.joined(link) else { return };
+        let Some(leadership) = &mut self.leadership else { return };
+        if leadership.expiring.contains(&process) {
+            return;
+        }
+        let view = self.state.view();
+        let message = ControlMessage::Renewed {
+            sequence,
+            lease: self.settings.entry_lease,
+            committed: view.revision,
+            shares: leadership.shares.grant(now, &process, view.sheet.as_deref()),
+            share_lease: self.settings.share_lease,
+        };
+        actions.push(ControlAction::SendEntry(link, message));
+    }
+
+    pub(super) fn answer_resync(&mut self, link: LinkId, actions: &mut Vec<ControlAction>) {
+        let view = self.state.view();
+        let Some(session) = self.links.get_mut(&link).filter(|session| session.sent.is_some())
+        else {
+            return;
+        };
+        session.sent = Some(view.revision);
+        let message = ControlMessage::View(Box::new(view.clone()));
+        actions.push(ControlAction::SendEntry(link, message));
+    }
+
+    fn take_release(&mut self, now: ClockReading, link: LinkId) {
+        let Some(process) = self.joined(link) else { return };
+        let body = CommandBody::ReleaseEntries(vec![process.clone()]);
+        let index = self.propose_for(now, body, CommandWaiter::Release(link));
+        if let (Some(leadership), Ok(index)) = (&mut self.leadership, index) {
+            leadership.entry_expiry = index;
+            leadership.expiring.insert(process);
+        }
+    }
+
+    fn take_claim(
+        &mut self,
+        now: ClockReading,
+        link: LinkId,
+        token: QueryToken,
+        key: ClaimKey,
+        fingerprint: RequestFingerprint,
+        actions: &mut Vec<ControlAction>,
+    ) {
+        let waiter = CommandWaiter::Claim(link, token);
+        let retention = self.settings.claim_retention.as_millis();
+        let newest = u128::from(now.wall.0) + retention;
+        // A time far in the future would keep the claim long after its retention.
+        let plausible = u128::from(key.issued_at.0) <= newest;
+        let Some(process) = self.joined(link).filter(|_| plausible) else {
+            return self.fail_waiter(waiter, actions);
+        };
+        let capacity = self.settings.max_claims;
+        let body = CommandBody::Claim { process, key, fingerprint, capacity };
+        if self.propose_for(now, body, waiter).is_err() {
+            self.fail_waiter(CommandWaiter::Claim(link, token), actions);
+        }
+    }
+
+    fn take_settlement(
+        &mut self,
+        now: ClockReading,
+        link: LinkId,
+        key: ClaimKey,
+        outcome: OrderOutcome,
+    ) {
+        let Some(process) = self.joined(link) else { return };
+        let outcome = bound_outcome(outcome, self.settings.max_outcome_bytes);
+        let body = CommandBody::Settle { process, key: key.clone(), outcome };
+        // The entry repeats a settlement that is not answered.
+        let _ = self.propose_for(now, body, CommandWaiter::Settlement(link, key));
+    }
+
+    fn take_crash(
+        &mut self,
+        now: ClockReading,
+        link: LinkId,
+        evidence: CrashEvidence,
+        mut fingerprints: Vec<RequestFingerprint>,
+    ) {
+        if self.joined(link).is_none() {
+            return;
+        }
+        fingerprints.truncate(MAX_REPORTED_FINGERPRINTS);
+        let body = CommandBody::ReportCrash { evidence, fingerprints };
+        // Lost evidence only delays the quarantine until the next crash.
+        let _ = self.propose(now, body);
+    }
+
+    fn take_clearance(&mut self, now: ClockReading, link: LinkId, fingerprint: RequestFingerprint) {
+        let record = self.state.view().quarantines.get(&fingerprint);
+        let suspect = record.is_some_and(|record| record.level == QuarantineLevel::Suspect);
+        if suspect && self.joined(link).is_some() {
+            // The record also ends by itself.
+            let _ = self.propose(now, CommandBody::ClearSuspect(fingerprint));
+        }
+    }
+
+    /// Sends every welcome process the changes that it does not have.
+    pub(super) fn spread_changes(&mut self, actions: &mut Vec<ControlAction>) {
+        if !self.is_serving() {
+            return;
+        }
+        let view = self.state.view();
+        for (link, session) in &mut self.links {
+            let Some(sent) = session.sent.filter(|sent| *sent != view.revision) else { continue };
+            if let Some(message) = self.history.update(sent, view) {
+                actions.push(ControlAction::SendEntry(*link, message));
+            }
+            session.sent = Some(view.revision);
+        }
+    }
+
+    fn joined(&self, link: LinkId) -> Option<EntryProcess> {
+        let session = self.links.get(&link)?;
+        session.sent.map(|_| session.process.clone())
+    }
+}
+
+struct RenewalReport {
+    revision: RevisionNumber,
+    digest: StateDigest,
+    draining: bool,
+    demand: Vec<CallerDemand>,
+}
+
+/// Tells the links of a process whose ordinal is free again.
+pub(super) fn refuse_links(
+    links: &mut BTreeMap<LinkId, LinkSession>,
+    entry: &EntryId,
+    incarnation: IncarnationNumber,
+    actions: &mut Vec<ControlAction>,
+) {
+    links.retain(|link, session| {
+        let process = &session.process;
+        if process.entry != *entry || process.incarnation != incarnation || session.sent.is_none() {
+            return true;
+        }
+        let reason = "the ordinal's lease ended".into();
+        actions.push(ControlAction::SendEntry(*link, ControlMessage::Refused(reason)));
+        false
+    });
+}
--- /dev/null
+++ b/hickoryspan_core/src/control/machine/leadership.rs
@@ -0,0 +1,451 @@
+//! The leader's soft state: who waits for what, leases, shares and sweeps.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use super::ControlMachine;
+use super::targets::WaitingAnnouncement;
+use crate::control::commands::{CommandBody, CommandOutcome, EntryProcess, LogCommand, LogPayload};
+use crate::control::interface::{
+    AdminQuery, ControlAction, ControlReply, LinkId, LogIndex, ReplyToken,
+};
+use crate::control::leases::{LeaseTable, sweep_targets};
+use crate::control::raft::{ProposeError, ReadTicket};
+use crate::control::settings::ControlSettings;
+use crate::control::shares::ShareLedger;
+use crate::membership::ViewChange;
+use crate::messages::{ClaimKey, ClaimVerdict, ControlMessage, LookupVerdict};
+use crate::types::{
+    ClockReading, IncarnationNumber, MonotonicTime, QueryToken, RevisionNumber, TargetId,
+    TermNumber, WallTime,
+};
+
+/// How often the claim horizon moves.
+const HORIZON_INTERVAL: Duration = Duration::from_secs(5 * 60);
+/// Furthest move of the claim horizon at once, in milliseconds. A wall clock that jumps ahead then drops
+/// claims only slowly, so that operators can correct it.
+const MAX_HORIZON_STEP_MILLIS: u64 = 60 * 60 * 1_000;
+/// Reads that wait for a quorum; more are refused.
+const MAX_WAITING_READS: usize = 16_384;
+
+/// One target of an announcement command.
+#[derive(Debug)]
+pub(super) struct AnnouncedTarget {
+    pub target: TargetId,
+    pub incarnation: IncarnationNumber,
+    pub tokens: Vec<ReplyToken>,
+}
+
+/// Who waits for a log entry.
+#[derive(Debug)]
+pub(super) enum CommandWaiter {
+    Announcements(Vec<AnnouncedTarget>),
+    Withdrawal(ReplyToken),
+    Admin(ReplyToken),
+    Registration(LinkId),
+    Release(LinkId),
+    Claim(LinkId, QueryToken),
+    Settlement(LinkId, ClaimKey),
+}
+
+/// What waits for a quorum's confirmation.
+#[derive(Debug)]
+pub(super) enum WaitingRead {
+    Welcome(LinkId),
+    Renewal(LinkId, u64),
+    View(LinkId),
+    Lookup(LinkId, QueryToken, ClaimKey),
+    Query(ReplyToken, AdminQuery),
+}
+
+#[derive(Debug)]
+pub(super) struct Leadership {
+    pub term: TermNumber,
+    // Set once the state contains everything that earlier leaders committed.
+    pub serving: bool,
+    pub waiters: BTreeMap<LogIndex, CommandWaiter>,
+    pub reads: Vec<(ReadTicket, WaitingRead)>,
+    pub targets: LeaseTable<TargetId>,
+    pub entries: LeaseTable<EntryProcess>,
+    pub shares: ShareLedger,
+    pub announcements: BTreeMap<TargetId, WaitingAnnouncement>,
+    pub reported: BTreeMap<EntryProcess, RevisionNumber>,
+    pub expiring: BTreeSet<EntryProcess>,
+    pub sweep_at: MonotonicTime,
+    pub ticked_at: MonotonicTime,
+    horizon_at: MonotonicTime,
+    // The newest housekeeping commands; the next ones wait until these are applied.
+    target_expiry: LogIndex,
+    pub entry_expiry: LogIndex,
+    quarantine_expiry: LogIndex,
+}
+
+impl Leadership {
+    fn new(now: MonotonicTime, term: TermNumber, settings: &ControlSettings) -> Self {
+        Self {
+            term,
+            serving: false,
+            waiters: BTreeMap::new(),
+            reads: Vec::new(),
+            targets: LeaseTable::default(),
+            entries: LeaseTable::default(),
+            shares: ShareLedger::new(now, settings.share_lease, settings.lease_guard),
+            announcements: BTreeMap::new(),
+            reported: BTreeMap::new(),
+            expiring: BTreeSet::new(),
+            sweep_at: now + settings.sweep_interval,
+            ticked_at: now,
+            horizon_at: now,
+            target_expiry: LogIndex(0),
+            entry_expiry: LogIndex(0),
+            quarantine_expiry: LogIndex(0),
+        }
+    }
+
+    /// Keeps the lease timers in step with the applied state.
+    pub fn note_change(
+        &mut self,
+        now: MonotonicTime,
+        settings: &ControlSettings,
+        change: &ViewChange,
+    ) {
+        match change {
+            ViewChange::PutTarget(record) if !self.targets.is_held(&record.target, now) => {
+                self.targets.renew(record.target.clone(), now + settings.target_lease);
+            }
+            ViewChange::RemoveTarget(target) => self.targets.remove(target),
+            ViewChange::PutEntry(record) => {
+                let (entry, incarnation) = (record.entry.clone(), record.incarnation);
+                let process = EntryProcess { entry, incarnation };
+                if !self.entries.is_held(&process, now) {
+                    self.entries.renew(process, now + entry_lease(settings));
+                }
+            }
+            ViewChange::RemoveEntry(entry, incarnation) => {
+                let process = EntryProcess { entry: entry.clone(), incarnation: *incarnation };
+                self.entries.remove(&process);
+                self.reported.remove(&process);
+                self.expiring.remove(&process);
+            }
+            _ => {}
+        }
+    }
+}
+
+/// An entry's lease as the leader counts it.
+pub(super) fn entry_lease(settings: &ControlSettings) -> Duration {
+    settings.entry_lease + settings.lease_guard
+}
+
+impl ControlMachine {
+    pub(super) fn propose(
+        &mut self,
+        now: ClockReading,
+        body: CommandBody,
+    ) -> Result<LogIndex, ProposeError> {
+        let command = LogCommand { at: now.wall, body };
+        self.raft.propose(&LogPayload::Command(Box::new(command)))
+    }
+
+    pub(super) fn propose_for(
+        &mut self,
+        now: ClockReading,
+        body: CommandBody,
+        waiter: CommandWaiter,
+    ) -> Result<LogIndex, ProposeError> {
+        let index = self.propose(now, body)?;
+        if let Some(leadership) = &mut self.leadership {
+            leadership.waiters.insert(index, waiter);
+        }
+        Ok(index)
+    }
+
+    pub(super) fn wait_for_read(&mut self, read: WaitingRead) -> Result<(), ProposeError> {
+        let Some(leadership) = &mut self.leadership else { return Err(ProposeError::NotLeader) };
+        if leadership.reads.len() >= MAX_WAITING_READS {
+            return Err(ProposeError::Busy);
+        }
+        let ticket = self.raft.request_read()?;
+        leadership.reads.push((ticket, read));
+        Ok(())
+    }
+
+    /// Whether this replica leads and its state is complete.
+    pub(super) fn is_serving(&self) -> bool {
+        self.leadership.as_ref().is_some_and(|leadership| leadership.serving)
+    }
+
+    pub(super) fn sync_leadership(&mut self, now: ClockReading, actions: &mut Vec<ControlAction>) {
+        let term = self.raft.term();
+        let leads = self.raft.is_leader();
+        let current = self.leadership.as_ref().map(|leadership| leadership.term);
+        if leads && current == Some(term) || !leads && current.is_none() {
+            return;
+        }
+        if let Some(leadership) = self.leadership.take() {
+            self.end_leadership(leadership, actions);
+        }
+        if leads {
+            self.leadership = Some(Leadership::new(now.monotonic, term, &self.settings));
+        }
+    }
+
+    /// Starts every lease anew, once everything that earlier leaders committed is applied.
+    pub(super) fn start_serving(&mut self, now: ClockReading) {
+        if self.is_serving() || !self.raft.is_ready_leader() {
+            return;
+        }
+        if self.raft.applied() < self.raft.commit() {
+            return;
+        }
+        let Some(leadership) = &mut self.leadership else { return };
+        let now = now.monotonic;
+        leadership.serving = true;
+        leadership.ticked_at = now;
+        let view = self.state.view();
+        for target in view.targets.keys() {
+            leadership.targets.renew(target.clone(), now + self.settings.target_lease);
+        }
+        for record in view.entries.values().flat_map(|processes| processes.values()) {
+            let (entry, incarnation) = (record.entry.clone(), record.incarnation);
+            let process = EntryProcess { entry, incarnation };
+            leadership.entries.renew(process, now + entry_lease(&self.settings));
+        }
+    }
+
+    fn end_leadership(&mut self, leadership: Leadership, actions: &mut Vec<ControlAction>) {
+        for waiter in leadership.waiters.into_values() {
+            self.fail_waiter(waiter, actions);
+        }
+        for waiting in leadership.announcements.into_values() {
+            for token in waiting.tokens {
+                self.reply_unavailable(token, actions);
+            }
+        }
+        for (_, read) in leadership.reads {
+            self.fail_read(read, actions);
+        }
+        for link in std::mem::take(&mut self.links).into_keys() {
+            let message = ControlMessage::NotLeader { leader: None, pledge: Duration::ZERO };
+            actions.push(ControlAction::SendEntry(link, message));
+        }
+    }
+
+    pub(super) fn fail_waiter(&self, waiter: CommandWaiter, actions: &mut Vec<ControlAction>) {
+        match waiter {
+            CommandWaiter::Announcements(targets) => {
+                for token in targets.into_iter().flat_map(|target| target.tokens) {
+                    self.reply_unavailable(token, actions);
+                }
+            }
+            CommandWaiter::Withdrawal(token) | CommandWaiter::Admin(token) => {
+                self.reply_unavailable(token, actions);
+            }
+            CommandWaiter::Claim(link, token) => {
+                let verdict = ClaimVerdict::Unavailable;
+                let message = ControlMessage::ClaimAnswer { token, verdict };
+                actions.push(ControlAction::SendEntry(link, message));
+            }
+            CommandWaiter::Registration(_)
+            | CommandWaiter::Release(_)
+            | CommandWaiter::Settlement(..) => {}
+        }
+    }
+
+    pub(super) fn fail_read(&self, read: WaitingRead, actions: &mut Vec<ControlAction>) {
+        match read {
+            WaitingRead::Lookup(link, token, _) => {
+                let verdict = LookupVerdict::Unavailable;
+                let message = ControlMessage::LookupAnswer { token, verdict };
+                actions.push(ControlAction::SendEntry(link, message));
+            }
+            WaitingRead::Query(token, _) => self.reply_unavailable(token, actions),
+            WaitingRead::Welcome(_) | WaitingRead::Renewal(..) | WaitingRead::View(_) => {}
+        }
+    }
+
+    pub(super) fn reply_unavailable(&self, token: ReplyToken, actions: &mut Vec<ControlAction>) {
+        let retry_after = self.settings.retry_after;
+        actions.push(ControlAction::Reply(token, ControlReply::Unavailable { retry_after }));
+    }
+
+    pub(super) fn answer_waiter(
+        &mut self,
+        now: ClockReading,
+        waiter: CommandWaiter,
+        outcome: CommandOutcome,
+        actions: &mut Vec<ControlAction>,
+    ) {
+        match (waiter, outcome) {
+            (CommandWaiter::Announcements(targets), CommandOutcome::Announced(results)) => {
+                self.answer_announcements(now.monotonic, targets, results, actions);
+            }
+            (CommandWaiter::Withdrawal(token), CommandOutcome::Withdrawn(result)) => {
+                let reply = match result {
+                    Ok(()) => ControlReply::Withdrawn,
+                    Err(reason) => ControlReply::AnnounceRefused(reason),
+                };
+                actions.push(ControlAction::Reply(token, reply));
+            }
+            (CommandWaiter::Admin(token), CommandOutcome::Decided(outcome)) => {
+                actions.push(ControlAction::Reply(token, ControlReply::Admin(outcome)));
+            }
+            (CommandWaiter::Registration(link), CommandOutcome::Registered(result)) => {
+                self.answer_registration(now.monotonic, link, result, actions);
+            }
+            (CommandWaiter::Release(link), _) => {
+                self.links.remove(&link);
+                actions.push(ControlAction::CloseLink(link));
+            }
+            (CommandWaiter::Claim(link, token), CommandOutcome::Claimed(verdict)) => {
+                let message = ControlMessage::ClaimAnswer { token, verdict };
+                actions.push(ControlAction::SendEntry(link, message));
+            }
+            (CommandWaiter::Settlement(link, key), _) => {
+                actions.push(ControlAction::SendEntry(link, ControlMessage::Settled(key)));
+            }
+            // The waiter and the command were made together, so other pairs do not occur.
+            (waiter, _) => self.fail_waiter(waiter, actions),
+        }
+    }
+
+    pub(super) fn answer_reads(&mut self, now: ClockReading, actions: &mut Vec<ControlAction>) {
+        let Some(leadership) = &mut self.leadership else { return };
+        if !leadership.serving {
+            return;
+        }
+        let confirmed = |ticket| self.raft.is_confirmed(ticket);
+        let reads = std::mem::take(&mut leadership.reads);
+        let (ready, waiting): (Vec<_>, Vec<_>) =
+            reads.into_iter().partition(|(ticket, _)| confirmed(*ticket));
+        leadership.reads = waiting;
+        for (_, read) in ready {
+            match read {
+                WaitingRead::Welcome(link) => self.answer_hello(now.monotonic, link, actions),
+                WaitingRead::Renewal(link, sequence) => {
+                    self.answer_renewal(now.monotonic, link, sequence, actions);
+                }
+                WaitingRead::View(link) => self.answer_resync(link, actions),
+                WaitingRead::Lookup(link, token, key) => {
+                    let verdict = self.state.claims().lookup(&key);
+                    let message = ControlMessage::LookupAnswer { token, verdict };
+                    actions.push(ControlAction::SendEntry(link, message));
+                }
+                WaitingRead::Query(token, query) => self.answer_query(token, query, actions),
+            }
+        }
+    }
+
+    /// Proposes the end of leases and records whose time has come.
+    pub(super) fn sweep(&mut self, now: ClockReading) {
+        self.absorb_stall(now.monotonic);
+        let Some(leadership) = &mut self.leadership else { return };
+        if !leadership.serving || leadership.sweep_at > now.monotonic {
+            return;
+        }
+        leadership.sweep_at = now.monotonic + self.settings.sweep_interval;
+        self.expire_targets(now);
+        self.expire_entries(now);
+        self.expire_quarantines(now);
+        self.advance_horizon(now);
+    }
+
+    fn absorb_stall(&mut self, now: MonotonicTime) {
+        let Some(leadership) = &mut self.leadership else { return };
+        let stall = now.since(leadership.ticked_at);
+        leadership.ticked_at = now;
+        if stall <= self.settings.sweep_interval * 2 {
+            return;
+        }
+        leadership.targets.absorb_stall(now, stall, self.settings.target_lease);
+        leadership.entries.absorb_stall(now, stall, entry_lease(&self.settings));
+    }
+
+    fn expire_targets(&mut self, now: ClockReading) {
+        let applied = self.raft.applied();
+        let Some(leadership) = &mut self.leadership else { return };
+        if leadership.target_expiry > applied {
+            return;
+        }
+        let expired = sweep_targets(
+            &mut leadership.targets,
+            self.state.view(),
+            now.monotonic,
+            self.settings.target_lease,
+            self.settings.max_expiries_per_domain,
+        );
+        if expired.is_empty() {
+            return;
+        }
+        let index = self.propose(now, CommandBody::ExpireTargets(expired));
+        if let (Some(leadership), Ok(index)) = (&mut self.leadership, index) {
+            leadership.target_expiry = index;
+        }
+    }
+
+    fn expire_entries(&mut self, now: ClockReading) {
+        let applied = self.raft.applied();
+        let Some(leadership) = &mut self.leadership else { return };
+        if leadership.entry_expiry > applied {
+            return;
+        }
+        leadership.expiring.clear();
+        let ended: Vec<EntryProcess> = leadership.entries.ended(now.monotonic).cloned().collect();
+        if ended.is_empty() {
+            return;
+        }
+        let index = self.propose(now, CommandBody::ReleaseEntries(ended.clone()));
+        if let (Some(leadership), Ok(index)) = (&mut self.leadership, index) {
+            leadership.entry_expiry = index;
+            leadership.expiring.extend(ended);
+        }
+    }
+
+    fn expire_quarantines(&mut self, now: ClockReading) {
+        let applied = self.raft.applied();
+        let mut records = self.state.view().quarantines.values();
+        let due = records.any(|record| record.expires_at <= now.wall);
+        let waiting =
+            self.leadership.as_ref().is_some_and(|leader| leader.quarantine_expiry > applied);
+        if !due || waiting {
+            return;
+        }
+        let index = self.propose(now, CommandBody::ExpireQuarantines);
+        if let (Some(leadership), Ok(index)) = (&mut self.leadership, index) {
+            leadership.quarantine_expiry = index;
+        }
+    }
+
+    fn advance_horizon(&mut self, now: ClockReading) {
+        let Some(leadership) = &mut self.leadership else { return };
+        if leadership.horizon_at > now.monotonic {
+            return;
+        }
+        leadership.horizon_at = now.monotonic + HORIZON_INTERVAL;
+        let retention = u64::try_from(self.settings.claim_retention.as_millis());
+        let wanted = now.wall.0.saturating_sub(retention.unwrap_or(u64::MAX));
+        let current = self.state.claims().horizon().0;
+        let furthest =
+            if current == 0 { wanted } else { current.saturating_add(MAX_HORIZON_STEP_MILLIS) };
+        let horizon = WallTime(wanted.min(furthest));
+        if horizon.0 > current {
+            // A refused proposal is repeated at the next interval.
+            let _ = self.propose(now, CommandBody::AdvanceHorizon(horizon));
+        }
+    }
+
+    pub(super) fn begin_drain(&mut self, now: MonotonicTime) {
+        self.drain_until = Some(now + self.settings.drain_timeout);
+        self.raft.start_transfer();
+    }
+
+    /// Whether a planned stop is complete: another replica leads, or this one cannot hand over and
+    /// everything is durable.
+    pub(super) fn is_drained(&self, now: MonotonicTime) -> bool {
+        let Some(until) = self.drain_until else { return false };
+        let alone = self.raft.replica_set().0.voters().count() <= 1;
+        let waits = self.leadership.as_ref().is_some_and(|leader| !leader.waiters.is_empty());
+        let done = if alone { !waits } else { !self.raft.is_leader() };
+        until <= now || (done && self.raft.is_idle())
+    }
+}
--- /dev/null
+++ b/hickoryspan_core/src/control/machine/mod.rs
@@ -0,0 +1,283 @@
+//! The control machine: connects log replication, the replicated state and the leader's soft state.
+
+mod entries;
+mod leadership;
+mod operators;
+mod targets;
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use rand_chacha::ChaCha12Rng;
+
+use super::commands::{self, CommandOutcome, LogCommand, LogPayload};
+use super::dissemination::{DeltaHistory, LinkSession};
+use super::interface::{ControlAction, ControlEvent, LinkId, LogEntry, LogIndex, RecoveredState};
+use super::raft::RaftNode;
+use super::settings::ControlSettings;
+use super::state::ReplicatedState;
+use crate::membership::ViewChange;
+use crate::types::{ClockReading, MonotonicTime, ReplicaId};
+use leadership::Leadership;
+
+/// One control replica; see [`super::interface`] for how it is driven.
+#[derive(Debug)]
+pub struct ControlMachine {
+    settings: ControlSettings,
+    raft: RaftNode,
+    state: ReplicatedState,
+    history: DeltaHistory,
+    links: BTreeMap<LinkId, LinkSession>,
+    leadership: Option<Leadership>,
+    drain_until: Option<MonotonicTime>,
+    stopped: bool,
+    fault: Option<Arc<str>>,
+    unsnapped_bytes: u64,
+    unsnapped_entries: u64,
+    snapshot_bytes: u64,
+}
+
+impl ControlMachine {
+    /// Starts from what the store found. A fault in it is reported by `Stop` at the first event.
+    pub fn new(
+        identity: ReplicaId,
+        recovered: RecoveredState,
+        settings: ControlSettings,
+        generator: ChaCha12Rng,
+    ) -> Self {
+        let bootstrap = settings.bootstrap.then(|| settings.to_record(identity));
+        let address = settings.peer_address;
+        let raft_settings = settings.raft.clone();
+        let raft = RaftNode::new(identity, address, recovered, bootstrap, raft_settings, generator);
+        let history = DeltaHistory::new(Default::default(), settings.max_delta_changes);
+        let mut machine = Self {
+            settings,
+            raft,
+            state: ReplicatedState::default(),
+            history,
+            links: BTreeMap::new(),
+            leadership: None,
+            drain_until: None,
+            stopped: false,
+            fault: None,
+            unsnapped_bytes: 0,
+            unsnapped_entries: 0,
+            snapshot_bytes: 0,
+        };
+        machine.install_state();
+        machine
+    }
+
+    /// The replicated state as far as it is applied here; not confirmed by a quorum.
+    pub fn state(&self) -> &ReplicatedState {
+        &self.state
+    }
+
+    /// The log replication.
+    pub fn raft(&self) -> &RaftNode {
+        &self.raft
+    }
+
+    /// Handles one event and appends the actions that follow from it.
+    pub fn handle(
+        &mut self,
+        now: ClockReading,
+        event: ControlEvent,
+        actions: &mut Vec<ControlAction>,
+    ) {
+        if self.stopped {
+            return;
+        }
+        self.raft.start(now.monotonic);
+        self.dispatch(now, event, actions);
+        self.advance(now, actions);
+        self.report_stop(now, actions);
+    }
+
+    /// When `Tick` is due.
+    pub fn next_wakeup(&self) -> Option<MonotonicTime> {
+        if self.stopped {
+            return None;
+        }
+        let mut wakeup = self.raft.next_wakeup();
+        if let Some(leadership) = &self.leadership {
+            wakeup = wakeup.min(leadership.sweep_at);
+        }
+        if let Some(until) = self.drain_until {
+            wakeup = wakeup.min(until);
+        }
+        Some(wakeup)
+    }
+
+    fn dispatch(
+        &mut self,
+        now: ClockReading,
+        event: ControlEvent,
+        actions: &mut Vec<ControlAction>,
+    ) {
+        match event {
+            ControlEvent::Tick => {
+                self.raft.tick(now.monotonic);
+                self.sweep(now);
+            }
+            ControlEvent::Replica(from, message) => {
+                self.raft.receive(now.monotonic, from, message);
+            }
+            ControlEvent::Persisted(sequence) => self.raft.persisted(now.monotonic, sequence),
+            ControlEvent::PersistFailed(error) => {
+                self.raft.persist_failed(now.monotonic, &error);
+            }
+            ControlEvent::Entry(link, message) => {
+                self.take_entry_message(now, link, message, actions);
+            }
+            ControlEvent::LinkClosed(link) => {
+                self.links.remove(&link);
+            }
+            ControlEvent::Announce(token, record) => {
+                self.take_announcement(now, token, *record, actions);
+            }
+            ControlEvent::Withdraw(token, target, incarnation) => {
+                self.take_withdrawal(now, token, target, incarnation, actions);
+            }
+            ControlEvent::Admin(token, command) => {
+                self.take_admin(now, token, *command, actions);
+            }
+            ControlEvent::Query(token, query) => self.take_query(token, query, actions),
+            ControlEvent::Drain => self.begin_drain(now.monotonic),
+        }
+    }
+
+    fn advance(&mut self, now: ClockReading, actions: &mut Vec<ControlAction>) {
+        self.install_state();
+        self.sync_leadership(now, actions);
+        self.apply_committed(now, actions);
+        self.raft.leave_if_removed(now.monotonic);
+        self.sync_leadership(now, actions);
+        self.start_serving(now);
+        self.propose_announcements(now);
+        self.propose_replica_change();
+        self.compact_log();
+        self.raft.flush(now.monotonic, actions);
+        // The flush may have confirmed a read round, if this replica is the only voter.
+        self.answer_reads(now, actions);
+        self.spread_changes(actions);
+        self.raft.flush(now.monotonic, actions);
+    }
+
+    fn report_stop(&mut self, now: ClockReading, actions: &mut Vec<ControlAction>) {
+        let fault = self.fault.as_ref().or(self.raft.fault()).cloned();
+        if let Some(fault) = fault {
+            self.stopped = true;
+            actions.push(ControlAction::Stop(fault));
+        } else if self.is_drained(now.monotonic) {
+            self.stopped = true;
+            actions.push(ControlAction::Stopped);
+        }
+    }
+
+    fn install_state(&mut self) {
+        let Some(installed) = self.raft.take_installed() else { return };
+        let decoded = installed.and_then(|bytes| {
+            self.snapshot_bytes = bytes.len() as u64;
+            commands::decode::<ReplicatedState>("replicated state", &bytes)
+                .map_err(|cause| cause.to_string().into())
+        });
+        match decoded {
+            Ok(mut state) => {
+                state.rebuild();
+                let revision = state.view().revision;
+                self.history = DeltaHistory::new(revision, self.settings.max_delta_changes);
+                self.state = state;
+                self.unsnapped_bytes = 0;
+                self.unsnapped_entries = 0;
+            }
+            Err(cause) => self.fault = Some(cause),
+        }
+    }
+
+    fn apply_committed(&mut self, now: ClockReading, actions: &mut Vec<ControlAction>) {
+        while let Some(entry) = self.raft.next_committed() {
+            self.unsnapped_bytes += entry.payload.len() as u64;
+            self.unsnapped_entries += 1;
+            match LogPayload::from_bytes(&entry.payload) {
+                Ok(LogPayload::Empty) => {}
+                Ok(LogPayload::Replicas(set)) => self.state.note_replica_set(&set),
+                Ok(LogPayload::Command(command)) => {
+                    self.apply_command(now, &entry, *command, actions);
+                }
+                Err(cause) => {
+                    self.fault = Some(format!("log entry {}: {cause}", entry.index).into());
+                    return;
+                }
+            }
+        }
+    }
+
+    fn apply_command(
+        &mut self,
+        now: ClockReading,
+        entry: &LogEntry,
+        command: LogCommand,
+        actions: &mut Vec<ControlAction>,
+    ) {
+        let applied = self.state.apply(command);
+        if !applied.changes.is_empty() {
+            self.note_changes(now.monotonic, &applied.changes, actions);
+            self.history.push(self.state.view(), applied.changes);
+        }
+        self.complete_waiter(now, entry.index, applied.outcome, actions);
+    }
+
+    fn note_changes(
+        &mut self,
+        now: MonotonicTime,
+        changes: &[ViewChange],
+        actions: &mut Vec<ControlAction>,
+    ) {
+        let Some(leadership) = &mut self.leadership else { return };
+        for change in changes {
+            leadership.note_change(now, &self.settings, change);
+            if let ViewChange::RemoveEntry(entry, incarnation) = change {
+                entries::refuse_links(&mut self.links, entry, *incarnation, actions);
+            }
+        }
+    }
+
+    fn compact_log(&mut self) {
+        let bytes = self.settings.snapshot_log_bytes.max(self.snapshot_bytes);
+        let due = self.unsnapped_bytes >= bytes
+            || self.unsnapped_entries >= self.settings.snapshot_log_entries;
+        if !due || self.raft.is_full() || self.fault.is_some() {
+            return;
+        }
+        let state: Arc<[u8]> = commands::encode(&self.state).into();
+        self.snapshot_bytes = state.len() as u64;
+        self.unsnapped_bytes = 0;
+        self.unsnapped_entries = 0;
+        self.raft.compact(state);
+    }
+
+    fn propose_replica_change(&mut self) {
+        let (set, committed) = self.raft.replica_set();
+        if !self.raft.is_ready_leader() || !committed || self.state.replicas().is_empty() {
+            return;
+        }
+        let commit = self.raft.commit();
+        let caught_up = |replica| self.raft.matched(replica) >= commit;
+        let Some(next) = set.next_change(self.state.replicas(), caught_up) else { return };
+        // A refusal is not final: the change follows from the state and is proposed again.
+        let _ = self.raft.propose_replicas(next);
+    }
+
+    fn complete_waiter(
+        &mut self,
+        now: ClockReading,
+        index: LogIndex,
+        outcome: CommandOutcome,
+        actions: &mut Vec<ControlAction>,
+    ) {
+        let Some(leadership) = &mut self.leadership else { return };
+        let Some(waiter) = leadership.waiters.remove(&index) else { return };
+        self.answer_waiter(now, waiter, outcome, actions);
+    }
+}
--- /dev/null
+++ b/hickoryspan_core/src/control/machine/operators.rs
@@ -0,0 +1,100 @@
+//! Commands and questions of operators.
+
+use super::ControlMachine;
+use super::leadership::{CommandWaiter, WaitingRead};
+use crate::control::commands::{CommandBody, EntryProcess};
+use crate::control::interface::{
+    AdminCommand, AdminQuery, ControlAction, ControlReply, EntryStatus, QuarantineStatus,
+    ReplyToken, StatusReport,
+};
+use crate::types::{ClockReading, RevisionNumber};
+
+/// Audit records in one answer.
+const MAX_HISTORY: usize = 1_000;
+
+impl ControlMachine {
+    pub(super) fn take_admin(
+        &mut self,
+        now: ClockReading,
+        token: ReplyToken,
+        command: AdminCommand,
+        actions: &mut Vec<ControlAction>,
+    ) {
+        if !self.can_serve(token, actions) {
+            return;
+        }
+        let body = CommandBody::Admin(command);
+        if self.propose_for(now, body, CommandWaiter::Admin(token)).is_err() {
+            self.reply_unavailable(token, actions);
+        }
+    }
+
+    pub(super) fn take_query(
+        &mut self,
+        token: ReplyToken,
+        query: AdminQuery,
+        actions: &mut Vec<ControlAction>,
+    ) {
+        if !self.can_serve(token, actions) {
+            return;
+        }
+        if self.wait_for_read(WaitingRead::Query(token, query)).is_err() {
+            self.reply_unavailable(token, actions);
+        }
+    }
+
+    pub(super) fn answer_query(
+        &self,
+        token: ReplyToken,
+        query: AdminQuery,
+        actions: &mut Vec<ControlAction>,
+    ) {
+        let view = self.state.view();
+        let reply = match query {
+            AdminQuery::Status => ControlReply::Status(Box::new(self.to_status())),
+            AdminQuery::Sheet(number) => ControlReply::Sheet(self.state.sheets().document(number)),
+            AdminQuery::History { limit } => {
+                let limit = usize::try_from(limit).unwrap_or(MAX_HISTORY).min(MAX_HISTORY);
+                ControlReply::History(self.state.audit().newest(limit))
+            }
+            AdminQuery::Targets => ControlReply::Targets(view.targets.values().cloned().collect()),
+            AdminQuery::Quarantines => {
+                let records = view.quarantines.iter();
+                let records = records.map(|(fingerprint, record)| QuarantineStatus {
+                    fingerprint: *fingerprint,
+                    record: record.clone(),
+                });
+                ControlReply::Quarantines(records.collect())
+            }
+        };
+        actions.push(ControlAction::Reply(token, reply));
+    }
+
+    fn to_status(&self) -> StatusReport {
+        let view = self.state.view();
+        let current = self.state.sheets().current();
+        let records = view.entries.values().flat_map(|processes| processes.values());
+        let reported = self.leadership.as_ref().map(|leadership| &leadership.reported);
+        let entries = records.map(|record| {
+            let (entry, incarnation) = (record.entry.clone(), record.incarnation);
+            let process = EntryProcess { entry, incarnation };
+            let revision = reported.and_then(|reported| reported.get(&process).copied());
+            EntryStatus { record: record.clone(), revision }
+        });
+        StatusReport {
+            replica: self.raft.identity(),
+            term: self.raft.term(),
+            leader: self.raft.leader(),
+            commit: self.raft.commit(),
+            revision: view.revision,
+            digest: view.digest,
+            sheet: current.map(|(number, _)| *number),
+            sheet_revision: current.map_or(RevisionNumber(0), |(_, sheet)| sheet.revision),
+            replicas: self.raft.replica_set().0.records().cloned().collect(),
+            entries: entries.collect(),
+            targets: view.targets.len() as u64,
+            claims: self.state.claims().len(),
+            entry_lease: super::leadership::entry_lease(&self.settings),
+        }
+    }
+}
--- /dev/null
+++ b/hickoryspan_core/src/control/machine/targets.rs
@@ -0,0 +1,189 @@
+//! Announcements and withdrawals of targets.
+
+use std::sync::Arc;
+
+use super::ControlMachine;
+use super::leadership::{AnnouncedTarget, CommandWaiter};
+use crate::control::commands::{CommandBody, TargetProcess};
+use crate::control::interface::{ControlAction, ControlReply, ReplyToken};
+use crate::control::registry::check_announcement;
+use crate::membership::TargetRecord;
+use crate::types::{ClockReading, IncarnationNumber, MonotonicTime, TargetId};
+
+/// Announcement commands in the log that are not yet applied; further announcements gather meanwhile.
+const MAX_ANNOUNCEMENT_COMMANDS: usize = 2;
+/// Requests that wait for one target's announcement; a target that waits sends one.
+const MAX_TOKENS_PER_TARGET: usize = 8;
+
+/// A changed announcement that waits for its command.
+#[derive(Debug)]
+pub(super) struct WaitingAnnouncement {
+    pub record: TargetRecord,
+    pub tokens: Vec<ReplyToken>,
+}
+
+impl ControlMachine {
+    pub(super) fn take_announcement(
+        &mut self,
+        now: ClockReading,
+        token: ReplyToken,
+        record: TargetRecord,
+        actions: &mut Vec<ControlAction>,
+    ) {
+        if !self.can_serve(token, actions) {
+            return;
+        }
+        if let Err(reason) = check_announcement(&record) {
+            actions.push(ControlAction::Reply(token, ControlReply::AnnounceRefused(reason)));
+            return;
+        }
+        let lease = self.settings.target_lease;
+        let unchanged = self.state.registry().is_unchanged(self.state.view(), &record);
+        let max_waiting = self.settings.max_waiting_announcements;
+        let Some(leadership) = &mut self.leadership else { return };
+        let waiting = leadership.announcements.len();
+        match leadership.announcements.get_mut(&record.target) {
+            None if unchanged => {
+                leadership.targets.renew(record.target, now.monotonic + lease);
+                actions.push(ControlAction::Reply(token, ControlReply::Announced { lease }));
+            }
+            None if waiting >= max_waiting => self.reply_unavailable(token, actions),
+            None => {
+                let target = record.target.clone();
+                let announcement = WaitingAnnouncement { record, tokens: vec![token] };
+                leadership.announcements.insert(target, announcement);
+            }
+            Some(known) if known.record.incarnation > record.incarnation => {
+                let reason = "a newer incarnation announced itself".into();
+                actions.push(ControlAction::Reply(token, ControlReply::AnnounceRefused(reason)));
+            }
+            Some(known) if known.tokens.len() >= MAX_TOKENS_PER_TARGET => {
+                self.reply_unavailable(token, actions);
+            }
+            Some(known) => {
+                known.record = record;
+                known.tokens.push(token);
+            }
+        }
+    }
+
+    /// Puts waiting announcements into the log, many in one command.
+    pub(super) fn propose_announcements(&mut self, now: ClockReading) {
+        loop {
+            let Some(leadership) = &mut self.leadership else { return };
+            let waiters = leadership.waiters.values();
+            let running = waiters
+                .filter(|waiter| matches!(waiter, CommandWaiter::Announcements(_)))
+                .take(MAX_ANNOUNCEMENT_COMMANDS)
+                .count();
+            if leadership.announcements.is_empty() || running >= MAX_ANNOUNCEMENT_COMMANDS {
+                return;
+            }
+            let mut records = Vec::new();
+            let mut targets = Vec::new();
+            while records.len() < self.settings.max_announcements_per_command {
+                let Some((target, waiting)) = leadership.announcements.pop_first() else { break };
+                let incarnation = waiting.record.incarnation;
+                records.push(waiting.record);
+                targets.push(AnnouncedTarget { target, incarnation, tokens: waiting.tokens });
+            }
+            let body = CommandBody::Announce(records.clone());
+            if self.propose_for(now, body, CommandWaiter::Announcements(Vec::new())).is_err() {
+                return self.keep_announcements(records, targets);
+            }
+            self.attach_targets(targets);
+        }
+    }
+
+    fn attach_targets(&mut self, targets: Vec<AnnouncedTarget>) {
+        let Some(leadership) = &mut self.leadership else { return };
+        if let Some(mut waiter) = leadership.waiters.last_entry() {
+            waiter.insert(CommandWaiter::Announcements(targets));
+        }
+    }
+
+    fn keep_announcements(&mut self, records: Vec<TargetRecord>, targets: Vec<AnnouncedTarget>) {
+        let Some(leadership) = &mut self.leadership else { return };
+        for (record, target) in records.into_iter().zip(targets) {
+            let waiting = WaitingAnnouncement { record, tokens: target.tokens };
+            leadership.announcements.insert(target.target, waiting);
+        }
+    }
+
+    pub(super) fn answer_announcements(
+        &mut self,
+        now: MonotonicTime,
+        targets: Vec<AnnouncedTarget>,
+        results: Vec<Result<(), Arc<str>>>,
+        actions: &mut Vec<ControlAction>,
+    ) {
+        let lease = self.settings.target_lease;
+        let Some(leadership) = &mut self.leadership else { return };
+        for (announced, result) in targets.into_iter().zip(results) {
+            let registered = self.state.view().targets.get(&announced.target);
+            let holds =
+                registered.is_some_and(|record| record.incarnation == announced.incarnation);
+            if holds && result.is_ok() {
+                leadership.targets.renew(announced.target, now + lease);
+            }
+            let reply = match result {
+                Ok(()) => ControlReply::Announced { lease },
+                Err(reason) => ControlReply::AnnounceRefused(reason),
+            };
+            for token in announced.tokens {
+                actions.push(ControlAction::Reply(token, reply.clone()));
+            }
+        }
+    }
+
+    pub(super) fn take_withdrawal(
+        &mut self,
+        now: ClockReading,
+        token: ReplyToken,
+        target: TargetId,
+        incarnation: IncarnationNumber,
+        actions: &mut Vec<ControlAction>,
+    ) {
+        if !self.can_serve(token, actions) {
+            return;
+        }
+        self.drop_announcement(&target, incarnation, actions);
+        let body = CommandBody::Withdraw(TargetProcess { target, incarnation });
+        if self.propose_for(now, body, CommandWaiter::Withdrawal(token)).is_err() {
+            self.reply_unavailable(token, actions);
+        }
+    }
+
+    // An announcement that waits must not register the target after its withdrawal.
+    fn drop_announcement(
+        &mut self,
+        target: &TargetId,
+        incarnation: IncarnationNumber,
+        actions: &mut Vec<ControlAction>,
+    ) {
+        let Some(leadership) = &mut self.leadership else { return };
+        let waiting = leadership.announcements.get(target);
+        if waiting.is_none_or(|waiting| waiting.record.incarnation > incarnation) {
+            return;
+        }
+        let Some(waiting) = leadership.announcements.remove(target) else { return };
+        for token in waiting.tokens {
+            let reply = ControlReply::AnnounceRefused("the target withdrew".into());
+            actions.push(ControlAction::Reply(token, reply));
+        }
+    }
+
+    /// Answers at once if this replica does not lead or its state is not complete yet.
+    pub(super) fn can_serve(&self, token: ReplyToken, actions: &mut Vec<ControlAction>) -> bool {
+        if self.is_serving() {
+            return true;
+        }
+        if self.leadership.is_some() {
+            self.reply_unavailable(token, actions);
+        } else {
+            let leader = self.raft.leader_record().cloned();
+            actions.push(ControlAction::Reply(token, ControlReply::NotLeader(leader)));
+        }
+        false
+    }
+}
--- /dev/null
+++ b/hickoryspan_core/src/control/raft/election.rs
@@ -0,0 +1,241 @@
+//! Elections, pre-votes and pledges.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use super::node::{Canvass, LeaderState, RaftNode, RaftRole};
+use super::progress::PeerProgress;
+use super::{LogPosition, ReplicaBody};
+use crate::control::interface::{HardState, LogIndex};
+use crate::types::{MonotonicTime, ReplicaId, TermNumber};
+
+/// Multiple of the longest election timeout for which no pledge is given once an election is in prospect.
+/// One timeout is needed for the election itself and one for a second try after a split vote.
+const PLEDGE_PAUSE_FACTOR: u32 = 2;
+
+impl RaftNode {
+    /// Whether a pledge holds: until it ends this replica grants no vote, does not stand, and acknowledges
+    /// no leader, so that a majority of pledges proves that nothing is committed meanwhile.
+    pub(super) fn is_pledged(&self, now: MonotonicTime) -> bool {
+        now < self.pledged_until
+    }
+
+    /// Gives a pledge if no leader is known and no election is in prospect; zero means none.
+    pub fn pledge(&mut self, now: MonotonicTime) -> Duration {
+        let (_, set) = self.replicas.current();
+        let useful = set.is_voter(self.identity) && set.voters().count() > 1;
+        let heard = self.heard_leader.is_some_and(|at| !self.is_silent_since(at, now));
+        if !useful || heard || self.is_leader() || now < self.pledges_from {
+            return Duration::ZERO;
+        }
+        if let RaftRole::Candidate(_) = self.role {
+            self.role = RaftRole::Follower;
+        }
+        self.pledged_until = self.pledged_until.max(now + self.settings.pledge);
+        self.settings.pledge
+    }
+
+    /// Gives no pledges for a while, so that an election can end.
+    pub(super) fn pause_pledges(&mut self, now: MonotonicTime) {
+        self.pledges_from = now + self.settings.election_max * PLEDGE_PAUSE_FACTOR;
+    }
+
+    pub(super) fn start_canvass(&mut self, now: MonotonicTime) {
+        self.reset_election(now);
+        self.role = RaftRole::Follower;
+        self.leader = None;
+        let (_, set) = self.replicas.current();
+        if !set.is_voter(self.identity) || self.pipeline.is_full() {
+            return;
+        }
+        let granted = BTreeSet::from([self.identity]);
+        let canvass = Canvass { granted, stand_at: None, blocked_until: self.pledged_until };
+        let others = self.other_voters();
+        self.role = RaftRole::PreCandidate(canvass);
+        let last = self.log.last();
+        for voter in others {
+            self.outbox.push((voter, self.hard.term.next(), ReplicaBody::PreVote { last }));
+        }
+        self.check_canvass(now);
+    }
+
+    fn other_voters(&self) -> Vec<ReplicaId> {
+        let (_, set) = self.replicas.current();
+        set.voters().filter(|voter| *voter != self.identity).collect()
+    }
+
+    // Leader stickiness: a replica that cannot hear the leader, or was removed, must not depose it.
+    fn is_leader_alive(&self, now: MonotonicTime) -> bool {
+        match self.leading() {
+            Some(leading) => !self.is_silent_since(leading.heard_quorum_at, now),
+            None => self.heard_leader.is_some_and(|at| !self.is_silent_since(at, now)),
+        }
+    }
+
+    pub(super) fn answer_pre_vote(
+        &mut self,
+        now: MonotonicTime,
+        from: ReplicaId,
+        term: TermNumber,
+        last: LogPosition,
+    ) {
+        // An empty disk never votes.
+        if self.replicas.current().1.is_empty() || self.pipeline.is_full() {
+            return;
+        }
+        let granted =
+            term > self.hard.term && !self.is_leader_alive(now) && last >= self.log.last();
+        let answer_term = if granted { term } else { self.hard.term };
+        if granted {
+            self.pause_pledges(now);
+        }
+        let pledged = self.pledged_until.since(now);
+        self.outbox.push((from, answer_term, ReplicaBody::PreVoteAnswer { granted, pledged }));
+    }
+
+    pub(super) fn take_pre_vote(
+        &mut self,
+        now: MonotonicTime,
+        from: ReplicaId,
+        term: TermNumber,
+        granted: bool,
+        pledged: Duration,
+    ) {
+        if !granted {
+            if term > self.hard.term && !self.is_leader_alive(now) {
+                self.follow(now, term, None);
+            }
+            return;
+        }
+        let next_term = self.hard.term.next();
+        let RaftRole::PreCandidate(canvass) = &mut self.role else { return };
+        if term != next_term {
+            return;
+        }
+        canvass.granted.insert(from);
+        canvass.blocked_until = canvass.blocked_until.max(now + pledged);
+        self.check_canvass(now);
+    }
+
+    fn check_canvass(&mut self, now: MonotonicTime) {
+        let set = self.replicas.current().1.clone();
+        let RaftRole::PreCandidate(canvass) = &mut self.role else { return };
+        if canvass.stand_at.is_some() || !set.is_quorum(&canvass.granted) {
+            return;
+        }
+        let stand_at = canvass.blocked_until.max(now);
+        canvass.stand_at = Some(stand_at);
+        self.pause_pledges(stand_at);
+        if stand_at <= now {
+            return self.stand(now, false);
+        }
+        self.reset_election(stand_at);
+    }
+
+    pub(super) fn stand(&mut self, now: MonotonicTime, transfer: bool) {
+        self.reset_election(now);
+        if self.is_pledged(now) || self.pipeline.is_full() {
+            self.role = RaftRole::Follower;
+            return;
+        }
+        self.hard = HardState { term: self.hard.term.next(), voted_for: Some(self.identity) };
+        self.pipeline.hard_dirty = true;
+        self.leader = None;
+        self.role = RaftRole::Candidate(Canvass::default());
+        let last = self.log.last();
+        for voter in self.other_voters() {
+            self.send_durable(voter, ReplicaBody::Vote { last, transfer });
+        }
+    }
+
+    pub(super) fn answer_vote(
+        &mut self,
+        now: MonotonicTime,
+        from: ReplicaId,
+        term: TermNumber,
+        last: LogPosition,
+        transfer: bool,
+    ) {
+        let empty = self.replicas.current().1.is_empty();
+        if empty || self.is_pledged(now) || self.pipeline.is_full() {
+            return;
+        }
+        if term < self.hard.term {
+            return self.send_durable(from, ReplicaBody::VoteAnswer { granted: false });
+        }
+        if term > self.hard.term {
+            if self.is_leader_alive(now) && !transfer {
+                return;
+            }
+            self.follow(now, term, None);
+        }
+        let free = self.hard.voted_for.is_none_or(|voted| voted == from);
+        let follows = matches!(self.role, RaftRole::Follower | RaftRole::PreCandidate(_));
+        let granted = free && follows && last >= self.log.last();
+        if granted {
+            self.pipeline.hard_dirty |= self.hard.voted_for.is_none();
+            self.hard.voted_for = Some(from);
+            self.role = RaftRole::Follower;
+            self.reset_election(now);
+        }
+        self.send_durable(from, ReplicaBody::VoteAnswer { granted });
+    }
+
+    pub(super) fn take_vote(
+        &mut self,
+        now: MonotonicTime,
+        from: ReplicaId,
+        term: TermNumber,
+        granted: bool,
+    ) {
+        if term > self.hard.term {
+            return self.follow(now, term, None);
+        }
+        if term == self.hard.term && granted {
+            self.count_vote(now, from);
+        }
+    }
+
+    /// Counts this replica's own vote, which is durable now.
+    pub(super) fn count_own_vote(&mut self, now: MonotonicTime) {
+        if self.hard.voted_for == Some(self.identity) {
+            self.count_vote(now, self.identity);
+        }
+    }
+
+    fn count_vote(&mut self, now: MonotonicTime, from: ReplicaId) {
+        let set = self.replicas.current().1.clone();
+        let RaftRole::Candidate(canvass) = &mut self.role else { return };
+        canvass.granted.insert(from);
+        if set.is_quorum(&canvass.granted) {
+            self.lead(now);
+        }
+    }
+
+    fn lead(&mut self, now: MonotonicTime) {
+        let last = self.log.last().index;
+        let others = self.replicas.current().1.records().map(|record| record.replica);
+        let peers = others
+            .filter(|replica| *replica != self.identity)
+            .map(|replica| (replica, PeerProgress::new(last, now)))
+            .collect();
+        let uncommitted = (self.commit.0 + 1..=last.0)
+            .filter_map(|index| self.log.get(LogIndex(index)))
+            .map(|entry| entry.payload.len() as u64)
+            .sum();
+        self.leader = None;
+        self.role = RaftRole::Leader(Box::new(LeaderState {
+            term_start: LogIndex(last.0 + 1),
+            peers,
+            round: 0,
+            confirmed_round: 0,
+            round_wanted: true,
+            heartbeat_at: now,
+            heard_quorum_at: now,
+            transfer_to: None,
+            uncommitted_bytes: uncommitted,
+        }));
+        let payload = self.opening_payload();
+        self.append_own(&payload);
+    }
+}
--- /dev/null
+++ b/hickoryspan_core/src/control/raft/node.rs
@@ -0,0 +1,641 @@
+//! One replica of the log: its role, its timers, and the events that drive it.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::RngExt;
+use rand_chacha::ChaCha12Rng;
+use serde::{Deserialize, Serialize};
+
+use super::log::LogBuffer;
+use super::persistence::{BatchInFlight, HeldMessage, PersistPipeline};
+use super::progress::PeerProgress;
+use super::replicas::{ReplicaHistory, ReplicaSet};
+use super::transfer::IncomingSnapshot;
+use super::{LogPosition, RaftSettings, ReplicaBody, ReplicaMessage};
+use crate::control::commands::{self, LogPayload};
+use crate::control::interface::{
+    ControlAction, HardState, LogEntry, LogIndex, PersistError, PersistSequence, RecoveredState,
+    ReplicaRecord, SnapshotRecord,
+};
+use crate::types::{MonotonicTime, ReplicaId, TermNumber};
+
+/// Senders outside the replica set whose addresses are remembered; a new replica needs one.
+const MAX_LEARNED_ADDRESSES: usize = 16;
+
+/// Why a proposal was refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ProposeError {
+    /// This replica does not lead.
+    NotLeader,
+    /// Too much waits for its commit, the disk is full, or the leader is about to stop.
+    Busy,
+}
+
+/// A read that is confirmed by a quorum once its round is answered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct ReadTicket {
+    /// The round that confirms that this replica still led when the read arrived.
+    pub round: u64,
+    /// The position that must be applied before the read is answered.
+    pub index: LogIndex,
+}
+
+/// What a leader knows.
+#[derive(Debug)]
+pub(super) struct LeaderState {
+    pub term_start: LogIndex,
+    pub peers: BTreeMap<ReplicaId, PeerProgress>,
+    pub round: u64,
+    pub confirmed_round: u64,
+    pub round_wanted: bool,
+    pub heartbeat_at: MonotonicTime,
+    pub heard_quorum_at: MonotonicTime,
+    pub transfer_to: Option<ReplicaId>,
+    pub uncommitted_bytes: u64,
+}
+
+/// What a candidate knows.
+#[derive(Debug, Default)]
+pub(super) struct Canvass {
+    pub granted: BTreeSet<ReplicaId>,
+    pub stand_at: Option<MonotonicTime>,
+    pub blocked_until: MonotonicTime,
+}
+
+#[derive(Debug)]
+pub(super) enum RaftRole {
+    Follower,
+    PreCandidate(Canvass),
+    Candidate(Canvass),
+    Leader(Box<LeaderState>),
+}
+
+/// The state and replica set inside a snapshot.
+#[derive(Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+struct SnapshotContent {
+    replicas: ReplicaSet,
+    #[serde(with = "super::bytes")]
+    state: Arc<[u8]>,
+}
+
+/// One replica of the log.
+#[derive(Debug)]
+pub struct RaftNode {
+    pub(super) identity: ReplicaId,
+    pub(super) address: SocketAddr,
+    pub(super) settings: RaftSettings,
+    generator: ChaCha12Rng,
+    pub(super) role: RaftRole,
+    pub(super) hard: HardState,
+    pub(super) log: LogBuffer,
+    pub(super) replicas: ReplicaHistory,
+    pub(super) snapshot: Option<SnapshotRecord>,
+    pub(super) commit: LogIndex,
+    pub(super) applied: LogIndex,
+    pub(super) leader: Option<ReplicaId>,
+    pub(super) heard_leader: Option<MonotonicTime>,
+    pub(super) leader_round: u64,
+    pub(super) verified: LogIndex,
+    pub(super) answered: LogIndex,
+    pub(super) election_at: MonotonicTime,
+    pub(super) pledged_until: MonotonicTime,
+    pub(super) pledges_from: MonotonicTime,
+    pub(super) pipeline: PersistPipeline,
+    pub(super) incoming: Option<IncomingSnapshot>,
+    installed: bool,
+    bootstrap: Option<ReplicaRecord>,
+    started: bool,
+    pub(super) fault: Option<Arc<str>>,
+    addresses: BTreeMap<ReplicaId, SocketAddr>,
+    pub(super) outbox: Vec<(ReplicaId, TermNumber, ReplicaBody)>,
+}
+
+impl RaftNode {
+    /// Starts from what the store found; `bootstrap` is used only if that is empty.
+    pub fn new(
+        identity: ReplicaId,
+        address: SocketAddr,
+        recovered: RecoveredState,
+        bootstrap: Option<ReplicaRecord>,
+        settings: RaftSettings,
+        generator: ChaCha12Rng,
+    ) -> Self {
+        let RecoveredState { hard_state, snapshot, entries } = recovered;
+        let base = snapshot.as_ref().map_or(LogPosition::default(), to_position);
+        let mut node = Self {
+            identity,
+            address,
+            settings,
+            generator,
+            role: RaftRole::Follower,
+            hard: hard_state,
+            log: LogBuffer::new(base, entries),
+            replicas: ReplicaHistory::new(base.index, ReplicaSet::default()),
+            snapshot,
+            commit: base.index,
+            applied: base.index,
+            leader: None,
+            heard_leader: None,
+            leader_round: 0,
+            verified: LogIndex(0),
+            answered: LogIndex(0),
+            election_at: MonotonicTime(0),
+            pledged_until: MonotonicTime(0),
+            pledges_from: MonotonicTime(0),
+            pipeline: PersistPipeline::default(),
+            incoming: None,
+            installed: false,
+            bootstrap: None,
+            started: false,
+            fault: None,
+            addresses: BTreeMap::new(),
+            outbox: Vec::new(),
+        };
+        node.recover(bootstrap);
+        node
+    }
+
+    fn recover(&mut self, bootstrap: Option<ReplicaRecord>) {
+        let base = self.log.base().index;
+        if let Some(snapshot) = &self.snapshot {
+            match decode_snapshot(snapshot) {
+                Ok(content) => self.replicas = ReplicaHistory::new(base, content.replicas),
+                Err(cause) => self.fault = Some(cause),
+            }
+            self.installed = true;
+        }
+        let last = self.log.last().index;
+        for index in base.0 + 1..=last.0 {
+            self.note_replica_set(LogIndex(index));
+        }
+        self.pipeline.persisted = last;
+        self.pipeline.sent = last;
+        // A batch may be cut off between its entries and its hard state.
+        let term = self.log.last().term;
+        if term > self.hard.term {
+            self.hard = HardState { term, voted_for: None };
+        }
+        if last.0 == 0 && self.replicas.current().1.is_empty() {
+            if let Some(record) = &bootstrap {
+                let set = ReplicaSet::single(record.clone());
+                self.replicas = ReplicaHistory::new(LogIndex(0), set);
+            }
+            self.bootstrap = bootstrap;
+        }
+    }
+
+    /// The identity of this replica's data folder.
+    pub fn identity(&self) -> ReplicaId {
+        self.identity
+    }
+
+    /// Whether this replica leads.
+    pub fn is_leader(&self) -> bool {
+        matches!(self.role, RaftRole::Leader(_))
+    }
+
+    /// Whether this replica leads and has committed an entry of its own term.
+    pub fn is_ready_leader(&self) -> bool {
+        self.leading().is_some_and(|leading| self.commit >= leading.term_start)
+    }
+
+    /// The term.
+    pub fn term(&self) -> TermNumber {
+        self.hard.term
+    }
+
+    /// The leader, if one is known.
+    pub fn leader(&self) -> Option<ReplicaId> {
+        if self.is_leader() { Some(self.identity) } else { self.leader }
+    }
+
+    /// The record of the leader, if it is known.
+    pub fn leader_record(&self) -> Option<&ReplicaRecord> {
+        self.replicas.current().1.find(self.leader()?)
+    }
+
+    /// The replica set in force, and whether it is committed.
+    pub fn replica_set(&self) -> (&ReplicaSet, bool) {
+        let (index, set) = self.replicas.current();
+        (set, index <= self.commit)
+    }
+
+    /// The committed position.
+    pub fn commit(&self) -> LogIndex {
+        self.commit
+    }
+
+    /// A log entry that is still in memory.
+    pub fn entry(&self, index: LogIndex) -> Option<&LogEntry> {
+        self.log.get(index)
+    }
+
+    /// The position up to which entries were taken with [`Self::next_committed`].
+    pub fn applied(&self) -> LogIndex {
+        self.applied
+    }
+
+    /// Whether the disk is full.
+    pub fn is_full(&self) -> bool {
+        self.pipeline.is_full()
+    }
+
+    /// Whether everything handed to the store is durable.
+    pub fn is_idle(&self) -> bool {
+        self.pipeline.is_idle(self.log.last().index)
+    }
+
+    /// How far a replica's durable log reaches, as the leader knows it.
+    pub fn matched(&self, replica: ReplicaId) -> LogIndex {
+        if replica == self.identity {
+            return self.pipeline.persisted;
+        }
+        let peer = self.leading().and_then(|leading| leading.peers.get(&replica));
+        peer.map_or(LogIndex(0), |peer| peer.matched)
+    }
+
+    pub(super) fn leading(&self) -> Option<&LeaderState> {
+        match &self.role {
+            RaftRole::Leader(leading) => Some(leading),
+            _ => None,
+        }
+    }
+
+    pub(super) fn leading_mut(&mut self) -> Option<&mut LeaderState> {
+        match &mut self.role {
+            RaftRole::Leader(leading) => Some(leading),
+            _ => None,
+        }
+    }
+
+    /// Must be called before any other event, with the time of the first event.
+    pub fn start(&mut self, now: MonotonicTime) {
+        if self.started {
+            return;
+        }
+        self.started = true;
+        self.reset_election(now);
+        let set = self.replicas.current().1;
+        let alone = set.voters().count() <= 1 && set.is_voter(self.identity);
+        if alone {
+            // No other replica can lead, so waiting has no use.
+            self.election_at = now;
+            return;
+        }
+        if !set.is_empty() {
+            // The former process may have given a pledge just before it ended.
+            self.pledged_until = now + self.settings.pledge;
+        }
+        self.reset_election(now);
+    }
+
+    pub(super) fn reset_election(&mut self, now: MonotonicTime) {
+        let range = self.settings.election_min.as_micros()..self.settings.election_max.as_micros();
+        let micros = self.generator.random_range(range.start as u64..=range.end as u64);
+        self.election_at = now + Duration::from_micros(micros);
+    }
+
+    /// Runs the timers that are due.
+    pub fn tick(&mut self, now: MonotonicTime) {
+        if self.is_leader() {
+            return self.tick_leader(now);
+        }
+        let expired = self.heard_leader.is_none_or(|at| self.is_silent_since(at, now));
+        if expired {
+            self.leader = None;
+        }
+        match &self.role {
+            RaftRole::PreCandidate(canvass) if canvass.stand_at.is_some_and(|at| at <= now) => {
+                self.stand(now, false);
+            }
+            _ if self.election_at <= now => self.start_canvass(now),
+            _ => {}
+        }
+    }
+
+    pub(super) fn is_silent_since(&self, heard: MonotonicTime, now: MonotonicTime) -> bool {
+        now.since(heard) >= self.settings.election_min
+    }
+
+    /// When [`Self::tick`] has something to do next.
+    pub fn next_wakeup(&self) -> MonotonicTime {
+        let mut wakeup = match &self.role {
+            RaftRole::Leader(leading) => leading.heartbeat_at,
+            RaftRole::PreCandidate(Canvass { stand_at: Some(at), .. }) => *at,
+            _ => self.election_at,
+        };
+        if let Some(retry_at) = self.pipeline.retry_at
+            && self.pipeline.in_flight.is_none()
+        {
+            wakeup = wakeup.min(retry_at);
+        }
+        wakeup
+    }
+
+    /// Takes a message of another replica.
+    pub fn receive(&mut self, now: MonotonicTime, from: ReplicaId, message: ReplicaMessage) {
+        if from == self.identity || self.fault.is_some() {
+            return;
+        }
+        self.learn_address(from, message.address);
+        let term = message.term;
+        match message.body {
+            ReplicaBody::PreVote { last } => self.answer_pre_vote(now, from, term, last),
+            ReplicaBody::Vote { last, transfer } => {
+                self.answer_vote(now, from, term, last, transfer);
+            }
+            ReplicaBody::PreVoteAnswer { granted, pledged } => {
+                self.take_pre_vote(now, from, term, granted, pledged);
+            }
+            ReplicaBody::VoteAnswer { granted } => self.take_vote(now, from, term, granted),
+            ReplicaBody::Append { previous, entries, commit, round } => {
+                self.take_append(now, from, term, previous, entries, commit, round);
+            }
+            ReplicaBody::AppendAnswer { round, matched } => {
+                self.take_answer(now, from, term, round, Ok(matched));
+            }
+            ReplicaBody::AppendRefused { round, refused, hint } => {
+                self.take_answer(now, from, term, round, Err((refused, hint)));
+            }
+            ReplicaBody::Snapshot { last, size, offset, part } => {
+                self.take_snapshot_part(now, from, term, last, size, offset, &part);
+            }
+            ReplicaBody::SnapshotAnswer { index, received } => {
+                self.take_snapshot_answer(now, from, term, index, received);
+            }
+            ReplicaBody::TimeoutNow => self.take_timeout_now(now, from, term),
+        }
+    }
+
+    fn learn_address(&mut self, from: ReplicaId, address: SocketAddr) {
+        let known = self.addresses.contains_key(&from);
+        if !known && self.addresses.len() >= MAX_LEARNED_ADDRESSES {
+            self.addresses.pop_first();
+        }
+        self.addresses.insert(from, address);
+    }
+
+    /// Follows a newer term, or a leader of the same one.
+    pub(super) fn follow(
+        &mut self,
+        now: MonotonicTime,
+        term: TermNumber,
+        leader: Option<ReplicaId>,
+    ) {
+        let newer = term > self.hard.term;
+        if newer {
+            self.hard = HardState { term, voted_for: None };
+            self.pipeline.hard_dirty = true;
+        }
+        if self.is_leader() {
+            self.reset_election(now);
+        }
+        self.role = RaftRole::Follower;
+        // A position that an earlier leader confirmed says nothing about the log of this one.
+        if newer || self.leader != leader {
+            self.verified = self.commit;
+            self.answered = LogIndex(0);
+            self.leader_round = 0;
+        }
+        self.leader = leader;
+    }
+
+    /// Adds an entry to the leader's log.
+    pub fn propose(&mut self, payload: &LogPayload) -> Result<LogIndex, ProposeError> {
+        let last = self.log.last().index;
+        let uncommitted = last.0 - self.commit.0;
+        let full = self.pipeline.is_full();
+        let max_entries = self.settings.max_uncommitted_entries;
+        let max_bytes = self.settings.max_uncommitted_bytes;
+        let RaftRole::Leader(leading) = &mut self.role else {
+            return Err(ProposeError::NotLeader);
+        };
+        let busy = uncommitted >= max_entries || leading.uncommitted_bytes >= max_bytes;
+        if full || busy || leading.transfer_to.is_some() {
+            return Err(ProposeError::Busy);
+        }
+        Ok(self.append_own(payload))
+    }
+
+    pub(super) fn append_own(&mut self, payload: &LogPayload) -> LogIndex {
+        let index = LogIndex(self.log.last().index.0 + 1);
+        let payload = payload.to_bytes();
+        if let Some(leading) = self.leading_mut() {
+            leading.uncommitted_bytes += payload.len() as u64;
+        }
+        self.log.push(LogEntry { index, term: self.hard.term, payload });
+        self.note_replica_set(index);
+        index
+    }
+
+    /// The payload that opens a term; the first one of a cluster names its only replica.
+    pub(super) fn opening_payload(&mut self) -> LogPayload {
+        match self.bootstrap.take() {
+            Some(record) if self.log.last().index.0 == 0 => {
+                LogPayload::Replicas(ReplicaSet::single(record))
+            }
+            _ => LogPayload::Empty,
+        }
+    }
+
+    pub(super) fn note_replica_set(&mut self, index: LogIndex) {
+        let Some(entry) = self.log.get(index) else { return };
+        match LogPayload::replica_set(&entry.payload) {
+            Ok(Some(set)) => self.replicas.push(index, set),
+            Ok(None) => {}
+            Err(cause) => self.fault = Some(format!("log entry {index}: {cause}").into()),
+        }
+    }
+
+    pub(super) fn truncate_from(&mut self, index: LogIndex) {
+        self.log.truncate_from(index);
+        self.replicas.truncate_from(index);
+        self.pipeline.note_truncated(index);
+    }
+
+    /// The next committed entry to apply.
+    pub fn next_committed(&mut self) -> Option<LogEntry> {
+        if self.applied >= self.commit {
+            return None;
+        }
+        let entry = self.log.get(LogIndex(self.applied.0 + 1))?.clone();
+        self.applied = entry.index;
+        Some(entry)
+    }
+
+    /// The state of a recovered or received snapshot, once; entries after it follow.
+    pub fn take_installed(&mut self) -> Option<Result<Arc<[u8]>, Arc<str>>> {
+        if !std::mem::take(&mut self.installed) {
+            return None;
+        }
+        let snapshot = self.snapshot.as_ref()?;
+        Some(decode_snapshot(snapshot).map(|content| content.state))
+    }
+
+    /// Replaces the log up to the applied position by this state.
+    pub fn compact(&mut self, state: Arc<[u8]>) {
+        let Some(term) = self.log.term_at(self.applied) else { return };
+        let index = self.applied;
+        let content = SnapshotContent { replicas: self.replicas.at(index).clone(), state };
+        let state = commands::encode(&content).into();
+        self.snapshot = Some(SnapshotRecord { index, term, state });
+        self.pipeline.snapshot_dirty = true;
+        self.replicas.compact_to(index);
+        let kept = index.0.saturating_sub(self.settings.retained_entries);
+        self.log.compact_to(LogIndex(kept));
+    }
+
+    /// Installs a complete snapshot of the leader.
+    pub(super) fn install(&mut self, snapshot: SnapshotRecord) {
+        let position = to_position(&snapshot);
+        if position.index <= self.commit {
+            return;
+        }
+        let content = match decode_snapshot(&snapshot) {
+            Ok(content) => content,
+            Err(cause) => {
+                self.fault = Some(cause);
+                return;
+            }
+        };
+        if self.log.term_at(position.index) == Some(position.term) {
+            self.log.compact_to(position.index);
+        } else {
+            self.truncate_from(LogIndex(self.commit.0 + 1));
+            self.log = LogBuffer::new(position, Vec::new());
+        }
+        self.replicas.truncate_from(LogIndex(self.commit.0 + 1));
+        self.replicas = rebuild_history(position.index, content.replicas, &self.log);
+        self.commit = position.index;
+        self.applied = position.index;
+        self.verified = self.verified.max(position.index);
+        self.pipeline.sent = self.pipeline.sent.max(position.index);
+        self.pipeline.snapshot_dirty = true;
+        self.snapshot = Some(snapshot);
+        self.installed = true;
+    }
+
+    /// Takes the report that batches are durable.
+    pub fn persisted(&mut self, now: MonotonicTime, sequence: PersistSequence) {
+        let Some(batch) = self.pipeline.finish(sequence) else { return };
+        let BatchInFlight { hard_term, held, .. } = batch;
+        for HeldMessage { to, term, body } in held {
+            // A vote of an older term is still true, but nobody counts it any more.
+            if term == self.hard.term {
+                self.outbox.push((to, term, body));
+            }
+        }
+        if hard_term == Some(self.hard.term) {
+            self.count_own_vote(now);
+        }
+        self.answer_leader();
+        self.advance_commit();
+    }
+
+    /// Takes the report that a batch could not be made durable.
+    pub fn persist_failed(&mut self, now: MonotonicTime, error: &PersistError) {
+        match error {
+            PersistError::NoSpace { .. } => {
+                self.pipeline.fail(now + self.settings.space_retry);
+                if !matches!(self.role, RaftRole::Follower) {
+                    self.follow(now, self.hard.term, None);
+                    self.reset_election(now);
+                }
+            }
+            PersistError::Broken { .. } => self.fault = Some(error.to_string().into()),
+        }
+    }
+
+    /// The reason why this replica must stop.
+    pub fn fault(&self) -> Option<&Arc<str>> {
+        self.fault.as_ref()
+    }
+
+    pub(super) fn send(&mut self, to: ReplicaId, body: ReplicaBody) {
+        self.outbox.push((to, self.hard.term, body));
+    }
+
+    /// Sends only after the hard state of now is durable.
+    pub(super) fn send_durable(&mut self, to: ReplicaId, body: ReplicaBody) {
+        if self.pipeline.is_hard_durable() && !self.pipeline.is_full() {
+            return self.send(to, body);
+        }
+        let message = HeldMessage { to, term: self.hard.term, body };
+        match &mut self.pipeline.in_flight {
+            Some(batch) if !self.pipeline.hard_dirty => batch.held.push(message),
+            _ => self.pipeline.held.push(message),
+        }
+    }
+
+    /// Turns what has gathered into actions.
+    pub fn flush(&mut self, now: MonotonicTime, actions: &mut Vec<ControlAction>) {
+        if self.fault.is_some() {
+            self.outbox.clear();
+            return;
+        }
+        self.replicate(now);
+        self.flush_batch(now, actions);
+        for (to, term, body) in std::mem::take(&mut self.outbox) {
+            let known = self.replicas.current().1.find(to).map(|record| record.peer_address);
+            let Some(address) = known.or_else(|| self.addresses.get(&to).copied()) else {
+                continue;
+            };
+            let message = ReplicaMessage { term, address: self.address, body };
+            actions.push(ControlAction::SendReplica { to, address, message });
+        }
+    }
+
+    fn flush_batch(&mut self, now: MonotonicTime, actions: &mut Vec<ControlAction>) {
+        let waiting = self.pipeline.retry_at.is_some_and(|at| at > now);
+        if waiting || self.pipeline.in_flight.is_some() {
+            return;
+        }
+        if !self.pipeline.is_dirty(self.log.last().index) {
+            return;
+        }
+        let mut batch = self.pipeline.start(&self.log, self.settings.max_batch_bytes);
+        if std::mem::take(&mut self.pipeline.snapshot_dirty) {
+            batch.snapshot = self.snapshot.clone();
+            // Entries that the snapshot contains need no record of their own.
+            let index = self.snapshot.as_ref().map_or(LogIndex(0), |snapshot| snapshot.index);
+            batch.entries.retain(|entry| entry.index > index);
+            self.pipeline.sent = self.pipeline.sent.max(index);
+        }
+        let hard_dirty = std::mem::take(&mut self.pipeline.hard_dirty);
+        batch.hard_state = hard_dirty.then_some(self.hard);
+        let sequence = self.pipeline.sequence;
+        self.pipeline.in_flight = Some(BatchInFlight {
+            sequence,
+            end: self.pipeline.sent,
+            snapshot: batch.snapshot.is_some(),
+            hard_term: batch.hard_state.map(|hard| hard.term),
+            held: std::mem::take(&mut self.pipeline.held),
+        });
+        actions.push(ControlAction::Persist(sequence, batch));
+    }
+}
+
+fn rebuild_history(index: LogIndex, set: ReplicaSet, log: &LogBuffer) -> ReplicaHistory {
+    let mut history = ReplicaHistory::new(index, set);
+    let mut next = LogIndex(index.0 + 1);
+    while let Some(entry) = log.get(next) {
+        if let Ok(Some(set)) = LogPayload::replica_set(&entry.payload) {
+            history.push(next, set);
+        }
+        next = LogIndex(next.0 + 1);
+    }
+    history
+}
+
+pub(super) fn to_position(snapshot: &SnapshotRecord) -> LogPosition {
+    LogPosition { term: snapshot.term, index: snapshot.index }
+}
+
+fn decode_snapshot(snapshot: &SnapshotRecord) -> Result<SnapshotContent, Arc<str>> {
+    commands::decode("snapshot", &snapshot.state)
+        .map_err(|cause| format!("snapshot at {}: {cause}", snapshot.index).into())
+}
--- /dev/null
+++ b/hickoryspan_core/src/control/raft/replicas.rs
@@ -0,0 +1,146 @@
+//! The replica set, and its history as far as entries may still be dropped.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use serde::{Deserialize, Serialize};
+
+use crate::control::interface::{LogIndex, ReplicaRecord};
+use crate::types::ReplicaId;
+
+/// The replicas with their addresses and roles.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct ReplicaSet(BTreeMap<ReplicaId, ReplicaRecord>);
+
+impl ReplicaSet {
+    /// A set of one voter.
+    pub fn single(record: ReplicaRecord) -> Self {
+        Self(BTreeMap::from([(record.replica, ReplicaRecord { voter: true, ..record })]))
+    }
+
+    /// Whether no replica is known.
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+
+    /// All replicas.
+    pub fn records(&self) -> impl Iterator<Item = &ReplicaRecord> {
+        self.0.values()
+    }
+
+    /// The record of a replica.
+    pub fn find(&self, replica: ReplicaId) -> Option<&ReplicaRecord> {
+        self.0.get(&replica)
+    }
+
+    /// Whether a replica votes.
+    pub fn is_voter(&self, replica: ReplicaId) -> bool {
+        self.find(replica).is_some_and(|record| record.voter)
+    }
+
+    /// The voters.
+    pub fn voters(&self) -> impl Iterator<Item = ReplicaId> {
+        self.0.values().filter(|record| record.voter).map(|record| record.replica)
+    }
+
+    /// Whether these replicas include a majority of the voters.
+    pub fn is_quorum(&self, replicas: &BTreeSet<ReplicaId>) -> bool {
+        let voters = self.voters().count();
+        let present = self.voters().filter(|voter| replicas.contains(voter)).count();
+        2 * present > voters
+    }
+
+    /// The largest value that a majority of the voters has reached.
+    pub fn quorum_value<T: Ord + Copy + Default>(&self, value: impl Fn(ReplicaId) -> T) -> T {
+        let mut values: Vec<T> = self.voters().map(value).collect();
+        values.sort_unstable();
+        let below_majority = values.len().saturating_sub(1) / 2;
+        values.get(below_majority).copied().unwrap_or_default()
+    }
+
+    /// The set with this record added or replaced.
+    pub fn with(&self, record: ReplicaRecord) -> Self {
+        let mut set = self.clone();
+        set.0.insert(record.replica, record);
+        set
+    }
+
+    /// The set without this replica.
+    pub fn without(&self, replica: ReplicaId) -> Self {
+        let mut set = self.clone();
+        set.0.remove(&replica);
+        set
+    }
+
+    /// The next single change towards the wanted replicas. Learners come first, so that their transfer runs
+    /// while other changes wait; a voter is removed only if another one stays.
+    pub fn next_change(
+        &self,
+        wanted: &BTreeMap<ReplicaId, ReplicaRecord>,
+        is_caught_up: impl Fn(ReplicaId) -> bool,
+    ) -> Option<Self> {
+        for record in wanted.values() {
+            match self.find(record.replica) {
+                None => return Some(self.with(ReplicaRecord { voter: false, ..record.clone() })),
+                Some(known) => {
+                    let moved = ReplicaRecord { voter: known.voter, ..record.clone() };
+                    if moved != *known {
+                        return Some(self.with(moved));
+                    }
+                }
+            }
+        }
+        let learners = self.records().filter(|record| !record.voter);
+        let mut ready = learners
+            .filter(|record| wanted.contains_key(&record.replica) && is_caught_up(record.replica));
+        if let Some(record) = ready.next() {
+            return Some(self.with(ReplicaRecord { voter: true, ..record.clone() }));
+        }
+        let mut unwanted = self.records().filter(|record| !wanted.contains_key(&record.replica));
+        let removable = |record: &&ReplicaRecord| !record.voter || self.voters().count() > 1;
+        unwanted.find(removable).map(|record| self.without(record.replica))
+    }
+}
+
+/// Replica sets by the index of their entry; the newest one is in force, committed or not.
+#[derive(Clone, Debug, Default)]
+pub struct ReplicaHistory(Vec<(LogIndex, ReplicaSet)>);
+
+impl ReplicaHistory {
+    /// Starts with one set.
+    pub fn new(index: LogIndex, set: ReplicaSet) -> Self {
+        Self(vec![(index, set)])
+    }
+
+    /// The set in force and the index of its entry.
+    pub fn current(&self) -> (LogIndex, &ReplicaSet) {
+        // The history starts with one set, and no operation removes the oldest one.
+        let (index, set) = self.0.last().expect("the replica history is never empty");
+        (*index, set)
+    }
+
+    /// The set that was in force at an index.
+    pub fn at(&self, index: LogIndex) -> &ReplicaSet {
+        let known = self.0.iter().rev().find(|(start, _)| *start <= index);
+        known.map_or(self.current().1, |(_, set)| set)
+    }
+
+    /// Adds the set of a new entry.
+    pub fn push(&mut self, index: LogIndex, set: ReplicaSet) {
+        self.0.push((index, set));
+    }
+
+    /// Forgets the sets of dropped entries.
+    pub fn truncate_from(&mut self, index: LogIndex) {
+        while self.0.len() > 1 && self.0.last().is_some_and(|(start, _)| *start >= index) {
+            self.0.pop();
+        }
+    }
+
+    /// Forgets the sets that a set committed at or before this index replaced.
+    pub fn compact_to(&mut self, index: LogIndex) {
+        while self.0.len() > 1 && self.0[1].0 <= index {
+            self.0.remove(0);
+        }
+    }
+}
--- /dev/null
+++ b/hickoryspan_core/src/control/raft/replication.rs
@@ -0,0 +1,366 @@
+//! Sending, taking and committing entries, and read rounds.
+
+use super::node::{RaftNode, RaftRole, ReadTicket};
+use super::progress::{PeerProgress, SendMode};
+use super::replicas::ReplicaSet;
+use super::{LogPosition, ReplicaBody};
+use crate::control::commands::LogPayload;
+use crate::control::interface::{LogEntry, LogIndex};
+use crate::control::raft::ProposeError;
+use crate::types::{MonotonicTime, ReplicaId, TermNumber};
+
+impl RaftNode {
+    pub(super) fn tick_leader(&mut self, now: MonotonicTime) {
+        let (_, set) = self.replicas.current();
+        let Some(leading) = self.leading() else { return };
+        let heard_at = set.quorum_value(|voter| match leading.peers.get(&voter) {
+            Some(peer) => peer.heard_at,
+            None => now,
+        });
+        if self.is_silent_since(heard_at, now) {
+            self.follow(now, self.hard.term, None);
+            return self.reset_election(now);
+        }
+        let heartbeat = self.settings.heartbeat;
+        let Some(leading) = self.leading_mut() else { return };
+        leading.heard_quorum_at = heard_at;
+        if leading.heartbeat_at <= now {
+            leading.heartbeat_at = now + heartbeat;
+            self.start_round(now);
+        }
+    }
+
+    /// Starts a read that is answered once a quorum has confirmed this leader.
+    pub fn request_read(&mut self) -> Result<ReadTicket, ProposeError> {
+        let commit = self.commit;
+        let Some(leading) = self.leading_mut() else { return Err(ProposeError::NotLeader) };
+        leading.round_wanted = true;
+        let index = commit.max(leading.term_start);
+        Ok(ReadTicket { round: leading.round + 1, index })
+    }
+
+    /// Whether a read of the current leadership may be answered.
+    pub fn is_confirmed(&self, ticket: ReadTicket) -> bool {
+        self.applied >= ticket.index
+            && self.leading().is_some_and(|leading| leading.confirmed_round >= ticket.round)
+    }
+
+    /// Adds the next replica set; only one change may be uncommitted, and none before this leader has
+    /// committed an entry of its own term.
+    pub fn propose_replicas(&mut self, set: ReplicaSet) -> Result<LogIndex, ProposeError> {
+        if !self.is_ready_leader() || !self.replica_set().1 {
+            return Err(ProposeError::Busy);
+        }
+        self.propose(&LogPayload::Replicas(set))
+    }
+
+    fn start_round(&mut self, now: MonotonicTime) {
+        let base = self.log.base();
+        let Some(leading) = self.leading_mut() else { return };
+        leading.round += 1;
+        leading.round_wanted = false;
+        let peers: Vec<(ReplicaId, LogIndex)> = leading
+            .peers
+            .iter_mut()
+            .map(|(replica, peer)| {
+                if let SendMode::Probe { sent_at } = &mut peer.mode {
+                    *sent_at = Some(now);
+                }
+                (*replica, LogIndex(peer.next.0.saturating_sub(1)))
+            })
+            .collect();
+        for (replica, previous) in peers {
+            let term = self.log.term_at(previous);
+            let previous = term.map_or(base, |term| LogPosition { term, index: previous });
+            self.send_append(replica, previous, Vec::new());
+        }
+        self.confirm_rounds();
+    }
+
+    fn send_append(&mut self, to: ReplicaId, previous: LogPosition, entries: Vec<LogEntry>) {
+        let round = self.leading().map_or(0, |leading| leading.round);
+        let commit = self.commit;
+        self.send(to, ReplicaBody::Append { previous, entries, commit, round });
+    }
+
+    /// Sends what the windows allow.
+    pub(super) fn replicate(&mut self, now: MonotonicTime) {
+        self.sync_peers(now);
+        let Some(leading) = self.leading() else { return };
+        if leading.round_wanted && leading.confirmed_round == leading.round {
+            self.start_round(now);
+        }
+        let Some(leading) = self.leading() else { return };
+        let replicas: Vec<ReplicaId> = leading.peers.keys().copied().collect();
+        for replica in replicas {
+            self.replicate_to(now, replica);
+        }
+        self.continue_transfer();
+    }
+
+    fn sync_peers(&mut self, now: MonotonicTime) {
+        let set = self.replicas.current().1;
+        let last = self.log.last().index;
+        let identity = self.identity;
+        let RaftRole::Leader(leading) = &mut self.role else { return };
+        leading.peers.retain(|replica, _| set.find(*replica).is_some());
+        for record in set.records().filter(|record| record.replica != identity) {
+            let peer = leading.peers.entry(record.replica);
+            peer.or_insert_with(|| PeerProgress::new(last, now));
+        }
+    }
+
+    fn replicate_to(&mut self, now: MonotonicTime, to: ReplicaId) {
+        let last = self.log.last().index;
+        let window = self.settings.append_window;
+        loop {
+            let Some(peer) = self.leading().and_then(|leading| leading.peers.get(&to)) else {
+                return;
+            };
+            let previous = LogIndex(peer.next.0.saturating_sub(1));
+            let in_flight = peer.in_flight.len();
+            if matches!(peer.mode, SendMode::Snapshot(_)) {
+                return self.continue_snapshot(now, to);
+            }
+            let Some(term) = self.log.term_at(previous) else {
+                return self.start_snapshot(now, to);
+            };
+            let previous = LogPosition { term, index: previous };
+            match &peer.mode {
+                SendMode::Probe { sent_at: None } => {
+                    self.set_mode(to, SendMode::Probe { sent_at: Some(now) });
+                    return self.send_append(to, previous, Vec::new());
+                }
+                SendMode::Replicate if in_flight < window && previous.index < last => {}
+                _ => return,
+            }
+            let first = LogIndex(previous.index.0 + 1);
+            let max_entries = self.settings.max_append_entries;
+            let entries = self.log.slice(first, last, max_entries, self.settings.max_append_bytes);
+            let end = LogIndex(previous.index.0 + entries.len() as u64);
+            self.send_append(to, previous, entries);
+            let peer = self.leading_mut().and_then(|leading| leading.peers.get_mut(&to));
+            let Some(peer) = peer else { return };
+            peer.next = LogIndex(end.0 + 1);
+            peer.in_flight.push_back(end);
+        }
+    }
+
+    pub(super) fn set_mode(&mut self, replica: ReplicaId, mode: SendMode) {
+        let peer = self.leading_mut().and_then(|leading| leading.peers.get_mut(&replica));
+        if let Some(peer) = peer {
+            peer.mode = mode;
+        }
+    }
+
+    // All fields of one message.
+    #[allow(clippy::too_many_arguments)]
+    pub(super) fn take_append(
+        &mut self,
+        now: MonotonicTime,
+        from: ReplicaId,
+        term: TermNumber,
+        previous: LogPosition,
+        entries: Vec<LogEntry>,
+        commit: LogIndex,
+        round: u64,
+    ) {
+        if !self.accept_leader(now, from, term) {
+            return;
+        }
+        self.leader_round = self.leader_round.max(round);
+        if self.pipeline.is_full() {
+            return;
+        }
+        let Some((previous, entries)) = self.skip_committed(previous, entries) else {
+            return self.answer_append();
+        };
+        if self.log.term_at(previous.index) != Some(previous.term) {
+            return self.refuse_append(previous.index);
+        }
+        let end = LogIndex(previous.index.0 + entries.len() as u64);
+        for entry in entries {
+            if !self.take_entry(entry) {
+                return;
+            }
+        }
+        self.verified = self.verified.max(end);
+        self.commit = self.commit.max(commit.min(end));
+        self.answer_append();
+    }
+
+    /// Whether a message comes from the leader of this term, which is then followed.
+    pub(super) fn accept_leader(
+        &mut self,
+        now: MonotonicTime,
+        from: ReplicaId,
+        term: TermNumber,
+    ) -> bool {
+        if term < self.hard.term {
+            // The newer term makes an old leader step down.
+            let (round, refused) = (0, LogIndex(0));
+            let body = ReplicaBody::AppendRefused { round, refused, hint: LogIndex(1) };
+            self.send_durable(from, body);
+            return false;
+        }
+        if self.is_pledged(now) {
+            self.pause_pledges(now);
+            return false;
+        }
+        if self.is_leader() && term == self.hard.term {
+            self.fault = Some(format!("replica {from} also leads term {term}").into());
+            return false;
+        }
+        self.follow(now, term, Some(from));
+        self.heard_leader = Some(now);
+        self.reset_election(now);
+        true
+    }
+
+    // Committed entries are equal everywhere; they may already be in a snapshot here.
+    fn skip_committed(
+        &mut self,
+        previous: LogPosition,
+        mut entries: Vec<LogEntry>,
+    ) -> Option<(LogPosition, Vec<LogEntry>)> {
+        if previous.index >= self.commit {
+            return Some((previous, entries));
+        }
+        let commit = self.commit;
+        self.verified =
+            self.verified.max(commit.min(LogIndex(previous.index.0 + entries.len() as u64)));
+        entries.retain(|entry| entry.index > commit);
+        if entries.is_empty() {
+            return None;
+        }
+        let term = self.log.term_at(commit)?;
+        Some((LogPosition { term, index: commit }, entries))
+    }
+
+    fn take_entry(&mut self, entry: LogEntry) -> bool {
+        let index = entry.index;
+        if index.0 != self.log.last().index.0 + 1 {
+            if self.log.term_at(index) == Some(entry.term) {
+                return true;
+            }
+            if index <= self.commit || index > self.log.last().index {
+                self.fault = Some(format!("log entry {index} contradicts a committed one").into());
+                return false;
+            }
+            self.truncate_from(index);
+        }
+        self.log.push(entry);
+        self.note_replica_set(index);
+        true
+    }
+
+    fn refuse_append(&mut self, refused: LogIndex) {
+        let last = self.log.last().index;
+        let hint = if last < refused {
+            LogIndex(last.0 + 1)
+        } else {
+            self.log.first_of_term(refused).max(LogIndex(self.commit.0 + 1))
+        };
+        let round = self.leader_round;
+        let Some(leader) = self.leader else { return };
+        self.send_durable(leader, ReplicaBody::AppendRefused { round, refused, hint });
+    }
+
+    fn answer_append(&mut self) {
+        let Some(leader) = self.leader else { return };
+        let matched = self.verified.min(self.pipeline.persisted);
+        self.answered = matched;
+        let round = self.leader_round;
+        self.send_durable(leader, ReplicaBody::AppendAnswer { round, matched });
+    }
+
+    /// Tells the leader what has become durable.
+    pub(super) fn answer_leader(&mut self) {
+        if self.verified.min(self.pipeline.persisted) > self.answered {
+            self.answer_append();
+        }
+    }
+
+    pub(super) fn take_answer(
+        &mut self,
+        now: MonotonicTime,
+        from: ReplicaId,
+        term: TermNumber,
+        round: u64,
+        result: Result<LogIndex, (LogIndex, LogIndex)>,
+    ) {
+        let last = self.log.last().index;
+        if !self.note_heard(now, from, term) {
+            return;
+        }
+        let Some(leading) = self.leading_mut() else { return };
+        let newest_round = leading.round;
+        let Some(peer) = leading.peers.get_mut(&from) else { return };
+        peer.round = peer.round.max(round.min(newest_round));
+        match result {
+            Ok(matched) => peer.note_matched(matched.min(last)),
+            Err((refused, hint)) => peer.note_refused(refused, hint),
+        }
+        self.confirm_rounds();
+        self.advance_commit();
+    }
+
+    /// Whether an answer belongs to this leadership.
+    pub(super) fn note_heard(
+        &mut self,
+        now: MonotonicTime,
+        from: ReplicaId,
+        term: TermNumber,
+    ) -> bool {
+        if term > self.hard.term {
+            if self.replicas.current().1.find(from).is_some() {
+                self.follow(now, term, None);
+            }
+            return false;
+        }
+        let current = term == self.hard.term;
+        let Some(leading) = self.leading_mut().filter(|_| current) else { return false };
+        let Some(peer) = leading.peers.get_mut(&from) else { return false };
+        peer.heard_at = now;
+        true
+    }
+
+    fn confirm_rounds(&mut self) {
+        let (_, set) = self.replicas.current();
+        let Some(leading) = self.leading() else { return };
+        let round = set.quorum_value(|voter| {
+            leading.peers.get(&voter).map_or(leading.round, |peer| peer.round)
+        });
+        if let Some(leading) = self.leading_mut() {
+            leading.confirmed_round = leading.confirmed_round.max(round);
+        }
+    }
+
+    /// Commits what a majority has made durable; the leader counts itself only for its durable entries.
+    pub(super) fn advance_commit(&mut self) {
+        let (_, set) = self.replicas.current();
+        let Some(leading) = self.leading() else { return };
+        let persisted = self.pipeline.persisted;
+        let matched = set
+            .quorum_value(|voter| leading.peers.get(&voter).map_or(persisted, |peer| peer.matched));
+        if matched <= self.commit || self.log.term_at(matched) != Some(self.hard.term) {
+            return;
+        }
+        let bytes: u64 = (self.commit.0 + 1..=matched.0)
+            .filter_map(|index| self.log.get(LogIndex(index)))
+            .map(|entry| entry.payload.len() as u64)
+            .sum();
+        self.commit = matched;
+        if let Some(leading) = self.leading_mut() {
+            leading.uncommitted_bytes = leading.uncommitted_bytes.saturating_sub(bytes);
+        }
+    }
+
+    /// A leader that a committed change removed stops leading.
+    pub fn leave_if_removed(&mut self, now: MonotonicTime) {
+        let (set, committed) = self.replica_set();
+        if self.is_leader() && committed && !set.is_voter(self.identity) {
+            self.follow(now, self.hard.term, None);
+        }
+    }
+}
--- /dev/null
+++ b/hickoryspan_core/src/control/raft/transfer.rs
@@ -0,0 +1,164 @@
+//! Snapshots for replicas that lag too far, and handing over leadership.
+
+use std::time::Duration;
+
+use super::node::{RaftNode, to_position};
+use super::progress::{SendMode, SnapshotTransfer};
+use super::{LogPosition, ReplicaBody};
+use crate::control::interface::{LogIndex, SnapshotRecord};
+use crate::types::{MonotonicTime, ReplicaId, TermNumber};
+
+/// Time without an answer after which a part of a snapshot is sent again.
+const PART_RETRY: Duration = Duration::from_millis(500);
+
+/// A snapshot that arrives in parts.
+#[derive(Debug)]
+pub(super) struct IncomingSnapshot {
+    from: ReplicaId,
+    term: TermNumber,
+    last: LogPosition,
+    state: Vec<u8>,
+}
+
+impl RaftNode {
+    pub(super) fn start_snapshot(&mut self, now: MonotonicTime, to: ReplicaId) {
+        let Some(snapshot) = &self.snapshot else { return };
+        let transfer = SnapshotTransfer {
+            last: to_position(snapshot),
+            state: snapshot.state.clone(),
+            received: 0,
+            sent_at: now,
+        };
+        self.set_mode(to, SendMode::Snapshot(transfer));
+        self.send_part(now, to);
+    }
+
+    pub(super) fn continue_snapshot(&mut self, now: MonotonicTime, to: ReplicaId) {
+        let peer = self.leading().and_then(|leading| leading.peers.get(&to));
+        let Some(SendMode::Snapshot(transfer)) = peer.map(|peer| &peer.mode) else { return };
+        if now.since(transfer.sent_at) >= PART_RETRY {
+            self.send_part(now, to);
+        }
+    }
+
+    fn send_part(&mut self, now: MonotonicTime, to: ReplicaId) {
+        let part_bytes = self.settings.snapshot_part_bytes;
+        let peer = self.leading_mut().and_then(|leading| leading.peers.get_mut(&to));
+        let Some(SendMode::Snapshot(transfer)) = peer.map(|peer| &mut peer.mode) else { return };
+        transfer.sent_at = now;
+        let size = transfer.state.len();
+        let start = usize::try_from(transfer.received).unwrap_or(size).min(size);
+        let end = (start + part_bytes).min(size);
+        let body = ReplicaBody::Snapshot {
+            last: transfer.last,
+            size: size as u64,
+            offset: start as u64,
+            part: transfer.state[start..end].into(),
+        };
+        self.send(to, body);
+    }
+
+    // All fields of one message.
+    #[allow(clippy::too_many_arguments)]
+    pub(super) fn take_snapshot_part(
+        &mut self,
+        now: MonotonicTime,
+        from: ReplicaId,
+        term: TermNumber,
+        last: LogPosition,
+        size: u64,
+        offset: u64,
+        part: &[u8],
+    ) {
+        if !self.accept_leader(now, from, term) {
+            return;
+        }
+        if self.pipeline.is_full() || size > self.settings.max_snapshot_bytes {
+            return;
+        }
+        if last.index <= self.commit {
+            self.incoming = None;
+            // The whole prefix is equal, because it is committed.
+            self.verified = self.verified.max(last.index);
+            let body = ReplicaBody::SnapshotAnswer { index: last.index, received: size };
+            self.send_durable(from, body);
+            self.answered = LogIndex(0);
+            return self.answer_leader();
+        }
+        let incoming = self.incoming.take().filter(|incoming| {
+            incoming.from == from && incoming.term == term && incoming.last == last
+        });
+        let mut incoming =
+            incoming.unwrap_or(IncomingSnapshot { from, term, last, state: Vec::new() });
+        if incoming.state.len() as u64 == offset && offset + part.len() as u64 <= size {
+            incoming.state.extend_from_slice(part);
+        }
+        let received = incoming.state.len() as u64;
+        if received == size {
+            let state = incoming.state.into();
+            self.install(SnapshotRecord { index: last.index, term: last.term, state });
+            return;
+        }
+        self.incoming = Some(incoming);
+        self.send_durable(from, ReplicaBody::SnapshotAnswer { index: last.index, received });
+    }
+
+    pub(super) fn take_snapshot_answer(
+        &mut self,
+        now: MonotonicTime,
+        from: ReplicaId,
+        term: TermNumber,
+        index: LogIndex,
+        received: u64,
+    ) {
+        if !self.note_heard(now, from, term) {
+            return;
+        }
+        let peer = self.leading_mut().and_then(|leading| leading.peers.get_mut(&from));
+        let Some(SendMode::Snapshot(transfer)) = peer.map(|peer| &mut peer.mode) else { return };
+        // A restarted replica starts again from zero, so the position may also go back.
+        if transfer.last.index != index || transfer.received == received {
+            return;
+        }
+        transfer.received = received;
+        if received < transfer.state.len() as u64 {
+            self.send_part(now, from);
+        }
+    }
+
+    /// Hands leadership to the voter with the longest log; proposals are refused from now on. Returns
+    /// whether there is another voter.
+    pub fn start_transfer(&mut self) -> bool {
+        let set = self.replicas.current().1.clone();
+        let Some(leading) = self.leading_mut() else { return false };
+        let voters = leading.peers.iter().filter(|(replica, _)| set.is_voter(**replica));
+        let best = voters.max_by_key(|(_, peer)| (peer.heard_at, peer.matched));
+        leading.transfer_to = best.map(|(replica, _)| *replica);
+        leading.transfer_to.is_some()
+    }
+
+    pub(super) fn continue_transfer(&mut self) {
+        let last = self.log.last().index;
+        if self.commit < last {
+            return;
+        }
+        let Some(leading) = self.leading_mut() else { return };
+        let Some(to) = leading.transfer_to else { return };
+        let ready = leading.peers.get(&to).is_some_and(|peer| peer.matched == last);
+        if ready {
+            self.send(to, ReplicaBody::TimeoutNow);
+        }
+    }
+
+    pub(super) fn take_timeout_now(
+        &mut self,
+        now: MonotonicTime,
+        from: ReplicaId,
+        term: TermNumber,
+    ) {
+        let voter = self.replicas.current().1.is_voter(self.identity);
+        if voter && term == self.hard.term && self.leader == Some(from) {
+            self.stand(now, true);
+        }
+    }
+}
--- /dev/null
+++ b/hickoryspan_core/src/control/shares.rs
@@ -0,0 +1,122 @@
+//! Leased shares of callers' demand pools: soft state of the leader (`docs/design.md`, section 5).
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use super::commands::EntryProcess;
+use crate::messages::{CallerDemand, ShareGrant};
+use crate::sheet::SheetDocument;
+use crate::types::{CallerId, CostRate, MonotonicTime, TenantId};
+
+/// The part of a caller's limit that is granted by demand; the rest is split evenly over the ordinals.
+const POOL_FRACTION: f64 = 0.5;
+
+#[derive(Clone, Copy, Debug)]
+struct TimedRate {
+    rate: f64,
+    until: MonotonicTime,
+}
+
+#[derive(Clone, Debug, Default)]
+struct CallerPool {
+    demand: BTreeMap<EntryProcess, TimedRate>,
+    // An entry uses one grant at a time, but not necessarily the newest one, so all unexpired ones are kept.
+    grants: BTreeMap<EntryProcess, Vec<TimedRate>>,
+}
+
+impl CallerPool {
+    fn prune(&mut self, now: MonotonicTime) {
+        self.demand.retain(|_, demand| demand.until > now);
+        self.grants.retain(|_, grants| {
+            grants.retain(|grant| grant.until > now);
+            !grants.is_empty()
+        });
+    }
+
+    fn held_by(&self, process: &EntryProcess) -> f64 {
+        let grants = self.grants.get(process).into_iter().flatten();
+        grants.map(|grant| grant.rate).fold(0.0, f64::max)
+    }
+
+    fn grant(&self, process: &EntryProcess, pool: f64) -> f64 {
+        let held: f64 = self.grants.keys().map(|process| self.held_by(process)).sum();
+        // After a sheet lowered the limit, the old grants run out before new ones are given.
+        if held > pool * (1.0 + f64::EPSILON * 64.0) {
+            return 0.0;
+        }
+        let total: f64 = self.demand.values().map(|demand| demand.rate).sum();
+        let own = self.demand.get(process).map_or(0.0, |demand| demand.rate);
+        if total <= 0.0 || own <= 0.0 {
+            return 0.0;
+        }
+        let free = pool - (held - self.held_by(process));
+        (pool * (own / total)).min(free).max(0.0)
+    }
+}
+
+/// The demand pools of all callers.
+#[derive(Clone, Debug)]
+pub struct ShareLedger {
+    grants_from: MonotonicTime,
+    lease: Duration,
+    guard: Duration,
+    pools: BTreeMap<(TenantId, CallerId), CallerPool>,
+}
+
+impl ShareLedger {
+    /// Starts a leader's ledger: grants of the former leader run out before the first new one.
+    pub fn new(now: MonotonicTime, lease: Duration, guard: Duration) -> Self {
+        Self { grants_from: now + lease + guard, lease, guard, pools: BTreeMap::new() }
+    }
+
+    /// Takes a process's demand; callers that the sheet does not name are ignored.
+    pub fn note_demand(
+        &mut self,
+        now: MonotonicTime,
+        process: &EntryProcess,
+        demand: &[CallerDemand],
+        sheet: Option<&SheetDocument>,
+    ) {
+        let until = now + self.lease;
+        for CallerDemand { tenant, caller, rate } in demand {
+            let usable = rate.0.is_finite() && rate.0 > 0.0;
+            if !usable || pool_size(sheet, tenant, caller).is_none() {
+                continue;
+            }
+            let pool = self.pools.entry((tenant.clone(), caller.clone())).or_default();
+            pool.demand.insert(process.clone(), TimedRate { rate: rate.0, until });
+        }
+    }
+
+    /// Grants a process its shares; the sum of a caller's unexpired grants never exceeds its pool.
+    pub fn grant(
+        &mut self,
+        now: MonotonicTime,
+        process: &EntryProcess,
+        sheet: Option<&SheetDocument>,
+    ) -> Vec<ShareGrant> {
+        if now < self.grants_from {
+            return Vec::new();
+        }
+        let until = now + self.lease + self.guard;
+        let mut grants = Vec::new();
+        self.pools.retain(|(tenant, caller), pool| {
+            pool.prune(now);
+            let size = pool_size(sheet, tenant, caller).unwrap_or(0.0);
+            let rate = pool.grant(process, size);
+            if rate > 0.0 {
+                let held = pool.grants.entry(process.clone()).or_default();
+                held.push(TimedRate { rate, until });
+                let (tenant, caller) = (tenant.clone(), caller.clone());
+                grants.push(ShareGrant { tenant, caller, rate: CostRate(rate) });
+            }
+            !pool.demand.is_empty() || !pool.grants.is_empty()
+        });
+        grants
+    }
+}
+
+fn pool_size(sheet: Option<&SheetDocument>, tenant: &TenantId, caller: &CallerId) -> Option<f64> {
+    let spec = sheet?.tenants.get(tenant)?.callers.get(caller)?;
+    Some(spec.rate.0 * POOL_FRACTION)
+}
--- /dev/null
+++ b/hickoryspan_core/tests/control_support/mod.rs
@@ -0,0 +1,533 @@
+//! A tiny network, disk and clock around control machines, all driven by one seed.
+
+// Each test file uses a part of it; the lint does not see that helpers run only in tests.
+#![allow(dead_code, clippy::unwrap_used)]
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+use std::sync::Arc;
+use std::time::Duration;
+
+use hickoryspan_core::control::interface::*;
+use hickoryspan_core::control::machine::ControlMachine;
+use hickoryspan_core::control::raft::ReplicaMessage;
+use hickoryspan_core::control::settings::ControlSettings;
+use hickoryspan_core::membership::{PartitionRecord, TargetRecord};
+use hickoryspan_core::messages::*;
+use hickoryspan_core::sheet::{CallerSpec, SheetDocument, TenantSheet};
+use hickoryspan_core::types::*;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha12Rng;
+
+pub const EPOCH: u64 = 1_800_000_000_000;
+
+/// What a disk keeps over a crash.
+#[derive(Default)]
+pub struct Disk {
+    pub state: RecoveredState,
+    pub full: bool,
+    pub broken: bool,
+}
+
+impl Disk {
+    fn persist(&mut self, batch: &PersistBatch) {
+        let state = &mut self.state;
+        if let Some(snapshot) = &batch.snapshot {
+            state.entries.retain(|entry| entry.index > snapshot.index);
+            state.snapshot = Some(snapshot.clone());
+        }
+        if let Some(from) = batch.truncate_from {
+            state.entries.retain(|entry| entry.index < from);
+        }
+        for entry in &batch.entries {
+            let base = state.snapshot.as_ref().map_or(0, |snapshot| snapshot.index.0);
+            let last = state.entries.last().map_or(base, |entry| entry.index.0);
+            assert_eq!(entry.index.0, last + 1, "a batch left a gap in the log");
+            state.entries.push(entry.clone());
+        }
+        state.hard_state = batch.hard_state.unwrap_or(state.hard_state);
+    }
+}
+
+#[derive(Default)]
+pub struct Node {
+    pub machine: Option<ControlMachine>,
+    pub disk: Disk,
+    // Distinguishes processes, so that nothing from before a crash reaches the next process.
+    process: u64,
+    skew: u64,
+}
+
+enum Delivery {
+    Message(ReplicaId, ReplicaId, Box<ReplicaMessage>),
+    Durable(ReplicaId, u64, PersistSequence, PersistBatch),
+    Acknowledged(ReplicaId, u64, PersistSequence),
+}
+
+/// Faults of the network and disk.
+#[derive(Clone, Default)]
+pub struct Faults {
+    pub drop_percent: u32,
+    pub duplicate_percent: u32,
+    pub max_delay_micros: u64,
+    pub blocked: BTreeSet<(ReplicaId, ReplicaId)>,
+    /// Planted fault: batches are acknowledged before they are on the disk.
+    pub acknowledge_early: bool,
+}
+
+pub struct Cluster {
+    pub nodes: BTreeMap<ReplicaId, Node>,
+    pub now: u64,
+    pub wall_offset: u64,
+    pub faults: Faults,
+    pub rng: ChaCha12Rng,
+    pub outputs: Vec<(ReplicaId, ControlAction)>,
+    pub settings: ControlSettings,
+    /// The first violation that was seen.
+    pub violation: Option<String>,
+    queue: BinaryHeap<Reverse<(u64, u64)>>,
+    deliveries: BTreeMap<u64, Delivery>,
+    committed: BTreeMap<LogIndex, LogEntry>,
+    checked: BTreeMap<ReplicaId, (LogIndex, RevisionNumber)>,
+    digests: BTreeMap<RevisionNumber, StateDigest>,
+    next_id: u64,
+}
+
+pub fn replica(number: u64) -> ReplicaId {
+    ReplicaId(number)
+}
+
+pub fn record(id: ReplicaId) -> ReplicaRecord {
+    let address = |port: u64| format!("127.0.0.1:{}", port + id.0).parse().unwrap();
+    let (peer_address, http_address) = (address(7_000), address(8_000));
+    ReplicaRecord { replica: id, peer_address, http_address, voter: false }
+}
+
+impl Cluster {
+    /// A cluster of one bootstrapped replica, number 1, and more empty ones.
+    pub fn new(seed: u64, count: u64, adjust: impl Fn(&mut ControlSettings)) -> Self {
+        let first = record(replica(1));
+        let mut settings = ControlSettings::new(first.peer_address, first.http_address);
+        adjust(&mut settings);
+        let mut cluster = Self {
+            nodes: BTreeMap::new(),
+            now: 1_000_000,
+            wall_offset: EPOCH,
+            faults: Faults { max_delay_micros: 3_000, ..Faults::default() },
+            rng: ChaCha12Rng::seed_from_u64(seed),
+            outputs: Vec::new(),
+            settings,
+            violation: None,
+            queue: BinaryHeap::new(),
+            deliveries: BTreeMap::new(),
+            committed: BTreeMap::new(),
+            checked: BTreeMap::new(),
+            digests: BTreeMap::new(),
+            next_id: 0,
+        };
+        for number in 1..=count {
+            cluster.nodes.insert(replica(number), Node::default());
+            cluster.start(replica(number));
+        }
+        cluster
+    }
+
+    /// A settled cluster of voters.
+    pub fn voting(seed: u64, count: u64, adjust: impl Fn(&mut ControlSettings)) -> Self {
+        let mut cluster = Self::new(seed, count, adjust);
+        cluster.run(Duration::from_millis(300));
+        for number in 2..=count {
+            let outcome = cluster.admin("setup", AdminAction::AddReplica(record(replica(number))));
+            assert!(matches!(outcome, AdminOutcome::Accepted { .. }), "{outcome:?}");
+        }
+        cluster.run_until(Duration::from_secs(10), |cluster| {
+            let Some(leader) = cluster.leader() else { return false };
+            let (set, committed) = cluster.machine(leader).raft().replica_set();
+            committed && set.voters().count() as u64 == count
+        });
+        cluster
+    }
+
+    pub fn start(&mut self, id: ReplicaId) {
+        let seed = self.rng.random();
+        let node = self.nodes.get_mut(&id).unwrap();
+        let own = record(id);
+        let settings = ControlSettings {
+            peer_address: own.peer_address,
+            http_address: own.http_address,
+            bootstrap: id == replica(1),
+            ..self.settings.clone()
+        };
+        node.process += 1;
+        let generator = ChaCha12Rng::seed_from_u64(seed);
+        node.machine = Some(ControlMachine::new(id, node.disk.state.clone(), settings, generator));
+        self.checked.remove(&id);
+    }
+
+    /// Ends a process; batches that are not durable are lost.
+    pub fn crash(&mut self, id: ReplicaId) {
+        self.nodes.get_mut(&id).unwrap().machine = None;
+    }
+
+    /// Ends a process and its disk.
+    pub fn destroy(&mut self, id: ReplicaId) {
+        self.nodes.remove(&id);
+    }
+
+    pub fn is_up(&self, id: ReplicaId) -> bool {
+        self.nodes.get(&id).is_some_and(|node| node.machine.is_some())
+    }
+
+    pub fn machine(&self, id: ReplicaId) -> &ControlMachine {
+        self.nodes[&id].machine.as_ref().unwrap()
+    }
+
+    pub fn leader(&self) -> Option<ReplicaId> {
+        let machines = self.nodes.values().filter_map(|node| node.machine.as_ref());
+        let leaders = machines.filter(|machine| machine.raft().is_ready_leader());
+        leaders.max_by_key(|machine| machine.raft().term()).map(|machine| machine.raft().identity())
+    }
+
+    pub fn await_leader(&mut self) -> ReplicaId {
+        self.run_until(Duration::from_secs(30), |cluster| cluster.leader().is_some());
+        self.leader().unwrap()
+    }
+
+    /// Cuts replicas off from each other in one direction.
+    pub fn block(&mut self, from: ReplicaId, to: ReplicaId) {
+        self.faults.blocked.insert((from, to));
+    }
+
+    pub fn isolate(&mut self, id: ReplicaId) {
+        for other in self.nodes.keys().copied().collect::<Vec<_>>() {
+            self.block(id, other);
+            self.block(other, id);
+        }
+    }
+
+    pub fn heal(&mut self) {
+        self.faults.blocked.clear();
+    }
+
+    pub fn clock(&self) -> ClockReading {
+        let wall = WallTime(self.wall_offset + self.now / 1_000);
+        ClockReading { monotonic: MonotonicTime(self.now), wall }
+    }
+
+    pub fn handle(&mut self, id: ReplicaId, event: ControlEvent) {
+        let now = self.clock();
+        let Some(node) = self.nodes.get_mut(&id) else { return };
+        let Some(machine) = &mut node.machine else { return };
+        let process = node.process;
+        let mut actions = Vec::new();
+        machine.handle(now, event, &mut actions);
+        self.check(id);
+        for action in actions {
+            self.perform(id, process, action);
+        }
+    }
+
+    fn perform(&mut self, id: ReplicaId, process: u64, action: ControlAction) {
+        match action {
+            ControlAction::SendReplica { to, message, address } => {
+                assert_eq!(address, record(to).peer_address);
+                self.transmit(id, to, message);
+            }
+            ControlAction::Persist(sequence, batch) => {
+                let delay = 200 + self.rng.random_range(0..3_000);
+                let early = self.faults.acknowledge_early;
+                self.schedule(delay, Delivery::Durable(id, process, sequence, batch));
+                if early {
+                    self.schedule(1, Delivery::Acknowledged(id, process, sequence));
+                }
+            }
+            ControlAction::Stop(reason) => {
+                self.violation.get_or_insert(format!("replica {id} stopped: {reason}"));
+                self.crash(id);
+            }
+            ControlAction::Stopped => {
+                self.crash(id);
+                self.outputs.push((id, action));
+            }
+            _ => self.outputs.push((id, action)),
+        }
+    }
+
+    fn transmit(&mut self, from: ReplicaId, to: ReplicaId, message: ReplicaMessage) {
+        let copies = match self.rng.random_range(0..100) {
+            roll if roll < self.faults.drop_percent => 0,
+            roll if roll < self.faults.drop_percent + self.faults.duplicate_percent => 2,
+            _ => 1,
+        };
+        for _ in 0..copies {
+            let delay = 100 + self.rng.random_range(0..=self.faults.max_delay_micros);
+            self.schedule(delay, Delivery::Message(from, to, Box::new(message.clone())));
+        }
+    }
+
+    fn schedule(&mut self, delay: u64, delivery: Delivery) {
+        self.next_id += 1;
+        self.queue.push(Reverse((self.now + delay, self.next_id)));
+        self.deliveries.insert(self.next_id, delivery);
+    }
+
+    fn deliver(&mut self, delivery: Delivery) {
+        match delivery {
+            Delivery::Message(from, to, message) => {
+                if !self.faults.blocked.contains(&(from, to)) {
+                    self.handle(to, ControlEvent::Replica(from, *message));
+                }
+            }
+            Delivery::Durable(id, process, sequence, batch) => {
+                let early = self.faults.acknowledge_early;
+                let Some(node) = self.nodes.get_mut(&id) else { return };
+                if node.process != process || node.machine.is_none() {
+                    return;
+                }
+                let file: Arc<str> = "log".into();
+                let event = if node.disk.broken {
+                    let cause = "injected".into();
+                    ControlEvent::PersistFailed(PersistError::Broken { step: "sync", file, cause })
+                } else if node.disk.full {
+                    ControlEvent::PersistFailed(PersistError::NoSpace { step: "write", file })
+                } else {
+                    node.disk.persist(&batch);
+                    ControlEvent::Persisted(sequence)
+                };
+                if !early {
+                    self.handle(id, event);
+                }
+            }
+            Delivery::Acknowledged(id, process, sequence) => {
+                if self.nodes.get(&id).is_some_and(|node| node.process == process) {
+                    self.handle(id, ControlEvent::Persisted(sequence));
+                }
+            }
+        }
+    }
+
+    /// Runs until a time has passed.
+    pub fn run(&mut self, duration: Duration) {
+        let end = self.now + duration.as_micros() as u64;
+        self.run_while(end, |_| true);
+    }
+
+    /// Runs until a condition holds; fails after the limit.
+    pub fn run_until(&mut self, limit: Duration, done: impl Fn(&Self) -> bool) {
+        let end = self.now + limit.as_micros() as u64;
+        self.run_while(end, |cluster| !done(cluster));
+        assert!(done(self), "not reached within {limit:?}; violation: {:?}", self.violation);
+    }
+
+    fn run_while(&mut self, end: u64, goes_on: impl Fn(&Self) -> bool) {
+        while self.now < end && goes_on(self) {
+            let wakeups = self.nodes.iter().filter_map(|(id, node)| {
+                let wakeup = node.machine.as_ref()?.next_wakeup()?;
+                Some((wakeup.0.max(self.now + 1), *id))
+            });
+            let tick = wakeups.min();
+            let message = self.queue.peek().map(|Reverse((at, _))| *at);
+            let tick_at = tick.map_or(u64::MAX, |(at, _)| at);
+            let next = tick_at.min(message.unwrap_or(u64::MAX));
+            if next > end {
+                self.now = end;
+                return;
+            }
+            self.now = self.now.max(next);
+            match (tick, message) {
+                (Some((at, id)), message) if message.is_none_or(|message| at < message) => {
+                    self.handle(id, ControlEvent::Tick);
+                }
+                _ => {
+                    let Some(Reverse((_, id))) = self.queue.pop() else { return };
+                    let delivery = self.deliveries.remove(&id).unwrap();
+                    self.deliver(delivery);
+                }
+            }
+        }
+    }
+
+    /// Checks agreement of committed entries, revisions that only grow, and equal digests.
+    fn check(&mut self, id: ReplicaId) {
+        let Some(machine) = self.nodes[&id].machine.as_ref() else { return };
+        let (raft, view) = (machine.raft(), machine.state().view());
+        let (checked, revision) =
+            self.checked.get(&id).copied().unwrap_or((LogIndex(0), RevisionNumber(0)));
+        let mut faults = Vec::new();
+        for index in checked.0 + 1..=raft.commit().0 {
+            let Some(entry) = raft.entry(LogIndex(index)) else { continue };
+            let known = self.committed.entry(entry.index).or_insert_with(|| entry.clone());
+            if known != entry {
+                faults.push(format!("replica {id} committed another entry {index}"));
+            }
+        }
+        if view.revision < revision {
+            faults.push(format!("replica {id}: revision fell to {}", view.revision));
+        }
+        let digest = self.digests.entry(view.revision).or_insert(view.digest);
+        if *digest != view.digest {
+            faults.push(format!("replica {id}: digest of {} differs", view.revision));
+        }
+        self.checked.insert(id, (raft.commit(), view.revision));
+        if let Some(fault) = faults.into_iter().next() {
+            self.violation.get_or_insert(fault);
+        }
+    }
+
+    pub fn token(&mut self) -> u64 {
+        self.next_id += 1;
+        self.next_id
+    }
+
+    /// The reply to a token, if there is one.
+    pub fn reply(&self, token: ReplyToken) -> Option<&ControlReply> {
+        self.outputs.iter().find_map(|(_, action)| match action {
+            ControlAction::Reply(found, reply) if *found == token => Some(reply),
+            _ => None,
+        })
+    }
+
+    /// Sends an event with a token to the leader and waits for the reply, again after `Unavailable`.
+    pub fn ask(&mut self, event: impl Fn(ReplyToken) -> ControlEvent) -> ControlReply {
+        for _ in 0..20 {
+            let leader = self.await_leader();
+            let token = ReplyToken(self.token());
+            self.handle(leader, event(token));
+            let end = self.now + 5_000_000;
+            self.run_while(end, |cluster| cluster.reply(token).is_none());
+            match self.reply(token).cloned() {
+                Some(ControlReply::Unavailable { .. } | ControlReply::NotLeader(_)) | None => {
+                    self.run(Duration::from_millis(500));
+                }
+                Some(reply) => return reply,
+            }
+        }
+        panic!("no reply; violation: {:?}", self.violation);
+    }
+
+    /// Runs an operator's command under a new id.
+    pub fn admin(&mut self, operator: &str, action: AdminAction) -> AdminOutcome {
+        let command = format!("c{}", self.token());
+        self.admin_as(operator, &command, action)
+    }
+
+    pub fn admin_as(&mut self, operator: &str, id: &str, action: AdminAction) -> AdminOutcome {
+        let command = AdminCommand {
+            operator: operator.parse().unwrap(),
+            command: id.parse().unwrap(),
+            action,
+        };
+        match self.ask(|token| ControlEvent::Admin(token, Box::new(command.clone()))) {
+            ControlReply::Admin(outcome) => outcome,
+            other => panic!("{other:?}"),
+        }
+    }
+
+    pub fn status(&mut self) -> StatusReport {
+        match self.ask(|token| ControlEvent::Query(token, AdminQuery::Status)) {
+            ControlReply::Status(status) => *status,
+            other => panic!("{other:?}"),
+        }
+    }
+
+    pub fn announce(&mut self, target: &TargetRecord) -> ControlReply {
+        self.ask(|token| ControlEvent::Announce(token, Box::new(target.clone())))
+    }
+
+    /// The messages to a link, oldest first; they are taken out.
+    pub fn take_messages(&mut self, link: LinkId) -> Vec<ControlMessage> {
+        let mut messages = Vec::new();
+        self.outputs.retain(|(_, action)| match action {
+            ControlAction::SendEntry(to, message) if *to == link => {
+                messages.push(message.clone());
+                false
+            }
+            _ => true,
+        });
+        messages
+    }
+
+    /// Opens a link to the leader for an entry process.
+    pub fn join(&mut self, entry: &str, incarnation: u64) -> (LinkId, Vec<ControlMessage>) {
+        let leader = self.await_leader();
+        let link = LinkId(self.token());
+        let registration = registration(entry, incarnation);
+        let hello = EntryMessage::Hello { registration, revision: RevisionNumber(0) };
+        self.handle(leader, ControlEvent::Entry(link, hello));
+        self.run(Duration::from_millis(100));
+        let messages = self.take_messages(link);
+        (link, messages)
+    }
+
+    pub fn send(&mut self, link: LinkId, message: EntryMessage) -> Vec<ControlMessage> {
+        let leader = self.await_leader();
+        self.handle(leader, ControlEvent::Entry(link, message));
+        self.run(Duration::from_millis(100));
+        self.take_messages(link)
+    }
+}
+
+pub fn registration(entry: &str, incarnation: u64) -> EntryRegistration {
+    EntryRegistration {
+        entry: entry.parse().unwrap(),
+        incarnation: IncarnationNumber(incarnation),
+        caller_address: "127.0.0.1:9000".parse().unwrap(),
+        failure_domain: "a".parse().unwrap(),
+    }
+}
+
+pub fn renewal(sequence: u64) -> EntryMessage {
+    EntryMessage::Renew {
+        sequence,
+        revision: RevisionNumber(0),
+        digest: StateDigest::default(),
+        draining: false,
+        demand: Vec::new(),
+    }
+}
+
+pub fn claim_key(request: &str, issued_at: u64) -> ClaimKey {
+    ClaimKey {
+        tenant: "quindio".parse().unwrap(),
+        caller: "print-desk".parse().unwrap(),
+        request: request.parse().unwrap(),
+        issued_at: WallTime(issued_at),
+    }
+}
+
+pub fn fingerprint(text: &str) -> RequestFingerprint {
+    RequestFingerprint::of_parts([text.as_bytes()])
+}
+
+pub fn sheet(number: u64, content: &str) -> Arc<SheetDocument> {
+    let caller = CallerSpec { rate: CostRate(100.0), burst: CostUnits(10.0) };
+    let callers = BTreeMap::from([("desk".parse().unwrap(), caller)]);
+    let tenant = TenantSheet { callers, ..TenantSheet::default() };
+    let tenants = BTreeMap::from([("quindio".parse().unwrap(), tenant)]);
+    Arc::new(SheetDocument { number: SheetNumber(number), date: content.into(), tenants })
+}
+
+pub fn apply_sheet(number: u64, content: &str) -> AdminAction {
+    AdminAction::ApplySheet { sheet: sheet(number, content), confirmed_removals: Vec::new() }
+}
+
+pub fn target(name: &str, incarnation: u64, snapshot: u64) -> TargetRecord {
+    let partition = PartitionRecord {
+        snapshot: SnapshotVersion(snapshot),
+        shard: "s1".parse().unwrap(),
+        range: KeyRange::FULL,
+        documents: DocumentCount(10),
+    };
+    TargetRecord {
+        target: name.parse().unwrap(),
+        incarnation: IncarnationNumber(incarnation),
+        address: "127.0.0.1:9100".parse().unwrap(),
+        tenant: "quindio".parse().unwrap(),
+        service: "sales".parse().unwrap(),
+        failure_domain: "a".parse().unwrap(),
+        slots: SlotCount(2),
+        connections: ConnectionCount(25),
+        partitions: vec![partition],
+        draining: false,
+    }
+}
--- /dev/null
+++ b/hickoryspan_store/src/file_log.rs
@@ -0,0 +1,211 @@
+//! The log that makes batches durable.
+
+use std::fs::{self, File};
+
+use hickoryspan_core::control::interface::{
+    DurableLog, HardState, LogEntry, LogIndex, PersistBatch, PersistError, SnapshotRecord,
+};
+use hickoryspan_core::types::ReplicaId;
+
+use crate::error::{StepError, StoreError};
+use crate::file_ops::{self, ReplaceSteps};
+use crate::folder::{DataFolder, HARD_STATE_NAME, snapshot_name, snapshot_path};
+use crate::record;
+use crate::segment::{self, SegmentFile, SegmentRecord};
+
+/// Size from which the next batch starts a new segment; bounds what is read at once at open.
+const SEGMENT_BYTES: u64 = 8 << 20;
+
+const SNAPSHOT_STEPS: ReplaceSteps =
+    ReplaceSteps { write: "snapshot_write", sync: "snapshot_sync", rename: "snapshot_rename" };
+const HARD_STATE_STEPS: ReplaceSteps =
+    ReplaceSteps { write: "hardstate_write", sync: "hardstate_sync", rename: "hardstate_rename" };
+
+/// The durable log of one replica; see [`DataFolder::into_log`].
+#[derive(Debug)]
+pub struct FileLog {
+    folder: DataFolder,
+    // Complete segments, oldest first.
+    complete: Vec<SegmentFile>,
+    active: Option<ActiveSegment>,
+    next_number: u64,
+    snapshot: LogIndex,
+    broken: Option<PersistError>,
+}
+
+#[derive(Debug)]
+struct ActiveSegment {
+    segment: SegmentFile,
+    file: File,
+}
+
+// What a failed step means depends on whether the data before it is intact.
+enum BatchError {
+    Intact(StepError),
+    Broken(StepError),
+}
+
+// After a failed sync nobody knows what is on the disk, whatever the reason.
+impl From<StepError> for BatchError {
+    fn from(error: StepError) -> Self {
+        let intact = error.is_no_space() && !error.step.ends_with("_sync");
+        if intact { Self::Intact(error) } else { Self::Broken(error) }
+    }
+}
+
+impl FileLog {
+    pub(crate) fn open(
+        folder: DataFolder,
+        mut segments: Vec<SegmentFile>,
+        snapshot: LogIndex,
+    ) -> Result<Self, StoreError> {
+        let next_number = segments.last().map_or(1, |segment| segment.number + 1);
+        let active = match segments.pop() {
+            Some(segment) => Some(ActiveSegment { file: segment::reopen(&segment)?, segment }),
+            None => None,
+        };
+        let mut log =
+            Self { folder, complete: segments, active, next_number, snapshot, broken: None };
+        log.remove_covered()?;
+        Ok(log)
+    }
+
+    /// The replica's identity.
+    pub fn identity(&self) -> ReplicaId {
+        self.folder.identity
+    }
+
+    fn write(&mut self, batch: &PersistBatch) -> Result<(), BatchError> {
+        let mut truncate_from = batch.truncate_from;
+        if let Some(snapshot) = &batch.snapshot {
+            // Conflicting entries go first: they must not appear behind a snapshot that replaced the
+            // entries before them.
+            if let Some(from) = truncate_from.take() {
+                self.append(Some(from), &[])?;
+            }
+            self.save_snapshot(snapshot)?;
+        }
+        if truncate_from.is_some() || !batch.entries.is_empty() {
+            self.append(truncate_from, &batch.entries)?;
+        }
+        if let Some(hard_state) = &batch.hard_state {
+            self.save_hard_state(hard_state)?;
+        }
+        Ok(())
+    }
+
+    fn append(
+        &mut self,
+        truncate_from: Option<LogIndex>,
+        entries: &[LogEntry],
+    ) -> Result<(), BatchError> {
+        if self.active.as_ref().is_some_and(|active| active.segment.length >= SEGMENT_BYTES) {
+            self.finish_segment();
+        }
+        let identity = self.folder.identity;
+        let active = match self.active.take() {
+            Some(active) => self.active.insert(active),
+            None => {
+                let active = self.create_segment()?;
+                self.active.insert(active)
+            }
+        };
+        let ActiveSegment { segment, file } = active;
+        let batch = SegmentRecord::Batch { truncate_from, entries: entries.to_vec() };
+        let bytes = record::to_record(identity, segment.length, &segment::encode(&batch));
+        let written =
+            file_ops::write_at("segment_write", &segment.path, file, segment.length, &bytes);
+        if let Err(error) = written {
+            if error.is_no_space() {
+                // What was written of the record would be taken for a fault once other records follow.
+                file_ops::cut("segment_cut", &segment.path, file, segment.length)
+                    .map_err(BatchError::Broken)?;
+            }
+            return Err(error.into());
+        }
+        file_ops::sync("segment_sync", &segment.path, file)?;
+        segment.length += bytes.len() as u64;
+        let indexes = entries.iter().map(|entry| entry.index);
+        segment.max_index = indexes.fold(segment.max_index, LogIndex::max);
+        Ok(())
+    }
+
+    fn create_segment(&mut self) -> Result<ActiveSegment, BatchError> {
+        let (folder, number) = (&self.folder.path, self.next_number);
+        // An incomplete segment is replaced by the next attempt, or removed at open.
+        let (segment, file) = segment::create(folder, self.folder.identity, number)?;
+        self.next_number += 1;
+        Ok(ActiveSegment { segment, file })
+    }
+
+    fn finish_segment(&mut self) {
+        if let Some(active) = self.active.take() {
+            self.complete.push(active.segment);
+        }
+    }
+
+    fn save_snapshot(&mut self, snapshot: &SnapshotRecord) -> Result<(), BatchError> {
+        let payload = segment::encode(snapshot);
+        let bytes = record::to_record(self.folder.identity, 0, &payload);
+        let name = snapshot_name(snapshot.index);
+        self.replace(&SNAPSHOT_STEPS, &name, &bytes)?;
+        let older = std::mem::replace(&mut self.snapshot, snapshot.index);
+        if older != LogIndex(0) && older != snapshot.index {
+            file_ops::remove("snapshot_remove", &snapshot_path(&self.folder.path, older))
+                .map_err(BatchError::Broken)?;
+        }
+        self.finish_segment();
+        self.remove_covered().map_err(BatchError::Broken)
+    }
+
+    // Only the oldest segments are removed, and only as long as everything in them is in the snapshot.
+    fn remove_covered(&mut self) -> Result<(), StepError> {
+        while let Some(oldest) = self.complete.first() {
+            if oldest.max_index > self.snapshot || self.snapshot == LogIndex(0) {
+                break;
+            }
+            file_ops::remove("segment_remove", &oldest.path)?;
+            self.complete.remove(0);
+        }
+        Ok(())
+    }
+
+    fn save_hard_state(&mut self, hard_state: &HardState) -> Result<(), BatchError> {
+        let payload = segment::encode(hard_state);
+        let bytes = record::to_record(self.folder.identity, 0, &payload);
+        self.replace(&HARD_STATE_STEPS, HARD_STATE_NAME, &bytes)
+    }
+
+    fn replace(
+        &mut self,
+        steps: &ReplaceSteps,
+        name: &str,
+        bytes: &[u8],
+    ) -> Result<(), BatchError> {
+        let folder = &self.folder.path;
+        let Err(error) = file_ops::replace(steps, folder, name, bytes) else { return Ok(()) };
+        if error.is_no_space() && error.step == steps.write {
+            // The old file is untouched; the temporary one only takes space.
+            let _ = fs::remove_file(file_ops::temporary_path(folder, name));
+            return Err(BatchError::Intact(error));
+        }
+        Err(BatchError::Broken(error))
+    }
+}
+
+impl DurableLog for FileLog {
+    fn persist(&mut self, batch: &PersistBatch) -> Result<(), PersistError> {
+        if let Some(error) = &self.broken {
+            return Err(error.clone());
+        }
+        match self.write(batch) {
+            Ok(()) => Ok(()),
+            Err(BatchError::Intact(error)) => Err(error.into_no_space()),
+            Err(BatchError::Broken(error)) => {
+                let error = error.into_broken();
+                self.broken = Some(error.clone());
+                Err(error)
+            }
+        }
+    }
+}
--- /dev/null
+++ b/hickoryspan_store/tests/reopen.rs
@@ -0,0 +1,82 @@
+//! Guards what a data folder holds after it is opened again.
+
+mod support;
+
+use hickoryspan_core::control::interface::{DurableLog, HardState, LogIndex, PersistBatch};
+use hickoryspan_core::types::{ReplicaId, TermNumber};
+use hickoryspan_store::{DataFolder, StoreError};
+use support::*;
+
+// A record that is not found again after a restart was acknowledged for nothing.
+#[test]
+fn batches_are_found_again() {
+    let folder = tempfile::tempdir().unwrap();
+    let mut log = create(folder.path());
+    let hard_state = HardState { term: TermNumber(3), voted_for: Some(ReplicaId(9)) };
+    let batch = PersistBatch { hard_state: Some(hard_state), ..entries(1, 4, 3) };
+    log.persist(&batch).unwrap();
+    log.persist(&entries(5, 6, 3)).unwrap();
+    drop(log);
+    let opened = open(folder.path()).unwrap();
+    assert_eq!(opened.log.identity(), IDENTITY);
+    assert_eq!(opened.recovered.hard_state, hard_state);
+    assert_eq!(opened.recovered.entries, entries(1, 6, 3).entries);
+}
+
+// A dropped entry that comes back after a restart contradicts a committed one.
+#[test]
+fn truncated_entries_stay_away() {
+    let folder = tempfile::tempdir().unwrap();
+    let mut log = create(folder.path());
+    log.persist(&entries(1, 6, 1)).unwrap();
+    let batch = PersistBatch { truncate_from: Some(LogIndex(4)), ..entries(4, 5, 2) };
+    log.persist(&batch).unwrap();
+    drop(log);
+    let recovered = open(folder.path()).unwrap().recovered;
+    let mut expected = entries(1, 3, 1).entries;
+    expected.extend(entries(4, 5, 2).entries);
+    assert_eq!(recovered.entries, expected);
+}
+
+// A snapshot that does not replace its log lets restart time grow without bound.
+#[test]
+fn a_snapshot_replaces_the_log_and_later_entries_stay() {
+    let folder = tempfile::tempdir().unwrap();
+    let mut log = create(folder.path());
+    log.persist(&entries(1, 10, 1)).unwrap();
+    log.persist(&PersistBatch { snapshot: Some(snapshot(8, 1)), ..entries(11, 12, 1) }).unwrap();
+    drop(log);
+    let mut opened = open(folder.path()).unwrap();
+    assert_eq!(opened.recovered.snapshot, Some(snapshot(8, 1)));
+    assert_eq!(opened.recovered.entries, entries(9, 12, 1).entries);
+    let batch = PersistBatch { snapshot: Some(snapshot(12, 1)), ..PersistBatch::default() };
+    opened.log.persist(&batch).unwrap();
+    opened.log.persist(&entries(13, 13, 1)).unwrap();
+    let segments = list(folder.path(), "log-");
+    assert_eq!(segments.len(), 1, "{segments:?}");
+    assert_eq!(list(folder.path(), "snapshot-").len(), 1);
+    drop(opened);
+    assert_eq!(open(folder.path()).unwrap().recovered.entries, entries(13, 13, 1).entries);
+}
+
+// Two processes that append to one log destroy it; a second identity would forget its votes.
+#[test]
+fn a_folder_is_used_once_and_created_once() {
+    let folder = tempfile::tempdir().unwrap();
+    let log = create(folder.path());
+    assert!(matches!(DataFolder::open(folder.path()), Err(StoreError::Locked(_))));
+    drop(log);
+    let again = DataFolder::create(folder.path(), ReplicaId(5));
+    assert!(matches!(again, Err(StoreError::Exists(_))));
+    let empty = tempfile::tempdir().unwrap();
+    assert!(matches!(DataFolder::open(empty.path()), Err(StoreError::Missing(_))));
+}
+
+// A later version's folder must not be read with this version's rules.
+#[test]
+fn another_format_is_refused() {
+    let folder = tempfile::tempdir().unwrap();
+    drop(create(folder.path()));
+    std::fs::write(folder.path().join("FORMAT"), "hickoryspan data 2\n").unwrap();
+    assert!(matches!(DataFolder::open(folder.path()), Err(StoreError::Format { .. })));
+}
--- /dev/null
+++ b/hickoryspan_store/tests/support/mod.rs
@@ -0,0 +1,43 @@
+//! Batches and folders for the store's tests.
+
+// Each test file uses a part of it; the lint does not see that helpers run only in tests.
+#![allow(dead_code, clippy::unwrap_used)]
+
+use std::path::Path;
+use std::sync::Arc;
+
+use hickoryspan_core::control::interface::{LogEntry, LogIndex, PersistBatch, SnapshotRecord};
+use hickoryspan_core::types::{ReplicaId, TermNumber};
+use hickoryspan_store::{DataFolder, FileLog, OpenedLog, StoreError};
+
+pub const IDENTITY: ReplicaId = ReplicaId(77);
+
+pub fn create(path: &Path) -> FileLog {
+    DataFolder::create(path, IDENTITY).unwrap().into_log().unwrap().log
+}
+
+pub fn open(path: &Path) -> Result<OpenedLog, StoreError> {
+    DataFolder::open(path)?.into_log()
+}
+
+pub fn entries(first: u64, last: u64, term: u64) -> PersistBatch {
+    let entry = |index: u64| {
+        let payload: Arc<[u8]> = format!("entry {index} of term {term}").into_bytes().into();
+        LogEntry { index: LogIndex(index), term: TermNumber(term), payload }
+    };
+    PersistBatch { entries: (first..=last).map(entry).collect(), ..PersistBatch::default() }
+}
+
+pub fn snapshot(index: u64, term: u64) -> SnapshotRecord {
+    let state = format!("state at {index}").into_bytes().into();
+    SnapshotRecord { index: LogIndex(index), term: TermNumber(term), state }
+}
+
+/// The names in a folder that begin with a text, in order.
+pub fn list(path: &Path, prefix: &str) -> Vec<String> {
+    let entries = std::fs::read_dir(path).unwrap();
+    let names = entries.map(|entry| entry.unwrap().file_name().into_string().unwrap());
+    let mut names: Vec<String> = names.filter(|name| name.starts_with(prefix)).collect();
+    names.sort();
+    names
+}
