Add the entry daemon

Cause: The entry machine needs a process that performs its actions. Change: An actor owns the machine; a filter chain, HTTP routes for callers, a client for targets, a link to control, metrics and health; settings as flags and variables. The HTTP server ends a connection that sends no request within the read time.

--- /dev/null
+++ b/hickoryspan_entry/src/answers.rs
@@ -0,0 +1,213 @@
+//! The bodies and statuses of answers to callers (`docs/openapi.yaml`).
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::str::FromStr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hickoryspan_core::entry::interface::{AddressAnswer, ResponseReason};
+use hickoryspan_core::messages::RequestOutcome;
+use hickoryspan_core::types::{
+    CoverageShare, EntryId, ParseValueError, RequestId, RevisionNumber, SnapshotVersion,
+};
+use hickoryspan_runtime::http_server::{ResponseBody, body_response, json_response};
+use http::{HeaderValue, Response, StatusCode};
+use serde::Serialize;
+
+use crate::controller::CallerReply;
+use crate::errors::insert_request_id;
+
+const JSON: &str = "application/json";
+/// Version of the page token's layout, so that later releases can tell it apart.
+const PAGE_TOKEN_PREFIX: &str = "1-";
+
+/// The name of an outcome in answers, logs and metrics.
+pub(crate) fn outcome_name(outcome: RequestOutcome) -> &'static str {
+    match outcome {
+        RequestOutcome::Complete => "complete",
+        RequestOutcome::Partial => "partial",
+        RequestOutcome::NotRun => "not_run",
+        RequestOutcome::Failed => "failed",
+        RequestOutcome::Unknown => "unknown",
+    }
+}
+
+/// Pins the snapshot of an earlier page; callers treat it as opaque.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct PageToken(pub(crate) SnapshotVersion);
+
+impl fmt::Display for PageToken {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{PAGE_TOKEN_PREFIX}{}", self.0)
+    }
+}
+
+impl FromStr for PageToken {
+    type Err = ParseValueError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let fault = || ParseValueError::new("PageToken", text, "the page_token of an answer");
+        let number = text.strip_prefix(PAGE_TOKEN_PREFIX).ok_or_else(fault)?;
+        number.parse().map(Self).map_err(|_| fault())
+    }
+}
+
+/// The fields of every answer to a search or an order, without the hits or the result.
+#[derive(Serialize)]
+#[serde(rename_all = "snake_case")]
+struct AnswerHead<'a> {
+    outcome: RequestOutcome,
+    reason: Option<ResponseReason>,
+    snapshot: Option<SnapshotVersion>,
+    coverage: CoverageShare,
+    entry: &'a EntryId,
+    attempts: u32,
+    extra_load: u32,
+    retry_after_ms: Option<u64>,
+    other_addresses: &'a [SocketAddr],
+    revision: RevisionNumber,
+    request_id: &'a RequestId,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    page_token: Option<String>,
+}
+
+/// The kind of content that an answer carries.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ContentKind {
+    Search,
+    Order,
+}
+
+/// Who answers which request.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct AnswerContext<'a> {
+    pub(crate) entry: &'a EntryId,
+    pub(crate) request_id: &'a RequestId,
+}
+
+/// The HTTP status of an outcome; `docs/openapi.yaml` lists them.
+pub(crate) fn answer_status(outcome: RequestOutcome, reason: Option<ResponseReason>) -> StatusCode {
+    match (outcome, reason) {
+        (RequestOutcome::Complete | RequestOutcome::Partial, _) => StatusCode::OK,
+        (RequestOutcome::Failed, _) => StatusCode::BAD_GATEWAY,
+        (RequestOutcome::Unknown, Some(ResponseReason::InProgress)) => StatusCode::ACCEPTED,
+        (RequestOutcome::Unknown, Some(ResponseReason::Expired)) => StatusCode::GONE,
+        (RequestOutcome::Unknown, _) => StatusCode::GATEWAY_TIMEOUT,
+        (RequestOutcome::NotRun, Some(reason)) => refusal_status(reason),
+        (RequestOutcome::NotRun, None) => StatusCode::SERVICE_UNAVAILABLE,
+    }
+}
+
+fn refusal_status(reason: ResponseReason) -> StatusCode {
+    match reason {
+        ResponseReason::Malformed => StatusCode::BAD_REQUEST,
+        ResponseReason::UnknownName | ResponseReason::NotFound => StatusCode::NOT_FOUND,
+        ResponseReason::Conflict => StatusCode::CONFLICT,
+        ResponseReason::SnapshotGone | ResponseReason::Expired => StatusCode::GONE,
+        ResponseReason::Quarantined => StatusCode::UNPROCESSABLE_ENTITY,
+        ResponseReason::LimitExceeded => StatusCode::TOO_MANY_REQUESTS,
+        ResponseReason::Deadline => StatusCode::GATEWAY_TIMEOUT,
+        _ => StatusCode::SERVICE_UNAVAILABLE,
+    }
+}
+
+/// The answer to a search, an order or a lookup.
+pub(crate) fn build_answer(
+    reply: &CallerReply,
+    kind: ContentKind,
+    context: AnswerContext<'_>,
+) -> Response<ResponseBody> {
+    let response = &reply.response;
+    let pages = (kind == ContentKind::Search).then_some(response.snapshot).flatten();
+    let head = AnswerHead {
+        outcome: response.outcome,
+        reason: response.reason,
+        snapshot: response.snapshot,
+        coverage: response.coverage,
+        entry: context.entry,
+        attempts: response.attempts,
+        extra_load: response.extra_attempts,
+        retry_after_ms: response.retry_after.map(to_millis),
+        other_addresses: &response.other_addresses,
+        revision: response.revision,
+        request_id: context.request_id,
+        page_token: pages.map(|snapshot| PageToken(snapshot).to_string()),
+    };
+    let status = answer_status(response.outcome, response.reason);
+    let mut answer = match serde_json::to_vec(&head) {
+        Ok(head) => body_response(status, JSON, append_content(head, reply, kind)),
+        Err(error) => {
+            spdlog::error!("request {}: encode answer: {}", context.request_id, error);
+            body_response(StatusCode::INTERNAL_SERVER_ERROR, JSON, Bytes::from_static(b"{}"))
+        }
+    };
+    insert_request_id(&mut answer, Some(context.request_id));
+    if let Some(retry_after) = response.retry_after {
+        // The header has whole seconds; the body states the exact time.
+        let seconds = to_millis(retry_after).div_ceil(1000).max(1);
+        answer.headers_mut().insert(http::header::RETRY_AFTER, HeaderValue::from(seconds));
+    }
+    answer
+}
+
+/// Adds the hits or the result to the object in `head`; their text was checked when the targets' answers were read.
+fn append_content(mut head: Vec<u8>, reply: &CallerReply, kind: ContentKind) -> Bytes {
+    // The closing brace is replaced.
+    head.pop();
+    match kind {
+        ContentKind::Search => {
+            head.extend_from_slice(b",\"hits\":[");
+            append_hits(&mut head, &reply.parts);
+            head.push(b']');
+        }
+        ContentKind::Order => {
+            let recorded = reply.response.recorded_body.as_deref().map(str::as_bytes);
+            let part = reply.parts.first().map(Bytes::as_ref);
+            head.extend_from_slice(b",\"result\":");
+            head.extend_from_slice(part.or(recorded).unwrap_or(b"null"));
+        }
+    }
+    head.push(b'}');
+    head.into()
+}
+
+/// The parts are arrays in key order; an answer's hits are their items in the same order.
+fn append_hits(head: &mut Vec<u8>, parts: &[Bytes]) {
+    let mut is_first = true;
+    for part in parts {
+        let items = part.get(1..part.len().saturating_sub(1)).unwrap_or_default().trim_ascii();
+        if items.is_empty() {
+            continue;
+        }
+        if !is_first {
+            head.push(b',');
+        }
+        head.extend_from_slice(items);
+        is_first = false;
+    }
+}
+
+fn to_millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
+
+#[derive(Serialize)]
+#[serde(rename_all = "snake_case")]
+struct AddressBody<'a> {
+    addresses: &'a [SocketAddr],
+    lifetime_ms: u64,
+    entry: &'a EntryId,
+}
+
+/// The answer to a question for addresses.
+pub(crate) fn build_addresses(
+    answer: &AddressAnswer,
+    context: AnswerContext<'_>,
+) -> Response<ResponseBody> {
+    let lifetime_ms = to_millis(answer.lifetime);
+    let body = AddressBody { addresses: &answer.addresses, lifetime_ms, entry: context.entry };
+    let mut response = json_response(StatusCode::OK, &body);
+    insert_request_id(&mut response, Some(context.request_id));
+    response
+}
--- /dev/null
+++ b/hickoryspan_entry/src/arguments.rs
@@ -0,0 +1,202 @@
+//! Flags and environment variables of the `hickoryspan-entry` program.
+
+use std::net::SocketAddr;
+use std::ops::RangeInclusive;
+use std::time::Duration;
+
+use gumdrop::Options;
+use hickoryspan_core::types::{ByteCount, IncarnationNumber};
+use hickoryspan_runtime::credential::SharedCredential;
+use hickoryspan_runtime::http_server::HttpLimits;
+use hickoryspan_runtime::process::{LogSettings, SettingsRequest};
+use hickoryspan_runtime::settings::{SettingFaults, SettingValue, SettingsReader};
+
+use crate::settings::EntryDaemonSettings;
+
+/// Accepted times of one step of a request.
+const STEP_TIME: RangeInclusive<Duration> = Duration::from_millis(10)..=Duration::from_secs(60);
+/// Accepted times of a planned stop.
+const DRAIN_TIME: RangeInclusive<Duration> = Duration::from_millis(10)..=Duration::from_secs(600);
+/// Smallest accepted limit of header bytes, which the HTTP library demands.
+const MIN_HEADER_BYTES: usize = 8192;
+/// Largest accepted answer of a target: one fan-out holds hundreds of them in memory.
+const MAX_ANSWER_BYTES: ByteCount = ByteCount(64 * 1024 * 1024);
+
+/// The flags; each also has an environment variable, as `--help` states.
+#[derive(Debug, Default, Options)]
+pub struct EntryArguments {
+    /// Prints the help.
+    #[options(no_short, help = "print this help; --some-flag is also HICKORYSPAN_SOME_FLAG")]
+    pub help: bool,
+    /// Prints the version.
+    #[options(no_short, help = "print the version")]
+    pub version: bool,
+    /// Ends after the check of the settings.
+    #[options(no_short, help = "check the settings and end")]
+    pub check_settings: bool,
+    /// Prints the settings in force.
+    #[options(no_short, help = "print the settings in force and end")]
+    pub print_settings: bool,
+    #[options(no_short, help = "name of the entry, stable over restarts", meta = "NAME")]
+    entry_id: Option<String>,
+    #[options(no_short, help = "start of the process (default: the clock)", meta = "NUMBER")]
+    incarnation: Option<String>,
+    #[options(no_short, help = "failure domain of the host", meta = "NAME")]
+    failure_domain: Option<String>,
+    #[options(no_short, help = "address that callers connect to", meta = "ADDRESS")]
+    caller_address: Option<String>,
+    #[options(no_short, help = "address that callers are told, if it differs", meta = "ADDRESS")]
+    advertised_address: Option<String>,
+    #[options(no_short, help = "address of metrics and health", meta = "ADDRESS")]
+    admin_address: Option<String>,
+    #[options(no_short, help = "control replicas, comma-separated", meta = "ADDRESSES")]
+    control_addresses: Option<String>,
+    #[options(no_short, help = "file with the shared credential", meta = "FILE")]
+    credential_file: Option<String>,
+    #[options(no_short, help = "bytes of a request's headers", meta = "BYTES")]
+    header_bytes: Option<String>,
+    #[options(no_short, help = "bytes of a request's body", meta = "BYTES")]
+    body_bytes: Option<String>,
+    #[options(no_short, help = "connections of callers at the same time", meta = "COUNT")]
+    caller_connections: Option<String>,
+    #[options(no_short, help = "requests on one HTTP/2 connection", meta = "COUNT")]
+    caller_streams: Option<String>,
+    #[options(no_short, help = "requests of callers at the same time", meta = "COUNT")]
+    caller_requests: Option<String>,
+    #[options(no_short, help = "time for headers, and again for the body", meta = "TIME")]
+    read_time: Option<String>,
+    #[options(no_short, help = "time for responses after a planned stop", meta = "TIME")]
+    drain_time: Option<String>,
+    #[options(no_short, help = "bytes of a target's answer", meta = "BYTES")]
+    answer_bytes: Option<String>,
+    #[options(no_short, help = "time for the answer to a cancellation", meta = "TIME")]
+    cancel_time: Option<String>,
+    #[options(no_short, help = "seed of random choices (default: random)", meta = "NUMBER")]
+    seed: Option<String>,
+    #[options(no_short, help = "text or json", meta = "FORMAT")]
+    log_format: Option<String>,
+    #[options(no_short, help = "error, warn, info, debug or trace", meta = "LEVEL")]
+    log_level: Option<String>,
+}
+
+/// The settings of the program.
+#[derive(Clone, Debug)]
+pub struct EntryProgram {
+    /// The daemon's settings.
+    pub daemon: EntryDaemonSettings,
+    /// The log settings.
+    pub logs: LogSettings,
+}
+
+impl EntryArguments {
+    /// What to do with the settings.
+    pub fn to_request(&self) -> SettingsRequest {
+        SettingsRequest { check: self.check_settings, print: self.print_settings }
+    }
+
+    /// Reads all settings; the error lists every wrong one.
+    pub fn read(
+        &self,
+        mut reader: SettingsReader,
+    ) -> Result<(EntryProgram, Vec<SettingValue>), SettingFaults> {
+        let (format, level) = (self.log_format.as_deref(), self.log_level.as_deref());
+        let logs = LogSettings::read(&mut reader, format, level);
+        let credential = reader.credential(self.credential_file.as_deref());
+        // Without a credential the reader holds a fault, so the placeholder never leaves this function.
+        let credential = credential.unwrap_or_else(|| {
+            SharedCredential::new("no-credential-was-given").expect("the placeholder is valid")
+        });
+        let mut daemon = EntryDaemonSettings::with_credential(credential);
+        self.read_identity(&mut reader, &mut daemon);
+        self.read_limits(&mut reader, &mut daemon);
+        self.read_target_client(&mut reader, &mut daemon);
+        let accepted = "a whole number";
+        daemon.seed = reader.optional("seed", self.seed.as_deref(), accepted, |_| true);
+        let values = reader.finish()?;
+        Ok((EntryProgram { daemon, logs }, values))
+    }
+
+    fn read_identity(&self, reader: &mut SettingsReader, daemon: &mut EntryDaemonSettings) {
+        let name = "1 to 128 ASCII letters, digits and -_.:/";
+        let address = "an address with a port, such as 127.0.0.1:7100";
+        let given = self.entry_id.as_deref();
+        if let Some(value) = reader.required("entry-id", given, name, |_| true) {
+            daemon.entry = value;
+        }
+        let given = self.incarnation.as_deref();
+        let positive = |number: &IncarnationNumber| number.0 > 0;
+        daemon.incarnation =
+            reader.optional("incarnation", given, "a whole number of 1 or more", positive);
+        let given = self.failure_domain.as_deref();
+        if let Some(value) = reader.required("failure-domain", given, name, |_| true) {
+            daemon.failure_domain = value;
+        }
+        let given = self.caller_address.as_deref();
+        if let Some(value) = reader.required("caller-address", given, address, |_| true) {
+            daemon.caller_address = value;
+        }
+        let given = self.admin_address.as_deref();
+        if let Some(value) = reader.required("admin-address", given, address, |_| true) {
+            daemon.admin_address = value;
+        }
+        let reachable = |value: &SocketAddr| value.port() != 0 && !value.ip().is_unspecified();
+        let given = self.advertised_address.as_deref();
+        daemon.advertised_address =
+            reader.optional("advertised-address", given, address, reachable);
+        if daemon.advertised_address.is_none() && daemon.caller_address.ip().is_unspecified() {
+            let accepted = "an address that callers can reach, as --caller-address is unspecified";
+            reader.reject("advertised-address", "", accepted);
+        }
+        let given = self.control_addresses.as_deref();
+        daemon.control_addresses =
+            reader.list("control-addresses", given, "comma-separated addresses");
+        if daemon.control_addresses.is_empty() {
+            reader.reject("control-addresses", "", "at least one address");
+        }
+    }
+
+    fn read_limits(&self, reader: &mut SettingsReader, daemon: &mut EntryDaemonSettings) {
+        let positive = "a whole number of 1 or more";
+        let check = |count: &usize| *count > 0;
+        let defaults = daemon.caller_limits.clone();
+        let given = self.header_bytes.as_deref();
+        let header_bytes = reader.with_default(
+            "header-bytes",
+            given,
+            defaults.header_bytes,
+            "a whole number of 8192 or more",
+            |bytes: &usize| *bytes >= MIN_HEADER_BYTES,
+        );
+        let given = self.body_bytes.as_deref();
+        let body_bytes =
+            reader.with_default("body-bytes", given, defaults.body_bytes, positive, check);
+        let given = self.caller_connections.as_deref();
+        let connections =
+            reader.with_default("caller-connections", given, defaults.connections, positive, check);
+        let given = self.caller_streams.as_deref();
+        let streams =
+            reader.with_default("caller-streams", given, defaults.streams, positive, |count| {
+                *count > 0
+            });
+        let given = self.read_time.as_deref();
+        let read_time = reader.duration("read-time", given, defaults.read_time, STEP_TIME);
+        let given = self.drain_time.as_deref();
+        let drain_time = reader.duration("drain-time", given, defaults.drain_time, DRAIN_TIME);
+        daemon.caller_limits =
+            HttpLimits { header_bytes, body_bytes, connections, streams, read_time, drain_time };
+        let given = self.caller_requests.as_deref();
+        daemon.caller_requests =
+            reader.with_default("caller-requests", given, daemon.caller_requests, positive, check);
+    }
+
+    fn read_target_client(&self, reader: &mut SettingsReader, daemon: &mut EntryDaemonSettings) {
+        let client = &mut daemon.target_client;
+        let given = self.answer_bytes.as_deref();
+        let check = |bytes: &ByteCount| (ByteCount(1)..=MAX_ANSWER_BYTES).contains(bytes);
+        let accepted = "a whole number from 1 to 67108864";
+        client.answer_bytes =
+            reader.with_default("answer-bytes", given, client.answer_bytes, accepted, check);
+        let given = self.cancel_time.as_deref();
+        client.cancel_time = reader.duration("cancel-time", given, client.cancel_time, STEP_TIME);
+    }
+}
--- /dev/null
+++ b/hickoryspan_entry/src/filters/body.rs
@@ -0,0 +1,92 @@
+//! Reads and decodes request bodies.
+
+use std::time::Instant;
+
+use bytes::Bytes;
+use hickoryspan_core::types::SearchId;
+use hickoryspan_runtime::http_server::{HttpLimits, read_body};
+use serde::Deserialize;
+use serde_json::value::RawValue;
+
+use super::{CallerExchange, CallerRoute, DecodedBody, FilterFuture, NEXT, RequestFilter};
+use crate::answers::PageToken;
+use crate::errors::{CallerError, CallerErrorKind};
+
+/// Reads the body within the size and time limits, and within the caller's deadline.
+pub(crate) struct BodyFilter {
+    pub(crate) limits: HttpLimits,
+}
+
+impl RequestFilter for BodyFilter {
+    fn apply<'a>(&'a self, exchange: &'a mut CallerExchange) -> FilterFuture<'a> {
+        Box::pin(async move {
+            let Some(incoming) = exchange.incoming.take() else { return NEXT };
+            exchange.body = read_body(incoming, &self.limits).await?;
+            let elapsed = Instant::now().saturating_duration_since(exchange.arrival);
+            if exchange.headers.deadline.is_some_and(|deadline| deadline <= elapsed) {
+                let detail = "the deadline passed while the body arrived";
+                return Err(CallerError::new(CallerErrorKind::DeadlinePassed, detail));
+            }
+            NEXT
+        })
+    }
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "snake_case", deny_unknown_fields)]
+struct SearchBody<'a> {
+    search: SearchId,
+    #[serde(borrow)]
+    query: &'a RawValue,
+    page_token: Option<String>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "snake_case", deny_unknown_fields)]
+struct OrderBody<'a> {
+    order: SearchId,
+    #[serde(borrow)]
+    content: &'a RawValue,
+}
+
+/// Decodes the JSON body of searches and orders; the query itself stays text.
+pub(crate) struct DecodeFilter;
+
+impl RequestFilter for DecodeFilter {
+    fn apply<'a>(&'a self, exchange: &'a mut CallerExchange) -> FilterFuture<'a> {
+        Box::pin(async move {
+            exchange.decoded = match exchange.route {
+                Some(CallerRoute::Search) => Some(decode_search(&exchange.body)?),
+                Some(CallerRoute::Order) => Some(decode_order(&exchange.body)?),
+                _ => None,
+            };
+            NEXT
+        })
+    }
+}
+
+fn malformed(error: &serde_json::Error) -> CallerError {
+    CallerError::new(CallerErrorKind::MalformedBody, error.to_string())
+}
+
+fn decode_search(body: &Bytes) -> Result<DecodedBody, CallerError> {
+    let decoded: SearchBody<'_> =
+        serde_json::from_slice(body).map_err(|error| malformed(&error))?;
+    let pinned = match decoded.page_token {
+        Some(text) => {
+            let fault = |error: hickoryspan_core::types::ParseValueError| {
+                CallerError::new(CallerErrorKind::MalformedPageToken, error.to_string())
+            };
+            Some(text.parse::<PageToken>().map_err(fault)?.0)
+        }
+        None => None,
+    };
+    let content = body.slice_ref(decoded.query.get().as_bytes());
+    Ok(DecodedBody { search: decoded.search, content, pinned })
+}
+
+fn decode_order(body: &Bytes) -> Result<DecodedBody, CallerError> {
+    let decoded: OrderBody<'_> = serde_json::from_slice(body).map_err(|error| malformed(&error))?;
+    let content = body.slice_ref(decoded.content.get().as_bytes());
+    Ok(DecodedBody { search: decoded.order, content, pinned: None })
+}
--- a/hickoryspan_entry/src/lib.rs
+++ b/hickoryspan_entry/src/lib.rs
@@ -1,1 +1,24 @@
-//! Placeholder.
+//! The entry daemon: answers callers over HTTP and performs the actions of the entry machine.
+//!
+//! It makes no decision of its own; see `docs/design.md`, sections 2 and 6.
+
+#![warn(missing_docs)]
+
+mod admin_api;
+mod answers;
+pub mod arguments;
+mod caller_api;
+mod control_link;
+mod controller;
+mod daemon;
+mod errors;
+mod filters;
+mod measures;
+mod readiness;
+pub mod settings;
+mod target_client;
+mod target_protocol;
+
+pub use caller_api::CALLER_ROUTES;
+pub use daemon::{EntryDaemon, EntryHandle};
+pub use settings::EntryDaemonSettings;
--- /dev/null
+++ b/hickoryspan_entry/tests/common/mod.rs
@@ -0,0 +1,425 @@
+//! A small control stand-in, real stand-in targets and a caller, all over loopback sockets.
+
+#![allow(dead_code, reason = "not every test file uses every helper")]
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use bytes::Bytes;
+use hickoryspan_core::membership::{
+    EntryRecord, MembershipView, PartitionRecord, ServiceKey, TargetRecord, ViewChange,
+};
+use hickoryspan_core::messages::{
+    ClaimKey, ClaimState, ClaimVerdict, ControlMessage, EntryMessage, EntryRegistration,
+    LookupVerdict,
+};
+use hickoryspan_core::sheet::{
+    CallerSpec, ClassSpec, CompletionPolicy, SearchSpec, ServiceKind, ServiceSpec, ShardScope,
+    SheetDocument, TenantSheet,
+};
+use hickoryspan_core::types::{
+    ConnectionCount, CostRate, CostUnits, CoverageShare, DocumentCount, KeyRange, OrdinalNumber,
+    RevisionNumber, SheetNumber, SnapshotVersion,
+};
+use hickoryspan_entry::{EntryDaemon, EntryDaemonSettings, EntryHandle};
+use hickoryspan_runtime::credential::SharedCredential;
+use hickoryspan_runtime::http_client::{HttpAnswer, HttpConnection};
+use hickoryspan_runtime::peer_link::PeerLink;
+use hickoryspan_target::settings::TargetSettings;
+use hickoryspan_target::{TargetHandle, TargetServer};
+use http::Request;
+use http_body_util::Full;
+use serde_json::Value;
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, watch};
+use tokio::task::JoinSet;
+
+pub const TENANT: &str = "quindio";
+pub const SNAPSHOT: SnapshotVersion = SnapshotVersion(7);
+pub const SEED: u64 = 7;
+/// Bounds a test that hangs; no verdict depends on it.
+pub const PATIENCE: Duration = Duration::from_secs(30);
+const ANSWER_BYTES: usize = 4 * 1024 * 1024;
+
+pub fn credential() -> SharedCredential {
+    SharedCredential::new("a-credential-for-tests").unwrap()
+}
+
+/// A sheet with a sharded service, a single service for orders, and two classes.
+pub fn sheet(deadline: Duration) -> SheetDocument {
+    let class = |priority, policy| ClassSpec {
+        priority,
+        deadline,
+        policy,
+        coverage_floor: CoverageShare::FULL,
+    };
+    let search = |service: &str, idempotent| SearchSpec {
+        service: service.parse().unwrap(),
+        scope: ShardScope::All,
+        weight: CostUnits(1.0),
+        idempotent,
+    };
+    let caller = CallerSpec { rate: CostRate(1e6), burst: CostUnits(1e6) };
+    let tenant = TenantSheet {
+        services: BTreeMap::from([
+            ("history".parse().unwrap(), ServiceSpec { kind: ServiceKind::Sharded }),
+            ("press".parse().unwrap(), ServiceSpec { kind: ServiceKind::Single }),
+        ]),
+        searches: BTreeMap::from([
+            ("find".parse().unwrap(), search("history", true)),
+            ("print".parse().unwrap(), search("press", false)),
+        ]),
+        callers: BTreeMap::from([("console".parse().unwrap(), caller)]),
+        classes: BTreeMap::from([
+            ("phone".parse().unwrap(), class(9, CompletionPolicy::DeadlineFirst)),
+            ("thorough".parse().unwrap(), class(1, CompletionPolicy::CoverageFirst)),
+        ]),
+    };
+    SheetDocument {
+        number: SheetNumber(1),
+        date: "2026-12-04".into(),
+        tenants: BTreeMap::from([(TENANT.parse().unwrap(), tenant)]),
+    }
+}
+
+/// The partition of one of `count` equal shards; the documents grow with the index.
+pub fn partition(index: u32, count: u32) -> PartitionRecord {
+    PartitionRecord {
+        snapshot: SNAPSHOT,
+        shard: format!("s{index:03}").parse().unwrap(),
+        range: KeyRange::split_evenly(count)[index as usize],
+        documents: DocumentCount(100 + u64::from(index)),
+    }
+}
+
+/// Starts a target of the sharded service with one partition.
+pub async fn start_shard(index: u32, count: u32, settings: TargetSettings) -> TargetHandle {
+    let settings = TargetSettings {
+        target: format!("t{index:03}").parse().unwrap(),
+        tenant: TENANT.parse().unwrap(),
+        service: "history".parse().unwrap(),
+        failure_domain: "d1".parse().unwrap(),
+        credential: Some(credential()),
+        connections: ConnectionCount(64),
+        partitions: vec![partition(index, count)],
+        ..settings
+    };
+    TargetServer::start(settings).await.unwrap()
+}
+
+/// Starts a target of the service that runs orders.
+pub async fn start_press() -> TargetHandle {
+    let settings = TargetSettings {
+        target: "press-1".parse().unwrap(),
+        tenant: TENANT.parse().unwrap(),
+        service: "press".parse().unwrap(),
+        failure_domain: "d1".parse().unwrap(),
+        credential: Some(credential()),
+        connections: ConnectionCount(64),
+        partitions: vec![PartitionRecord {
+            snapshot: SNAPSHOT,
+            shard: "all".parse().unwrap(),
+            range: KeyRange::FULL,
+            documents: DocumentCount(1),
+        }],
+        ..TargetSettings::default()
+    };
+    TargetServer::start(settings).await.unwrap()
+}
+
+/// A view at revision 1 with these targets, and the manifests that follow from their partitions.
+pub fn view(targets: impl IntoIterator<Item = TargetRecord>, deadline: Duration) -> MembershipView {
+    let mut view = MembershipView::default();
+    let mut changes = vec![ViewChange::PutSheet(Arc::new(sheet(deadline)))];
+    for record in targets {
+        let key = ServiceKey { tenant: record.tenant.clone(), service: record.service.clone() };
+        for partition in &record.partitions {
+            changes.push(ViewChange::PutPartition(key.clone(), partition.clone()));
+        }
+        changes.push(ViewChange::PutTarget(record));
+    }
+    view.apply(RevisionNumber(1), changes);
+    view
+}
+
+type ClaimTable = HashMap<ClaimKey, ClaimState>;
+
+/// Answers entries like a control replica that leads, without replication.
+pub struct FakeControl {
+    pub address: SocketAddr,
+    view: Arc<Mutex<MembershipView>>,
+    publish: watch::Sender<u64>,
+    tasks: JoinSet<()>,
+}
+
+impl FakeControl {
+    pub async fn start(view: MembershipView) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let view = Arc::new(Mutex::new(view));
+        let publish = watch::Sender::new(0);
+        let mut tasks = JoinSet::new();
+        tasks.spawn(run_control(listener, Arc::clone(&view), publish.clone()));
+        Self { address, view, publish, tasks }
+    }
+
+    /// Applies changes and sends the whole view to the connected entries.
+    pub fn publish(&self, changes: Vec<ViewChange>) {
+        {
+            let mut view = self.view.lock().unwrap();
+            let next = view.revision.next();
+            view.apply(next, changes);
+        }
+        self.publish.send_modify(|count| *count += 1);
+    }
+
+    pub async fn stop(mut self) {
+        self.tasks.shutdown().await;
+    }
+}
+
+async fn run_control(
+    listener: TcpListener,
+    view: Arc<Mutex<MembershipView>>,
+    publish: watch::Sender<u64>,
+) {
+    let claims = Arc::new(Mutex::new(ClaimTable::new()));
+    let mut links = JoinSet::new();
+    loop {
+        let (stream, _) = listener.accept().await.unwrap();
+        let link = PeerLink::accept(stream, &credential()).await.unwrap().link;
+        let (view, claims) = (Arc::clone(&view), Arc::clone(&claims));
+        let mut published = publish.subscribe();
+        published.mark_unchanged();
+        links.spawn(async move {
+            let (sender, outgoing) = mpsc::channel(1024);
+            let answers = sender.clone();
+            let view_in_link = Arc::clone(&view);
+            let pump = link.pump(outgoing, move |message: EntryMessage| {
+                if let Some(answer) = answer(&claims, &view_in_link, message) {
+                    answers.try_send(answer).unwrap();
+                }
+                true
+            });
+            let push = async {
+                while published.changed().await.is_ok() {
+                    let view = view.lock().unwrap().clone();
+                    sender.send(ControlMessage::View(Box::new(view))).await.unwrap();
+                }
+            };
+            tokio::select! {
+                _ = pump => {}
+                () = push => {}
+            }
+        });
+    }
+}
+
+fn answer(
+    claims: &Mutex<ClaimTable>,
+    view: &Mutex<MembershipView>,
+    message: EntryMessage,
+) -> Option<ControlMessage> {
+    let mut claims = claims.lock().unwrap();
+    match message {
+        EntryMessage::Hello { registration, .. } => {
+            let view = welcome_view(&mut view.lock().unwrap(), &registration);
+            Some(ControlMessage::Welcome {
+                ordinal: OrdinalNumber(0),
+                max_ordinals: 1,
+                view: Box::new(view),
+            })
+        }
+        EntryMessage::Renew { sequence, .. } => Some(ControlMessage::Renewed {
+            sequence,
+            lease: Duration::from_secs(60),
+            committed: view.lock().unwrap().revision,
+            shares: Vec::new(),
+            share_lease: Duration::from_secs(60),
+        }),
+        EntryMessage::Resync => Some(ControlMessage::View(Box::new(view.lock().unwrap().clone()))),
+        EntryMessage::Claim { token, key, .. } => {
+            let verdict = match claims.get(&key) {
+                Some(existing) => ClaimVerdict::Existing(existing.clone()),
+                None => {
+                    let open = ClaimState::Open {
+                        entry: "e1".parse().unwrap(),
+                        incarnation: Default::default(),
+                    };
+                    claims.insert(key, open);
+                    ClaimVerdict::Granted
+                }
+            };
+            Some(ControlMessage::ClaimAnswer { token, verdict })
+        }
+        EntryMessage::Settle { key, outcome } => {
+            claims.insert(key.clone(), ClaimState::Settled(outcome));
+            Some(ControlMessage::Settled(key))
+        }
+        EntryMessage::Lookup { token, key } => {
+            let verdict = match claims.get(&key) {
+                Some(found) => LookupVerdict::Found(found.clone()),
+                None => LookupVerdict::Absent,
+            };
+            Some(ControlMessage::LookupAnswer { token, verdict })
+        }
+        EntryMessage::Release
+        | EntryMessage::ReportCrash { .. }
+        | EntryMessage::ClearSuspect(_) => None,
+    }
+}
+
+fn welcome_view(view: &mut MembershipView, registration: &EntryRegistration) -> MembershipView {
+    let record = EntryRecord {
+        entry: registration.entry.clone(),
+        incarnation: registration.incarnation,
+        caller_address: registration.caller_address,
+        failure_domain: registration.failure_domain.clone(),
+        ordinal: OrdinalNumber(0),
+        draining: false,
+    };
+    let next = view.revision.next();
+    view.apply(next, [ViewChange::PutEntry(record)]);
+    view.clone()
+}
+
+/// Starts an entry daemon that talks to this control.
+pub async fn start_entry(control: &FakeControl) -> EntryHandle {
+    start_entry_with(control, |settings| settings).await
+}
+
+pub async fn start_entry_with(
+    control: &FakeControl,
+    change: impl Fn(EntryDaemonSettings) -> EntryDaemonSettings,
+) -> EntryHandle {
+    let settings = EntryDaemonSettings {
+        entry: "e1".parse().unwrap(),
+        control_addresses: vec![control.address],
+        seed: Some(SEED),
+        ..EntryDaemonSettings::with_credential(credential())
+    };
+    EntryDaemon::start(change(settings)).await.unwrap()
+}
+
+/// An answer as status and JSON body.
+pub struct CallerAnswer {
+    pub status: u16,
+    pub body: Value,
+}
+
+impl CallerAnswer {
+    fn new(answer: &HttpAnswer) -> Self {
+        let body = serde_json::from_slice(&answer.body)
+            .unwrap_or_else(|error| panic!("{error}: {}", String::from_utf8_lossy(&answer.body)));
+        Self { status: answer.status.as_u16(), body }
+    }
+
+    pub fn outcome(&self) -> &str {
+        self.body["outcome"].as_str().unwrap_or_default()
+    }
+
+    pub fn reason(&self) -> &str {
+        self.body["reason"].as_str().unwrap_or_default()
+    }
+}
+
+/// The headers of an ordinary caller.
+pub fn caller_headers() -> Vec<(&'static str, String)> {
+    vec![
+        ("hs-tenant", TENANT.to_owned()),
+        ("hs-caller", "console".to_owned()),
+        ("hs-class", "phone".to_owned()),
+    ]
+}
+
+pub async fn connect(address: SocketAddr) -> HttpConnection {
+    HttpConnection::open(address, PATIENCE).await.unwrap()
+}
+
+pub fn build_request(
+    method: &str,
+    path: &str,
+    headers: &[(&'static str, String)],
+    body: &str,
+) -> Request<Full<Bytes>> {
+    let mut builder = Request::builder().method(method).uri(path).header("host", "entry");
+    for (name, value) in headers {
+        builder = builder.header(*name, value);
+    }
+    builder.body(Full::new(Bytes::copy_from_slice(body.as_bytes()))).unwrap()
+}
+
+/// Sends one request on a connection of its own.
+pub async fn call(
+    address: SocketAddr,
+    method: &str,
+    path: &str,
+    headers: &[(&'static str, String)],
+    body: &str,
+) -> CallerAnswer {
+    let mut connection = connect(address).await;
+    let request = build_request(method, path, headers, body);
+    let sent = connection.send(request, ANSWER_BYTES);
+    let answer = tokio::time::timeout(PATIENCE, sent).await.unwrap().unwrap();
+    connection.close().await;
+    CallerAnswer::new(&answer)
+}
+
+pub async fn search(address: SocketAddr, query: &str) -> CallerAnswer {
+    let body = format!(r#"{{"search":"find","query":{query}}}"#);
+    call(address, "POST", "/v1/search", &caller_headers(), &body).await
+}
+
+/// Headers of an order that is issued now.
+pub fn order_headers(request: &str) -> Vec<(&'static str, String)> {
+    let mut headers = caller_headers();
+    headers.push(("hs-request-id", request.to_owned()));
+    headers.push(("hs-issued-at", hickoryspan_runtime::clock::wall_time().to_string()));
+    headers
+}
+
+pub async fn order(address: SocketAddr, headers: &[(&'static str, String)]) -> CallerAnswer {
+    let body = r#"{"order":"print","content":{"trays":12}}"#;
+    call(address, "POST", "/v1/orders", headers, body).await
+}
+
+/// Waits until the entry has a configuration and a connection to each target.
+pub async fn wait_ready<'a>(
+    entry: &EntryHandle,
+    targets: impl IntoIterator<Item = &'a TargetHandle>,
+) {
+    let ready = async {
+        while plain_get(entry.admin_address(), "/readyz").await.0 != 200 {
+            tokio::time::sleep(Duration::from_millis(2)).await;
+        }
+        for target in targets {
+            while target.open_connections() == 0 {
+                tokio::time::sleep(Duration::from_millis(2)).await;
+            }
+        }
+    };
+    tokio::time::timeout(PATIENCE, ready).await.expect("the entry does not become ready");
+}
+
+/// The status and text of a path on the admin port.
+pub async fn plain_get(address: SocketAddr, path: &str) -> (u16, String) {
+    let mut connection = connect(address).await;
+    let headers = [("authorization", credential().to_header())];
+    let request = build_request("GET", path, &headers, "");
+    let answer = connection.send(request, ANSWER_BYTES).await.unwrap();
+    connection.close().await;
+    (answer.status.as_u16(), String::from_utf8_lossy(&answer.body).into_owned())
+}
+
+/// Targets by name, for views.
+pub fn records<'a>(targets: impl IntoIterator<Item = &'a TargetHandle>) -> Vec<TargetRecord> {
+    targets.into_iter().map(TargetHandle::to_record).collect()
+}
+
+pub async fn stop_all(targets: Vec<TargetHandle>) {
+    for target in targets {
+        target.stop().await;
+    }
+}
--- a/hickoryspan_runtime/src/http_server.rs
+++ b/hickoryspan_runtime/src/http_server.rs
@@ -166,13 +166,28 @@
         .max_header_list_size(u32::try_from(limits.header_bytes).unwrap_or(u32::MAX))
         .keep_alive_interval(limits.read_time)
         .keep_alive_timeout(limits.read_time);
+    let first_request = CancellationToken::new();
+    let arrived = first_request.clone();
     let service = service_fn(move |request| {
+        arrived.cancel();
         let handler = Arc::clone(&handler);
         async move { Ok::<_, Infallible>(handler.handle(request, peer).await) }
     });
     let connection = builder.serve_connection(TokioIo::new(stream), service);
-    if let Err(error) = watcher.watch(connection.into_owned()).await {
-        spdlog::debug!("HTTP server: {}: {}", peer, error);
+    // The library's own timer starts only once the protocol version is known.
+    let is_slow = async {
+        tokio::select! {
+            () = first_request.cancelled() => std::future::pending().await,
+            () = tokio::time::sleep(limits.read_time) => {}
+        }
+    };
+    tokio::select! {
+        ended = watcher.watch(connection.into_owned()) => {
+            if let Err(error) = ended {
+                spdlog::debug!("HTTP server: {}: {}", peer, error);
+            }
+        }
+        () = is_slow => spdlog::debug!("HTTP server: {}: no request within the read time", peer),
     }
 }
 
--- a/hickoryspan_runtime/src/metrics_page.rs
+++ b/hickoryspan_runtime/src/metrics_page.rs
@@ -3,12 +3,17 @@
 use std::sync::OnceLock;
 
 use anyhow::{Context, anyhow};
-use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+use metrics_exporter_prometheus::{Matcher, PrometheusBuilder, PrometheusHandle};
 
 /// Upper bounds of latency histograms in seconds, from well below to well above the deadlines of both tenants.
 const LATENCY_BUCKETS_SECONDS: [f64; 16] =
     [0.001, 0.002, 0.005, 0.01, 0.02, 0.03, 0.05, 0.076, 0.1, 0.15, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0];
 
+/// Upper bounds of histograms of shares, close together near 1, where a missing part of an answer shows.
+const RATIO_BUCKETS: [f64; 10] = [0.0, 0.25, 0.5, 0.75, 0.9, 0.95, 0.99, 0.995, 0.999, 1.0];
+/// The ending of the names of metrics that are shares.
+const RATIO_SUFFIX: &str = "_ratio";
+
 static HANDLE: OnceLock<Result<PrometheusHandle, String>> = OnceLock::new();
 
 /// Renders what the process has recorded.
@@ -24,6 +29,10 @@
         let installed = HANDLE.get_or_init(|| {
             PrometheusBuilder::new()
                 .set_buckets(&LATENCY_BUCKETS_SECONDS)
+                .and_then(|builder| {
+                    let matcher = Matcher::Suffix(RATIO_SUFFIX.to_owned());
+                    builder.set_buckets_for_metric(matcher, &RATIO_BUCKETS)
+                })
                 .and_then(|builder| builder.install_recorder())
                 .map_err(|error| error.to_string())
         });
