--- a/hickoryspan_core/src/entry/machine.rs
+++ b/hickoryspan_core/src/entry/machine.rs
@@ -176,7 +176,7 @@
         message: ControlMessage,
         actions: &mut Vec<EntryAction>,
     ) {
-        if !self.session.hear(now.monotonic) {
+        if !self.session.is_listening() {
             return;
         }
         match message {
@@ -202,7 +202,7 @@
                 self.after_update(now, update, actions);
             }
             ControlMessage::Renewed { sequence, lease, committed, .. } => {
-                self.session.renewed(sequence, lease);
+                self.session.renewed(now.monotonic, sequence, lease);
                 if self.configuration.lags_behind(committed) {
                     self.after_update(now, ViewUpdate::Unfit, actions);
                 }
--- a/hickoryspan_core/src/entry/session.rs
+++ b/hickoryspan_core/src/entry/session.rs
@@ -25,8 +25,8 @@
     pub connect_limit: Duration,
     /// Longest wait for the first answer on a link; it includes a commit and a confirmed read.
     pub greeting_limit: Duration,
-    /// Longest silence on an established link. Two renewals are unanswered by then, and more than half of
-    /// the default lease is left to reach another replica.
+    /// Longest time without a confirmed renewal on an established link. Two renewals are unanswered by
+    /// then, and more than half of the default lease is left to reach another replica.
     pub silence_limit: Duration,
     /// Wait after the first failure; it doubles with each further one.
     pub backoff_base: Duration,
@@ -218,11 +218,8 @@
         }
     }
 
-    /// Notes that a message arrived on the current link; false if no link is in use.
-    pub fn hear(&mut self, now: MonotonicTime) -> bool {
-        if let LinkState::Established { heard, .. } = &mut self.link {
-            *heard = now;
-        }
+    /// Whether messages of control belong to a link in use; a given-up link may still deliver some.
+    pub fn is_listening(&self) -> bool {
         matches!(self.link, LinkState::Greeting { .. } | LinkState::Established { .. })
     }
 
@@ -275,9 +272,17 @@
     }
 
     /// Control confirmed a renewal; returns when it was sent, if it is the newest answer on this link.
-    pub fn renewed(&mut self, sequence: u64, lease: Duration) -> Option<MonotonicTime> {
+    pub fn renewed(
+        &mut self,
+        now: MonotonicTime,
+        sequence: u64,
+        lease: Duration,
+    ) -> Option<MonotonicTime> {
         let sent = self.renewals.remove(&sequence)?;
         self.renewals.retain(|&other, _| other > sequence);
+        if let LinkState::Established { heard, .. } = &mut self.link {
+            *heard = now;
+        }
         let hold = self.hold.as_mut()?;
         hold.lease_until = hold.lease_until.max(sent + lease);
         hold.confirmed_until = hold.confirmed_until.max(hold.lease_until);
@@ -381,10 +386,10 @@
             return;
         }
         if pledge.is_zero() {
-            self.pledges.remove(&address);
             return;
         }
-        self.pledges.insert(address, sent + pledge);
+        let end = self.pledges.entry(address).or_default();
+        *end = (*end).max(sent + pledge);
         self.shortest_pledge =
             Some(self.shortest_pledge.map_or(pledge, |shortest| shortest.min(pledge)));
         let majority = self.rotation.len() / 2 + 1;
--- a/hickoryspan_core/tests/entry_support/mod.rs
+++ b/hickoryspan_core/tests/entry_support/mod.rs
@@ -226,9 +226,6 @@
     pub fn event(&mut self, event: EntryEvent) {
         let mut actions = Vec::new();
         self.machine.handle(self.now, event, &mut actions);
-        for action in &actions {
-            self.answer(action);
-        }
         let replies = if self.answers { self.replies(&actions) } else { Vec::new() };
         self.actions.extend(actions);
         for reply in replies {
@@ -236,8 +233,6 @@
         }
     }
 
-    fn answer(&mut self, _action: &EntryAction) {}
-
     fn replies(&self, actions: &[EntryAction]) -> Vec<EntryEvent> {
         actions
             .iter()
@@ -347,6 +342,30 @@
         }
     }
 
+    /// Takes the addresses to which links were opened out of the actions.
+    pub fn connects(&mut self) -> Vec<SocketAddr> {
+        let mut connects = Vec::new();
+        self.actions.retain(|action| match action {
+            EntryAction::ConnectControl(address) => {
+                connects.push(*address);
+                false
+            }
+            _ => true,
+        });
+        connects
+    }
+
+    /// Whether the engine may use connections now.
+    pub fn has_share(&self) -> bool {
+        self.engine.script().shares.last().is_some_and(Option::is_some)
+    }
+
+    /// The outcome and reason of a new search, which is started and left running if it is not refused.
+    pub fn probe_search(&mut self) -> Option<(RequestOutcome, Option<ResponseReason>)> {
+        let token = self.search();
+        self.response(token).map(|response| (response.outcome, response.reason))
+    }
+
     /// Takes the messages sent to control out of the actions.
     pub fn sent(&mut self) -> Vec<EntryMessage> {
         let mut sent = Vec::new();
