--- a/hickoryspan_core/src/entry/engine.rs
+++ b/hickoryspan_core/src/entry/engine.rs
@@ -1,98 +1,426 @@
-//! The fan-out engine: runs admitted searches and claimed orders on targets.
+//! The fan-out engine: runs admitted searches and claimed orders on targets (`docs/design/request_path.md`).
 
-use std::collections::VecDeque;
+use std::collections::{HashMap, VecDeque};
 
 use rand_chacha::ChaCha12Rng;
 
-use crate::membership::MembershipView;
-use crate::types::{ClockReading, FailureDomain, MonotonicTime, OrdinalNumber, QueryToken};
+use crate::membership::{MembershipView, ServiceKey};
+use crate::sheet::CompletionPolicy;
+use crate::types::{ClockReading, FailureDomain, MonotonicTime, QueryToken, RequestFingerprint};
 
-use super::interface::{EntryAction, EntryEvent};
-use super::plan::{EngineReport, OrderPlan, SearchPlan};
+use super::answers::AttemptAnswer;
+use super::budgets::BudgetSettings;
+use super::concurrency::ConcurrencySettings;
+use super::connections::ConnectionSettings;
+pub use super::connections::OrdinalShare;
+use super::coverage::CoverageCounter;
+use super::crashes::{CrashSettings, DomainOutcomes};
+use super::dispatch::{PartitionRef, RequestDispatcher};
+use super::hedging::HedgeSettings;
+use super::interface::{EntryAction, EntryEvent, ResponseReason};
+use super::latency::LatencySettings;
+use super::lifecycle::refused_search;
+use super::outliers::OutlierSettings;
+use super::plan::{EngineReport, FanoutMode, OrderPlan, OrderResult, SearchPlan};
+use super::queries::{
+    CanaryStage, PartitionState, PartitionStatus, QueryKind, QuerySettings, QueryState,
+};
+use super::routing::RoutingSettings;
+use super::slab::{KeyedSlab, QueryKey};
+use super::snapshots::{LayoutChoice, SearchScope, ServiceIndex};
+use super::timers::TimerKey;
 
-/// Settings of the fan-out engine.
-#[derive(Clone, Debug, Default)]
-pub struct EngineSettings {}
-
-/// Which connections this process may open: its ordinal among all ordinals.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct OrdinalShare {
-    /// The ordinal that this process leases.
-    pub ordinal: OrdinalNumber,
-    /// The number of ordinals.
-    pub max_ordinals: u32,
+/// Settings of the fan-out engine. Hedging, load-aware routing, budgets and ejection can be switched off one by
+/// one for experiments.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct EngineSettings {
+    /// The choice of targets.
+    pub routing: RoutingSettings,
+    /// Ejection of unhealthy targets.
+    pub outliers: OutlierSettings,
+    /// Connections to targets.
+    pub connections: ConnectionSettings,
+    /// Requests in flight on one target.
+    pub concurrency: ConcurrencySettings,
+    /// Hedges and retries.
+    pub hedging: HedgeSettings,
+    /// Bounds of hedges and retries.
+    pub budgets: BudgetSettings,
+    /// The latency estimate.
+    pub latency: LatencySettings,
+    /// Crash evidence.
+    pub crashes: CrashSettings,
+    /// Deadlines and waiting.
+    pub queries: QuerySettings,
 }
 
 /// Runs searches and orders on targets; pushes actions for the driver and reports for the entry machine.
 #[derive(Debug)]
 pub struct FanoutEngine {
-    reports: VecDeque<EngineReport>,
+    pub(super) dispatcher: RequestDispatcher,
+    pub(super) queries: KeyedSlab<QueryKey, QueryState>,
+    pub(super) by_token: HashMap<QueryToken, QueryKey>,
+    pub(super) reports: VecDeque<EngineReport>,
+    pub(super) spare_partitions: Vec<Vec<PartitionState>>,
+}
+
+/// What a query needs at its start.
+struct QueryStart {
+    token: QueryToken,
+    kind: QueryKind,
+    service: ServiceIndex,
+    fingerprint: RequestFingerprint,
+    end_at: MonotonicTime,
+    choice: LayoutChoice,
+    mode: FanoutMode,
 }
 
 impl FanoutEngine {
     /// An engine without members; it opens no connection before a share is given.
     pub fn new(
-        _settings: EngineSettings,
-        _failure_domain: FailureDomain,
-        _generator: ChaCha12Rng,
+        settings: EngineSettings,
+        failure_domain: FailureDomain,
+        generator: ChaCha12Rng,
     ) -> Self {
-        Self { reports: VecDeque::new() }
+        Self {
+            dispatcher: RequestDispatcher::new(settings, failure_domain, generator),
+            queries: KeyedSlab::default(),
+            by_token: HashMap::new(),
+            reports: VecDeque::new(),
+            spare_partitions: Vec::new(),
+        }
     }
 
     /// Takes over a new view; targets that left or drain get no new work from now on.
     pub fn update_view(
         &mut self,
-        _now: ClockReading,
-        _view: &MembershipView,
-        _actions: &mut Vec<EntryAction>,
+        now: ClockReading,
+        view: &MembershipView,
+        actions: &mut Vec<EntryAction>,
     ) {
+        let now = now.monotonic;
+        self.fire_due(now, actions);
+        let RequestDispatcher { fleet, directory, settings, .. } = &mut self.dispatcher;
+        let mut change = fleet.update(now, view, |record| {
+            let (tenant, service) = (record.tenant.clone(), record.service.clone());
+            let key = ServiceKey { tenant, service };
+            directory.ensure(&key, settings.latency, &settings.budgets)
+        });
+        for key in view.snapshots.keys() {
+            directory.ensure(key, settings.latency, &settings.budgets);
+        }
+        for service in directory.indexes() {
+            let manifests = view.snapshots.get(&directory.service(service).key);
+            if directory.set_manifests(service, manifests) {
+                change.services.push(service);
+            }
+        }
+        change.services.sort_unstable();
+        change.services.dedup();
+        for service in &change.services {
+            directory.rebuild(*service, fleet);
+        }
+        for restarted in &change.restarted {
+            self.drop_former_incarnation(restarted, now, actions);
+        }
+        for target in change.left {
+            self.confirm_loss(target, now);
+        }
+        for target in &change.touched {
+            self.close_surplus(*target, now, actions);
+            self.drop_changed_partitions(*target, now, actions);
+        }
+        self.dispatcher.touched.extend(change.touched);
+        self.renew_waits(&change.services, now);
+        self.dispatcher.fleet.forget_departed();
+        self.settle(now, actions);
+    }
+
+    /// Gives up attempts on partitions whose key range changed under the same name: the answer may cover either.
+    fn drop_changed_partitions(
+        &mut self,
+        index: super::fleet::TargetIndex,
+        now: MonotonicTime,
+        actions: &mut Vec<EntryAction>,
+    ) {
+        for id in self.attempts_on(index) {
+            let Some(attempt) = self.dispatcher.attempts.get(id).copied() else { continue };
+            let Some(query) = self.queries.get_mut(attempt.query) else { continue };
+            let Some(partition) = query.layout.partitions.get(attempt.partition as usize) else {
+                continue;
+            };
+            let dispatcher = &mut self.dispatcher;
+            let is_named = dispatcher.fleet.target(index).served_partitions().any(|record| {
+                Some(record.snapshot) == query.layout.version
+                    && Some(&record.shard) == partition.shard.as_ref()
+            });
+            let replicas = dispatcher.directory.replicas(partition.group);
+            if !is_named || replicas.contains(&index) {
+                continue;
+            }
+            let state = &mut query.partitions[attempt.partition as usize];
+            if state.remove_attempt(id) {
+                dispatcher.abandon(id, true, now, actions);
+                let place = PartitionRef { query: attempt.query, partition: attempt.partition };
+                self.after_failure(place, ResponseReason::SnapshotGone, now, actions);
+            }
+        }
+    }
+
+    /// Puts waiting requests into the queues of targets that joined.
+    fn renew_waits(&mut self, services: &[ServiceIndex], now: MonotonicTime) {
+        for key in self.queries.keys() {
+            let Some(query) = self.queries.get(key) else { continue };
+            if !services.contains(&query.service) {
+                continue;
+            }
+            for (partition, state) in query.partitions.iter().enumerate() {
+                if matches!(state.status, PartitionStatus::Waiting(_)) {
+                    let place = PartitionRef { query: key, partition: partition as u32 };
+                    self.dispatcher.join_queues(query, place, now);
+                }
+            }
+        }
     }
 
     /// Sets the share of connections; without one, all connections are closed and nothing is sent.
     pub fn set_share(
         &mut self,
-        _now: ClockReading,
-        _share: Option<OrdinalShare>,
-        _actions: &mut Vec<EntryAction>,
+        now: ClockReading,
+        share: Option<OrdinalShare>,
+        actions: &mut Vec<EntryAction>,
     ) {
+        let now = now.monotonic;
+        self.fire_due(now, actions);
+        if share == self.dispatcher.fleet.share {
+            return;
+        }
+        if share.is_none() {
+            for key in self.queries.keys() {
+                self.finish(key, ResponseReason::CutOff, now, actions);
+            }
+        }
+        let dispatcher = &mut self.dispatcher;
+        dispatcher.fleet.set_share(share);
+        for service in dispatcher.directory.indexes() {
+            dispatcher.directory.refresh_reachable(service, &dispatcher.fleet);
+        }
+        for target in self.dispatcher.fleet.indexes() {
+            self.close_surplus(target, now, actions);
+            self.dispatcher.touched.push(target);
+        }
+        let services: Vec<ServiceIndex> = self.dispatcher.directory.indexes().collect();
+        self.renew_waits(&services, now);
+        self.settle(now, actions);
     }
 
     /// Starts a search; its end is reported later or at once.
     pub fn start_search(
         &mut self,
-        _now: ClockReading,
-        _token: QueryToken,
-        _plan: SearchPlan,
-        _actions: &mut Vec<EntryAction>,
+        now: ClockReading,
+        token: QueryToken,
+        plan: SearchPlan,
+        actions: &mut Vec<EntryAction>,
     ) {
+        let now = now.monotonic;
+        self.fire_due(now, actions);
+        let margin = self.dispatcher.settings.queries.response_margin;
+        let end_at = match plan.policy {
+            CompletionPolicy::DeadlineFirst => plan.deadline - margin,
+            CompletionPolicy::CoverageFirst => plan.deadline,
+        };
+        let choice = match self.choose_layout(&plan) {
+            Ok(choice) => choice,
+            Err(reason) => {
+                let result = refused_search(None, reason);
+                self.reports.push_back(EngineReport::Search(token, result));
+                return;
+            }
+        };
+        let service = choice.service;
+        if end_at.since(now) < self.dispatcher.least_time(service) {
+            let result = refused_search(choice.layout.layout.version, ResponseReason::Deadline);
+            self.reports.push_back(EngineReport::Search(token, result));
+            return;
+        }
+        let kind = QueryKind::Search {
+            kind: plan.kind,
+            scope: plan.scope,
+            pinned: plan.pinned,
+            policy: plan.policy,
+            floor: plan.coverage_floor,
+        };
+        let start = QueryStart {
+            token,
+            kind,
+            service,
+            fingerprint: plan.fingerprint,
+            end_at,
+            choice: choice.layout,
+            mode: plan.mode,
+        };
+        self.add_query(start, now, actions);
+        self.settle(now, actions);
+    }
+
+    fn choose_layout(&mut self, plan: &SearchPlan) -> Result<ServiceChoice, ResponseReason> {
+        if self.dispatcher.fleet.share.is_none() {
+            return Err(ResponseReason::CutOff);
+        }
+        let dispatcher = &mut self.dispatcher;
+        let service = dispatcher.directory.find(&plan.service).ok_or(ResponseReason::NoTarget)?;
+        let scope = SearchScope { kind: plan.kind, shards: &plan.scope, pinned: plan.pinned };
+        let layout = dispatcher.directory.choose(service, &scope, None, &dispatcher.fleet);
+        let missing = match plan.pinned {
+            Some(_) => ResponseReason::SnapshotGone,
+            None => ResponseReason::NoTarget,
+        };
+        Ok(ServiceChoice { service, layout: layout.ok_or(missing)? })
+    }
+
+    fn add_query(&mut self, start: QueryStart, now: MonotonicTime, actions: &mut Vec<EntryAction>) {
+        let layout = start.choice.layout;
+        let mut partitions = self.spare_partitions.pop().unwrap_or_default();
+        partitions.resize(layout.partitions.len(), PartitionState::default());
+        let canary = match start.mode {
+            FanoutMode::Normal => CanaryStage::Free,
+            FanoutMode::Canary => CanaryStage::Testing,
+        };
+        let key = self.queries.insert(QueryState {
+            token: start.token,
+            kind: start.kind,
+            service: start.service,
+            fingerprint: start.fingerprint,
+            end_at: start.end_at,
+            open: partitions.len() as u32,
+            layout,
+            partitions,
+            coverage: CoverageCounter::default(),
+            attempts: 0,
+            ran_nothing: 0,
+            canary,
+            is_launch_pending: canary == CanaryStage::Testing,
+            suspected: false,
+            judge_at: None,
+            outcomes: DomainOutcomes::default(),
+            restarted: false,
+            timer_at: None,
+        });
+        self.by_token.insert(start.token, key);
+        self.launch(key, now, actions);
     }
 
     /// Starts the only attempt of an order.
     pub fn start_order(
         &mut self,
-        _now: ClockReading,
-        _token: QueryToken,
-        _plan: OrderPlan,
-        _actions: &mut Vec<EntryAction>,
+        now: ClockReading,
+        token: QueryToken,
+        plan: OrderPlan,
+        actions: &mut Vec<EntryAction>,
     ) {
+        let now = now.monotonic;
+        self.fire_due(now, actions);
+        let refused = match self.dispatcher.directory.find(&plan.service) {
+            _ if self.dispatcher.fleet.share.is_none() => Err(ResponseReason::CutOff),
+            None => Err(ResponseReason::NoTarget),
+            Some(service) if plan.deadline.since(now) < self.dispatcher.least_time(service) => {
+                Err(ResponseReason::Deadline)
+            }
+            Some(service) => Ok(service),
+        };
+        let service = match refused {
+            Ok(service) => service,
+            Err(reason) => {
+                let result = OrderResult::NotSent(reason);
+                self.reports.push_back(EngineReport::Order(token, result));
+                return;
+            }
+        };
+        let layout = self.dispatcher.directory.whole_layout(service);
+        let start = QueryStart {
+            token,
+            kind: QueryKind::Order,
+            service,
+            fingerprint: plan.fingerprint,
+            end_at: plan.deadline,
+            choice: LayoutChoice { layout, reachable: 1.0 },
+            mode: FanoutMode::Normal,
+        };
+        self.add_query(start, now, actions);
+        self.settle(now, actions);
     }
 
     /// Gives up a search: cancels its attempts and reports nothing more about it. An order goes on.
-    pub fn cancel(
-        &mut self,
-        _now: ClockReading,
-        _token: QueryToken,
-        _actions: &mut Vec<EntryAction>,
-    ) {
+    pub fn cancel(&mut self, now: ClockReading, token: QueryToken, actions: &mut Vec<EntryAction>) {
+        let now = now.monotonic;
+        self.fire_due(now, actions);
+        let Some(key) = self.by_token.get(&token).copied() else { return };
+        if self.queries.get(key).is_some_and(|query| !query.is_order()) {
+            self.drop_query(key, false, now, actions);
+        }
+        self.settle(now, actions);
     }
 
     /// Handles connection and attempt events and the wake-up; other events are ignored.
     pub fn handle(
         &mut self,
-        _now: ClockReading,
-        _event: &EntryEvent,
-        _actions: &mut Vec<EntryAction>,
+        now: ClockReading,
+        event: &EntryEvent,
+        actions: &mut Vec<EntryAction>,
     ) {
+        let now = now.monotonic;
+        self.fire_due(now, actions);
+        match event {
+            EntryEvent::Answered { attempt, status, load, snapshot, body } => {
+                let (status, load, snapshot) = (*status, *load, *snapshot);
+                let answer = AttemptAnswer { status, load, snapshot, body: body.as_ref() };
+                self.handle_answer(*attempt, answer, now, actions);
+            }
+            EntryEvent::Failed { attempt, failure } => {
+                self.handle_failure(*attempt, *failure, now, actions);
+            }
+            EntryEvent::ConnectionOpened(connection) => self.handle_opened(*connection, now),
+            EntryEvent::ConnectionClosed(connection) => {
+                self.handle_closed(*connection, now, actions);
+            }
+            _ => {}
+        }
+        self.settle(now, actions);
+    }
+
+    fn fire_due(&mut self, now: MonotonicTime, actions: &mut Vec<EntryAction>) {
+        while let Some(entry) = self.dispatcher.timers.peek().filter(|entry| entry.at <= now) {
+            self.dispatcher.timers.pop();
+            if !self.is_timer_valid(entry.key, entry.at) {
+                continue;
+            }
+            match entry.key {
+                TimerKey::Query(key) => self.look(key, now, actions),
+                TimerKey::Target(index) => {
+                    let dispatcher = &mut self.dispatcher;
+                    if dispatcher.fleet.end_leaving(now, index) {
+                        let service = dispatcher.fleet.target(index).service;
+                        dispatcher.directory.refresh_reachable(service, &dispatcher.fleet);
+                    }
+                    dispatcher.fleet.take_timer(index, &mut dispatcher.timers);
+                    self.look_at_loss(index, now);
+                    self.dispatcher.touched.push(index);
+                }
+                TimerKey::Attempt(id) => self.handle_unanswered(id, now, actions),
+            }
+        }
+        self.serve_touched(now, actions);
+    }
+
+    /// Uses freed capacity and removes timers whose owners have ended.
+    fn settle(&mut self, now: MonotonicTime, actions: &mut Vec<EntryAction>) {
+        self.serve_touched(now, actions);
+        while let Some(entry) = self.dispatcher.timers.peek() {
+            if self.is_timer_valid(entry.key, entry.at) {
+                return;
+            }
+            self.dispatcher.timers.pop();
+        }
     }
 
     /// The next report, until there is none.
@@ -101,17 +429,24 @@
     }
 
     /// The partitions that a search would span now, for its cost; zero if none is known.
-    pub fn fanout_width(&self, _plan: &SearchPlan) -> u32 {
-        0
+    pub fn fanout_width(&self, plan: &SearchPlan) -> u32 {
+        let scope = SearchScope { kind: plan.kind, shards: &plan.scope, pinned: plan.pinned };
+        self.dispatcher.directory.width(&plan.service, &scope)
     }
 
     /// When the engine wants to be woken.
     pub fn next_wakeup(&self) -> Option<MonotonicTime> {
-        None
+        self.dispatcher.timers.peek().map(|entry| entry.at)
     }
 
     /// Searches and orders in flight.
     pub fn in_flight(&self) -> usize {
-        0
+        self.queries.len()
     }
 }
+
+/// A layout with its service.
+struct ServiceChoice {
+    service: ServiceIndex,
+    layout: LayoutChoice,
+}
--- /dev/null
+++ b/hickoryspan_core/src/entry/fleet.rs
@@ -0,0 +1,670 @@
+//! The targets as this entry knows them, with its connections to them.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, HashMap};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use rand_chacha::ChaCha12Rng;
+
+use crate::membership::{MembershipView, PartitionRecord, TargetRecord};
+use crate::types::{
+    AttemptId, ConnectionCount, ConnectionId, FailureDomain, IncarnationNumber, MonotonicTime,
+    RequestFingerprint, ShardId, SnapshotVersion, TargetId,
+};
+
+use super::budgets::{BudgetSettings, RetryBudget};
+use super::concurrency::ConcurrencyLimit;
+use super::connections::{ConnectionSettings, OpenPacer, OrdinalShare};
+use super::crashes::LossRecord;
+use super::interface::{EntryAction, LoadReport};
+use super::outliers::TargetHealth;
+use super::slab::{KeyedSlab, QueryKey};
+use super::snapshots::ServiceIndex;
+use super::timers::{TimerKey, TimerQueue};
+
+/// A target inside the engine.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct TargetIndex(pub u32);
+
+/// A failure domain inside the engine.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(super) struct DomainIndex(pub u32);
+
+/// How long a target's own answer that it drains counts, if the view does not confirm it.
+const DRAINING_ANSWER_HOLDS: Duration = Duration::from_secs(10);
+
+/// The assumed return trip before a target was measured.
+const DEFAULT_RETURN_TRIP: Duration = Duration::from_millis(1);
+
+/// The longest assumed return trip; slower opens are due to the target and not to the network.
+const MAX_RETURN_TRIP: Duration = Duration::from_millis(5);
+
+/// A sub-request or order that waits for capacity; the earliest deadline is served first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct WaitingRequest {
+    /// When its query ends.
+    pub deadline: MonotonicTime,
+    /// Distinguishes this wait from former ones of the same partition.
+    pub sequence: u64,
+    /// Its query.
+    pub query: QueryKey,
+    /// Its partition in the query's layout.
+    pub partition: u32,
+}
+
+/// The state of a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum ConnectionState {
+    /// It is being opened.
+    Opening,
+    /// It is open and free.
+    Idle,
+    /// It carries an attempt.
+    Busy(AttemptId),
+}
+
+/// A connection to a target.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct TargetConnection {
+    /// The target.
+    pub target: TargetIndex,
+    /// What it does.
+    pub state: ConnectionState,
+    /// When its opening began.
+    pub opened_at: MonotonicTime,
+}
+
+impl TargetConnection {
+    /// The attempt on it, if any.
+    pub fn attempt(&self) -> Option<AttemptId> {
+        match self.state {
+            ConnectionState::Busy(attempt) => Some(attempt),
+            _ => None,
+        }
+    }
+}
+
+/// The load that a target reported, without this entry's own requests.
+#[derive(Clone, Copy, Debug, Default)]
+struct ReportedLoad {
+    others: f64,
+    at: MonotonicTime,
+}
+
+/// What is known about one target.
+#[derive(Debug)]
+pub(super) struct TargetState {
+    /// Its announced record.
+    pub record: TargetRecord,
+    /// Its service.
+    pub service: ServiceIndex,
+    /// Its failure domain.
+    pub domain: DomainIndex,
+    /// Whether the view names it.
+    pub present: bool,
+    /// Whether its failure domain is drained.
+    domain_drained: bool,
+    /// Until when its own answer that it drains counts.
+    leaving_until: MonotonicTime,
+    /// Partitions that it announced and then denied.
+    denied: Vec<(SnapshotVersion, ShardId)>,
+    /// The connections that this entry may hold.
+    pub share: ConnectionCount,
+    /// Idle connections; the last one answered most recently.
+    pub idle: Vec<ConnectionId>,
+    /// All connections.
+    pub connections: Vec<ConnectionId>,
+    opening: u32,
+    pacer: OpenPacer,
+    /// Attempts in flight, cancelled ones included, because they may still occupy slots.
+    pub in_flight: u32,
+    /// The limit of attempts in flight.
+    pub limit: ConcurrencyLimit,
+    load: ReportedLoad,
+    /// Its health as measured by this entry.
+    pub health: TargetHealth,
+    /// When this process was first seen; absent for targets known since the first view.
+    pub cold_since: Option<MonotonicTime>,
+    /// The budget of hedges and retries on it.
+    pub budget: RetryBudget,
+    /// Requests that wait for it.
+    pub waiting: BinaryHeap<Reverse<WaitingRequest>>,
+    /// Connections lost while requests were in flight.
+    pub loss: Option<LossRecord>,
+    /// When it last ended a connection by itself.
+    pub lost_at: Option<MonotonicTime>,
+    return_trip: Option<Duration>,
+    timer_at: Option<MonotonicTime>,
+}
+
+impl TargetState {
+    /// Whether new work may be sent to it, apart from capacity.
+    pub fn takes_work(&self) -> bool {
+        self.stays() && self.leaving_until == MonotonicTime::default() && self.share.0 > 0
+    }
+
+    /// Whether it is a member that is not leaving.
+    fn stays(&self) -> bool {
+        self.present && !self.record.draining && !self.domain_drained
+    }
+
+    /// Whether one more attempt can be sent now.
+    pub fn has_capacity(&self, now: MonotonicTime) -> bool {
+        !self.idle.is_empty() && self.limit.allows(self.in_flight, now)
+    }
+
+    /// The announced partitions, without denied ones.
+    pub fn served_partitions(&self) -> impl Iterator<Item = &PartitionRecord> {
+        self.record.partitions.iter().filter(|record| {
+            !self
+                .denied
+                .iter()
+                .any(|(snapshot, shard)| *snapshot == record.snapshot && *shard == record.shard)
+        })
+    }
+
+    /// The load of other entry hosts; a report loses its weight over `lifetime`, because it describes the past.
+    pub fn aged_load(&self, now: MonotonicTime, lifetime: Duration) -> f64 {
+        let age = now.since(self.load.at).as_secs_f64() / lifetime.as_secs_f64().max(1e-6);
+        self.load.others * (1.0 - age).max(0.0)
+    }
+
+    /// Takes over a load report; this entry's own requests are counted separately.
+    pub fn record_load(&mut self, now: MonotonicTime, report: LoadReport) {
+        let others = (report.running + report.queued).saturating_sub(self.in_flight);
+        self.load = ReportedLoad { others: f64::from(others), at: now };
+    }
+
+    /// The estimated time that an answer needs on the network.
+    pub fn return_trip(&self) -> Duration {
+        self.return_trip.unwrap_or(DEFAULT_RETURN_TRIP)
+    }
+
+    /// Half of the shortest round trip seen bounds the return trip from above.
+    pub fn record_round_trip(&mut self, round_trip: Duration) {
+        let half = (round_trip / 2).min(MAX_RETURN_TRIP);
+        self.return_trip = Some(self.return_trip.map_or(half, |known| known.min(half)));
+    }
+
+    /// Whether the target is gone and nothing of it is left.
+    fn is_forgotten(&self) -> bool {
+        !self.present && self.connections.is_empty() && self.loss.is_none()
+    }
+}
+
+/// What a new view changed about targets.
+#[derive(Debug, Default)]
+pub(super) struct FleetChange {
+    /// Services whose targets or their partitions changed.
+    pub services: Vec<ServiceIndex>,
+    /// Targets to look after: their connections and waiting requests.
+    pub touched: Vec<TargetIndex>,
+    /// Targets with a new incarnation; connections of the former one are dropped.
+    pub restarted: Vec<RestartedTarget>,
+    /// Targets that left.
+    pub left: Vec<TargetIndex>,
+}
+
+/// A target that the view shows with a new incarnation or address.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct RestartedTarget {
+    /// The target.
+    pub target: TargetIndex,
+    /// The incarnation that ended.
+    pub former: IncarnationNumber,
+}
+
+/// All targets and connections.
+#[derive(Debug)]
+pub(super) struct Fleet {
+    targets: Vec<TargetState>,
+    by_id: HashMap<TargetId, TargetIndex>,
+    free: Vec<TargetIndex>,
+    /// All connections.
+    pub connections: KeyedSlab<ConnectionId, TargetConnection>,
+    domains: Vec<FailureDomain>,
+    /// The failure domain of this entry.
+    pub home: DomainIndex,
+    /// The share of connections, if any.
+    pub share: Option<OrdinalShare>,
+    has_view: bool,
+    settings: ConnectionSettings,
+    budgets: BudgetSettings,
+}
+
+impl Fleet {
+    /// No targets yet.
+    pub fn new(home: FailureDomain, settings: ConnectionSettings, budgets: BudgetSettings) -> Self {
+        Self {
+            targets: Vec::new(),
+            by_id: HashMap::new(),
+            free: Vec::new(),
+            connections: KeyedSlab::default(),
+            domains: vec![home],
+            home: DomainIndex(0),
+            share: None,
+            has_view: false,
+            settings,
+            budgets,
+        }
+    }
+
+    /// A target.
+    pub fn target(&self, index: TargetIndex) -> &TargetState {
+        &self.targets[index.0 as usize]
+    }
+
+    /// A target.
+    pub fn target_mut(&mut self, index: TargetIndex) -> &mut TargetState {
+        &mut self.targets[index.0 as usize]
+    }
+
+    /// All targets, former members with open connections included.
+    pub fn targets(&self) -> impl Iterator<Item = &TargetState> {
+        self.targets.iter()
+    }
+
+    /// The indexes of all targets.
+    pub fn indexes(&self) -> impl Iterator<Item = TargetIndex> + use<> {
+        (0..self.targets.len() as u32).map(TargetIndex)
+    }
+
+    /// The present targets of a service, in the order of their names.
+    pub fn targets_of(&self, service: ServiceIndex) -> Vec<TargetIndex> {
+        let belongs = |index: &TargetIndex| {
+            let target = self.target(*index);
+            target.present && target.service == service
+        };
+        let mut targets: Vec<TargetIndex> = self.indexes().filter(belongs).collect();
+        targets.sort_by(|a, b| self.target(*a).record.target.cmp(&self.target(*b).record.target));
+        targets
+    }
+
+    fn domain(&mut self, name: &FailureDomain) -> DomainIndex {
+        let known = self.domains.iter().position(|domain| domain == name);
+        let position = known.unwrap_or_else(|| {
+            self.domains.push(name.clone());
+            self.domains.len() - 1
+        });
+        DomainIndex(position as u32)
+    }
+
+    /// Takes over the targets of a view.
+    pub fn update(
+        &mut self,
+        now: MonotonicTime,
+        view: &MembershipView,
+        mut service_of: impl FnMut(&TargetRecord) -> ServiceIndex,
+    ) -> FleetChange {
+        let mut change = FleetChange::default();
+        for index in self.indexes() {
+            let target = &mut self.targets[index.0 as usize];
+            if target.present && !view.targets.contains_key(&target.record.target) {
+                target.present = false;
+                change.services.push(target.service);
+                change.touched.push(index);
+                change.left.push(index);
+            }
+        }
+        for record in view.targets.values() {
+            let drained = view.drained_domains.contains(&record.failure_domain);
+            match self.by_id.get(&record.target).copied() {
+                Some(index) => {
+                    self.update_target(now, index, record, drained, &mut service_of, &mut change)
+                }
+                None => {
+                    let service = service_of(record);
+                    let index = self.add_target(now, record, service, drained);
+                    change.services.push(service);
+                    change.touched.push(index);
+                }
+            }
+        }
+        self.has_view = true;
+        change
+    }
+
+    fn update_target(
+        &mut self,
+        now: MonotonicTime,
+        index: TargetIndex,
+        record: &TargetRecord,
+        drained: bool,
+        service_of: &mut impl FnMut(&TargetRecord) -> ServiceIndex,
+        change: &mut FleetChange,
+    ) {
+        let unchanged = |target: &TargetState| {
+            target.present && target.domain_drained == drained && target.record == *record
+        };
+        if unchanged(self.target(index)) {
+            return;
+        }
+        let domain = self.domain(&record.failure_domain);
+        let share = self.share_of(record);
+        let service = service_of(record);
+        let target = &mut self.targets[index.0 as usize];
+        change.services.extend([target.service, service]);
+        change.touched.push(index);
+        let restarted = target.record.incarnation != record.incarnation
+            || target.record.address != record.address;
+        if restarted {
+            let former = target.record.incarnation;
+            change.restarted.push(RestartedTarget { target: index, former });
+            target.cold_since = Some(now);
+            target.health = TargetHealth::default();
+            target.limit = ConcurrencyLimit::new(record.slots);
+            target.load = ReportedLoad::default();
+        } else if !target.present {
+            target.cold_since = Some(now);
+        }
+        target.limit.set_slots(record.slots);
+        target.leaving_until = MonotonicTime::default();
+        target.denied.clear();
+        target.record = record.clone();
+        target.service = service;
+        target.domain = domain;
+        target.present = true;
+        target.domain_drained = drained;
+        target.share = share;
+    }
+
+    fn add_target(
+        &mut self,
+        now: MonotonicTime,
+        record: &TargetRecord,
+        service: ServiceIndex,
+        domain_drained: bool,
+    ) -> TargetIndex {
+        let state = TargetState {
+            record: record.clone(),
+            service,
+            domain: self.domain(&record.failure_domain),
+            present: true,
+            domain_drained,
+            leaving_until: MonotonicTime::default(),
+            denied: Vec::new(),
+            share: self.share_of(record),
+            idle: Vec::new(),
+            connections: Vec::new(),
+            opening: 0,
+            pacer: OpenPacer::new(now, &self.settings),
+            in_flight: 0,
+            limit: ConcurrencyLimit::new(record.slots),
+            load: ReportedLoad::default(),
+            health: TargetHealth::default(),
+            // The targets of the first view have run before this process started.
+            cold_since: self.has_view.then_some(now),
+            budget: RetryBudget::of_target(&self.budgets),
+            waiting: BinaryHeap::new(),
+            loss: None,
+            lost_at: None,
+            return_trip: None,
+            timer_at: None,
+        };
+        let index = match self.free.pop() {
+            Some(index) => {
+                self.targets[index.0 as usize] = state;
+                index
+            }
+            None => {
+                self.targets.push(state);
+                TargetIndex(self.targets.len() as u32 - 1)
+            }
+        };
+        self.by_id.insert(record.target.clone(), index);
+        index
+    }
+
+    /// Makes the places of departed targets available again.
+    pub fn forget_departed(&mut self) {
+        for index in self.indexes() {
+            let target = &self.targets[index.0 as usize];
+            let current = self.by_id.get(&target.record.target) == Some(&index);
+            if current && target.is_forgotten() {
+                self.by_id.remove(&self.targets[index.0 as usize].record.target);
+                self.free.push(index);
+            }
+        }
+    }
+
+    fn share_of(&self, record: &TargetRecord) -> ConnectionCount {
+        let none = ConnectionCount(0);
+        self.share.map_or(none, |share| share.connections(&record.target, record.connections))
+    }
+
+    /// Sets the share of connections of every target.
+    pub fn set_share(&mut self, share: Option<OrdinalShare>) {
+        self.share = share;
+        for index in self.indexes() {
+            let share = self.share_of(&self.target(index).record);
+            self.target_mut(index).share = share;
+        }
+    }
+
+    /// Records that a target answered that it is leaving.
+    pub fn mark_leaving(
+        &mut self,
+        now: MonotonicTime,
+        index: TargetIndex,
+        timers: &mut TimerQueue,
+    ) {
+        let until = now + DRAINING_ANSWER_HOLDS;
+        self.target_mut(index).leaving_until = until;
+        self.wake_target(index, until, timers);
+    }
+
+    /// Ends a target's claim to be leaving that the view has not confirmed; whether it ended.
+    pub fn end_leaving(&mut self, now: MonotonicTime, index: TargetIndex) -> bool {
+        let target = self.target_mut(index);
+        let ended = target.leaving_until != MonotonicTime::default() && target.leaving_until <= now;
+        if ended {
+            target.leaving_until = MonotonicTime::default();
+        }
+        ended
+    }
+
+    /// Records that a target denied a partition that it announced.
+    pub fn deny(&mut self, index: TargetIndex, snapshot: SnapshotVersion, shard: &ShardId) {
+        self.target_mut(index).denied.push((snapshot, shard.clone()));
+    }
+
+    /// Takes an idle connection for an attempt. The one used last is taken, because it most likely still works.
+    pub fn take_connection(
+        &mut self,
+        index: TargetIndex,
+        attempt: AttemptId,
+    ) -> Option<ConnectionId> {
+        let target = &mut self.targets[index.0 as usize];
+        let connection = target.idle.pop()?;
+        target.in_flight += 1;
+        let state = self.connections.get_mut(connection)?;
+        state.state = ConnectionState::Busy(attempt);
+        Some(connection)
+    }
+
+    /// Frees a connection after its attempt was answered.
+    pub fn release_connection(&mut self, id: ConnectionId, actions: &mut Vec<EntryAction>) {
+        let Some(connection) = self.connections.get_mut(id) else { return };
+        connection.state = ConnectionState::Idle;
+        let target = &mut self.targets[connection.target.0 as usize];
+        target.in_flight -= 1;
+        let surplus = target.connections.len() > target.share.0 as usize;
+        if surplus || !target.stays() {
+            self.close_connection(id, actions);
+        } else {
+            target.idle.push(id);
+        }
+    }
+
+    /// Marks a connection as open and free.
+    pub fn record_opened(&mut self, now: MonotonicTime, id: ConnectionId) -> Option<TargetIndex> {
+        let connection = self.connections.get_mut(id)?;
+        if connection.state != ConnectionState::Opening {
+            return None;
+        }
+        connection.state = ConnectionState::Idle;
+        let target = &mut self.targets[connection.target.0 as usize];
+        target.opening -= 1;
+        target.pacer.record_opened();
+        target.record_round_trip(now.since(connection.opened_at));
+        target.idle.push(id);
+        Some(connection.target)
+    }
+
+    /// Forgets a connection that ended by itself; returns what it was.
+    pub fn record_closed(
+        &mut self,
+        now: MonotonicTime,
+        id: ConnectionId,
+        generator: &mut ChaCha12Rng,
+    ) -> Option<TargetConnection> {
+        let connection = self.remove_connection(id)?;
+        let failed = connection.state == ConnectionState::Opening;
+        let target = &mut self.targets[connection.target.0 as usize];
+        target.pacer.record_closed(now, failed, &self.settings, generator);
+        if !failed && target.stays() {
+            target.lost_at = Some(now);
+        }
+        Some(connection)
+    }
+
+    fn remove_connection(&mut self, id: ConnectionId) -> Option<TargetConnection> {
+        let connection = self.connections.remove(id)?;
+        let target = &mut self.targets[connection.target.0 as usize];
+        target.connections.retain(|other| *other != id);
+        match connection.state {
+            ConnectionState::Opening => target.opening -= 1,
+            ConnectionState::Idle => target.idle.retain(|other| *other != id),
+            ConnectionState::Busy(_) => target.in_flight -= 1,
+        }
+        Some(connection)
+    }
+
+    /// Closes a connection; returns the attempt on it, which is no longer reported.
+    pub fn close_connection(
+        &mut self,
+        id: ConnectionId,
+        actions: &mut Vec<EntryAction>,
+    ) -> Option<AttemptId> {
+        let connection = self.remove_connection(id)?;
+        actions.push(EntryAction::CloseConnection(id));
+        connection.attempt()
+    }
+
+    /// Closes what a target must not keep: everything beyond the share, and the connections without an attempt
+    /// if it is leaving. Returns the attempts whose connections were closed.
+    pub fn close_surplus(
+        &mut self,
+        index: TargetIndex,
+        actions: &mut Vec<EntryAction>,
+    ) -> Vec<AttemptId> {
+        let target = self.target(index);
+        let stays = target.stays();
+        let share = if self.share.is_none() { 0 } else { target.share.0 as usize };
+        let mut order: BTreeMap<(u8, ConnectionId), ConnectionId> = BTreeMap::new();
+        for id in &target.connections {
+            let Some(connection) = self.connections.get(*id) else { continue };
+            let rank = match connection.state {
+                ConnectionState::Opening => 0,
+                ConnectionState::Idle => 1,
+                ConnectionState::Busy(_) => 2,
+            };
+            order.insert((rank, *id), *id);
+        }
+        let mut attempts = Vec::new();
+        let mut surplus = target.connections.len().saturating_sub(share);
+        // A departed target's share does not count; its attempts may still be answered.
+        if !target.present && self.share.is_some() {
+            surplus = 0;
+        }
+        for ((rank, id), _) in order {
+            if surplus > 0 || (!stays && rank < 2) {
+                surplus = surplus.saturating_sub(1);
+                attempts.extend(self.close_connection(id, actions));
+            }
+        }
+        attempts
+    }
+
+    /// Opens connections that a target lacks, as fast as its pace allows.
+    pub fn open_missing(
+        &mut self,
+        now: MonotonicTime,
+        index: TargetIndex,
+        timers: &mut TimerQueue,
+        actions: &mut Vec<EntryAction>,
+    ) {
+        loop {
+            let target = &mut self.targets[index.0 as usize];
+            if !target.takes_work() {
+                return;
+            }
+            // More connections than slots are of no use beyond the spare ones, because the limit of attempts in
+            // flight is at most the slots.
+            let spare = self.settings.warm as usize;
+            let waiting = target.waiting.len().min(target.limit.whole() as usize);
+            let wanted = (target.in_flight as usize + waiting.max(spare))
+                .min(target.limit.whole() as usize + spare)
+                .max(spare)
+                .min(target.share.0 as usize);
+            if target.connections.len() >= wanted || target.opening >= self.settings.max_opening {
+                return;
+            }
+            if let Err(retry_at) = target.pacer.permit(now, &self.settings) {
+                self.wake_target(index, retry_at, timers);
+                return;
+            }
+            target.opening += 1;
+            let (id, address) = (target.record.target.clone(), target.record.address);
+            let state = ConnectionState::Opening;
+            let connection = TargetConnection { target: index, state, opened_at: now };
+            let connection = self.connections.insert(connection);
+            self.targets[index.0 as usize].connections.push(connection);
+            let timeout = self.settings.open_timeout;
+            actions.push(open_action(connection, id, address, timeout));
+        }
+    }
+
+    /// Schedules the target's timer, unless it fires earlier anyway.
+    pub fn wake_target(&mut self, index: TargetIndex, at: MonotonicTime, timers: &mut TimerQueue) {
+        let target = self.target_mut(index);
+        if target.timer_at.is_none_or(|scheduled| at < scheduled) {
+            target.timer_at = Some(at);
+            timers.schedule(at, TimerKey::Target(index));
+        }
+    }
+
+    /// Whether this is the time for which the target's timer is set.
+    pub fn is_timer_valid(&self, index: TargetIndex, at: MonotonicTime) -> bool {
+        self.target(index).timer_at == Some(at)
+    }
+
+    /// Notes that a target's timer fired, and sets it for the next known time.
+    pub fn take_timer(&mut self, index: TargetIndex, timers: &mut TimerQueue) {
+        let target = self.target_mut(index);
+        target.timer_at = None;
+        if target.leaving_until != MonotonicTime::default() {
+            let until = target.leaving_until;
+            self.wake_target(index, until, timers);
+        }
+    }
+
+    /// Removes a request from the losses of a failure domain, because the domain was lost and not the request
+    /// to blame.
+    pub fn excuse(&mut self, domain: DomainIndex, fingerprint: &RequestFingerprint) {
+        let targets = self.targets.iter_mut().filter(|target| target.domain == domain);
+        for loss in targets.filter_map(|target| target.loss.as_mut()) {
+            loss.fingerprints.retain(|other| other != fingerprint);
+        }
+    }
+}
+
+fn open_action(
+    connection: ConnectionId,
+    target: TargetId,
+    address: SocketAddr,
+    timeout: Duration,
+) -> EntryAction {
+    EntryAction::OpenConnection { connection, target, address, timeout }
+}
--- /dev/null
+++ b/hickoryspan_core/src/entry/routing.rs
@@ -0,0 +1,182 @@
+//! The choice of a target among those that serve a partition.
+
+use std::time::Duration;
+
+use rand::Rng;
+use rand_chacha::ChaCha12Rng;
+
+use crate::types::MonotonicTime;
+
+use super::fleet::{Fleet, TargetIndex};
+use super::outliers::OutlierSettings;
+
+/// Targets of a group that are looked at; more add nothing to a choice between two.
+const MAX_CANDIDATES: usize = 16;
+
+/// Settings of routing.
+#[derive(Clone, Copy, Debug)]
+pub struct RoutingSettings {
+    /// Whether load and latency are compared; otherwise the choice is random, for experiments.
+    pub load_aware: bool,
+    /// Whether targets of this entry's failure domain are preferred while they have capacity.
+    pub prefer_home: bool,
+    /// Age at which a load report no longer counts.
+    pub load_lifetime: Duration,
+    /// Time over which a new target reaches its full part of the load.
+    pub slow_start: Duration,
+    /// The part of the load that a new target begins with.
+    pub slow_start_floor: f64,
+}
+
+impl Default for RoutingSettings {
+    fn default() -> Self {
+        Self {
+            load_aware: true,
+            prefer_home: true,
+            load_lifetime: Duration::from_secs(1),
+            slow_start: Duration::from_secs(10),
+            slow_start_floor: 0.1,
+        }
+    }
+}
+
+/// What limits a choice.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct RouteRequest<'a> {
+    /// The current time.
+    pub now: MonotonicTime,
+    /// Targets that must not be chosen.
+    pub exclude: &'a [TargetIndex],
+    /// The latency assumed of targets that were not measured.
+    pub typical: Duration,
+    /// Whether the choice draws on the target's budget of hedges and retries.
+    pub extra: bool,
+}
+
+/// A bounded list of candidates, kept on the stack.
+#[derive(Default)]
+struct CandidateList {
+    items: [TargetIndex; MAX_CANDIDATES],
+    len: usize,
+}
+
+impl CandidateList {
+    fn push(&mut self, target: TargetIndex) {
+        if self.len < MAX_CANDIDATES {
+            self.items[self.len] = target;
+            self.len += 1;
+        }
+    }
+
+    fn as_slice(&self) -> &[TargetIndex] {
+        &self.items[..self.len]
+    }
+}
+
+/// Chooses targets.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct TargetRouter {
+    routing: RoutingSettings,
+    outliers: OutlierSettings,
+}
+
+impl TargetRouter {
+    /// A router with these settings.
+    pub fn new(routing: RoutingSettings, outliers: OutlierSettings) -> Self {
+        Self { routing, outliers }
+    }
+
+    /// A target with capacity, or none. With equal scores the choice is random.
+    pub fn choose(
+        &self,
+        fleet: &Fleet,
+        group: &[TargetIndex],
+        request: &RouteRequest<'_>,
+        generator: &mut ChaCha12Rng,
+    ) -> Option<TargetIndex> {
+        let ejects = self.ejects(fleet, group, request.now);
+        let mut near = CandidateList::default();
+        let mut far = CandidateList::default();
+        // Large groups are entered at a random place, so that every target becomes a candidate.
+        let start = match group.len() {
+            0 => return None,
+            len if len > MAX_CANDIDATES => generator.next_u32() as usize % len,
+            _ => 0,
+        };
+        for index in group[start..].iter().chain(&group[..start]) {
+            let target = fleet.target(*index);
+            let usable = target.takes_work()
+                && target.has_capacity(request.now)
+                && !(ejects && target.health.is_unhealthy(request.now))
+                && !request.exclude.contains(index)
+                && (!request.extra || target.budget.allows());
+            if !usable {
+                continue;
+            }
+            let warm = self.warmth(fleet, *index, request.now) >= 1.0;
+            if self.routing.prefer_home && warm && target.domain == fleet.home {
+                near.push(*index);
+            } else {
+                far.push(*index);
+            }
+        }
+        let candidates = if near.len > 0 { near.as_slice() } else { far.as_slice() };
+        self.better_of_two(fleet, candidates, request, generator)
+    }
+
+    /// Whether unhealthy targets of the group are left out; not if too many appear unhealthy.
+    pub fn ejects(&self, fleet: &Fleet, group: &[TargetIndex], now: MonotonicTime) -> bool {
+        let count = |keep: &dyn Fn(&TargetIndex) -> bool| group.iter().filter(|i| keep(i)).count();
+        let unhealthy = count(&|index| {
+            let target = fleet.target(*index);
+            target.takes_work() && target.health.is_unhealthy(now)
+        });
+        if unhealthy == 0 {
+            return false;
+        }
+        let all = count(&|index| fleet.target(*index).takes_work());
+        unhealthy as f64 <= all as f64 * self.outliers.max_ejected_share
+    }
+
+    fn better_of_two(
+        &self,
+        fleet: &Fleet,
+        candidates: &[TargetIndex],
+        request: &RouteRequest<'_>,
+        generator: &mut ChaCha12Rng,
+    ) -> Option<TargetIndex> {
+        let count = candidates.len();
+        if count <= 1 {
+            return candidates.first().copied();
+        }
+        let bits = generator.next_u64();
+        let first = (bits as u32) as usize % count;
+        let second = (first + 1 + (bits >> 32) as usize % (count - 1)) % count;
+        let (first, second) = (candidates[first], candidates[second]);
+        if !self.routing.load_aware {
+            return Some(first);
+        }
+        let better = self.score(fleet, second, request) < self.score(fleet, first, request);
+        Some(if better { second } else { first })
+    }
+
+    /// Expected work ahead of a new request, in microseconds; lower is better.
+    fn score(&self, fleet: &Fleet, index: TargetIndex, request: &RouteRequest<'_>) -> f64 {
+        let target = fleet.target(index);
+        let load = f64::from(target.in_flight)
+            + 1.0
+            + target.aged_load(request.now, self.routing.load_lifetime);
+        let slots = f64::from(target.record.slots.0.max(1));
+        let typical = request.typical.as_secs_f64() * 1e6;
+        let latency = target.health.latency().unwrap_or(typical).max(1.0);
+        load / slots * latency / self.warmth(fleet, index, request.now)
+    }
+
+    /// The part of the load that a target may get: rises to one over the slow start.
+    fn warmth(&self, fleet: &Fleet, index: TargetIndex, now: MonotonicTime) -> f64 {
+        let Some(since) = fleet.target(index).cold_since else { return 1.0 };
+        let ramp = self.routing.slow_start.as_secs_f64().max(1e-6);
+        let part = now.since(since).as_secs_f64() / ramp;
+        part.clamp(self.routing.slow_start_floor.clamp(1e-3, 1.0), 1.0)
+    }
+}
--- /dev/null
+++ b/hickoryspan_core/src/entry/slab.rs
@@ -0,0 +1,127 @@
+//! Storage with keys that are never reused, so that an event of an ended attempt finds nothing.
+
+use crate::types::{AttemptId, ConnectionId};
+
+/// Bits of a key that hold the index; 16 million entries at once are beyond any process.
+const INDEX_BITS: u32 = 24;
+const INDEX_MASK: u64 = (1 << INDEX_BITS) - 1;
+
+/// A key of a slab; the key with the bits zero is never given out.
+pub(super) trait SlabKey: Copy + Eq {
+    /// The key with these bits.
+    fn from_bits(bits: u64) -> Self;
+    /// The bits of the key.
+    fn to_bits(self) -> u64;
+}
+
+/// Identifies a query inside the engine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub(super) struct QueryKey(pub u64);
+
+impl SlabKey for QueryKey {
+    fn from_bits(bits: u64) -> Self {
+        Self(bits)
+    }
+
+    fn to_bits(self) -> u64 {
+        self.0
+    }
+}
+
+impl SlabKey for AttemptId {
+    fn from_bits(bits: u64) -> Self {
+        Self(bits)
+    }
+
+    fn to_bits(self) -> u64 {
+        self.0
+    }
+}
+
+impl SlabKey for ConnectionId {
+    fn from_bits(bits: u64) -> Self {
+        Self(bits)
+    }
+
+    fn to_bits(self) -> u64 {
+        self.0
+    }
+}
+
+#[derive(Debug)]
+struct Slot<T> {
+    generation: u64,
+    value: Option<T>,
+}
+
+/// Values by key; a key holds an index and the index's generation.
+#[derive(Debug)]
+pub(super) struct KeyedSlab<K, T> {
+    slots: Vec<Slot<T>>,
+    free: Vec<u32>,
+    len: usize,
+    key: std::marker::PhantomData<K>,
+}
+
+impl<K, T> Default for KeyedSlab<K, T> {
+    fn default() -> Self {
+        Self { slots: Vec::new(), free: Vec::new(), len: 0, key: std::marker::PhantomData }
+    }
+}
+
+impl<K: SlabKey, T> KeyedSlab<K, T> {
+    /// Stores a value under a new key.
+    pub fn insert(&mut self, value: T) -> K {
+        let index = self.free.pop().unwrap_or_else(|| {
+            self.slots.push(Slot { generation: 0, value: None });
+            u32::try_from(self.slots.len() - 1).unwrap_or(u32::MAX)
+        });
+        let slot = &mut self.slots[index as usize];
+        slot.generation += 1;
+        slot.value = Some(value);
+        self.len += 1;
+        K::from_bits(slot.generation << INDEX_BITS | u64::from(index))
+    }
+
+    /// The value of a key that still exists.
+    pub fn get(&self, key: K) -> Option<&T> {
+        let bits = key.to_bits();
+        let slot = self.slots.get((bits & INDEX_MASK) as usize)?;
+        if slot.generation == bits >> INDEX_BITS { slot.value.as_ref() } else { None }
+    }
+
+    /// The value of a key that still exists.
+    pub fn get_mut(&mut self, key: K) -> Option<&mut T> {
+        let bits = key.to_bits();
+        let slot = self.slots.get_mut((bits & INDEX_MASK) as usize)?;
+        if slot.generation == bits >> INDEX_BITS { slot.value.as_mut() } else { None }
+    }
+
+    /// Removes the value; the key is not used again.
+    pub fn remove(&mut self, key: K) -> Option<T> {
+        let bits = key.to_bits();
+        let index = bits & INDEX_MASK;
+        let slot = self.slots.get_mut(index as usize)?;
+        if slot.generation != bits >> INDEX_BITS {
+            return None;
+        }
+        let value = slot.value.take()?;
+        self.free.push(index as u32);
+        self.len -= 1;
+        Some(value)
+    }
+
+    /// The number of values.
+    pub fn len(&self) -> usize {
+        self.len
+    }
+
+    /// All keys in no meaningful order.
+    pub fn keys(&self) -> Vec<K> {
+        let bits = |(index, slot): (usize, &Slot<T>)| {
+            slot.value.as_ref()?;
+            Some(K::from_bits(slot.generation << INDEX_BITS | index as u64))
+        };
+        self.slots.iter().enumerate().filter_map(bits).collect()
+    }
+}
--- /dev/null
+++ b/hickoryspan_core/tests/support/mod.rs
@@ -0,0 +1,461 @@
+//! Drives a fan-out engine with an injected clock: opens connections, collects attempts and checks each action.
+
+#![allow(dead_code, reason = "each test file uses a part of the helpers")]
+#![allow(clippy::unwrap_used, reason = "a failed helper has to fail its test")]
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use rand_chacha::ChaCha12Rng;
+use rand_chacha::rand_core::SeedableRng;
+
+use hickoryspan_core::entry::engine::{EngineSettings, FanoutEngine, OrdinalShare};
+use hickoryspan_core::entry::interface::{
+    AnswerStatus, AttemptFailure, AttemptOrder, AttemptWork, EntryAction, EntryEvent, EntryMeasure,
+    LoadReport,
+};
+use hickoryspan_core::entry::plan::{
+    EngineReport, FanoutMode, OrderPlan, OrderResult, SearchPlan, SearchResult,
+};
+use hickoryspan_core::membership::{MembershipView, PartitionRecord, ServiceKey, TargetRecord};
+use hickoryspan_core::sheet::{CompletionPolicy, ServiceKind, ShardScope};
+use hickoryspan_core::types::{
+    AttemptId, ClockReading, ConnectionCount, ConnectionId, CoverageShare, DocumentCount,
+    FailureDomain, IncarnationNumber, KeyRange, MonotonicTime, OrdinalNumber, QueryToken,
+    RequestFingerprint, SlotCount, SnapshotVersion, TargetId, WallTime,
+};
+
+/// The only service.
+pub fn service() -> ServiceKey {
+    ServiceKey { tenant: "quindio".parse().unwrap(), service: "console".parse().unwrap() }
+}
+
+/// A duration in milliseconds.
+pub fn ms(count: u64) -> Duration {
+    Duration::from_millis(count)
+}
+
+/// A fingerprint by number.
+pub fn fingerprint(number: u64) -> RequestFingerprint {
+    RequestFingerprint::of_parts([number.to_le_bytes().as_slice()])
+}
+
+/// A partition of a snapshot with 100 documents.
+pub fn partition(snapshot: u64, shard: &str, range: KeyRange) -> PartitionRecord {
+    PartitionRecord {
+        snapshot: SnapshotVersion(snapshot),
+        shard: shard.parse().unwrap(),
+        range,
+        documents: DocumentCount(100),
+    }
+}
+
+/// A target without partitions.
+pub fn target(name: &str, domain: &str) -> TargetRecord {
+    TargetRecord {
+        target: name.parse().unwrap(),
+        incarnation: IncarnationNumber(1),
+        address: "127.0.0.1:7300".parse().unwrap(),
+        tenant: service().tenant,
+        service: service().service,
+        failure_domain: domain.parse().unwrap(),
+        slots: SlotCount(4),
+        connections: ConnectionCount(4),
+        partitions: Vec::new(),
+        draining: false,
+    }
+}
+
+/// Adds a target and its partitions to a view.
+pub fn put(view: &mut MembershipView, record: TargetRecord) {
+    for partition in &record.partitions {
+        let manifests = view.snapshots.entry(service()).or_default();
+        let manifest = manifests.entry(partition.snapshot).or_default();
+        manifest.partitions.insert(partition.shard.clone(), partition.clone());
+    }
+    view.targets.insert(record.target.clone(), record);
+}
+
+/// A view of `shards` shards of snapshot 1 with `replicas` targets each, named `t<shard>-<replica>`, in failure
+/// domains `d<replica>`.
+pub fn even_view(shards: u32, replicas: u32) -> MembershipView {
+    let mut view = MembershipView::default();
+    for (shard, range) in KeyRange::split_evenly(shards).into_iter().enumerate() {
+        for replica in 0..replicas {
+            let mut record = target(&format!("t{shard}-{replica}"), &format!("d{replica}"));
+            record.partitions = vec![partition(1, &format!("s{shard}"), range)];
+            put(&mut view, record);
+        }
+    }
+    view
+}
+
+/// Adds a snapshot of `shards` shards, on the given replicas of an even view.
+pub fn add_snapshot(view: &mut MembershipView, snapshot: u64, shards: u32, replicas: &[u32]) {
+    for (shard, range) in KeyRange::split_evenly(shards).into_iter().enumerate() {
+        for replica in replicas {
+            let name = format!("t{shard}-{replica}");
+            let mut record = view.targets[&name.parse().unwrap()].clone();
+            record.partitions.push(partition(snapshot, &format!("s{shard}"), range));
+            put(view, record);
+        }
+    }
+}
+
+/// A search of the service with half a second.
+pub fn plan(now: MonotonicTime) -> SearchPlan {
+    SearchPlan {
+        service: service(),
+        kind: ServiceKind::Sharded,
+        scope: ShardScope::All,
+        pinned: None,
+        fingerprint: fingerprint(1),
+        deadline: now + ms(500),
+        policy: CompletionPolicy::DeadlineFirst,
+        coverage_floor: CoverageShare::FULL,
+        mode: FanoutMode::Normal,
+    }
+}
+
+/// An attempt that was sent and has not ended.
+#[derive(Clone, Debug)]
+pub struct SentAttempt {
+    pub order: AttemptOrder,
+    pub sent_at: MonotonicTime,
+    pub cancelled: bool,
+}
+
+/// An open connection as the driver sees it.
+#[derive(Clone, Debug)]
+pub struct DriverConnection {
+    pub target: TargetId,
+    pub opened_at: MonotonicTime,
+    pub busy: Option<AttemptId>,
+    pub open: bool,
+}
+
+/// An engine with its driver.
+pub struct EngineBench {
+    pub engine: FanoutEngine,
+    pub now: MonotonicTime,
+    pub view: MembershipView,
+    pub share: Option<OrdinalShare>,
+    pub connections: BTreeMap<ConnectionId, DriverConnection>,
+    pub attempts: BTreeMap<AttemptId, SentAttempt>,
+    /// All attempts ever sent.
+    pub sent: BTreeMap<AttemptId, AttemptOrder>,
+    /// Connections that wait to be opened.
+    pub opening: Vec<ConnectionId>,
+    pub opens: Vec<(MonotonicTime, TargetId)>,
+    pub reports: Vec<EngineReport>,
+    pub discarded: BTreeSet<AttemptId>,
+    pub silent: Vec<TargetId>,
+    pub extra: u32,
+    next_token: u64,
+}
+
+impl EngineBench {
+    /// An engine in failure domain `d0` that holds all connections of the view's targets, which are open.
+    pub fn new(view: MembershipView) -> Self {
+        Self::with_settings(view, EngineSettings::default())
+    }
+
+    pub fn with_settings(view: MembershipView, settings: EngineSettings) -> Self {
+        let mut bench = Self::unopened(view, settings, 7);
+        bench.open_all();
+        bench
+    }
+
+    /// As above, with no connection open yet.
+    pub fn unopened(view: MembershipView, settings: EngineSettings, seed: u64) -> Self {
+        let home: FailureDomain = "d0".parse().unwrap();
+        let generator = ChaCha12Rng::seed_from_u64(seed);
+        let mut bench = Self {
+            engine: FanoutEngine::new(settings, home, generator),
+            now: MonotonicTime(1_000_000),
+            view,
+            share: None,
+            connections: BTreeMap::new(),
+            attempts: BTreeMap::new(),
+            sent: BTreeMap::new(),
+            opening: Vec::new(),
+            opens: Vec::new(),
+            reports: Vec::new(),
+            discarded: BTreeSet::new(),
+            silent: Vec::new(),
+            extra: 0,
+            next_token: 0,
+        };
+        bench.set_share(Some(OrdinalShare { ordinal: OrdinalNumber(0), max_ordinals: 1 }));
+        bench.update_view();
+        bench
+    }
+
+    pub fn clock(&self) -> ClockReading {
+        ClockReading { monotonic: self.now, wall: WallTime(0) }
+    }
+
+    fn run(&mut self, step: impl FnOnce(&mut FanoutEngine, ClockReading, &mut Vec<EntryAction>)) {
+        let mut actions = Vec::new();
+        let now = self.clock();
+        step(&mut self.engine, now, &mut actions);
+        for action in actions {
+            self.perform(action);
+        }
+        while let Some(report) = self.engine.next_report() {
+            self.reports.push(report);
+        }
+    }
+
+    fn perform(&mut self, action: EntryAction) {
+        match action {
+            EntryAction::OpenConnection { connection, target, .. } => {
+                self.opens.push((self.now, target.clone()));
+                self.opening.push(connection);
+                let state =
+                    DriverConnection { target, opened_at: self.now, busy: None, open: false };
+                assert!(self.connections.insert(connection, state).is_none(), "id used twice");
+            }
+            EntryAction::CloseConnection(connection) => {
+                self.opening.retain(|other| *other != connection);
+                if let Some(state) = self.connections.remove(&connection) {
+                    state.busy.map(|attempt| self.attempts.remove(&attempt));
+                }
+            }
+            EntryAction::StartAttempt(order) => self.start_attempt(order),
+            EntryAction::CancelAttempt(attempt) => {
+                if let Some(sent) = self.attempts.get_mut(&attempt) {
+                    sent.cancelled = true;
+                }
+            }
+            EntryAction::DiscardAttempt(attempt) => {
+                self.discarded.insert(attempt);
+            }
+            EntryAction::Measure(EntryMeasure::SilentConnection { target }) => {
+                self.silent.push(target);
+            }
+            EntryAction::Measure(EntryMeasure::Extra { .. }) => self.extra += 1,
+            _ => {}
+        }
+    }
+
+    fn start_attempt(&mut self, order: AttemptOrder) {
+        let connection = self.connections.get_mut(&order.connection).expect("a known connection");
+        assert!(connection.open, "an attempt on a connection that is not open");
+        assert_eq!(connection.busy, None, "two attempts on one connection");
+        assert_eq!(connection.target, order.target);
+        let record = self.view.targets.get(&order.target).expect("a target in the view");
+        assert!(!record.draining, "new work for a draining target");
+        assert!(!self.view.drained_domains.contains(&record.failure_domain));
+        connection.busy = Some(order.attempt);
+        assert!(self.sent.insert(order.attempt, order.clone()).is_none(), "id used twice");
+        let sent = SentAttempt { sent_at: self.now, cancelled: false, order };
+        self.attempts.insert(sent.order.attempt, sent);
+    }
+
+    pub fn set_share(&mut self, share: Option<OrdinalShare>) {
+        self.share = share;
+        self.run(|engine, now, actions| engine.set_share(now, share, actions));
+        self.check_shares();
+    }
+
+    /// Gives the bench's view to the engine.
+    pub fn update_view(&mut self) {
+        let view = self.view.clone();
+        self.run(|engine, now, actions| engine.update_view(now, &view, actions));
+        self.check_shares();
+    }
+
+    /// No target has more connections than the share allows.
+    pub fn check_shares(&self) {
+        for (target, record) in &self.view.targets {
+            let share =
+                self.share.map_or(0, |share| share.connections(target, record.connections).0);
+            let count = self.connections.values().filter(|state| state.target == *target).count();
+            assert!(count <= share as usize, "{target}: {count} connections, share {share}");
+        }
+    }
+
+    pub fn event(&mut self, event: EntryEvent) {
+        self.run(|engine, now, actions| engine.handle(now, &event, actions));
+        self.check_shares();
+    }
+
+    /// Opens every connection that waits to be opened.
+    pub fn open_all(&mut self) {
+        while let Some(connection) = self.opening.pop() {
+            self.open(connection);
+        }
+    }
+
+    pub fn open(&mut self, connection: ConnectionId) {
+        self.opening.retain(|other| *other != connection);
+        if let Some(state) = self.connections.get_mut(&connection) {
+            state.open = true;
+            self.event(EntryEvent::ConnectionOpened(connection));
+        }
+    }
+
+    /// The other side ends a connection; an attempt on it is lost first.
+    pub fn close(&mut self, connection: ConnectionId) {
+        self.opening.retain(|other| *other != connection);
+        let Some(state) = self.connections.remove(&connection) else { return };
+        if let Some(attempt) = state.busy {
+            self.attempts.remove(&attempt);
+            let failure = AttemptFailure::ConnectionLost;
+            self.event(EntryEvent::Failed { attempt, failure });
+        }
+        self.event(EntryEvent::ConnectionClosed(connection));
+    }
+
+    /// Ends all connections of a target, as the end of its process does.
+    pub fn crash(&mut self, target: &str) {
+        for connection in self.connections_of(target) {
+            self.close(connection);
+        }
+    }
+
+    pub fn connections_of(&self, target: &str) -> Vec<ConnectionId> {
+        let all = self.connections.iter();
+        all.filter(|(_, state)| state.target.as_str() == target).map(|(id, _)| *id).collect()
+    }
+
+    /// Moves the clock, with ticks at the requested times; new connections open at once.
+    pub fn advance(&mut self, duration: Duration) {
+        self.advance_with(duration, true);
+    }
+
+    pub fn advance_with(&mut self, duration: Duration, opens: bool) {
+        let end = self.now + duration;
+        let mut ticks = 0;
+        while let Some(at) = self.engine.next_wakeup().filter(|at| *at <= end) {
+            self.now = self.now.max(at);
+            self.event(EntryEvent::Tick);
+            if opens {
+                self.open_all();
+            }
+            ticks += 1;
+            assert!(ticks < 100_000, "the engine asks to be woken again and again");
+        }
+        self.now = end;
+    }
+
+    pub fn search(&mut self, plan: SearchPlan) -> QueryToken {
+        self.next_token += 1;
+        let token = QueryToken(self.next_token);
+        self.run(|engine, now, actions| engine.start_search(now, token, plan, actions));
+        token
+    }
+
+    /// Starts a plain search.
+    pub fn search_all(&mut self) -> QueryToken {
+        self.search(plan(self.now))
+    }
+
+    pub fn order(&mut self, deadline: Duration) -> QueryToken {
+        self.next_token += 1;
+        let token = QueryToken(self.next_token);
+        let deadline = self.now + deadline;
+        let plan = OrderPlan { service: service(), fingerprint: fingerprint(9), deadline };
+        self.run(|engine, now, actions| engine.start_order(now, token, plan, actions));
+        token
+    }
+
+    pub fn cancel(&mut self, token: QueryToken) {
+        self.run(|engine, now, actions| engine.cancel(now, token, actions));
+    }
+
+    /// Answers an attempt truthfully.
+    pub fn done(&mut self, attempt: AttemptId) {
+        self.answer(attempt, AnswerStatus::Done);
+    }
+
+    pub fn answer(&mut self, attempt: AttemptId, status: AnswerStatus) {
+        let snapshot = match self.sent[&attempt].work {
+            AttemptWork::Search { snapshot, .. } => Some(snapshot),
+            AttemptWork::Order => None,
+        };
+        self.answer_with(attempt, status, snapshot, None);
+    }
+
+    pub fn answer_with(
+        &mut self,
+        attempt: AttemptId,
+        status: AnswerStatus,
+        snapshot: Option<SnapshotVersion>,
+        load: Option<LoadReport>,
+    ) {
+        if let Some(sent) = self.attempts.remove(&attempt)
+            && let Some(state) = self.connections.get_mut(&sent.order.connection)
+        {
+            state.busy = None;
+        }
+        self.event(EntryEvent::Answered { attempt, status, load, snapshot, body: None });
+    }
+
+    pub fn fail(&mut self, attempt: AttemptId, failure: AttemptFailure) {
+        if let Some(sent) = self.attempts.remove(&attempt) {
+            self.connections.remove(&sent.order.connection);
+        }
+        self.event(EntryEvent::Failed { attempt, failure });
+    }
+
+    /// Answers everything in flight until nothing is.
+    pub fn done_all(&mut self) {
+        while let Some(attempt) = self.attempts.keys().next().copied() {
+            self.done(attempt);
+        }
+    }
+
+    /// Sends searches that are answered after `latency`, so that the engine knows the service's latency.
+    pub fn warm_up(&mut self, latency: Duration) {
+        for _ in 0..100 {
+            self.search_all();
+            self.advance(latency);
+            self.done_all();
+        }
+        self.reports.clear();
+        self.extra = 0;
+    }
+
+    /// The running attempts on a shard.
+    pub fn running_on(&self, shard: &str) -> Vec<AttemptId> {
+        let on_shard = |sent: &&SentAttempt| match &sent.order.work {
+            AttemptWork::Search { shard: other, .. } => other.as_str() == shard,
+            AttemptWork::Order => false,
+        };
+        self.attempts.values().filter(on_shard).map(|sent| sent.order.attempt).collect()
+    }
+
+    pub fn target_of(&self, attempt: AttemptId) -> String {
+        self.sent[&attempt].target.to_string()
+    }
+
+    /// The result of a search, if it has ended.
+    pub fn result(&self, token: QueryToken) -> Option<SearchResult> {
+        let mut results = self.reports.iter().filter_map(|report| match report {
+            EngineReport::Search(other, result) if *other == token => Some(result.clone()),
+            _ => None,
+        });
+        let result = results.next();
+        assert!(results.next().is_none(), "{token}: reported twice");
+        result
+    }
+
+    pub fn order_result(&self, token: QueryToken) -> Option<OrderResult> {
+        self.reports.iter().find_map(|report| match report {
+            EngineReport::Order(other, result) if *other == token => Some(result.clone()),
+            _ => None,
+        })
+    }
+
+    pub fn crashes(&self) -> Vec<(TargetId, Vec<RequestFingerprint>)> {
+        let crash = |report: &EngineReport| match report {
+            EngineReport::Crash { evidence, fingerprints } => {
+                Some((evidence.target.clone(), fingerprints.clone()))
+            }
+            _ => None,
+        };
+        self.reports.iter().filter_map(crash).collect()
+    }
+}
