Drive the control machine from the control daemon

Cause: the control machine and the file log are merged. Change: open and initialize the data folder, and pass its content to the machine. Initializing is a command of its own, so that a replica that lost its disk cannot start a second deployment. Measured: not measured. Conclusion: a control replica runs as a process.

--- a/hickoryspan_control/src/daemon.rs
+++ b/hickoryspan_control/src/daemon.rs
@@ -1,18 +1,15 @@
 //! Starts and stops the tasks of one control replica.
 
 use std::collections::HashMap;
-use std::net::SocketAddr;
-use std::sync::{Arc, OnceLock};
+use std::sync::Arc;
 
 use anyhow::Context;
 use hickoryspan_core::control::interface::{ControlEvent, ReplicaRecord};
-use hickoryspan_core::control::machine::{ControlIdentity, ControlMachine};
+use hickoryspan_core::control::machine::ControlMachine;
 use hickoryspan_core::control::settings::ControlSettings;
-use hickoryspan_core::types::ReplicaId;
 use hickoryspan_runtime::clock::SystemClock;
 use hickoryspan_runtime::http_server::HttpServer;
 use hickoryspan_runtime::metrics_page::MetricsPage;
-use hickoryspan_store::DataFolder;
 use rand::SeedableRng;
 use rand_chacha::ChaCha12Rng;
 use tokio::net::TcpListener;
@@ -22,6 +19,7 @@
 use xtra::Mailbox;
 
 use crate::actor::{ControlActor, ControlInbox, run_timer};
+use crate::folder_setup::open_folder;
 use crate::http_routes::ControlRoutes;
 use crate::link_server::LinkServer;
 use crate::persistence::PersistenceThread;
@@ -50,7 +48,7 @@
         let http_address = server.local_address()?;
 
         let seed = settings.seed.unwrap_or_else(rand::random);
-        let folder = open_folder(&settings, seed)?;
+        let folder = open_folder(&settings.data_folder)?;
         let replica = folder.replica;
         let record = ReplicaRecord { replica, peer_address, http_address, voter: false };
         spdlog::info!(
@@ -58,16 +56,19 @@
             kv: { replica: = replica, peer_address: = peer_address, http_address: = http_address }
         );
         let machine = ControlMachine::new(
-            ControlIdentity { record: record.clone() },
-            folder.recovered,
-            ControlSettings { bootstrap: settings.is_new_deployment, ..Default::default() },
+            replica,
+            folder.opened.recovered,
+            ControlSettings {
+                bootstrap: folder.is_first,
+                ..ControlSettings::new(peer_address, http_address)
+            },
             ChaCha12Rng::seed_from_u64(seed),
         );
 
         let (address, mailbox) = Mailbox::<ControlActor>::unbounded();
         let inbox = ControlInbox::new(address);
         let report_inbox = inbox.clone();
-        let persistence = PersistenceThread::start(folder.log, move |event| {
+        let persistence = PersistenceThread::start(Box::new(folder.opened.log), move |event| {
             report_inbox.deliver_own(event);
         })?;
         let (wakeup, wakeup_changes) = watch::channel(machine.next_wakeup());
@@ -129,4 +130,3 @@
         }
     }
 }
-
--- /dev/null
+++ b/hickoryspan_control/src/folder_setup.rs
@@ -0,0 +1,77 @@
+//! Creates and opens the data folder.
+//!
+//! Creating is a command of its own: a replica whose disk was lost must never start a new deployment by itself,
+//! because two deployments would then accept contradicting sheets.
+
+use std::fmt;
+use std::fs::File;
+use std::path::Path;
+use std::str::FromStr;
+
+use anyhow::Context;
+use hickoryspan_core::types::{ParseValueError, ReplicaId};
+use hickoryspan_store::{DataFolder, OpenedLog};
+
+/// Marks the folder of a deployment's first replica; it only has an effect while the log is empty.
+const FIRST_REPLICA_MARKER: &str = "first-replica";
+
+/// What a new data folder is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FolderRole {
+    /// The first replica of a new deployment, its only voter.
+    First,
+    /// A replica that waits until an operator adds it.
+    Additional,
+}
+
+impl fmt::Display for FolderRole {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(match self {
+            Self::First => "first",
+            Self::Additional => "additional",
+        })
+    }
+}
+
+impl FromStr for FolderRole {
+    type Err = ParseValueError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        match text {
+            "first" => Ok(Self::First),
+            "additional" => Ok(Self::Additional),
+            _ => Err(ParseValueError::new("FolderRole", text, "first or additional")),
+        }
+    }
+}
+
+/// Creates the data folder with a random identity; fails if there is one.
+pub fn initialize_folder(path: &Path, role: FolderRole) -> anyhow::Result<ReplicaId> {
+    let folder = DataFolder::create(path, ReplicaId(rand::random()))
+        .with_context(|| format!("initialize data folder: {}", path.display()))?;
+    if role == FolderRole::First {
+        let marker = path.join(FIRST_REPLICA_MARKER);
+        let create = || {
+            File::create(&marker)?.sync_all()?;
+            File::open(path)?.sync_all()
+        };
+        create().with_context(|| format!("initialize data folder: {}", marker.display()))?;
+    }
+    Ok(folder.identity())
+}
+
+/// An opened data folder.
+pub(crate) struct OpenedFolder {
+    pub(crate) replica: ReplicaId,
+    pub(crate) is_first: bool,
+    pub(crate) opened: OpenedLog,
+}
+
+/// Opens an initialized data folder and reads everything in it.
+pub(crate) fn open_folder(path: &Path) -> anyhow::Result<OpenedFolder> {
+    let step = || format!("open data folder: {}", path.display());
+    let folder = DataFolder::open(path).with_context(step)?;
+    let replica = folder.identity();
+    let opened = folder.into_log().with_context(step)?;
+    Ok(OpenedFolder { replica, is_first: path.join(FIRST_REPLICA_MARKER).exists(), opened })
+}
--- a/hickoryspan_control/src/http_routes.rs
+++ b/hickoryspan_control/src/http_routes.rs
@@ -47,6 +47,8 @@
 ];
 
 type RouteResponse = Response<ResponseBody>;
+/// Boxed, because an error that is much larger than the value makes every result large.
+type RouteError = Box<RouteResponse>;
 
 /// Answers the HTTP port.
 pub(crate) struct ControlRoutes {
@@ -114,7 +116,7 @@
                 let event = |token| ControlEvent::Announce(token, Box::new(record));
                 respond(self.inbox.ask(event).await, &path)
             }
-            Err(response) => response,
+            Err(response) => *response,
         }
     }
 
@@ -122,11 +124,10 @@
         let path = request.uri().path().to_owned();
         match self.read_json::<WithdrawRequest>(request).await {
             Ok(body) => {
-                let event =
-                    |token| ControlEvent::Withdraw(token, body.target, body.incarnation);
+                let event = |token| ControlEvent::Withdraw(token, body.target, body.incarnation);
                 respond(self.inbox.ask(event).await, &path)
             }
-            Err(response) => response,
+            Err(response) => *response,
         }
     }
 
@@ -141,14 +142,14 @@
                 let event = |token| ControlEvent::Admin(token, Box::new(command));
                 respond(self.inbox.ask(event).await, &path)
             }
-            Err(response) => response,
+            Err(response) => *response,
         }
     }
 
     async fn sheet(&self, request: &Request<Incoming>) -> RouteResponse {
         match query_number::<SheetNumber>(request, "number") {
             Ok(number) => self.query(AdminQuery::Sheet(number), &path_of(request)).await,
-            Err(response) => response,
+            Err(response) => *response,
         }
     }
 
@@ -158,7 +159,7 @@
                 let limit = limit.unwrap_or(DEFAULT_HISTORY_RECORDS).min(MAX_HISTORY_RECORDS);
                 self.query(AdminQuery::History { limit }, &path_of(request)).await
             }
-            Err(response) => response,
+            Err(response) => *response,
         }
     }
 
@@ -169,12 +170,13 @@
     async fn read_json<T: DeserializeOwned>(
         &self,
         request: Request<Incoming>,
-    ) -> Result<T, RouteResponse> {
+    ) -> Result<T, RouteError> {
         let body = read_body(request.into_body(), &self.limits)
             .await
-            .map_err(|error| refuse(error.status(), "bad_body", error.to_string()))?;
-        serde_json::from_slice(&body)
-            .map_err(|error| refuse(StatusCode::BAD_REQUEST, "bad_json", error.to_string()))
+            .map_err(|error| Box::new(refuse(error.status(), "bad_body", error.to_string())))?;
+        serde_json::from_slice(&body).map_err(|error| {
+            Box::new(refuse(StatusCode::BAD_REQUEST, "bad_json", error.to_string()))
+        })
     }
 }
 
@@ -186,7 +188,7 @@
 fn query_number<T: std::str::FromStr>(
     request: &Request<Incoming>,
     name: &str,
-) -> Result<Option<T>, RouteResponse> {
+) -> Result<Option<T>, RouteError> {
     let query = request.uri().query().unwrap_or_default();
     let pairs = query.split('&').filter(|pair| !pair.is_empty());
     let mut found = None;
@@ -197,7 +199,7 @@
         }
         if found.is_none() {
             let detail = format!("only {name}=<number> is accepted");
-            return Err(refuse(StatusCode::BAD_REQUEST, "bad_query", detail));
+            return Err(Box::new(refuse(StatusCode::BAD_REQUEST, "bad_query", detail)));
         }
     }
     Ok(found)
--- a/hickoryspan_control/src/lib.rs
+++ b/hickoryspan_control/src/lib.rs
@@ -7,13 +7,15 @@
 mod actor;
 mod admin_json;
 mod daemon;
+mod folder_setup;
 mod http_routes;
+mod link_server;
 mod persistence;
 mod replica_links;
 mod settings;
-mod link_server;
 
 pub use admin_json::{CommandRequest, HistoryPage, QuarantinePage, TargetPage};
 pub use daemon::ControlDaemon;
+pub use folder_setup::{FolderRole, initialize_folder};
 pub use http_routes::ROUTES;
 pub use settings::{ControlDaemonSettings, ControlOptions};
--- a/hickoryspan_control/src/main.rs
+++ b/hickoryspan_control/src/main.rs
@@ -3,7 +3,9 @@
 use std::process::ExitCode;
 
 use gumdrop::Options;
-use hickoryspan_control::{ControlDaemon, ControlDaemonSettings, ControlOptions};
+use hickoryspan_control::{
+    ControlDaemon, ControlDaemonSettings, ControlOptions, FolderRole, initialize_folder,
+};
 use hickoryspan_runtime::process::{SettingsRequest, StopSignals, accept_settings};
 use hickoryspan_runtime::settings::SettingsReader;
 
@@ -14,12 +16,14 @@
         return ExitCode::SUCCESS;
     }
     let read = ControlDaemonSettings::read(&options, SettingsReader::from_environment());
-    let request =
-        SettingsRequest { check: options.check_settings, print: options.print_settings };
+    let request = SettingsRequest { check: options.check_settings, print: options.print_settings };
     let settings = match accept_settings(read, request) {
         Ok(settings) => settings,
         Err(code) => return code,
     };
+    if let Some(role) = settings.initialize {
+        return initialize(&settings, role);
+    }
     match run(settings) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
@@ -29,6 +33,19 @@
     }
 }
 
+fn initialize(settings: &ControlDaemonSettings, role: FolderRole) -> ExitCode {
+    match initialize_folder(&settings.data_folder, role) {
+        Ok(replica) => {
+            println!("initialized replica {replica}");
+            ExitCode::SUCCESS
+        }
+        Err(error) => {
+            eprintln!("hickoryspan-control: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
 #[tokio::main]
 async fn run(settings: ControlDaemonSettings) -> anyhow::Result<()> {
     settings.logs.install()?;
--- a/hickoryspan_control/src/settings.rs
+++ b/hickoryspan_control/src/settings.rs
@@ -10,6 +10,8 @@
 use hickoryspan_runtime::process::LogSettings;
 use hickoryspan_runtime::settings::{SettingFaults, SettingValue, SettingsReader};
 
+use crate::folder_setup::FolderRole;
+
 /// Flags of `hickoryspan-control`.
 #[derive(Debug, Default, Options)]
 pub struct ControlOptions {
@@ -28,13 +30,13 @@
     /// The data folder.
     #[options(help = "folder for the durable state (required)", no_short, meta = "FOLDER")]
     pub data_folder: Option<String>,
-    /// Creates a new deployment.
+    /// Creates the data folder.
     #[options(
-        help = "true creates the data folder as the first replica of a new deployment (default false)",
+        help = "create the data folder and exit: first for a new deployment, additional for a further replica",
         no_short,
-        meta = "BOOL"
+        meta = "ROLE"
     )]
-    pub new_deployment: Option<String>,
+    pub initialize: Option<String>,
     /// The peer address.
     #[options(
         help = "address for entries and other replicas (default 127.0.0.1:7100)",
@@ -57,11 +59,7 @@
     )]
     pub credential_file: Option<String>,
     /// The log level.
-    #[options(
-        help = "error, warn, info, debug or trace (default info)",
-        no_short,
-        meta = "LEVEL"
-    )]
+    #[options(help = "error, warn, info, debug or trace (default info)", no_short, meta = "LEVEL")]
     pub log_level: Option<String>,
     /// The log format.
     #[options(help = "text or json (default text)", no_short, meta = "FORMAT")]
@@ -101,8 +99,8 @@
 pub struct ControlDaemonSettings {
     /// Folder of the durable state.
     pub data_folder: PathBuf,
-    /// Whether the data folder is created as the first replica of a new deployment.
-    pub is_new_deployment: bool,
+    /// Create the data folder for this role and exit.
+    pub initialize: Option<FolderRole>,
     /// Address for entries and other replicas.
     pub peer_address: SocketAddr,
     /// Address for operators, targets and monitoring.
@@ -134,11 +132,10 @@
             "a folder on a disk that survives restarts",
             |folder| !folder.as_os_str().is_empty(),
         );
-        let is_new_deployment = reader.with_default(
-            "new-deployment",
-            options.new_deployment.as_deref(),
-            false,
-            "true or false",
+        let initialize = reader.optional(
+            "initialize",
+            options.initialize.as_deref(),
+            "first or additional",
             |_| true,
         );
         let peer_address = read_address(
@@ -166,7 +163,7 @@
         };
         let settings = Self {
             data_folder,
-            is_new_deployment,
+            initialize,
             peer_address,
             http_address,
             credential,
