Run a whole deployment in one process

Cause: newcomers and tests need the whole path without starting processes by hand. Change: add hickoryspan-local, which starts one control replica, entries and stand-in targets on loopback, applies the example sheet and shows a search, an order sent twice through two entries, and the addresses answer. Measured: not measured.

--- /dev/null
+++ b/hickoryspan_local/src/operator.rs
@@ -0,0 +1,83 @@
+//! Sends operators' commands to the control replica of a local deployment.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use anyhow::{Context, bail};
+use bytes::Bytes;
+use hickoryspan_core::control::interface::{AdminAction, AdminCommand, AdminOutcome, StatusReport};
+use hickoryspan_core::sheet::SheetDocument;
+use hickoryspan_runtime::credential::SharedCredential;
+use hickoryspan_runtime::http_client::{HttpAnswer, HttpConnection};
+use http::header::{AUTHORIZATION, HOST};
+use http::{Method, Request, StatusCode};
+use http_body_util::Full;
+
+/// Time to open a connection on loopback.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+/// Largest answer read, in bytes.
+const ANSWER_BYTES: usize = 16 * 1024 * 1024;
+
+/// An operator of a local deployment.
+#[derive(Clone)]
+pub struct LocalOperator {
+    address: SocketAddr,
+    credential: SharedCredential,
+}
+
+impl LocalOperator {
+    /// An operator who talks to the replica at this HTTP address.
+    pub fn new(address: SocketAddr, credential: SharedCredential) -> Self {
+        Self { address, credential }
+    }
+
+    async fn send(&self, method: Method, path: &str, body: Vec<u8>) -> anyhow::Result<HttpAnswer> {
+        let step = || format!("{method} {path}: control {}", self.address);
+        let mut connection =
+            HttpConnection::open(self.address, CONNECT_TIMEOUT).await.with_context(step)?;
+        let request = Request::builder()
+            .method(method.clone())
+            .uri(path)
+            .header(HOST, self.address.to_string())
+            .header(AUTHORIZATION, self.credential.to_header())
+            .body(Full::new(Bytes::from(body)))
+            .with_context(step)?;
+        let answer = connection.send(request, ANSWER_BYTES).await.with_context(step);
+        connection.close().await;
+        answer
+    }
+
+    /// Runs a command and returns the recorded decision.
+    pub async fn run(&self, command: &AdminCommand) -> anyhow::Result<AdminOutcome> {
+        let body = serde_json::to_vec(command).context("encode command")?;
+        let answer = self.send(Method::POST, "/v1/admin/commands", body).await?;
+        if answer.status == StatusCode::SERVICE_UNAVAILABLE {
+            bail!("run command {}: control {}: not decided in time", command.command, self.address);
+        }
+        serde_json::from_slice(&answer.body).with_context(|| {
+            format!("run command {}: {}", command.command, String::from_utf8_lossy(&answer.body))
+        })
+    }
+
+    /// Applies a sheet under the given command id.
+    pub async fn apply_sheet(
+        &self,
+        command: &str,
+        sheet: Arc<SheetDocument>,
+    ) -> anyhow::Result<AdminOutcome> {
+        let action = AdminAction::ApplySheet { sheet, confirmed_removals: Vec::new() };
+        let command =
+            AdminCommand { operator: "local".parse()?, command: command.parse()?, action };
+        self.run(&command).await
+    }
+
+    /// The state of the deployment.
+    pub async fn status(&self) -> anyhow::Result<StatusReport> {
+        let answer = self.send(Method::GET, "/v1/admin/status", Vec::new()).await?;
+        if answer.status != StatusCode::OK {
+            bail!("read status: control {}: status {}", self.address, answer.status);
+        }
+        serde_json::from_slice(&answer.body).context("decode status")
+    }
+}
