--- /dev/null
+++ b/hickoryspan_core/tests/control_replication.rs
@@ -0,0 +1,209 @@
+//! Guards replication between several control replicas: elections, repair, snapshots and handover.
+
+mod control_support;
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use control_support::*;
+use hickoryspan_core::control::interface::*;
+use hickoryspan_core::control::raft::{ReplicaBody, ReplicaMessage};
+use hickoryspan_core::messages::*;
+use hickoryspan_core::types::*;
+use rstest::rstest;
+
+fn assert_sound(cluster: &Cluster) {
+    assert_eq!(cluster.violation, None);
+}
+
+fn accepted(outcome: &AdminOutcome) -> bool {
+    matches!(outcome, AdminOutcome::Accepted { .. })
+}
+
+// A cluster that cannot grow or replace its leader stops at the first lost host.
+#[rstest]
+#[case(3)]
+#[case(5)]
+fn a_new_leader_keeps_what_was_accepted(#[case] count: u64) {
+    let mut cluster = Cluster::voting(11, count, |_| {});
+    let outcome = cluster.admin_as("rosa", "c1", apply_sheet(1, "monday"));
+    assert!(accepted(&outcome));
+    let leader = cluster.await_leader();
+    cluster.crash(leader);
+    cluster.run_until(Duration::from_secs(6), |cluster| cluster.leader().is_some());
+    assert_ne!(cluster.await_leader(), leader);
+    assert_eq!(cluster.admin_as("rosa", "c1", apply_sheet(1, "monday")), outcome);
+    assert_sound(&cluster);
+}
+
+// A leader that is cut off must not confirm a state that others have replaced.
+#[test]
+fn an_isolated_leader_steps_down_and_answers_no_read() {
+    let mut cluster = Cluster::voting(12, 3, |_| {});
+    let old = cluster.await_leader();
+    cluster.isolate(old);
+    let token = ReplyToken(cluster.token());
+    cluster.handle(old, ControlEvent::Query(token, AdminQuery::Status));
+    cluster.run(Duration::from_secs(5));
+    assert!(matches!(cluster.reply(token), Some(ControlReply::Unavailable { .. })));
+    assert!(!cluster.machine(old).raft().is_leader());
+    assert_ne!(cluster.await_leader(), old);
+    assert!(accepted(&cluster.admin("rosa", apply_sheet(1, "monday"))));
+    cluster.heal();
+    cluster.run(Duration::from_secs(3));
+    assert_eq!(cluster.machine(old).state().view().revision, RevisionNumber(1));
+    assert_sound(&cluster);
+}
+
+// A host lost right after a repair must not take an accepted sheet with it.
+#[test]
+fn a_second_loss_after_a_repair_loses_nothing() {
+    let mut cluster = Cluster::voting(13, 3, |settings| {
+        settings.snapshot_log_entries = 20;
+        settings.raft.retained_entries = 5;
+        settings.raft.snapshot_part_bytes = 512;
+    });
+    let mut outcomes = Vec::new();
+    for number in 1..=60 {
+        outcomes.push(cluster.admin_as("rosa", &format!("s{number}"), apply_sheet(number, "d")));
+    }
+    cluster.destroy(replica(3));
+    assert!(accepted(&cluster.admin("rosa", AdminAction::RemoveReplica(replica(3)))));
+    cluster.nodes.insert(replica(4), Node::default());
+    cluster.start(replica(4));
+    assert!(accepted(&cluster.admin("rosa", AdminAction::AddReplica(record(replica(4))))));
+    cluster.run_until(Duration::from_secs(20), |cluster| {
+        let Some(leader) = cluster.leader() else { return false };
+        let (set, committed) = cluster.machine(leader).raft().replica_set();
+        committed && set.is_voter(replica(4)) && set.find(replica(3)).is_none()
+    });
+    let leader = cluster.await_leader();
+    let other = if leader == replica(4) { replica(1) } else { leader };
+    cluster.destroy(other);
+    for (number, outcome) in (1..=60).zip(outcomes) {
+        let again = cluster.admin_as("rosa", &format!("s{number}"), apply_sheet(number, "d"));
+        assert_eq!(again, outcome);
+    }
+    assert_sound(&cluster);
+}
+
+// A replica whose disk is empty has forgotten its votes, so it must not give any.
+#[test]
+fn an_empty_disk_never_votes() {
+    let mut cluster = Cluster::new(14, 2, |_| {});
+    cluster.run(Duration::from_secs(1));
+    let message = ReplicaMessage {
+        term: TermNumber(9),
+        address: record(replica(1)).peer_address,
+        body: ReplicaBody::Vote { last: Default::default(), transfer: false },
+    };
+    let mut actions = Vec::new();
+    let now = cluster.clock();
+    let node = cluster.nodes.get_mut(&replica(2)).unwrap();
+    let machine = node.machine.as_mut().unwrap();
+    machine.handle(now, ControlEvent::Replica(replica(1), message), &mut actions);
+    assert!(actions.is_empty(), "{actions:?}");
+    cluster.run(Duration::from_secs(5));
+    assert_eq!(cluster.machine(replica(2)).raft().term(), TermNumber(0));
+}
+
+// A removed replica that still runs must not depose the leader with ever newer terms.
+#[test]
+fn a_removed_replica_does_not_disturb() {
+    let mut cluster = Cluster::voting(15, 3, |_| {});
+    let leader = cluster.await_leader();
+    let removed = if leader == replica(3) { replica(2) } else { replica(3) };
+    assert!(accepted(&cluster.admin("rosa", AdminAction::RemoveReplica(removed))));
+    cluster.run(Duration::from_secs(1));
+    let term = cluster.status().term;
+    cluster.run(Duration::from_secs(20));
+    assert_eq!(cluster.status().term, term);
+    assert_sound(&cluster);
+}
+
+// A planned stop that leaves an election timeout without a leader interrupts orders.
+#[test]
+fn a_planned_stop_hands_over_leadership() {
+    let mut cluster = Cluster::voting(16, 3, |_| {});
+    let leader = cluster.await_leader();
+    cluster.handle(leader, ControlEvent::Drain);
+    cluster.run_until(Duration::from_millis(400), |cluster| {
+        cluster.leader().is_some_and(|other| other != leader)
+    });
+    cluster.run(Duration::from_millis(500));
+    assert!(!cluster.is_up(leader));
+    assert_sound(&cluster);
+}
+
+// A full disk must not lose what was accepted, nor keep the replica out for ever.
+#[test]
+fn a_full_disk_refuses_and_recovers() {
+    let mut cluster = Cluster::voting(17, 3, |_| {});
+    let full = cluster.await_leader();
+    cluster.nodes.get_mut(&full).unwrap().disk.full = true;
+    assert!(accepted(&cluster.admin_as("rosa", "c1", apply_sheet(1, "monday"))));
+    assert_ne!(cluster.await_leader(), full);
+    assert!(cluster.machine(full).raft().is_full());
+    cluster.nodes.get_mut(&full).unwrap().disk.full = false;
+    cluster.run(Duration::from_secs(5));
+    assert!(!cluster.machine(full).raft().is_full());
+    assert_eq!(cluster.machine(full).state().view().revision, RevisionNumber(1));
+    assert_sound(&cluster);
+}
+
+// A log that failed to sync is in an unknown state, so the replica must stop.
+#[test]
+fn a_failed_sync_stops_the_replica() {
+    let mut cluster = Cluster::voting(18, 3, |_| {});
+    let leader = cluster.await_leader();
+    cluster.nodes.get_mut(&leader).unwrap().disk.broken = true;
+    assert!(accepted(&cluster.admin("rosa", apply_sheet(1, "monday"))));
+    assert!(!cluster.is_up(leader));
+    assert!(cluster.violation.as_ref().is_some_and(|text| text.contains("sync: log: injected")));
+}
+
+fn pledge(cluster: &mut Cluster, id: ReplicaId) -> Option<Duration> {
+    let link = LinkId(cluster.token());
+    cluster.handle(id, ControlEvent::Entry(link, EntryMessage::Resync));
+    match cluster.take_messages(link)[..] {
+        [ControlMessage::NotLeader { leader: None, pledge }] => Some(pledge),
+        _ => None,
+    }
+}
+
+// An entry that trusts a majority of pledges serves a state that must not be replaced meanwhile, and
+// pledges must not keep an election from happening for long once replicas reach each other again.
+#[rstest]
+fn nothing_is_committed_under_a_majority_of_pledges(#[values(19, 20, 21, 22)] seed: u64) {
+    let mut cluster = Cluster::voting(seed, 3, |_| {});
+    let ids: Vec<ReplicaId> = cluster.nodes.keys().copied().collect();
+    let is_covered = |pledges: &BTreeMap<ReplicaId, u64>, now: u64| {
+        pledges.values().filter(|until| **until > now).count() >= 2
+    };
+    ids.iter().for_each(|id| cluster.isolate(*id));
+    cluster.run(Duration::from_secs(3));
+    let mut pledges = BTreeMap::new();
+    let mut covered = 0;
+    for round in 0..100 {
+        if round == 50 {
+            cluster.heal();
+        }
+        for id in &ids {
+            let given = pledge(&mut cluster, *id).filter(|pledge| !pledge.is_zero());
+            if let Some(pledge) = given {
+                pledges.insert(*id, cluster.now + pledge.as_micros() as u64);
+            }
+        }
+        let commit =
+            |cluster: &Cluster| ids.iter().map(|id| cluster.machine(*id).raft().commit()).max();
+        let before = commit(&cluster);
+        cluster.run(Duration::from_millis(100));
+        if is_covered(&pledges, cluster.now) {
+            covered += 1;
+            assert_eq!(commit(&cluster), before, "a commit under pledges");
+        }
+    }
+    assert!(covered >= 50, "entries were covered in {covered} of 100 rounds");
+    assert!(cluster.leader().is_some(), "pledges kept a leader away for 5 s");
+    assert_sound(&cluster);
+}
--- a/hickoryspan_core/tests/control_support/mod.rs
+++ b/hickoryspan_core/tests/control_support/mod.rs
@@ -55,7 +55,7 @@
     pub disk: Disk,
     // Distinguishes processes, so that nothing from before a crash reaches the next process.
     process: u64,
-    skew: u64,
+    disk_free_at: u64,
 }
 
 enum Delivery {
@@ -164,9 +164,21 @@
         self.checked.remove(&id);
     }
 
-    /// Ends a process; batches that are not durable are lost.
+    /// Ends a process; a batch at the disk is lost or kept, by chance.
     pub fn crash(&mut self, id: ReplicaId) {
-        self.nodes.get_mut(&id).unwrap().machine = None;
+        let node = self.nodes.get_mut(&id).unwrap();
+        if node.machine.take().is_none() || node.disk.full || node.disk.broken {
+            return;
+        }
+        for delivery in self.deliveries.values() {
+            let Delivery::Durable(owner, process, _, batch) = delivery else { continue };
+            if *owner == id && *process == node.process {
+                if self.rng.random() {
+                    return;
+                }
+                node.disk.persist(batch);
+            }
+        }
     }
 
     /// Ends a process and its disk.
@@ -174,6 +186,10 @@
         self.nodes.remove(&id);
     }
 
+    pub fn up(&self) -> Vec<ReplicaId> {
+        self.nodes.keys().copied().filter(|id| self.is_up(*id)).collect()
+    }
+
     pub fn is_up(&self, id: ReplicaId) -> bool {
         self.nodes.get(&id).is_some_and(|node| node.machine.is_some())
     }
@@ -234,7 +250,11 @@
                 self.transmit(id, to, message);
             }
             ControlAction::Persist(sequence, batch) => {
-                let delay = 200 + self.rng.random_range(0..3_000);
+                // A disk does one batch after the other.
+                let node = self.nodes.get_mut(&id).unwrap();
+                let free_at = node.disk_free_at.max(self.now);
+                node.disk_free_at = free_at + 200 + self.rng.random_range(0..3_000);
+                let delay = node.disk_free_at - self.now;
                 let early = self.faults.acknowledge_early;
                 self.schedule(delay, Delivery::Durable(id, process, sequence, batch));
                 if early {
@@ -412,11 +432,7 @@
     }
 
     pub fn admin_as(&mut self, operator: &str, id: &str, action: AdminAction) -> AdminOutcome {
-        let command = AdminCommand {
-            operator: operator.parse().unwrap(),
-            command: id.parse().unwrap(),
-            action,
-        };
+        let command = command(operator, id, action);
         match self.ask(|token| ControlEvent::Admin(token, Box::new(command.clone()))) {
             ControlReply::Admin(outcome) => outcome,
             other => panic!("{other:?}"),
@@ -467,6 +483,11 @@
     }
 }
 
+pub fn command(operator: &str, id: &str, action: AdminAction) -> AdminCommand {
+    let (operator, command) = (operator.parse().unwrap(), id.parse().unwrap());
+    AdminCommand { operator, command, action }
+}
+
 pub fn registration(entry: &str, incarnation: u64) -> EntryRegistration {
     EntryRegistration {
         entry: entry.parse().unwrap(),
