--- a/hickoryspan_core/src/entry/machine.rs
+++ b/hickoryspan_core/src/entry/machine.rs
@@ -76,7 +76,7 @@
     ) -> Self {
         let domain = identity.registration.failure_domain.clone();
         let engine_generator = split_generator(&mut generator);
-        let engine = FanoutEngine::new(settings.engine.clone(), domain, engine_generator);
+        let engine = FanoutEngine::new(settings.engine, domain, engine_generator);
         Self::with_engine(identity, settings, generator, Box::new(engine))
     }
 
