--- a/hickoryspan_core/src/entry/dispatch.rs
+++ b/hickoryspan_core/src/entry/dispatch.rs
@@ -129,11 +129,10 @@
         now: MonotonicTime,
     ) -> Option<TargetIndex> {
         let group = query.layout.partitions[partition as usize].group;
-        let typical = self.quantiles(query.service).median;
         let replicas = self.directory.replicas(group);
         let state = &query.partitions[partition as usize];
         let exclude = if kind == AttemptKind::First { &[] } else { state.tried() };
-        let mut request = RouteRequest { now, exclude, typical, extra: kind.is_extra() };
+        let mut request = RouteRequest { now, exclude, extra: kind.is_extra() };
         let choice = self.router.choose(&self.fleet, replicas, &request, &mut self.generator);
         if choice.is_some() || kind == AttemptKind::First || kind == AttemptKind::Hedge {
             return choice;
@@ -245,6 +244,9 @@
         if !self.directory.is_reachable(group, &self.fleet) {
             return DispatchOutcome::NoTarget;
         }
+        if self.queues_for(query, place.partition, kind, now).next().is_none() {
+            return DispatchOutcome::NoBudget;
+        }
         let service = self.directory.service_mut(query.service);
         if service.waiting >= self.settings.queries.max_waiting {
             return DispatchOutcome::QueueFull;
@@ -258,28 +260,49 @@
         DispatchOutcome::Waiting
     }
 
-    /// Puts a waiting partition into the queues of all its targets; it leaves them when one of them serves it.
+    /// The targets for which a partition may wait: not ejected ones, and for a retry not those already tried, if
+    /// there are others, nor those whose budget is used up.
+    fn queues_for<'a>(
+        &'a self,
+        query: &'a QueryState,
+        partition: u32,
+        kind: AttemptKind,
+        now: MonotonicTime,
+    ) -> impl Iterator<Item = TargetIndex> + 'a {
+        let replicas = self.directory.replicas(query.layout.partitions[partition as usize].group);
+        let ejects = self.router.ejects(&self.fleet, replicas, now);
+        let tried = query.partitions[partition as usize].tried();
+        let open = move |index: &TargetIndex| {
+            let target = self.fleet.target(*index);
+            target.takes_work() && !(ejects && target.health.is_unhealthy(now))
+        };
+        let untried = replicas.iter().any(|index| open(index) && !tried.contains(index));
+        replicas.iter().copied().filter(move |index| {
+            let elsewhere = untried && tried.contains(index);
+            let budget = &self.fleet.target(*index).budget;
+            open(index) && !(kind.is_extra() && (elsewhere || !budget.allows()))
+        })
+    }
+
+    /// Puts a waiting partition into the queues of its targets; it leaves them when one of them serves it.
     pub fn join_queues(&mut self, query: &QueryState, place: PartitionRef, now: MonotonicTime) {
-        let partition = place.partition as usize;
-        let sequence = query.partitions[partition].sequence;
-        let deadline = query.end_at;
+        let state = &query.partitions[place.partition as usize];
+        let PartitionStatus::Waiting(kind) = state.status else { return };
+        let (deadline, sequence) = (query.end_at, state.sequence);
         let entry =
             WaitingRequest { deadline, sequence, query: place.query, partition: place.partition };
-        let group = query.layout.partitions[partition].group;
-        let replicas = self.directory.replicas(group);
-        let ejects = self.router.ejects(&self.fleet, replicas, now);
-        for index in replicas {
-            let target = self.fleet.target_mut(*index);
-            if !target.takes_work() || (ejects && target.health.is_unhealthy(now)) {
-                continue;
-            }
-            // Entries of ended waits stay until their turn; the queue is cleared of overdue ones when it is long.
-            if target.waiting.len() >= self.settings.queries.max_waiting {
-                target.waiting.retain(|entry| entry.0.deadline > now);
+        let former = self.touched.len();
+        let mut touched = std::mem::take(&mut self.touched);
+        touched.extend(self.queues_for(query, place.partition, kind, now));
+        for index in &touched[former..] {
+            let waiting = &mut self.fleet.target_mut(*index).waiting;
+            // Entries of ended waits stay until their turn; a long queue is cleared of overdue ones.
+            if waiting.len() >= self.settings.queries.max_waiting {
+                waiting.retain(|entry| entry.0.deadline > now);
             }
-            target.waiting.push(Reverse(entry));
-            self.touched.push(*index);
+            waiting.push(Reverse(entry));
         }
+        self.touched = touched;
     }
 
     /// Notes that a partition no longer waits.
--- a/hickoryspan_core/src/entry/engine.rs
+++ b/hickoryspan_core/src/entry/engine.rs
@@ -155,7 +155,8 @@
                     && Some(&record.shard) == partition.shard.as_ref()
             });
             let replicas = dispatcher.directory.replicas(partition.group);
-            if !is_named || replicas.contains(&index) {
+            let present = dispatcher.fleet.target(index).present;
+            if !present || !is_named || replicas.contains(&index) {
                 continue;
             }
             let state = &mut query.partitions[attempt.partition as usize];
--- a/hickoryspan_core/src/entry/outliers.rs
+++ b/hickoryspan_core/src/entry/outliers.rs
@@ -13,7 +13,8 @@
     pub enabled: bool,
     /// Failures in a row that eject a target.
     pub consecutive_failures: u32,
-    /// A mean latency above this multiple of the service's median, and above its hedge quantile, ejects a target.
+    /// A mean latency above this multiple of the service's median ejects a target. Higher quantiles are not used,
+    /// because one slow target among few moves them itself.
     pub latency_factor: f64,
     /// Latencies below this never eject, because differences between fast targets do no harm.
     pub latency_floor: Duration,
@@ -49,6 +50,7 @@
     answers: u32,
     /// Mean latency in microseconds, with exponential weights.
     latency: f64,
+    measured_at: MonotonicTime,
     ejected_until: MonotonicTime,
     ejections: u32,
 }
@@ -56,15 +58,20 @@
 /// Weight of the newest latency in the mean; about the last ten answers count.
 const LATENCY_WEIGHT: f64 = 0.1;
 
+/// Time after which a measured latency says nothing about the target any more.
+const LATENCY_LIFETIME: Duration = Duration::from_secs(2);
+
 impl TargetHealth {
     /// Whether the target appears unhealthy now.
     pub fn is_unhealthy(&self, now: MonotonicTime) -> bool {
         now < self.ejected_until
     }
 
-    /// The mean latency in microseconds, if anything was measured.
-    pub fn latency(&self) -> Option<f64> {
-        (self.answers > 0).then_some(self.latency)
+    /// The mean latency in microseconds, if it was measured lately. An old one does not count, because a target that
+    /// was slow once would get no work that shows its recovery.
+    pub fn latency(&self, now: MonotonicTime) -> Option<f64> {
+        let is_recent = now.since(self.measured_at) < LATENCY_LIFETIME;
+        (self.answers > 0 && is_recent).then_some(self.latency)
     }
 
     /// Counts a latency: of an answer, or the time without an answer so far.
@@ -81,10 +88,10 @@
             _ => self.latency + (micros - self.latency) * LATENCY_WEIGHT,
         };
         self.answers += 1;
+        self.measured_at = now;
         let median = peers.median.as_secs_f64() * 1e6;
-        let bound = (median * settings.latency_factor)
-            .max(peers.hedge.as_secs_f64() * 1e6)
-            .max(settings.latency_floor.as_secs_f64() * 1e6);
+        let floor = settings.latency_floor.as_secs_f64() * 1e6;
+        let bound = (median * settings.latency_factor).max(floor);
         if settings.enabled && self.answers >= settings.min_answers && self.latency > bound {
             self.eject(now, settings);
         }
--- a/hickoryspan_core/src/entry/routing.rs
+++ b/hickoryspan_core/src/entry/routing.rs
@@ -47,8 +47,6 @@
     pub now: MonotonicTime,
     /// Targets that must not be chosen.
     pub exclude: &'a [TargetIndex],
-    /// The latency assumed of targets that were not measured.
-    pub typical: Duration,
     /// Whether the choice draws on the target's budget of hedges and retries.
     pub extra: bool,
 }
@@ -156,20 +154,23 @@
         if !self.routing.load_aware {
             return Some(first);
         }
-        let better = self.score(fleet, second, request) < self.score(fleet, first, request);
-        Some(if better { second } else { first })
+        let latency = |index| fleet.target(index).health.latency(request.now);
+        // Latencies are compared only if both are known; any assumed value would favour or starve a new target.
+        let (latency_1, latency_2) = match (latency(first), latency(second)) {
+            (Some(latency_1), Some(latency_2)) => (latency_1, latency_2),
+            _ => (1.0, 1.0),
+        };
+        let score_1 = self.load_score(fleet, first, request.now) * latency_1.max(1.0);
+        let score_2 = self.load_score(fleet, second, request.now) * latency_2.max(1.0);
+        Some(if score_2 < score_1 { second } else { first })
     }
 
-    /// Expected work ahead of a new request, in microseconds; lower is better.
-    fn score(&self, fleet: &Fleet, index: TargetIndex, request: &RouteRequest<'_>) -> f64 {
+    /// Requests per slot with a new one, larger for cold targets.
+    fn load_score(&self, fleet: &Fleet, index: TargetIndex, now: MonotonicTime) -> f64 {
         let target = fleet.target(index);
-        let load = f64::from(target.in_flight)
-            + 1.0
-            + target.aged_load(request.now, self.routing.load_lifetime);
-        let slots = f64::from(target.record.slots.0.max(1));
-        let typical = request.typical.as_secs_f64() * 1e6;
-        let latency = target.health.latency().unwrap_or(typical).max(1.0);
-        load / slots * latency / self.warmth(fleet, index, request.now)
+        let load =
+            f64::from(target.in_flight) + 1.0 + target.aged_load(now, self.routing.load_lifetime);
+        load / f64::from(target.record.slots.0.max(1)) / self.warmth(fleet, index, now)
     }
 
     /// The part of the load that a target may get: rises to one over the slow start.
--- a/hickoryspan_core/tests/support/mod.rs
+++ b/hickoryspan_core/tests/support/mod.rs
@@ -151,22 +151,25 @@
     pub discarded: BTreeSet<AttemptId>,
     pub silent: Vec<TargetId>,
     pub extra: u32,
+    /// Whether connections open at once.
+    pub opens_at_once: bool,
     next_token: u64,
 }
 
 impl EngineBench {
-    /// An engine in failure domain `d0` that holds all connections of the view's targets, which are open.
+    /// An engine in failure domain `d0` that may open all connections of the view's targets; they open at once.
     pub fn new(view: MembershipView) -> Self {
         Self::with_settings(view, EngineSettings::default())
     }
 
     pub fn with_settings(view: MembershipView, settings: EngineSettings) -> Self {
         let mut bench = Self::unopened(view, settings, 7);
+        bench.opens_at_once = true;
         bench.open_all();
         bench
     }
 
-    /// As above, with no connection open yet.
+    /// As above; connections open when the test says so.
     pub fn unopened(view: MembershipView, settings: EngineSettings, seed: u64) -> Self {
         let home: FailureDomain = "d0".parse().unwrap();
         let generator = ChaCha12Rng::seed_from_u64(seed);
@@ -184,6 +187,7 @@
             discarded: BTreeSet::new(),
             silent: Vec::new(),
             extra: 0,
+            opens_at_once: false,
             next_token: 0,
         };
         bench.set_share(Some(OrdinalShare { ordinal: OrdinalNumber(0), max_ordinals: 1 }));
@@ -205,6 +209,9 @@
         while let Some(report) = self.engine.next_report() {
             self.reports.push(report);
         }
+        if self.opens_at_once {
+            self.open_all();
+        }
     }
 
     fn perform(&mut self, action: EntryAction) {
@@ -320,20 +327,13 @@
         all.filter(|(_, state)| state.target.as_str() == target).map(|(id, _)| *id).collect()
     }
 
-    /// Moves the clock, with ticks at the requested times; new connections open at once.
+    /// Moves the clock, with ticks at the requested times.
     pub fn advance(&mut self, duration: Duration) {
-        self.advance_with(duration, true);
-    }
-
-    pub fn advance_with(&mut self, duration: Duration, opens: bool) {
         let end = self.now + duration;
         let mut ticks = 0;
         while let Some(at) = self.engine.next_wakeup().filter(|at| *at <= end) {
             self.now = self.now.max(at);
             self.event(EntryEvent::Tick);
-            if opens {
-                self.open_all();
-            }
             ticks += 1;
             assert!(ticks < 100_000, "the engine asks to be woken again and again");
         }
