Test malformed input, faults and the stand-in target

Cause: The daemon and the target had tests of the plain path only. The new tests found two faults: an order that ended with an error got a body that is not JSON, and the argument library prints its help to standard error. Change: An order without a result answers null; a recorded result is checked before it is sent on; programs print the help themselves.

--- a/hickoryspan_entry/src/answers.rs
+++ b/hickoryspan_entry/src/answers.rs
@@ -14,6 +14,7 @@
 use hickoryspan_runtime::http_server::{ResponseBody, body_response, json_response};
 use http::{HeaderValue, Response, StatusCode};
 use serde::Serialize;
+use serde_json::value::RawValue;
 
 use crate::controller::CallerReply;
 use crate::errors::insert_request_id;
@@ -162,16 +163,23 @@
             head.push(b']');
         }
         ContentKind::Order => {
-            let recorded = reply.response.recorded_body.as_deref().map(str::as_bytes);
-            let part = reply.parts.first().map(Bytes::as_ref);
             head.extend_from_slice(b",\"result\":");
-            head.extend_from_slice(part.or(recorded).unwrap_or(b"null"));
+            head.extend_from_slice(order_result(reply));
         }
     }
     head.push(b'}');
     head.into()
 }
 
+/// The result as JSON text; an order that did not complete has none. A recorded result comes from another process,
+/// so its text is checked again.
+fn order_result(reply: &CallerReply) -> &[u8] {
+    let part = reply.parts.first().map(Bytes::as_ref).filter(|part| !part.is_empty());
+    let recorded = reply.response.recorded_body.as_deref();
+    let recorded = recorded.filter(|text| serde_json::from_str::<&RawValue>(text).is_ok());
+    part.or(recorded.map(str::as_bytes)).unwrap_or(b"null")
+}
+
 /// The parts are arrays in key order; an answer's hits are their items in the same order.
 fn append_hits(head: &mut Vec<u8>, parts: &[Bytes]) {
     let mut is_first = true;
--- a/hickoryspan_entry/src/arguments.rs
+++ b/hickoryspan_entry/src/arguments.rs
@@ -22,11 +22,11 @@
 /// Largest accepted answer of a target: one fan-out holds hundreds of them in memory.
 const MAX_ANSWER_BYTES: ByteCount = ByteCount(64 * 1024 * 1024);
 
-/// The flags; each also has an environment variable, as `--help` states.
+/// Every flag is also an environment variable: --some-flag is HICKORYSPAN_SOME_FLAG.
 #[derive(Debug, Default, Options)]
 pub struct EntryArguments {
     /// Prints the help.
-    #[options(no_short, help = "print this help; --some-flag is also HICKORYSPAN_SOME_FLAG")]
+    #[options(no_short, help = "print this help")]
     pub help: bool,
     /// Prints the version.
     #[options(no_short, help = "print the version")]
--- a/hickoryspan_entry/src/controller.rs
+++ b/hickoryspan_entry/src/controller.rs
@@ -458,8 +458,10 @@
         self.free_connection(connection, attempt);
         let Some(active) = self.attempts.get_mut(&attempt) else { return };
         let body = match active.kind {
-            AnswerKind::Hits => None,
-            AnswerKind::Result => std::str::from_utf8(&answer.content).ok().map(Into::into),
+            AnswerKind::Result if !answer.content.is_empty() => {
+                std::str::from_utf8(&answer.content).ok().map(Into::into)
+            }
+            _ => None,
         };
         if active.keep {
             active.answer = Some(answer.content);
--- a/hickoryspan_entry/src/main.rs
+++ b/hickoryspan_entry/src/main.rs
@@ -2,16 +2,20 @@
 
 use std::process::ExitCode;
 
-use gumdrop::Options;
 use hickoryspan_entry::EntryDaemon;
 use hickoryspan_entry::arguments::{EntryArguments, EntryProgram};
-use hickoryspan_runtime::process::{StopSignals, accept_settings};
+use hickoryspan_runtime::process::{StopSignals, accept_settings, parse_arguments};
 use hickoryspan_runtime::settings::SettingsReader;
 
+const PROGRAM: &str = "hickoryspan-entry";
+
 fn main() -> ExitCode {
-    let arguments = EntryArguments::parse_args_default_or_exit();
+    let arguments: EntryArguments = match parse_arguments(PROGRAM) {
+        Ok(arguments) => arguments,
+        Err(code) => return code,
+    };
     if arguments.version {
-        println!("hickoryspan-entry {}", env!("CARGO_PKG_VERSION"));
+        println!("{PROGRAM} {}", env!("CARGO_PKG_VERSION"));
         return ExitCode::SUCCESS;
     }
     let read = arguments.read(SettingsReader::from_environment());
@@ -22,7 +26,7 @@
     match run(program) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
-            eprintln!("hickoryspan-entry: {error:#}");
+            eprintln!("{PROGRAM}: {error:#}");
             ExitCode::FAILURE
         }
     }
--- a/hickoryspan_entry/tests/common/mod.rs
+++ b/hickoryspan_entry/tests/common/mod.rs
@@ -32,7 +32,8 @@
 use http::Request;
 use http_body_util::Full;
 use serde_json::Value;
-use tokio::net::TcpListener;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinSet;
 
@@ -372,6 +373,17 @@
     call(address, "POST", "/v1/search", &caller_headers(), &body).await
 }
 
+/// Sends raw bytes and returns everything that comes back until the other side closes the connection.
+pub async fn send_raw(address: SocketAddr, bytes: &[u8]) -> String {
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    stream.write_all(bytes).await.unwrap();
+    let mut answer = Vec::new();
+    let read = stream.read_to_end(&mut answer);
+    // A reset instead of a regular end still means that the connection was cut.
+    let _ = tokio::time::timeout(PATIENCE, read).await.expect("the connection stays open");
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
 /// Headers of an order that is issued now.
 pub fn order_headers(request: &str) -> Vec<(&'static str, String)> {
     let mut headers = caller_headers();
--- /dev/null
+++ b/hickoryspan_entry/tests/faults.rs
@@ -0,0 +1,215 @@
+//! Guards against wrong outcomes when targets or callers fail: an order that may have run must never be called
+//! `not_run`, one that did not run must not be called `unknown`, and work that nobody waits for must stop.
+
+#![allow(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
+
+mod common;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use common::*;
+use hickoryspan_core::membership::{PartitionRecord, TargetRecord};
+use hickoryspan_core::types::{ConnectionCount, DocumentCount, KeyRange, SlotCount};
+use hickoryspan_target::faults::FaultSettings;
+use hickoryspan_target::record::RunEnd;
+use hickoryspan_target::settings::TargetSettings;
+use rstest::rstest;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
+use tokio::task::JoinSet;
+
+const SHORT_DEADLINE: Duration = Duration::from_millis(400);
+/// A deadline that no test reaches.
+const ENDLESS: Duration = Duration::from_secs(600);
+/// Makes a service time longer than any test.
+const ENDLESS_FACTOR: f64 = 1e6;
+
+/// Accepts connections and answers each request with these bytes; an empty answer closes the connection.
+async fn start_scripted(answer: String) -> (SocketAddr, JoinSet<()>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let mut tasks = JoinSet::new();
+    tasks.spawn(async move {
+        let mut connections = JoinSet::new();
+        loop {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            let answer = answer.clone();
+            connections.spawn(async move {
+                let mut buffer = vec![0; 16 * 1024];
+                while stream.read(&mut buffer).await.is_ok_and(|count| count > 0) {
+                    if answer.is_empty() || stream.write_all(answer.as_bytes()).await.is_err() {
+                        break;
+                    }
+                }
+            });
+        }
+    });
+    (address, tasks)
+}
+
+fn record(service: &str, address: SocketAddr) -> TargetRecord {
+    TargetRecord {
+        target: "scripted".parse().unwrap(),
+        incarnation: Default::default(),
+        address,
+        tenant: TENANT.parse().unwrap(),
+        service: service.parse().unwrap(),
+        failure_domain: "d1".parse().unwrap(),
+        slots: SlotCount(2),
+        connections: ConnectionCount(8),
+        partitions: vec![PartitionRecord {
+            snapshot: SNAPSHOT,
+            shard: "all".parse().unwrap(),
+            range: KeyRange::FULL,
+            documents: DocumentCount(10),
+        }],
+        draining: false,
+    }
+}
+
+fn http_answer(status: &str, body: &str) -> String {
+    format!("HTTP/1.1 {status}\r\ncontent-length: {}\r\n\r\n{body}", body.len())
+}
+
+#[rstest]
+#[case::closed_mid_request(String::new(), "unknown")]
+#[case::malformed(http_answer("200 OK", "{\"status\":\"fine\"}"), "unknown")]
+#[case::no_result(http_answer("200 OK", "{\"status\":\"done\"}"), "unknown")]
+#[case::not_http("nonsense\r\n\r\n".to_owned(), "unknown")]
+#[case::too_large(http_answer("200 OK", &"x".repeat(2 * 1024 * 1024)), "unknown")]
+#[case::shed(http_answer("503 Service Unavailable", "{\"status\":\"shed\"}"), "not_run")]
+#[case::draining(http_answer("503 Service Unavailable", "{\"status\":\"draining\"}"), "not_run")]
+#[case::late(http_answer("504 Gateway Timeout", "{\"status\":\"late\"}"), "not_run")]
+#[case::error(http_answer("500 Internal Server Error", "{\"status\":\"error\"}"), "failed")]
+#[tokio::test]
+async fn the_outcome_of_an_order_follows_the_answer(
+    #[case] script: String,
+    #[case] expected: &str,
+) {
+    let (address, tasks) = start_scripted(script).await;
+    let control = FakeControl::start(view([record("press", address)], SHORT_DEADLINE)).await;
+    let entry = start_entry(&control).await;
+    wait_ready(&entry, []).await;
+    let answer = order(entry.caller_address(), &order_headers("o1")).await;
+    assert_eq!(answer.outcome(), expected, "{}", answer.body);
+    entry.stop().await;
+    drop(tasks);
+    control.stop().await;
+}
+
+#[tokio::test]
+async fn an_order_without_a_listening_target_is_not_run() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    drop(listener);
+    let control = FakeControl::start(view([record("press", address)], SHORT_DEADLINE)).await;
+    let entry = start_entry(&control).await;
+    wait_ready(&entry, []).await;
+    let answer = order(entry.caller_address(), &order_headers("o1")).await;
+    assert_eq!(answer.outcome(), "not_run", "{}", answer.body);
+    entry.stop().await;
+    control.stop().await;
+}
+
+#[tokio::test]
+async fn an_order_on_a_silent_target_is_unknown() {
+    let press = start_press().await;
+    let control = FakeControl::start(view(records([&press]), SHORT_DEADLINE)).await;
+    let entry = start_entry(&control).await;
+    wait_ready(&entry, [&press]).await;
+    press.set_faults(FaultSettings { silent: true, ..FaultSettings::default() });
+    let answer = order(entry.caller_address(), &order_headers("o1")).await;
+    assert_eq!((answer.status, answer.outcome()), (504, "unknown"), "{}", answer.body);
+    entry.stop().await;
+    press.abort().await;
+    control.stop().await;
+}
+
+#[rstest]
+#[case::no_hits(http_answer("200 OK", "{\"status\":\"done\",\"snapshot\":7}"))]
+#[case::hits_not_a_list(http_answer("200 OK", "{\"status\":\"done\",\"snapshot\":7,\"hits\":{}}"))]
+#[case::other_snapshot(http_answer("200 OK", "{\"status\":\"done\",\"snapshot\":8,\"hits\":[1]}"))]
+#[case::too_large(http_answer("200 OK", &"x".repeat(2 * 1024 * 1024)))]
+#[tokio::test]
+async fn a_search_never_counts_an_answer_that_breaks_the_api(#[case] script: String) {
+    let (address, tasks) = start_scripted(script).await;
+    let control = FakeControl::start(view([record("history", address)], SHORT_DEADLINE)).await;
+    let entry = start_entry(&control).await;
+    wait_ready(&entry, []).await;
+    let answer = search(entry.caller_address(), "1").await;
+    assert_eq!(answer.body["coverage"], 0.0, "{}", answer.body);
+    assert_eq!(answer.body["hits"], serde_json::json!([]), "{}", answer.body);
+    assert_ne!(answer.outcome(), "complete");
+    entry.stop().await;
+    drop(tasks);
+    control.stop().await;
+}
+
+#[tokio::test]
+async fn a_hang_up_cancels_the_search_over_a_free_connection() {
+    let settings = TargetSettings { slots: SlotCount(8), ..TargetSettings::default() };
+    let target = start_shard(0, 1, settings).await;
+    let control = FakeControl::start(view(records([&target]), ENDLESS)).await;
+    let entry = start_entry(&control).await;
+    wait_ready(&entry, [&target]).await;
+    let address = entry.caller_address();
+    while target.open_connections() < 2 {
+        tokio::join!(search(address, "1"), search(address, "2"), search(address, "3"));
+    }
+    let earlier = target.record().runs.len();
+    target.set_faults(FaultSettings { straggler_factor: ENDLESS_FACTOR, ..Default::default() });
+    let caller = tokio::spawn(async move { search(address, "4").await.status });
+    tokio::time::timeout(PATIENCE, target.wait_in_flight(|count| count > 0)).await.unwrap();
+    caller.abort();
+    assert!(caller.await.unwrap_err().is_cancelled());
+    tokio::time::timeout(PATIENCE, target.wait_in_flight(|count| count == 0)).await.unwrap();
+    let runs = target.record().runs;
+    assert_eq!(runs[earlier].end, Some(RunEnd::Cancelled), "{runs:?}");
+    entry.stop().await;
+    target.stop().await;
+    control.stop().await;
+}
+
+#[tokio::test]
+async fn an_order_goes_on_without_its_caller_and_the_resend_gets_its_result() {
+    let press = start_press().await;
+    press.set_faults(FaultSettings { straggler_factor: 20.0, ..FaultSettings::default() });
+    let control = FakeControl::start(view(records([&press]), PATIENCE)).await;
+    let entry = start_entry(&control).await;
+    wait_ready(&entry, [&press]).await;
+    let headers = order_headers("o1");
+    let caller = tokio::spawn({
+        let (address, headers) = (entry.caller_address(), headers.clone());
+        async move { order(address, &headers).await.status }
+    });
+    tokio::time::timeout(PATIENCE, press.wait_in_flight(|count| count > 0)).await.unwrap();
+    caller.abort();
+    let _ = caller.await;
+    let answer = order(entry.caller_address(), &headers).await;
+    assert_eq!(answer.outcome(), "complete", "{}", answer.body);
+    assert_eq!(answer.body["result"]["request"], "o1", "{}", answer.body);
+    assert_eq!(press.record().runs.len(), 1);
+    entry.stop().await;
+    press.stop().await;
+    control.stop().await;
+}
+
+#[tokio::test]
+async fn a_connection_that_the_target_closed_is_not_used() {
+    // The target closes idle connections after this time, and nobody else does.
+    let read_time = Duration::from_millis(20);
+    let settings = TargetSettings { read_time, ..TargetSettings::default() };
+    let target = start_shard(0, 1, settings).await;
+    let control = FakeControl::start(view(records([&target]), PATIENCE)).await;
+    let entry = start_entry(&control).await;
+    wait_ready(&entry, [&target]).await;
+    for query in 0..20 {
+        let answer = search(entry.caller_address(), &query.to_string()).await;
+        assert_eq!(answer.outcome(), "complete", "{}", answer.body);
+        tokio::time::sleep(read_time / 2).await;
+    }
+    entry.stop().await;
+    target.stop().await;
+    control.stop().await;
+}
--- a/hickoryspan_runtime/src/process.rs
+++ b/hickoryspan_runtime/src/process.rs
@@ -1,13 +1,29 @@
-//! What the main functions of all daemons share: the answer to wrong settings, and the signals that stop a process.
+//! What the main functions of all programs share: arguments, the answer to wrong settings, and stop signals.
 
 use std::process::ExitCode;
 
 use anyhow::Context;
+use gumdrop::Options;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
 use crate::logs::{LogFormat, LogLevel, install_logs};
 use crate::settings::{SETTINGS_EXIT_CODE, SettingFaults, SettingValue, SettingsReader};
 
+/// Parses the process's arguments and answers `--help`; the error is the exit code. The help goes to standard
+/// output, which the library's own function does not do.
+pub fn parse_arguments<T: Options>(program: &str) -> Result<T, ExitCode> {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    let parsed = T::parse_args_default(&arguments).map_err(|error| {
+        eprintln!("{program}: {error}");
+        ExitCode::from(SETTINGS_EXIT_CODE as u8)
+    })?;
+    if parsed.help_requested() {
+        println!("Usage: {program} [OPTIONS]\n\n{}", T::usage());
+        return Err(ExitCode::SUCCESS);
+    }
+    Ok(parsed)
+}
+
 /// What a process was asked to do with its settings.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct SettingsRequest {
--- a/hickoryspan_target/src/arguments.rs
+++ b/hickoryspan_target/src/arguments.rs
@@ -15,11 +15,11 @@
 const SHORT: std::ops::RangeInclusive<Duration> = Duration::ZERO..=MAX_DURATION;
 const POSITIVE: std::ops::RangeInclusive<Duration> = Duration::from_millis(1)..=MAX_DURATION;
 
-/// The flags; each also has an environment variable, as `--help` states.
+/// Every flag is also an environment variable: --some-flag is HICKORYSPAN_SOME_FLAG.
 #[derive(Debug, Default, Options)]
 pub struct TargetArguments {
     /// Prints the help.
-    #[options(no_short, help = "print this help; --some-flag is also HICKORYSPAN_SOME_FLAG")]
+    #[options(no_short, help = "print this help")]
     pub help: bool,
     /// Prints the version.
     #[options(no_short, help = "print the version")]
--- a/hickoryspan_target/src/handler.rs
+++ b/hickoryspan_target/src/handler.rs
@@ -112,6 +112,7 @@
         request: Request<Incoming>,
         peer: SocketAddr,
     ) -> Response<ResponseBody> {
+        self.state.count_request();
         self.stay_silent().await;
         let mut response = self.route(request).await;
         // The connection may have gone silent while the request ran.
--- a/hickoryspan_target/src/main.rs
+++ b/hickoryspan_target/src/main.rs
@@ -2,16 +2,20 @@
 
 use std::process::ExitCode;
 
-use gumdrop::Options;
-use hickoryspan_runtime::process::{StopSignals, accept_settings};
+use hickoryspan_runtime::process::{StopSignals, accept_settings, parse_arguments};
 use hickoryspan_runtime::settings::SettingsReader;
 use hickoryspan_target::TargetServer;
 use hickoryspan_target::arguments::{TargetArguments, TargetProgram};
 
+const PROGRAM: &str = "hickoryspan-target";
+
 fn main() -> ExitCode {
-    let arguments = TargetArguments::parse_args_default_or_exit();
+    let arguments: TargetArguments = match parse_arguments(PROGRAM) {
+        Ok(arguments) => arguments,
+        Err(code) => return code,
+    };
     if arguments.version {
-        println!("hickoryspan-target {}", env!("CARGO_PKG_VERSION"));
+        println!("{PROGRAM} {}", env!("CARGO_PKG_VERSION"));
         return ExitCode::SUCCESS;
     }
     let read = arguments.read(SettingsReader::from_environment());
@@ -22,7 +26,7 @@
     match run(program) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
-            eprintln!("hickoryspan-target: {error:#}");
+            eprintln!("{PROGRAM}: {error:#}");
             ExitCode::FAILURE
         }
     }
--- a/hickoryspan_target/src/server.rs
+++ b/hickoryspan_target/src/server.rs
@@ -67,6 +67,11 @@
         self.state.open_connections()
     }
 
+    /// Requests of any kind whose headers arrived so far, also on silent connections.
+    pub fn received(&self) -> u64 {
+        self.state.received()
+    }
+
     /// Requests that wait or run now.
     pub fn in_flight(&self) -> u32 {
         *self.state.watch_in_flight().borrow()
--- a/hickoryspan_target/src/state.rs
+++ b/hickoryspan_target/src/state.rs
@@ -41,6 +41,7 @@
     next_connection: ConnectionIndex,
     silent_before: ConnectionIndex,
     open_connections: u32,
+    received: u64,
 }
 
 /// The shared state of one target.
@@ -71,6 +72,7 @@
             next_connection: 0,
             silent_before: 0,
             open_connections: 0,
+            received: 0,
         };
         Arc::new(Self {
             slots: Arc::new(Semaphore::new(settings.slots.0 as usize)),
@@ -195,6 +197,14 @@
         self.core().open_connections
     }
 
+    pub(crate) fn count_request(&self) {
+        self.core().received += 1;
+    }
+
+    pub(crate) fn received(&self) -> u64 {
+        self.core().received
+    }
+
     pub(crate) fn is_silent(&self, connection: ConnectionIndex) -> bool {
         connection < self.core().silent_before || self.faults.borrow().silent
     }
