--- a/hickoryspan_core/tests/engine_connections.rs
+++ b/hickoryspan_core/tests/engine_connections.rs
@@ -70,7 +70,7 @@
         bench.advance(ms(1));
     }
     assert!(bench.connections.len() > 4);
-    // check_shares in the bench fails if more than the share of two is left.
+    // check_shares of the bench fails if more than the share of two is left.
     bench.set_share(share(0, 2));
     assert!(bench.connections.len() <= 4);
 }
