--- a/hickoryspan_entry/src/admin_api.rs
+++ b/hickoryspan_entry/src/admin_api.rs
@@ -16,6 +16,10 @@
 /// The content type of the Prometheus text format.
 const METRICS_TYPE: &str = "text/plain; version=0.0.4; charset=utf-8";
 
+/// The routes as method and path; `docs/openapi.yaml` describes each.
+pub const HEALTH_ROUTES: [(&str, &str); 3] =
+    [("GET", "/metrics"), ("GET", "/healthz"), ("GET", "/readyz")];
+
 /// Serves `/metrics`, `/healthz` and `/readyz`. Only the metrics need the credential: the health routes tell
 /// nothing but a status, and the platform's probes carry no credential.
 pub(crate) struct AdminApi {
--- a/hickoryspan_entry/src/lib.rs
+++ b/hickoryspan_entry/src/lib.rs
@@ -19,6 +19,7 @@
 mod target_client;
 mod target_protocol;
 
+pub use admin_api::HEALTH_ROUTES;
 pub use caller_api::CALLER_ROUTES;
 pub use daemon::{EntryDaemon, EntryHandle};
 pub use settings::EntryDaemonSettings;
