--- a/hickoryspan_entry/src/controller.rs
+++ b/hickoryspan_entry/src/controller.rs
@@ -28,7 +28,7 @@
 use crate::settings::TargetClientSettings;
 use crate::target_client::{
     COMMAND_QUEUE, ConnectionCommand, ConnectionNotice, ConnectionPlan, ConnectionReport,
-    run_connection,
+    PreparedAttempt, run_connection,
 };
 use crate::target_protocol::{AnswerKind, CallContent, RequestBuilder, TargetAnswer};
 
@@ -64,7 +64,6 @@
 }
 
 struct ActiveAttempt {
-    token: QueryToken,
     connection: ConnectionId,
     kind: AnswerKind,
     /// Whether the body is kept when it arrives.
@@ -323,19 +322,15 @@
             order.target
         );
         let attempt = order.attempt;
+        let name = call.content.request.clone();
+        let prepared = PreparedAttempt { attempt, name, kind, request };
         connection
             .commands
-            .try_send(ConnectionCommand::Attempt { attempt, kind, request })
+            .try_send(ConnectionCommand::Attempt(prepared))
             .map_err(|_| "the connection does not take it")?;
         connection.attempt = Some(attempt);
         call.attempts.push(attempt);
-        let active = ActiveAttempt {
-            token: order.token,
-            connection: order.connection,
-            kind,
-            keep: true,
-            answer: None,
-        };
+        let active = ActiveAttempt { connection: order.connection, kind, keep: true, answer: None };
         self.attempts.insert(attempt, active);
         Ok(())
     }
@@ -480,12 +475,7 @@
         failure: AttemptFailure,
     ) {
         self.free_connection(connection, attempt);
-        if let Some(active) = self.attempts.remove(&attempt)
-            && let Some(call) = self.calls.get(&active.token)
-        {
-            let request = &call.content.request;
-            spdlog::debug!("request {}: attempt {}: {:?}", request, attempt, failure);
-        }
+        self.attempts.remove(&attempt);
         self.dispatch(EntryEvent::Failed { attempt, failure });
         self.release_cancels(connection);
     }
--- a/hickoryspan_entry/src/daemon.rs
+++ b/hickoryspan_entry/src/daemon.rs
@@ -15,8 +15,8 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha12Rng;
 use tokio::sync::mpsc;
-use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
+use tokio_util::task::AbortOnDropHandle;
 use xtra::{Address, Mailbox};
 
 use crate::admin_api::AdminApi;
@@ -86,10 +86,16 @@
         };
         let stop = StopTokens::default();
         let actor = EntryController::new(machine, parts, controller.clone());
+        let controller_stop = stop.controller.clone();
+        let ended = CancellationToken::new();
+        let ended_guard = ended.clone().drop_guard();
         let tasks = DaemonTasks {
-            controller: tokio::spawn(actor.run(mailbox, stop.controller.clone())),
-            callers: tokio::spawn(callers.serve(Arc::new(caller_api), stop.callers.clone())),
-            admin: tokio::spawn(admin.serve(Arc::new(admin_api), stop.admin.clone())),
+            controller: spawn(async move {
+                let _guard = ended_guard;
+                actor.run(mailbox, controller_stop).await;
+            }),
+            callers: spawn(callers.serve(Arc::new(caller_api), stop.callers.clone())),
+            admin: spawn(admin.serve(Arc::new(admin_api), stop.admin.clone())),
         };
         spdlog::info!(
             "entry {}: incarnation {}: callers {}, metrics and health {}, seed {}",
@@ -100,7 +106,16 @@
             seed
         );
         let entry = settings.entry;
-        Ok(EntryHandle { entry, caller_address, admin_address, controller, drained, stop, tasks })
+        Ok(EntryHandle {
+            entry,
+            caller_address,
+            admin_address,
+            controller,
+            drained,
+            ended,
+            stop,
+            tasks,
+        })
     }
 }
 
@@ -112,18 +127,19 @@
 }
 
 struct DaemonTasks {
-    controller: JoinHandle<()>,
-    callers: JoinHandle<()>,
-    admin: JoinHandle<()>,
+    controller: AbortOnDropHandle<()>,
+    callers: AbortOnDropHandle<()>,
+    admin: AbortOnDropHandle<()>,
 }
 
-/// Controls a running entry daemon.
+/// Controls a running entry daemon; dropping it cuts everything, without waiting for the tasks.
 pub struct EntryHandle {
     entry: EntryId,
     caller_address: SocketAddr,
     admin_address: SocketAddr,
     controller: Address<EntryController>,
     drained: CancellationToken,
+    ended: CancellationToken,
     stop: StopTokens,
     tasks: DaemonTasks,
 }
@@ -141,10 +157,8 @@
 
     /// Begins the planned stop; `drained` tells when it is complete.
     pub async fn begin_drain(&self) {
-        if self.controller.send(BeginDrain).await.is_err() {
-            spdlog::error!("entry {}: drain: the controller has ended", self.entry);
-            self.drained.cancel();
-        }
+        // A controller that has ended cannot drain, which `ended` tells.
+        let _ = self.controller.send(BeginDrain).await;
     }
 
     /// Waits until the planned stop is complete: no request is in flight and no caller was told to come here.
@@ -152,10 +166,18 @@
         self.drained.cancelled().await;
     }
 
+    /// Waits until the controller has ended, which happens before a stop only if it failed.
+    pub async fn ended(&self) {
+        self.ended.cancelled().await;
+    }
+
     /// Performs a planned stop: cuts no request, and joins all tasks.
     pub async fn drain(self) {
         self.begin_drain().await;
-        self.drained().await;
+        tokio::select! {
+            () = self.drained() => {}
+            () = self.ended() => spdlog::error!("entry {}: drain: the controller has ended", self.entry),
+        }
         self.finish().await;
     }
 
@@ -181,7 +203,11 @@
     }
 }
 
-async fn join(entry: &EntryId, name: &str, task: JoinHandle<()>) {
+fn spawn(task: impl Future<Output = ()> + Send + 'static) -> AbortOnDropHandle<()> {
+    AbortOnDropHandle::new(tokio::spawn(task))
+}
+
+async fn join(entry: &EntryId, name: &str, task: AbortOnDropHandle<()>) {
     match task.await {
         Ok(()) => {}
         Err(error) if error.is_cancelled() => {}
--- a/hickoryspan_entry/src/main.rs
+++ b/hickoryspan_entry/src/main.rs
@@ -37,12 +37,16 @@
     program.logs.install()?;
     let mut signals = StopSignals::install()?;
     let handle = EntryDaemon::start(program.daemon).await?;
-    signals.next().await;
+    tokio::select! {
+        () = signals.next() => {}
+        () = handle.ended() => anyhow::bail!("the controller failed"),
+    }
     spdlog::info!("planned stop; a second signal ends at once");
     handle.begin_drain().await;
     let is_drained = tokio::select! {
         () = handle.drained() => true,
         () = signals.next() => false,
+        () = handle.ended() => anyhow::bail!("drain: the controller failed"),
     };
     if !is_drained {
         spdlog::warn!("ended by a second signal");
--- a/hickoryspan_entry/src/target_client.rs
+++ b/hickoryspan_entry/src/target_client.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use hickoryspan_core::entry::interface::AttemptFailure;
-use hickoryspan_core::types::{AttemptId, ConnectionId};
+use hickoryspan_core::types::{AttemptId, ConnectionId, RequestId};
 use hickoryspan_runtime::http_client::{HttpConnection, SendError};
 use tokio::sync::mpsc;
 use xtra::Address;
@@ -17,10 +17,19 @@
 /// Commands that wait for a connection: its attempt and a few cancellations of attempts on others.
 pub(crate) const COMMAND_QUEUE: usize = 4;
 
+/// An attempt that is ready to be sent.
+pub(crate) struct PreparedAttempt {
+    pub(crate) attempt: AttemptId,
+    /// The caller's name for the request, for logs.
+    pub(crate) name: RequestId,
+    pub(crate) kind: AnswerKind,
+    pub(crate) request: TargetRequest,
+}
+
 /// What a connection is asked to do.
 pub(crate) enum ConnectionCommand {
     /// Sends an attempt and reports its end.
-    Attempt { attempt: AttemptId, kind: AnswerKind, request: TargetRequest },
+    Attempt(PreparedAttempt),
     /// Sends a cancellation of an attempt on another connection.
     Cancel(TargetRequest),
 }
@@ -81,7 +90,7 @@
 ) {
     commands.close();
     while let Some(command) = commands.recv().await {
-        if let ConnectionCommand::Attempt { attempt, .. } = command {
+        if let ConnectionCommand::Attempt(PreparedAttempt { attempt, .. }) = command {
             reporter.report(ConnectionNotice::Failed(attempt, AttemptFailure::NotSent)).await;
         }
     }
@@ -117,9 +126,7 @@
                 command = commands.recv() => command,
             };
             let state = match command {
-                Some(ConnectionCommand::Attempt { attempt, kind, request }) => {
-                    self.attempt(attempt, kind, request).await
-                }
+                Some(ConnectionCommand::Attempt(prepared)) => self.attempt(prepared).await,
                 Some(ConnectionCommand::Cancel(request)) => self.cancel(request).await,
                 None => break,
             };
@@ -131,21 +138,19 @@
         fail_waiting(self.reporter, commands).await;
     }
 
-    async fn attempt(
-        &mut self,
-        attempt: AttemptId,
-        kind: AnswerKind,
-        request: TargetRequest,
-    ) -> LinkState {
+    async fn attempt(&mut self, prepared: PreparedAttempt) -> LinkState {
+        let PreparedAttempt { attempt, name, kind, request } = prepared;
+        let peer = self.link.peer();
         let limit = usize::try_from(self.settings.answer_bytes.0).unwrap_or(usize::MAX);
         let (notice, state) = match self.link.send(request, limit).await {
             Ok(answer) => match TargetAnswer::parse(&answer, kind) {
                 Some(answer) => (ConnectionNotice::Answered(attempt, answer), LinkState::Usable),
                 None => {
                     spdlog::warn!(
-                        "target {}: attempt {}: status {}: the answer does not follow the API",
-                        self.link.peer(),
+                        "request {}: attempt {}: target {}: status {}: the answer does not follow the API",
+                        name,
                         attempt,
+                        peer,
                         answer.status
                     );
                     let failure = AttemptFailure::Malformed;
@@ -153,7 +158,7 @@
                 }
             },
             Err(error) => {
-                spdlog::debug!("target {}: attempt {}: {}", self.link.peer(), attempt, error);
+                spdlog::debug!("request {}: attempt {}: target {}: {}", name, attempt, peer, error);
                 let failure = match error {
                     SendError::NotSent(_) => AttemptFailure::NotSent,
                     SendError::ConnectionLost(_) => AttemptFailure::ConnectionLost,
--- a/hickoryspan_entry/tests/common/mod.rs
+++ b/hickoryspan_entry/tests/common/mod.rs
@@ -152,6 +152,8 @@
     pub address: SocketAddr,
     view: Arc<Mutex<MembershipView>>,
     publish: watch::Sender<u64>,
+    /// Counts the times at which all links are dropped.
+    drops: watch::Sender<u64>,
     tasks: JoinSet<()>,
 }
 
@@ -161,9 +163,10 @@
         let address = listener.local_addr().unwrap();
         let view = Arc::new(Mutex::new(view));
         let publish = watch::Sender::new(0);
+        let drops = watch::Sender::new(0);
         let mut tasks = JoinSet::new();
-        tasks.spawn(run_control(listener, Arc::clone(&view), publish.clone()));
-        Self { address, view, publish, tasks }
+        tasks.spawn(run_control(listener, Arc::clone(&view), publish.clone(), drops.clone()));
+        Self { address, view, publish, drops, tasks }
     }
 
     /// Applies changes and sends the whole view to the connected entries.
@@ -176,6 +179,16 @@
         self.publish.send_modify(|count| *count += 1);
     }
 
+    /// The revision of the view; each new link adds one.
+    pub fn revision(&self) -> RevisionNumber {
+        self.view.lock().unwrap().revision
+    }
+
+    /// Ends all links to entries, which may connect again.
+    pub fn drop_links(&self) {
+        self.drops.send_modify(|count| *count += 1);
+    }
+
     pub async fn stop(mut self) {
         self.tasks.shutdown().await;
     }
@@ -185,12 +198,16 @@
     listener: TcpListener,
     view: Arc<Mutex<MembershipView>>,
     publish: watch::Sender<u64>,
+    drops: watch::Sender<u64>,
 ) {
     let claims = Arc::new(Mutex::new(ClaimTable::new()));
     let mut links = JoinSet::new();
     loop {
         let (stream, _) = listener.accept().await.unwrap();
-        let link = PeerLink::accept(stream, &credential()).await.unwrap().link;
+        // An entry with another credential is refused.
+        let Ok(accepted) = PeerLink::accept(stream, &credential()).await else { continue };
+        let link = accepted.link;
+        let mut dropped = drops.subscribe();
         let (view, claims) = (Arc::clone(&view), Arc::clone(&claims));
         let mut published = publish.subscribe();
         published.mark_unchanged();
@@ -213,6 +230,7 @@
             tokio::select! {
                 _ = pump => {}
                 () = push => {}
+                _ = dropped.changed() => {}
             }
         });
     }
