--- a/hickoryspan_core/src/entry/dispatch.rs
+++ b/hickoryspan_core/src/entry/dispatch.rs
@@ -111,14 +111,20 @@
         if kind.is_extra() && !self.directory.tenant_budget(query.service).allows() {
             return DispatchOutcome::NoBudget;
         }
-        if let Some(target) = self.choose(query, place.partition, kind, now) {
-            self.start(query, place, target, kind, now, actions);
-            return DispatchOutcome::Started;
-        }
-        match kind {
-            AttemptKind::Hedge | AttemptKind::Move => DispatchOutcome::NoCapacity,
-            AttemptKind::First | AttemptKind::Retry => self.enlist(query, place, kind, now),
+        let outcome = match (self.choose(query, place.partition, kind, now), kind) {
+            (Some(target), _) => {
+                self.start(query, place, target, kind, now, actions);
+                DispatchOutcome::Started
+            }
+            (None, AttemptKind::Hedge | AttemptKind::Move) => DispatchOutcome::NoCapacity,
+            (None, AttemptKind::First | AttemptKind::Retry) => self.enlist(query, place, kind, now),
+        };
+        let goes_on = matches!(outcome, DispatchOutcome::Started | DispatchOutcome::Waiting);
+        if kind.is_extra() && goes_on {
+            // A waiting retry is counted now: otherwise many could wait for one token and all be sent later.
+            self.directory.tenant_budget(query.service).spend();
         }
+        outcome
     }
 
     fn choose(
@@ -215,14 +221,12 @@
         kind: AttemptKind,
         former: u32,
     ) {
-        let tenant = self.directory.tenant_budget(service);
         let budget = &mut self.fleet.target_mut(target).budget;
         if kind.is_extra() {
-            tenant.spend();
             budget.spend();
         } else if former == 0 {
-            tenant.fill();
             budget.fill();
+            self.directory.tenant_budget(service).fill();
         }
     }
 
--- a/hickoryspan_core/tests/support/mod.rs
+++ b/hickoryspan_core/tests/support/mod.rs
@@ -147,6 +147,8 @@
     /// Connections that wait to be opened.
     pub opening: Vec<ConnectionId>,
     pub opens: Vec<(MonotonicTime, TargetId)>,
+    /// Attempts that a test has not looked at yet.
+    pub fresh: Vec<AttemptId>,
     pub reports: Vec<EngineReport>,
     pub discarded: BTreeSet<AttemptId>,
     pub silent: Vec<TargetId>,
@@ -183,6 +185,7 @@
             sent: BTreeMap::new(),
             opening: Vec::new(),
             opens: Vec::new(),
+            fresh: Vec::new(),
             reports: Vec::new(),
             discarded: BTreeSet::new(),
             silent: Vec::new(),
@@ -259,6 +262,7 @@
         assert!(!record.draining, "new work for a draining target");
         assert!(!self.view.drained_domains.contains(&record.failure_domain));
         connection.busy = Some(order.attempt);
+        self.fresh.push(order.attempt);
         assert!(self.sent.insert(order.attempt, order.clone()).is_none(), "id used twice");
         let sent = SentAttempt { sent_at: self.now, cancelled: false, order };
         self.attempts.insert(sent.order.attempt, sent);
