--- a/hickoryspan_entry/src/main.rs
+++ b/hickoryspan_entry/src/main.rs
@@ -2,16 +2,20 @@
 
 use std::process::ExitCode;
 
-use gumdrop::Options;
 use hickoryspan_entry::EntryDaemon;
 use hickoryspan_entry::arguments::{EntryArguments, EntryProgram};
-use hickoryspan_runtime::process::{StopSignals, accept_settings};
+use hickoryspan_runtime::process::{StopSignals, accept_settings, parse_arguments};
 use hickoryspan_runtime::settings::SettingsReader;
 
+const PROGRAM: &str = "hickoryspan-entry";
+
 fn main() -> ExitCode {
-    let arguments = EntryArguments::parse_args_default_or_exit();
+    let arguments: EntryArguments = match parse_arguments(PROGRAM) {
+        Ok(arguments) => arguments,
+        Err(code) => return code,
+    };
     if arguments.version {
-        println!("hickoryspan-entry {}", env!("CARGO_PKG_VERSION"));
+        println!("{PROGRAM} {}", env!("CARGO_PKG_VERSION"));
         return ExitCode::SUCCESS;
     }
     let read = arguments.read(SettingsReader::from_environment());
@@ -22,7 +26,7 @@
     match run(program) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
-            eprintln!("hickoryspan-entry: {error:#}");
+            eprintln!("{PROGRAM}: {error:#}");
             ExitCode::FAILURE
         }
     }
@@ -33,12 +37,16 @@
     program.logs.install()?;
     let mut signals = StopSignals::install()?;
     let handle = EntryDaemon::start(program.daemon).await?;
-    signals.next().await;
+    tokio::select! {
+        () = signals.next() => {}
+        () = handle.ended() => anyhow::bail!("the controller failed"),
+    }
     spdlog::info!("planned stop; a second signal ends at once");
     handle.begin_drain().await;
     let is_drained = tokio::select! {
         () = handle.drained() => true,
         () = signals.next() => false,
+        () = handle.ended() => anyhow::bail!("drain: the controller failed"),
     };
     if !is_drained {
         spdlog::warn!("ended by a second signal");
