Share targets fairly between entry hosts

Cause: an entry with a low concurrency limit got few answers and so recovered slowly: with seven entries on one target of two slots, one entry got nine times the work of another. A target that denied a partition by mistake never got it again, and answers cut off by a deadline were missing from the latency estimate. Change: the limit rises per round trip and not per answer, and falls when more than half a request per slot is queued. Denials end after 10 s. Times of unanswered attempts count as lower bounds. An attempt is not sent if its answer cannot return in time. Conclusion: entry hosts keep the slots busy without a standing queue and without talking to each other.

--- a/hickoryspan_core/src/entry/answers.rs
+++ b/hickoryspan_core/src/entry/answers.rs
@@ -69,7 +69,7 @@
             }
             AnswerStatus::Done | AnswerStatus::SnapshotGone => {
                 actions.push(EntryAction::DiscardAttempt(id));
-                self.leave_partition(&attempt);
+                self.leave_partition(&attempt, now);
                 if self.is_unserved(place) && self.restart(place.query, now, actions) {
                     return;
                 }
@@ -170,8 +170,7 @@
             if elapsed >= self.dispatcher.silence(service) {
                 self.dispatcher.close_silent(loser, actions);
             } else {
-                // The time so far is a lower bound; without it, hedging would hide the slow part of the latencies.
-                self.dispatcher.directory.service_mut(service).latency.record(elapsed);
+                self.dispatcher.record_censored(loser, now);
                 self.dispatcher.abandon(loser, true, now, actions);
             }
         }
@@ -193,12 +192,13 @@
     }
 
     /// Records that a target does not serve a partition any more.
-    fn leave_partition(&mut self, attempt: &AttemptState) {
+    fn leave_partition(&mut self, attempt: &AttemptState, now: MonotonicTime) {
         let Some(query) = self.queries.get(attempt.query) else { return };
         let partition = &query.layout.partitions[attempt.partition as usize];
         let dispatcher = &mut self.dispatcher;
         if let (Some(version), Some(shard)) = (query.layout.version, &partition.shard) {
-            dispatcher.fleet.deny(attempt.target, version, shard);
+            let timers = &mut dispatcher.timers;
+            dispatcher.fleet.deny(now, attempt.target, version, shard, timers);
         }
         let group = partition.group;
         dispatcher.directory.leave_partition(
--- a/hickoryspan_core/src/entry/concurrency.rs
+++ b/hickoryspan_core/src/entry/concurrency.rs
@@ -9,14 +9,20 @@
 
 use super::interface::LoadReport;
 
+/// Largest increase after one answer.
+const MAX_STEP: f64 = 0.25;
+
 /// Settings of the per-target concurrency limit.
 #[derive(Clone, Copy, Debug)]
 pub struct ConcurrencySettings {
     /// Factor on the limit when a target sheds.
     pub shed_factor: f64,
-    /// Factor on the limit when a target reports more queued requests than slots.
+    /// Factor on the limit when a target reports a queue.
     pub queue_factor: f64,
-    /// Increase of the limit after as many answers as the limit.
+    /// Queued requests per slot above which a target counts as queueing; a shorter queue keeps its slots busy.
+    pub queue_share: f64,
+    /// Increase of the limit per round trip. It does not depend on the number of answers, because an entry with a
+    /// low limit would otherwise stay behind the others.
     pub increase: f64,
     /// The lowest limit; below one, the entry waits between two requests.
     pub floor: f64,
@@ -24,7 +30,7 @@
 
 impl Default for ConcurrencySettings {
     fn default() -> Self {
-        Self { shed_factor: 0.5, queue_factor: 0.8, increase: 0.5, floor: 0.1 }
+        Self { shed_factor: 0.5, queue_factor: 0.8, queue_share: 0.5, increase: 0.1, floor: 0.1 }
     }
 }
 
@@ -74,11 +80,14 @@
         load: Option<LoadReport>,
         settings: &ConcurrencySettings,
     ) {
-        let queued = load.is_some_and(|load| f64::from(load.queued) > self.slots);
+        let bound = self.slots * settings.queue_share;
+        let queued = load.is_some_and(|load| f64::from(load.queued) > bound);
         if queued {
             self.decrease(now, started, settings.queue_factor, settings);
         } else {
-            self.limit = (self.limit + settings.increase / self.limit.max(1.0)).min(self.slots);
+            // An answer arrives every `1 / limit` round trips.
+            let step = (settings.increase / self.limit).min(MAX_STEP);
+            self.limit = (self.limit + step).min(self.slots);
         }
         self.pause(now, now.since(started));
     }
--- a/hickoryspan_core/src/entry/dispatch.rs
+++ b/hickoryspan_core/src/entry/dispatch.rs
@@ -96,6 +96,11 @@
         self.quantiles(service).fastest.max(self.settings.queries.min_budget)
     }
 
+    /// The time that must remain for an answer of a target to return in time.
+    pub fn least_time_at(&self, target: TargetIndex) -> Duration {
+        self.fleet.target(target).return_trip() + self.settings.queries.min_budget
+    }
+
     /// Sends an attempt, or lets its partition wait for capacity.
     pub fn dispatch(
         &mut self,
@@ -112,6 +117,9 @@
             return DispatchOutcome::NoBudget;
         }
         let outcome = match (self.choose(query, place.partition, kind, now), kind) {
+            (Some(target), _) if query.end_at.since(now) < self.least_time_at(target) => {
+                DispatchOutcome::TooLate
+            }
             (Some(target), _) => {
                 self.start(query, place, target, kind, now, actions);
                 DispatchOutcome::Started
@@ -353,6 +361,19 @@
         }
     }
 
+    /// Adds the time of an unanswered attempt to the service's latencies. It is a lower bound; without it, hedges
+    /// and deadlines would hide the slow part of the distribution.
+    pub fn record_censored(&mut self, id: AttemptId, now: MonotonicTime) {
+        let Some(attempt) = self.attempts.get(id) else { return };
+        let elapsed = now.since(attempt.started);
+        let service = self.fleet.target(attempt.target).service;
+        let latency = &mut self.directory.service_mut(service).latency;
+        // Attempts sent shortly before the end say nothing about the slow part.
+        if elapsed >= latency.quantiles().median {
+            latency.record(elapsed);
+        }
+    }
+
     /// Closes a connection that has gone silent, with its attempt.
     pub fn close_silent(&mut self, id: AttemptId, actions: &mut Vec<EntryAction>) {
         let Some(attempt) = self.attempts.remove(id) else { return };
--- a/hickoryspan_core/src/entry/engine.rs
+++ b/hickoryspan_core/src/entry/engine.rs
@@ -399,10 +399,13 @@
                 TimerKey::Query(key) => self.look(key, now, actions),
                 TimerKey::Target(index) => {
                     let dispatcher = &mut self.dispatcher;
+                    let service = dispatcher.fleet.target(index).service;
                     if dispatcher.fleet.end_leaving(now, index) {
-                        let service = dispatcher.fleet.target(index).service;
                         dispatcher.directory.refresh_reachable(service, &dispatcher.fleet);
                     }
+                    if dispatcher.fleet.end_denials(now, index) {
+                        dispatcher.directory.rebuild(service, &dispatcher.fleet);
+                    }
                     dispatcher.fleet.take_timer(index, &mut dispatcher.timers);
                     self.look_at_loss(index, now);
                     self.dispatcher.touched.push(index);
--- a/hickoryspan_core/src/entry/fleet.rs
+++ b/hickoryspan_core/src/entry/fleet.rs
@@ -31,8 +31,9 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(super) struct DomainIndex(pub u32);
 
-/// How long a target's own answer that it drains counts, if the view does not confirm it.
-const DRAINING_ANSWER_HOLDS: Duration = Duration::from_secs(10);
+/// How long a target's answer that it drains or lacks a partition counts, if the view does not confirm it. The view
+/// follows within seconds; an answer given by mistake must not exclude the target for ever.
+const ANSWER_HOLDS: Duration = Duration::from_secs(10);
 
 /// The assumed return trip before a target was measured.
 const DEFAULT_RETURN_TRIP: Duration = Duration::from_millis(1);
@@ -92,6 +93,14 @@
     at: MonotonicTime,
 }
 
+/// A partition that a target announced and then denied in an answer.
+#[derive(Clone, Debug)]
+struct DeniedPartition {
+    snapshot: SnapshotVersion,
+    shard: ShardId,
+    until: MonotonicTime,
+}
+
 /// What is known about one target.
 #[derive(Debug)]
 pub(super) struct TargetState {
@@ -108,7 +117,7 @@
     /// Until when its own answer that it drains counts.
     leaving_until: MonotonicTime,
     /// Partitions that it announced and then denied.
-    denied: Vec<(SnapshotVersion, ShardId)>,
+    denied: Vec<DeniedPartition>,
     /// The connections that this entry may hold.
     pub share: ConnectionCount,
     /// Idle connections; the last one answered most recently.
@@ -160,7 +169,7 @@
             !self
                 .denied
                 .iter()
-                .any(|(snapshot, shard)| *snapshot == record.snapshot && *shard == record.shard)
+                .any(|denied| denied.snapshot == record.snapshot && denied.shard == record.shard)
         })
     }
 
@@ -449,7 +458,7 @@
         index: TargetIndex,
         timers: &mut TimerQueue,
     ) {
-        let until = now + DRAINING_ANSWER_HOLDS;
+        let until = now + ANSWER_HOLDS;
         self.target_mut(index).leaving_until = until;
         self.wake_target(index, until, timers);
     }
@@ -465,8 +474,26 @@
     }
 
     /// Records that a target denied a partition that it announced.
-    pub fn deny(&mut self, index: TargetIndex, snapshot: SnapshotVersion, shard: &ShardId) {
-        self.target_mut(index).denied.push((snapshot, shard.clone()));
+    pub fn deny(
+        &mut self,
+        now: MonotonicTime,
+        index: TargetIndex,
+        snapshot: SnapshotVersion,
+        shard: &ShardId,
+        timers: &mut TimerQueue,
+    ) {
+        let until = now + ANSWER_HOLDS;
+        let denied = DeniedPartition { snapshot, shard: shard.clone(), until };
+        self.target_mut(index).denied.push(denied);
+        self.wake_target(index, until, timers);
+    }
+
+    /// Ends denials that the view has not confirmed; whether any ended.
+    pub fn end_denials(&mut self, now: MonotonicTime, index: TargetIndex) -> bool {
+        let denied = &mut self.target_mut(index).denied;
+        let former = denied.len();
+        denied.retain(|denied| denied.until > now);
+        denied.len() < former
     }
 
     /// Takes an idle connection for an attempt. The one used last is taken, because it most likely still works.
@@ -644,8 +671,9 @@
     pub fn take_timer(&mut self, index: TargetIndex, timers: &mut TimerQueue) {
         let target = self.target_mut(index);
         target.timer_at = None;
-        if target.leaving_until != MonotonicTime::default() {
-            let until = target.leaving_until;
+        let leaving = Some(target.leaving_until).filter(|until| *until != MonotonicTime::default());
+        let denied = target.denied.iter().map(|denied| denied.until).min();
+        if let Some(until) = leaving.into_iter().chain(denied).min() {
             self.wake_target(index, until, timers);
         }
     }
--- a/hickoryspan_core/src/entry/lifecycle.rs
+++ b/hickoryspan_core/src/entry/lifecycle.rs
@@ -523,6 +523,7 @@
                 for attempt in query.partitions[partition as usize].running() {
                     if counts_slow {
                         self.dispatcher.record_slow(attempt, now);
+                        self.dispatcher.record_censored(attempt, now);
                     }
                     self.dispatcher.abandon(attempt, true, now, actions);
                 }
@@ -611,7 +612,9 @@
                 }
                 continue;
             }
-            if query.end_at.since(now) < dispatcher.least_time(query.service) {
+            if query.end_at.since(now) < dispatcher.least_time(query.service)
+                || query.end_at.since(now) < dispatcher.least_time_at(index)
+            {
                 query.fail(place.partition, ResponseReason::Deadline);
                 self.check_end(place.query, now, actions);
                 continue;
--- a/hickoryspan_core/tests/engine_search.rs
+++ b/hickoryspan_core/tests/engine_search.rs
@@ -342,3 +342,17 @@
     assert_eq!(bench.result(token), None);
     assert_eq!(bench.engine.in_flight(), 0);
 }
+
+#[test]
+fn a_target_that_denied_a_partition_by_mistake_gets_it_again() {
+    let mut bench = EngineBench::new(even_view(1, 1));
+    bench.search_all();
+    let denied = bench.running_on("s0")[0];
+    bench.answer(denied, AnswerStatus::SnapshotGone);
+    let token = bench.search_all();
+    assert_eq!(bench.result(token).unwrap().reason, Some(ResponseReason::NoTarget));
+    bench.advance(ms(11_000));
+    let token = bench.search_all();
+    bench.done_all();
+    assert_eq!(bench.result(token).unwrap().coverage, CoverageShare::FULL);
+}
