Read the engine's main settings from flags and variables

Cause: Operators could not switch hedging, budgets, ejection and routing for experiments without a build. Change: Flags for these, for connections and for the renewal interval.

--- a/hickoryspan_entry/src/arguments.rs
+++ b/hickoryspan_entry/src/arguments.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use gumdrop::Options;
+use hickoryspan_core::entry::connections::ConnectionSettings;
 use hickoryspan_core::types::{ByteCount, IncarnationNumber};
 use hickoryspan_runtime::credential::SharedCredential;
 use hickoryspan_runtime::http_server::HttpLimits;
@@ -15,6 +16,8 @@
 
 /// Accepted times of one step of a request.
 const STEP_TIME: RangeInclusive<Duration> = Duration::from_millis(10)..=Duration::from_secs(60);
+/// Accepted times of the slow start of targets; zero switches it off.
+const START_TIME: RangeInclusive<Duration> = Duration::ZERO..=Duration::from_secs(600);
 /// Accepted times of a planned stop.
 const DRAIN_TIME: RangeInclusive<Duration> = Duration::from_millis(10)..=Duration::from_secs(600);
 /// Smallest accepted limit of header bytes, which the HTTP library demands.
@@ -71,6 +74,42 @@
     answer_bytes: Option<String>,
     #[options(no_short, help = "time for the answer to a cancellation", meta = "TIME")]
     cancel_time: Option<String>,
+    #[options(no_short, help = "time between renewals of the ordinal's lease", meta = "TIME")]
+    renewal_interval: Option<String>,
+    #[options(no_short, help = "whether load and latency decide between targets", meta = "BOOL")]
+    load_aware: Option<String>,
+    #[options(
+        no_short,
+        help = "whether targets of this failure domain are preferred",
+        meta = "BOOL"
+    )]
+    prefer_home: Option<String>,
+    #[options(
+        no_short,
+        help = "time until a new target gets its full part of the load",
+        meta = "TIME"
+    )]
+    slow_start: Option<String>,
+    #[options(no_short, help = "whether unhealthy targets are ejected", meta = "BOOL")]
+    outlier_ejection: Option<String>,
+    #[options(no_short, help = "whether slow sub-requests are hedged", meta = "BOOL")]
+    hedging: Option<String>,
+    #[options(no_short, help = "quantile of latency after which a hedge is sent", meta = "NUMBER")]
+    hedge_quantile: Option<String>,
+    #[options(no_short, help = "whether hedges and retries are limited", meta = "BOOL")]
+    budgets: Option<String>,
+    #[options(no_short, help = "hedges and retries for each first attempt", meta = "NUMBER")]
+    budget_ratio: Option<String>,
+    #[options(no_short, help = "idle connections kept to each target", meta = "COUNT")]
+    warm_connections: Option<String>,
+    #[options(no_short, help = "connections opened to one target per second", meta = "NUMBER")]
+    opens_per_second: Option<String>,
+    #[options(no_short, help = "time for opening a connection to a target", meta = "TIME")]
+    connect_time: Option<String>,
+    #[options(no_short, help = "shortest silence that makes a connection suspect", meta = "TIME")]
+    silence_floor: Option<String>,
+    #[options(no_short, help = "multiple of the 99th percentile that does so", meta = "NUMBER")]
+    silence_factor: Option<String>,
     #[options(no_short, help = "seed of random choices (default: random)", meta = "NUMBER")]
     seed: Option<String>,
     #[options(no_short, help = "text or json", meta = "FORMAT")]
@@ -110,6 +149,7 @@
         self.read_identity(&mut reader, &mut daemon);
         self.read_limits(&mut reader, &mut daemon);
         self.read_target_client(&mut reader, &mut daemon);
+        self.read_policies(&mut reader, &mut daemon);
         let accepted = "a whole number";
         daemon.seed = reader.optional("seed", self.seed.as_deref(), accepted, |_| true);
         let values = reader.finish()?;
@@ -199,4 +239,76 @@
         let given = self.cancel_time.as_deref();
         client.cancel_time = reader.duration("cancel-time", given, client.cancel_time, STEP_TIME);
     }
+
+    fn read_policies(&self, reader: &mut SettingsReader, daemon: &mut EntryDaemonSettings) {
+        let boolean = "true or false";
+        let machine = &mut daemon.machine;
+        let interval = &mut machine.session.renewal_interval;
+        let given = self.renewal_interval.as_deref();
+        *interval = reader.duration("renewal-interval", given, *interval, STEP_TIME);
+        let engine = &mut machine.engine;
+        let routing = &mut engine.routing;
+        let given = self.load_aware.as_deref();
+        routing.load_aware =
+            reader.with_default("load-aware", given, routing.load_aware, boolean, |_| true);
+        let given = self.prefer_home.as_deref();
+        routing.prefer_home =
+            reader.with_default("prefer-home", given, routing.prefer_home, boolean, |_| true);
+        let given = self.slow_start.as_deref();
+        routing.slow_start = reader.duration("slow-start", given, routing.slow_start, START_TIME);
+        let enabled = &mut engine.outliers.enabled;
+        let given = self.outlier_ejection.as_deref();
+        *enabled = reader.with_default("outlier-ejection", given, *enabled, boolean, |_| true);
+        let enabled = &mut engine.hedging.enabled;
+        let given = self.hedging.as_deref();
+        *enabled = reader.with_default("hedging", given, *enabled, boolean, |_| true);
+        let quantile = &mut engine.latency.hedge_quantile;
+        let given = self.hedge_quantile.as_deref();
+        let accepted = "a number from 0.5 to 0.999";
+        *quantile = reader.with_default("hedge-quantile", given, *quantile, accepted, |value| {
+            (0.5..=0.999).contains(value)
+        });
+        let budgets = &mut engine.budgets;
+        let given = self.budgets.as_deref();
+        budgets.enabled = reader.with_default("budgets", given, budgets.enabled, boolean, |_| true);
+        let given = self.budget_ratio.as_deref();
+        let accepted = "a number from 0 to 1";
+        let check = |value: &f64| (0.0..=1.0).contains(value);
+        budgets.ratio = reader.with_default("budget-ratio", given, budgets.ratio, accepted, check);
+        self.read_connections(reader, &mut engine.connections);
+    }
+
+    fn read_connections(&self, reader: &mut SettingsReader, connections: &mut ConnectionSettings) {
+        let given = self.warm_connections.as_deref();
+        let accepted = "a whole number from 1 to 1000";
+        let check = |count: &u32| (1..=1000).contains(count);
+        connections.warm =
+            reader.with_default("warm-connections", given, connections.warm, accepted, check);
+        let given = self.opens_per_second.as_deref();
+        let accepted = "a number from 0.1 to 1000";
+        let check = |rate: &f64| (0.1..=1000.0).contains(rate);
+        connections.opens_per_second = reader.with_default(
+            "opens-per-second",
+            given,
+            connections.opens_per_second,
+            accepted,
+            check,
+        );
+        let given = self.connect_time.as_deref();
+        connections.open_timeout =
+            reader.duration("connect-time", given, connections.open_timeout, STEP_TIME);
+        let given = self.silence_floor.as_deref();
+        connections.silence_floor =
+            reader.duration("silence-floor", given, connections.silence_floor, STEP_TIME);
+        let given = self.silence_factor.as_deref();
+        let accepted = "a number from 1 to 100";
+        let check = |factor: &f64| (1.0..=100.0).contains(factor);
+        connections.silence_factor = reader.with_default(
+            "silence-factor",
+            given,
+            connections.silence_factor,
+            accepted,
+            check,
+        );
+    }
 }
