Name the caller's request in log lines of cancellations

Cause: These lines named neither the request nor the attempt. Change: A cancellation carries both to the connection's task. Conclusion: All log lines of a request name it.

--- a/hickoryspan_entry/src/controller.rs
+++ b/hickoryspan_entry/src/controller.rs
@@ -13,7 +13,7 @@
 use hickoryspan_core::entry::machine::EntryMachine;
 use hickoryspan_core::messages::EntryMessage;
 use hickoryspan_core::types::{
-    AttemptId, CallerId, ConnectionId, EntryId, MonotonicTime, QueryToken, TargetId,
+    AttemptId, CallerId, ConnectionId, EntryId, MonotonicTime, QueryToken, RequestId, TargetId,
 };
 use hickoryspan_runtime::clock::SystemClock;
 use hickoryspan_runtime::credential::SharedCredential;
@@ -64,6 +64,8 @@
 }
 
 struct ActiveAttempt {
+    /// The caller's name for the request, for logs.
+    name: RequestId,
     connection: ConnectionId,
     kind: AnswerKind,
     /// Whether the body is kept when it arrives.
@@ -323,14 +325,15 @@
         );
         let attempt = order.attempt;
         let name = call.content.request.clone();
-        let prepared = PreparedAttempt { attempt, name, kind, request };
+        let prepared = PreparedAttempt { attempt, name: name.clone(), kind, request };
         connection
             .commands
             .try_send(ConnectionCommand::Attempt(prepared))
             .map_err(|_| "the connection does not take it")?;
         connection.attempt = Some(attempt);
         call.attempts.push(attempt);
-        let active = ActiveAttempt { connection: order.connection, kind, keep: true, answer: None };
+        let active =
+            ActiveAttempt { name, connection: order.connection, kind, keep: true, answer: None };
         self.attempts.insert(attempt, active);
         Ok(())
     }
@@ -351,6 +354,11 @@
 
     /// False if no connection to the target is free.
     fn send_cancel(&self, target: &TargetId, attempt: AttemptId) -> bool {
+        // An attempt that has ended needs no cancellation.
+        let Some(ActiveAttempt { name, kind, .. }) = self.attempts.get(&attempt) else {
+            return true;
+        };
+        let kind = *kind;
         let mut candidates = self.target_connections.get(target).into_iter().flatten();
         candidates.any(|connection| {
             let Some(active) = self.connections.get(connection) else { return false };
@@ -360,18 +368,16 @@
             let Ok(request) = self.parts.requests.build_cancel(attempt, active.address) else {
                 return false;
             };
-            active.commands.try_send(ConnectionCommand::Cancel(request)).is_ok()
+            let prepared = PreparedAttempt { attempt, name: name.clone(), kind, request };
+            active.commands.try_send(ConnectionCommand::Cancel(prepared)).is_ok()
         })
     }
 
     /// Sends what waited for a connection to this target, unless it ended in the meantime.
     fn send_waiting_cancels(&mut self, target: &TargetId) {
         let Some(waiting) = self.waiting_cancels.remove(target) else { return };
-        let unsent: Vec<AttemptId> = waiting
-            .into_iter()
-            .filter(|attempt| self.attempts.contains_key(attempt))
-            .filter(|attempt| !self.send_cancel(target, *attempt))
-            .collect();
+        let unsent: Vec<AttemptId> =
+            waiting.into_iter().filter(|attempt| !self.send_cancel(target, *attempt)).collect();
         if !unsent.is_empty() {
             self.waiting_cancels.insert(target.clone(), unsent);
         }
--- a/hickoryspan_entry/src/target_client.rs
+++ b/hickoryspan_entry/src/target_client.rs
@@ -17,7 +17,7 @@
 /// Commands that wait for a connection: its attempt and a few cancellations of attempts on others.
 pub(crate) const COMMAND_QUEUE: usize = 4;
 
-/// An attempt that is ready to be sent.
+/// The request of an attempt, or of its cancellation, that is ready to be sent.
 pub(crate) struct PreparedAttempt {
     pub(crate) attempt: AttemptId,
     /// The caller's name for the request, for logs.
@@ -30,8 +30,8 @@
 pub(crate) enum ConnectionCommand {
     /// Sends an attempt and reports its end.
     Attempt(PreparedAttempt),
-    /// Sends a cancellation of an attempt on another connection.
-    Cancel(TargetRequest),
+    /// Sends the cancellation of an attempt that runs on another connection.
+    Cancel(PreparedAttempt),
 }
 
 /// What happened on a connection.
@@ -127,7 +127,7 @@
             };
             let state = match command {
                 Some(ConnectionCommand::Attempt(prepared)) => self.attempt(prepared).await,
-                Some(ConnectionCommand::Cancel(request)) => self.cancel(request).await,
+                Some(ConnectionCommand::Cancel(prepared)) => self.cancel(prepared).await,
                 None => break,
             };
             if state == LinkState::Broken {
@@ -171,19 +171,17 @@
         state
     }
 
-    async fn cancel(&mut self, request: TargetRequest) -> LinkState {
+    async fn cancel(&mut self, prepared: PreparedAttempt) -> LinkState {
+        let PreparedAttempt { attempt, name, request, .. } = prepared;
+        let peer = self.link.peer();
         let limit = usize::try_from(self.settings.answer_bytes.0).unwrap_or(usize::MAX);
         let sent = self.link.send(request, limit);
-        match tokio::time::timeout(self.settings.cancel_time, sent).await {
-            Ok(Ok(_)) => LinkState::Usable,
-            Ok(Err(error)) => {
-                spdlog::debug!("target {}: cancel: {}", self.link.peer(), error);
-                LinkState::Broken
-            }
-            Err(_) => {
-                spdlog::debug!("target {}: cancel: no answer in time", self.link.peer());
-                LinkState::Broken
-            }
-        }
+        let cause = match tokio::time::timeout(self.settings.cancel_time, sent).await {
+            Ok(Ok(_)) => return LinkState::Usable,
+            Ok(Err(error)) => error.to_string(),
+            Err(_) => "no answer in time".to_owned(),
+        };
+        spdlog::debug!("request {}: cancel attempt {}: target {}: {}", name, attempt, peer, cause);
+        LinkState::Broken
     }
 }
