Let local deployments take policies, sheets and network delays, and restart entries

Cause: the load tool compares policies on the shapes of both tenants and restarts entries under load. Change: LocalSettings takes entry settings and a sheet, ServicePlan takes service times and delays, targets delay answers without occupying a slot, and an entry can be replaced by a new process while the old one drains. Measured: not measured. Conclusion: experiments need no deployment code of their own.

--- a/hickoryspan_local/src/deployment.rs
+++ b/hickoryspan_local/src/deployment.rs
@@ -7,9 +7,11 @@
 use anyhow::{Context, bail};
 use hickoryspan_control::{ControlDaemon, ControlDaemonSettings, FolderRole, initialize_folder};
 use hickoryspan_core::control::interface::AdminOutcome;
+use hickoryspan_core::entry::machine::EntrySettings;
 use hickoryspan_core::sheet::SheetDocument;
 use hickoryspan_core::types::FailureDomain;
 use hickoryspan_entry::{EntryDaemon, EntryDaemonSettings, EntryHandle};
+use hickoryspan_runtime::clock::start_incarnation;
 use hickoryspan_runtime::credential::SharedCredential;
 use hickoryspan_runtime::http_server::HttpLimits;
 use hickoryspan_runtime::process::LogSettings;
@@ -42,6 +44,10 @@
     pub first_port: u16,
     /// Longest time for the whole start.
     pub start_timeout: Duration,
+    /// The policies of the entries.
+    pub machine: EntrySettings,
+    /// The configuration of both tenants.
+    pub sheet: Arc<SheetDocument>,
     /// Seed of all generators.
     pub seed: u64,
 }
@@ -56,6 +62,8 @@
             failure_domains: domains.into_iter().map(str::parse).collect::<Result<_, _>>()?,
             first_port: 0,
             start_timeout: Duration::from_secs(30),
+            machine: EntrySettings::default(),
+            sheet: Arc::new(example_sheet()?),
             seed: 1,
         })
     }
@@ -67,6 +75,10 @@
     entries: Vec<EntryHandle>,
     targets: Vec<TargetHandle>,
     operator: LocalOperator,
+    credential: SharedCredential,
+    settings: LocalSettings,
+    /// Entry processes started so far; each has its own seed.
+    started: usize,
     // Removed when the deployment is dropped.
     _folder: TempDir,
 }
@@ -109,20 +121,43 @@
                 targets.push(TargetServer::start(target).await?);
             }
         }
-        let deployment = Self { control, entries, targets, operator, _folder: folder };
-        deployment.apply_example().await?;
+        let sheet = Arc::clone(&settings.sheet);
+        let started = settings.entries;
+        let deployment = Self {
+            control,
+            entries,
+            targets,
+            operator,
+            credential,
+            settings,
+            started,
+            _folder: folder,
+        };
+        deployment.apply_sheet(sheet).await?;
         deployment.wait_in_force().await?;
         Ok(deployment)
     }
 
-    async fn apply_example(&self) -> anyhow::Result<()> {
-        let sheet = Arc::new(example_sheet()?);
-        match self.operator.apply_sheet("example-sheet", sheet).await? {
+    async fn apply_sheet(&self, sheet: Arc<SheetDocument>) -> anyhow::Result<()> {
+        match self.operator.apply_sheet("first-sheet", sheet).await? {
             AdminOutcome::Accepted { .. } => Ok(()),
-            outcome => bail!("apply example sheet: {outcome:?}"),
+            outcome => bail!("apply first sheet: {outcome:?}"),
         }
     }
 
+    /// Starts a new process for the entry at `index` and returns the old one, which still serves; the caller drains
+    /// it. This is how a planned restart overlaps the two.
+    pub async fn replace_entry(&mut self, index: usize) -> anyhow::Result<EntryHandle> {
+        let mut settings = entry_settings(&self.settings, index, &self.control, &self.credential)?;
+        // The old process still holds the port.
+        settings.caller_address.set_port(0);
+        settings.incarnation = Some(start_incarnation());
+        settings.seed = Some(self.settings.seed.wrapping_add(1 + self.started as u64));
+        self.started += 1;
+        let entry = EntryDaemon::start(settings).await?;
+        Ok(std::mem::replace(&mut self.entries[index], entry))
+    }
+
     async fn wait_in_force(&self) -> anyhow::Result<()> {
         loop {
             let status = self.operator.status().await?;
@@ -212,6 +247,7 @@
         failure_domain: domains[index % domains.len()].clone(),
         caller_address: SocketAddr::from((Ipv4Addr::LOCALHOST, port)),
         control_addresses: vec![control.record().peer_address],
+        machine: settings.machine.clone(),
         seed: Some(settings.seed.wrapping_add(1 + index as u64)),
         ..EntryDaemonSettings::with_credential(credential.clone())
     })
@@ -234,6 +270,10 @@
         slots: service.slots,
         connections: service.connections,
         partitions: vec![plan.partition],
+        service_time: service.service_time,
+        service_spread: service.service_spread,
+        network_delay: service.network_delay,
+        connection_cost: service.connection_cost,
         seed: settings.seed,
         ..TargetSettings::default()
     }
--- a/hickoryspan_local/src/plan.rs
+++ b/hickoryspan_local/src/plan.rs
@@ -1,5 +1,7 @@
 //! Which stand-in targets a local deployment runs.
 
+use std::time::Duration;
+
 use hickoryspan_core::membership::PartitionRecord;
 use hickoryspan_core::types::{
     ConnectionCount, DocumentCount, FailureDomain, KeyRange, ParseValueError, ServiceId, ShardId,
@@ -8,11 +10,13 @@
 
 /// Documents in one partition of the generated index.
 const PARTITION_DOCUMENTS: DocumentCount = DocumentCount(1000);
+/// Service time of targets whose plan states none; short, so that tests are fast.
+const DEFAULT_SERVICE_TIME: Duration = Duration::from_millis(2);
 /// The snapshot that all targets serve at first.
 pub const FIRST_SNAPSHOT: SnapshotVersion = SnapshotVersion(1);
 
 /// The targets of one service.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct ServicePlan {
     /// The tenant.
     pub tenant: TenantId,
@@ -26,6 +30,14 @@
     pub slots: SlotCount,
     /// Connections that each target accepts.
     pub connections: ConnectionCount,
+    /// Median time that a request occupies its slot.
+    pub service_time: Duration,
+    /// Standard deviation of the logarithm of the service time.
+    pub service_spread: f64,
+    /// Round trip between an entry and a target.
+    pub network_delay: Duration,
+    /// Extra time of the first request on a new connection.
+    pub connection_cost: Duration,
 }
 
 /// One target of a service.
@@ -54,6 +66,10 @@
             replicas,
             slots: SlotCount(2),
             connections: ConnectionCount(25),
+            service_time: DEFAULT_SERVICE_TIME,
+            service_spread: 0.0,
+            network_delay: Duration::ZERO,
+            connection_cost: Duration::ZERO,
         })
     }
 
--- a/hickoryspan_target/src/handler.rs
+++ b/hickoryspan_target/src/handler.rs
@@ -114,7 +114,9 @@
     ) -> Response<ResponseBody> {
         self.state.count_request();
         self.stay_silent().await;
+        self.cross_network().await;
         let mut response = self.route(request).await;
+        self.cross_network().await;
         // The connection may have gone silent while the request ran.
         self.stay_silent().await;
         spdlog::debug!("target: {}: status {}", peer, response.status());
@@ -128,6 +130,13 @@
         response
     }
 
+    async fn cross_network(&self) {
+        let one_way = self.state.settings.network_delay / 2;
+        if !one_way.is_zero() {
+            tokio::time::sleep(one_way).await;
+        }
+    }
+
     async fn stay_silent(&self) {
         if self.state.is_silent(self.connection) {
             std::future::pending::<()>().await;
--- a/hickoryspan_target/src/settings.rs
+++ b/hickoryspan_target/src/settings.rs
@@ -47,6 +47,8 @@
     pub service_spread: f64,
     /// Seed of the service times.
     pub seed: u64,
+    /// Round trip between an entry and this target, half of it before and half after the work; it occupies no slot.
+    pub network_delay: Duration,
     /// Delay before the first request on a new connection is served.
     pub connection_cost: Duration,
     /// Time after the start during which the target is slower.
@@ -92,6 +94,7 @@
             service_time: Duration::from_millis(2),
             service_spread: 0.0,
             seed: 1,
+            network_delay: Duration::ZERO,
             connection_cost: Duration::ZERO,
             cold_time: Duration::ZERO,
             cold_factor: 1.0,
