Add the load tool with profiles, faults, variants and invariant checkers

Cause: tail latency, coverage and extra load must be measured under faults, and every run must be checked. Conclusion: experiments can start.

--- /dev/null
+++ b/hickoryspan_load/src/driver.rs
@@ -0,0 +1,448 @@
+//! Runs a schedule of requests and faults against a local deployment and records what callers and targets saw.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use anyhow::Context;
+use bytes::Bytes;
+use hickoryspan_core::membership::{PartitionRecord, TargetRecord};
+use hickoryspan_core::messages::RequestOutcome;
+use hickoryspan_core::types::{CoverageShare, RevisionNumber, SnapshotVersion};
+use hickoryspan_local::{LocalDeployment, LostTarget};
+use hickoryspan_runtime::clock::wall_time;
+use hickoryspan_runtime::http_client::HttpConnection;
+use hickoryspan_target::documents::DocumentHit;
+use hickoryspan_target::faults::{FaultEvent, FaultSettings};
+use http::Request;
+use http::header::{CONTENT_TYPE, HOST};
+use http_body_util::Full;
+use rand::seq::IndexedRandom;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha12Rng;
+use serde::Deserialize;
+use serde_json::json;
+use tokio::task::JoinSet;
+use tokio::time::Instant;
+
+use crate::arrivals::PlannedRequest;
+use crate::expectation::QueryExpectation;
+use crate::fault_plan::FaultKind;
+use crate::invariants::{AnswerRecord, RunHistory, TargetRun};
+use crate::profile::{TrafficKind, TrafficPlan};
+
+/// Time to open a connection to an entry.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+/// A caller that has waited this long has long given up; the request counts as unanswered.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(70);
+/// Largest answer read, in bytes.
+const ANSWER_BYTES: usize = 16 * 1024 * 1024;
+/// How often callers ask for addresses; well within the lifetime of an answer.
+const ADDRESS_INTERVAL: Duration = Duration::from_secs(2);
+/// Hits that a stand-in target returns for one partition.
+const MAX_HITS: u32 = 3;
+/// How often progress is printed.
+const PROGRESS_INTERVAL: Duration = Duration::from_secs(5);
+
+/// One answer with its measurements.
+#[derive(Clone, Debug)]
+pub struct AnswerSample {
+    /// The request's place in the traffic mix.
+    pub traffic: usize,
+    /// From the scheduled time to the answer, so that waiting in the load tool counts too.
+    pub latency: Duration,
+    /// Attempts on targets.
+    pub attempts: u32,
+    /// Attempts beyond one for each partition.
+    pub extra: u32,
+    /// What the caller was told.
+    pub answer: AnswerRecord,
+}
+
+/// What a run recorded.
+#[derive(Clone, Debug, Default)]
+pub struct RunOutcome {
+    /// One sample for each request.
+    pub samples: Vec<AnswerSample>,
+    /// What the checkers look at.
+    pub history: RunHistory,
+    /// Most connections that were open at one target, as a share of its limit.
+    pub connection_share: f64,
+}
+
+/// The fields of an answer that the tool reads.
+#[derive(Deserialize)]
+struct AnswerBody {
+    outcome: RequestOutcome,
+    snapshot: Option<SnapshotVersion>,
+    #[serde(default = "no_coverage")]
+    coverage: CoverageShare,
+    #[serde(default)]
+    entry: String,
+    #[serde(default)]
+    attempts: u32,
+    #[serde(default)]
+    extra_load: u32,
+    #[serde(default)]
+    revision: RevisionNumber,
+    #[serde(default)]
+    hits: Vec<DocumentHit>,
+}
+
+fn no_coverage() -> CoverageShare {
+    CoverageShare::NONE
+}
+
+/// What all request tasks share.
+struct LoadContext {
+    traffic: Vec<TrafficPlan>,
+    partitions: Vec<Vec<PartitionRecord>>,
+    addresses: Mutex<Vec<SocketAddr>>,
+    start: Instant,
+    run_name: String,
+}
+
+impl LoadContext {
+    fn address(&self, generator: &mut ChaCha12Rng) -> Option<SocketAddr> {
+        let addresses = self.addresses.lock().unwrap_or_else(PoisonError::into_inner);
+        addresses.choose(generator).copied()
+    }
+
+    fn set_addresses(&self, addresses: Vec<SocketAddr>) {
+        *self.addresses.lock().unwrap_or_else(PoisonError::into_inner) = addresses;
+    }
+}
+
+/// Runs the schedule; returns the record after the deployment has been drained.
+pub async fn run_schedule(
+    mut deployment: LocalDeployment,
+    traffic: Vec<TrafficPlan>,
+    requests: &[PlannedRequest],
+    faults: &[FaultKind],
+    seed: u64,
+    run_name: &str,
+) -> anyhow::Result<RunOutcome> {
+    let context = Arc::new(LoadContext {
+        partitions: traffic.iter().map(|plan| service_partitions(&deployment, plan)).collect(),
+        traffic,
+        addresses: Mutex::new(entry_addresses(&deployment)),
+        start: Instant::now(),
+        run_name: run_name.to_owned(),
+    });
+    let mut injector =
+        FaultInjector { seed, drains: JoinSet::new(), lost: Vec::new(), start: context.start };
+    let refresh = refresh_addresses(&context);
+    let send = send_requests(Arc::clone(&context), requests, seed);
+    let inject = async {
+        let injected = injector.inject(&mut deployment, faults).await;
+        injected.map(|()| &deployment)
+    };
+    let (samples, injected) = tokio::select! {
+        both = async { tokio::join!(send, inject) } => both,
+        () = refresh => anyhow::bail!("refresh addresses: ended early"),
+    };
+    injected?;
+    injector.join().await;
+    let connection_share = connection_share(&deployment);
+    let mut history = RunHistory {
+        answers: samples.iter().map(|sample| sample.answer.clone()).collect(),
+        has_only_planned_stops: faults.iter().all(|fault| {
+            !matches!(fault, FaultKind::LoseDomain { .. } | FaultKind::LoseReplicas { .. })
+        }),
+        ..RunHistory::default()
+    };
+    for target in deployment.targets() {
+        let name = target.to_record().target;
+        let runs = target.record().runs;
+        history.runs.extend(runs.into_iter().map(|run| TargetRun { target: name.clone(), run }));
+    }
+    for LostTarget { target, runs } in injector.lost {
+        history.runs.extend(runs.into_iter().map(|run| TargetRun { target: target.clone(), run }));
+    }
+    deployment.stop().await;
+    Ok(RunOutcome { samples, history, connection_share })
+}
+
+fn entry_addresses(deployment: &LocalDeployment) -> Vec<SocketAddr> {
+    deployment.entries().iter().map(|entry| entry.caller_address()).collect()
+}
+
+fn service_partitions(deployment: &LocalDeployment, plan: &TrafficPlan) -> Vec<PartitionRecord> {
+    let records = deployment.targets().iter().map(|target| target.to_record());
+    let mut partitions: Vec<_> = records
+        .filter(|record| {
+            record.tenant.as_str() == plan.tenant && record.service.as_str() == plan.service
+        })
+        .flat_map(|record| record.partitions)
+        .collect();
+    partitions.sort_by_key(|partition| partition.range);
+    partitions.dedup();
+    partitions
+}
+
+fn connection_share(deployment: &LocalDeployment) -> f64 {
+    let shares = deployment.targets().iter().map(|target| {
+        let limit = f64::from(target.to_record().connections.0.max(1));
+        f64::from(target.open_connections()) / limit
+    });
+    shares.fold(0.0, f64::max)
+}
+
+async fn refresh_addresses(context: &LoadContext) {
+    let mut generator = ChaCha12Rng::seed_from_u64(0);
+    loop {
+        tokio::time::sleep(ADDRESS_INTERVAL).await;
+        let Some(address) = context.address(&mut generator) else { continue };
+        let mut found = Vec::new();
+        for plan in &context.traffic {
+            match ask_addresses(address, plan).await {
+                Ok(addresses) => found.extend(addresses),
+                Err(error) => spdlog::info!("refresh addresses: entry {}: {:#}", address, error),
+            }
+        }
+        found.sort_unstable();
+        found.dedup();
+        if !found.is_empty() {
+            context.set_addresses(found);
+        }
+    }
+}
+
+#[derive(Deserialize)]
+struct AddressBody {
+    addresses: Vec<SocketAddr>,
+}
+
+async fn ask_addresses(entry: SocketAddr, plan: &TrafficPlan) -> anyhow::Result<Vec<SocketAddr>> {
+    let mut connection = HttpConnection::open(entry, CONNECT_TIMEOUT).await?;
+    let request = Request::get("/v1/addresses")
+        .header(HOST, entry.to_string())
+        .header("hs-tenant", plan.tenant)
+        .header("hs-caller", plan.caller)
+        .body(Full::new(Bytes::new()))?;
+    let answer = connection.send(request, ANSWER_BYTES).await;
+    connection.close().await;
+    let body: AddressBody = serde_json::from_slice(&answer?.body)?;
+    Ok(body.addresses)
+}
+
+async fn send_requests(
+    context: Arc<LoadContext>,
+    requests: &[PlannedRequest],
+    seed: u64,
+) -> Vec<AnswerSample> {
+    let mut generator = ChaCha12Rng::seed_from_u64(seed);
+    let mut tasks = JoinSet::new();
+    let mut samples = Vec::with_capacity(requests.len());
+    let mut next_progress = PROGRESS_INTERVAL;
+    for request in requests {
+        tokio::time::sleep_until(context.start + request.at).await;
+        let entry = context.address(&mut generator);
+        tasks.spawn(send_request(Arc::clone(&context), *request, entry));
+        while let Some(Ok(sample)) = tasks.try_join_next() {
+            samples.push(sample);
+        }
+        if request.at >= next_progress {
+            eprintln!(
+                "{}: {:?}: {} answered, {} waiting",
+                context.run_name,
+                next_progress,
+                samples.len(),
+                tasks.len()
+            );
+            next_progress += PROGRESS_INTERVAL;
+        }
+    }
+    while let Some(ended) = tasks.join_next().await {
+        match ended {
+            Ok(sample) => samples.push(sample),
+            Err(error) => spdlog::error!("send request: {}", error),
+        }
+    }
+    samples
+}
+
+async fn send_request(
+    context: Arc<LoadContext>,
+    request: PlannedRequest,
+    entry: Option<SocketAddr>,
+) -> AnswerSample {
+    let plan = &context.traffic[request.traffic];
+    let id: Arc<str> = format!("{}-{}", context.run_name, request.number).into();
+    let content = json!({ "number": request.number, "run": context.run_name });
+    let sent = context.start.elapsed();
+    let answer = match entry {
+        Some(entry) => exchange(entry, plan, &id, &content).await,
+        None => Err(anyhow::anyhow!("no entry address is known")),
+    };
+    let answered = context.start.elapsed();
+    let is_order = plan.kind == TrafficKind::Order;
+    let expectation = (!is_order).then(|| {
+        let query = content.to_string();
+        let partitions = &context.partitions[request.traffic];
+        Arc::new(QueryExpectation::new(query.as_bytes(), partitions, MAX_HITS))
+    });
+    let (body, outcome) = match answer {
+        Ok(body) => {
+            let outcome = body.outcome;
+            (body, Some(outcome))
+        }
+        Err(error) => {
+            spdlog::warn!("request {}: {:#}", id, error);
+            (empty_body(), None)
+        }
+    };
+    AnswerSample {
+        traffic: request.traffic,
+        latency: answered.saturating_sub(request.at),
+        attempts: body.attempts,
+        extra: body.extra_load,
+        answer: AnswerRecord {
+            request: id,
+            is_order,
+            entry: body.entry.into(),
+            sent,
+            answered,
+            outcome,
+            snapshot: body.snapshot,
+            coverage: body.coverage,
+            revision: body.revision,
+            hits: body.hits,
+            expectation: expectation.filter(|_| outcome.is_some()),
+        },
+    }
+}
+
+fn empty_body() -> AnswerBody {
+    AnswerBody {
+        outcome: RequestOutcome::Unknown,
+        snapshot: None,
+        coverage: CoverageShare::NONE,
+        entry: String::new(),
+        attempts: 0,
+        extra_load: 0,
+        revision: RevisionNumber::default(),
+        hits: Vec::new(),
+    }
+}
+
+/// Uses a connection of its own for each request, so that a lost connection always means a request that was cut.
+async fn exchange(
+    entry: SocketAddr,
+    plan: &TrafficPlan,
+    id: &str,
+    content: &serde_json::Value,
+) -> anyhow::Result<AnswerBody> {
+    let (path, body) = match plan.kind {
+        TrafficKind::Search => ("/v1/search", json!({ "search": plan.name, "query": content })),
+        TrafficKind::Order => ("/v1/orders", json!({ "order": plan.name, "content": content })),
+    };
+    let mut request = Request::post(path)
+        .header(HOST, entry.to_string())
+        .header(CONTENT_TYPE, "application/json")
+        .header("hs-tenant", plan.tenant)
+        .header("hs-caller", plan.caller)
+        .header("hs-class", plan.class)
+        .header("hs-request-id", id);
+    if plan.kind == TrafficKind::Order {
+        request = request.header("hs-issued-at", wall_time().to_string());
+    }
+    let request = request.body(Full::new(Bytes::from(body.to_string())))?;
+    let step = || format!("exchange: entry {entry}");
+    let mut connection = HttpConnection::open(entry, CONNECT_TIMEOUT).await.with_context(step)?;
+    let answer = tokio::time::timeout(ANSWER_TIMEOUT, connection.send(request, ANSWER_BYTES)).await;
+    connection.close().await;
+    let answer = answer.with_context(step)?.with_context(step)?;
+    serde_json::from_slice(&answer.body).with_context(|| {
+        format!("exchange: entry {entry}: status {}: not an answer", answer.status)
+    })
+}
+
+/// Injects faults at their times.
+struct FaultInjector {
+    seed: u64,
+    drains: JoinSet<()>,
+    lost: Vec<LostTarget>,
+    start: Instant,
+}
+
+impl FaultInjector {
+    async fn inject(
+        &mut self,
+        deployment: &mut LocalDeployment,
+        faults: &[FaultKind],
+    ) -> anyhow::Result<()> {
+        for fault in faults {
+            self.inject_one(deployment, fault).await?;
+        }
+        Ok(())
+    }
+
+    async fn wait_until(&self, at: Duration) {
+        tokio::time::sleep_until(self.start + at).await;
+    }
+
+    async fn inject_one(
+        &mut self,
+        deployment: &mut LocalDeployment,
+        fault: &FaultKind,
+    ) -> anyhow::Result<()> {
+        let mut generator = ChaCha12Rng::seed_from_u64(self.seed);
+        match *fault {
+            FaultKind::Stragglers { share, factor } => {
+                for target in deployment.targets() {
+                    if generator.random_bool(share.clamp(0.0, 1.0)) {
+                        let straggler_factor = factor;
+                        target.set_faults(FaultSettings { straggler_factor, ..Default::default() });
+                    }
+                }
+            }
+            FaultKind::Stall { at, length } => {
+                self.wait_until(at).await;
+                // Slow enough that no answer arrives within any deadline of the deadline-first classes.
+                let straggler_factor = 1000.0;
+                for target in deployment.targets() {
+                    target.set_faults(FaultSettings { straggler_factor, ..Default::default() });
+                }
+                self.wait_until(at + length).await;
+                for target in deployment.targets() {
+                    target.set_faults(FaultSettings::default());
+                }
+            }
+            FaultKind::LoseReplicas { at } => {
+                self.wait_until(at).await;
+                let is_first = |record: &TargetRecord| record.target.as_str().ends_with("/0");
+                self.lost.extend(deployment.lose_targets(is_first).await);
+            }
+            FaultKind::LoseDomain { at } => {
+                self.wait_until(at).await;
+                let domain = deployment.targets().first().map(|target| target.to_record());
+                let domain = domain.context("lose domain: no target")?.failure_domain;
+                let is_lost = |record: &TargetRecord| record.failure_domain == domain;
+                self.lost.extend(deployment.lose_targets(is_lost).await);
+            }
+            FaultKind::SilenceConnections { at, share } => {
+                self.wait_until(at).await;
+                for target in deployment.targets() {
+                    if generator.random_bool(share.clamp(0.0, 1.0)) {
+                        target.cause(FaultEvent::SilenceConnections);
+                    }
+                }
+            }
+            FaultKind::RollingRestart { at } => {
+                self.wait_until(at).await;
+                for index in 0..deployment.entries().len() {
+                    let old = deployment.replace_entry(index).await?;
+                    deployment.wait_in_force().await?;
+                    self.drains.spawn(old.drain());
+                    while self.drains.join_next().await.is_some() {}
+                }
+            }
+        }
+        Ok(())
+    }
+
+    async fn join(&mut self) {
+        while self.drains.join_next().await.is_some() {}
+    }
+}
--- /dev/null
+++ b/hickoryspan_load/src/experiment.rs
@@ -0,0 +1,141 @@
+//! Variants of the policies that are compared in one run.
+
+use std::fmt;
+use std::str::FromStr;
+use std::time::Duration;
+
+use hickoryspan_core::entry::machine::EntrySettings;
+use hickoryspan_core::types::ParseValueError;
+use hickoryspan_local::{LocalDeployment, LocalSettings};
+
+use crate::arrivals::plan_arrivals;
+use crate::driver::run_schedule;
+use crate::fault_plan::FaultKind;
+use crate::profile::LoadProfile;
+use crate::summary::{RunSummary, summarize};
+
+/// A set of policies.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PolicyVariant {
+    /// Everything on, as in production.
+    Full,
+    /// Random routing, no hedges, no ejection.
+    Baseline,
+    /// Everything on but hedges.
+    NoHedging,
+    /// Everything on but load-aware routing.
+    RandomRouting,
+    /// Everything on but outlier ejection.
+    NoEjection,
+}
+
+impl PolicyVariant {
+    const NAMES: [(Self, &'static str); 5] = [
+        (Self::Full, "full"),
+        (Self::Baseline, "baseline"),
+        (Self::NoHedging, "no-hedging"),
+        (Self::RandomRouting, "random-routing"),
+        (Self::NoEjection, "no-ejection"),
+    ];
+
+    fn to_settings(self) -> EntrySettings {
+        let mut settings = EntrySettings::default();
+        let engine = &mut settings.engine;
+        match self {
+            Self::Full => {}
+            Self::Baseline => {
+                engine.hedging.enabled = false;
+                engine.routing.load_aware = false;
+                engine.outliers.enabled = false;
+            }
+            Self::NoHedging => engine.hedging.enabled = false,
+            Self::RandomRouting => engine.routing.load_aware = false,
+            Self::NoEjection => engine.outliers.enabled = false,
+        }
+        settings
+    }
+}
+
+impl fmt::Display for PolicyVariant {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let name = Self::NAMES.iter().find(|(variant, _)| variant == self).map(|(_, name)| *name);
+        formatter.write_str(name.unwrap_or_default())
+    }
+}
+
+impl FromStr for PolicyVariant {
+    type Err = ParseValueError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let found = Self::NAMES.iter().find(|(_, name)| *name == text);
+        found.map(|(variant, _)| *variant).ok_or_else(|| {
+            ParseValueError::new(
+                "PolicyVariant",
+                text,
+                "full, baseline, no-hedging, random-routing or no-ejection",
+            )
+        })
+    }
+}
+
+/// What an experiment runs.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ExperimentSettings {
+    /// The shape of the system and its traffic.
+    pub profile: LoadProfile,
+    /// Mean arrivals a second.
+    pub requests_per_second: f64,
+    /// Length of each variant's run.
+    pub duration: Duration,
+    /// Seed of arrivals, faults and the deployment.
+    pub seed: u64,
+    /// The policies to compare, in this order.
+    pub variants: Vec<PolicyVariant>,
+    /// The faults in every variant's run.
+    pub faults: Vec<FaultKind>,
+}
+
+impl Default for ExperimentSettings {
+    fn default() -> Self {
+        Self {
+            profile: LoadProfile::default(),
+            requests_per_second: 40.0,
+            duration: Duration::from_secs(15),
+            seed: 41,
+            variants: vec![PolicyVariant::Baseline, PolicyVariant::Full],
+            faults: Vec::new(),
+        }
+    }
+}
+
+/// Runs every variant on the same schedule, one after another.
+pub async fn run_experiment(settings: &ExperimentSettings) -> anyhow::Result<Vec<RunSummary>> {
+    let mut summaries = Vec::new();
+    for variant in &settings.variants {
+        let name = variant.to_string();
+        let plan = settings.profile.to_plan(settings.seed)?;
+        let requests = plan_arrivals(
+            &plan.traffic,
+            settings.requests_per_second,
+            settings.duration,
+            settings.seed,
+        )?;
+        let deployment = LocalDeployment::start(LocalSettings {
+            machine: variant.to_settings(),
+            ..plan.deployment
+        })
+        .await?;
+        let traffic = plan.traffic;
+        let outcome = run_schedule(
+            deployment,
+            traffic.clone(),
+            &requests,
+            &settings.faults,
+            settings.seed,
+            &name,
+        )
+        .await?;
+        summaries.push(summarize(&name, &traffic, &outcome, settings.duration)?);
+    }
+    Ok(summaries)
+}
--- a/hickoryspan_load/src/lib.rs
+++ b/hickoryspan_load/src/lib.rs
@@ -1,1 +1,13 @@
-//! Placeholder.
+//! Open-loop load, experiments that compare policies in one run, and checkers of the system's invariants.
+
+#![warn(missing_docs)]
+
+pub mod arrivals;
+pub mod driver;
+pub mod expectation;
+pub mod experiment;
+pub mod fault_plan;
+pub mod invariants;
+pub mod profile;
+pub mod report;
+pub mod summary;
--- a/hickoryspan_local/src/deployment.rs
+++ b/hickoryspan_local/src/deployment.rs
@@ -8,14 +8,16 @@
 use hickoryspan_control::{ControlDaemon, ControlDaemonSettings, FolderRole, initialize_folder};
 use hickoryspan_core::control::interface::AdminOutcome;
 use hickoryspan_core::entry::machine::EntrySettings;
+use hickoryspan_core::membership::TargetRecord;
 use hickoryspan_core::sheet::SheetDocument;
-use hickoryspan_core::types::FailureDomain;
+use hickoryspan_core::types::{FailureDomain, TargetId};
 use hickoryspan_entry::{EntryDaemon, EntryDaemonSettings, EntryHandle};
 use hickoryspan_runtime::clock::start_incarnation;
 use hickoryspan_runtime::credential::SharedCredential;
 use hickoryspan_runtime::http_server::HttpLimits;
 use hickoryspan_runtime::process::LogSettings;
 use hickoryspan_sheet::{SheetReader, SheetRules};
+use hickoryspan_target::record::RunRecord;
 use hickoryspan_target::{TargetHandle, TargetServer, TargetSettings};
 use tempfile::TempDir;
 
@@ -69,6 +71,15 @@
     }
 }
 
+/// A target that was ended without a word.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LostTarget {
+    /// Its name.
+    pub target: TargetId,
+    /// What had run on it.
+    pub runs: Vec<RunRecord>,
+}
+
 /// A running deployment.
 pub struct LocalDeployment {
     control: ControlDaemon,
@@ -158,11 +169,12 @@
         Ok(std::mem::replace(&mut self.entries[index], entry))
     }
 
-    async fn wait_in_force(&self) -> anyhow::Result<()> {
+    /// Waits until every entry reports the newest revision; an entry that is replaced counts with both processes.
+    pub async fn wait_in_force(&self) -> anyhow::Result<()> {
         loop {
             let status = self.operator.status().await?;
             let has_targets = status.targets == self.targets.len() as u64;
-            let in_force = status.entries.len() == self.entries.len()
+            let in_force = status.entries.len() >= self.entries.len()
                 && status.entries.iter().all(|entry| entry.revision == Some(status.revision));
             if has_targets && in_force {
                 return Ok(());
@@ -171,6 +183,26 @@
         }
     }
 
+    /// Ends the selected targets without a word, as lost hosts do, and returns what had run on them.
+    pub async fn lose_targets(
+        &mut self,
+        is_lost: impl Fn(&TargetRecord) -> bool,
+    ) -> Vec<LostTarget> {
+        let targets = std::mem::take(&mut self.targets);
+        let (lost, kept): (Vec<_>, Vec<_>) =
+            targets.into_iter().partition(|target| is_lost(&target.to_record()));
+        self.targets = kept;
+        let records = lost
+            .iter()
+            .map(|target| LostTarget {
+                target: target.to_record().target,
+                runs: target.record().runs,
+            })
+            .collect();
+        futures::future::join_all(lost.into_iter().map(TargetHandle::abort)).await;
+        records
+    }
+
     /// The operator's view of the deployment.
     pub fn operator(&self) -> &LocalOperator {
         &self.operator
