End waits for targets that leave and canaries that are not sent

Cause: a request that waited for a target kept waiting until its deadline when the target drained, and a canary whose attempts were never sent kept its search until the deadline. Measured: not measured; the three new test cases fail without the change. Conclusion: no search waits for something that cannot happen.

--- a/hickoryspan_core/src/entry/answers.rs
+++ b/hickoryspan_core/src/entry/answers.rs
@@ -283,6 +283,7 @@
                 query.attempts -= 1;
                 if state.not_sent >= max_not_sent {
                     query.fail(attempt.partition, ResponseReason::TargetFailure);
+                    self.after_canary(place, now, actions);
                     self.check_end(attempt.query, now, actions);
                     return;
                 }
--- a/hickoryspan_core/src/entry/lifecycle.rs
+++ b/hickoryspan_core/src/entry/lifecycle.rs
@@ -156,7 +156,7 @@
     }
 
     /// Goes on when the partition of a canary ended without an answer.
-    fn after_canary(
+    pub(super) fn after_canary(
         &mut self,
         place: PartitionRef,
         now: MonotonicTime,
--- a/hickoryspan_core/src/entry/waiting.rs
+++ b/hickoryspan_core/src/entry/waiting.rs
@@ -29,8 +29,7 @@
             let target = self.dispatcher.fleet.target_mut(index);
             let Some(entry) = target.waiting.peek().map(|entry| entry.0) else { return };
             if !target.takes_work() {
-                // Every waiting partition is in the queues of its other targets too.
-                target.waiting.clear();
+                self.move_waiting(index, now, actions);
                 return;
             }
             let place = PartitionRef { query: entry.query, partition: entry.partition };
@@ -75,6 +74,34 @@
         }
     }
 
+    /// Lets requests that wait for a target which takes no more work wait for others, or ends their wait.
+    fn move_waiting(
+        &mut self,
+        index: TargetIndex,
+        now: MonotonicTime,
+        actions: &mut Vec<EntryAction>,
+    ) {
+        for entry in std::mem::take(&mut self.dispatcher.fleet.target_mut(index).waiting) {
+            let entry = entry.0;
+            let place = PartitionRef { query: entry.query, partition: entry.partition };
+            if self.waiting_kind(place, entry.sequence).is_none() {
+                continue;
+            }
+            let Some(query) = self.queries.get(place.query) else { continue };
+            let dispatcher = &mut self.dispatcher;
+            let group = query.layout.partitions[place.partition as usize].group;
+            if dispatcher.directory.is_reachable(group, &dispatcher.fleet) {
+                dispatcher.join_queues(query, place, now);
+                continue;
+            }
+            dispatcher.end_wait(query, place.partition);
+            if let Some(query) = self.queries.get_mut(place.query) {
+                query.partitions[place.partition as usize].status = PartitionStatus::Held;
+            }
+            self.after_failure(place, ResponseReason::NoTarget, now, actions);
+        }
+    }
+
     /// The kind of attempt for which a partition still waits.
     pub(super) fn waiting_kind(&self, place: PartitionRef, sequence: u64) -> Option<AttemptKind> {
         let query = self.queries.get(place.query)?;
--- a/hickoryspan_core/tests/engine_connections.rs
+++ b/hickoryspan_core/tests/engine_connections.rs
@@ -11,6 +11,7 @@
     ConnectionCount, CoverageShare, IncarnationNumber, KeyRange, OrdinalNumber, SlotCount, TargetId,
 };
 use proptest::prelude::*;
+use rstest::rstest;
 use support::*;
 
 proptest! {
@@ -304,6 +305,31 @@
     assert!(tokens[..4].iter().all(|token| bench.result(*token).is_some()));
 }
 
+#[rstest]
+#[case(false)]
+#[case(true)]
+fn a_request_does_not_wait_for_a_target_that_drains(#[case] has_newer_snapshot: bool) {
+    let mut view = even_view(1, 1);
+    view.targets.get_mut(&"t0-0".parse().unwrap()).unwrap().slots = SlotCount(1);
+    let mut bench = EngineBench::new(view);
+    bench.search_all();
+    let token = bench.search_all();
+    if has_newer_snapshot {
+        let mut record = target("new", "d0");
+        record.partitions = vec![partition(2, "s0", KeyRange::FULL)];
+        put(&mut bench.view, record);
+    }
+    bench.view.targets.get_mut(&"t0-0".parse().unwrap()).unwrap().draining = true;
+    bench.update_view();
+    bench.done_all();
+    let result = bench.result(token).expect("an end before the deadline");
+    if has_newer_snapshot {
+        assert_eq!(result.coverage, CoverageShare::FULL);
+    } else {
+        assert_eq!(result.reason, Some(ResponseReason::NoTarget));
+    }
+}
+
 #[test]
 fn a_waiting_request_uses_a_target_that_joins() {
     let mut view = even_view(1, 1);
--- a/hickoryspan_core/tests/engine_crashes.rs
+++ b/hickoryspan_core/tests/engine_crashes.rs
@@ -217,3 +217,17 @@
     }
     assert_eq!(bench.result(token).unwrap().coverage, CoverageShare::FULL);
 }
+
+#[test]
+fn a_canary_that_is_never_sent_lets_another_partition_try() {
+    let mut bench = EngineBench::new(even_view(2, 1));
+    let token = bench.search(SearchPlan { mode: FanoutMode::Canary, ..plan(bench.now) });
+    for _ in 0..20 {
+        for attempt in bench.running_on("s0") {
+            bench.fail(attempt, AttemptFailure::NotSent);
+        }
+        bench.advance(ms(20));
+    }
+    bench.done_all();
+    assert_eq!(bench.result(token).expect("an end").coverage, CoverageShare::new(0.5));
+}
