Move silent requests to connections that are known to work

Cause: when all open connections went silent at once, a search moved to a pooled connection that was silent too, and waited for the hard bound. Change: a suspect attempt retires the idle connections of its target that have not worked since it was sent, and moves to a connection that has; also when its hedge is silent as well.

--- a/hickoryspan_core/src/entry/answers.rs
+++ b/hickoryspan_core/src/entry/answers.rs
@@ -38,7 +38,7 @@
         actions: &mut Vec<EntryAction>,
     ) {
         let Some(attempt) = self.dispatcher.attempts.remove(id) else { return };
-        self.dispatcher.fleet.release_connection(attempt.connection, actions);
+        self.dispatcher.fleet.release_connection(now, attempt.connection, actions);
         self.dispatcher.touched.push(attempt.target);
         self.learn_from_answer(&attempt, &answer, now, actions);
         if attempt.abandoned {
--- a/hickoryspan_core/src/entry/dispatch.rs
+++ b/hickoryspan_core/src/entry/dispatch.rs
@@ -19,6 +19,9 @@
 use super::targets::{TargetIndex, WaitingRequest};
 use super::timers::{TimerKey, TimerQueue};
 
+/// Tries to move to a connection that is known to work, before any other one will do.
+const PROVEN_MOVE_TRIES: u8 = 3;
+
 /// What became of a request for an attempt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum DispatchOutcome {
@@ -147,7 +150,11 @@
         let replicas = self.directory.replicas(group);
         let state = &query.partitions[partition as usize];
         let exclude = if kind == AttemptKind::First { &[] } else { state.tried() };
-        let mut request = RouteRequest { now, exclude, extra: kind.is_extra() };
+        let mut request = RouteRequest { now, exclude, extra: kind.is_extra(), proven_since: None };
+        if kind == AttemptKind::Move && state.move_tries <= PROVEN_MOVE_TRIES {
+            let started = |id| Some(self.attempts.get(id)?.started);
+            request.proven_since = state.running().filter_map(started).min();
+        }
         let choice = self.router.choose(&self.fleet, replicas, &request, &mut self.generator);
         if choice.is_some() || kind == AttemptKind::First || kind == AttemptKind::Hedge {
             return choice;
@@ -375,8 +382,16 @@
         }
     }
 
+    /// Closes the idle connections beside an attempt's one that have not worked since it was sent.
+    pub fn retire_unproven(&mut self, id: AttemptId, actions: &mut Vec<EntryAction>) {
+        let Some(attempt) = self.attempts.get(id) else { return };
+        self.fleet.retire_unproven(attempt.target, attempt.started, actions);
+        self.touched.push(attempt.target);
+    }
+
     /// Closes a connection that has gone silent, with its attempt.
     pub fn close_silent(&mut self, id: AttemptId, actions: &mut Vec<EntryAction>) {
+        self.retire_unproven(id, actions);
         let Some(attempt) = self.attempts.remove(id) else { return };
         self.fleet.close_connection(attempt.connection, actions);
         let target = self.fleet.target(attempt.target).record.target.clone();
--- a/hickoryspan_core/src/entry/fleet.rs
+++ b/hickoryspan_core/src/entry/fleet.rs
@@ -338,8 +338,14 @@
     }
 
     /// Frees a connection after its attempt was answered.
-    pub fn release_connection(&mut self, id: ConnectionId, actions: &mut Vec<EntryAction>) {
+    pub fn release_connection(
+        &mut self,
+        now: MonotonicTime,
+        id: ConnectionId,
+        actions: &mut Vec<EntryAction>,
+    ) {
         let Some(connection) = self.connections.get_mut(id) else { return };
+        connection.proven_at = now;
         connection.state = ConnectionState::Idle;
         let target = &mut self.targets[connection.target.0 as usize];
         target.in_flight -= 1;
@@ -358,6 +364,7 @@
             return None;
         }
         connection.state = ConnectionState::Idle;
+        connection.proven_at = now;
         let target = &mut self.targets[connection.target.0 as usize];
         target.opening -= 1;
         target.pacer.record_opened();
@@ -406,6 +413,27 @@
         connection.attempt()
     }
 
+    /// Whether the connection that the next attempt would use worked at or after a time.
+    pub fn is_proven_since(&self, index: TargetIndex, since: MonotonicTime) -> bool {
+        let next = self.target(index).idle.last().and_then(|id| self.connections.get(*id));
+        next.is_some_and(|connection| connection.proven_at >= since)
+    }
+
+    /// Closes the idle connections of a target that have not worked since a time. What made another one silent has
+    /// most likely hit them too, and each would cost a request to find out.
+    pub fn retire_unproven(
+        &mut self,
+        index: TargetIndex,
+        since: MonotonicTime,
+        actions: &mut Vec<EntryAction>,
+    ) {
+        for id in self.target(index).idle.clone() {
+            if self.connections.get(id).is_some_and(|connection| connection.proven_at < since) {
+                self.close_connection(id, actions);
+            }
+        }
+    }
+
     /// Closes what a target must not keep: everything beyond the share, and the connections without an attempt
     /// if it is leaving. Returns the attempts whose connections were closed.
     pub fn close_surplus(
@@ -472,7 +500,8 @@
             target.opening += 1;
             let (id, address) = (target.record.target.clone(), target.record.address);
             let state = ConnectionState::Opening;
-            let connection = TargetConnection { target: index, state, opened_at: now };
+            let connection =
+                TargetConnection { target: index, state, opened_at: now, proven_at: now };
             let connection = self.connections.insert(connection);
             self.targets[index.0 as usize].connections.push(connection);
             let timeout = self.settings.open_timeout;
--- a/hickoryspan_core/src/entry/lifecycle.rs
+++ b/hickoryspan_core/src/entry/lifecycle.rs
@@ -18,6 +18,9 @@
 /// Tries to hedge a sub-request while there is no capacity or budget; more would cost time when all are slow.
 const MAX_HEDGE_TRIES: u8 = 4;
 
+/// Tries to move a sub-request away from silent connections.
+const MAX_MOVE_TRIES: u8 = 10;
+
 /// The wait before another attempt to move away from a suspect connection when there was no capacity.
 const MOVE_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -351,51 +354,82 @@
         if is_order {
             return Some(next);
         }
-        let query = self.queries.get_mut(place.query)?;
-        let state = &query.partitions[place.partition as usize];
-        let mut running = state.running();
-        let (Some(only), None) = (running.next(), running.next()) else { return Some(next) };
+        let query = self.queries.get(place.query)?;
         if !query.may_retry() || query.canary == CanaryStage::Testing {
             return Some(next);
         }
-        let started = self.dispatcher.attempts.get(only)?.started;
-        let hedging = self.dispatcher.settings.hedging;
-        if hedging.enabled && state.hedge_tries < MAX_HEDGE_TRIES {
-            let delay = hedging.delay(self.dispatcher.quantiles(query.service));
-            let due = started + delay.mul_f64(1.0 + 0.5 * f64::from(state.hedge_tries));
-            if due > now {
-                return Some(next.min(due));
-            }
-            query.partitions[place.partition as usize].hedge_tries += 1;
-            let hedge = AttemptKind::Hedge;
-            match self.dispatcher.dispatch(query, place, hedge, now, actions) {
-                DispatchOutcome::Started => return Some(next),
-                DispatchOutcome::NoCapacity | DispatchOutcome::NoBudget => {
-                    next = next.min(due + delay / 2);
-                }
-                _ => {}
-            }
+        if query.partitions[place.partition as usize].running_len() == 1 {
+            next = next.min(self.look_at_hedge(place, now, actions)?);
+        }
+        let query = self.queries.get(place.query)?;
+        let attempts = query.partitions[place.partition as usize].running();
+        let started = |id| Some(self.dispatcher.attempts.get(id)?.started);
+        let suspect_at = attempts.filter_map(started).max()? + silence;
+        if suspect_at > now {
+            return Some(next.min(suspect_at));
         }
+        Some(next.min(self.move_silent(place, now, actions)?))
+    }
+
+    /// Hedges the only attempt of a partition when it is due; returns when to try again.
+    fn look_at_hedge(
+        &mut self,
+        place: PartitionRef,
+        now: MonotonicTime,
+        actions: &mut Vec<EntryAction>,
+    ) -> Option<MonotonicTime> {
+        let never = Some(MonotonicTime(u64::MAX));
+        let hedging = self.dispatcher.settings.hedging;
         let query = self.queries.get_mut(place.query)?;
         let state = &mut query.partitions[place.partition as usize];
-        if state.move_considered {
-            return Some(next);
+        if !hedging.enabled || state.hedge_tries >= MAX_HEDGE_TRIES {
+            return never;
         }
-        let due = started + silence;
+        let started = self.dispatcher.attempts.get(state.running().next()?)?.started;
+        let delay = hedging.delay(self.dispatcher.quantiles(query.service));
+        let due = started + delay.mul_f64(1.0 + 0.5 * f64::from(state.hedge_tries));
         if due > now {
-            return Some(next.min(due));
+            return Some(due);
         }
-        state.move_considered = true;
-        let target = state.tried().last().copied();
-        let outcome = self.dispatcher.dispatch(query, place, AttemptKind::Move, now, actions);
-        if outcome != DispatchOutcome::NoCapacity {
-            return Some(next);
+        state.hedge_tries += 1;
+        match self.dispatcher.dispatch(query, place, AttemptKind::Hedge, now, actions) {
+            DispatchOutcome::NoCapacity | DispatchOutcome::NoBudget => Some(due + delay / 2),
+            _ => never,
         }
-        // A new connection may open in the meantime.
-        self.dispatcher.touched.extend(target);
+    }
+
+    /// Moves a partition whose attempts are all silent to a connection that worked since; returns when to try again.
+    fn move_silent(
+        &mut self,
+        place: PartitionRef,
+        now: MonotonicTime,
+        actions: &mut Vec<EntryAction>,
+    ) -> Option<MonotonicTime> {
         let query = self.queries.get_mut(place.query)?;
-        query.partitions[place.partition as usize].move_considered = false;
-        Some(next.min(now + MOVE_INTERVAL))
+        let state = &mut query.partitions[place.partition as usize];
+        if state.move_tries >= MAX_MOVE_TRIES {
+            return Some(MonotonicTime(u64::MAX));
+        }
+        state.move_tries += 1;
+        if state.move_tries == 1 {
+            for id in state.running() {
+                self.dispatcher.retire_unproven(id, actions);
+            }
+        }
+        if state.running_len() == 2 {
+            // One place must be free. The older attempt keeps its connection busy until that is closed as silent.
+            let start =
+                |id: &AttemptId| self.dispatcher.attempts.get(*id).map(|other| other.started);
+            let older = state.running().min_by_key(start)?;
+            state.remove_attempt(older);
+            self.dispatcher.abandon(older, true, now, actions);
+        }
+        let outcome = self.dispatcher.dispatch(query, place, AttemptKind::Move, now, actions);
+        Some(if outcome == DispatchOutcome::Started {
+            MonotonicTime(u64::MAX)
+        } else {
+            now + MOVE_INTERVAL
+        })
     }
 
     /// Closes a connection that was silent beyond the bound.
--- a/hickoryspan_core/src/entry/queries.rs
+++ b/hickoryspan_core/src/entry/queries.rs
@@ -123,8 +123,8 @@
     pub sent: u32,
     /// How often a hedge was considered.
     pub hedge_tries: u8,
-    /// Whether a move away from a suspect connection was considered.
-    pub move_considered: bool,
+    /// How often a move away from silent connections was tried.
+    pub move_tries: u8,
     /// The wait that is valid now.
     pub sequence: u64,
 }
@@ -141,7 +141,7 @@
             not_sent: 0,
             sent: 0,
             hedge_tries: 0,
-            move_considered: false,
+            move_tries: 0,
             sequence: 0,
         }
     }
--- a/hickoryspan_core/src/entry/routing.rs
+++ b/hickoryspan_core/src/entry/routing.rs
@@ -50,6 +50,8 @@
     pub exclude: &'a [TargetIndex],
     /// Whether the choice draws on the target's budget of hedges and retries.
     pub extra: bool,
+    /// Only connections that worked since this time are used, if it is given.
+    pub proven_since: Option<MonotonicTime>,
 }
 
 /// A bounded list of candidates, kept on the stack.
@@ -108,7 +110,8 @@
                 && target.has_capacity(request.now)
                 && !(ejects && target.health.is_unhealthy(request.now))
                 && !request.exclude.contains(index)
-                && (!request.extra || target.budget.allows());
+                && (!request.extra || target.budget.allows())
+                && request.proven_since.is_none_or(|since| fleet.is_proven_since(*index, since));
             if !usable {
                 continue;
             }
--- a/hickoryspan_core/src/entry/targets.rs
+++ b/hickoryspan_core/src/entry/targets.rs
@@ -65,6 +65,8 @@
     pub state: ConnectionState,
     /// When its opening began.
     pub opened_at: MonotonicTime,
+    /// When it last worked: it opened or carried an answer.
+    pub proven_at: MonotonicTime,
 }
 
 impl TargetConnection {
--- a/hickoryspan_core/tests/engine_connections.rs
+++ b/hickoryspan_core/tests/engine_connections.rs
@@ -2,11 +2,11 @@
 
 mod support;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use hickoryspan_core::entry::engine::{EngineSettings, OrdinalShare};
 use hickoryspan_core::entry::interface::{AnswerStatus, EntryEvent, ResponseReason};
-use hickoryspan_core::entry::plan::OrderResult;
+use hickoryspan_core::entry::plan::{OrderResult, SearchPlan};
 use hickoryspan_core::types::{
     ConnectionCount, CoverageShare, IncarnationNumber, KeyRange, OrdinalNumber, SlotCount, TargetId,
 };
@@ -56,7 +56,7 @@
     let token = bench.search_all();
     bench.done_all();
     let with_share = bench.connections.values().map(|state| &state.target);
-    let with_share: std::collections::BTreeSet<_> = with_share.collect();
+    let with_share: BTreeSet<_> = with_share.collect();
     assert!(with_share.len() < 6);
     let expected = with_share.len() as f64 / 6.0;
     assert!((bench.result(token).unwrap().coverage.value() - expected).abs() < 1e-9);
@@ -122,7 +122,7 @@
         assert!(times.len() <= 16, "{target}: {} opens", times.len());
     }
     // The second opens of all targets do not fall on one moment.
-    let second: std::collections::BTreeSet<_> = by_target.values().map(|times| times[1]).collect();
+    let second: BTreeSet<_> = by_target.values().map(|times| times[1]).collect();
     assert!(second.len() > 10);
 }
 
@@ -221,14 +221,55 @@
     assert_eq!(bench.silent, ["t0-0".parse().unwrap()]);
 }
 
+#[test]
+fn a_silent_connection_is_replaced_when_the_share_allows_no_second_one() {
+    let mut view = even_view(1, 1);
+    view.targets.get_mut(&"t0-0".parse().unwrap()).unwrap().connections = ConnectionCount(1);
+    let mut bench = EngineBench::new(view);
+    bench.warm_up(ms(5));
+    let deadline = bench.now + ms(3000);
+    let plan = SearchPlan { deadline, ..plan(bench.now) };
+    let token = bench.search(plan);
+    bench.advance(ms(1500));
+    assert_eq!(bench.silent.len(), 1);
+    bench.done_all();
+    assert_eq!(bench.result(token).unwrap().coverage, CoverageShare::FULL);
+}
+
+#[rstest]
+#[case(60)]
+#[case(2000)]
+fn searches_recover_when_all_open_connections_go_silent_at_once(#[case] deadline: u64) {
+    let mut bench = EngineBench::new(even_view(6, 2));
+    bench.warm_up(ms(5));
+    let dead: BTreeSet<_> = bench.connections.keys().copied().collect();
+    let event = bench.now;
+    let mut recovered_at = None;
+    while recovered_at.is_none() && bench.now < event + ms(10_000) {
+        let deadline = bench.now + ms(deadline);
+        let token = bench.search(SearchPlan { deadline, ..plan(bench.now) });
+        while bench.result(token).is_none() {
+            bench.advance(ms(1));
+            for sent in bench.attempts.values().cloned().collect::<Vec<_>>() {
+                let is_dead = dead.contains(&sent.order.connection);
+                if !is_dead && bench.now.since(sent.sent_at) >= ms(5) {
+                    bench.done(sent.order.attempt);
+                }
+            }
+        }
+        let is_full = bench.result(token).unwrap().coverage == CoverageShare::FULL;
+        recovered_at = is_full.then_some(bench.now);
+    }
+    let time = recovered_at.expect("a full answer").since(event);
+    println!("full answers after {time:?} with deadlines of {deadline} ms");
+    assert!(time < ms(500), "full answers only after {time:?}");
+}
+
 #[test]
 fn an_unanswered_connection_is_closed_after_its_search_ended() {
     let mut bench = EngineBench::new(even_view(1, 1));
     bench.warm_up(ms(5));
-    let plan = hickoryspan_core::entry::plan::SearchPlan {
-        deadline: bench.now + ms(60),
-        ..plan(bench.now)
-    };
+    let plan = SearchPlan { deadline: bench.now + ms(60), ..plan(bench.now) };
     bench.search(plan);
     let silent = *bench.attempts.keys().next().unwrap();
     bench.advance(ms(1000));
@@ -263,10 +304,7 @@
     bench.search_all();
     bench.advance(ms(1));
     let late = bench.search_all();
-    let plan = hickoryspan_core::entry::plan::SearchPlan {
-        deadline: bench.now + ms(100),
-        ..plan(bench.now)
-    };
+    let plan = SearchPlan { deadline: bench.now + ms(100), ..plan(bench.now) };
     let early = bench.search(plan);
     bench.advance(ms(1));
     assert_eq!(bench.attempts.len(), 2);
