Add callers' cost limits and latency-following admission

Cause: without limits one caller can load targets at will, and without admission goodput collapses when more arrives than can be served. Change: add limits (base share plus leased grant, empty at the start of an ordinal, demand report, refunds), admission (gradient limit for each service with baseline probes, entry bound, priority queue fair between tenants) and spread retry hints; the machine charges, admits, sheds and refunds. The limit property runs 400 cases with the fixed ChaCha seed [11; 32].

--- a/hickoryspan_core/src/entry/machine.rs
+++ b/hickoryspan_core/src/entry/machine.rs
@@ -3,22 +3,29 @@
 //! It connects the policies of this module's siblings; see `docs/design.md`, sections 5 to 8.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
 
 use rand::Rng;
 use rand_chacha::ChaCha12Rng;
 use rand_chacha::rand_core::SeedableRng;
 
+use crate::membership::ServiceKey;
 use crate::messages::{ClaimKey, ControlMessage, RequestOutcome};
+use crate::sheet::SheetDocument;
 use crate::types::{
-    CallerId, ClassId, ClockReading, CoverageShare, MonotonicTime, QueryToken, TenantId,
+    CallerId, ClassId, ClockReading, CostUnits, CoverageShare, MonotonicTime, QueryToken,
 };
 
+use super::admission::{
+    AdmissionControl, AdmissionDecision, AdmissionRequest, AdmissionSettings, WorkEnd,
+};
 use super::configuration::{ConfigurationSettings, ResolvedRequest, ViewConfiguration, ViewUpdate};
 use super::engine::{EngineSettings, FanoutEngine, OrdinalShare};
 use super::interface::{
     AddressAnswer, CallerRequest, CallerResponse, EntryAction, EntryEvent, EntryIdentity,
     EntryMeasure, RequestKind, ResponseReason,
 };
+use super::limits::{CallerLimits, LimitKey, LimitSettings};
 use super::orders::{OrderBook, OrderEffect, OrderReply, OrderRequest, OrderSettings};
 use super::plan::{EngineReport, FanoutMode, SearchPlan, SearchResult};
 use super::search_engine::SearchEngine;
@@ -31,6 +38,10 @@
     pub session: SessionSettings,
     /// The configuration.
     pub configuration: ConfigurationSettings,
+    /// The limits of callers.
+    pub limits: LimitSettings,
+    /// Admission.
+    pub admission: AdmissionSettings,
     /// The orders.
     pub orders: OrderSettings,
     /// The fan-out engine.
@@ -40,26 +51,59 @@
 /// A request that is not answered yet.
 #[derive(Debug)]
 struct ActiveRequest {
-    tenant: TenantId,
+    limit: LimitKey,
     class: ClassId,
     arrival: MonotonicTime,
     deadline: MonotonicTime,
     work: ActiveWork,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+impl ActiveRequest {
+    fn is_search(&self) -> bool {
+        matches!(&self.work, ActiveWork::Paid(paid) if matches!(paid.plan, WorkPlan::Search(_)))
+    }
+}
+
+#[derive(Debug)]
 enum ActiveWork {
-    Search,
-    Order,
+    /// Passed the limit; waits for admission, runs, or shares the run of an equal order.
+    Paid(Box<PaidWork>),
     Lookup,
 }
 
+/// Work whose cost was taken from the caller's limit.
+#[derive(Debug)]
+struct PaidWork {
+    plan: WorkPlan,
+    cost: CostUnits,
+    /// When admission started it; none while it waits, and for orders that share another's run.
+    started: Option<MonotonicTime>,
+}
+
+#[derive(Clone, Debug)]
+enum WorkPlan {
+    Search(SearchPlan),
+    Order(OrderRequest),
+}
+
+impl WorkPlan {
+    fn service(&self) -> &ServiceKey {
+        match self {
+            Self::Search(plan) => &plan.service,
+            Self::Order(order) => &order.service,
+        }
+    }
+}
+
 /// The decisions of one entry process.
 #[derive(Debug)]
 pub struct EntryMachine {
     identity: EntryIdentity,
     session: ControlSession,
     configuration: ViewConfiguration,
+    limits: CallerLimits,
+    sheet: Option<Arc<SheetDocument>>,
+    admission: AdmissionControl,
     orders: OrderBook,
     engine: Box<dyn SearchEngine>,
     engine_share: Option<OrdinalShare>,
@@ -88,6 +132,8 @@
         engine: Box<dyn SearchEngine>,
     ) -> Self {
         let session_generator = split_generator(&mut generator);
+        let limit_generator = split_generator(&mut generator);
+        let admission_generator = split_generator(&mut generator);
         let registration = &identity.registration;
         let orders =
             OrderBook::new(settings.orders, registration.entry.clone(), registration.incarnation);
@@ -95,6 +141,9 @@
             session: ControlSession::new(settings.session, identity.clone(), session_generator),
             identity,
             configuration: ViewConfiguration::new(settings.configuration),
+            limits: CallerLimits::new(settings.limits, limit_generator),
+            sheet: None,
+            admission: AdmissionControl::new(settings.admission, admission_generator),
             orders,
             engine,
             engine_share: None,
@@ -133,6 +182,7 @@
         [
             Some(self.session.next_wakeup()),
             self.orders.next_wakeup(),
+            self.admission.next_wakeup(),
             self.engine.next_wakeup(),
             deadline,
         ]
@@ -148,7 +198,7 @@
                 revision: self.configuration.revision(),
                 digest: self.configuration.view().digest,
                 draining: false,
-                demand: Vec::new(),
+                demand: self.limits.demand(now.monotonic),
             };
             self.session.renew(now.monotonic, report, actions);
         }
@@ -157,7 +207,19 @@
             orders.advance(now.monotonic, send, effects);
         });
         self.expire_searches(now, actions);
-        self.take_reports(now, actions);
+        self.settle_down(now, actions);
+    }
+
+    /// Performs reports and decisions until neither causes another.
+    fn settle_down(&mut self, now: ClockReading, actions: &mut Vec<EntryAction>) {
+        loop {
+            self.take_reports(now, actions);
+            let before = self.admission.in_flight();
+            self.take_decisions(now, actions);
+            if self.admission.in_flight() == before {
+                return self.take_reports(now, actions);
+            }
+        }
     }
 
     /// Tells the engine when the ordinal may no longer, or may again, be used.
@@ -165,6 +227,7 @@
         let share = self.session.standing(now.monotonic).share();
         if share != self.engine_share {
             self.engine_share = share;
+            self.limits.set_share(now.monotonic, share);
             self.engine.set_share(now, share, actions);
             self.take_reports(now, actions);
         }
@@ -201,8 +264,12 @@
                 let update = self.configuration.apply(from, to, changes, digest);
                 self.after_update(now, update, actions);
             }
-            ControlMessage::Renewed { sequence, lease, committed, .. } => {
-                self.session.renewed(now.monotonic, sequence, lease);
+            ControlMessage::Renewed { sequence, lease, committed, shares, share_lease } => {
+                if let Some(sent) = self.session.renewed(now.monotonic, sequence, lease) {
+                    // A new share empties the buckets, so it is set before the grants.
+                    self.refresh_share(now, actions);
+                    self.limits.set_grants(now.monotonic, sent + share_lease, &shares);
+                }
                 if self.configuration.lags_behind(committed) {
                     self.after_update(now, ViewUpdate::Unfit, actions);
                 }
@@ -237,6 +304,7 @@
     ) {
         match update {
             ViewUpdate::Changed => {
+                self.take_sheet(now);
                 self.engine.update_view(now, self.configuration.view(), actions);
                 let revision = self.configuration.revision();
                 actions.push(EntryAction::Measure(EntryMeasure::Revision(revision)));
@@ -248,6 +316,15 @@
         }
     }
 
+    fn take_sheet(&mut self, now: ClockReading) {
+        let Some(sheet) = self.configuration.view().sheet.clone() else { return };
+        if self.sheet.as_ref().is_some_and(|known| Arc::ptr_eq(known, &sheet)) {
+            return;
+        }
+        self.limits.update_sheet(now.monotonic, &sheet);
+        self.sheet = Some(sheet);
+    }
+
     fn on_request(
         &mut self,
         now: ClockReading,
@@ -275,72 +352,135 @@
             Err(reason) => return self.refuse_unresolved(token, &request, reason, actions),
         };
         let active = ActiveRequest {
-            tenant: request.tenant.clone(),
+            limit: LimitKey { tenant: request.tenant.clone(), caller: request.caller.clone() },
             class: resolved.class.clone(),
             arrival: now.monotonic,
             deadline: now.monotonic + resolved.deadline,
-            work: match request.kind {
-                RequestKind::Search { .. } => ActiveWork::Search,
-                _ => ActiveWork::Order,
-            },
+            work: ActiveWork::Lookup,
         };
         if let Some(reason) = self.refusal(now, &request) {
             let response = self.refused_response(reason);
             return self.finish(now, &active, token, response, actions);
         }
-        match &request.kind {
-            RequestKind::Search { pinned } => {
-                let plan = SearchPlan {
-                    service: resolved.service,
-                    kind: resolved.kind,
-                    scope: resolved.scope,
-                    pinned: *pinned,
-                    fingerprint: request.fingerprint,
-                    deadline: active.deadline,
-                    policy: resolved.class_spec.policy,
-                    coverage_floor: resolved.class_spec.coverage_floor,
-                    mode: FanoutMode::Normal,
-                };
-                self.deadlines.insert((active.deadline, token));
-                self.requests.insert(token, active);
-                self.engine.start_search(now, token, plan, actions);
+        let priority = resolved.class_spec.priority;
+        let weight = resolved.weight;
+        let plan = make_plan(&request, resolved, active.deadline);
+        if let WorkPlan::Order(order) = &plan
+            && self.orders.shares_run(&order.key)
+        {
+            // The run was paid for and admitted with its first request.
+            let order = order.clone();
+            let paid = PaidWork { plan, cost: CostUnits::default(), started: None };
+            let work = ActiveWork::Paid(Box::new(paid));
+            self.requests.insert(token, ActiveRequest { work, ..active });
+            return self.submit_order(now, token, order, actions);
+        }
+        let cost = self.cost_of(&plan, weight);
+        if let Err(hint) = self.limits.spend(now.monotonic, &active.limit, cost) {
+            let mut response = self.refused_response(ResponseReason::LimitExceeded);
+            response.retry_after = Some(hint);
+            return self.finish(now, &active, token, response, actions);
+        }
+        let service = plan.service().clone();
+        let deadline = active.deadline;
+        let work = ActiveWork::Paid(Box::new(PaidWork { plan, cost, started: None }));
+        self.requests.insert(token, ActiveRequest { work, ..active });
+        let ask = AdmissionRequest { token, service, priority, deadline };
+        let decision = self.admission.arrive(now.monotonic, ask);
+        self.perform_decision(now, decision, actions);
+    }
+
+    fn cost_of(&self, plan: &WorkPlan, weight: CostUnits) -> CostUnits {
+        match plan {
+            WorkPlan::Search(plan) => {
+                CostUnits(weight.0 * f64::from(self.engine.fanout_width(plan)))
             }
-            RequestKind::Order { request: id, issued_at } => {
-                let key = ClaimKey {
-                    tenant: request.tenant.clone(),
-                    caller: request.caller.clone(),
-                    request: id.clone(),
-                    issued_at: *issued_at,
-                };
-                self.submit_order(now, token, &request, key, resolved, active, actions);
+            WorkPlan::Order(_) => weight,
+        }
+    }
+
+    fn perform_decision(
+        &mut self,
+        now: ClockReading,
+        decision: AdmissionDecision,
+        actions: &mut Vec<EntryAction>,
+    ) {
+        match decision {
+            AdmissionDecision::Start(token) => self.start_work(now, token, actions),
+            AdmissionDecision::Wait(_) => {}
+            AdmissionDecision::Shed(token, hint) => {
+                let mut response = self.refused_response(ResponseReason::Overloaded);
+                response.retry_after = Some(hint);
+                self.refuse_waiting(now, token, response, actions);
+            }
+        }
+    }
+
+    /// Ends a paid request that never started; its cost is given back.
+    fn refuse_waiting(
+        &mut self,
+        now: ClockReading,
+        token: QueryToken,
+        response: CallerResponse,
+        actions: &mut Vec<EntryAction>,
+    ) {
+        let Some(active) = self.requests.remove(&token) else { return };
+        if let ActiveWork::Paid(paid) = &active.work {
+            self.limits.refund(now.monotonic, &active.limit, paid.cost);
+        }
+        self.finish(now, &active, token, response, actions);
+    }
+
+    fn start_work(&mut self, now: ClockReading, token: QueryToken, actions: &mut Vec<EntryAction>) {
+        let Some(active) = self.requests.get_mut(&token) else { return };
+        let deadline = active.deadline;
+        let ActiveWork::Paid(paid) = &mut active.work else { return };
+        paid.started = Some(now.monotonic);
+        match paid.plan.clone() {
+            WorkPlan::Search(plan) => {
+                self.deadlines.insert((deadline, token));
+                self.engine.start_search(now, token, plan, actions);
             }
-            RequestKind::Lookup { .. } => {}
+            WorkPlan::Order(order) => self.submit_order(now, token, order, actions),
         }
     }
 
-    #[allow(clippy::too_many_arguments)] // All of it belongs to one request, and it is called once.
     fn submit_order(
         &mut self,
         now: ClockReading,
         token: QueryToken,
-        request: &CallerRequest,
-        key: ClaimKey,
-        resolved: ResolvedRequest,
-        active: ActiveRequest,
+        order: OrderRequest,
         actions: &mut Vec<EntryAction>,
     ) {
-        let order = OrderRequest {
-            key,
-            fingerprint: request.fingerprint,
-            service: resolved.service,
-            deadline: active.deadline,
-        };
-        self.requests.insert(token, active);
         self.with_orders(now, actions, |orders, send, effects| {
             orders.submit(now.monotonic, token, order, send, effects);
         });
     }
 
+    /// Takes a request out of the books and tells admission how it ended.
+    fn end_work(
+        &mut self,
+        now: ClockReading,
+        token: QueryToken,
+        end: WorkEnd,
+    ) -> Option<ActiveRequest> {
+        let active = self.requests.remove(&token)?;
+        self.deadlines.remove(&(active.deadline, token));
+        if let ActiveWork::Paid(paid) = &active.work
+            && let Some(started) = paid.started
+        {
+            let latency = now.monotonic.since(started);
+            self.admission.release(now.monotonic, paid.plan.service(), end, latency);
+        }
+        Some(active)
+    }
+
+    fn take_decisions(&mut self, now: ClockReading, actions: &mut Vec<EntryAction>) {
+        while let Some(decision) = self.admission.next_decision(now.monotonic) {
+            self.perform_decision(now, decision, actions);
+        }
+    }
+
     /// Why a request is refused before anything is done for it.
     fn refusal(&self, now: ClockReading, request: &CallerRequest) -> Option<ResponseReason> {
         let standing = self.session.standing(now.monotonic);
@@ -374,7 +514,7 @@
         let RequestKind::Lookup { request: id, issued_at } = request.kind else { return };
         let deadline = now.monotonic + time;
         let active = ActiveRequest {
-            tenant: request.tenant.clone(),
+            limit: LimitKey { tenant: request.tenant.clone(), caller: request.caller.clone() },
             class,
             arrival: now.monotonic,
             deadline,
@@ -395,19 +535,20 @@
 
     fn on_hangup(&mut self, now: ClockReading, token: QueryToken, actions: &mut Vec<EntryAction>) {
         let Some(active) = self.requests.get(&token) else { return };
-        match active.work {
-            // The order goes on, and its response tells the driver when its body is no longer needed.
-            ActiveWork::Order => {}
-            ActiveWork::Lookup => {
-                self.orders.forget_lookup(token);
-                self.requests.remove(&token);
-            }
-            ActiveWork::Search => {
-                self.deadlines.remove(&(active.deadline, token));
-                self.requests.remove(&token);
-                self.engine.cancel(now, token, actions);
+        if active.is_search() {
+            let was_waiting = self.admission.forget(token);
+            let Some(active) = self.end_work(now, token, WorkEnd::Neutral) else { return };
+            match &active.work {
+                ActiveWork::Paid(paid) if was_waiting => {
+                    self.limits.refund(now.monotonic, &active.limit, paid.cost);
+                }
+                _ => self.engine.cancel(now, token, actions),
             }
+        } else if matches!(active.work, ActiveWork::Lookup) {
+            self.orders.forget_lookup(token);
+            self.requests.remove(&token);
         }
+        // An order goes on, and its response tells the driver when its body is no longer needed.
     }
 
     fn on_addresses(
@@ -434,9 +575,10 @@
                         orders.run_ended(now.monotonic, token, result, send, effects);
                     });
                 }
-                EngineReport::Crash { .. }
-                | EngineReport::CanaryPassed(_)
-                | EngineReport::SubrequestLatency(..) => {}
+                EngineReport::SubrequestLatency(service, latency) => {
+                    self.admission.note_latency(now.monotonic, &service, latency);
+                }
+                EngineReport::Crash { .. } | EngineReport::CanaryPassed(_) => {}
             }
         }
     }
@@ -448,8 +590,11 @@
         result: SearchResult,
         actions: &mut Vec<EntryAction>,
     ) {
-        let Some(active) = self.requests.remove(&token) else { return };
-        self.deadlines.remove(&(active.deadline, token));
+        let end = match result.reason {
+            Some(ResponseReason::Deadline) => WorkEnd::DeadlineMissed,
+            _ => WorkEnd::InTime,
+        };
+        let Some(active) = self.end_work(now, token, end) else { return };
         let response = self.search_response(result);
         self.finish(now, &active, token, response, actions);
     }
@@ -461,7 +606,7 @@
                 return;
             }
             self.deadlines.pop_first();
-            let Some(active) = self.requests.remove(&token) else { continue };
+            let Some(active) = self.end_work(now, token, WorkEnd::DeadlineMissed) else { continue };
             self.engine.cancel(now, token, actions);
             let mut response = self.blank_response(RequestOutcome::Failed);
             response.reason = Some(ResponseReason::Deadline);
@@ -500,7 +645,12 @@
         reply: OrderReply,
         actions: &mut Vec<EntryAction>,
     ) {
-        let Some(active) = self.requests.remove(&token) else { return };
+        let end = match reply.reason {
+            Some(ResponseReason::Deadline) => WorkEnd::DeadlineMissed,
+            Some(_) => WorkEnd::Neutral,
+            None => WorkEnd::InTime,
+        };
+        let Some(active) = self.end_work(now, token, end) else { return };
         let mut response = self.blank_response(reply.outcome);
         response.reason = reply.reason;
         response.parts = reply.part.into_iter().collect();
@@ -542,7 +692,7 @@
         actions: &mut Vec<EntryAction>,
     ) {
         actions.push(EntryAction::Measure(EntryMeasure::Request {
-            tenant: active.tenant.clone(),
+            tenant: active.limit.tenant.clone(),
             class: active.class.clone(),
             outcome: response.outcome,
             latency: now.monotonic.since(active.arrival),
@@ -594,6 +744,40 @@
     }
 }
 
+fn make_plan(
+    request: &CallerRequest,
+    resolved: ResolvedRequest,
+    deadline: MonotonicTime,
+) -> WorkPlan {
+    match &request.kind {
+        RequestKind::Order { request: id, issued_at } => WorkPlan::Order(OrderRequest {
+            key: ClaimKey {
+                tenant: request.tenant.clone(),
+                caller: request.caller.clone(),
+                request: id.clone(),
+                issued_at: *issued_at,
+            },
+            fingerprint: request.fingerprint,
+            service: resolved.service,
+            deadline,
+        }),
+        RequestKind::Search { .. } | RequestKind::Lookup { .. } => WorkPlan::Search(SearchPlan {
+            service: resolved.service,
+            kind: resolved.kind,
+            scope: resolved.scope,
+            pinned: match request.kind {
+                RequestKind::Search { pinned } => pinned,
+                _ => None,
+            },
+            fingerprint: request.fingerprint,
+            deadline,
+            policy: resolved.class_spec.policy,
+            coverage_floor: resolved.class_spec.coverage_floor,
+            mode: FanoutMode::Normal,
+        }),
+    }
+}
+
 /// A generator of its own for each policy, so that one policy's draws do not shift another's.
 fn split_generator(generator: &mut ChaCha12Rng) -> ChaCha12Rng {
     ChaCha12Rng::seed_from_u64(generator.next_u64())
--- a/hickoryspan_core/src/entry/mod.rs
+++ b/hickoryspan_core/src/entry/mod.rs
@@ -1,10 +1,13 @@
 //! Decisions of an entry process: the request path under load and faults (`docs/design.md`, section 6).
 
+pub mod admission;
 pub mod configuration;
 pub mod engine;
 pub mod interface;
+pub mod limits;
 pub mod machine;
 pub mod orders;
+pub mod pacing;
 pub mod plan;
 pub mod search_engine;
 pub mod session;
--- /dev/null
+++ b/hickoryspan_core/src/entry/pacing.rs
@@ -0,0 +1,47 @@
+//! Retry hints for refused requests, spread over the time in which room for them appears.
+
+use std::time::Duration;
+
+use rand::RngExt;
+use rand_chacha::ChaCha12Rng;
+
+use crate::types::MonotonicTime;
+
+/// Shortest hint; a shorter one would not outlast the round trip to the caller.
+pub const MIN_HINT: Duration = Duration::from_millis(10);
+
+/// Longest hint; after it a caller asks again, because limits and load will have changed.
+pub const MAX_HINT: Duration = Duration::from_secs(5);
+
+/// Remembers the room that earlier hints promised, so that callers refused at the same moment are not all
+/// sent back at the same moment.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct RetryPacer {
+    promised: f64,
+    updated: MonotonicTime,
+}
+
+impl RetryPacer {
+    /// A hint for a request that needs `units`, while `missing` units are lacking and `rate` units appear
+    /// each second.
+    pub fn hint(
+        &mut self,
+        now: MonotonicTime,
+        units: f64,
+        missing: f64,
+        rate: f64,
+        generator: &mut ChaCha12Rng,
+    ) -> Duration {
+        let max_seconds = MAX_HINT.as_secs_f64();
+        let jitter = generator.random_range(1.0..1.5);
+        if rate <= 0.0 || !rate.is_finite() {
+            return MAX_HINT.mul_f64(jitter);
+        }
+        let passed = now.since(self.updated).as_secs_f64();
+        self.updated = now;
+        self.promised = (self.promised - rate * passed).max(0.0);
+        let seconds = ((missing.max(0.0) + self.promised) / rate).min(max_seconds);
+        self.promised = (self.promised + units).min(rate * max_seconds);
+        Duration::from_secs_f64(seconds).max(MIN_HINT).mul_f64(jitter)
+    }
+}
--- /dev/null
+++ b/hickoryspan_core/tests/entry_limits.rs
@@ -0,0 +1,245 @@
+//! Guards against limits that all entries together exceed, and against retry hints that cause new bursts.
+
+mod entry_support;
+
+use std::time::Duration;
+
+use entry_support::*;
+use hickoryspan_core::entry::engine::OrdinalShare;
+use hickoryspan_core::entry::interface::*;
+use hickoryspan_core::entry::limits::{CallerLimits, LimitKey, LimitSettings};
+use hickoryspan_core::entry::machine::EntrySettings;
+use hickoryspan_core::messages::*;
+use hickoryspan_core::types::*;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+use rand_chacha::ChaCha12Rng;
+use rand_chacha::rand_core::SeedableRng;
+
+const RATE: f64 = 1000.0;
+const BURST: f64 = 500.0;
+const ENTRIES: usize = MAX_ORDINALS as usize;
+
+fn key() -> LimitKey {
+    LimitKey { tenant: id("quindio"), caller: id("desk") }
+}
+
+fn at(milliseconds: u64) -> MonotonicTime {
+    MonotonicTime(milliseconds * 1000)
+}
+
+fn limits(ordinal: usize, now: MonotonicTime, rate: f64, burst: f64) -> CallerLimits {
+    let generator = ChaCha12Rng::seed_from_u64(ordinal as u64);
+    let mut limits = CallerLimits::new(LimitSettings::default(), generator);
+    limits.update_sheet(now, &sheet(rate, burst));
+    let ordinal = OrdinalNumber(ordinal as u64);
+    limits.set_share(now, Some(OrdinalShare { ordinal, max_ordinals: MAX_ORDINALS }));
+    limits
+}
+
+fn grant(rate: f64) -> Vec<ShareGrant> {
+    vec![ShareGrant { tenant: id("quindio"), caller: id("desk"), rate: CostRate(rate) }]
+}
+
+/// A leader that never has more than the pool on lease, as control promises.
+#[derive(Default)]
+struct PoolLeader {
+    leases: Vec<(usize, f64, MonotonicTime)>,
+}
+
+impl PoolLeader {
+    fn grant(&mut self, now: MonotonicTime, entry: usize, fraction: f64) -> f64 {
+        self.leases.retain(|(_, _, until)| *until > now);
+        let used: f64 = (0..ENTRIES)
+            .filter(|&other| other != entry)
+            .map(|other| {
+                let leases = self.leases.iter().filter(|(holder, ..)| *holder == other);
+                leases.map(|(_, rate, _)| *rate).fold(0.0, f64::max)
+            })
+            .sum();
+        let rate = (RATE / 2.0 - used).max(0.0) * fraction;
+        self.leases.push((entry, rate, now + SHARE_LEASE));
+        rate
+    }
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Pass(u64),
+    Spend { entry: usize, cost: u32, count: u32 },
+    Renew { entry: usize, fraction: f64, delay: u64 },
+    Restart { entry: usize },
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let step = prop_oneof![
+        3 => (1_u64..900).prop_map(Step::Pass),
+        5 => (0..ENTRIES, 1_u32..18, 1_u32..20)
+            .prop_map(|(entry, cost, count)| Step::Spend { entry, cost, count }),
+        3 => (0..ENTRIES, 0.0..=1.0, 0_u64..1500)
+            .prop_map(|(entry, fraction, delay)| Step::Renew { entry, fraction, delay }),
+        1 => (0..ENTRIES).prop_map(|entry| Step::Restart { entry }),
+    ];
+    prop::collection::vec(step, 1..200)
+}
+
+/// The largest excess of any window's spending over the rate.
+fn largest_burst(spent: &[(MonotonicTime, f64)]) -> f64 {
+    // Kadane's algorithm: the credit of the best window that ends at each moment.
+    let mut excess = 0.0_f64;
+    let mut largest = 0.0_f64;
+    let mut last = MonotonicTime::default();
+    for (time, cost) in spent {
+        excess = (excess - RATE * time.since(last).as_secs_f64()).max(0.0) + cost;
+        largest = largest.max(excess);
+        last = *time;
+    }
+    largest
+}
+
+/// Guards against a sum over all entries that exceeds rate and burst in any window, whatever the grants,
+/// delays and restarts.
+#[test]
+fn all_entries_together_stay_within_the_limit() {
+    let generator = TestRng::from_seed(RngAlgorithm::ChaCha, &[11; 32]);
+    let config = Config { cases: 400, failure_persistence: None, ..Config::default() };
+    let mut runner = TestRunner::new_with_rng(config, generator);
+    let outcome = runner.run(&steps(), |steps| {
+        let mut now = at(1);
+        let mut leader = PoolLeader::default();
+        let mut entries: Vec<_> =
+            (0..ENTRIES).map(|ordinal| limits(ordinal, now, RATE, BURST)).collect();
+        let mut arriving: Vec<(MonotonicTime, usize, f64, MonotonicTime)> = Vec::new();
+        let mut spent = Vec::new();
+        for step in steps {
+            match step {
+                Step::Pass(time) => now = now + millis(time),
+                Step::Spend { entry, cost, count } => {
+                    for _ in 0..count {
+                        let cost = f64::from(cost);
+                        if entries[entry].spend(now, &key(), CostUnits(cost)).is_ok() {
+                            spent.push((now, cost));
+                        }
+                    }
+                }
+                Step::Renew { entry, fraction, delay } => {
+                    // Sent now, received by the leader now at the earliest, answered after the delay.
+                    let rate = leader.grant(now, entry, fraction);
+                    arriving.push((now + millis(delay), entry, rate, now + SHARE_LEASE));
+                }
+                Step::Restart { entry } => {
+                    entries[entry] = limits(entry, now, RATE, BURST);
+                    arriving.retain(|(_, other, ..)| *other != entry);
+                }
+            }
+            arriving.retain(|(arrival, entry, rate, until)| {
+                if *arrival <= now {
+                    entries[*entry].set_grants(now, *until, &grant(*rate));
+                }
+                *arrival > now
+            });
+        }
+        let burst = largest_burst(&spent);
+        prop_assert!(burst <= BURST + 1e-6, "a burst of {burst}");
+        Ok(())
+    });
+    outcome.expect("the property holds");
+}
+
+/// Guards against a limit that is kept only because nobody gets anything: steady demand gets the rate.
+#[test]
+fn steady_demand_gets_the_whole_rate() {
+    let mut entries: Vec<_> =
+        (0..ENTRIES).map(|ordinal| limits(ordinal, at(0), RATE, BURST)).collect();
+    let mut spent = 0.0;
+    for step in 0..30_000 {
+        let now = at(step);
+        for (ordinal, entry) in entries.iter_mut().enumerate() {
+            if step % 1000 == 0 {
+                // The first two entries have all the demand that the leader sees.
+                let rate = if ordinal < 2 { RATE / 4.0 } else { 0.0 };
+                entry.set_grants(now, now + SHARE_LEASE, &grant(rate));
+            }
+            spent += f64::from(u8::from(entry.spend(now, &key(), CostUnits(2.0)).is_ok())) * 2.0;
+        }
+    }
+    assert!(spent >= 0.98 * 30.0 * RATE, "spent {spent} in 30 s");
+}
+
+/// Guards against requests that cost more than an entry's burst share and would never be admitted.
+#[test]
+fn a_request_above_the_burst_share_runs_after_it_is_earned() {
+    let mut limits = limits(0, at(0), RATE, 14.0);
+    let cost = CostUnits(100.0);
+    assert!(limits.spend(at(1000), &key(), cost).is_err());
+    let base = RATE / 2.0 / f64::from(MAX_ORDINALS);
+    let earned = Duration::from_secs_f64(100.0 / base);
+    assert!(limits.spend(at(1000) + earned - millis(100), &key(), cost).is_err());
+    assert!(limits.spend(at(1000) + earned, &key(), cost).is_ok());
+}
+
+/// Guards against a grant that is used after its lease.
+#[test]
+fn a_grant_ends_with_its_lease() {
+    let mut limits = limits(0, at(0), RATE, 1e6);
+    limits.set_grants(at(0), at(2000), &grant(500.0));
+    let earned = 2.0 * 500.0 + 10.0 * RATE / 2.0 / f64::from(MAX_ORDINALS);
+    assert!(limits.spend(at(10_000), &key(), CostUnits(earned + 1.0)).is_err());
+    assert!(limits.spend(at(10_000), &key(), CostUnits(earned - 1.0)).is_ok());
+}
+
+/// Guards against demand that is misreported, so that control grants to the wrong entry.
+#[test]
+fn demand_follows_the_arrivals_granted_or_not() {
+    let mut limits = limits(0, at(0), 1.0, 1.0);
+    for step in 0..1000 {
+        let _ = limits.spend(at(step * 10), &key(), CostUnits(3.0));
+    }
+    let demand = limits.demand(at(10_000));
+    assert!((demand[0].rate.0 - 300.0).abs() < 15.0, "{demand:?}");
+    assert!(limits.demand(at(40_000)).is_empty());
+}
+
+/// Guards against callers that are refused together and sent back together.
+#[test]
+fn retry_hints_reflect_the_deficit_and_spread() {
+    let mut limits = limits(0, at(0), RATE, BURST);
+    let rate = RATE / 2.0 / f64::from(MAX_ORDINALS);
+    let mut hints: Vec<f64> = (0..20)
+        .filter_map(|_| limits.spend(at(1), &key(), CostUnits(10.0)).err())
+        .map(|hint| hint.as_secs_f64())
+        .collect();
+    assert_eq!(hints.len(), 20);
+    hints.sort_by(f64::total_cmp);
+    for (index, hint) in hints.iter().enumerate() {
+        let earned = 10.0 * (index + 1) as f64 / rate;
+        assert!(*hint >= 0.95 * earned.min(5.0), "hint {index} after {hint} s");
+        assert!(*hint <= 7.5, "hint {index} after {hint} s");
+    }
+}
+
+/// Guards against refusals that charge the caller, and against responses without reason and hint.
+#[test]
+fn the_machine_refuses_above_the_limit_and_reports_demand() {
+    let mut bench = EntryBench::with_settings(1, EntrySettings::default(), sheet(280.0, 2800.0));
+    bench.engine.script().width = 5;
+    bench.advance(millis(2000));
+    bench.take();
+    // Base share 10 units/s for two seconds, at five units each.
+    let outcomes: Vec<_> = (0..8).map(|_| bench.probe_search()).collect();
+    let refused = Some((RequestOutcome::NotRun, Some(ResponseReason::LimitExceeded)));
+    assert!(outcomes[..3].iter().all(Option::is_none), "{outcomes:?}");
+    assert!(outcomes[5..].iter().all(|outcome| *outcome == refused), "{outcomes:?}");
+    let token = bench.search();
+    let response = bench.response(token).expect("a response");
+    assert!(response.retry_after.is_some_and(|hint| hint >= millis(10)));
+    bench.grants = grant(140.0);
+    bench.advance(millis(1000));
+    let demand = bench.sent().into_iter().find_map(|message| match message {
+        EntryMessage::Renew { demand, .. } => Some(demand),
+        _ => None,
+    });
+    assert!(demand.is_some_and(|demand| demand[0].rate.0 > 10.0));
+    bench.advance(millis(500));
+    assert_eq!(bench.probe_search(), None, "the grant admits more");
+}
