Remember recorded order outcomes and test orders under loss

Cause: the property test found that an entry which had run an order told a resend not_run while control refused to decide; a claim sent at the deadline turned a certain not_run into unknown. Change: recorded outcomes are remembered and answer resends and lookups; callers whose time is over are answered before anything is sent, and no claim is sent that cannot be answered in time; add hickoryspan_core/tests/entry_orders.rs. Conclusion: in these cases no order starts twice, every request gets one response, and no outcome of an order that ran here says that it did not.

--- a/hickoryspan_core/src/entry/orders.rs
+++ b/hickoryspan_core/src/entry/orders.rs
@@ -2,7 +2,7 @@
 //!
 //! See `docs/design/orders.md`.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -39,6 +39,9 @@
     pub max_runs: usize,
     /// Lookup requests held at once.
     pub max_lookups: usize,
+    /// Recorded outcomes remembered, so that a resend is answered while control cannot be reached. With the
+    /// longest bodies this is 16 MiB.
+    pub max_recent: usize,
     /// Longest recorded answer in bytes.
     pub max_body: usize,
     /// Time before the deadline at which a known outcome is told even if it is not recorded yet, so that
@@ -59,6 +62,7 @@
             abandon_limit: Duration::from_secs(30),
             max_runs: 10_000,
             max_lookups: 1_000,
+            max_recent: 1_024,
             max_body: 16 * 1024,
             reply_margin: Duration::from_millis(10),
         }
@@ -162,6 +166,12 @@
     phase: RunPhase,
 }
 
+#[derive(Debug)]
+struct RecentOutcome {
+    fingerprint: RequestFingerprint,
+    outcome: OrderOutcome,
+}
+
 #[derive(Debug)]
 struct PendingLookup {
     key: ClaimKey,
@@ -179,6 +189,8 @@
     runs: BTreeMap<ClaimKey, OrderRun>,
     keys: BTreeMap<QueryToken, ClaimKey>,
     lookups: BTreeMap<QueryToken, PendingLookup>,
+    recent: BTreeMap<ClaimKey, RecentOutcome>,
+    recent_order: VecDeque<ClaimKey>,
 }
 
 impl OrderBook {
@@ -191,6 +203,8 @@
             runs: BTreeMap::new(),
             keys: BTreeMap::new(),
             lookups: BTreeMap::new(),
+            recent: BTreeMap::new(),
+            recent_order: VecDeque::new(),
         }
     }
 
@@ -215,8 +229,11 @@
         self.runs.len() >= self.settings.max_runs
     }
 
-    /// Whether a request with this key shares a run of this process instead of starting one.
+    /// Whether a request with this key shares a run or outcome of this process instead of starting a run.
     pub fn shares_run(&self, key: &ClaimKey) -> bool {
+        if self.recent.contains_key(key) {
+            return true;
+        }
         self.runs.get(key).is_some_and(|run| !matches!(run.phase, RunPhase::Abandoned { .. }))
     }
 
@@ -230,6 +247,15 @@
         effects: &mut Vec<OrderEffect>,
     ) {
         let waiter = OrderWaiter { token, deadline: request.deadline };
+        if let Some(recent) = self.recent.get(&request.key) {
+            let reply = if recent.fingerprint == request.fingerprint {
+                OrderReply::recorded(recent.outcome.clone())
+            } else {
+                OrderReply::without_body(RequestOutcome::NotRun, ResponseReason::Conflict)
+            };
+            effects.push(OrderEffect::Reply(token, reply));
+            return;
+        }
         if let Some(run) = self.runs.get_mut(&request.key) {
             if run.fingerprint != request.fingerprint {
                 let reply =
@@ -288,6 +314,9 @@
 
     /// What this process knows about an order without asking control.
     fn known_state(&self, key: &ClaimKey) -> Option<OrderReply> {
+        if let Some(recent) = self.recent.get(key) {
+            return Some(OrderReply::recorded(recent.outcome.clone()));
+        }
         match &self.runs.get(key)?.phase {
             RunPhase::Settling { reply, outcome, .. } => {
                 Some(OrderReply { reason: reply.reason, ..OrderReply::recorded(outcome.clone()) })
@@ -462,13 +491,23 @@
     /// Control recorded an outcome.
     pub fn settled(&mut self, key: &ClaimKey, effects: &mut Vec<OrderEffect>) {
         let Some(run) = self.runs.get(key) else { return };
-        if !matches!(run.phase, RunPhase::Settling { .. }) {
-            return;
-        }
+        let RunPhase::Settling { outcome, .. } = &run.phase else { return };
+        let recent = RecentOutcome { fingerprint: run.fingerprint, outcome: outcome.clone() };
+        self.remember(key.clone(), recent);
         self.reply_all(key, effects);
         self.remove(key);
     }
 
+    fn remember(&mut self, key: ClaimKey, recent: RecentOutcome) {
+        if self.recent_order.len() >= self.settings.max_recent
+            && let Some(oldest) = self.recent_order.pop_front()
+        {
+            self.recent.remove(&oldest);
+        }
+        self.recent_order.push_back(key.clone());
+        self.recent.insert(key, recent);
+    }
+
     /// The engine's attempt ended.
     pub fn run_ended(
         &mut self,
@@ -502,8 +541,6 @@
         send: ControlSender<'_>,
         effects: &mut Vec<OrderEffect>,
     ) {
-        self.send_due(now, &mut *send);
-        self.send_due_lookups(now, send, effects);
         let margin = self.settings.reply_margin;
         let late: Vec<ClaimKey> = self
             .runs
@@ -514,6 +551,8 @@
         for key in late {
             self.expire_waiters(now, &key, effects);
         }
+        self.send_due(now, &mut *send);
+        self.send_due_lookups(now, send, effects);
     }
 
     /// When the book wants to be woken.
@@ -600,6 +639,11 @@
             match &mut run.phase {
                 RunPhase::Claiming { token, unanswered, send_at } if now >= *send_at => {
                     *send_at = now + self.settings.claim_interval;
+                    // A claim that cannot be answered in time would only turn `not_run` into `unknown`.
+                    let deadline = run.waiters.iter().map(|waiter| waiter.deadline).max();
+                    if deadline.is_none_or(|deadline| now + self.settings.reply_margin > deadline) {
+                        continue;
+                    }
                     let message = EntryMessage::Claim {
                         token: *token,
                         key: key.clone(),
