Add quarantine, address answers and the planned stop

Cause: a resent request must not crash target after target, callers need addresses that serve, and a planned stop must not cut a request. Change: add quarantine (view records, local suspicion, one canary at a time, reports repeated over a lost link), addresses (weighted rendezvous hash over failure domains, remembered lifetimes) and drain; refusals name other entries. Requests that share a known order are answered before any refusal, and the engine gets a wake-up before a search expires.

--- a/hickoryspan_core/src/entry/machine.rs
+++ b/hickoryspan_core/src/entry/machine.rs
@@ -4,33 +4,41 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
+use std::time::Duration;
 
-use rand::Rng;
+use rand::{Rng, RngExt};
 use rand_chacha::ChaCha12Rng;
 use rand_chacha::rand_core::SeedableRng;
 
 use crate::membership::ServiceKey;
-use crate::messages::{ClaimKey, ControlMessage, RequestOutcome};
+use crate::messages::{ClaimKey, ControlMessage, EntryMessage, RequestOutcome};
 use crate::sheet::SheetDocument;
 use crate::types::{
     CallerId, ClassId, ClockReading, CostUnits, CoverageShare, MonotonicTime, QueryToken,
+    RequestFingerprint,
 };
 
+use super::addresses::{AddressBook, AddressSettings, OwnCondition};
 use super::admission::{
     AdmissionControl, AdmissionDecision, AdmissionRequest, AdmissionSettings, WorkEnd,
 };
 use super::configuration::{ConfigurationSettings, ResolvedRequest, ViewConfiguration, ViewUpdate};
+use super::drain::{DrainControl, DrainSettings};
 use super::engine::{EngineSettings, FanoutEngine, OrdinalShare};
 use super::interface::{
-    AddressAnswer, CallerRequest, CallerResponse, EntryAction, EntryEvent, EntryIdentity,
-    EntryMeasure, RequestKind, ResponseReason,
+    CallerRequest, CallerResponse, EntryAction, EntryEvent, EntryIdentity, EntryMeasure,
+    RequestKind, ResponseReason,
 };
 use super::limits::{CallerLimits, LimitKey, LimitSettings};
 use super::orders::{OrderBook, OrderEffect, OrderReply, OrderRequest, OrderSettings};
 use super::plan::{EngineReport, FanoutMode, SearchPlan, SearchResult};
+use super::quarantine::{CrashQuarantine, QuarantineSettings, QuarantineVerdict};
 use super::search_engine::SearchEngine;
 use super::session::{ControlSession, RenewalReport, SessionSettings, SessionStanding};
 
+/// How long this entry counts as loaded after it shed a request; a few reactions of the admission limit.
+const LOAD_MEMORY: Duration = Duration::from_secs(1);
+
 /// Settings of all policies of an entry.
 #[derive(Clone, Debug, Default)]
 pub struct EntrySettings {
@@ -44,6 +52,12 @@
     pub admission: AdmissionSettings,
     /// The orders.
     pub orders: OrderSettings,
+    /// Requests that crash targets.
+    pub quarantine: QuarantineSettings,
+    /// Address answers.
+    pub addresses: AddressSettings,
+    /// The planned stop.
+    pub drain: DrainSettings,
     /// The fan-out engine.
     pub engine: EngineSettings,
 }
@@ -68,7 +82,8 @@
 enum ActiveWork {
     /// Passed the limit; waits for admission, runs, or shares the run of an equal order.
     Paid(Box<PaidWork>),
-    Lookup,
+    /// A lookup, or a request that is refused at once.
+    Unpaid,
 }
 
 /// Work whose cost was taken from the caller's limit.
@@ -87,6 +102,13 @@
 }
 
 impl WorkPlan {
+    fn fingerprint(&self) -> &RequestFingerprint {
+        match self {
+            Self::Search(plan) => &plan.fingerprint,
+            Self::Order(order) => &order.fingerprint,
+        }
+    }
+
     fn service(&self) -> &ServiceKey {
         match self {
             Self::Search(plan) => &plan.service,
@@ -105,6 +127,10 @@
     sheet: Option<Arc<SheetDocument>>,
     admission: AdmissionControl,
     orders: OrderBook,
+    quarantine: CrashQuarantine,
+    addresses: AddressBook,
+    drain: DrainControl,
+    generator: ChaCha12Rng,
     engine: Box<dyn SearchEngine>,
     engine_share: Option<OrdinalShare>,
     requests: BTreeMap<QueryToken, ActiveRequest>,
@@ -145,6 +171,10 @@
             sheet: None,
             admission: AdmissionControl::new(settings.admission, admission_generator),
             orders,
+            quarantine: CrashQuarantine::new(settings.quarantine),
+            drain: DrainControl::new(settings.drain, settings.addresses.lifetime),
+            addresses: AddressBook::new(settings.addresses),
+            generator,
             engine,
             engine_share: None,
             requests: BTreeMap::new(),
@@ -154,6 +184,9 @@
 
     /// Handles one event; the driver performs the actions in order.
     pub fn handle(&mut self, now: ClockReading, event: EntryEvent, actions: &mut Vec<EntryAction>) {
+        if self.drain.is_stopped() {
+            return self.handle_stopped(now, event, actions);
+        }
         self.refresh_share(now, actions);
         match event {
             EntryEvent::ControlOpened(address) => {
@@ -164,8 +197,13 @@
             EntryEvent::Control(message) => self.on_control(now, message, actions),
             EntryEvent::Request(token, request) => self.on_request(now, token, *request, actions),
             EntryEvent::Hangup(token) => self.on_hangup(now, token, actions),
-            EntryEvent::Addresses(token, caller) => self.on_addresses(token, &caller, actions),
-            EntryEvent::Drain => {}
+            EntryEvent::Addresses(token, caller) => {
+                self.on_addresses(now, token, &caller, actions);
+            }
+            EntryEvent::Drain => {
+                self.drain.begin(now.monotonic);
+                self.session.hasten_renewal(now.monotonic);
+            }
             EntryEvent::Tick
             | EntryEvent::ConnectionOpened(_)
             | EntryEvent::ConnectionClosed(_)
@@ -176,14 +214,36 @@
         self.advance(now, actions);
     }
 
-    /// When a `Tick` should be sent; a time in the past means at once.
+    /// After the planned stop, callers are only referred to other entries.
+    fn handle_stopped(
+        &mut self,
+        now: ClockReading,
+        event: EntryEvent,
+        actions: &mut Vec<EntryAction>,
+    ) {
+        match event {
+            EntryEvent::Request(token, request) => {
+                self.refuse_unresolved(now, token, &request, ResponseReason::Draining, actions);
+            }
+            EntryEvent::Addresses(token, caller) => {
+                self.on_addresses(now, token, &caller, actions);
+            }
+            _ => {}
+        }
+    }
+
+    /// When a `Tick` should be sent; a time in the past means at once, none means never again.
     pub fn next_wakeup(&self) -> Option<MonotonicTime> {
+        if self.drain.is_stopped() {
+            return None;
+        }
         let deadline = self.deadlines.first().map(|(deadline, _)| *deadline);
         [
             Some(self.session.next_wakeup()),
             self.orders.next_wakeup(),
             self.admission.next_wakeup(),
             self.engine.next_wakeup(),
+            self.drain.next_wakeup(self.own_address_end()),
             deadline,
         ]
         .into_iter()
@@ -197,7 +257,7 @@
             let report = RenewalReport {
                 revision: self.configuration.revision(),
                 digest: self.configuration.view().digest,
-                draining: false,
+                draining: self.drain.is_draining(),
                 demand: self.limits.demand(now.monotonic),
             };
             self.session.renew(now.monotonic, report, actions);
@@ -208,6 +268,47 @@
         });
         self.expire_searches(now, actions);
         self.settle_down(now, actions);
+        self.send_reports(now, actions);
+        self.advance_drain(now, actions);
+    }
+
+    fn send_reports(&mut self, now: ClockReading, actions: &mut Vec<EntryAction>) {
+        if !self.session.is_established() || !self.quarantine.has_unsent() {
+            return;
+        }
+        for message in self.quarantine.take_unsent(now.monotonic) {
+            self.session.send(message, actions);
+        }
+    }
+
+    fn own_address_end(&self) -> Option<MonotonicTime> {
+        self.addresses.latest_end(self.identity.registration.caller_address)
+    }
+
+    /// Whether the view in force lets entries hand out this process's address.
+    fn is_offered(&self) -> bool {
+        let registration = &self.identity.registration;
+        let incarnations = self.configuration.view().entries.get(&registration.entry);
+        incarnations
+            .and_then(|incarnations| incarnations.get(&registration.incarnation))
+            .is_some_and(|record| !record.draining)
+    }
+
+    fn advance_drain(&mut self, now: ClockReading, actions: &mut Vec<EntryAction>) {
+        if !self.drain.is_draining() {
+            return;
+        }
+        let is_offered = self.is_offered();
+        self.drain.observe(now.monotonic, is_offered);
+        let own_end = self.own_address_end();
+        self.drain.advance(now.monotonic, own_end);
+        let has_requests = !self.requests.is_empty() || self.engine.in_flight() > 0;
+        if self.drain.complete(now.monotonic, has_requests, self.orders.unsettled() > 0) {
+            self.engine_share = None;
+            self.engine.set_share(now, None, actions);
+            self.session.send(EntryMessage::Release, actions);
+            actions.push(EntryAction::Stopped);
+        }
     }
 
     /// Performs reports and decisions until neither causes another.
@@ -252,6 +353,7 @@
                 }
                 self.session.welcome(now.monotonic, ordinal, max_ordinals);
                 self.after_update(now, update, actions);
+                self.quarantine.reconnected();
                 self.with_orders(now, actions, |orders, send, effects| {
                     orders.reconnected(now.monotonic, send, effects);
                 });
@@ -269,6 +371,7 @@
                     // A new share empties the buckets, so it is set before the grants.
                     self.refresh_share(now, actions);
                     self.limits.set_grants(now.monotonic, sent + share_lease, &shares);
+                    self.quarantine.confirm(sent);
                 }
                 if self.configuration.lags_behind(committed) {
                     self.after_update(now, ViewUpdate::Unfit, actions);
@@ -310,7 +413,7 @@
                 actions.push(EntryAction::Measure(EntryMeasure::Revision(revision)));
             }
             ViewUpdate::Unfit if self.configuration.may_resync(now.monotonic) => {
-                self.session.send(crate::messages::EntryMessage::Resync, actions);
+                self.session.send(EntryMessage::Resync, actions);
             }
             _ => {}
         }
@@ -349,35 +452,41 @@
     ) {
         let resolved = match self.configuration.resolve(&request) {
             Ok(resolved) => resolved,
-            Err(reason) => return self.refuse_unresolved(token, &request, reason, actions),
+            Err(reason) => return self.refuse_unresolved(now, token, &request, reason, actions),
         };
         let active = ActiveRequest {
             limit: LimitKey { tenant: request.tenant.clone(), caller: request.caller.clone() },
             class: resolved.class.clone(),
             arrival: now.monotonic,
             deadline: now.monotonic + resolved.deadline,
-            work: ActiveWork::Lookup,
+            work: ActiveWork::Unpaid,
         };
-        if let Some(reason) = self.refusal(now, &request) {
-            let response = self.refused_response(reason);
-            return self.finish(now, &active, token, response, actions);
-        }
         let priority = resolved.class_spec.priority;
         let weight = resolved.weight;
         let plan = make_plan(&request, resolved, active.deadline);
         if let WorkPlan::Order(order) = &plan
             && self.orders.shares_run(&order.key)
         {
-            // The run was paid for and admitted with its first request.
+            // The run was paid for and admitted with its first request. It comes before all refusals,
+            // because `not_run` would be untrue for an order that runs or ran here.
             let order = order.clone();
             let paid = PaidWork { plan, cost: CostUnits::default(), started: None };
             let work = ActiveWork::Paid(Box::new(paid));
             self.requests.insert(token, ActiveRequest { work, ..active });
             return self.submit_order(now, token, order, actions);
         }
+        if let Some(reason) = self.refusal(now, &request) {
+            let response = self.refused_response(now, reason, &request.caller);
+            return self.finish(now, &active, token, response, actions);
+        }
+        if self.verdict(now, &request.fingerprint) == QuarantineVerdict::Condemned {
+            let response = self.refused_response(now, ResponseReason::Quarantined, &request.caller);
+            return self.finish(now, &active, token, response, actions);
+        }
         let cost = self.cost_of(&plan, weight);
         if let Err(hint) = self.limits.spend(now.monotonic, &active.limit, cost) {
-            let mut response = self.refused_response(ResponseReason::LimitExceeded);
+            let reason = ResponseReason::LimitExceeded;
+            let mut response = self.refused_response(now, reason, &request.caller);
             response.retry_after = Some(hint);
             return self.finish(now, &active, token, response, actions);
         }
@@ -409,34 +518,60 @@
             AdmissionDecision::Start(token) => self.start_work(now, token, actions),
             AdmissionDecision::Wait(_) => {}
             AdmissionDecision::Shed(token, hint) => {
-                let mut response = self.refused_response(ResponseReason::Overloaded);
-                response.retry_after = Some(hint);
-                self.refuse_waiting(now, token, response, actions);
+                let reason = ResponseReason::Overloaded;
+                self.refuse_paid(now, token, reason, Some(hint), actions);
             }
         }
     }
 
-    /// Ends a paid request that never started; its cost is given back.
-    fn refuse_waiting(
+    /// Ends a paid request for which nothing was sent; its cost is given back.
+    fn refuse_paid(
         &mut self,
         now: ClockReading,
         token: QueryToken,
-        response: CallerResponse,
+        reason: ResponseReason,
+        hint: Option<Duration>,
         actions: &mut Vec<EntryAction>,
     ) {
-        let Some(active) = self.requests.remove(&token) else { return };
+        let Some(active) = self.end_work(now, token, WorkEnd::Neutral) else { return };
         if let ActiveWork::Paid(paid) = &active.work {
             self.limits.refund(now.monotonic, &active.limit, paid.cost);
         }
+        let mut response = self.refused_response(now, reason, &active.limit.caller);
+        response.retry_after = hint;
         self.finish(now, &active, token, response, actions);
     }
 
+    fn verdict(&self, now: ClockReading, fingerprint: &RequestFingerprint) -> QuarantineVerdict {
+        self.quarantine.verdict(now, self.configuration.view(), fingerprint)
+    }
+
     fn start_work(&mut self, now: ClockReading, token: QueryToken, actions: &mut Vec<EntryAction>) {
         let Some(active) = self.requests.get_mut(&token) else { return };
         let deadline = active.deadline;
         let ActiveWork::Paid(paid) = &mut active.work else { return };
         paid.started = Some(now.monotonic);
-        match paid.plan.clone() {
+        let mut plan = paid.plan.clone();
+        // Both may have changed while the request waited for admission.
+        if self.session.standing(now.monotonic) == SessionStanding::Ended {
+            return self.refuse_paid(now, token, ResponseReason::CutOff, None, actions);
+        }
+        let verdict = self.verdict(now, plan.fingerprint());
+        if verdict == QuarantineVerdict::Condemned {
+            return self.refuse_paid(now, token, ResponseReason::Quarantined, None, actions);
+        }
+        if let WorkPlan::Search(search) = &mut plan
+            && verdict == QuarantineVerdict::Suspect
+        {
+            if !self.quarantine.begin_canary(search.fingerprint) {
+                let jitter = self.generator.random_range(1.0..2.0);
+                let hint = Some(self.quarantine.canary_hint().mul_f64(jitter));
+                return self.refuse_paid(now, token, ResponseReason::Quarantined, hint, actions);
+            }
+            search.mode = FanoutMode::Canary;
+            self.note_canary(token);
+        }
+        match plan {
             WorkPlan::Search(plan) => {
                 self.deadlines.insert((deadline, token));
                 self.engine.start_search(now, token, plan, actions);
@@ -445,6 +580,15 @@
         }
     }
 
+    fn note_canary(&mut self, token: QueryToken) {
+        let active = self.requests.get_mut(&token);
+        if let Some(ActiveWork::Paid(paid)) = active.map(|active| &mut active.work)
+            && let WorkPlan::Search(plan) = &mut paid.plan
+        {
+            plan.mode = FanoutMode::Canary;
+        }
+    }
+
     fn submit_order(
         &mut self,
         now: ClockReading,
@@ -472,6 +616,12 @@
             let latency = now.monotonic.since(started);
             self.admission.release(now.monotonic, paid.plan.service(), end, latency);
         }
+        if let ActiveWork::Paid(paid) = &active.work
+            && let WorkPlan::Search(plan) = &paid.plan
+            && plan.mode == FanoutMode::Canary
+        {
+            self.quarantine.end_canary(&plan.fingerprint);
+        }
         Some(active)
     }
 
@@ -484,6 +634,9 @@
     /// Why a request is refused before anything is done for it.
     fn refusal(&self, now: ClockReading, request: &CallerRequest) -> Option<ResponseReason> {
         let standing = self.session.standing(now.monotonic);
+        if self.drain.is_refusing() {
+            return Some(ResponseReason::Draining);
+        }
         match &request.kind {
             RequestKind::Order { issued_at, .. } => {
                 if !self.orders.accepts_issue_time(now.wall, *issued_at) {
@@ -509,7 +662,7 @@
     ) {
         let (class, time) = match self.configuration.resolve_lookup(&request) {
             Ok(resolved) => resolved,
-            Err(reason) => return self.refuse_unresolved(token, &request, reason, actions),
+            Err(reason) => return self.refuse_unresolved(now, token, &request, reason, actions),
         };
         let RequestKind::Lookup { request: id, issued_at } = request.kind else { return };
         let deadline = now.monotonic + time;
@@ -518,16 +671,20 @@
             class,
             arrival: now.monotonic,
             deadline,
-            work: ActiveWork::Lookup,
+            work: ActiveWork::Unpaid,
         };
-        if self.session.standing(now.monotonic) == SessionStanding::Ended {
-            let mut response = self.refused_response(ResponseReason::CutOff);
+        let key =
+            ClaimKey { tenant: request.tenant, caller: request.caller, request: id, issued_at };
+        let is_ended = self.session.standing(now.monotonic) == SessionStanding::Ended;
+        let is_known = self.orders.known_state(&key).is_some();
+        if !is_known && (is_ended || self.drain.is_refusing()) {
+            let reason = if is_ended { ResponseReason::CutOff } else { ResponseReason::Draining };
+            let mut response = self.refused_response(now, reason, &key.caller);
+            // Nothing is known here about the order that is asked about.
             response.outcome = RequestOutcome::Unknown;
             return self.finish(now, &active, token, response, actions);
         }
         self.requests.insert(token, active);
-        let key =
-            ClaimKey { tenant: request.tenant, caller: request.caller, request: id, issued_at };
         self.with_orders(now, actions, |orders, send, effects| {
             orders.look_up(now.monotonic, token, key, deadline, send, effects);
         });
@@ -544,7 +701,7 @@
                 }
                 _ => self.engine.cancel(now, token, actions),
             }
-        } else if matches!(active.work, ActiveWork::Lookup) {
+        } else if matches!(active.work, ActiveWork::Unpaid) {
             self.orders.forget_lookup(token);
             self.requests.remove(&token);
         }
@@ -553,17 +710,28 @@
 
     fn on_addresses(
         &mut self,
+        now: ClockReading,
         token: QueryToken,
-        _caller: &CallerId,
+        caller: &CallerId,
         actions: &mut Vec<EntryAction>,
     ) {
-        let answer = AddressAnswer {
-            addresses: vec![self.identity.registration.caller_address],
-            lifetime: std::time::Duration::from_secs(10),
-        };
+        let own = self.own_condition(now);
+        let view = self.configuration.view();
+        let answer = self.addresses.answer(now.monotonic, view, caller, &own);
         actions.push(EntryAction::RespondAddresses(token, answer));
     }
 
+    fn own_condition(&self, now: ClockReading) -> OwnCondition {
+        let is_confirmed = self.session.standing(now.monotonic) != SessionStanding::Ended;
+        OwnCondition {
+            entry: self.identity.entry().clone(),
+            address: self.identity.registration.caller_address,
+            is_loaded: self.admission.shed_within(now.monotonic, LOAD_MEMORY),
+            is_leaving: self.drain.is_draining() || !is_confirmed,
+            is_confirmed,
+        }
+    }
+
     fn take_reports(&mut self, now: ClockReading, actions: &mut Vec<EntryAction>) {
         while let Some(report) = self.engine.next_report() {
             match report {
@@ -578,7 +746,10 @@
                 EngineReport::SubrequestLatency(service, latency) => {
                     self.admission.note_latency(now.monotonic, &service, latency);
                 }
-                EngineReport::Crash { .. } | EngineReport::CanaryPassed(_) => {}
+                EngineReport::Crash { evidence, fingerprints } => {
+                    self.quarantine.note_crash(now.monotonic, evidence, fingerprints);
+                }
+                EngineReport::CanaryPassed(fingerprint) => self.quarantine.note_passed(fingerprint),
             }
         }
     }
@@ -601,6 +772,13 @@
 
     /// Ends searches that the engine did not end in time, so that no caller waits for ever.
     fn expire_searches(&mut self, now: ClockReading, actions: &mut Vec<EntryAction>) {
+        let is_due = self.deadlines.first().is_some_and(|(deadline, _)| *deadline <= now.monotonic);
+        if !is_due {
+            return;
+        }
+        // The engine may not have had a wake-up since the deadline, and knows what has arrived.
+        self.engine.handle(now, &EntryEvent::Tick, actions);
+        self.take_reports(now, actions);
         while let Some(&(deadline, token)) = self.deadlines.first() {
             if now.monotonic < deadline {
                 return;
@@ -619,11 +797,7 @@
         &mut self,
         now: ClockReading,
         actions: &mut Vec<EntryAction>,
-        act: impl FnOnce(
-            &mut OrderBook,
-            &mut dyn FnMut(crate::messages::EntryMessage) -> bool,
-            &mut Vec<OrderEffect>,
-        ),
+        act: impl FnOnce(&mut OrderBook, &mut dyn FnMut(EntryMessage) -> bool, &mut Vec<OrderEffect>),
     ) {
         let mut effects = Vec::new();
         let session = &self.session;
@@ -664,19 +838,24 @@
 
     fn refuse_unresolved(
         &mut self,
+        now: ClockReading,
         token: QueryToken,
         request: &CallerRequest,
         reason: ResponseReason,
         actions: &mut Vec<EntryAction>,
     ) {
-        let response = self.refused_response(reason);
+        let mut response = self.refused_response(now, reason, &request.caller);
+        if matches!(request.kind, RequestKind::Lookup { .. }) {
+            // Nothing is known here about the order that is asked about.
+            response.outcome = RequestOutcome::Unknown;
+        }
         // Names outside the sheet would let callers create any number of metrics.
         if let Some((tenant, class)) = self.configuration.known_names(request) {
             actions.push(EntryAction::Measure(EntryMeasure::Request {
                 tenant,
                 class,
                 outcome: response.outcome,
-                latency: std::time::Duration::ZERO,
+                latency: Duration::ZERO,
                 coverage: response.coverage,
             }));
         }
@@ -723,8 +902,24 @@
         }
     }
 
-    fn refused_response(&self, reason: ResponseReason) -> CallerResponse {
-        CallerResponse { reason: Some(reason), ..self.blank_response(RequestOutcome::NotRun) }
+    /// The response to a request that is refused here; other entries are named if they could serve it.
+    fn refused_response(
+        &self,
+        now: ClockReading,
+        reason: ResponseReason,
+        caller: &CallerId,
+    ) -> CallerResponse {
+        let mut response = self.blank_response(RequestOutcome::NotRun);
+        response.reason = Some(reason);
+        if matches!(
+            reason,
+            ResponseReason::CutOff | ResponseReason::Draining | ResponseReason::NoConfiguration
+        ) {
+            let own = self.own_condition(now);
+            response.other_addresses =
+                self.addresses.others(self.configuration.view(), caller, &own);
+        }
+        response
     }
 
     fn blank_response(&self, outcome: RequestOutcome) -> CallerResponse {
--- a/hickoryspan_core/src/entry/mod.rs
+++ b/hickoryspan_core/src/entry/mod.rs
@@ -1,7 +1,9 @@
 //! Decisions of an entry process: the request path under load and faults (`docs/design.md`, section 6).
 
+pub mod addresses;
 pub mod admission;
 pub mod configuration;
+pub mod drain;
 pub mod engine;
 pub mod interface;
 pub mod limits;
@@ -9,5 +11,6 @@
 pub mod orders;
 pub mod pacing;
 pub mod plan;
+pub mod quarantine;
 pub mod search_engine;
 pub mod session;
--- a/hickoryspan_core/src/entry/orders.rs
+++ b/hickoryspan_core/src/entry/orders.rs
@@ -313,7 +313,7 @@
     }
 
     /// What this process knows about an order without asking control.
-    fn known_state(&self, key: &ClaimKey) -> Option<OrderReply> {
+    pub fn known_state(&self, key: &ClaimKey) -> Option<OrderReply> {
         if let Some(recent) = self.recent.get(key) {
             return Some(OrderReply::recorded(recent.outcome.clone()));
         }
--- a/hickoryspan_core/tests/entry_machine.rs
+++ b/hickoryspan_core/tests/entry_machine.rs
@@ -114,3 +114,16 @@
     assert_eq!(response.reason, Some(ResponseReason::Deadline));
     assert_eq!(bench.engine.script().cancelled, [token]);
 }
+
+/// Guards against partial results that are lost because another event comes before the engine's wake-up.
+#[test]
+fn the_engine_reports_before_a_search_expires() {
+    let mut bench = EntryBench::ready(1);
+    let token = bench.search();
+    let result =
+        SearchResult { reason: Some(ResponseReason::Deadline), ..search_result(0.5, &[7]) };
+    bench.engine.script().tick_reports.push_back(EngineReport::Search(token, result));
+    bench.set_time(bench.now.monotonic + millis(1000));
+    bench.event(EntryEvent::ConnectionOpened(ConnectionId(1)));
+    assert_eq!(bench.response(token).expect("a response").outcome, RequestOutcome::Partial);
+}
--- a/hickoryspan_core/tests/entry_orders.rs
+++ b/hickoryspan_core/tests/entry_orders.rs
@@ -366,6 +366,29 @@
     assert_eq!(told(&mut bench, token), in_progress);
 }
 
+/// Guards against `not_run` for an order that ran here, from an entry that is cut off now.
+#[test]
+fn a_cut_off_entry_still_knows_what_it_ran() {
+    let mut bench = EntryBench::ready(1);
+    let token = bench.order("a");
+    verdict(&mut bench, token, ClaimVerdict::Granted);
+    bench.report(EngineReport::Order(token, answered(AnswerStatus::Done)));
+    bench.control(ControlMessage::Settled(claim_key("a")));
+    bench.answers = false;
+    bench.advance(millis(6000));
+    let resend = bench.order("a");
+    let response = bench.response(resend).expect("a response");
+    assert_eq!(response.outcome, RequestOutcome::Complete);
+    assert_eq!(response.recorded_body.as_deref(), Some("printed"));
+    let kind = RequestKind::Lookup { request: id("a"), issued_at: WallTime(FULL_WALL) };
+    let lookup = bench.request(kind, |_| {});
+    assert_eq!(told(&mut bench, lookup), Some((RequestOutcome::Complete, None)));
+    let kind = RequestKind::Lookup { request: id("b"), issued_at: WallTime(FULL_WALL) };
+    let other = bench.request(kind, |_| {});
+    let cut_off = Some((RequestOutcome::Unknown, Some(ResponseReason::CutOff)));
+    assert_eq!(told(&mut bench, other), cut_off);
+}
+
 /// Control's claim table, as the messages define it.
 #[derive(Default)]
 struct ClaimTable(BTreeMap<ClaimKey, ClaimState>);
--- a/hickoryspan_core/tests/entry_support/mod.rs
+++ b/hickoryspan_core/tests/entry_support/mod.rs
@@ -40,6 +40,8 @@
     pub cancelled: Vec<QueryToken>,
     pub shares: Vec<Option<OrdinalShare>>,
     pub reports: VecDeque<EngineReport>,
+    /// Reported at the next wake-up.
+    pub tick_reports: VecDeque<EngineReport>,
     pub width: u32,
     pub revision: RevisionNumber,
 }
@@ -78,7 +80,13 @@
     fn cancel(&mut self, _: ClockReading, token: QueryToken, _: Actions<'_>) {
         self.script().cancelled.push(token);
     }
-    fn handle(&mut self, _: ClockReading, _: &EntryEvent, _: Actions<'_>) {}
+    fn handle(&mut self, _: ClockReading, event: &EntryEvent, _: Actions<'_>) {
+        let mut script = self.script();
+        if matches!(event, EntryEvent::Tick) {
+            let reports = std::mem::take(&mut script.tick_reports);
+            script.reports.extend(reports);
+        }
+    }
     fn next_report(&mut self) -> Option<EngineReport> {
         self.script().reports.pop_front()
     }
