--- a/hickoryspan_core/src/entry/mod.rs
+++ b/hickoryspan_core/src/entry/mod.rs
@@ -1,5 +1,7 @@
 //! Decisions of an entry process: the request path under load and faults (`docs/design.md`, section 6).
 
+pub mod addresses;
+pub mod admission;
 mod answers;
 pub mod budgets;
 pub mod concurrency;
@@ -8,6 +10,7 @@
 mod coverage;
 pub mod crashes;
 mod dispatch;
+pub mod drain;
 mod endings;
 pub mod engine;
 mod fleet;
@@ -15,11 +18,14 @@
 pub mod interface;
 pub mod latency;
 mod lifecycle;
+pub mod limits;
 mod losses;
 pub mod machine;
 pub mod orders;
 pub mod outliers;
+pub mod pacing;
 pub mod plan;
+pub mod quarantine;
 pub mod queries;
 pub mod routing;
 pub mod search_engine;
