Confirm a settlement only if the claim has ended

Change: a settlement is confirmed only if the claim is settled or at or below the horizon. Histories also fill disks and check settled claims and exclusive ordinals. Conclusion: Settled now means what its description says.

--- a/hickoryspan_core/src/control/claims.rs
+++ b/hickoryspan_core/src/control/claims.rs
@@ -106,16 +106,23 @@
     }
 
     /// Records the end of an open claim of this process. The first recorded outcome stays, because a caller
-    /// may have been told it.
-    pub fn settle(&mut self, process: &EntryProcess, key: &ClaimKey, outcome: OrderOutcome) {
-        let Some(keys) = self.open.get_mut(process) else { return };
-        if !keys.remove(key) {
-            return;
-        }
-        if keys.is_empty() {
-            self.open.remove(process);
+    /// may have been told it. Returns whether the claim has ended, by this call or before.
+    pub fn settle(
+        &mut self,
+        process: &EntryProcess,
+        key: &ClaimKey,
+        outcome: OrderOutcome,
+    ) -> bool {
+        let own = self.open.get_mut(process).is_some_and(|keys| keys.remove(key));
+        if own {
+            if self.open.get(process).is_some_and(BTreeSet::is_empty) {
+                self.open.remove(process);
+            }
+            self.set_settled(key, outcome);
         }
-        self.set_settled(key, outcome);
+        let record = self.record(key);
+        let settled = record.is_some_and(|record| matches!(record.state, ClaimState::Settled(_)));
+        settled || key.issued_at <= self.horizon
     }
 
     /// Settles the open claims of a process that is gone: nobody knows whether they ran.
--- a/hickoryspan_core/src/control/commands.rs
+++ b/hickoryspan_core/src/control/commands.rs
@@ -123,6 +123,8 @@
     Registered(Result<OrdinalNumber, Arc<str>>),
     /// The decision on a claim.
     Claimed(ClaimVerdict),
+    /// Whether the order has a recorded end.
+    Settled(bool),
     /// The decision on an operator's command.
     Decided(AdminOutcome),
 }
--- a/hickoryspan_core/src/control/machine/leadership.rs
+++ b/hickoryspan_core/src/control/machine/leadership.rs
@@ -301,10 +301,11 @@
                 let message = ControlMessage::ClaimAnswer { token, verdict };
                 actions.push(ControlAction::SendEntry(link, message));
             }
-            (CommandWaiter::Settlement(link, key), _) => {
+            (CommandWaiter::Settlement(link, key), CommandOutcome::Settled(true)) => {
                 actions.push(ControlAction::SendEntry(link, ControlMessage::Settled(key)));
             }
-            // The waiter and the command were made together, so other pairs do not occur.
+            // A process that settles another one's claim gets no answer. The waiter and the command were
+            // made together, so other pairs do not occur.
             (waiter, _) => self.fail_waiter(waiter, actions),
         }
     }
--- a/hickoryspan_core/src/control/state.rs
+++ b/hickoryspan_core/src/control/state.rs
@@ -144,7 +144,7 @@
                 return CommandOutcome::Claimed(verdict);
             }
             CommandBody::Settle { process, key, outcome } => {
-                self.claims.settle(&process, &key, outcome);
+                return CommandOutcome::Settled(self.claims.settle(&process, &key, outcome));
             }
             CommandBody::AdvanceHorizon(horizon) => self.claims.advance_horizon(horizon),
             CommandBody::ReportCrash { evidence, fingerprints } => {
--- a/hickoryspan_core/tests/control_histories.rs
+++ b/hickoryspan_core/tests/control_histories.rs
@@ -4,7 +4,7 @@
 
 mod control_support;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use control_support::*;
@@ -77,7 +77,8 @@
             23..30 => self.cluster.heal(),
             30..33 => self.replace_replica(),
             33..35 => self.drain_one(),
-            35..55 => self.submit_sheet(),
+            35..37 => self.change_disk(),
+            37..55 => self.submit_sheet(),
             55..65 => self.announce_one(),
             65..75 => self.open_link(),
             _ => self.claim_one(),
@@ -112,6 +113,15 @@
         }
     }
 
+    fn change_disk(&mut self) {
+        let ids: Vec<ReplicaId> = self.cluster.nodes.keys().copied().collect();
+        let Some(id) = self.pick(&ids) else { return };
+        let node = self.cluster.nodes.get_mut(&id);
+        // A full disk that acknowledged a batch before would leave a gap, which no store does.
+        let early = self.cluster.faults.acknowledge_early;
+        node.into_iter().for_each(|node| node.disk.full = !node.disk.full && !early);
+    }
+
     // The set is changed only while all its replicas run, as an operator would.
     fn replace_replica(&mut self) {
         let Some(leader) = self.cluster.leader() else { return };
@@ -199,6 +209,9 @@
     fn finish(mut self) -> Result<(), String> {
         self.cluster.heal();
         self.cluster.faults.drop_percent = 0;
+        self.cluster.nodes.values_mut().for_each(|node| node.disk.full = false);
+        // A planned stop that has begun ends the process within this time.
+        self.cluster.run(self.cluster.settings.drain_timeout);
         for id in self.cluster.nodes.keys().copied().collect::<Vec<_>>() {
             if !self.cluster.is_up(id) {
                 self.cluster.start(id);
@@ -239,6 +252,12 @@
     fn check_equal_states(&self, leader: ReplicaId) -> Result<(), String> {
         let leading = self.cluster.machine(leader);
         let expected = commands::encode(leading.state());
+        let entries =
+            leading.state().view().entries.values().flat_map(|processes| processes.values());
+        let mut ordinals = BTreeSet::new();
+        if !entries.map(|record| record.ordinal).all(|ordinal| ordinals.insert(ordinal)) {
+            return Err("two processes hold one ordinal".into());
+        }
         let (set, _) = leading.raft().replica_set();
         for record in set.records().filter(|record| record.voter) {
             let machine = self.cluster.machine(record.replica);
@@ -279,6 +298,11 @@
         let claims = self.cluster.machine(leader).state().claims();
         let mut granted = BTreeMap::new();
         for (_, action) in &self.cluster.outputs {
+            if let ControlAction::SendEntry(_, ControlMessage::Settled(key)) = action
+                && matches!(claims.lookup(key), LookupVerdict::Found(ClaimState::Open { .. }))
+            {
+                return Err(format!("{key:?} was recorded as settled and is open"));
+            }
             let ControlAction::SendEntry(_, ControlMessage::ClaimAnswer { token, verdict }) =
                 action
             else {
