Test the decisions of a control replica

Cause: sheets, members, claims, quarantine, leases, shares and deltas were hardly tested. An entry that reports another digest gets the whole view at once; before, it got a delta from revision 0, which no entry takes.

--- a/hickoryspan_core/src/control/machine/entries.rs
+++ b/hickoryspan_core/src/control/machine/entries.rs
@@ -194,19 +194,22 @@
         leadership.entries.renew(process.clone(), lease_ends);
         leadership.reported.insert(process.clone(), report.revision);
         leadership.shares.note_demand(now.monotonic, &process, &report.demand, sheet.as_deref());
-        self.note_digest(link, &report);
+        self.note_digest(link, &report, actions);
         self.note_draining(now, link, &process, report.draining);
         // An entry that gets no answer renews again.
         let _ = self.wait_for_read(WaitingRead::Renewal(link, sequence));
     }
 
-    // The entry takes a whole view only if it is newer, so this helps from the next revision on.
-    fn note_digest(&mut self, link: LinkId, report: &RenewalReport) {
+    // The entry takes a whole view only if it is newer, so this helps if changes came since its report.
+    fn note_digest(
+        &mut self,
+        link: LinkId,
+        report: &RenewalReport,
+        actions: &mut Vec<ControlAction>,
+    ) {
         let digest = self.history.digest_at(report.revision);
-        if digest.is_some_and(|digest| digest != report.digest)
-            && let Some(session) = self.links.get_mut(&link)
-        {
-            session.sent = Some(RevisionNumber(0));
+        if digest.is_some_and(|digest| digest != report.digest) {
+            self.answer_resync(link, actions);
         }
     }
 
--- a/hickoryspan_core/tests/control_single.rs
+++ b/hickoryspan_core/tests/control_single.rs
@@ -1,11 +1,15 @@
 //! Guards the decisions of one control replica: sheets, members, claims, quarantine, leases and shares.
 
+// The lint does not see that helpers run only in tests.
+#![allow(clippy::unwrap_used)]
+
 mod control_support;
 
 use std::time::Duration;
 
 use control_support::*;
 use hickoryspan_core::control::interface::*;
+use hickoryspan_core::membership::{CrashEvidence, QuarantineLevel};
 use hickoryspan_core::messages::*;
 use hickoryspan_core::types::*;
 
@@ -77,3 +81,349 @@
     assert_eq!(messages, [ControlMessage::LookupAnswer { token: QueryToken(4), verdict }]);
     cluster.run(Duration::from_millis(1));
 }
+
+fn claim(request: &str, token: u64) -> EntryMessage {
+    let (key, fingerprint) = (claim_key(request, EPOCH), fingerprint("tray"));
+    EntryMessage::Claim { token: QueryToken(token), key, fingerprint }
+}
+
+fn lookup(cluster: &mut Cluster, link: LinkId, request: &str) -> LookupVerdict {
+    let token = QueryToken(cluster.token());
+    let key = claim_key(request, EPOCH);
+    let messages = cluster.send(link, EntryMessage::Lookup { token, key });
+    messages
+        .into_iter()
+        .find_map(|message| match message {
+            ControlMessage::LookupAnswer { verdict, .. } => Some(verdict),
+            _ => None,
+        })
+        .unwrap()
+}
+
+fn settled_unknown(verdict: &LookupVerdict) -> bool {
+    matches!(
+        verdict,
+        LookupVerdict::Found(ClaimState::Settled(OrderOutcome {
+            outcome: RequestOutcome::Unknown,
+            ..
+        }))
+    )
+}
+
+// An operator who lost a reply must not get another outcome than the first, whatever happened since.
+#[test]
+fn resent_commands_get_the_first_outcome() {
+    let mut cluster = single();
+    let first = cluster.admin_as("rosa", "c1", apply_sheet(3, "monday"));
+    let AdminOutcome::Accepted { revision } = first else { panic!("{first:?}") };
+    let taken = cluster.admin_as("ingrid", "c1", apply_sheet(3, "other"));
+    let AdminOutcome::NumberTaken { number, by, digest, .. } = &taken else { panic!("{taken:?}") };
+    assert_eq!((number.0, by.as_str()), (3, "rosa"));
+    assert_eq!(*digest, sheet(3, "monday").digest());
+    cluster.admin("rosa", apply_sheet(4, "tuesday"));
+    assert_eq!(cluster.admin_as("rosa", "c1", apply_sheet(3, "monday")), first);
+    assert_eq!(cluster.admin_as("ingrid", "c1", apply_sheet(3, "other")), taken);
+    let other_id = cluster.admin("ingrid", apply_sheet(3, "monday"));
+    assert_eq!(other_id, AdminOutcome::Accepted { revision });
+    let reused = cluster.admin_as("rosa", "c1", apply_sheet(5, "wednesday"));
+    assert_eq!(reused, AdminOutcome::CommandConflict);
+    let low = cluster.admin("rosa", apply_sheet(2, "sunday"));
+    assert_eq!(low, AdminOutcome::NumberTooLow { current: SheetNumber(4) });
+    assert_eq!(cluster.status().sheet, Some(SheetNumber(4)));
+}
+
+// A cut-off export must not remove callers that nobody meant to remove.
+#[test]
+fn vanishing_names_must_all_be_confirmed() {
+    let mut cluster = single();
+    cluster.admin("rosa", apply_sheet(1, "monday"));
+    let mut smaller = (*sheet(2, "tuesday")).clone();
+    smaller.tenants.clear();
+    let smaller = std::sync::Arc::new(smaller);
+    let apply = |confirmed: &[&str]| AdminAction::ApplySheet {
+        sheet: smaller.clone(),
+        confirmed_removals: confirmed.iter().map(|name| (*name).into()).collect(),
+    };
+    let all = ["tenant quindio", "caller quindio/desk"];
+    let refused = AdminOutcome::RemovalsUnconfirmed(all.map(Into::into).into());
+    assert_eq!(cluster.admin("rosa", apply(&[])), refused);
+    assert_eq!(cluster.admin("rosa", apply(&["tenant quindio"])), refused);
+    assert!(matches!(cluster.admin("rosa", apply(&all)), AdminOutcome::Accepted { .. }));
+}
+
+// A delayed announcement of an old process must not replace the running one, nor undo its withdrawal.
+#[test]
+fn older_incarnations_are_refused() {
+    let mut cluster = single();
+    assert!(matches!(cluster.announce(&target("t1", 5, 1)), ControlReply::Announced { .. }));
+    assert!(matches!(cluster.announce(&target("t1", 4, 1)), ControlReply::AnnounceRefused(_)));
+    let withdraw = |incarnation| {
+        move |token| {
+            let target = "t1".parse().unwrap();
+            ControlEvent::Withdraw(token, target, IncarnationNumber(incarnation))
+        }
+    };
+    assert!(matches!(cluster.ask(withdraw(4)), ControlReply::AnnounceRefused(_)));
+    assert_eq!(cluster.ask(withdraw(5)), ControlReply::Withdrawn);
+    assert!(matches!(cluster.announce(&target("t1", 5, 1)), ControlReply::AnnounceRefused(_)));
+    assert!(matches!(cluster.announce(&target("t1", 6, 1)), ControlReply::Announced { .. }));
+}
+
+// A drain that ends with the target's next announcement sends work to a host about to be stopped.
+#[test]
+fn an_operators_drain_survives_announcements() {
+    let mut cluster = single();
+    cluster.announce(&target("t1", 5, 1));
+    cluster.admin("rosa", AdminAction::DrainTarget("t1".parse().unwrap()));
+    let is_draining = |cluster: &Cluster| {
+        cluster.machine(replica(1)).state().view().targets.values().all(|record| record.draining)
+    };
+    cluster.announce(&target("t1", 6, 2));
+    assert!(is_draining(&cluster));
+    cluster.admin("rosa", AdminAction::RestoreTarget("t1".parse().unwrap()));
+    assert!(!is_draining(&cluster));
+    let unknown = cluster.admin("rosa", AdminAction::DrainTarget("t9".parse().unwrap()));
+    assert!(matches!(unknown, AdminOutcome::Rejected(_)));
+}
+
+// Coverage needs the partitions of a snapshot also while one of them has no live target.
+#[test]
+fn a_manifest_stays_while_any_partition_is_served() {
+    let mut cluster = single();
+    let mut second = target("t2", 1, 1);
+    second.partitions[0].shard = "s2".parse().unwrap();
+    cluster.announce(&target("t1", 1, 1));
+    cluster.announce(&second);
+    let partitions = |cluster: &Cluster| {
+        let view = cluster.machine(replica(1)).state().view();
+        let manifests = view.snapshots.values().flat_map(|manifests| manifests.values());
+        manifests.map(|manifest| manifest.partitions.len()).collect::<Vec<_>>()
+    };
+    let withdraw = |name: &str| {
+        let target: TargetId = name.parse().unwrap();
+        move |token| ControlEvent::Withdraw(token, target.clone(), IncarnationNumber(1))
+    };
+    cluster.ask(withdraw("t1"));
+    assert_eq!(partitions(&cluster), [2]);
+    cluster.ask(withdraw("t2"));
+    assert!(partitions(&cluster).is_empty());
+}
+
+// Targets that disagree on a shard's keys would mix two layouts in one answer.
+#[test]
+fn a_contradicting_key_range_is_refused() {
+    let mut cluster = single();
+    cluster.announce(&target("t1", 1, 1));
+    let mut other = target("t2", 1, 1);
+    other.partitions[0].range = KeyRange { first: 0, last: 9 };
+    assert!(matches!(cluster.announce(&other), ControlReply::AnnounceRefused(_)));
+}
+
+// A target that stops renewing must leave, but a pause of the whole service must not empty it at once.
+#[test]
+fn lost_targets_expire_and_mass_expiry_waits_one_lease() {
+    let mut cluster = single();
+    let names: Vec<String> = (0..4).map(|number| format!("t{number}")).collect();
+    names.iter().for_each(|name| drop(cluster.announce(&target(name, 1, 1))));
+    for _ in 0..5 {
+        cluster.run(Duration::from_secs(2));
+        names[1..].iter().for_each(|name| drop(cluster.announce(&target(name, 1, 1))));
+    }
+    assert_eq!(cluster.status().targets, 3);
+    cluster.run(Duration::from_secs(8));
+    assert_eq!(cluster.status().targets, 3, "expired without waiting");
+    cluster.run(Duration::from_secs(6));
+    assert_eq!(cluster.status().targets, 0);
+}
+
+// A leader that did not run for a while has not read the renewals that arrived meanwhile.
+#[test]
+fn a_stalled_leader_restarts_leases_before_it_expires() {
+    let mut cluster = single();
+    cluster.announce(&target("t1", 1, 1));
+    let (_, messages) = cluster.join("e1", 1);
+    assert_eq!(messages.len(), 1);
+    cluster.now += 30_000_000;
+    cluster.run(Duration::from_secs(3));
+    let status = cluster.status();
+    assert_eq!((status.targets, status.entries.len()), (1, 1));
+}
+
+// An order of a process that is gone may have run; only its first recorded end may be told.
+#[test]
+fn claims_of_an_expired_process_become_unknown() {
+    let mut cluster = single();
+    let (link, _) = cluster.join("e1", 1);
+    assert!(granted(&cluster.send(link, claim("order-1", 1))));
+    cluster.run(Duration::from_secs(8));
+    let refused = cluster.take_messages(link);
+    assert!(refused.iter().any(|message| matches!(message, ControlMessage::Refused(_))));
+    let (other, _) = cluster.join("e2", 1);
+    assert!(settled_unknown(&lookup(&mut cluster, other, "order-1")));
+    let (again, _) = cluster.join("e1", 1);
+    let outcome = OrderOutcome { outcome: RequestOutcome::Complete, target: None, body: None };
+    let key = claim_key("order-1", EPOCH);
+    cluster.send(again, EntryMessage::Settle { key, outcome });
+    assert!(settled_unknown(&lookup(&mut cluster, other, "order-1")));
+}
+
+// A process that gave up its ordinal must make room at once, and a dropped claim must not look unused.
+#[test]
+fn release_frees_the_ordinal_and_the_horizon_only_rises() {
+    let mut cluster = Cluster::new(8, 1, |settings| {
+        settings.max_ordinals = 1;
+        settings.claim_retention = Duration::from_secs(3_600);
+        settings.max_claims = 2;
+    });
+    let (link, _) = cluster.join("e1", 1);
+    let (_, messages) = cluster.join("e2", 1);
+    assert!(matches!(messages[..], [ControlMessage::Refused(_)]));
+    for request in ["a", "b"] {
+        assert!(granted(&cluster.send(link, claim(request, 1))));
+    }
+    let messages = cluster.send(link, claim("c", 2));
+    let refused = ClaimVerdict::Unavailable;
+    assert_eq!(messages, [ControlMessage::ClaimAnswer { token: QueryToken(2), verdict: refused }]);
+    cluster.send(link, EntryMessage::Release);
+    let (link, messages) = cluster.join("e2", 1);
+    assert!(matches!(messages[..], [ControlMessage::Welcome { .. }]));
+    assert!(settled_unknown(&lookup(&mut cluster, link, "a")));
+    cluster.wall_offset += 2 * 3_600 * 1_000;
+    cluster.run(Duration::from_secs(301));
+    let (link, _) = cluster.join("e2", 2);
+    assert_eq!(lookup(&mut cluster, link, "a"), LookupVerdict::Expired);
+    cluster.wall_offset -= 2 * 3_600 * 1_000;
+    cluster.run(Duration::from_secs(301));
+    assert_eq!(cluster.status().claims, 0);
+    let (link, _) = cluster.join("e2", 3);
+    let messages = cluster.send(link, claim("a", 3));
+    let expired = ClaimVerdict::Expired;
+    assert_eq!(messages, [ControlMessage::ClaimAnswer { token: QueryToken(3), verdict: expired }]);
+}
+
+fn crash(target: &str, fingerprints: &[&str]) -> EntryMessage {
+    let evidence =
+        CrashEvidence { target: target.parse().unwrap(), incarnation: IncarnationNumber(1) };
+    let fingerprints = fingerprints.iter().map(|text| fingerprint(text)).collect();
+    EntryMessage::ReportCrash { evidence, fingerprints }
+}
+
+fn level(cluster: &Cluster, text: &str) -> Option<QuarantineLevel> {
+    let view = cluster.machine(replica(1)).state().view();
+    view.quarantines.get(&fingerprint(text)).map(|record| record.level)
+}
+
+fn crash_cluster() -> (Cluster, LinkId) {
+    let mut cluster = single();
+    (1..=5).for_each(|number| drop(cluster.announce(&target(&format!("t{number}"), 1, 1))));
+    let (link, _) = cluster.join("e1", 1);
+    (cluster, link)
+}
+
+// A request that crashes every target it runs on must be held back, but only on evidence of two targets.
+#[test]
+fn two_crashes_condemn_and_one_makes_suspect() {
+    let (mut cluster, link) = crash_cluster();
+    cluster.send(link, crash("t1", &["bad", "bystander"]));
+    cluster.send(link, crash("t1", &["bad"]));
+    assert_eq!(level(&cluster, "bad"), Some(QuarantineLevel::Suspect));
+    cluster.run(Duration::from_secs(3));
+    cluster.send(link, crash("t2", &["bad"]));
+    assert_eq!(level(&cluster, "bad"), Some(QuarantineLevel::Condemned));
+    cluster.send(link, EntryMessage::ClearSuspect(fingerprint("bad")));
+    cluster.send(link, EntryMessage::ClearSuspect(fingerprint("bystander")));
+    assert_eq!(level(&cluster, "bad"), Some(QuarantineLevel::Condemned));
+    assert_eq!(level(&cluster, "bystander"), None);
+    let lift = || AdminAction::LiftQuarantine(fingerprint("bad"));
+    assert!(matches!(cluster.admin("rosa", lift()), AdminOutcome::Accepted { .. }));
+    assert!(matches!(cluster.admin("rosa", lift()), AdminOutcome::Rejected(_)));
+    assert_eq!(level(&cluster, "bad"), None);
+}
+
+// The loss of a rack must not condemn every request that ran there.
+#[test]
+fn the_loss_of_a_failure_domain_is_no_evidence() {
+    let (mut cluster, link) = crash_cluster();
+    for name in ["t1", "t2", "t3", "t4"] {
+        cluster.send(link, crash(name, &["innocent"]));
+    }
+    assert_eq!(level(&cluster, "innocent"), None);
+    cluster.run(Duration::from_secs(4));
+    cluster.send(link, crash("t1", &["innocent"]));
+    assert_eq!(level(&cluster, "innocent"), None, "a late report of the same loss");
+}
+
+// A quarantine that never ends refuses a repaired request for ever.
+#[test]
+fn quarantine_expires() {
+    let (mut cluster, link) = crash_cluster();
+    cluster.send(link, crash("t1", &["bad"]));
+    cluster.run(Duration::from_secs(9 * 60));
+    assert_eq!(level(&cluster, "bad"), Some(QuarantineLevel::Suspect));
+    cluster.run(Duration::from_secs(2 * 60));
+    assert_eq!(level(&cluster, "bad"), None);
+}
+
+// An entry that takes changes out of order, or another digest, answers from a state that never was.
+#[test]
+fn deltas_and_views_lead_to_the_leaders_digest() {
+    let mut cluster = Cluster::new(9, 1, |settings| settings.max_delta_changes = 6);
+    cluster.await_leader();
+    let (link, messages) = cluster.join("e1", 1);
+    let [ControlMessage::Welcome { view, .. }] = &messages[..] else { panic!("{messages:?}") };
+    let mut view = (**view).clone();
+    for number in 1..30 {
+        cluster.announce(&target(&format!("t{}", number % 3), 1, number));
+        let mut messages = cluster.take_messages(link);
+        messages.extend(cluster.send(link, renewal(number)));
+        for message in messages {
+            if let ControlMessage::Delta { from, to, changes, digest } = message {
+                assert_eq!(from, view.revision);
+                view.apply(to, changes);
+                assert_eq!(view.digest, digest);
+            }
+        }
+    }
+    let messages = cluster.send(link, EntryMessage::Resync);
+    let [ControlMessage::View(whole)] = &messages[..] else { panic!("{messages:?}") };
+    assert_eq!(**whole, view);
+}
+
+// A flood of announcements must not grow the log or the memory without bound.
+#[test]
+fn announcement_floods_are_bounded() {
+    let mut cluster = Cluster::new(10, 1, |settings| settings.max_waiting_announcements = 4);
+    let leader = cluster.await_leader();
+    cluster.announce(&target("t0", 1, 1));
+    let commit = cluster.status().commit;
+    for _ in 0..100 {
+        cluster.announce(&target("t0", 1, 1));
+    }
+    assert_eq!(cluster.status().commit, commit, "unchanged renewals reached the log");
+    for number in 1..=100 {
+        let token = ReplyToken(1_000_000 + number);
+        let record = Box::new(target(&format!("t{number}"), 1, 1));
+        cluster.handle(leader, ControlEvent::Announce(token, record));
+    }
+    cluster.run(Duration::from_secs(1));
+    let replies = (1..=100).map(|number| cluster.reply(ReplyToken(1_000_000 + number)).unwrap());
+    let announced = replies.filter(|reply| matches!(reply, ControlReply::Announced { .. })).count();
+    assert!((1..100).contains(&announced), "{announced} of 100 were taken");
+    assert!(cluster.status().commit.0 <= commit.0 + 4);
+}
+
+// Proposals beyond the bound must be refused with a hint instead of filling the memory.
+#[test]
+fn a_full_proposal_queue_refuses() {
+    let mut cluster = Cluster::new(11, 1, |settings| settings.raft.max_uncommitted_entries = 8);
+    let leader = cluster.await_leader();
+    for number in 0..20 {
+        let command = command("rosa", &format!("c{number}"), apply_sheet(number + 1, "day"));
+        let token = ReplyToken(1_000_000 + number);
+        cluster.handle(leader, ControlEvent::Admin(token, Box::new(command)));
+    }
+    cluster.run(Duration::from_secs(1));
+    let replies = (0..20).map(|number| cluster.reply(ReplyToken(1_000_000 + number)).unwrap());
+    let refused = replies.filter(|reply| matches!(reply, ControlReply::Unavailable { .. })).count();
+    assert!((1..20).contains(&refused), "{refused} of 20 were refused");
+}
