--- a/hickoryspan_core/src/control/claims.rs
+++ b/hickoryspan_core/src/control/claims.rs
@@ -14,6 +14,8 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 struct ClaimRecord {
+    // As text it would take twice the space.
+    #[serde(with = "fingerprint_bytes")]
     fingerprint: RequestFingerprint,
     state: ClaimState,
 }
@@ -199,3 +201,27 @@
         issued_at: issue.issued_at,
     }
 }
+
+mod fingerprint_bytes {
+    use std::sync::Arc;
+
+    use serde::{Deserializer, Serializer, de::Error};
+
+    use crate::control::bytes;
+    use crate::types::RequestFingerprint;
+
+    pub fn serialize<S: Serializer>(
+        value: &RequestFingerprint,
+        serializer: S,
+    ) -> Result<S::Ok, S::Error> {
+        serializer.serialize_bytes(&value.0)
+    }
+
+    pub fn deserialize<'de, D: Deserializer<'de>>(
+        deserializer: D,
+    ) -> Result<RequestFingerprint, D::Error> {
+        let bytes: Arc<[u8]> = bytes::deserialize(deserializer)?;
+        let digest = bytes[..].try_into().map_err(|_| D::Error::custom("a digest has 32 bytes"))?;
+        Ok(RequestFingerprint(digest))
+    }
+}
--- a/hickoryspan_core/src/control/machine/mod.rs
+++ b/hickoryspan_core/src/control/machine/mod.rs
@@ -155,7 +155,7 @@
         self.sync_leadership(now, actions);
         self.start_serving(now);
         self.propose_announcements(now);
-        self.propose_replica_change();
+        self.propose_replica_change(now.monotonic);
         self.compact_log();
         self.raft.flush(now.monotonic, actions);
         // The flush may have confirmed a read round, if this replica is the only voter.
@@ -244,9 +244,11 @@
     }
 
     fn compact_log(&mut self) {
-        let bytes = self.settings.snapshot_log_bytes.max(self.snapshot_bytes);
+        // Replicas that take snapshots at the same time stop at the same time; the identity spreads them.
+        let stagger = |limit: u64| limit + limit / 2 * (self.raft.identity().0 % 8) / 8;
+        let bytes = stagger(self.settings.snapshot_log_bytes.max(self.snapshot_bytes));
         let due = self.unsnapped_bytes >= bytes
-            || self.unsnapped_entries >= self.settings.snapshot_log_entries;
+            || self.unsnapped_entries >= stagger(self.settings.snapshot_log_entries);
         if !due || self.raft.is_full() || self.fault.is_some() {
             return;
         }
@@ -257,13 +259,15 @@
         self.raft.compact(state);
     }
 
-    fn propose_replica_change(&mut self) {
+    fn propose_replica_change(&mut self, now: MonotonicTime) {
         let (set, committed) = self.raft.replica_set();
         if !self.raft.is_ready_leader() || !committed || self.state.replicas().is_empty() {
             return;
         }
         let commit = self.raft.commit();
-        let caught_up = |replica| self.raft.matched(replica) >= commit;
+        // A learner that is silent would only enlarge the majority.
+        let caught_up =
+            |replica| self.raft.matched(replica) >= commit && self.raft.is_heard(replica, now);
         let Some(next) = set.next_change(self.state.replicas(), caught_up) else { return };
         // A refusal is not final: the change follows from the state and is proposed again.
         let _ = self.raft.propose_replicas(next);
--- a/hickoryspan_core/src/control/machine/targets.rs
+++ b/hickoryspan_core/src/control/machine/targets.rs
@@ -12,6 +12,8 @@
 
 /// Announcement commands in the log that are not yet applied; further announcements gather meanwhile.
 const MAX_ANNOUNCEMENT_COMMANDS: usize = 2;
+/// Partitions from which a command takes no further target; bounds the size of a log entry.
+const MAX_PARTITIONS_PER_COMMAND: usize = 4_096;
 /// Requests that wait for one target's announcement; a target that waits sends one.
 const MAX_TOKENS_PER_TARGET: usize = 8;
 
@@ -50,6 +52,10 @@
             None if waiting >= max_waiting => self.reply_unavailable(token, actions),
             None => {
                 let target = record.target.clone();
+                if leadership.targets.is_held(&target, now.monotonic) {
+                    // The target lives, whatever becomes of its announcement.
+                    leadership.targets.renew(target.clone(), now.monotonic + lease);
+                }
                 let announcement = WaitingAnnouncement { record, tokens: vec![token] };
                 leadership.announcements.insert(target, announcement);
             }
@@ -81,9 +87,12 @@
             }
             let mut records = Vec::new();
             let mut targets = Vec::new();
-            while records.len() < self.settings.max_announcements_per_command {
+            let mut partitions = 0;
+            let max_records = self.settings.max_announcements_per_command;
+            while records.len() < max_records && partitions < MAX_PARTITIONS_PER_COMMAND {
                 let Some((target, waiting)) = leadership.announcements.pop_first() else { break };
                 let incarnation = waiting.record.incarnation;
+                partitions += waiting.record.partitions.len();
                 records.push(waiting.record);
                 targets.push(AnnouncedTarget { target, incarnation, tokens: waiting.tokens });
             }
--- a/hickoryspan_core/src/control/raft/log.rs
+++ b/hickoryspan_core/src/control/raft/log.rs
@@ -88,6 +88,20 @@
         slice
     }
 
+    /// The first of the entries that end at `last` and stay within both bounds.
+    pub fn tail_start(&self, last: LogIndex, max_entries: usize, max_bytes: usize) -> LogIndex {
+        let mut start = LogIndex(last.0 + 1);
+        let mut bytes = 0;
+        while let Some(entry) = self.get(LogIndex(start.0 - 1)) {
+            bytes += entry.payload.len();
+            if bytes > max_bytes || (last.0 + 1 - start.0) as usize >= max_entries {
+                break;
+            }
+            start = entry.index;
+        }
+        start
+    }
+
     /// The first index whose term is that of the entry at `index`, as far as the buffer reaches.
     pub fn first_of_term(&self, index: LogIndex) -> LogIndex {
         let Some(term) = self.term_at(index) else { return index };
--- a/hickoryspan_core/src/control/raft/mod.rs
+++ b/hickoryspan_core/src/control/raft/mod.rs
@@ -22,7 +22,7 @@
 use super::bytes;
 use super::interface::{LogEntry, LogIndex};
 use crate::sheet::duration_millis;
-use crate::types::TermNumber;
+use crate::types::{ReplicaId, TermNumber};
 
 /// A message between control replicas.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -32,6 +32,8 @@
     pub term: TermNumber,
     /// Where the sender can be answered, because a new replica knows no replica set yet.
     pub address: SocketAddr,
+    /// The replica that initialised the sender's cluster; absent if the sender belongs to none yet.
+    pub founder: Option<ReplicaId>,
     /// The content.
     pub body: ReplicaBody,
 }
@@ -155,6 +157,8 @@
     pub max_snapshot_bytes: u64,
     /// Entries kept in memory behind a snapshot, for replicas that lag a little.
     pub retained_entries: u64,
+    /// Payload bytes of these entries.
+    pub retained_bytes: usize,
     /// Time before a batch that found no space is tried again.
     pub space_retry: Duration,
 }
@@ -175,6 +179,7 @@
             snapshot_part_bytes: 256 << 10,
             max_snapshot_bytes: 1 << 30,
             retained_entries: 4_096,
+            retained_bytes: 8 << 20,
             space_retry: Duration::from_secs(1),
         }
     }
--- a/hickoryspan_core/src/control/raft/node.rs
+++ b/hickoryspan_core/src/control/raft/node.rs
@@ -258,6 +258,12 @@
         peer.map_or(LogIndex(0), |peer| peer.matched)
     }
 
+    /// Whether a replica answered this leader within the shortest election timeout.
+    pub fn is_heard(&self, replica: ReplicaId, now: MonotonicTime) -> bool {
+        let peer = self.leading().and_then(|leading| leading.peers.get(&replica));
+        peer.is_some_and(|peer| !self.is_silent_since(peer.heard_at, now))
+    }
+
     pub(super) fn leading(&self) -> Option<&LeaderState> {
         match &self.role {
             RaftRole::Leader(leading) => Some(leading),
@@ -341,6 +347,11 @@
         if from == self.identity || self.fault.is_some() {
             return;
         }
+        // A replica of another cluster has other committed entries under the same indexes.
+        let founder = self.replicas.current().1.founder();
+        if founder.is_some() && message.founder.is_some() && founder != message.founder {
+            return;
+        }
         self.learn_address(from, message.address);
         let term = message.term;
         match message.body {
@@ -485,8 +496,9 @@
         self.snapshot = Some(SnapshotRecord { index, term, state });
         self.pipeline.snapshot_dirty = true;
         self.replicas.compact_to(index);
-        let kept = index.0.saturating_sub(self.settings.retained_entries);
-        self.log.compact_to(LogIndex(kept));
+        let entries = usize::try_from(self.settings.retained_entries).unwrap_or(usize::MAX);
+        let kept = self.log.tail_start(index, entries, self.settings.retained_bytes);
+        self.log.compact_to(LogIndex(kept.0 - 1));
     }
 
     /// Installs a complete snapshot of the leader.
@@ -579,12 +591,13 @@
         }
         self.replicate(now);
         self.flush_batch(now, actions);
+        let founder = self.replicas.current().1.founder();
         for (to, term, body) in std::mem::take(&mut self.outbox) {
             let known = self.replicas.current().1.find(to).map(|record| record.peer_address);
             let Some(address) = known.or_else(|| self.addresses.get(&to).copied()) else {
                 continue;
             };
-            let message = ReplicaMessage { term, address: self.address, body };
+            let message = ReplicaMessage { term, address: self.address, founder, body };
             actions.push(ControlAction::SendReplica { to, address, message });
         }
     }
--- a/hickoryspan_core/src/control/raft/replicas.rs
+++ b/hickoryspan_core/src/control/raft/replicas.rs
@@ -9,28 +9,39 @@
 
 /// The replicas with their addresses and roles.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(transparent)]
-pub struct ReplicaSet(BTreeMap<ReplicaId, ReplicaRecord>);
+#[serde(rename_all = "snake_case")]
+pub struct ReplicaSet {
+    // The replica that initialised the cluster; its random identity tells clusters apart.
+    founder: Option<ReplicaId>,
+    records: BTreeMap<ReplicaId, ReplicaRecord>,
+}
 
 impl ReplicaSet {
-    /// A set of one voter.
+    /// The set of a new cluster: one voter.
     pub fn single(record: ReplicaRecord) -> Self {
-        Self(BTreeMap::from([(record.replica, ReplicaRecord { voter: true, ..record })]))
+        let founder = Some(record.replica);
+        let record = ReplicaRecord { voter: true, ..record };
+        Self { founder, records: BTreeMap::from([(record.replica, record)]) }
+    }
+
+    /// The replica that initialised the cluster.
+    pub fn founder(&self) -> Option<ReplicaId> {
+        self.founder
     }
 
     /// Whether no replica is known.
     pub fn is_empty(&self) -> bool {
-        self.0.is_empty()
+        self.records.is_empty()
     }
 
     /// All replicas.
     pub fn records(&self) -> impl Iterator<Item = &ReplicaRecord> {
-        self.0.values()
+        self.records.values()
     }
 
     /// The record of a replica.
     pub fn find(&self, replica: ReplicaId) -> Option<&ReplicaRecord> {
-        self.0.get(&replica)
+        self.records.get(&replica)
     }
 
     /// Whether a replica votes.
@@ -40,7 +51,7 @@
 
     /// The voters.
     pub fn voters(&self) -> impl Iterator<Item = ReplicaId> {
-        self.0.values().filter(|record| record.voter).map(|record| record.replica)
+        self.records.values().filter(|record| record.voter).map(|record| record.replica)
     }
 
     /// Whether these replicas include a majority of the voters.
@@ -61,14 +72,14 @@
     /// The set with this record added or replaced.
     pub fn with(&self, record: ReplicaRecord) -> Self {
         let mut set = self.clone();
-        set.0.insert(record.replica, record);
+        set.records.insert(record.replica, record);
         set
     }
 
     /// The set without this replica.
     pub fn without(&self, replica: ReplicaId) -> Self {
         let mut set = self.clone();
-        set.0.remove(&replica);
+        set.records.remove(&replica);
         set
     }
 
--- a/hickoryspan_core/src/control/settings.rs
+++ b/hickoryspan_core/src/control/settings.rs
@@ -34,13 +34,14 @@
     pub max_ordinals: u32,
     /// How long a claim is kept after it was issued.
     pub claim_retention: Duration,
-    /// Claims beyond this number are refused; one settled claim takes a few hundred bytes.
+    /// Claims beyond this number are refused. One takes about 300 bytes, and encoding a snapshot stops the
+    /// replica for about 0.2 us per claim, which must stay well below the shortest election timeout.
     pub max_claims: u64,
     /// Longest answer of a target that is kept with an order's outcome, in bytes.
     pub max_outcome_bytes: usize,
     /// Targets whose changed announcements may wait for the log.
     pub max_waiting_announcements: usize,
-    /// Announcements in one log entry.
+    /// Announcements in one log entry, unless they have many partitions.
     pub max_announcements_per_command: usize,
     /// Changes kept for deltas; entries further behind get the whole view.
     pub max_delta_changes: usize,
@@ -70,7 +71,7 @@
             max_expiries_per_domain: 256,
             max_ordinals: 14,
             claim_retention: Duration::from_secs(48 * 60 * 60),
-            max_claims: 400_000,
+            max_claims: 1_000_000,
             max_outcome_bytes: 16 * 1024,
             max_waiting_announcements: 8_192,
             max_announcements_per_command: 128,
--- a/hickoryspan_core/tests/control_replication.rs
+++ b/hickoryspan_core/tests/control_replication.rs
@@ -95,6 +95,7 @@
     let message = ReplicaMessage {
         term: TermNumber(9),
         address: record(replica(1)).peer_address,
+        founder: None,
         body: ReplicaBody::Vote { last: Default::default(), transfer: false },
     };
     let mut actions = Vec::new();
@@ -162,6 +163,60 @@
     assert!(cluster.violation.as_ref().is_some_and(|text| text.contains("sync: log: injected")));
 }
 
+// A full disk of the only replica must not need a restart.
+#[test]
+fn a_single_replica_recovers_from_a_full_disk() {
+    let mut cluster = Cluster::voting(23, 1, |_| {});
+    cluster.nodes.get_mut(&replica(1)).unwrap().disk.full = true;
+    let token = ReplyToken(cluster.token());
+    let command = command("rosa", "c1", apply_sheet(1, "monday"));
+    cluster.handle(replica(1), ControlEvent::Admin(token, Box::new(command)));
+    cluster.run(Duration::from_secs(5));
+    assert!(matches!(cluster.reply(token), Some(ControlReply::Unavailable { .. })));
+    cluster.nodes.get_mut(&replica(1)).unwrap().disk.full = false;
+    assert!(accepted(&cluster.admin_as("rosa", "c1", apply_sheet(1, "monday"))));
+    assert_sound(&cluster);
+}
+
+// A learner that has died would raise the number of replicas that must answer.
+#[test]
+fn a_silent_learner_is_not_promoted() {
+    let mut cluster = Cluster::voting(24, 3, |_| {});
+    cluster.nodes.insert(replica(4), Node::default());
+    cluster.start(replica(4));
+    cluster.isolate(replica(4));
+    assert!(accepted(&cluster.admin("rosa", AdminAction::AddReplica(record(replica(4))))));
+    cluster.run(Duration::from_secs(5));
+    let leader = cluster.await_leader();
+    assert!(!cluster.machine(leader).raft().replica_set().0.is_voter(replica(4)));
+    cluster.heal();
+    cluster.run_until(Duration::from_secs(5), |cluster| {
+        cluster.machine(leader).raft().replica_set().0.is_voter(replica(4))
+    });
+    assert_sound(&cluster);
+}
+
+// Two clusters have other entries under the same indexes; mixing them would silently keep both.
+#[test]
+fn a_replica_of_another_cluster_is_ignored() {
+    let mut cluster = Cluster::voting(25, 1, |_| {});
+    let append = |founder: u64| ReplicaMessage {
+        term: TermNumber(50),
+        address: record(replica(9)).peer_address,
+        founder: Some(replica(founder)),
+        body: ReplicaBody::Append {
+            previous: Default::default(),
+            entries: Vec::new(),
+            commit: LogIndex(0),
+            round: 1,
+        },
+    };
+    cluster.handle(replica(1), ControlEvent::Replica(replica(9), append(9)));
+    assert!(cluster.machine(replica(1)).raft().is_leader());
+    cluster.handle(replica(1), ControlEvent::Replica(replica(9), append(1)));
+    assert!(!cluster.machine(replica(1)).raft().is_leader());
+}
+
 fn pledge(cluster: &mut Cluster, id: ReplicaId) -> Option<Duration> {
     let link = LinkId(cluster.token());
     cluster.handle(id, ControlEvent::Entry(link, EntryMessage::Resync));
--- a/hickoryspan_core/tests/control_single.rs
+++ b/hickoryspan_core/tests/control_single.rs
@@ -8,8 +8,9 @@
 use std::time::Duration;
 
 use control_support::*;
+use hickoryspan_core::control::dissemination::DeltaHistory;
 use hickoryspan_core::control::interface::*;
-use hickoryspan_core::membership::{CrashEvidence, QuarantineLevel};
+use hickoryspan_core::membership::{CrashEvidence, MembershipView, QuarantineLevel, ViewChange};
 use hickoryspan_core::messages::*;
 use hickoryspan_core::types::*;
 
@@ -389,6 +390,23 @@
     assert_eq!(**whole, view);
 }
 
+// An entry that was away for longer than the history needs the whole view; a gap would be a wrong state.
+#[test]
+fn an_entry_far_behind_gets_the_whole_view() {
+    let mut view = MembershipView::default();
+    let mut history = DeltaHistory::new(RevisionNumber(0), 3);
+    for number in 1..=5 {
+        let change = ViewChange::PutTarget(target("t1", number, 1));
+        view.apply(RevisionNumber(number), [change.clone()]);
+        history.push(&view, vec![change]);
+    }
+    let update = |from| history.update(RevisionNumber(from), &view);
+    assert!(matches!(update(1), Some(ControlMessage::View(_))));
+    assert!(matches!(update(2), Some(ControlMessage::Delta { changes, .. }) if changes.len() == 3));
+    assert_eq!(update(5), None);
+    assert!(matches!(update(9), Some(ControlMessage::View(_))));
+}
+
 // A flood of announcements must not grow the log or the memory without bound.
 #[test]
 fn announcement_floods_are_bounded() {
