--- a/hickoryspan_core/src/control/claims.rs
+++ b/hickoryspan_core/src/control/claims.rs
@@ -14,6 +14,8 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 struct ClaimRecord {
+    // As text it would take twice the space.
+    #[serde(with = "fingerprint_bytes")]
     fingerprint: RequestFingerprint,
     state: ClaimState,
 }
@@ -106,16 +108,23 @@
     }
 
     /// Records the end of an open claim of this process. The first recorded outcome stays, because a caller
-    /// may have been told it.
-    pub fn settle(&mut self, process: &EntryProcess, key: &ClaimKey, outcome: OrderOutcome) {
-        let Some(keys) = self.open.get_mut(process) else { return };
-        if !keys.remove(key) {
-            return;
-        }
-        if keys.is_empty() {
-            self.open.remove(process);
+    /// may have been told it. Returns whether the claim has ended, by this call or before.
+    pub fn settle(
+        &mut self,
+        process: &EntryProcess,
+        key: &ClaimKey,
+        outcome: OrderOutcome,
+    ) -> bool {
+        let own = self.open.get_mut(process).is_some_and(|keys| keys.remove(key));
+        if own {
+            if self.open.get(process).is_some_and(BTreeSet::is_empty) {
+                self.open.remove(process);
+            }
+            self.set_settled(key, outcome);
         }
-        self.set_settled(key, outcome);
+        let record = self.record(key);
+        let settled = record.is_some_and(|record| matches!(record.state, ClaimState::Settled(_)));
+        settled || key.issued_at <= self.horizon
     }
 
     /// Settles the open claims of a process that is gone: nobody knows whether they ran.
@@ -192,3 +201,27 @@
         issued_at: issue.issued_at,
     }
 }
+
+mod fingerprint_bytes {
+    use std::sync::Arc;
+
+    use serde::{Deserializer, Serializer, de::Error};
+
+    use crate::control::bytes;
+    use crate::types::RequestFingerprint;
+
+    pub fn serialize<S: Serializer>(
+        value: &RequestFingerprint,
+        serializer: S,
+    ) -> Result<S::Ok, S::Error> {
+        serializer.serialize_bytes(&value.0)
+    }
+
+    pub fn deserialize<'de, D: Deserializer<'de>>(
+        deserializer: D,
+    ) -> Result<RequestFingerprint, D::Error> {
+        let bytes: Arc<[u8]> = bytes::deserialize(deserializer)?;
+        let digest = bytes[..].try_into().map_err(|_| D::Error::custom("a digest has 32 bytes"))?;
+        Ok(RequestFingerprint(digest))
+    }
+}
