Test silent connections and draining targets, and flush the link at a planned stop

Cause: The daemon ended the link to control without waiting for the last messages, so a release could be lost. Change: A planned stop lets the link send what waits, for at most 1 s. Tests: searches move from silent connections, an order on one is unknown and sent once, a draining target gets nothing new. Conclusion: The flush itself is tested with the drain, which the entry machine does not yet perform.

--- a/hickoryspan_entry/src/controller.rs
+++ b/hickoryspan_entry/src/controller.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::ops::ControlFlow;
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use hickoryspan_core::entry::interface::{
@@ -32,6 +33,9 @@
 };
 use crate::target_protocol::{AnswerKind, CallContent, RequestBuilder, TargetAnswer};
 
+/// Time for the last messages to control at a planned stop; a live link needs one round trip.
+const LINK_FLUSH_TIME: Duration = Duration::from_secs(1);
+
 /// A caller's request.
 pub(crate) struct CallerCall {
     pub(crate) token: QueryToken,
@@ -86,6 +90,8 @@
     number: LinkNumber,
     outgoing: mpsc::Sender<EntryMessage>,
     task: AbortHandle,
+    /// Cancelled when the link's task has ended.
+    ended: CancellationToken,
 }
 
 /// What the controller needs beside the machine.
@@ -184,9 +190,23 @@
                 LoopStep::Stop => break,
             }
         }
+        self.flush_link().await;
         self.tasks.shutdown().await;
     }
 
+    /// After a planned stop, lets the link send what waits, such as the release of the ordinal.
+    async fn flush_link(&mut self) {
+        let Some(ActiveLink { outgoing, ended, .. }) = self.link.take() else { return };
+        if !self.parts.drained.is_cancelled() {
+            return;
+        }
+        // Without a sender the link sends what waits, and ends.
+        drop(outgoing);
+        if tokio::time::timeout(LINK_FLUSH_TIME, ended.cancelled()).await.is_err() {
+            spdlog::warn!("stop: the link to control did not take the last messages in time");
+        }
+    }
+
     fn dispatch(&mut self, event: EntryEvent) {
         self.events.push_back(event);
         let mut actions = std::mem::take(&mut self.actions);
@@ -236,8 +256,14 @@
         };
         spdlog::info!("connect control: {}", address);
         let (outgoing, queue) = mpsc::channel(LINK_QUEUE);
-        let task = self.tasks.spawn(run_link(plan, queue, self.address.clone()));
-        self.link = Some(ActiveLink { number: self.last_link, outgoing, task });
+        let ended = CancellationToken::new();
+        let guard = ended.clone().drop_guard();
+        let controller = self.address.clone();
+        let task = self.tasks.spawn(async move {
+            let _guard = guard;
+            run_link(plan, queue, controller).await;
+        });
+        self.link = Some(ActiveLink { number: self.last_link, outgoing, task, ended });
     }
 
     fn send_control(&mut self, message: EntryMessage) {
--- a/hickoryspan_entry/tests/faults.rs
+++ b/hickoryspan_entry/tests/faults.rs
@@ -9,9 +9,9 @@
 use std::time::Duration;
 
 use common::*;
-use hickoryspan_core::membership::{PartitionRecord, TargetRecord};
+use hickoryspan_core::membership::{PartitionRecord, TargetRecord, ViewChange};
 use hickoryspan_core::types::{ConnectionCount, DocumentCount, KeyRange, SlotCount};
-use hickoryspan_target::faults::FaultSettings;
+use hickoryspan_target::faults::{FaultEvent, FaultSettings};
 use hickoryspan_target::record::RunEnd;
 use hickoryspan_target::settings::TargetSettings;
 use rstest::rstest;
@@ -213,3 +213,73 @@
     target.stop().await;
     control.stop().await;
 }
+
+#[tokio::test]
+async fn a_search_moves_from_silent_connections_to_new_ones() {
+    const COUNT: u32 = 4;
+    let mut targets = Vec::new();
+    for index in 0..COUNT {
+        targets.push(start_shard(index, COUNT, TargetSettings::default()).await);
+    }
+    let control = FakeControl::start(view(records(&targets), PATIENCE)).await;
+    let entry = start_entry(&control).await;
+    wait_ready(&entry, &targets).await;
+    assert_eq!(search(entry.caller_address(), "1").await.outcome(), "complete");
+    for target in &targets {
+        target.cause(FaultEvent::SilenceConnections);
+    }
+    let answer = search(entry.caller_address(), "2").await;
+    assert_eq!((answer.outcome(), &answer.body["coverage"]), ("complete", &1.0.into()));
+    entry.stop().await;
+    for target in targets {
+        target.abort().await;
+    }
+    control.stop().await;
+}
+
+#[tokio::test]
+async fn an_order_on_a_connection_that_went_silent_is_unknown_and_is_not_sent_again() {
+    let press = start_press().await;
+    let control = FakeControl::start(view(records([&press]), SHORT_DEADLINE)).await;
+    let entry = start_entry(&control).await;
+    wait_ready(&entry, [&press]).await;
+    press.cause(FaultEvent::SilenceConnections);
+    let received = press.received();
+    let headers = order_headers("o1");
+    let answer = order(entry.caller_address(), &headers).await;
+    assert_eq!(answer.outcome(), "unknown", "{}", answer.body);
+    let resent = order(entry.caller_address(), &headers).await;
+    assert_eq!(resent.outcome(), "unknown", "{}", resent.body);
+    assert_eq!(press.received() - received, 1);
+    entry.stop().await;
+    press.abort().await;
+    control.stop().await;
+}
+
+#[tokio::test]
+async fn a_draining_target_gets_no_new_work_once_the_entry_knows() {
+    let mut replicas = Vec::new();
+    for name in ["t-a", "t-b"] {
+        let settings = TargetSettings::default();
+        replicas.push(start_named(name, "history", partition(0, 1), settings).await);
+    }
+    let control = FakeControl::start(view(records(&replicas), PATIENCE)).await;
+    let entry = start_entry(&control).await;
+    wait_ready(&entry, &replicas).await;
+    replicas[0].drain();
+    control.publish(vec![ViewChange::PutTarget(replicas[0].to_record())]);
+    let revision = control.revision().0;
+    let mut answer = search(entry.caller_address(), "0").await;
+    while answer.body["revision"] != revision {
+        answer = search(entry.caller_address(), "0").await;
+    }
+    let received = replicas[0].received();
+    for query in 1..20 {
+        let answer = search(entry.caller_address(), &query.to_string()).await;
+        assert_eq!(answer.outcome(), "complete", "{}", answer.body);
+    }
+    assert_eq!(replicas[0].received(), received);
+    entry.stop().await;
+    stop_all(replicas).await;
+    control.stop().await;
+}
