End connections whose peer does not take a response

Cause: A caller that stopped reading held its connection and its response for ever. Change: A write that makes no progress for the read time fails. Conclusion: All three waits on a caller are bounded: headers, body and response.

--- a/hickoryspan_runtime/src/http_server.rs
+++ b/hickoryspan_runtime/src/http_server.rs
@@ -20,6 +20,8 @@
 use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
 
+use crate::stall_guard::GuardedStream;
+
 /// Pause after a failed accept, so that a lack of file descriptors does not spin the processor.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 /// HTTP/1.1 header lines accepted in one request.
@@ -38,7 +40,7 @@
     pub connections: usize,
     /// Requests at the same time on one HTTP/2 connection.
     pub streams: u32,
-    /// Time for the headers, and again for the body, of one request.
+    /// Time for the headers, and again for the body, of one request; also how long a response may make no progress.
     pub read_time: Duration,
     /// Time that a stop leaves to requests in flight.
     pub drain_time: Duration,
@@ -173,6 +175,7 @@
         let handler = Arc::clone(&handler);
         async move { Ok::<_, Infallible>(handler.handle(request, peer).await) }
     });
+    let stream = GuardedStream::new(stream, limits.read_time);
     let connection = builder.serve_connection(TokioIo::new(stream), service);
     // The library's own timer starts only once the protocol version is known.
     let is_slow = async {
--- a/hickoryspan_runtime/src/lib.rs
+++ b/hickoryspan_runtime/src/lib.rs
@@ -11,3 +11,4 @@
 pub mod peer_link;
 pub mod process;
 pub mod settings;
+mod stall_guard;
--- a/hickoryspan_runtime/tests/http.rs
+++ b/hickoryspan_runtime/tests/http.rs
@@ -15,13 +15,15 @@
 use http::{Request, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
-use tokio::io::AsyncReadExt;
-use tokio::net::TcpListener;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 
 const TIMEOUT: Duration = Duration::from_secs(10);
 const ANSWER_BYTES: usize = 1024;
+/// More than the buffers of both sockets take.
+const LARGE_BYTES: usize = 64 * 1024 * 1024;
 
 /// Answers `/slow` only after it is notified.
 struct TestHandler {
@@ -37,6 +39,9 @@
                 self.arrived.notify_one();
                 self.release.notified().await;
             }
+            if request.uri().path() == "/large" {
+                return text_response(StatusCode::OK, "x".repeat(LARGE_BYTES));
+            }
             match read_body(request.into_body(), &self.limits).await {
                 Ok(body) => text_response(StatusCode::OK, body.len().to_string()),
                 Err(error) => text_response(error.status(), error.to_string()),
@@ -121,3 +126,20 @@
     let ((), error) = tokio::join!(server, client);
     assert!(matches!(error, SendError::ConnectionLost(_)), "{error}");
 }
+
+#[tokio::test]
+async fn a_caller_that_stops_reading_loses_its_place() {
+    let read_time = Duration::from_millis(50);
+    let limits = HttpLimits { connections: 1, read_time, ..Default::default() };
+    let (address, _handler, stop, task) = start(limits).await;
+    let mut idle = TcpStream::connect(address).await.unwrap();
+    idle.write_all(b"GET /large HTTP/1.1\r\nhost: test\r\n\r\n").await.unwrap();
+    let mut connection = HttpConnection::open(address, TIMEOUT).await.unwrap();
+    let sent = connection.send(request("/", ""), ANSWER_BYTES);
+    let answer = tokio::time::timeout(TIMEOUT, sent).await.unwrap().unwrap();
+    assert_eq!(answer.status, StatusCode::OK);
+    drop(idle);
+    connection.close().await;
+    stop.cancel();
+    task.await.unwrap();
+}
