--- a/hickoryspan_core/src/entry/mod.rs
+++ b/hickoryspan_core/src/entry/mod.rs
@@ -1,5 +1,6 @@
 //! Decisions of an entry process: the request path under load and faults (`docs/design.md`, section 6).
 
+pub mod admission;
 mod answers;
 pub mod budgets;
 pub mod concurrency;
@@ -15,10 +16,12 @@
 pub mod interface;
 pub mod latency;
 mod lifecycle;
+pub mod limits;
 mod losses;
 pub mod machine;
 pub mod orders;
 pub mod outliers;
+pub mod pacing;
 pub mod plan;
 pub mod queries;
 pub mod routing;
