--- a/hickoryspan_entry/src/filters/body.rs
+++ b/hickoryspan_entry/src/filters/body.rs
@@ -3,7 +3,7 @@
 use std::time::Instant;
 
 use bytes::Bytes;
-use hickoryspan_core::types::SearchId;
+use hickoryspan_core::types::{ParseValueError, SearchId};
 use hickoryspan_runtime::http_server::{HttpLimits, read_body};
 use serde::Deserialize;
 use serde_json::value::RawValue;
@@ -74,7 +74,7 @@
         serde_json::from_slice(body).map_err(|error| malformed(&error))?;
     let pinned = match decoded.page_token {
         Some(text) => {
-            let fault = |error: hickoryspan_core::types::ParseValueError| {
+            let fault = |error: ParseValueError| {
                 CallerError::new(CallerErrorKind::MalformedPageToken, error.to_string())
             };
             Some(text.parse::<PageToken>().map_err(fault)?.0)
--- a/hickoryspan_entry/src/filters/mod.rs
+++ b/hickoryspan_entry/src/filters/mod.rs
@@ -13,7 +13,7 @@
 
 use bytes::Bytes;
 use hickoryspan_core::entry::interface::CallerRequest;
-use hickoryspan_core::types::{CallerId, RequestId};
+use hickoryspan_core::types::{CallerId, RequestId, SearchId, SnapshotVersion};
 use hickoryspan_runtime::http_server::ResponseBody;
 use http::Response;
 use http::request::Parts;
@@ -47,10 +47,10 @@
 
 /// The fields of a search's or an order's body.
 pub(crate) struct DecodedBody {
-    pub(crate) search: hickoryspan_core::types::SearchId,
+    pub(crate) search: SearchId,
     /// The query or the order's content as JSON text.
     pub(crate) content: Bytes,
-    pub(crate) pinned: Option<hickoryspan_core::types::SnapshotVersion>,
+    pub(crate) pinned: Option<SnapshotVersion>,
 }
 
 /// What the machine is asked.
--- a/hickoryspan_entry/src/filters/run.rs
+++ b/hickoryspan_entry/src/filters/run.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 
-use hickoryspan_core::types::{EntryId, QueryToken, RequestId};
+use hickoryspan_core::types::{CallerId, EntryId, QueryToken, RequestId};
 use tokio::sync::{mpsc, oneshot};
 use xtra::Address;
 
@@ -81,11 +81,7 @@
         }
     }
 
-    async fn ask_addresses(
-        &self,
-        caller: hickoryspan_core::types::CallerId,
-        request_id: &RequestId,
-    ) -> FilterResult {
+    async fn ask_addresses(&self, caller: CallerId, request_id: &RequestId) -> FilterResult {
         let (reply, replied) = oneshot::channel();
         let call = AddressCall { token: self.port.take_token(), caller, reply };
         drop(self.port.controller.send(call).detach().await.map_err(|_| stopping())?);
--- a/hickoryspan_target/src/handler.rs
+++ b/hickoryspan_target/src/handler.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use hickoryspan_core::membership::PartitionRecord;
 use hickoryspan_core::types::{ShardId, SnapshotVersion};
 use hickoryspan_runtime::clock::wall_time;
 use hickoryspan_runtime::http_server::{
@@ -13,11 +14,12 @@
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
 use serde::Serialize;
+use tokio_util::sync::CancellationToken;
 
 use crate::documents::{DocumentHit, find_hits};
-use crate::faults::FaultCommand;
+use crate::faults::{FaultCommand, FaultEvent};
 use crate::record::{RunEnd, RunKind, RunRecord};
-use crate::state::{AdmitRefusal, ConnectionIndex, TargetState};
+use crate::state::{AdmitRefusal, ConnectionIndex, QueueTicket, TargetState};
 
 /// The header that carries the load report.
 const LOAD_HEADER: &str = "hs-load";
@@ -99,6 +101,42 @@
     value.to_str().ok()?.parse().ok().map(Some)
 }
 
+/// A request that runs.
+struct SlotGrant {
+    ticket: QueueTicket,
+    cancelled: CancellationToken,
+    partition: Option<PartitionRecord>,
+}
+
+/// Why a request does not run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum RunRefusal {
+    Draining,
+    Shed,
+    SnapshotGone,
+    Late,
+}
+
+impl RunRefusal {
+    fn to_response(self) -> Response<ResponseBody> {
+        match self {
+            Self::Draining => refuse(StatusCode::SERVICE_UNAVAILABLE, "draining"),
+            Self::Shed => refuse(StatusCode::SERVICE_UNAVAILABLE, "shed"),
+            Self::SnapshotGone => refuse(StatusCode::GONE, "snapshot_gone"),
+            Self::Late => refuse(StatusCode::GATEWAY_TIMEOUT, "late"),
+        }
+    }
+}
+
+impl From<AdmitRefusal> for RunRefusal {
+    fn from(refusal: AdmitRefusal) -> Self {
+        match refusal {
+            AdmitRefusal::Draining => Self::Draining,
+            AdmitRefusal::Shed => Self::Shed,
+        }
+    }
+}
+
 /// Answers the requests of one connection.
 pub(crate) struct TargetHandler {
     pub(crate) state: Arc<TargetState>,
@@ -188,57 +226,62 @@
         json_response(StatusCode::OK, &self.state.faults())
     }
 
-    /// Waits for a slot and runs a query or order; every refusal comes before the run starts.
+    /// Runs a query or order, if it gets a slot.
     async fn run(&self, kind: RunKind, headers: &HeaderMap, body: Bytes) -> Response<ResponseBody> {
         let work = match WorkHeaders::parse(headers) {
             Ok(work) => work,
             Err(detail) => return fault(StatusCode::BAD_REQUEST, detail),
         };
+        let SlotGrant { ticket, cancelled, partition } = match self.take_slot(kind, &work).await {
+            Ok(grant) => grant,
+            Err(refusal) => return refusal.to_response(),
+        };
+        self.crash_on_marker(&body).await;
+        let end = self.occupy_slot(kind, &work, &cancelled).await;
+        ticket.finish(end);
+        match end {
+            RunEnd::Done => self.answer(kind, &work, &body, partition),
+            RunEnd::Cancelled => fault(StatusCode::INTERNAL_SERVER_ERROR, "cancelled"),
+            RunEnd::DeadlinePassed => {
+                fault(StatusCode::INTERNAL_SERVER_ERROR, "the deadline passed")
+            }
+            _ => fault(StatusCode::INTERNAL_SERVER_ERROR, "the run failed"),
+        }
+    }
+
+    /// Waits for a slot and records the start of the run; every refusal comes before that.
+    async fn take_slot(&self, kind: RunKind, work: &WorkHeaders) -> Result<SlotGrant, RunRefusal> {
         if work.remaining() < self.state.settings.service_time {
-            return refuse(StatusCode::GATEWAY_TIMEOUT, "late");
+            return Err(RunRefusal::Late);
         }
-        let mut ticket = match self.state.admit(&work.attempt) {
-            Ok(ticket) => ticket,
-            Err(AdmitRefusal::Draining) => {
-                return refuse(StatusCode::SERVICE_UNAVAILABLE, "draining");
-            }
-            Err(AdmitRefusal::Shed) => return refuse(StatusCode::SERVICE_UNAVAILABLE, "shed"),
-        };
+        let mut ticket = self.state.admit(&work.attempt)?;
         let cancelled = ticket.cancelled();
         let permit = tokio::select! {
             biased;
-            () = cancelled.cancelled() => return refuse(StatusCode::SERVICE_UNAVAILABLE, "shed"),
-            () = tokio::time::sleep(work.remaining()) => {
-                return refuse(StatusCode::GATEWAY_TIMEOUT, "late");
-            }
-            permit = ticket.wait() => permit,
-        };
-        let Some(permit) = permit else {
-            return refuse(StatusCode::SERVICE_UNAVAILABLE, "draining");
+            () = cancelled.cancelled() => return Err(RunRefusal::Shed),
+            () = tokio::time::sleep(work.remaining()) => return Err(RunRefusal::Late),
+            permit = ticket.wait() => permit.ok_or(RunRefusal::Draining)?,
         };
         let partition = match (kind, &work.shard, work.snapshot) {
             (RunKind::Query, Some(shard), Some(snapshot)) => {
-                match self.state.find_partition(shard, snapshot) {
-                    Some(partition) => Some(partition),
-                    None => return refuse(StatusCode::GONE, "snapshot_gone"),
-                }
+                let held = self.state.find_partition(shard, snapshot);
+                Some(held.ok_or(RunRefusal::SnapshotGone)?)
             }
             _ => None,
         };
-        ticket.start(permit, self.describe_run(kind, &work));
-        self.crash_on_marker(&body).await;
-        let end = self.occupy_slot(kind, &work, &cancelled).await;
-        ticket.finish(end);
-        match end {
-            RunEnd::Done => {}
-            RunEnd::Cancelled => return fault(StatusCode::INTERNAL_SERVER_ERROR, "cancelled"),
-            RunEnd::DeadlinePassed => {
-                return fault(StatusCode::INTERNAL_SERVER_ERROR, "the deadline passed");
-            }
-            _ => return fault(StatusCode::INTERNAL_SERVER_ERROR, "the run failed"),
-        }
+        ticket.start(permit, self.describe_run(kind, work));
+        Ok(SlotGrant { ticket, cancelled, partition })
+    }
+
+    fn answer(
+        &self,
+        kind: RunKind,
+        work: &WorkHeaders,
+        body: &Bytes,
+        partition: Option<PartitionRecord>,
+    ) -> Response<ResponseBody> {
         let max_hits = self.state.settings.max_hits;
-        let hits = || partition.iter().flat_map(|held| find_hits(&body, held, max_hits)).collect();
+        let hits = || partition.iter().flat_map(|held| find_hits(body, held, max_hits)).collect();
         let receipt =
             || OrderReceipt { request: &work.request, target: self.state.settings.target.as_str() };
         let answer = ReplyBody {
@@ -270,7 +313,7 @@
         if marker.is_empty() || !body.windows(marker.len()).any(|part| part == marker.as_bytes()) {
             return;
         }
-        self.state.cause(crate::faults::FaultEvent::Crash);
+        self.state.cause(FaultEvent::Crash);
         // The crash drops this connection, and with it this future.
         std::future::pending::<()>().await;
     }
@@ -280,7 +323,7 @@
         &self,
         kind: RunKind,
         work: &WorkHeaders,
-        cancelled: &tokio_util::sync::CancellationToken,
+        cancelled: &CancellationToken,
     ) -> RunEnd {
         let service_time = tokio::time::sleep(self.state.draw_service_time());
         let end = match kind {
