Carry replica messages over links, and test the control daemon over loopback

Cause: replica messages are structs and frames take their kind from an enum, so that no message between control replicas could be encoded and an added replica stayed a learner for ever. The control daemon served its metrics without the credential. Conclusion: three replicas replicate over real links; acceptance continues after the loss of the leader.

--- a/hickoryspan_control/src/admin_json.rs
+++ b/hickoryspan_control/src/admin_json.rs
@@ -1,4 +1,4 @@
-//! JSON bodies of the administration API (`docs/openapi.yaml`).
+//! JSON bodies of the administration API (`docs/openapi-admin.yaml`).
 
 use std::sync::Arc;
 
--- a/hickoryspan_control/src/http_routes.rs
+++ b/hickoryspan_control/src/http_routes.rs
@@ -11,7 +11,8 @@
 use hickoryspan_core::types::SheetNumber;
 use hickoryspan_runtime::credential::SharedCredential;
 use hickoryspan_runtime::http_server::{
-    HttpHandler, HttpLimits, ResponseBody, ResponseFuture, json_response, read_body, text_response,
+    HttpHandler, HttpLimits, ResponseBody, ResponseFuture, body_response, json_response, read_body,
+    text_response,
 };
 use hickoryspan_runtime::metrics_page::MetricsPage;
 use http::header::{HeaderValue, LOCATION, RETRY_AFTER};
@@ -31,7 +32,10 @@
 /// Longest wait for a decision; an operator's tool then asks again with the same command id.
 const DECISION_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// Every route of the HTTP port as method and path; a test compares it with `docs/openapi.yaml`.
+/// The content type of the Prometheus text format.
+const METRICS_TYPE: &str = "text/plain; version=0.0.4; charset=utf-8";
+
+/// Every route of the HTTP port as method and path; a test compares it with `docs/openapi-admin.yaml`.
 pub const ROUTES: [(&str, &str); 11] = [
     ("GET", "/healthz"),
     ("GET", "/readyz"),
@@ -73,15 +77,15 @@
         match (request.method(), path.as_str()) {
             (&Method::GET, "/healthz") => return text_response(StatusCode::OK, "ok\n"),
             (&Method::GET, "/readyz") => return self.readiness().await,
-            (&Method::GET, "/metrics") => {
-                return text_response(StatusCode::OK, self.metrics.render());
-            }
             _ => {}
         }
         if !self.credential.is_carried_by(request.headers()) {
             return refuse(StatusCode::UNAUTHORIZED, "unauthorized", "credential missing or wrong");
         }
         match (request.method(), path.as_str()) {
+            (&Method::GET, "/metrics") => {
+                body_response(StatusCode::OK, METRICS_TYPE, self.metrics.render())
+            }
             (&Method::POST, "/v1/targets/announce") => self.announce(request).await,
             (&Method::POST, "/v1/targets/withdraw") => self.withdraw(request).await,
             (&Method::POST, "/v1/admin/commands") => self.command(request).await,
@@ -92,10 +96,12 @@
             (&Method::GET, "/v1/admin/quarantines") => {
                 self.query(AdminQuery::Quarantines, &path).await
             }
-            (_, path) if ROUTES.iter().any(|(_, known)| *known == path) => {
-                refuse(StatusCode::METHOD_NOT_ALLOWED, "wrong_method", "see docs/openapi.yaml")
-            }
-            _ => refuse(StatusCode::NOT_FOUND, "unknown_route", "see docs/openapi.yaml"),
+            (_, path) if ROUTES.iter().any(|(_, known)| *known == path) => refuse(
+                StatusCode::METHOD_NOT_ALLOWED,
+                "wrong_method",
+                "see docs/openapi-admin.yaml",
+            ),
+            _ => refuse(StatusCode::NOT_FOUND, "unknown_route", "see docs/openapi-admin.yaml"),
         }
     }
 
--- a/hickoryspan_control/src/link_server.rs
+++ b/hickoryspan_control/src/link_server.rs
@@ -6,7 +6,6 @@
 
 use anyhow::{Context, bail};
 use hickoryspan_core::control::interface::{ControlEvent, LinkId};
-use hickoryspan_core::control::raft::ReplicaMessage;
 use hickoryspan_core::messages::{ControlMessage, EntryMessage};
 use hickoryspan_core::types::ReplicaId;
 use hickoryspan_runtime::credential::SharedCredential;
@@ -17,7 +16,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::actor::ControlInbox;
-use crate::replica_links::{REPLICA_HEADER, REPLICA_PATH};
+use crate::replica_links::{REPLICA_HEADER, REPLICA_PATH, ReplicaFrame};
 
 /// Path that an entry asks for on the peer port.
 const ENTRY_PATH: &str = "/v1/entry";
@@ -102,8 +101,12 @@
         .and_then(|text| text.parse().ok())
         .with_context(|| format!("{peer}: header {REPLICA_HEADER} missing or wrong"))?;
     // Answers travel over the link that this replica opens to the other one.
-    let (_sender, outgoing) = mpsc::channel::<ReplicaMessage>(1);
-    let receive = |message| inbox.try_deliver(ControlEvent::Replica(replica, message));
+    let (_sender, outgoing) = mpsc::channel::<ReplicaFrame>(1);
+    let receive = |frame| match frame {
+        ReplicaFrame::Replication(message) => {
+            inbox.try_deliver(ControlEvent::Replica(replica, message))
+        }
+    };
     accepted.link.pump(outgoing, receive).await
 }
 
--- a/hickoryspan_control/src/replica_links.rs
+++ b/hickoryspan_control/src/replica_links.rs
@@ -8,6 +8,7 @@
 use hickoryspan_core::types::ReplicaId;
 use hickoryspan_runtime::credential::SharedCredential;
 use hickoryspan_runtime::peer_link::PeerLink;
+use serde::{Deserialize, Serialize};
 use tokio::sync::mpsc;
 use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
@@ -23,9 +24,17 @@
 /// Header that names the connecting replica.
 pub(crate) const REPLICA_HEADER: &str = "hs-replica-id";
 
+/// What replicas send to each other. Frames take their kind from an enum, and further kinds may be added.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub(crate) enum ReplicaFrame {
+    /// A message of log replication.
+    Replication(ReplicaMessage),
+}
+
 struct ReplicaLink {
     address: SocketAddr,
-    queue: mpsc::Sender<ReplicaMessage>,
+    queue: mpsc::Sender<ReplicaFrame>,
 }
 
 /// One link for each replica to which a message was sent.
@@ -56,7 +65,7 @@
             self.open(to, address);
         }
         let Some(link) = self.links.get(&to) else { return };
-        if link.queue.try_send(message).is_err() {
+        if link.queue.try_send(ReplicaFrame::Replication(message)).is_err() {
             spdlog::debug!("replica link: {}: queue full, message dropped", address);
         }
     }
@@ -87,7 +96,7 @@
     own: ReplicaId,
     address: SocketAddr,
     credential: SharedCredential,
-    mut messages: mpsc::Receiver<ReplicaMessage>,
+    mut messages: mpsc::Receiver<ReplicaFrame>,
 ) {
     let mut delay = MIN_RECONNECT_DELAY;
     // The first message of a link waits here until the link is open.
@@ -113,11 +122,11 @@
 
 async fn forward(
     link: PeerLink,
-    first: ReplicaMessage,
-    messages: &mut mpsc::Receiver<ReplicaMessage>,
+    first: ReplicaFrame,
+    messages: &mut mpsc::Receiver<ReplicaFrame>,
 ) -> anyhow::Result<()> {
     let (sender, outgoing) = mpsc::channel(1);
-    let pump = link.pump(outgoing, |_: ReplicaMessage| true);
+    let pump = link.pump(outgoing, |_: ReplicaFrame| true);
     let feed = async {
         let mut next = Some(first);
         while let Some(message) = next {
--- /dev/null
+++ b/hickoryspan_control/tests/three_replicas.rs
@@ -0,0 +1,191 @@
+//! Guards three control replicas in one process over loopback: growth, loss of the leader, replacement.
+
+#![allow(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
+
+mod support;
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use hickoryspan_control::{ControlDaemon, FolderRole, initialize_folder};
+use hickoryspan_core::control::interface::{
+    AdminAction, AdminOutcome, AuditRecord, ReplicaRecord, StatusReport,
+};
+use hickoryspan_core::types::{ReplicaId, SheetNumber};
+use http::Method;
+use support::*;
+use tempfile::TempDir;
+
+/// The body of `GET /v1/admin/history`.
+#[derive(serde::Deserialize)]
+struct History {
+    records: Vec<AuditRecord>,
+}
+
+struct Cluster {
+    folder: TempDir,
+    replicas: BTreeMap<ReplicaId, ControlDaemon>,
+}
+
+impl Cluster {
+    /// The first replica initialized, two added; all three vote.
+    async fn start(seed: u64) -> Self {
+        let folder = tempfile::tempdir().unwrap();
+        let first = first_replica(&folder.path().join("1"), seed).await;
+        let replicas = BTreeMap::from([(first.record().replica, first)]);
+        let mut cluster = Self { folder, replicas };
+        for number in 2..=3 {
+            cluster.add(number, seed).await;
+        }
+        cluster
+    }
+
+    async fn add(&mut self, number: u64, seed: u64) -> ReplicaId {
+        let voters = self.voters().await;
+        let folder = self.folder.path().join(number.to_string());
+        initialize_folder(&folder, FolderRole::Additional).unwrap();
+        let daemon = start_replica(&folder, any_addresses(), seed + number).await;
+        let record = ReplicaRecord { voter: false, ..daemon.record().clone() };
+        let id = format!("add-{number}");
+        let replica = record.replica;
+        let outcome = command(&self.addresses(), "ana", &id, AdminAction::AddReplica(record)).await;
+        assert!(matches!(outcome, AdminOutcome::Accepted { .. }), "{outcome:?}");
+        self.replicas.insert(replica, daemon);
+        await_status(&self.addresses(), |report| voter_count(report) == voters + 1).await;
+        replica
+    }
+
+    async fn voters(&self) -> usize {
+        voter_count(&status(&self.addresses()).await)
+    }
+
+    fn addresses(&self) -> Vec<SocketAddr> {
+        self.replicas.values().map(|daemon| daemon.record().http_address).collect()
+    }
+
+    /// Removes the leader's daemon from the cluster, still running.
+    async fn take_leader(&mut self) -> ControlDaemon {
+        let leader = status(&self.addresses()).await.leader.unwrap();
+        self.replicas.remove(&leader).unwrap()
+    }
+
+    async fn stop(self) {
+        for daemon in self.replicas.into_values() {
+            daemon.stop().await;
+        }
+    }
+}
+
+fn voter_count(report: &StatusReport) -> usize {
+    report.replicas.iter().filter(|record| record.voter).count()
+}
+
+fn assert_accepted(outcome: &AdminOutcome) {
+    assert!(matches!(outcome, AdminOutcome::Accepted { .. }), "{outcome:?}");
+}
+
+/// Each earlier command still has its first outcome, and the audit has each accepted one once.
+async fn assert_kept(addresses: &[SocketAddr], outcomes: &[AdminOutcome]) {
+    for (index, outcome) in outcomes.iter().enumerate() {
+        let number = index as u64 + 1;
+        let again = command(addresses, "ana", &format!("c-{number}"), apply(sheet(number))).await;
+        assert_eq!(again, *outcome, "sheet {number}");
+    }
+    let history: History =
+        decide(addresses, Method::GET, "/v1/admin/history?limit=1000", Vec::new()).await;
+    let sheets = history.records.iter().filter(|record| record.summary.starts_with("apply sheet"));
+    assert_eq!(sheets.count(), outcomes.len());
+}
+
+// A sheet that was accepted before the leader was lost must be in force at its successors.
+#[tokio::test]
+async fn acceptance_resumes_after_the_leader_is_lost_and_nothing_is_lost() {
+    let mut cluster = Cluster::start(100).await;
+    let mut outcomes = Vec::new();
+    for number in 1..=5 {
+        let id = format!("c-{number}");
+        outcomes.push(command(&cluster.addresses(), "ana", &id, apply(sheet(number))).await);
+    }
+    cluster.take_leader().await.stop().await;
+    for number in 6..=10 {
+        let id = format!("c-{number}");
+        outcomes.push(command(&cluster.addresses(), "ana", &id, apply(sheet(number))).await);
+    }
+    outcomes.iter().for_each(assert_accepted);
+    assert_kept(&cluster.addresses(), &outcomes).await;
+    assert_eq!(status(&cluster.addresses()).await.sheet, Some(SheetNumber(10)));
+    cluster.stop().await;
+}
+
+// A planned stop that drops the command in flight makes operators believe it was refused.
+#[tokio::test]
+async fn a_drained_leader_hands_over_while_commands_arrive() {
+    let mut cluster = Cluster::start(200).await;
+    let leader = cluster.take_leader().await;
+    let mut addresses = cluster.addresses();
+    addresses.push(leader.record().http_address);
+    let submit = async {
+        let mut outcomes = Vec::new();
+        for number in 1..=20 {
+            let id = format!("c-{number}");
+            outcomes.push(command(&addresses, "ana", &id, apply(sheet(number))).await);
+        }
+        outcomes
+    };
+    let (outcomes, ()) = tokio::join!(submit, leader.drain());
+    outcomes.iter().for_each(assert_accepted);
+    assert_kept(&cluster.addresses(), &outcomes).await;
+    cluster.stop().await;
+}
+
+// A replaced replica that votes before it holds the state loses sheets when a second host is lost right after.
+#[tokio::test]
+async fn a_second_loss_right_after_a_repair_loses_nothing() {
+    let mut cluster = Cluster::start(300).await;
+    let mut outcomes = Vec::new();
+    for number in 1..=5 {
+        let id = format!("c-{number}");
+        outcomes.push(command(&cluster.addresses(), "ana", &id, apply(sheet(number))).await);
+    }
+    let lost = cluster.take_leader().await;
+    let lost_replica = lost.record().replica;
+    lost.stop().await;
+    cluster.add(4, 300).await;
+    let remove = AdminAction::RemoveReplica(lost_replica);
+    assert_accepted(&command(&cluster.addresses(), "ana", "remove-1", remove).await);
+    await_status(&cluster.addresses(), |report| report.replicas.len() == 3).await;
+
+    cluster.take_leader().await.stop().await;
+    let outcome = command(&cluster.addresses(), "ana", "c-6", apply(sheet(6))).await;
+    outcomes.push(outcome);
+    outcomes.iter().for_each(assert_accepted);
+    assert_kept(&cluster.addresses(), &outcomes).await;
+    cluster.stop().await;
+}
+
+// Without a quorum a lone replica must refuse, or two halves accept contradicting sheets.
+#[tokio::test]
+async fn a_minority_accepts_nothing() {
+    let mut cluster = Cluster::start(400).await;
+    assert_accepted(&command(&cluster.addresses(), "ana", "c-1", apply(sheet(1))).await);
+    cluster.take_leader().await.stop().await;
+    let (_, stopped) = cluster.replicas.pop_first().unwrap();
+    stopped.stop().await;
+    let alone = cluster.addresses()[0];
+    let body = serde_json::json!({
+        "operator": "bo", "command": "c-1", "action": apply(sheet(2)),
+    });
+    let answer = send(
+        alone,
+        Method::POST,
+        "/v1/admin/commands",
+        Some(CREDENTIAL),
+        serde_json::to_vec(&body).unwrap(),
+    )
+    .await
+    .unwrap();
+    let is_undecided = answer.status == http::StatusCode::SERVICE_UNAVAILABLE
+        || answer.status == http::StatusCode::TEMPORARY_REDIRECT;
+    assert!(is_undecided, "{}", answer.status);
+    cluster.stop().await;
+}
