--- a/hickoryspan_core/src/entry/dispatch.rs
+++ b/hickoryspan_core/src/entry/dispatch.rs
@@ -9,13 +9,14 @@
 use crate::types::{AttemptId, FailureDomain, MonotonicTime, ShardId, SnapshotVersion, TargetId};
 
 use super::engine::EngineSettings;
-use super::fleet::{Fleet, TargetIndex, WaitingRequest};
+use super::fleet::Fleet;
 use super::interface::{AttemptOrder, AttemptWork, EntryAction, EntryMeasure};
 use super::latency::LatencyQuantiles;
 use super::queries::{AttemptKind, AttemptState, PartitionStatus, QueryState};
 use super::routing::{RouteRequest, TargetRouter};
 use super::slab::{KeyedSlab, QueryKey};
 use super::snapshots::{ServiceDirectory, ServiceIndex};
+use super::targets::{TargetIndex, WaitingRequest};
 use super::timers::{TimerKey, TimerQueue};
 
 /// What became of a request for an attempt.
@@ -96,6 +97,11 @@
         self.quantiles(service).fastest.max(self.settings.queries.min_budget)
     }
 
+    /// The time that must remain for an answer of a target to return in time.
+    pub fn least_time_at(&self, target: TargetIndex) -> Duration {
+        self.fleet.target(target).return_trip() + self.settings.queries.min_budget
+    }
+
     /// Sends an attempt, or lets its partition wait for capacity.
     pub fn dispatch(
         &mut self,
@@ -111,14 +117,23 @@
         if kind.is_extra() && !self.directory.tenant_budget(query.service).allows() {
             return DispatchOutcome::NoBudget;
         }
-        if let Some(target) = self.choose(query, place.partition, kind, now) {
-            self.start(query, place, target, kind, now, actions);
-            return DispatchOutcome::Started;
-        }
-        match kind {
-            AttemptKind::Hedge | AttemptKind::Move => DispatchOutcome::NoCapacity,
-            AttemptKind::First | AttemptKind::Retry => self.enlist(query, place, kind, now),
+        let outcome = match (self.choose(query, place.partition, kind, now), kind) {
+            (Some(target), _) if query.end_at.since(now) < self.least_time_at(target) => {
+                DispatchOutcome::TooLate
+            }
+            (Some(target), _) => {
+                self.start(query, place, target, kind, now, actions);
+                DispatchOutcome::Started
+            }
+            (None, AttemptKind::Hedge | AttemptKind::Move) => DispatchOutcome::NoCapacity,
+            (None, AttemptKind::First | AttemptKind::Retry) => self.enlist(query, place, kind, now),
+        };
+        let goes_on = matches!(outcome, DispatchOutcome::Started | DispatchOutcome::Waiting);
+        if kind.is_extra() && goes_on {
+            // A waiting retry is counted now: otherwise many could wait for one token and all be sent later.
+            self.directory.tenant_budget(query.service).spend();
         }
+        outcome
     }
 
     fn choose(
@@ -129,11 +144,10 @@
         now: MonotonicTime,
     ) -> Option<TargetIndex> {
         let group = query.layout.partitions[partition as usize].group;
-        let typical = self.quantiles(query.service).median;
         let replicas = self.directory.replicas(group);
         let state = &query.partitions[partition as usize];
         let exclude = if kind == AttemptKind::First { &[] } else { state.tried() };
-        let mut request = RouteRequest { now, exclude, typical, extra: kind.is_extra() };
+        let mut request = RouteRequest { now, exclude, extra: kind.is_extra() };
         let choice = self.router.choose(&self.fleet, replicas, &request, &mut self.generator);
         if choice.is_some() || kind == AttemptKind::First || kind == AttemptKind::Hedge {
             return choice;
@@ -216,14 +230,12 @@
         kind: AttemptKind,
         former: u32,
     ) {
-        let tenant = self.directory.tenant_budget(service);
         let budget = &mut self.fleet.target_mut(target).budget;
         if kind.is_extra() {
-            tenant.spend();
             budget.spend();
         } else if former == 0 {
-            tenant.fill();
             budget.fill();
+            self.directory.tenant_budget(service).fill();
         }
     }
 
@@ -245,6 +257,9 @@
         if !self.directory.is_reachable(group, &self.fleet) {
             return DispatchOutcome::NoTarget;
         }
+        if self.queues_for(query, place.partition, kind, now).next().is_none() {
+            return DispatchOutcome::NoBudget;
+        }
         let service = self.directory.service_mut(query.service);
         if service.waiting >= self.settings.queries.max_waiting {
             return DispatchOutcome::QueueFull;
@@ -258,28 +273,49 @@
         DispatchOutcome::Waiting
     }
 
-    /// Puts a waiting partition into the queues of all its targets; it leaves them when one of them serves it.
+    /// The targets for which a partition may wait: not ejected ones, and for a retry not those already tried, if
+    /// there are others, nor those whose budget is used up.
+    fn queues_for<'a>(
+        &'a self,
+        query: &'a QueryState,
+        partition: u32,
+        kind: AttemptKind,
+        now: MonotonicTime,
+    ) -> impl Iterator<Item = TargetIndex> + 'a {
+        let replicas = self.directory.replicas(query.layout.partitions[partition as usize].group);
+        let ejects = self.router.ejects(&self.fleet, replicas, now);
+        let tried = query.partitions[partition as usize].tried();
+        let open = move |index: &TargetIndex| {
+            let target = self.fleet.target(*index);
+            target.takes_work() && !(ejects && target.health.is_unhealthy(now))
+        };
+        let untried = replicas.iter().any(|index| open(index) && !tried.contains(index));
+        replicas.iter().copied().filter(move |index| {
+            let elsewhere = untried && tried.contains(index);
+            let budget = &self.fleet.target(*index).budget;
+            open(index) && !(kind.is_extra() && (elsewhere || !budget.allows()))
+        })
+    }
+
+    /// Puts a waiting partition into the queues of its targets; it leaves them when one of them serves it.
     pub fn join_queues(&mut self, query: &QueryState, place: PartitionRef, now: MonotonicTime) {
-        let partition = place.partition as usize;
-        let sequence = query.partitions[partition].sequence;
-        let deadline = query.end_at;
+        let state = &query.partitions[place.partition as usize];
+        let PartitionStatus::Waiting(kind) = state.status else { return };
+        let (deadline, sequence) = (query.end_at, state.sequence);
         let entry =
             WaitingRequest { deadline, sequence, query: place.query, partition: place.partition };
-        let group = query.layout.partitions[partition].group;
-        let replicas = self.directory.replicas(group);
-        let ejects = self.router.ejects(&self.fleet, replicas, now);
-        for index in replicas {
-            let target = self.fleet.target_mut(*index);
-            if !target.takes_work() || (ejects && target.health.is_unhealthy(now)) {
-                continue;
-            }
-            // Entries of ended waits stay until their turn; the queue is cleared of overdue ones when it is long.
-            if target.waiting.len() >= self.settings.queries.max_waiting {
-                target.waiting.retain(|entry| entry.0.deadline > now);
+        let former = self.touched.len();
+        let mut touched = std::mem::take(&mut self.touched);
+        touched.extend(self.queues_for(query, place.partition, kind, now));
+        for index in &touched[former..] {
+            let waiting = &mut self.fleet.target_mut(*index).waiting;
+            // Entries of ended waits stay until their turn; a long queue is cleared of overdue ones.
+            if waiting.len() >= self.settings.queries.max_waiting {
+                waiting.retain(|entry| entry.0.deadline > now);
             }
-            target.waiting.push(Reverse(entry));
-            self.touched.push(*index);
+            waiting.push(Reverse(entry));
         }
+        self.touched = touched;
     }
 
     /// Notes that a partition no longer waits.
@@ -326,6 +362,19 @@
         }
     }
 
+    /// Adds the time of an unanswered attempt to the service's latencies. It is a lower bound; without it, hedges
+    /// and deadlines would hide the slow part of the distribution.
+    pub fn record_censored(&mut self, id: AttemptId, now: MonotonicTime) {
+        let Some(attempt) = self.attempts.get(id) else { return };
+        let elapsed = now.since(attempt.started);
+        let service = self.fleet.target(attempt.target).service;
+        let latency = &mut self.directory.service_mut(service).latency;
+        // Attempts sent shortly before the end say nothing about the slow part.
+        if elapsed >= latency.quantiles().median {
+            latency.record(elapsed);
+        }
+    }
+
     /// Closes a connection that has gone silent, with its attempt.
     pub fn close_silent(&mut self, id: AttemptId, actions: &mut Vec<EntryAction>) {
         let Some(attempt) = self.attempts.remove(id) else { return };
