Add the operators' command line with its settings page

Cause: operators had no program for sheets, drains, quarantine and replicas. Change: add hickoryspan-ctl with a library part. It tries the control addresses in turn, follows the redirect to the leader, repeats undecided requests with the same command id until the timeout, and ends with exit code 3 if the outcome is not known.

--- a/hickoryspan_control/src/main.rs
+++ b/hickoryspan_control/src/main.rs
@@ -2,17 +2,23 @@
 
 use std::process::ExitCode;
 
-use gumdrop::Options;
 use hickoryspan_control::{
     ControlDaemon, ControlDaemonSettings, ControlOptions, FolderRole, initialize_folder,
 };
-use hickoryspan_runtime::process::{SettingsRequest, StopSignals, accept_settings};
+use hickoryspan_runtime::process::{
+    SettingsRequest, StopSignals, accept_settings, parse_arguments,
+};
 use hickoryspan_runtime::settings::SettingsReader;
 
+const PROGRAM: &str = "hickoryspan-control";
+
 fn main() -> ExitCode {
-    let options = ControlOptions::parse_args_default_or_exit();
+    let options: ControlOptions = match parse_arguments(PROGRAM) {
+        Ok(options) => options,
+        Err(code) => return code,
+    };
     if options.version {
-        println!("hickoryspan-control {}", env!("CARGO_PKG_VERSION"));
+        println!("{PROGRAM} {}", env!("CARGO_PKG_VERSION"));
         return ExitCode::SUCCESS;
     }
     let read = ControlDaemonSettings::read(&options, SettingsReader::from_environment());
@@ -27,7 +33,7 @@
     match run(settings) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
-            spdlog::critical!("hickoryspan-control: {:#}", error);
+            spdlog::critical!("{}: {:#}", PROGRAM, error);
             ExitCode::FAILURE
         }
     }
@@ -40,7 +46,7 @@
             ExitCode::SUCCESS
         }
         Err(error) => {
-            eprintln!("hickoryspan-control: {error:#}");
+            eprintln!("{PROGRAM}: {error:#}");
             ExitCode::FAILURE
         }
     }
--- a/hickoryspan_control/src/settings.rs
+++ b/hickoryspan_control/src/settings.rs
@@ -12,7 +12,7 @@
 
 use crate::folder_setup::FolderRole;
 
-/// Flags of `hickoryspan-control`.
+/// Runs one control replica; each flag has an environment variable: --data-folder is HICKORYSPAN_DATA_FOLDER.
 #[derive(Debug, Default, Options)]
 pub struct ControlOptions {
     /// Prints the flags.
--- a/hickoryspan_ctl/src/main.rs
+++ b/hickoryspan_ctl/src/main.rs
@@ -1,2 +1,19 @@
-//! Placeholder.
-fn main() {}
+//! The operators' command line as a program.
+
+use std::process::ExitCode;
+
+use hickoryspan_ctl::arguments::parse_arguments;
+use hickoryspan_ctl::{CommandConsole, run};
+use hickoryspan_runtime::settings::SettingsReader;
+
+#[tokio::main(flavor = "current_thread")]
+async fn main() -> ExitCode {
+    let given: Vec<String> = std::env::args().skip(1).collect();
+    let arguments = match parse_arguments(&given) {
+        Ok(arguments) => arguments,
+        Err(code) => return code,
+    };
+    let mut console =
+        CommandConsole { results: Box::new(std::io::stdout()), notes: Box::new(std::io::stderr()) };
+    run(arguments, SettingsReader::from_environment(), &mut console).await.into()
+}
--- /dev/null
+++ b/hickoryspan_ctl/src/program.rs
@@ -0,0 +1,183 @@
+//! Runs one command.
+
+use std::io::Write;
+
+use hickoryspan_core::control::interface::{AdminAction, AdminCommand, AdminOutcome};
+use hickoryspan_runtime::settings::SettingsReader;
+use serde::Serialize;
+
+use crate::arguments::{CtlArguments, CtlCommand};
+use crate::changes::read_change;
+use crate::control_client::{ClientError, ControlClient};
+use crate::exit_status::ExitStatus;
+use crate::report::{outcome_text, print_result};
+use crate::settings::{CommandIdentity, CtlSettings};
+use crate::{member_commands, sheet_commands};
+
+/// Where a run writes: results for programs, notes for people.
+pub struct CommandConsole {
+    /// Tables or JSON.
+    pub results: Box<dyn Write + Send>,
+    /// Progress and errors.
+    pub notes: Box<dyn Write + Send>,
+}
+
+impl CommandConsole {
+    /// Writes a note; a closed terminal does not change the outcome of a command.
+    pub(crate) fn note(&mut self, note: impl std::fmt::Display) {
+        let _ = writeln!(self.notes, "{note}");
+    }
+}
+
+/// Why a run ended early.
+pub(crate) struct RunFailure {
+    pub(crate) status: ExitStatus,
+    pub(crate) detail: String,
+}
+
+impl RunFailure {
+    pub(crate) fn new(status: ExitStatus, detail: impl ToString) -> Self {
+        Self { status, detail: detail.to_string() }
+    }
+
+    pub(crate) fn question(error: ClientError) -> Self {
+        Self::new(error.question_status(), error)
+    }
+}
+
+impl From<anyhow::Error> for RunFailure {
+    fn from(error: anyhow::Error) -> Self {
+        Self::new(ExitStatus::WrongSettings, format!("{error:#}"))
+    }
+}
+
+/// One run with its settings.
+pub(crate) struct RunContext<'a> {
+    pub(crate) settings: CtlSettings,
+    pub(crate) client: Option<ControlClient>,
+    pub(crate) console: &'a mut CommandConsole,
+}
+
+/// What a command prints as JSON.
+#[derive(Serialize)]
+#[serde(rename_all = "snake_case")]
+struct CommandResult<'a> {
+    operator: String,
+    command: String,
+    outcome: &'a AdminOutcome,
+}
+
+impl RunContext<'_> {
+    pub(crate) fn client(&self) -> Result<&ControlClient, RunFailure> {
+        let missing = || RunFailure::new(ExitStatus::WrongSettings, "no control address is set");
+        self.client.as_ref().ok_or_else(missing)
+    }
+
+    pub(crate) fn identity(&self) -> Result<CommandIdentity, RunFailure> {
+        let missing = || RunFailure::new(ExitStatus::WrongSettings, "no operator is set");
+        self.settings.identity.clone().ok_or_else(missing)
+    }
+
+    pub(crate) fn print(
+        &mut self,
+        value: &impl Serialize,
+        text: impl FnOnce() -> String,
+    ) -> Result<(), RunFailure> {
+        Ok(print_result(self.console, self.settings.json, value, text)?)
+    }
+
+    /// Submits a command and prints its outcome, or what is known about it.
+    pub(crate) async fn submit(&mut self, action: AdminAction) -> Result<AdminOutcome, RunFailure> {
+        let CommandIdentity { operator, command } = self.identity()?;
+        self.console.note(format!("command id {command}"));
+        let command = AdminCommand { operator, command, action };
+        let outcome = match self.client()?.submit(&command).await {
+            Ok(outcome) => outcome,
+            Err(error) => {
+                let mut detail = error.to_string();
+                if error.command_status() == ExitStatus::OutcomeUnknown {
+                    detail = format!(
+                        "{detail}\nThe command may or may not have taken effect. To learn its outcome, run it again \
+                         with --operator {} --command-id {}.",
+                        command.operator, command.command
+                    );
+                }
+                return Err(RunFailure::new(error.command_status(), detail));
+            }
+        };
+        let result = CommandResult {
+            operator: command.operator.to_string(),
+            command: command.command.to_string(),
+            outcome: &outcome,
+        };
+        // The decision stands even if the result cannot be written.
+        if let Err(failure) = self.print(&result, || outcome_text(&outcome)) {
+            self.console.note(failure.detail);
+            self.console.note(outcome_text(&outcome));
+        }
+        Ok(outcome)
+    }
+}
+
+/// Runs the command that the arguments name; the status is the process's exit code.
+pub async fn run(
+    arguments: CtlArguments,
+    reader: SettingsReader,
+    console: &mut CommandConsole,
+) -> ExitStatus {
+    let prepared = CtlSettings::read(&arguments, reader);
+    let read = read_command(arguments.command);
+    // Both are reported, so that all faults show at once.
+    if let Err(fault) = &read {
+        console.note(format!("hickoryspan-ctl: {fault}"));
+    }
+    if let Err(faults) = &prepared {
+        console.note(faults.to_string().trim_end());
+    }
+    let (Ok((command, change)), Ok(settings)) = (read, prepared) else {
+        return ExitStatus::WrongSettings;
+    };
+    let client = settings.access.clone().map(ControlClient::new);
+    let mut context = RunContext { settings, client, console };
+    let ended = match change {
+        Some(action) => member_commands::change(&mut context, action).await,
+        None => run_command(&mut context, command).await,
+    };
+    match ended {
+        Ok(status) => status,
+        Err(RunFailure { status, detail }) => {
+            console.note(format!("hickoryspan-ctl: {detail}"));
+            status
+        }
+    }
+}
+
+fn read_command(command: Option<CtlCommand>) -> Result<(CtlCommand, Option<AdminAction>), String> {
+    let is_complete = match &command {
+        Some(CtlCommand::Sheet(arguments)) => arguments.command.is_some(),
+        Some(CtlCommand::Quarantine(arguments)) => arguments.command.is_some(),
+        Some(CtlCommand::Replica(arguments)) => arguments.command.is_some(),
+        Some(_) => true,
+        None => false,
+    };
+    let command = command.filter(|_| is_complete).ok_or("a subcommand is missing; see --help")?;
+    let change = read_change(&command).map_err(|error| error.to_string())?;
+    Ok((command, change))
+}
+
+async fn run_command(
+    context: &mut RunContext<'_>,
+    command: CtlCommand,
+) -> Result<ExitStatus, RunFailure> {
+    match command {
+        CtlCommand::Sheet(arguments) => sheet_commands::run(context, arguments).await,
+        CtlCommand::Targets(_) => member_commands::targets(context).await,
+        CtlCommand::History(arguments) => member_commands::history(context, arguments).await,
+        CtlCommand::Quarantine(_) => member_commands::quarantines(context).await,
+        // The others are changes and were submitted.
+        CtlCommand::Status(_)
+        | CtlCommand::Drain(_)
+        | CtlCommand::Restore(_)
+        | CtlCommand::Replica(_) => member_commands::status(context).await,
+    }
+}
