--- a/hickoryspan_core/tests/engine_connections.rs
+++ b/hickoryspan_core/tests/engine_connections.rs
@@ -97,21 +97,14 @@
 fn opens_are_limited_and_spread_when_targets_refuse() {
     let settings = EngineSettings::default();
     let mut bench = EngineBench::unopened(even_view(20, 1), settings, 3);
-    let mut rounds: Vec<Vec<u64>> = Vec::new();
     let end = bench.now + ms(10_000);
-    while bench.now < end {
-        let mut times = Vec::new();
+    loop {
         while let Some(connection) = bench.opening.first().copied() {
             bench.close(connection);
         }
-        if let Some(at) = bench.engine.next_wakeup().filter(|at| *at <= end) {
-            bench.now = bench.now.max(at);
-            bench.event(EntryEvent::Tick);
-            times.push(at.0);
-        } else {
-            bench.now = end;
-        }
-        rounds.push(times);
+        let Some(at) = bench.engine.next_wakeup().filter(|at| *at <= end) else { break };
+        bench.now = bench.now.max(at);
+        bench.event(EntryEvent::Tick);
     }
     let mut by_target: BTreeMap<_, Vec<_>> = BTreeMap::new();
     for (at, target) in &bench.opens {
--- a/hickoryspan_core/tests/engine_random.rs
+++ b/hickoryspan_core/tests/engine_random.rs
@@ -363,15 +363,9 @@
 #[rstest]
 fn searches_and_orders_stay_correct_with_faulty_targets(
     #[values(1, 2, 3, 4, 5, 6, 7, 8, 9, 10)] first: u64,
+    #[values(false, true)] view_changes: bool,
 ) {
-    (0..6).for_each(|step| drop(run(first * 100 + step, false)));
-}
-
-#[rstest]
-fn searches_and_orders_stay_correct_while_members_and_snapshots_change(
-    #[values(1, 2, 3, 4, 5, 6, 7, 8, 9, 10)] first: u64,
-) {
-    (0..6).for_each(|step| drop(run(first * 100 + 50 + step, true)));
+    (0..6).for_each(|step| drop(run(first * 100 + step, view_changes)));
 }
 
 /// A run must be repeatable from its seed, or a failure cannot be examined.
--- a/hickoryspan_core/tests/engine_tail.rs
+++ b/hickoryspan_core/tests/engine_tail.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use rand::RngExt;
@@ -11,7 +11,6 @@
 
 use hickoryspan_core::entry::engine::EngineSettings;
 use hickoryspan_core::entry::interface::EntryEvent;
-use hickoryspan_core::entry::plan::EngineReport;
 use hickoryspan_core::types::{AttemptId, CoverageShare, MonotonicTime};
 use support::*;
 
@@ -30,7 +29,7 @@
 fn run(settings: EngineSettings) -> TailStatistics {
     let mut generator = ChaCha12Rng::seed_from_u64(21);
     let mut bench = EngineBench::with_settings(even_view(SHARDS, 2), settings);
-    let mut answers: BTreeMap<(MonotonicTime, AttemptId), ()> = BTreeMap::new();
+    let mut answers: BTreeSet<(MonotonicTime, AttemptId)> = BTreeSet::new();
     let (mut latencies, mut complete) = (Vec::new(), 0);
     for _ in 0..QUERIES {
         let started = bench.now;
@@ -40,17 +39,15 @@
                 let is_slow = generator.random_range(0..100) == 0;
                 let micros = if is_slow { 60_000 } else { generator.random_range(3000..8000) };
                 let at = bench.now + Duration::from_micros(micros);
-                answers.insert((at, attempt), ());
+                answers.insert((at, attempt));
             }
             if let Some(result) = bench.result(token) {
                 complete += usize::from(result.coverage == CoverageShare::FULL);
                 break;
             }
-            let next = answers.first_key_value().map(|(key, _)| *key);
-            let wakeup = bench
-                .engine
-                .next_wakeup()
-                .filter(|at| next.is_none_or(|(answer, _)| *at <= answer));
+            let next = answers.first().copied();
+            let is_due = |at: &MonotonicTime| next.is_none_or(|(answer, _)| *at <= answer);
+            let wakeup = bench.engine.next_wakeup().filter(is_due);
             bench.now = wakeup.or(next.map(|(at, _)| at)).expect("an end").max(bench.now);
             match (wakeup, next) {
                 (None, Some(key)) => {
@@ -61,7 +58,6 @@
             }
         }
         latencies.push(bench.now.since(started));
-        bench.reports.retain(|report| matches!(report, EngineReport::Search(..)));
         bench.reports.clear();
         bench.now = bench.now + ms(2);
     }
