--- a/hickoryspan_core/tests/entry_admission.rs
+++ b/hickoryspan_core/tests/entry_admission.rs
@@ -3,8 +3,7 @@
 
 mod entry_support;
 
-use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap, VecDeque};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use entry_support::*;
@@ -26,7 +25,10 @@
 const CAPACITY: f64 = SLOTS as f64 / SERVICE_SECONDS;
 const DEADLINE: Duration = Duration::from_millis(200);
 
-/// One stream of arrivals.
+/// Resolution of the model; small against service times.
+const STEP: Duration = Duration::from_micros(500);
+
+/// One stream of arrivals; each tenant has its own pool.
 #[derive(Clone, Copy)]
 struct Stream {
     tenant: &'static str,
@@ -34,45 +36,30 @@
     rate: f64,
 }
 
-struct ModelRequest {
+struct Job {
     stream: usize,
     arrival: MonotonicTime,
     started: MonotonicTime,
+    /// Service time left; a job takes a slot as soon as one is free, in order.
+    left: Duration,
+    /// An expired job still uses its slot, but its answer is worth nothing.
+    is_expired: bool,
 }
 
-#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-enum ModelEvent {
-    Arrive(usize),
-    Finish(u64),
-    Expire(u64),
-    Wake,
-}
-
-#[derive(Default)]
-struct TargetPool {
-    busy: usize,
-    queue: VecDeque<u64>,
-}
-
-/// The model: admission in front of one pool for each tenant.
 struct QueueModel {
     admission: AdmissionControl,
     generator: ChaCha12Rng,
     streams: Vec<Stream>,
-    pools: BTreeMap<&'static str, TargetPool>,
-    stall: (MonotonicTime, MonotonicTime),
-    requests: BTreeMap<u64, ModelRequest>,
-    events: BinaryHeap<Reverse<(MonotonicTime, ModelEvent)>>,
+    next_arrivals: Vec<MonotonicTime>,
+    now: MonotonicTime,
+    stall: std::ops::Range<MonotonicTime>,
+    offered: BTreeMap<QueryToken, (usize, MonotonicTime)>,
+    jobs: Vec<Job>,
     next_token: u64,
-    wakeup: MonotonicTime,
-    /// Times at which requests of each stream ended within their deadline.
+    /// Ends of the jobs in time, by stream.
     good: Vec<Vec<MonotonicTime>>,
     hints: Vec<Duration>,
-    latencies: Vec<(MonotonicTime, Duration)>,
-}
-
-fn service(tenant: &str) -> ServiceKey {
-    ServiceKey { tenant: id(tenant), service: id("console") }
+    latencies: Vec<Duration>,
 }
 
 fn seconds(count: f64) -> MonotonicTime {
@@ -85,12 +72,12 @@
             admission: AdmissionControl::new(settings, ChaCha12Rng::seed_from_u64(seed)),
             generator: ChaCha12Rng::seed_from_u64(seed + 1),
             streams: streams.to_vec(),
-            pools: BTreeMap::new(),
-            stall: (MonotonicTime(u64::MAX), MonotonicTime(u64::MAX)),
-            requests: BTreeMap::new(),
-            events: BinaryHeap::new(),
+            next_arrivals: vec![MonotonicTime(0); streams.len()],
+            now: MonotonicTime(0),
+            stall: MonotonicTime(0)..MonotonicTime(0),
+            offered: BTreeMap::new(),
+            jobs: Vec::new(),
             next_token: 0,
-            wakeup: MonotonicTime(0),
             good: vec![Vec::new(); streams.len()],
             hints: Vec::new(),
             latencies: Vec::new(),
@@ -102,112 +89,101 @@
         Duration::from_secs_f64(-uniform.ln() * mean)
     }
 
+    fn service(&self, stream: usize) -> ServiceKey {
+        ServiceKey { tenant: id(self.streams[stream].tenant), service: id("console") }
+    }
+
     fn run(&mut self, until: f64) {
-        for stream in 0..self.streams.len() {
-            self.events.push(Reverse((MonotonicTime(0), ModelEvent::Arrive(stream))));
-        }
-        while let Some(Reverse((now, event))) = self.events.pop() {
-            if now >= seconds(until) {
-                return;
+        while self.now < seconds(until) {
+            self.now = self.now + STEP;
+            self.serve();
+            self.expire();
+            for stream in 0..self.streams.len() {
+                while self.next_arrivals[stream] <= self.now {
+                    let gap = self.exponential(1.0 / self.streams[stream].rate);
+                    self.next_arrivals[stream] = self.next_arrivals[stream] + gap;
+                    self.arrive(stream);
+                }
             }
-            match event {
-                ModelEvent::Arrive(stream) => self.arrive(now, stream),
-                ModelEvent::Finish(token) => self.finish(now, token),
-                ModelEvent::Expire(token) => self.expire(now, token),
-                ModelEvent::Wake => {}
-            }
-            while let Some(decision) = self.admission.next_decision(now) {
-                self.perform(now, decision);
-            }
-            if let Some(wakeup) = self.admission.next_wakeup()
-                && (self.wakeup <= now || wakeup < self.wakeup)
-            {
-                self.wakeup = wakeup.max(now);
-                self.events.push(Reverse((self.wakeup, ModelEvent::Wake)));
+            while let Some(decision) = self.admission.next_decision(self.now) {
+                self.perform(decision);
             }
         }
     }
 
-    fn arrive(&mut self, now: MonotonicTime, stream: usize) {
-        let Stream { tenant, priority, rate } = self.streams[stream];
-        let next = now + self.exponential(1.0 / rate);
-        self.events.push(Reverse((next, ModelEvent::Arrive(stream))));
-        let token = self.next_token;
+    fn arrive(&mut self, stream: usize) {
+        let token = QueryToken(self.next_token);
         self.next_token += 1;
-        self.requests.insert(token, ModelRequest { stream, arrival: now, started: now });
+        self.offered.insert(token, (stream, self.now));
         let request = AdmissionRequest {
-            token: QueryToken(token),
-            service: service(tenant),
-            priority,
-            deadline: now + DEADLINE,
+            token,
+            service: self.service(stream),
+            priority: self.streams[stream].priority,
+            deadline: self.now + DEADLINE,
         };
-        let decision = self.admission.arrive(now, request);
-        self.perform(now, decision);
+        let decision = self.admission.arrive(self.now, request);
+        self.perform(decision);
     }
 
-    fn perform(&mut self, now: MonotonicTime, decision: AdmissionDecision) {
+    fn perform(&mut self, decision: AdmissionDecision) {
         match decision {
             AdmissionDecision::Wait(_) => {}
             AdmissionDecision::Shed(token, hint) => {
-                self.requests.remove(&token.0);
+                self.offered.remove(&token);
                 self.hints.push(hint);
             }
             AdmissionDecision::Start(token) => {
-                let request = self.requests.get_mut(&token.0).expect("a known request");
-                request.started = now;
-                self.events
-                    .push(Reverse((request.arrival + DEADLINE, ModelEvent::Expire(token.0))));
-                let tenant = self.streams[request.stream].tenant;
-                self.pools.entry(tenant).or_default().queue.push_back(token.0);
-                self.serve(now, tenant);
+                let (stream, arrival) = self.offered.remove(&token).expect("an offered request");
+                let left = self.exponential(SERVICE_SECONDS);
+                let started = self.now;
+                self.jobs.push(Job { stream, arrival, started, left, is_expired: false });
             }
         }
     }
 
-    fn serve(&mut self, now: MonotonicTime, tenant: &'static str) {
-        loop {
-            let Some(pool) = self.pools.get_mut(tenant) else { return };
-            if pool.busy >= SLOTS {
-                return;
-            }
-            let Some(token) = pool.queue.pop_front() else { return };
-            if !self.requests.contains_key(&token) {
-                continue;
-            }
-            pool.busy += 1;
-            let mut end = now + self.exponential(SERVICE_SECONDS);
-            if now < self.stall.1 && end > self.stall.0 {
-                end = self.stall.1 + end.since(self.stall.0.max(now));
+    /// The first jobs of each pool have its slots; an expired job without a slot was cancelled before.
+    fn serve(&mut self) {
+        if self.stall.contains(&self.now) {
+            return;
+        }
+        let mut busy: BTreeMap<&str, usize> = BTreeMap::new();
+        for job in &mut self.jobs {
+            let slots = busy.entry(self.streams[job.stream].tenant).or_default();
+            *slots += 1;
+            if *slots <= SLOTS {
+                job.left = job.left.saturating_sub(STEP);
             }
-            self.events.push(Reverse((end, ModelEvent::Finish(token))));
+        }
+        let ended: Vec<Job> = self.jobs.extract_if(.., |job| job.left.is_zero()).collect();
+        for job in ended.into_iter().filter(|job| !job.is_expired) {
+            let latency = self.now.since(job.started);
+            let service = self.service(job.stream);
+            self.admission.note_latency(self.now, &service, latency);
+            self.admission.release(self.now, &service, WorkEnd::InTime, latency);
+            self.good[job.stream].push(self.now);
+            self.latencies.push(self.now.since(job.arrival));
         }
     }
 
-    /// A slot is free again; the answer of a request whose deadline passed is worth nothing.
-    fn finish(&mut self, now: MonotonicTime, token: u64) {
-        let tenant = match self.requests.remove(&token) {
-            Some(request) => {
-                let tenant = self.streams[request.stream].tenant;
-                let latency = now.since(request.started);
-                self.admission.note_latency(now, &service(tenant), latency);
-                self.admission.release(now, &service(tenant), WorkEnd::InTime, latency);
-                self.good[request.stream].push(now);
-                self.latencies.push((now, now.since(request.arrival)));
-                tenant
+    fn expire(&mut self) {
+        let mut busy: BTreeMap<&str, usize> = BTreeMap::new();
+        let mut late = Vec::new();
+        let (now, streams) = (self.now, &self.streams);
+        self.jobs.retain_mut(|job| {
+            let slots = busy.entry(streams[job.stream].tenant).or_default();
+            let is_late = now >= job.arrival + DEADLINE;
+            if is_late && !job.is_expired {
+                late.push((job.stream, now.since(job.started)));
+                job.is_expired = true;
             }
-            // One pool exists in the tests in which requests expire.
-            None => self.streams[0].tenant,
-        };
-        let pool = self.pools.get_mut(tenant).expect("a pool");
-        pool.busy -= 1;
-        self.serve(now, tenant);
-    }
-
-    fn expire(&mut self, now: MonotonicTime, token: u64) {
-        let Some(request) = self.requests.remove(&token) else { return };
-        let tenant = self.streams[request.stream].tenant;
-        let latency = now.since(request.started);
-        self.admission.release(now, &service(tenant), WorkEnd::DeadlineMissed, latency);
+            let keeps_slot = *slots < SLOTS;
+            *slots += usize::from(keeps_slot || !is_late);
+            keeps_slot || !is_late
+        });
+        for (stream, latency) in late {
+            let service = self.service(stream);
+            self.admission.release(now, &service, WorkEnd::DeadlineMissed, latency);
+        }
     }
 
     /// Requests per second that ended in time between two moments.
@@ -263,7 +239,7 @@
 #[case(2.0)]
 fn ten_seconds_of_stall_leave_no_overload(#[case] load: f64) {
     let mut model = QueueModel::new(31, AdmissionSettings::default(), &[single(load * CAPACITY)]);
-    model.stall = (seconds(20.0), seconds(30.0));
+    model.stall = seconds(20.0)..seconds(30.0);
     model.run(45.0);
     let before = model.goodput(0, 10.0, 20.0);
     let after = model.goodput(0, 33.0, 45.0);
@@ -300,9 +276,8 @@
 fn no_request_waits_longer_than_the_bound() {
     let mut model = QueueModel::new(61, AdmissionSettings::default(), &[single(5.0 * CAPACITY)]);
     model.run(20.0);
-    let mut latencies: Vec<_> = model.latencies.iter().map(|(_, latency)| *latency).collect();
-    latencies.sort_unstable();
-    let p99 = latencies[latencies.len() * 99 / 100];
+    model.latencies.sort_unstable();
+    let p99 = model.latencies[model.latencies.len() * 99 / 100];
     assert!(p99 <= DEADLINE, "p99 of served requests: {p99:?}");
     assert!(model.hints.iter().all(|hint| *hint >= millis(10)));
     let distinct: std::collections::BTreeSet<_> = model.hints.iter().collect();
--- a/hickoryspan_core/tests/entry_drain.rs
+++ b/hickoryspan_core/tests/entry_drain.rs
@@ -24,15 +24,6 @@
     }
 }
 
-fn view_of(entries: &[(&str, u16, &str)]) -> MembershipView {
-    let mut view = MembershipView::default();
-    let records = entries
-        .iter()
-        .map(|(entry, port, domain)| ViewChange::PutEntry(entry_record(entry, *port, domain)));
-    view.apply(RevisionNumber(1), records);
-    view
-}
-
 fn seven_entries() -> MembershipView {
     view_of(&[
         ("e0", 8000, "north"),
--- a/hickoryspan_core/tests/entry_quarantine.rs
+++ b/hickoryspan_core/tests/entry_quarantine.rs
@@ -43,18 +43,15 @@
     sent.iter().filter(|message| matches!(message, EntryMessage::ReportCrash { .. })).count()
 }
 
-const REFUSED: Option<(RequestOutcome, Option<ResponseReason>)> =
-    Some((RequestOutcome::NotRun, Some(ResponseReason::Quarantined)));
-
 /// Guards against a suspect that runs everywhere at once, and against a condemned one that runs at all.
 #[rstest]
 #[case::suspect(QuarantineLevel::Suspect, 600_000, None, Some(FanoutMode::Canary))]
-#[case::condemned(QuarantineLevel::Condemned, 600_000, REFUSED, None)]
+#[case::condemned(QuarantineLevel::Condemned, 600_000, refused(ResponseReason::Quarantined), None)]
 #[case::expired(QuarantineLevel::Condemned, 1000, None, Some(FanoutMode::Normal))]
 fn searches_follow_the_view(
     #[case] level: QuarantineLevel,
     #[case] lifetime: u64,
-    #[case] response: Option<(RequestOutcome, Option<ResponseReason>)>,
+    #[case] response: Option<Told>,
     #[case] mode: Option<FanoutMode>,
 ) {
     let mut bench = quarantined(level, lifetime);
@@ -84,7 +81,7 @@
     assert_eq!(crash_reports(&mut bench), 1);
     let first = bench.search();
     assert_eq!(last_mode(&bench), Some(FanoutMode::Canary));
-    assert_eq!(bench.probe_search(), REFUSED, "one canary at a time");
+    assert_eq!(bench.probe_search(), refused(ResponseReason::Quarantined), "one at a time");
     bench.report(EngineReport::CanaryPassed(fingerprint(1)));
     let cleared = EntryMessage::ClearSuspect(fingerprint(1));
     assert!(bench.sent().contains(&cleared));
