--- a/hickoryspan_core/src/entry/mod.rs
+++ b/hickoryspan_core/src/entry/mod.rs
@@ -1,5 +1,6 @@
 //! Decisions of an entry process: the request path under load and faults (`docs/design.md`, section 6).
 
+pub mod addresses;
 pub mod admission;
 mod answers;
 pub mod budgets;
@@ -9,6 +10,7 @@
 mod coverage;
 pub mod crashes;
 mod dispatch;
+pub mod drain;
 mod endings;
 pub mod engine;
 mod fleet;
@@ -23,7 +25,10 @@
 pub mod outliers;
 pub mod pacing;
 pub mod plan;
+pub mod quarantine;
 pub mod queries;
+mod requests;
+mod responses;
 pub mod routing;
 pub mod search_engine;
 pub mod session;
--- a/hickoryspan_core/tests/entry_machine.rs
+++ b/hickoryspan_core/tests/entry_machine.rs
@@ -47,8 +47,7 @@
     let token = bench.request(RequestKind::Search { pinned: None }, |request| {
         request.search = id(search);
     });
-    let response = bench.response(token).expect("a response");
-    assert_eq!((response.outcome, response.reason), (RequestOutcome::NotRun, Some(reason)));
+    assert_eq!(bench.told(token), refused(reason));
     assert!(bench.engine.script().searches.is_empty());
 }
 
@@ -57,10 +56,7 @@
 fn requests_before_the_first_view_are_not_run() {
     let mut bench = EntryBench::new(1);
     bench.answers = false;
-    let token = bench.search();
-    let response = bench.response(token).expect("a response");
-    assert_eq!(response.outcome, RequestOutcome::NotRun);
-    assert_eq!(response.reason, Some(ResponseReason::NoConfiguration));
+    assert_eq!(bench.probe_search(), refused(ResponseReason::NoConfiguration));
 }
 
 /// Guards against deadlines that exceed the class, ignore the caller, or cannot be met.
@@ -83,9 +79,7 @@
     });
     let started = bench.engine.script().searches.first().cloned();
     let Some(expected) = expected else {
-        let response = bench.response(token).expect("a response");
-        assert_eq!(response.outcome, RequestOutcome::NotRun);
-        assert_eq!(response.reason, Some(ResponseReason::Deadline));
+        assert_eq!(bench.told(token), refused(ResponseReason::Deadline));
         return assert!(started.is_none());
     };
     let (_, plan) = started.expect("a started search");
@@ -109,8 +103,20 @@
     let mut bench = EntryBench::ready(1);
     let token = bench.search();
     bench.advance(millis(1500));
-    let response = bench.response(token).expect("a response");
-    assert_eq!(response.outcome, RequestOutcome::Failed);
-    assert_eq!(response.reason, Some(ResponseReason::Deadline));
+    let failed = Some((RequestOutcome::Failed, Some(ResponseReason::Deadline)));
+    assert_eq!(bench.told(token), failed);
     assert_eq!(bench.engine.script().cancelled, [token]);
 }
+
+/// Guards against partial results that are lost because another event comes before the engine's wake-up.
+#[test]
+fn the_engine_reports_before_a_search_expires() {
+    let mut bench = EntryBench::ready(1);
+    let token = bench.search();
+    let result =
+        SearchResult { reason: Some(ResponseReason::Deadline), ..search_result(0.5, &[7]) };
+    bench.engine.script().tick_reports.push_back(EngineReport::Search(token, result));
+    bench.set_time(bench.now.monotonic + millis(1000));
+    bench.event(EntryEvent::ConnectionOpened(ConnectionId(1)));
+    assert_eq!(bench.response(token).expect("a response").outcome, RequestOutcome::Partial);
+}
