Keep idle connections to the stand-in target open

Conclusion: The failure was a race of the target's timer and the request, not a stale connection in the pool.

--- a/hickoryspan_target/src/arguments.rs
+++ b/hickoryspan_target/src/arguments.rs
@@ -74,7 +74,7 @@
     max_hits: Option<String>,
     #[options(no_short, help = "longest accepted body", meta = "BYTES")]
     body_bytes: Option<String>,
-    #[options(no_short, help = "time for headers and body of a request", meta = "TIME")]
+    #[options(no_short, help = "time for the body of a request", meta = "TIME")]
     read_time: Option<String>,
     #[options(no_short, help = "time between announcements", meta = "TIME")]
     renewal: Option<String>,
--- a/hickoryspan_target/src/listener.rs
+++ b/hickoryspan_target/src/listener.rs
@@ -7,7 +7,7 @@
 
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
@@ -129,7 +129,7 @@
     connections.spawn(async move {
         let state = &guard.0;
         tokio::time::sleep(state.settings.connection_cost).await;
-        serve_connection(stream, peer, handler, state.settings.read_time, stop).await;
+        serve_connection(stream, peer, handler, stop).await;
     });
 }
 
@@ -146,7 +146,6 @@
     stream: TcpStream,
     peer: SocketAddr,
     handler: Arc<TargetHandler>,
-    read_time: Duration,
     stop: StopTokens,
 ) {
     if let Err(error) = stream.set_nodelay(true) {
@@ -156,9 +155,9 @@
         let handler = Arc::clone(&handler);
         async move { Ok::<_, Infallible>(handler.handle(request, peer).await) }
     });
+    // Idle connections stay open: closing one just as a request arrives would look like a crash to the entry.
     let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(read_time)
+        .header_read_timeout(None)
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
     let ended = tokio::select! {
--- a/hickoryspan_target/src/settings.rs
+++ b/hickoryspan_target/src/settings.rs
@@ -57,7 +57,7 @@
     pub max_hits: u32,
     /// Longest accepted request body.
     pub body_bytes: ByteCount,
-    /// Time for the headers, and again for the body, of one request; also how long an idle connection is kept.
+    /// Time for the body of one request.
     pub read_time: Duration,
     /// Time between announcements.
     pub renewal: Duration,
@@ -97,7 +97,7 @@
             cold_factor: 1.0,
             max_hits: 3,
             body_bytes: ByteCount(256 * 1024),
-            read_time: Duration::from_secs(60),
+            read_time: Duration::from_secs(5),
             renewal: Duration::from_secs(2),
             reports_load: true,
             allow_faults: false,
