--- a/hickoryspan_core/src/entry/mod.rs
+++ b/hickoryspan_core/src/entry/mod.rs
@@ -27,6 +27,8 @@
 pub mod plan;
 pub mod quarantine;
 pub mod queries;
+mod requests;
+mod responses;
 pub mod routing;
 pub mod search_engine;
 pub mod session;
