--- a/hickoryspan_ctl/src/control_client.rs
+++ b/hickoryspan_ctl/src/control_client.rs
@@ -63,23 +63,31 @@
         /// The last fault of each address.
         detail: Arc<str>,
     },
+    /// A question was sent and no answer arrived.
+    #[error("{step}: no answer: {detail}")]
+    Unanswered {
+        /// The step that failed.
+        step: Arc<str>,
+        /// The last fault of each address.
+        detail: Arc<str>,
+    },
 }
 
 impl ClientError {
-    /// The exit status if the failed request was a command.
-    pub fn command_status(&self) -> ExitStatus {
+    /// The exit status of a run that ends with this error.
+    pub fn exit_status(&self) -> ExitStatus {
         match self {
             Self::Refused { .. } => ExitStatus::Refused,
             Self::Undecided { .. } => ExitStatus::OutcomeUnknown,
-            Self::Unreached { .. } => ExitStatus::Unreached,
+            Self::Unreached { .. } | Self::Unanswered { .. } => ExitStatus::Unreached,
         }
     }
 
-    /// The exit status if the failed request was a question, which changes nothing.
-    pub fn question_status(&self) -> ExitStatus {
+    // A question changes nothing, so that its outcome cannot be unknown.
+    fn of_question(self) -> Self {
         match self {
-            Self::Refused { .. } => ExitStatus::Refused,
-            Self::Undecided { .. } | Self::Unreached { .. } => ExitStatus::Unreached,
+            Self::Undecided { step, detail } => Self::Unanswered { step, detail },
+            other => other,
         }
     }
 }
@@ -164,7 +172,8 @@
             path: path.into(),
             body: Bytes::new(),
         };
-        let (DecidedAnswer { peer, answer }, _) = self.exchange(&request).await?;
+        let exchanged = self.exchange(&request).await.map_err(ClientError::of_question)?;
+        let DecidedAnswer { peer, answer } = exchanged.0;
         let refused = |detail: Arc<str>| ClientError::Refused { step: step.clone(), peer, detail };
         match answer.status {
             StatusCode::OK => serde_json::from_slice(&answer.body)
--- a/hickoryspan_ctl/src/member_commands.rs
+++ b/hickoryspan_ctl/src/member_commands.rs
@@ -175,5 +175,5 @@
     step: &str,
     path: impl Into<String>,
 ) -> Result<T, RunFailure> {
-    context.client()?.read(step, path).await.map_err(RunFailure::question)
+    context.client()?.read(step, path).await.map_err(RunFailure::client)
 }
--- a/hickoryspan_ctl/src/program.rs
+++ b/hickoryspan_ctl/src/program.rs
@@ -40,8 +40,8 @@
         Self { status, detail: detail.to_string() }
     }
 
-    pub(crate) fn question(error: ClientError) -> Self {
-        Self::new(error.question_status(), error)
+    pub(crate) fn client(error: ClientError) -> Self {
+        Self::new(error.exit_status(), error)
     }
 }
 
@@ -95,14 +95,14 @@
             Ok(outcome) => outcome,
             Err(error) => {
                 let mut detail = error.to_string();
-                if error.command_status() == ExitStatus::OutcomeUnknown {
+                if error.exit_status() == ExitStatus::OutcomeUnknown {
                     detail = format!(
                         "{detail}\nThe command may or may not have taken effect. To learn its outcome, run it again \
                          with --operator {} --command-id {}.",
                         command.operator, command.command
                     );
                 }
-                return Err(RunFailure::new(error.command_status(), detail));
+                return Err(RunFailure::new(error.exit_status(), detail));
             }
         };
         let result = CommandResult {
--- a/hickoryspan_ctl/src/sheet_commands.rs
+++ b/hickoryspan_ctl/src/sheet_commands.rs
@@ -201,7 +201,7 @@
         Some(number) => format!("/v1/admin/sheet?number={number}"),
         None => "/v1/admin/sheet".to_owned(),
     };
-    context.client()?.ask("read sheet", path).await.map_err(RunFailure::question)
+    context.client()?.ask("read sheet", path).await.map_err(RunFailure::client)
 }
 
 /// The file's sheet; `None` after its faults were printed.
--- a/hickoryspan_ctl/tests/undecided.rs
+++ b/hickoryspan_ctl/tests/undecided.rs
@@ -132,3 +132,12 @@
     assert_eq!(ended.status, expected, "{ended:?}");
     assert!(ended.notes.contains("missing: q-entry-3 (process 7)"), "{ended:?}");
 }
+
+// A question changes nothing; a report that its outcome is unknown makes the operator look for effects.
+#[tokio::test]
+async fn an_unanswered_question_has_no_unknown_outcome() {
+    let control = StandIn::start(vec![refusal(StatusCode::SERVICE_UNAVAILABLE)]).await;
+    let ended = ctl(&[control.address], &[SHORT, "status"]).await;
+    assert_eq!(ended.status, ExitStatus::Unreached, "{ended:?}");
+    assert!(ended.notes.contains("read status: no answer: "), "{ended:?}");
+}
