--- a/hickoryspan_core/src/entry/dispatch.rs
+++ b/hickoryspan_core/src/entry/dispatch.rs
@@ -15,10 +15,13 @@
 use super::queries::{AttemptKind, AttemptState, PartitionStatus, QueryState};
 use super::routing::{RouteRequest, TargetRouter};
 use super::slab::{KeyedSlab, QueryKey};
-use super::snapshots::{ServiceDirectory, ServiceIndex};
+use super::snapshots::{GroupIndex, ServiceDirectory, ServiceIndex};
 use super::targets::{TargetIndex, WaitingRequest};
 use super::timers::{TimerKey, TimerQueue};
 
+/// Tries to move to a connection that is known to work, before any other one will do.
+const PROVEN_MOVE_TRIES: u8 = 3;
+
 /// What became of a request for an attempt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum DispatchOutcome {
@@ -147,7 +150,11 @@
         let replicas = self.directory.replicas(group);
         let state = &query.partitions[partition as usize];
         let exclude = if kind == AttemptKind::First { &[] } else { state.tried() };
-        let mut request = RouteRequest { now, exclude, extra: kind.is_extra() };
+        let mut request = RouteRequest { now, exclude, extra: kind.is_extra(), proven_since: None };
+        if kind == AttemptKind::Move && state.move_tries <= PROVEN_MOVE_TRIES {
+            let started = |id| Some(self.attempts.get(id)?.started);
+            request.proven_since = state.running().filter_map(started).min();
+        }
         let choice = self.router.choose(&self.fleet, replicas, &request, &mut self.generator);
         if choice.is_some() || kind == AttemptKind::First || kind == AttemptKind::Hedge {
             return choice;
@@ -174,8 +181,13 @@
         actions: &mut Vec<EntryAction>,
     ) {
         let state = &mut query.partitions[place.partition as usize];
-        self.count_attempt(query.service, target, kind, state.sent + u32::from(state.not_sent));
+        let is_first = state.sent == 0 && state.not_sent == 0;
+        let group = query.layout.partitions[place.partition as usize].group;
+        if !kind.is_extra() && is_first {
+            self.fill_budgets(query.service, group);
+        }
         if kind.is_extra() {
+            self.fleet.target_mut(target).budget.spend();
             state.retries = state.retries.saturating_add(1);
             let service = self.directory.service(query.service).key.clone();
             actions.push(EntryAction::Measure(EntryMeasure::Extra { service }));
@@ -197,6 +209,8 @@
         if let Some(state) = self.attempts.get_mut(attempt) {
             state.connection = connection;
         }
+        // The target may now lack a spare connection.
+        self.touched.push(target);
         state.status = PartitionStatus::Running;
         state.add_attempt(attempt);
         state.remember(target);
@@ -223,19 +237,12 @@
         }));
     }
 
-    fn count_attempt(
-        &mut self,
-        service: ServiceIndex,
-        target: TargetIndex,
-        kind: AttemptKind,
-        former: u32,
-    ) {
-        let budget = &mut self.fleet.target_mut(target).budget;
-        if kind.is_extra() {
-            budget.spend();
-        } else if former == 0 {
-            budget.fill();
-            self.directory.tenant_budget(service).fill();
+    /// Counts a first attempt for the tenant and for every target that could have got it. A target that gets only
+    /// hedges, because others are preferred, would otherwise have no budget for them.
+    fn fill_budgets(&mut self, service: ServiceIndex, group: GroupIndex) {
+        self.directory.tenant_budget(service).fill();
+        for target in self.directory.replicas(group) {
+            self.fleet.target_mut(*target).budget.fill();
         }
     }
 
@@ -375,8 +382,16 @@
         }
     }
 
+    /// Closes the idle connections beside an attempt's one that have not worked since it was sent.
+    pub fn retire_unproven(&mut self, id: AttemptId, actions: &mut Vec<EntryAction>) {
+        let Some(attempt) = self.attempts.get(id) else { return };
+        self.fleet.retire_unproven(attempt.target, attempt.started, actions);
+        self.touched.push(attempt.target);
+    }
+
     /// Closes a connection that has gone silent, with its attempt.
     pub fn close_silent(&mut self, id: AttemptId, actions: &mut Vec<EntryAction>) {
+        self.retire_unproven(id, actions);
         let Some(attempt) = self.attempts.remove(id) else { return };
         self.fleet.close_connection(attempt.connection, actions);
         let target = self.fleet.target(attempt.target).record.target.clone();
--- a/hickoryspan_core/src/entry/queries.rs
+++ b/hickoryspan_core/src/entry/queries.rs
@@ -121,10 +121,10 @@
     pub not_sent: u8,
     /// Attempts of which a byte may have been sent.
     pub sent: u32,
-    /// Whether a hedge was considered; it is considered once.
-    pub hedge_considered: bool,
-    /// Whether a move away from a suspect connection was considered.
-    pub move_considered: bool,
+    /// How often a hedge was considered.
+    pub hedge_tries: u8,
+    /// How often a move away from silent connections was tried.
+    pub move_tries: u8,
     /// The wait that is valid now.
     pub sequence: u64,
 }
@@ -140,8 +140,8 @@
             retries: 0,
             not_sent: 0,
             sent: 0,
-            hedge_considered: false,
-            move_considered: false,
+            hedge_tries: 0,
+            move_tries: 0,
             sequence: 0,
         }
     }
--- a/hickoryspan_local/src/deployment.rs
+++ b/hickoryspan_local/src/deployment.rs
@@ -7,13 +7,17 @@
 use anyhow::{Context, bail};
 use hickoryspan_control::{ControlDaemon, ControlDaemonSettings, FolderRole, initialize_folder};
 use hickoryspan_core::control::interface::AdminOutcome;
+use hickoryspan_core::entry::machine::EntrySettings;
+use hickoryspan_core::membership::TargetRecord;
 use hickoryspan_core::sheet::SheetDocument;
-use hickoryspan_core::types::FailureDomain;
+use hickoryspan_core::types::{FailureDomain, TargetId};
 use hickoryspan_entry::{EntryDaemon, EntryDaemonSettings, EntryHandle};
+use hickoryspan_runtime::clock::start_incarnation;
 use hickoryspan_runtime::credential::SharedCredential;
 use hickoryspan_runtime::http_server::HttpLimits;
 use hickoryspan_runtime::process::LogSettings;
 use hickoryspan_sheet::{SheetReader, SheetRules};
+use hickoryspan_target::record::RunRecord;
 use hickoryspan_target::{TargetHandle, TargetServer, TargetSettings};
 use tempfile::TempDir;
 
@@ -42,6 +46,10 @@
     pub first_port: u16,
     /// Longest time for the whole start.
     pub start_timeout: Duration,
+    /// The policies of the entries.
+    pub machine: EntrySettings,
+    /// The configuration of both tenants.
+    pub sheet: Arc<SheetDocument>,
     /// Seed of all generators.
     pub seed: u64,
 }
@@ -56,17 +64,32 @@
             failure_domains: domains.into_iter().map(str::parse).collect::<Result<_, _>>()?,
             first_port: 0,
             start_timeout: Duration::from_secs(30),
+            machine: EntrySettings::default(),
+            sheet: Arc::new(example_sheet()?),
             seed: 1,
         })
     }
 }
 
+/// A target that was ended without a word.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LostTarget {
+    /// Its name.
+    pub target: TargetId,
+    /// What had run on it.
+    pub runs: Vec<RunRecord>,
+}
+
 /// A running deployment.
 pub struct LocalDeployment {
     control: ControlDaemon,
     entries: Vec<EntryHandle>,
     targets: Vec<TargetHandle>,
     operator: LocalOperator,
+    credential: SharedCredential,
+    settings: LocalSettings,
+    /// Entry processes started so far; each has its own seed.
+    started: usize,
     // Removed when the deployment is dropped.
     _folder: TempDir,
 }
@@ -109,25 +132,49 @@
                 targets.push(TargetServer::start(target).await?);
             }
         }
-        let deployment = Self { control, entries, targets, operator, _folder: folder };
-        deployment.apply_example().await?;
+        let sheet = Arc::clone(&settings.sheet);
+        let started = settings.entries;
+        let deployment = Self {
+            control,
+            entries,
+            targets,
+            operator,
+            credential,
+            settings,
+            started,
+            _folder: folder,
+        };
+        deployment.apply_sheet(sheet).await?;
         deployment.wait_in_force().await?;
         Ok(deployment)
     }
 
-    async fn apply_example(&self) -> anyhow::Result<()> {
-        let sheet = Arc::new(example_sheet()?);
-        match self.operator.apply_sheet("example-sheet", sheet).await? {
+    async fn apply_sheet(&self, sheet: Arc<SheetDocument>) -> anyhow::Result<()> {
+        match self.operator.apply_sheet("first-sheet", sheet).await? {
             AdminOutcome::Accepted { .. } => Ok(()),
-            outcome => bail!("apply example sheet: {outcome:?}"),
+            outcome => bail!("apply first sheet: {outcome:?}"),
         }
     }
 
-    async fn wait_in_force(&self) -> anyhow::Result<()> {
+    /// Starts a new process for the entry at `index` and returns the old one, which still serves; the caller drains
+    /// it. This is how a planned restart overlaps the two.
+    pub async fn replace_entry(&mut self, index: usize) -> anyhow::Result<EntryHandle> {
+        let mut settings = entry_settings(&self.settings, index, &self.control, &self.credential)?;
+        // The old process still holds the port.
+        settings.caller_address.set_port(0);
+        settings.incarnation = Some(start_incarnation());
+        settings.seed = Some(self.settings.seed.wrapping_add(1 + self.started as u64));
+        self.started += 1;
+        let entry = EntryDaemon::start(settings).await?;
+        Ok(std::mem::replace(&mut self.entries[index], entry))
+    }
+
+    /// Waits until every entry reports the newest revision; an entry that is replaced counts with both processes.
+    pub async fn wait_in_force(&self) -> anyhow::Result<()> {
         loop {
             let status = self.operator.status().await?;
             let has_targets = status.targets == self.targets.len() as u64;
-            let in_force = status.entries.len() == self.entries.len()
+            let in_force = status.entries.len() >= self.entries.len()
                 && status.entries.iter().all(|entry| entry.revision == Some(status.revision));
             if has_targets && in_force {
                 return Ok(());
@@ -136,6 +183,26 @@
         }
     }
 
+    /// Ends the selected targets without a word, as lost hosts do, and returns what had run on them.
+    pub async fn lose_targets(
+        &mut self,
+        is_lost: impl Fn(&TargetRecord) -> bool,
+    ) -> Vec<LostTarget> {
+        let targets = std::mem::take(&mut self.targets);
+        let (lost, kept): (Vec<_>, Vec<_>) =
+            targets.into_iter().partition(|target| is_lost(&target.to_record()));
+        self.targets = kept;
+        let records = lost
+            .iter()
+            .map(|target| LostTarget {
+                target: target.to_record().target,
+                runs: target.record().runs,
+            })
+            .collect();
+        futures::future::join_all(lost.into_iter().map(TargetHandle::abort)).await;
+        records
+    }
+
     /// The operator's view of the deployment.
     pub fn operator(&self) -> &LocalOperator {
         &self.operator
@@ -212,6 +279,7 @@
         failure_domain: domains[index % domains.len()].clone(),
         caller_address: SocketAddr::from((Ipv4Addr::LOCALHOST, port)),
         control_addresses: vec![control.record().peer_address],
+        machine: settings.machine.clone(),
         seed: Some(settings.seed.wrapping_add(1 + index as u64)),
         ..EntryDaemonSettings::with_credential(credential.clone())
     })
@@ -234,6 +302,10 @@
         slots: service.slots,
         connections: service.connections,
         partitions: vec![plan.partition],
+        service_time: service.service_time,
+        service_spread: service.service_spread,
+        network_delay: service.network_delay,
+        connection_cost: service.connection_cost,
         seed: settings.seed,
         ..TargetSettings::default()
     }
