Replace links between control replicas that go silent

Cause: a replica kept sending over an open connection that carried nothing any more, so that replicas whose links went silent stayed cut off from each other although new connections worked. Change: the connecting replica sends numbered probes over each link and opens a new one after four unanswered probes; the accepting replica drops a link on which nothing arrives for 10 s. A test silences open connections with a relay.

--- a/hickoryspan_control/src/link_server.rs
+++ b/hickoryspan_control/src/link_server.rs
@@ -11,7 +11,7 @@
 use hickoryspan_runtime::credential::SharedCredential;
 use hickoryspan_runtime::peer_link::{AcceptedLink, PeerLink};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Semaphore, mpsc};
+use tokio::sync::{Semaphore, mpsc, watch};
 use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
 
@@ -24,6 +24,10 @@
 pub(crate) const ENTRY_QUEUE_MESSAGES: usize = 256;
 /// Links at the same time, so that a flood of connections cannot exhaust file descriptors.
 const MAX_LINKS: usize = 4096;
+/// Answers to probes that may wait on one link.
+const PROBE_ANSWERS: usize = 8;
+/// Silence after which a replica's link is dropped, many probe intervals; it would hold one of the links for ever.
+const MAX_SILENCE: Duration = Duration::from_secs(10);
 /// Pause after a failed accept, so that a lack of file descriptors does not spin the processor.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
@@ -100,14 +104,30 @@
         .and_then(|value| value.to_str().ok())
         .and_then(|text| text.parse().ok())
         .with_context(|| format!("{peer}: header {REPLICA_HEADER} missing or wrong"))?;
-    // Answers travel over the link that this replica opens to the other one.
-    let (_sender, outgoing) = mpsc::channel::<ReplicaFrame>(1);
-    let receive = |frame| match frame {
-        ReplicaFrame::Replication(message) => {
-            inbox.try_deliver(ControlEvent::Replica(replica, message))
+    // Replication is answered over the link that this replica opens to the other one; probes over this one.
+    let (sender, outgoing) = mpsc::channel(PROBE_ANSWERS);
+    let (heard, mut last_heard) = watch::channel(());
+    let receive = |frame| {
+        heard.send_replace(());
+        match frame {
+            ReplicaFrame::Replication(message) => {
+                inbox.try_deliver(ControlEvent::Replica(replica, message))
+            }
+            ReplicaFrame::Probe(number) => {
+                // An answer that finds no room is covered by the next one.
+                let _ = sender.try_send(ReplicaFrame::ProbeAnswer(number));
+                true
+            }
+            ReplicaFrame::ProbeAnswer(_) => true,
         }
     };
-    accepted.link.pump(outgoing, receive).await
+    let silence = async {
+        while let Ok(Ok(())) = tokio::time::timeout(MAX_SILENCE, last_heard.changed()).await {}
+    };
+    tokio::select! {
+        ended = accepted.link.pump(outgoing, receive) => ended,
+        () = silence => bail!("{peer}: replica link: nothing received for {MAX_SILENCE:?}"),
+    }
 }
 
 async fn serve_entry(link: PeerLink, id: LinkId, inbox: &ControlInbox) -> anyhow::Result<()> {
--- a/hickoryspan_control/src/replica_links.rs
+++ b/hickoryspan_control/src/replica_links.rs
@@ -4,13 +4,15 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use anyhow::{Context, bail};
 use hickoryspan_core::control::raft::ReplicaMessage;
 use hickoryspan_core::types::ReplicaId;
 use hickoryspan_runtime::credential::SharedCredential;
 use hickoryspan_runtime::peer_link::PeerLink;
 use serde::{Deserialize, Serialize};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tokio::task::JoinSet;
+use tokio::time::MissedTickBehavior;
 use tokio_util::sync::CancellationToken;
 
 /// Messages that may wait for one replica; later ones are dropped, because the protocol repeats what matters.
@@ -19,6 +21,10 @@
 const MIN_RECONNECT_DELAY: Duration = Duration::from_millis(50);
 /// Longest pause after failed connections; short, because an election waits for it.
 const MAX_RECONNECT_DELAY: Duration = Duration::from_millis(500);
+/// Pause between probes, which find connections that went silent without an end.
+const PROBE_INTERVAL: Duration = Duration::from_millis(500);
+/// Unanswered probes after which a link is replaced: 2 s, so that a burst of log entries before a probe does not end it.
+const MAX_UNANSWERED_PROBES: u64 = 4;
 /// Path that a replica asks for on the peer port.
 pub(crate) const REPLICA_PATH: &str = "/v1/replica";
 /// Header that names the connecting replica.
@@ -30,6 +36,10 @@
 pub(crate) enum ReplicaFrame {
     /// A message of log replication.
     Replication(ReplicaMessage),
+    /// Asks for an answer over the same link; probes of one link are numbered from 1.
+    Probe(u64),
+    /// Answers the probe with this number and all earlier ones.
+    ProbeAnswer(u64),
 }
 
 struct ReplicaLink {
@@ -126,18 +136,47 @@
     messages: &mut mpsc::Receiver<ReplicaFrame>,
 ) -> anyhow::Result<()> {
     let (sender, outgoing) = mpsc::channel(1);
-    let pump = link.pump(outgoing, |_: ReplicaFrame| true);
-    let feed = async {
-        let mut next = Some(first);
-        while let Some(message) = next {
-            if sender.send(message).await.is_err() {
-                return;
-            }
-            next = messages.recv().await;
+    let (answered, answers) = watch::channel(0);
+    let pump = link.pump(outgoing, |frame| {
+        if let ReplicaFrame::ProbeAnswer(number) = frame {
+            answered.send_replace(number);
         }
-    };
+        true
+    });
     tokio::select! {
         ended = pump => ended,
-        () = feed => Ok(()),
+        ended = feed(first, messages, &sender, &answers) => ended,
+    }
+}
+
+async fn feed(
+    first: ReplicaFrame,
+    messages: &mut mpsc::Receiver<ReplicaFrame>,
+    sender: &mpsc::Sender<ReplicaFrame>,
+    answers: &watch::Receiver<u64>,
+) -> anyhow::Result<()> {
+    let mut ticks = tokio::time::interval(PROBE_INTERVAL);
+    // A process that was suspended sends one probe and not all that it missed.
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let (mut next, mut probes) = (Some(first), 0_u64);
+    loop {
+        if let Some(frame) = next.take() {
+            let silence = PROBE_INTERVAL * MAX_UNANSWERED_PROBES as u32;
+            let sent = tokio::time::timeout(silence, sender.send(frame)).await;
+            sent.context("the peer takes no data")?.context("the link ended")?;
+        }
+        next = tokio::select! {
+            message = messages.recv() => match message {
+                Some(message) => Some(message),
+                None => return Ok(()),
+            },
+            _ = ticks.tick() => {
+                if probes.saturating_sub(*answers.borrow()) >= MAX_UNANSWERED_PROBES {
+                    bail!("{MAX_UNANSWERED_PROBES} probes are not answered");
+                }
+                probes += 1;
+                Some(ReplicaFrame::Probe(probes))
+            }
+        };
     }
 }
--- a/hickoryspan_control/tests/support/mod.rs
+++ b/hickoryspan_control/tests/support/mod.rs
@@ -3,6 +3,8 @@
 #![allow(dead_code, reason = "each test binary uses a part of the module")]
 #![allow(clippy::unwrap_used, reason = "a failed helper has to fail its test")]
 
+pub mod relay;
+
 use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::Arc;
--- a/hickoryspan_control/tests/three_replicas.rs
+++ b/hickoryspan_control/tests/three_replicas.rs
@@ -13,6 +13,7 @@
 };
 use hickoryspan_core::types::{ReplicaId, SheetNumber};
 use http::Method;
+use support::relay::SilentRelay;
 use support::*;
 use tempfile::TempDir;
 
@@ -25,6 +26,8 @@
 struct Cluster {
     folder: TempDir,
     replicas: BTreeMap<ReplicaId, ControlDaemon>,
+    /// The relays before the peer ports of the added replicas, through which the others reach them.
+    relays: Vec<SilentRelay>,
 }
 
 impl Cluster {
@@ -33,7 +36,7 @@
         let folder = tempfile::tempdir().unwrap();
         let first = first_replica(&folder.path().join("1"), seed).await;
         let replicas = BTreeMap::from([(first.record().replica, first)]);
-        let mut cluster = Self { folder, replicas };
+        let mut cluster = Self { folder, replicas, relays: Vec::new() };
         for number in 2..=3 {
             cluster.add(number, seed).await;
         }
@@ -45,7 +48,10 @@
         let folder = self.folder.path().join(number.to_string());
         initialize_folder(&folder, FolderRole::Additional).unwrap();
         let daemon = start_replica(&folder, any_addresses(), seed + number).await;
-        let record = ReplicaRecord { voter: false, ..daemon.record().clone() };
+        let relay = SilentRelay::start(daemon.record().peer_address).await;
+        let record =
+            ReplicaRecord { peer_address: relay.address, voter: false, ..daemon.record().clone() };
+        self.relays.push(relay);
         let id = format!("add-{number}");
         let replica = record.replica;
         let outcome = command(&self.addresses(), "ana", &id, AdminAction::AddReplica(record)).await;
@@ -189,3 +195,18 @@
     assert!(is_undecided, "{}", answer.status);
     cluster.stop().await;
 }
+
+// A link that goes silent without an end would cut two replicas off for ever, although new links work.
+#[tokio::test]
+async fn replicas_find_each_other_again_after_their_links_go_silent() {
+    let cluster = Cluster::start(500).await;
+    let mut outcomes = Vec::new();
+    for number in 1..=3 {
+        cluster.relays.iter().for_each(SilentRelay::silence_open_connections);
+        let id = format!("c-{number}");
+        outcomes.push(command(&cluster.addresses(), "ana", &id, apply(sheet(number))).await);
+    }
+    outcomes.iter().for_each(assert_accepted);
+    assert_kept(&cluster.addresses(), &outcomes).await;
+    cluster.stop().await;
+}
