--- a/hickoryspan_control/src/settings.rs
+++ b/hickoryspan_control/src/settings.rs
@@ -115,7 +115,8 @@
     pub seed: Option<u64>,
 }
 
-const ADDRESS: &str = "an IP address and a port, such as 127.0.0.1:7100";
+const ADDRESS: &str =
+    "an IP address of this host that others reach, and a port, such as 127.0.0.1:7100";
 const MAX_BODY_BYTES: usize = 64 * 1024 * 1024;
 const DEFAULT_BODY_BYTES: usize = 8 * 1024 * 1024;
 const DEFAULT_CONNECTIONS: usize = 4096;
@@ -181,7 +182,9 @@
     given: Option<&str>,
     default: SocketAddr,
 ) -> SocketAddr {
-    reader.with_default(flag, given, default, ADDRESS, |_| true)
+    // The address is told to other processes, which cannot connect to a wildcard.
+    let is_reachable = |address: &SocketAddr| !address.ip().is_unspecified();
+    reader.with_default(flag, given, default, ADDRESS, is_reachable)
 }
 
 fn read_limits(options: &ControlOptions, reader: &mut SettingsReader) -> HttpLimits {
--- a/hickoryspan_control/tests/settings.rs
+++ b/hickoryspan_control/tests/settings.rs
@@ -17,7 +17,7 @@
 
 #[test]
 fn wrong_settings_are_all_named_and_end_the_process() {
-    let wrong = ["--peer-address=here", "--http-address=7101", "--initialize=again"];
+    let wrong = ["--peer-address=here", "--http-address=0.0.0.0:7101", "--initialize=again"];
     let limits = ["--max-body-bytes=1", "--max-connections=0", "--read-time=1h", "--drain-time=0s"];
     let output = run(&[wrong.as_slice(), &limits, &["--log-level=loud"]].concat());
     assert_eq!(output.status.code(), Some(2));
