--- /dev/null
+++ b/hickoryspan_load/src/capacity/fit.rs
@@ -0,0 +1,49 @@
+//! A straight line through measured points.
+
+use std::fmt;
+
+/// One measurement at one size.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct SizePoint {
+    /// The size.
+    pub size: f64,
+    /// The measured value.
+    pub value: f64,
+}
+
+/// The line of least squares.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct LineFit {
+    /// Value at size zero.
+    pub base: f64,
+    /// Growth for each unit of size.
+    pub slope: f64,
+    /// Share of the variance that the line explains; 1 is a perfect line.
+    pub quality: f64,
+}
+
+impl LineFit {
+    /// Fits the points; fewer than two different sizes give a flat line through the mean.
+    pub fn of(points: &[SizePoint]) -> Self {
+        let count = points.len().max(1) as f64;
+        let mean_size = points.iter().map(|point| point.size).sum::<f64>() / count;
+        let mean_value = points.iter().map(|point| point.value).sum::<f64>() / count;
+        let sum = |term: &dyn Fn(&SizePoint) -> f64| points.iter().map(term).sum::<f64>();
+        let spread = sum(&|point| (point.size - mean_size).powi(2));
+        if spread == 0.0 {
+            return Self { base: mean_value, slope: 0.0, quality: 0.0 };
+        }
+        let slope = sum(&|point| (point.size - mean_size) * (point.value - mean_value)) / spread;
+        let base = mean_value - slope * mean_size;
+        let total = sum(&|point| (point.value - mean_value).powi(2));
+        let rest = sum(&|point| (point.value - base - slope * point.size).powi(2));
+        let quality = if total > 0.0 { 1.0 - rest / total } else { 1.0 };
+        Self { base, slope, quality }
+    }
+}
+
+impl fmt::Display for LineFit {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{:.4} + {:.4} x size (R2 {:.4})", self.base, self.slope, self.quality)
+    }
+}
--- a/hickoryspan_load/src/lib.rs
+++ b/hickoryspan_load/src/lib.rs
@@ -3,6 +3,7 @@
 #![warn(missing_docs)]
 
 pub mod arrivals;
+pub mod capacity;
 pub mod driver;
 pub mod expectation;
 pub mod experiment;
--- a/hickoryspan_local/src/deployment.rs
+++ b/hickoryspan_local/src/deployment.rs
@@ -20,6 +20,7 @@
 use hickoryspan_target::record::RunRecord;
 use hickoryspan_target::{TargetHandle, TargetServer, TargetSettings};
 use tempfile::TempDir;
+use tokio::runtime::Handle;
 
 use crate::operator::LocalOperator;
 use crate::plan::{ServicePlan, TargetPlan, default_services};
@@ -33,6 +34,29 @@
 /// Largest accepted body of an operator's command, in bytes; a sheet as JSON is far smaller.
 const MAX_CONTROL_BODY_BYTES: usize = 8 * 1024 * 1024;
 
+/// Where the roles run; separate runtimes let their processor time be told apart by thread name.
+#[derive(Clone, Debug)]
+pub struct RoleRuntimes {
+    /// Runs the control replica.
+    pub control: Handle,
+    /// Runs the entries.
+    pub entry: Handle,
+    /// Runs the stand-in targets.
+    pub target: Handle,
+}
+
+impl RoleRuntimes {
+    /// All roles on the current runtime.
+    ///
+    /// # Panics
+    ///
+    /// Outside a runtime.
+    pub fn current() -> Self {
+        let handle = Handle::current();
+        Self { control: handle.clone(), entry: handle.clone(), target: handle }
+    }
+}
+
 /// What a local deployment runs.
 #[derive(Clone, Debug)]
 pub struct LocalSettings {
@@ -106,30 +130,36 @@
 }
 
 impl LocalDeployment {
-    /// Starts all roles, applies the example sheet and waits until it is in force everywhere.
+    /// Starts all roles, applies the sheet and waits until it is in force everywhere.
     pub async fn start(settings: LocalSettings) -> anyhow::Result<Self> {
+        Self::start_on(settings, RoleRuntimes::current()).await
+    }
+
+    /// Starts all roles on the given runtimes.
+    pub async fn start_on(settings: LocalSettings, runtimes: RoleRuntimes) -> anyhow::Result<Self> {
         let timeout = settings.start_timeout;
-        tokio::time::timeout(timeout, Self::start_roles(settings))
+        tokio::time::timeout(timeout, Self::start_roles(settings, runtimes))
             .await
             .context("start local deployment: timeout")?
     }
 
-    async fn start_roles(settings: LocalSettings) -> anyhow::Result<Self> {
+    async fn start_roles(settings: LocalSettings, runtimes: RoleRuntimes) -> anyhow::Result<Self> {
         let folder = tempfile::tempdir().context("create data folder")?;
         let credential = random_credential()?;
-        let control = start_control(&folder, &credential, settings.seed).await?;
+        let daemon = control_settings(&folder, &credential, settings.seed)?;
+        let control = spawn_on(&runtimes.control, ControlDaemon::start(daemon)).await?;
         let operator = LocalOperator::new(control.record().http_address, credential.clone());
         wait_for_leader(&operator).await;
         let mut entries = Vec::new();
         for index in 0..settings.entries {
             let daemon = entry_settings(&settings, index, &control, &credential)?;
-            entries.push(EntryDaemon::start(daemon).await?);
+            entries.push(spawn_on(&runtimes.entry, EntryDaemon::start(daemon)).await?);
         }
         let mut targets = Vec::new();
         for service in &settings.services {
             for plan in service.targets(&settings.failure_domains)? {
                 let target = target_settings(&settings, service, plan, &control, &credential);
-                targets.push(TargetServer::start(target).await?);
+                targets.push(spawn_on(&runtimes.target, TargetServer::start(target)).await?);
             }
         }
         let sheet = Arc::clone(&settings.sheet);
@@ -242,15 +272,22 @@
     }
 }
 
-async fn start_control(
+async fn spawn_on<T: Send + 'static>(
+    runtime: &Handle,
+    start: impl Future<Output = anyhow::Result<T>> + Send + 'static,
+) -> anyhow::Result<T> {
+    runtime.spawn(start).await.context("start role: the task ended")?
+}
+
+fn control_settings(
     folder: &TempDir,
     credential: &SharedCredential,
     seed: u64,
-) -> anyhow::Result<ControlDaemon> {
+) -> anyhow::Result<ControlDaemonSettings> {
     let data_folder = folder.path().join("control");
     initialize_folder(&data_folder, FolderRole::First)?;
     let any_port = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
-    ControlDaemon::start(ControlDaemonSettings {
+    Ok(ControlDaemonSettings {
         data_folder,
         initialize: None,
         peer_address: any_port,
@@ -260,7 +297,6 @@
         logs: LogSettings::default(),
         seed: Some(seed),
     })
-    .await
 }
 
 fn entry_settings(
--- a/hickoryspan_local/src/lib.rs
+++ b/hickoryspan_local/src/lib.rs
@@ -10,6 +10,6 @@
 mod plan;
 
 pub use caller::{CallerAnswer, LocalCaller};
-pub use deployment::{LocalDeployment, LocalSettings, LostTarget, example_sheet};
+pub use deployment::{LocalDeployment, LocalSettings, LostTarget, RoleRuntimes, example_sheet};
 pub use operator::LocalOperator;
 pub use plan::{FIRST_SNAPSHOT, ServicePlan, TargetPlan, default_services};
