Do not eject targets for connections that ended while idle

Cause: an attempt that was not sent counted as a failure of its target, so that five stale connections in a row ejected a healthy target. Conclusion: the new test fails without the change.

--- a/hickoryspan_core/src/entry/answers.rs
+++ b/hickoryspan_core/src/entry/answers.rs
@@ -261,7 +261,10 @@
             actions.push(EntryAction::CloseConnection(attempt.connection));
         }
         let outliers = dispatcher.settings.outliers;
-        dispatcher.fleet.target_mut(attempt.target).health.record_failure(now, &outliers);
+        // A connection that ended while it was idle says nothing about the target's health.
+        if failure != AttemptFailure::NotSent {
+            dispatcher.fleet.target_mut(attempt.target).health.record_failure(now, &outliers);
+        }
         dispatcher.touched.push(attempt.target);
         if attempt.abandoned {
             return;
--- a/hickoryspan_core/tests/engine_hedging.rs
+++ b/hickoryspan_core/tests/engine_hedging.rs
@@ -230,6 +230,23 @@
     assert_eq!(bench.target_of(attempt), "t0-0");
 }
 
+#[test]
+fn connections_that_ended_while_idle_do_not_eject_a_target() {
+    let mut bench = EngineBench::new(even_view(1, 2));
+    for _ in 0..10 {
+        bench.search_all();
+        let attempt = *bench.attempts.keys().next().unwrap();
+        assert_eq!(bench.target_of(attempt), "t0-0");
+        while let Some(attempt) = bench.attempts.keys().next().copied() {
+            match bench.target_of(attempt).as_str() {
+                "t0-0" => bench.fail(attempt, AttemptFailure::NotSent),
+                _ => bench.done(attempt),
+            }
+        }
+        bench.advance(ms(500));
+    }
+}
+
 #[test]
 fn nothing_is_ejected_when_most_targets_fail() {
     let mut bench = EngineBench::new(even_view(1, 2));
