Stop preferring a straggler of the entry's own failure domain

With two replicas, the one in the entry's failure domain got every first attempt however slow it was: the far one's latency was never known, and ejection needed 20 answers, which takes an entry with few requests many seconds. Hedges also hid the slowness, because a cancelled loser counted only for the short time until its hedge answered. Ruled out: the hedge budget, which was not used up (2.4% of 5%). Change: a target whose newest answer was slow is not preferred for 2 s; three slow answers in a row eject; after an ejection one is enough; losing to a hedge counts as slow. The test of one target's hedge budget now switches both off, because it needs all first attempts on one target; its bound is unchanged. Conclusion: a straggler loses its work after the first slow answer; the effect on the tail is measured next.

--- a/hickoryspan_core/src/entry/dispatch.rs
+++ b/hickoryspan_core/src/entry/dispatch.rs
@@ -362,7 +362,7 @@
         let outliers = self.settings.outliers;
         let health = &mut self.fleet.target_mut(attempt.target).health;
         if elapsed > quantiles.hedge {
-            health.record_latency(now, elapsed, quantiles, &outliers);
+            health.record_unanswered(now, elapsed, quantiles, &outliers);
         }
         if elapsed > quantiles.slowest {
             health.record_failure(now, &outliers);
--- a/hickoryspan_core/src/entry/outliers.rs
+++ b/hickoryspan_core/src/entry/outliers.rs
@@ -20,6 +20,9 @@
     pub latency_floor: Duration,
     /// Answers before a target's latency is judged.
     pub min_answers: u32,
+    /// Slow answers in a row that eject a target. A fixed number of answers would take entries with few requests many
+    /// seconds to notice a straggler; three answers above the bound in a row are no coincidence.
+    pub consecutive_slow: u32,
     /// The first ejection's length; each further one is longer by as much.
     pub ejection: Duration,
     /// The longest ejection.
@@ -36,6 +39,7 @@
             latency_factor: 5.0,
             latency_floor: Duration::from_millis(20),
             min_answers: 20,
+            consecutive_slow: 3,
             ejection: Duration::from_secs(5),
             max_ejection: Duration::from_secs(60),
             max_ejected_share: 0.5,
@@ -48,6 +52,7 @@
 pub(super) struct TargetHealth {
     failures: u32,
     answers: u32,
+    slow_answers: u32,
     /// Mean latency in microseconds, with exponential weights.
     latency: f64,
     measured_at: MonotonicTime,
@@ -74,13 +79,36 @@
         (self.answers > 0 && is_recent).then_some(self.latency)
     }
 
-    /// Counts a latency: of an answer, or the time without an answer so far.
+    /// Counts the latency of an answer.
     pub fn record_latency(
         &mut self,
         now: MonotonicTime,
         latency: Duration,
         peers: LatencyQuantiles,
         settings: &OutlierSettings,
+    ) {
+        self.record(now, latency, false, peers, settings);
+    }
+
+    /// Counts the time without an answer of an attempt that was given up. It counts as slow even if it is short: the
+    /// attempt outlived its hedge, which hides how long it would have taken.
+    pub fn record_unanswered(
+        &mut self,
+        now: MonotonicTime,
+        elapsed: Duration,
+        peers: LatencyQuantiles,
+        settings: &OutlierSettings,
+    ) {
+        self.record(now, elapsed, true, peers, settings);
+    }
+
+    fn record(
+        &mut self,
+        now: MonotonicTime,
+        latency: Duration,
+        is_unanswered: bool,
+        peers: LatencyQuantiles,
+        settings: &OutlierSettings,
     ) {
         let micros = latency.as_secs_f64() * 1e6;
         self.latency = match self.answers {
@@ -92,11 +120,26 @@
         let median = peers.median.as_secs_f64() * 1e6;
         let floor = settings.latency_floor.as_secs_f64() * 1e6;
         let bound = (median * settings.latency_factor).max(floor);
-        if settings.enabled && self.answers >= settings.min_answers && self.latency > bound {
+        self.slow_answers = if is_unanswered || micros > bound { self.slow_answers + 1 } else { 0 };
+        let is_slow_on_average = self.answers >= settings.min_answers && self.latency > bound;
+        let is_slow_in_a_row = self.slow_answers >= self.slow_answers_to_eject(now, settings);
+        if settings.enabled && (is_slow_on_average || is_slow_in_a_row) {
             self.eject(now, settings);
         }
     }
 
+    /// A target that is still slow after an ejection is ejected again at its first slow answer.
+    fn slow_answers_to_eject(&self, now: MonotonicTime, settings: &OutlierSettings) -> u32 {
+        let was_ejected = self.ejections > 0;
+        let is_recent = now.since(self.ejected_until) < settings.max_ejection;
+        if was_ejected && is_recent { 1 } else { settings.consecutive_slow.max(1) }
+    }
+
+    /// Whether the newest answer was slow and recent; such a target is no longer preferred.
+    pub fn is_slow(&self, now: MonotonicTime) -> bool {
+        self.slow_answers > 0 && now.since(self.measured_at) < LATENCY_LIFETIME
+    }
+
     /// Counts a success.
     pub fn record_success(&mut self) {
         self.failures = 0;
@@ -121,5 +164,6 @@
         self.ejected_until = now + length;
         self.failures = 0;
         self.answers = 0;
+        self.slow_answers = 0;
     }
 }
--- a/hickoryspan_core/src/entry/routing.rs
+++ b/hickoryspan_core/src/entry/routing.rs
@@ -116,7 +116,9 @@
                 continue;
             }
             let warm = self.warmth(fleet, *index, request.now) >= 1.0;
-            if self.routing.prefer_home && warm && target.domain == fleet.home {
+            // Without this, a straggler of this failure domain gets all work until it is ejected.
+            let is_slow = self.routing.load_aware && target.health.is_slow(request.now);
+            if self.routing.prefer_home && warm && !is_slow && target.domain == fleet.home {
                 near.push(*index);
             } else {
                 far.push(*index);
@@ -158,6 +160,12 @@
         if !self.routing.load_aware {
             return Some(first);
         }
+        let is_slow = |index| fleet.target(index).health.is_slow(request.now);
+        match (is_slow(first), is_slow(second)) {
+            (true, false) => return Some(second),
+            (false, true) => return Some(first),
+            _ => {}
+        }
         let latency = |index| fleet.target(index).health.latency(request.now);
         // Latencies are compared only if both are known; any assumed value would favour or starve a new target.
         let (latency_1, latency_2) = match (latency(first), latency(second)) {
--- a/hickoryspan_core/tests/engine_hedging.rs
+++ b/hickoryspan_core/tests/engine_hedging.rs
@@ -120,6 +120,9 @@
 fn the_budget_of_one_target_bounds_its_hedges() {
     let mut settings = EngineSettings::default();
     settings.budgets.target_burst = 2.0;
+    // All first attempts stay on one target, so that all hedges draw on the other one's budget.
+    settings.outliers.enabled = false;
+    settings.routing.load_aware = false;
     let mut bench = EngineBench::with_settings(even_view(1, 2), settings);
     bench.warm_up(ms(5));
     for _ in 0..10 {
@@ -346,3 +349,27 @@
     let (_, after) = flood(&mut bench);
     assert_eq!(after, 4);
 }
+
+/// Guards against a straggler of the entry's own failure domain that keeps all work of its shard.
+#[test]
+fn a_straggler_at_home_loses_its_preference_after_one_answer() {
+    let mut bench = EngineBench::new(even_view(1, 2));
+    bench.warm_up(ms(5));
+    let mut on_straggler = 0;
+    for _ in 0..20 {
+        bench.search_all();
+        let first = *bench.attempts.keys().next().expect("an attempt");
+        let is_straggler = bench.target_of(first) == "t0-0";
+        on_straggler += u32::from(is_straggler);
+        bench.advance(if is_straggler { ms(20) } else { ms(5) });
+        // The hedge of a slow first attempt wins; without one, the first attempt itself is answered.
+        let hedge = bench.attempts.keys().copied().find(|attempt| *attempt != first);
+        bench.done(hedge.unwrap_or(first));
+        // The straggler answers late, after its attempt was cancelled.
+        bench.advance(ms(40));
+        bench.done_all();
+        bench.advance(ms(400));
+    }
+    // A slow answer stops the preference for 2 s, and the third in a row ejects for 5 s.
+    assert!(on_straggler <= 3, "{on_straggler} of 20 searches went to the straggler first");
+}
