Name the engine's steps by their usual terms

Cause: some names and comments of the engine were figurative. Change: names, comments and test names only; no behaviour.

--- a/hickoryspan_core/src/entry/answers.rs
+++ b/hickoryspan_core/src/entry/answers.rs
@@ -151,7 +151,7 @@
     ) {
         let domain = self.dispatcher.fleet.target(attempt.target).domain;
         let Some(query) = self.queries.get_mut(attempt.query) else { return };
-        let wanted_coverage = query.wants_coverage();
+        let needed_coverage = query.needs_coverage();
         let weight = query.layout.partitions[attempt.partition as usize].weight;
         let state = &mut query.partitions[attempt.partition as usize];
         let losers = state.attempts;
@@ -161,7 +161,7 @@
         query.open -= 1;
         query.coverage.add(weight);
         query.outcomes.record_answer(domain);
-        let floor_reached = wanted_coverage && !query.wants_coverage();
+        let floor_reached = needed_coverage && !query.needs_coverage();
         let service = query.service;
         for loser in losers {
             let Some(other) = self.dispatcher.attempts.get(loser) else { continue };
@@ -298,7 +298,7 @@
             }
             AttemptFailure::ConnectionLost => {
                 query.outcomes.record_loss(domain);
-                query.judge_at = Some(now + hold);
+                query.classify_at = Some(now + hold);
                 self.wake_query(attempt.query, now + hold);
                 self.after_failure(place, ResponseReason::TargetFailure, now, actions);
             }
--- a/hickoryspan_core/src/entry/crashes.rs
+++ b/hickoryspan_core/src/entry/crashes.rs
@@ -19,7 +19,7 @@
 pub struct CrashSettings {
     /// Losses within this time belong together.
     pub window: Duration,
-    /// How long a loss waits for others before it is judged.
+    /// How long a loss waits for others before it is classified.
     pub hold: Duration,
     /// How long after a loss a new incarnation or a departure proves a crash: a lease and its announcement.
     pub evidence_lifetime: Duration,
--- a/hickoryspan_core/src/entry/endings.rs
+++ b/hickoryspan_core/src/entry/endings.rs
@@ -73,8 +73,8 @@
         now: MonotonicTime,
         actions: &mut Vec<EntryAction>,
     ) {
-        if self.queries.get(key).is_some_and(|query| query.judge_at.is_some()) {
-            self.excuse(key, now);
+        if self.queries.get(key).is_some_and(|query| query.classify_at.is_some()) {
+            self.attribute_losses(key, now);
         }
         let Some(query) = self.queries.remove(key) else { return };
         self.by_token.remove(&query.token);
--- a/hickoryspan_core/src/entry/engine.rs
+++ b/hickoryspan_core/src/entry/engine.rs
@@ -284,7 +284,7 @@
             canary,
             is_launch_pending: canary == CanaryStage::Testing,
             suspected: false,
-            judge_at: None,
+            classify_at: None,
             outcomes: DomainOutcomes::default(),
             restarted: false,
             timer_at: None,
@@ -378,7 +378,7 @@
                 continue;
             }
             match entry.key {
-                TimerKey::Query(key) => self.look(key, now, actions),
+                TimerKey::Query(key) => self.inspect(key, now, actions),
                 TimerKey::Target(index) => {
                     let dispatcher = &mut self.dispatcher;
                     let service = dispatcher.fleet.target(index).service;
@@ -389,7 +389,7 @@
                         dispatcher.directory.rebuild(service, &dispatcher.fleet);
                     }
                     dispatcher.fleet.take_timer(index, &mut dispatcher.timers);
-                    self.look_at_loss(index, now);
+                    self.inspect_loss(index, now);
                     self.dispatcher.touched.push(index);
                 }
                 TimerKey::Attempt(id) => self.handle_unanswered(id, now, actions),
--- a/hickoryspan_core/src/entry/fleet.rs
+++ b/hickoryspan_core/src/entry/fleet.rs
@@ -34,7 +34,7 @@
 pub(super) struct FleetChange {
     /// Services whose targets or their partitions changed.
     pub services: Vec<ServiceIndex>,
-    /// Targets to look after: their connections and waiting requests.
+    /// Targets to update: their connections and waiting requests.
     pub touched: Vec<TargetIndex>,
     /// Targets with a new incarnation; connections of the former one are dropped.
     pub restarted: Vec<RestartedTarget>,
@@ -533,9 +533,9 @@
         }
     }
 
-    /// Removes a request from the losses of a failure domain, because the domain was lost and not the request
-    /// to blame.
-    pub fn excuse(&mut self, domain: DomainIndex, fingerprint: &RequestFingerprint) {
+    /// Removes a request from the losses of a failure domain, because the domain was lost and the request
+    /// did not cause it.
+    pub fn remove_evidence(&mut self, domain: DomainIndex, fingerprint: &RequestFingerprint) {
         let targets = self.targets.iter_mut().filter(|target| target.domain == domain);
         for loss in targets.filter_map(|target| target.loss.as_mut()) {
             loss.fingerprints.retain(|other| other != fingerprint);
--- a/hickoryspan_core/src/entry/lifecycle.rs
+++ b/hickoryspan_core/src/entry/lifecycle.rs
@@ -12,8 +12,8 @@
 use super::slab::QueryKey;
 use super::timers::TimerKey;
 
-/// The shortest time between two looks at the partitions of a query, so that staggered attempts share one look.
-const LOOK_INTERVAL: Duration = Duration::from_millis(1);
+/// The shortest time between two inspections of a query, so that staggered attempts share one.
+const INSPECTION_INTERVAL: Duration = Duration::from_millis(1);
 
 /// Tries to hedge a sub-request while there is no capacity or budget; more would cost time when all are slow.
 const MAX_HEDGE_TRIES: u8 = 4;
@@ -67,7 +67,7 @@
                 }
             }
         }
-        self.schedule_look(key, now);
+        self.schedule_inspection(key, now);
         self.check_end(key, now, actions);
     }
 
@@ -100,7 +100,7 @@
         self.settle_outcome(place, outcome, ResponseReason::NoTarget, now);
     }
 
-    /// Ends a partition for which no attempt could be sent, or lets it wait if its search wants coverage.
+    /// Ends a partition for which no attempt could be sent, or lets it wait if its search needs coverage.
     fn settle_outcome(
         &mut self,
         place: PartitionRef,
@@ -112,7 +112,7 @@
         match outcome {
             DispatchOutcome::Started | DispatchOutcome::Waiting => {}
             DispatchOutcome::TooLate => query.fail(place.partition, ResponseReason::Deadline),
-            _ if query.wants_coverage() && query.may_retry() => {
+            _ if query.needs_coverage() && query.may_retry() => {
                 let state = &mut query.partitions[place.partition as usize];
                 state.retries = state.retries.saturating_add(1);
                 let until = now + self.dispatcher.backoff(state.retries);
@@ -120,7 +120,7 @@
             }
             _ => query.fail(place.partition, refusal_reason(outcome, cause)),
         }
-        self.schedule_look(place.query, now);
+        self.schedule_inspection(place.query, now);
     }
 
     /// Reacts to the failure of an attempt: another one within the budget, or the end of the partition.
@@ -134,17 +134,17 @@
         let max_retries = self.dispatcher.settings.hedging.max_retries;
         let Some(query) = self.queries.get_mut(place.query) else { return };
         let may_retry = query.may_retry();
-        let wants_coverage = query.wants_coverage();
-        let judged = query.judge_at.is_some();
+        let needs_coverage = query.needs_coverage();
+        let is_classifying = query.classify_at.is_some();
         let state = &mut query.partitions[place.partition as usize];
         if state.is_settled() || state.running_len() > 0 {
             return;
         }
-        if judged {
+        if is_classifying {
             state.status = PartitionStatus::Held;
             return;
         }
-        if !may_retry || (state.retries >= max_retries && !wants_coverage) {
+        if !may_retry || (state.retries >= max_retries && !needs_coverage) {
             query.fail(place.partition, cause);
         } else {
             let kind = if state.sent == 0 { AttemptKind::First } else { AttemptKind::Retry };
@@ -197,7 +197,7 @@
         self.check_end(place.query, now, actions);
     }
 
-    /// Restarts a search on a newer snapshot that promises more coverage; once, and if time allows. For a search
+    /// Restarts a search on a newer snapshot with more reachable coverage; once, and if time allows. For a search
     /// whose caller pinned the snapshot there is no newer one.
     pub(super) fn restart(
         &mut self,
@@ -236,8 +236,8 @@
         true
     }
 
-    /// Makes sure that the query is looked at when its next attempt may need a hedge, or at its end.
-    pub(super) fn schedule_look(&mut self, key: QueryKey, now: MonotonicTime) {
+    /// Makes sure that the query is inspected when its next attempt may need a hedge, or at its end.
+    pub(super) fn schedule_inspection(&mut self, key: QueryKey, now: MonotonicTime) {
         let Some(query) = self.queries.get(key) else { return };
         let dispatcher = &self.dispatcher;
         let silence = dispatcher.silence(query.service);
@@ -261,8 +261,8 @@
         }
     }
 
-    /// Looks at the partitions of a query whose timer fired.
-    pub(super) fn look(
+    /// Inspects the partitions of a query whose timer fired.
+    pub(super) fn inspect(
         &mut self,
         key: QueryKey,
         now: MonotonicTime,
@@ -274,36 +274,36 @@
             self.finish(key, ResponseReason::Deadline, now, actions);
             return;
         }
-        if query.judge_at.is_some_and(|at| at <= now) {
-            self.judge(key, now, actions);
+        if query.classify_at.is_some_and(|at| at <= now) {
+            self.classify_losses(key, now, actions);
         }
         let mut next = MonotonicTime(u64::MAX);
         let count = self.queries.get(key).map_or(0, |query| query.partitions.len() as u32);
         for partition in 0..count {
             let place = PartitionRef { query: key, partition };
-            let Some(at) = self.look_at_partition(place, now, actions) else { continue };
+            let Some(at) = self.inspect_partition(place, now, actions) else { continue };
             next = next.min(at);
         }
-        let judge_at = self.queries.get(key).and_then(|query| query.judge_at);
-        next = next.min(judge_at.unwrap_or(next));
-        self.wake_query(key, next.max(now + LOOK_INTERVAL));
+        let classify_at = self.queries.get(key).and_then(|query| query.classify_at);
+        next = next.min(classify_at.unwrap_or(next));
+        self.wake_query(key, next.max(now + INSPECTION_INTERVAL));
         self.check_end(key, now, actions);
     }
 
-    /// Does what is due for a partition; returns when to look at it again.
-    fn look_at_partition(
+    /// Does what is due for a partition; returns when to inspect it again.
+    fn inspect_partition(
         &mut self,
         place: PartitionRef,
         now: MonotonicTime,
         actions: &mut Vec<EntryAction>,
     ) -> Option<MonotonicTime> {
         let query = self.queries.get_mut(place.query)?;
-        // A restart may have replaced the partitions since the look began.
+        // A restart may have replaced the partitions since the inspection began.
         match query.partitions.get(place.partition as usize)?.status {
             PartitionStatus::Waiting(_) => {
                 let least = self.dispatcher.least_time(query.service);
                 if query.end_at.since(now) >= least {
-                    return Some(query.end_at - least + LOOK_INTERVAL);
+                    return Some(query.end_at - least + INSPECTION_INTERVAL);
                 }
                 self.dispatcher.end_wait(query, place.partition);
                 query.fail(place.partition, ResponseReason::Deadline);
@@ -311,7 +311,7 @@
             }
             PartitionStatus::Backoff(until) if until > now => Some(until),
             PartitionStatus::Backoff(_) => {
-                if query.wants_coverage() && query.may_retry() {
+                if query.needs_coverage() && query.may_retry() {
                     let sent = query.partitions[place.partition as usize].sent;
                     let kind = if sent == 0 { AttemptKind::First } else { AttemptKind::Retry };
                     let outcome = self.dispatcher.dispatch(query, place, kind, now, actions);
@@ -324,13 +324,13 @@
                 }
                 None
             }
-            PartitionStatus::Running => self.look_at_attempts(place, now, actions),
+            PartitionStatus::Running => self.inspect_attempts(place, now, actions),
             _ => None,
         }
     }
 
     /// Hedges slow attempts and closes silent connections.
-    fn look_at_attempts(
+    fn inspect_attempts(
         &mut self,
         place: PartitionRef,
         now: MonotonicTime,
@@ -344,8 +344,8 @@
         for id in query.partitions[place.partition as usize].running() {
             let started = self.dispatcher.attempts.get(id)?.started;
             if now.since(started) >= bound {
-                self.give_up_silent(place, id, now, actions);
-                return Some(now + LOOK_INTERVAL);
+                self.fail_silent(place, id, now, actions);
+                return Some(now + INSPECTION_INTERVAL);
             }
             next = next.min(started + bound);
         }
@@ -357,7 +357,7 @@
             return Some(next);
         }
         if query.partitions[place.partition as usize].running_len() == 1 {
-            next = next.min(self.look_at_hedge(place, now, actions)?);
+            next = next.min(self.inspect_hedge(place, now, actions)?);
         }
         let query = self.queries.get(place.query)?;
         let attempts = query.partitions[place.partition as usize].running();
@@ -370,7 +370,7 @@
     }
 
     /// Hedges the only attempt of a partition when it is due; returns when to try again.
-    fn look_at_hedge(
+    fn inspect_hedge(
         &mut self,
         place: PartitionRef,
         now: MonotonicTime,
@@ -431,7 +431,7 @@
     }
 
     /// Closes a connection that was silent beyond the bound.
-    fn give_up_silent(
+    fn fail_silent(
         &mut self,
         place: PartitionRef,
         id: AttemptId,
--- a/hickoryspan_core/src/entry/losses.rs
+++ b/hickoryspan_core/src/entry/losses.rs
@@ -1,4 +1,4 @@
-//! Connections lost mid-request: whether the request is to blame, and crash reports.
+//! Connections lost mid-request: whether the request caused it, and crash reports.
 
 use crate::types::{AttemptId, ConnectionId, MonotonicTime};
 
@@ -13,48 +13,49 @@
 use super::targets::TargetIndex;
 
 impl FanoutEngine {
-    /// Whether the lost connections of a query have another cause than the query; it then leaves the evidence.
-    pub(super) fn excuse(&mut self, key: QueryKey, now: MonotonicTime) -> bool {
+    /// Attributes the lost connections of a query to the loss of their failure domains, if the losses fit that, and
+    /// removes the query from the evidence of crashes; whether they did.
+    pub(super) fn attribute_losses(&mut self, key: QueryKey, now: MonotonicTime) -> bool {
         let Some(query) = self.queries.get(key) else { return false };
         let fingerprint = query.fingerprint;
         let dispatcher = &mut self.dispatcher;
         let crashes = dispatcher.settings.crashes;
         let mut outcomes = query.outcomes;
-        // An attempt that outlived the losses by the hold speaks for the query like an answer.
+        // An attempt that still runs after the hold shows, like an answer, that its target did not crash.
         for id in query.partitions.iter().flat_map(PartitionState::running) {
             let Some(attempt) = dispatcher.attempts.get(id) else { continue };
             if now.since(attempt.started) >= crashes.hold {
                 outcomes.record_answer(dispatcher.fleet.target(attempt.target).domain);
             }
         }
-        let excused = outcomes.lost_domains().all(|domain| {
+        let lost_with_domain = outcomes.lost_domains().all(|domain| {
             is_domain_loss(&dispatcher.fleet, &crashes, now, domain, &fingerprint, outcomes)
         });
-        if excused {
+        if lost_with_domain {
             for domain in outcomes.lost_domains() {
-                dispatcher.fleet.excuse(domain, &fingerprint);
+                dispatcher.fleet.remove_evidence(domain, &fingerprint);
             }
         }
-        excused
+        lost_with_domain
     }
 
-    /// Decides whether lost connections were the request's fault, after others had time to follow.
-    pub(super) fn judge(
+    /// Decides whether the request caused the lost connections, after others had time to follow.
+    pub(super) fn classify_losses(
         &mut self,
         key: QueryKey,
         now: MonotonicTime,
         actions: &mut Vec<EntryAction>,
     ) {
-        let excused = self.excuse(key, now);
+        let lost_with_domain = self.attribute_losses(key, now);
         let Some(query) = self.queries.get_mut(key) else { return };
-        query.judge_at = None;
-        query.suspected = !excused;
+        query.classify_at = None;
+        query.suspected = !lost_with_domain;
         for partition in 0..query.partitions.len() as u32 {
             let Some(query) = self.queries.get_mut(key) else { return };
             // A restart replaces the partitions.
             let Some(state) = query.partitions.get(partition as usize) else { return };
             let status = state.status;
-            if matches!(status, PartitionStatus::Waiting(_)) && !excused {
+            if matches!(status, PartitionStatus::Waiting(_)) && !lost_with_domain {
                 // A first attempt could crash one more target.
                 self.dispatcher.end_wait(query, partition);
                 query.fail(partition, ResponseReason::TargetFailure);
@@ -97,7 +98,7 @@
     }
 
     /// Reports a crash that the view confirmed, after other losses had time to follow; drops old records.
-    pub(super) fn look_at_loss(&mut self, index: TargetIndex, now: MonotonicTime) {
+    pub(super) fn inspect_loss(&mut self, index: TargetIndex, now: MonotonicTime) {
         let dispatcher = &mut self.dispatcher;
         let crashes = dispatcher.settings.crashes;
         let Some(loss) = dispatcher.fleet.target(index).loss.clone() else { return };
@@ -105,14 +106,14 @@
             dispatcher.fleet.target_mut(index).loss = None;
             return;
         }
-        let judged_at = loss.at + crashes.hold;
+        let classified_at = loss.at + crashes.hold;
         if !loss.confirmed || loss.reported {
             let ends_at = loss.at + crashes.evidence_lifetime;
             dispatcher.fleet.wake_target(index, ends_at, &mut dispatcher.timers);
             return;
         }
-        if now < judged_at {
-            dispatcher.fleet.wake_target(index, judged_at, &mut dispatcher.timers);
+        if now < classified_at {
+            dispatcher.fleet.wake_target(index, classified_at, &mut dispatcher.timers);
             return;
         }
         let target = dispatcher.fleet.target(index);
@@ -140,7 +141,7 @@
         if let Some(loss) = &mut self.dispatcher.fleet.target_mut(index).loss {
             loss.confirmed |= now.since(loss.at) <= lifetime;
         }
-        self.look_at_loss(index, now);
+        self.inspect_loss(index, now);
     }
 
     /// Drops the connections of a target's former incarnation. Requests in flight on them count as lost
@@ -179,7 +180,7 @@
                 && !query.is_order()
             {
                 query.outcomes.record_loss(domain);
-                query.judge_at = Some(now + hold);
+                query.classify_at = Some(now + hold);
                 self.wake_query(key, now + hold);
             }
             self.attempt_closed(id, now, actions);
--- a/hickoryspan_core/src/entry/outliers.rs
+++ b/hickoryspan_core/src/entry/outliers.rs
@@ -18,7 +18,7 @@
     pub latency_factor: f64,
     /// Latencies below this never eject, because differences between fast targets do no harm.
     pub latency_floor: Duration,
-    /// Answers before a target's latency is judged.
+    /// Answers before a target's latency can eject it.
     pub min_answers: u32,
     /// The first ejection's length; each further one is longer by as much.
     pub ejection: Duration,
--- a/hickoryspan_core/src/entry/queries.rs
+++ b/hickoryspan_core/src/entry/queries.rs
@@ -92,7 +92,7 @@
     Waiting(AttemptKind),
     /// An attempt runs.
     Running,
-    /// A lost connection is being judged.
+    /// It waits until a lost connection is classified.
     Held,
     /// It is tried again later.
     Backoff(MonotonicTime),
@@ -252,8 +252,8 @@
     pub is_launch_pending: bool,
     /// Whether a connection was lost mid-request; then nothing is sent again.
     pub suspected: bool,
-    /// When a lost connection is judged.
-    pub judge_at: Option<MonotonicTime>,
+    /// When a lost connection is classified as a crash or a domain loss.
+    pub classify_at: Option<MonotonicTime>,
     /// Where it was answered.
     pub outcomes: DomainOutcomes,
     /// Whether it was restarted on a newer snapshot.
@@ -270,11 +270,11 @@
 
     /// Whether more attempts may follow a failure.
     pub fn may_retry(&self) -> bool {
-        !self.is_order() && !self.suspected && self.judge_at.is_none()
+        !self.is_order() && !self.suspected && self.classify_at.is_none()
     }
 
     /// Whether it keeps trying because its coverage floor has not been reached.
-    pub fn wants_coverage(&self) -> bool {
+    pub fn needs_coverage(&self) -> bool {
         match &self.kind {
             QueryKind::Search { policy: CompletionPolicy::CoverageFirst, floor, .. } => {
                 self.coverage.share(&self.layout.base) < *floor
--- a/hickoryspan_core/src/entry/routing.rs
+++ b/hickoryspan_core/src/entry/routing.rs
@@ -11,7 +11,7 @@
 use super::outliers::OutlierSettings;
 use super::targets::TargetIndex;
 
-/// Targets of a group that are looked at; more add nothing to a choice between two.
+/// Candidates of a choice; more add nothing to a choice between two.
 const MAX_CANDIDATES: usize = 16;
 
 /// Settings of routing.
--- a/hickoryspan_core/src/entry/timers.rs
+++ b/hickoryspan_core/src/entry/timers.rs
@@ -11,7 +11,7 @@
 /// What a timer wakes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) enum TimerKey {
-    /// A search or order looks at its partitions.
+    /// A search or order inspects its partitions.
     Query(QueryKey),
     /// A target opens connections, serves waiting sub-requests or reports a crash.
     Target(TargetIndex),
--- a/hickoryspan_core/src/entry/waiting.rs
+++ b/hickoryspan_core/src/entry/waiting.rs
@@ -56,7 +56,7 @@
             dispatcher.end_wait(query, place.partition);
             if kind.is_extra() && !query.may_retry() {
                 query.partitions[place.partition as usize].status = PartitionStatus::Held;
-                if query.judge_at.is_none() {
+                if query.classify_at.is_none() {
                     query.fail(place.partition, ResponseReason::TargetFailure);
                     self.check_end(place.query, now, actions);
                 }
@@ -70,7 +70,7 @@
                 continue;
             }
             dispatcher.start(query, place, index, kind, now, actions);
-            self.schedule_look(place.query, now);
+            self.schedule_inspection(place.query, now);
         }
     }
 
--- a/hickoryspan_core/tests/engine_crashes.rs
+++ b/hickoryspan_core/tests/engine_crashes.rs
@@ -1,4 +1,5 @@
-//! Guards against requests that crash every replica, and against blaming requests for the loss of a failure domain.
+//! Guards against requests that crash every replica, and against suspecting requests because a failure domain was
+//! lost.
 
 mod support;
 
@@ -31,7 +32,7 @@
 }
 
 #[test]
-fn one_crash_is_not_excused_by_answers_of_another_domain() {
+fn one_crash_counts_as_such_despite_answers_of_another_domain() {
     let mut bench = EngineBench::new(even_view(6, 2));
     for shard in 0..3 {
         bench.view.targets.remove(&format!("t{shard}-0").parse().unwrap());
@@ -123,7 +124,7 @@
 }
 
 #[test]
-fn a_request_that_crashes_its_targets_in_all_domains_is_not_excused() {
+fn crashes_in_all_domains_do_not_count_as_a_domain_loss() {
     let mut bench = EngineBench::new(even_view(12, 3));
     // Domain 0 is preferred; with four of its targets gone, other domains run the request too.
     for shard in 0..4 {
@@ -148,7 +149,7 @@
 }
 
 #[test]
-fn the_loss_of_a_domain_neither_stops_retries_nor_accuses_requests() {
+fn the_loss_of_a_domain_neither_stops_retries_nor_yields_crash_reports() {
     let mut bench = EngineBench::new(even_view(12, 2));
     // A first search is answered, so that its targets are idle; the second spans only some shards.
     bench.search_all();
@@ -173,7 +174,7 @@
 #[rstest]
 #[case(true)]
 #[case(false)]
-fn a_request_that_runs_well_in_another_domain_is_not_blamed_for_the_loss_of_one(
+fn a_request_that_runs_in_another_domain_is_not_held_responsible_for_the_loss_of_one(
     #[case] is_answered: bool,
 ) {
     let mut bench = EngineBench::new(even_view(8, 2));
--- a/hickoryspan_core/tests/engine_hedging.rs
+++ b/hickoryspan_core/tests/engine_hedging.rs
@@ -197,7 +197,7 @@
 }
 
 #[test]
-fn an_absurd_load_report_does_no_harm() {
+fn an_implausible_load_report_is_tolerated() {
     let mut bench = EngineBench::new(even_view(1, 1));
     bench.search_all();
     let attempt = *bench.attempts.keys().next().unwrap();
--- a/hickoryspan_core/tests/support/mod.rs
+++ b/hickoryspan_core/tests/support/mod.rs
@@ -147,7 +147,7 @@
     /// Connections that wait to be opened.
     pub opening: Vec<ConnectionId>,
     pub opens: Vec<(MonotonicTime, TargetId)>,
-    /// Attempts that a test has not looked at yet.
+    /// Attempts that a test has not handled yet.
     pub fresh: Vec<AttemptId>,
     pub reports: Vec<EngineReport>,
     pub discarded: BTreeSet<AttemptId>,
