Answer conflicting orders truthfully before their claim is decided

Cause: a request with the key of an undecided order and another content was told not_run, although its content may be the one that ran through another entry. Conclusion: not_run for a conflict is told only with the claim in hand.

--- a/hickoryspan_core/src/entry/orders.rs
+++ b/hickoryspan_core/src/entry/orders.rs
@@ -258,9 +258,7 @@
         }
         if let Some(run) = self.runs.get_mut(&request.key) {
             if run.fingerprint != request.fingerprint {
-                let reply =
-                    OrderReply::without_body(RequestOutcome::NotRun, ResponseReason::Conflict);
-                effects.push(OrderEffect::Reply(token, reply));
+                effects.push(OrderEffect::Reply(token, run.conflict_reply()));
                 return;
             }
             run.waiters.push(waiter);
@@ -751,6 +749,14 @@
         self.waiters.iter().map(move |waiter| self.reply_time(waiter, margin)).chain(send_at)
     }
 
+    /// The answer to a request with the same key and another content. Only a claim that is held here proves
+    /// that the other content did not run.
+    fn conflict_reply(&self) -> OrderReply {
+        let is_held = matches!(self.phase, RunPhase::Running { .. } | RunPhase::Settling { .. });
+        let outcome = if is_held { RequestOutcome::NotRun } else { RequestOutcome::Unknown };
+        OrderReply::without_body(outcome, ResponseReason::Conflict)
+    }
+
     /// The known outcome, as told to one waiter; only the one whose request ran has the body at the driver.
     fn known_reply(&self, token: QueryToken) -> OrderReply {
         let RunPhase::Settling { primary, reply, outcome, .. } = &self.phase else {
--- a/hickoryspan_core/tests/entry_machine.rs
+++ b/hickoryspan_core/tests/entry_machine.rs
@@ -115,3 +115,17 @@
     bench.event(EntryEvent::ConnectionOpened(ConnectionId(1)));
     assert_eq!(bench.response(token).expect("a response").outcome, RequestOutcome::Partial);
 }
+
+/// Guards against a machine that an actor cannot own, or that does not connect with its own engine.
+#[test]
+fn a_machine_with_the_real_engine_connects_at_its_first_wakeup() {
+    fn assert_send(_: &impl Send) {}
+    let generator = ChaCha12Rng::seed_from_u64(1);
+    let mut machine = EntryMachine::new(identity("e0"), EntrySettings::default(), generator);
+    assert_send(&machine);
+    let now = ClockReading { monotonic: MonotonicTime(5), wall: WallTime(FULL_WALL) };
+    assert!(machine.next_wakeup().is_some_and(|wakeup| wakeup <= now.monotonic));
+    let mut actions = Vec::new();
+    machine.handle(now, EntryEvent::Tick, &mut actions);
+    assert!(matches!(actions[..], [EntryAction::ConnectControl(_)]), "{actions:?}");
+}
