--- a/hickoryspan_core/src/entry/orders.rs
+++ b/hickoryspan_core/src/entry/orders.rs
@@ -3,7 +3,6 @@
 //! See `docs/design/orders.md`.
 
 use std::collections::{BTreeMap, VecDeque};
-use std::sync::Arc;
 use std::time::Duration;
 
 use crate::membership::ServiceKey;
@@ -11,12 +10,15 @@
     ClaimKey, ClaimState, ClaimVerdict, EntryMessage, LookupVerdict, OrderOutcome, RequestOutcome,
 };
 use crate::types::{
-    AttemptId, EntryId, IncarnationNumber, MonotonicTime, QueryToken, RequestFingerprint, WallTime,
+    EntryId, IncarnationNumber, MonotonicTime, QueryToken, RequestFingerprint, WallTime,
 };
 
-use super::interface::{AnswerStatus, ResponseReason};
+use super::interface::ResponseReason;
+use super::order_run::{OrderRun, OrderWaiter, RunPhase, judge_result};
 use super::plan::{OrderPlan, OrderResult};
 
+pub use super::order_run::OrderReply;
+
 /// Settings of orders.
 #[derive(Clone, Debug)]
 pub struct OrderSettings {
@@ -69,38 +71,6 @@
     }
 }
 
-/// What a caller is told about an order.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct OrderReply {
-    /// What became of it.
-    pub outcome: RequestOutcome,
-    /// Why it is not complete.
-    pub reason: Option<ResponseReason>,
-    /// The attempt whose body the driver holds for this caller.
-    pub part: Option<AttemptId>,
-    /// The recorded body, for callers whose own request was not the one that ran.
-    pub recorded_body: Option<Arc<str>>,
-    /// Attempts that this process sent.
-    pub attempts: u32,
-}
-
-impl OrderReply {
-    /// A reply without a body.
-    pub fn without_body(outcome: RequestOutcome, reason: ResponseReason) -> Self {
-        Self { outcome, reason: Some(reason), part: None, recorded_body: None, attempts: 0 }
-    }
-
-    fn recorded(outcome: OrderOutcome) -> Self {
-        Self {
-            outcome: outcome.outcome,
-            reason: None,
-            part: None,
-            recorded_body: outcome.body,
-            attempts: 0,
-        }
-    }
-}
-
 /// What the machine does for the orders.
 #[derive(Clone, Debug, PartialEq)]
 pub enum OrderEffect {
@@ -126,46 +96,6 @@
     pub deadline: MonotonicTime,
 }
 
-#[derive(Clone, Copy, Debug)]
-struct OrderWaiter {
-    token: QueryToken,
-    deadline: MonotonicTime,
-}
-
-#[derive(Clone, Debug)]
-enum RunPhase {
-    /// Waits for control's decision; this process has not started the order.
-    Claiming { token: QueryToken, unanswered: u32, send_at: MonotonicTime },
-    /// The engine runs the only attempt.
-    Running { primary: QueryToken },
-    /// The outcome is known and is being recorded.
-    Settling {
-        primary: Option<QueryToken>,
-        reply: OrderReply,
-        outcome: OrderOutcome,
-        send_at: MonotonicTime,
-        interval: Duration,
-    },
-    /// Another process holds the claim.
-    Polling { token: QueryToken, send_at: MonotonicTime, interval: Duration },
-    /// Nobody waits any more, but a claim is unanswered: this process never starts it.
-    Abandoned {
-        token: QueryToken,
-        unanswered: u32,
-        send_at: MonotonicTime,
-        interval: Duration,
-        until: MonotonicTime,
-    },
-}
-
-#[derive(Debug)]
-struct OrderRun {
-    fingerprint: RequestFingerprint,
-    service: ServiceKey,
-    waiters: Vec<OrderWaiter>,
-    phase: RunPhase,
-}
-
 #[derive(Debug)]
 struct RecentOutcome {
     fingerprint: RequestFingerprint,
@@ -723,110 +653,3 @@
         }
     }
 }
-
-impl OrderRun {
-    /// When a waiter must be answered.
-    fn reply_time(&self, waiter: &OrderWaiter, margin: Duration) -> MonotonicTime {
-        match self.phase {
-            RunPhase::Settling { .. } => waiter.deadline - margin,
-            _ => waiter.deadline,
-        }
-    }
-
-    fn is_due(&self, now: MonotonicTime, margin: Duration) -> bool {
-        let is_over = matches!(self.phase, RunPhase::Abandoned { until, .. } if now >= until);
-        is_over || self.waiters.iter().any(|waiter| now >= self.reply_time(waiter, margin))
-    }
-
-    fn wakeups(&self, margin: Duration) -> impl Iterator<Item = MonotonicTime> + '_ {
-        let send_at = match &self.phase {
-            RunPhase::Claiming { send_at, .. }
-            | RunPhase::Settling { send_at, .. }
-            | RunPhase::Polling { send_at, .. } => Some(*send_at),
-            RunPhase::Abandoned { send_at, until, .. } => Some((*send_at).min(*until)),
-            RunPhase::Running { .. } => None,
-        };
-        self.waiters.iter().map(move |waiter| self.reply_time(waiter, margin)).chain(send_at)
-    }
-
-    /// The answer to a request with the same key and another content. Only a claim that is held here proves
-    /// that the other content did not run.
-    fn conflict_reply(&self) -> OrderReply {
-        let is_held = matches!(self.phase, RunPhase::Running { .. } | RunPhase::Settling { .. });
-        let outcome = if is_held { RequestOutcome::NotRun } else { RequestOutcome::Unknown };
-        OrderReply::without_body(outcome, ResponseReason::Conflict)
-    }
-
-    /// The known outcome, as told to one waiter; only the one whose request ran has the body at the driver.
-    fn known_reply(&self, token: QueryToken) -> OrderReply {
-        let RunPhase::Settling { primary, reply, outcome, .. } = &self.phase else {
-            return OrderReply::without_body(RequestOutcome::Unknown, ResponseReason::InProgress);
-        };
-        if *primary == Some(token) {
-            return reply.clone();
-        }
-        OrderReply { reason: reply.reason, ..OrderReply::recorded(outcome.clone()) }
-    }
-
-    /// What a waiter is told at its deadline. A claim that was sent and not answered may meet a run by
-    /// another process, so only orders without such a claim are reported as not run.
-    fn late_reply(&self, token: QueryToken, is_last: bool) -> OrderReply {
-        match &self.phase {
-            RunPhase::Claiming { unanswered: 0, .. } if is_last => {
-                let reason = ResponseReason::ControlUnavailable;
-                OrderReply::without_body(RequestOutcome::NotRun, reason)
-            }
-            RunPhase::Claiming { .. } | RunPhase::Abandoned { .. } => {
-                let reason = ResponseReason::ControlUnavailable;
-                OrderReply::without_body(RequestOutcome::Unknown, reason)
-            }
-            RunPhase::Running { .. } => OrderReply {
-                attempts: 1,
-                ..OrderReply::without_body(RequestOutcome::Unknown, ResponseReason::Deadline)
-            },
-            RunPhase::Polling { .. } => {
-                OrderReply::without_body(RequestOutcome::Unknown, ResponseReason::InProgress)
-            }
-            RunPhase::Settling { .. } => self.known_reply(token),
-        }
-    }
-}
-
-/// The outcome to record and the reply for the caller whose request ran.
-fn judge_result(result: OrderResult) -> (OrderOutcome, OrderReply) {
-    use RequestOutcome::{Complete, Failed, NotRun, Unknown};
-    match result {
-        OrderResult::NotSent(reason) => (
-            OrderOutcome { outcome: NotRun, target: None, body: None },
-            OrderReply::without_body(NotRun, reason),
-        ),
-        OrderResult::Lost { target } => (
-            OrderOutcome { outcome: Unknown, target: Some(target), body: None },
-            OrderReply {
-                attempts: 1,
-                ..OrderReply::without_body(Unknown, ResponseReason::TargetFailure)
-            },
-        ),
-        OrderResult::Answered { target, attempt, status, body } => {
-            let (outcome, reason) = match status {
-                AnswerStatus::Done => (Complete, None),
-                AnswerStatus::Error => (Failed, Some(ResponseReason::TargetFailure)),
-                AnswerStatus::Shed => (NotRun, Some(ResponseReason::Overloaded)),
-                AnswerStatus::Draining => (NotRun, Some(ResponseReason::NoTarget)),
-                AnswerStatus::Late => (NotRun, Some(ResponseReason::Deadline)),
-                // An order names no snapshot, so this answer does not fit the request it answers.
-                AnswerStatus::SnapshotGone => (Unknown, Some(ResponseReason::TargetFailure)),
-            };
-            let has_body = matches!(outcome, Complete | Failed);
-            let reply = OrderReply {
-                outcome,
-                reason,
-                part: has_body.then_some(attempt),
-                recorded_body: None,
-                attempts: 1,
-            };
-            let body = body.filter(|_| has_body);
-            (OrderOutcome { outcome, target: Some(target), body }, reply)
-        }
-    }
-}
