Make the replication tests see more planted faults

Cause: on a scratch copy, some planted faults passed all tests: a leader that counts itself before its sync, a commit of an older term's entry, a vote for a candidate with a shorter log. Waiting reads, links and announcements are no longer walked on every event.

--- a/hickoryspan_core/src/control/machine/entries.rs
+++ b/hickoryspan_core/src/control/machine/entries.rs
@@ -341,10 +341,11 @@
 
     /// Sends every welcome process the changes that it does not have.
     pub(super) fn spread_changes(&mut self, actions: &mut Vec<ControlAction>) {
-        if !self.is_serving() {
+        let view = self.state.view();
+        if !self.is_serving() || self.spread == view.revision {
             return;
         }
-        let view = self.state.view();
+        self.spread = view.revision;
         for (link, session) in &mut self.links {
             let Some(sent) = session.sent.filter(|sent| *sent != view.revision) else { continue };
             if let Some(message) = self.history.update(sent, view) {
--- a/hickoryspan_core/src/control/machine/leadership.rs
+++ b/hickoryspan_core/src/control/machine/leadership.rs
@@ -316,6 +316,10 @@
             return;
         }
         let confirmed = |ticket| self.raft.is_confirmed(ticket);
+        // Tickets never go back, so nothing is ready while the oldest one waits.
+        if leadership.reads.first().is_none_or(|(oldest, _)| !confirmed(*oldest)) {
+            return;
+        }
         let reads = std::mem::take(&mut leadership.reads);
         let (ready, waiting): (Vec<_>, Vec<_>) =
             reads.into_iter().partition(|(ticket, _)| confirmed(*ticket));
--- a/hickoryspan_core/src/control/machine/mod.rs
+++ b/hickoryspan_core/src/control/machine/mod.rs
@@ -17,7 +17,7 @@
 use super::settings::ControlSettings;
 use super::state::ReplicatedState;
 use crate::membership::ViewChange;
-use crate::types::{ClockReading, MonotonicTime, ReplicaId};
+use crate::types::{ClockReading, MonotonicTime, ReplicaId, RevisionNumber};
 use leadership::Leadership;
 
 /// One control replica; see [`super::interface`] for how it is driven.
@@ -28,6 +28,8 @@
     state: ReplicatedState,
     history: DeltaHistory,
     links: BTreeMap<LinkId, LinkSession>,
+    // The revision that every welcome link was sent.
+    spread: RevisionNumber,
     leadership: Option<Leadership>,
     drain_until: Option<MonotonicTime>,
     stopped: bool,
@@ -56,6 +58,7 @@
             state: ReplicatedState::default(),
             history,
             links: BTreeMap::new(),
+            spread: RevisionNumber(0),
             leadership: None,
             drain_until: None,
             stopped: false,
--- a/hickoryspan_core/src/control/machine/targets.rs
+++ b/hickoryspan_core/src/control/machine/targets.rs
@@ -77,12 +77,15 @@
     pub(super) fn propose_announcements(&mut self, now: ClockReading) {
         loop {
             let Some(leadership) = &mut self.leadership else { return };
+            if leadership.announcements.is_empty() {
+                return;
+            }
             let waiters = leadership.waiters.values();
             let running = waiters
                 .filter(|waiter| matches!(waiter, CommandWaiter::Announcements(_)))
                 .take(MAX_ANNOUNCEMENT_COMMANDS)
                 .count();
-            if leadership.announcements.is_empty() || running >= MAX_ANNOUNCEMENT_COMMANDS {
+            if running >= MAX_ANNOUNCEMENT_COMMANDS {
                 return;
             }
             let mut records = Vec::new();
--- a/hickoryspan_core/tests/control_replication.rs
+++ b/hickoryspan_core/tests/control_replication.rs
@@ -7,7 +7,7 @@
 
 use control_support::*;
 use hickoryspan_core::control::interface::*;
-use hickoryspan_core::control::raft::{ReplicaBody, ReplicaMessage};
+use hickoryspan_core::control::raft::{LogPosition, ReplicaBody, ReplicaMessage};
 use hickoryspan_core::messages::*;
 use hickoryspan_core::types::*;
 use rstest::rstest;
@@ -87,6 +87,24 @@
     assert_sound(&cluster);
 }
 
+// A leader that counts its own copy before it is durable commits what one lost host takes away.
+#[test]
+fn a_leader_counts_itself_only_after_its_sync() {
+    let mut cluster = Cluster::voting(26, 3, |_| {});
+    let leader = cluster.await_leader();
+    let cut_off = cluster.up().into_iter().find(|id| *id != leader).unwrap();
+    cluster.isolate(cut_off);
+    cluster.nodes.get_mut(&leader).unwrap().disk_free_at = cluster.now + 300_000;
+    let token = ReplyToken(cluster.token());
+    let command = command("rosa", "c1", apply_sheet(1, "monday"));
+    cluster.handle(leader, ControlEvent::Admin(token, Box::new(command)));
+    cluster.run(Duration::from_millis(250));
+    assert_eq!(cluster.reply(token), None);
+    cluster.run(Duration::from_millis(100));
+    assert!(matches!(cluster.reply(token), Some(ControlReply::Admin(_))));
+    assert_sound(&cluster);
+}
+
 // A replica whose disk is empty has forgotten its votes, so it must not give any.
 #[test]
 fn an_empty_disk_never_votes() {
@@ -108,6 +126,30 @@
     assert_eq!(cluster.machine(replica(2)).raft().term(), TermNumber(0));
 }
 
+// A leader without an accepted sheet would revert it, also if another leader asked it to stand.
+#[test]
+fn a_candidate_with_a_shorter_log_gets_no_vote() {
+    let mut cluster = Cluster::voting(27, 3, |_| {});
+    assert!(accepted(&cluster.admin("rosa", apply_sheet(1, "monday"))));
+    let leader = cluster.await_leader();
+    let voter = cluster.up().into_iter().find(|id| *id != leader).unwrap();
+    let candidate = cluster.up().into_iter().find(|id| ![leader, voter].contains(id)).unwrap();
+    cluster.isolate(leader);
+    let last = LogPosition { term: TermNumber(1), index: LogIndex(1) };
+    let message = ReplicaMessage {
+        term: TermNumber(40),
+        address: record(candidate).peer_address,
+        founder: Some(replica(1)),
+        body: ReplicaBody::Vote { last, transfer: true },
+    };
+    cluster.handle(voter, ControlEvent::Replica(candidate, message));
+    let machine = cluster.machine(voter);
+    assert_eq!(machine.raft().term(), TermNumber(40));
+    cluster.run(Duration::from_millis(20));
+    let disk = &cluster.nodes[&voter].disk.state.hard_state;
+    assert_eq!(*disk, HardState { term: TermNumber(40), voted_for: None });
+}
+
 // A removed replica that still runs must not depose the leader with ever newer terms.
 #[test]
 fn a_removed_replica_does_not_disturb() {
