Close a released link without a refusal, and pledge later after a start

Cause: an entry that released its ordinal was told that its lease had ended; a replica that restarted could pledge at once although it had just acknowledged its leader. Change: a released link is only closed; the first pledge after a start waits for the shortest election timeout. Tests cover drains of entries, expiry per failure domain, older processes and operators' questions.

--- a/hickoryspan_core/src/control/machine/entries.rs
+++ b/hickoryspan_core/src/control/machine/entries.rs
@@ -273,6 +273,7 @@
         if let (Some(leadership), Ok(index)) = (&mut self.leadership, index) {
             leadership.entry_expiry = index;
             leadership.expiring.insert(process);
+            self.links.remove(&link);
         }
     }
 
--- a/hickoryspan_core/src/control/machine/leadership.rs
+++ b/hickoryspan_core/src/control/machine/leadership.rs
@@ -294,7 +294,6 @@
                 self.answer_registration(now.monotonic, link, result, actions);
             }
             (CommandWaiter::Release(link), _) => {
-                self.links.remove(&link);
                 actions.push(ControlAction::CloseLink(link));
             }
             (CommandWaiter::Claim(link, token), CommandOutcome::Claimed(verdict)) => {
--- a/hickoryspan_core/src/control/raft/node.rs
+++ b/hickoryspan_core/src/control/raft/node.rs
@@ -297,6 +297,8 @@
         if !set.is_empty() {
             // The former process may have given a pledge just before it ended.
             self.pledged_until = now + self.settings.pledge;
+            // It may also have acknowledged its leader just before.
+            self.pledges_from = now + self.settings.election_min;
         }
         self.reset_election(now);
     }
--- a/hickoryspan_core/tests/control_single.rs
+++ b/hickoryspan_core/tests/control_single.rs
@@ -285,7 +285,9 @@
     let messages = cluster.send(link, claim("c", 2));
     let refused = ClaimVerdict::Unavailable;
     assert_eq!(messages, [ControlMessage::ClaimAnswer { token: QueryToken(2), verdict: refused }]);
-    cluster.send(link, EntryMessage::Release);
+    assert!(cluster.send(link, EntryMessage::Release).is_empty());
+    let closed = |(_, action): &(_, ControlAction)| matches!(action, ControlAction::CloseLink(other) if *other == link);
+    assert!(cluster.outputs.iter().any(closed));
     let (link, messages) = cluster.join("e2", 1);
     assert!(matches!(messages[..], [ControlMessage::Welcome { .. }]));
     assert!(settled_unknown(&lookup(&mut cluster, link, "a")));
@@ -445,3 +447,85 @@
     let refused = replies.filter(|reply| matches!(reply, ControlReply::Unavailable { .. })).count();
     assert!((1..20).contains(&refused), "{refused} of 20 were refused");
 }
+
+// Targets that are lost together must not leave in one sweep, or a fault on this side empties a domain.
+#[test]
+fn a_sweep_removes_few_targets_of_one_failure_domain() {
+    let mut cluster = Cluster::new(12, 1, |settings| settings.max_expiries_per_domain = 1);
+    let names: Vec<String> = (0..5).map(|number| format!("t{number}")).collect();
+    names.iter().for_each(|name| drop(cluster.announce(&target(name, 1, 1))));
+    let mut counts = Vec::new();
+    for _ in 0..80 {
+        cluster.run(Duration::from_millis(100));
+        names[2..].iter().for_each(|name| drop(cluster.announce(&target(name, 1, 1))));
+        counts.push(cluster.machine(replica(1)).state().view().targets.len());
+    }
+    counts.dedup();
+    assert_eq!(counts, [5, 4, 3]);
+}
+
+fn entry_draining(cluster: &Cluster) -> Vec<bool> {
+    let view = cluster.machine(replica(1)).state().view();
+    let processes = view.entries.values().flat_map(|processes| processes.values());
+    processes.map(|record| record.draining).collect()
+}
+
+// An entry that is stopping must leave address answers; an operator's drain must outlive its process.
+#[test]
+fn an_entry_drains_by_itself_or_by_an_operator() {
+    let mut cluster = single();
+    let (link, _) = cluster.join("e1", 1);
+    let report = |sequence, draining| match renewal(sequence) {
+        EntryMessage::Renew { sequence, revision, digest, demand, .. } => {
+            EntryMessage::Renew { sequence, revision, digest, draining, demand }
+        }
+        other => other,
+    };
+    cluster.send(link, report(1, true));
+    assert_eq!(entry_draining(&cluster), [true]);
+    cluster.send(link, report(2, false));
+    assert_eq!(entry_draining(&cluster), [false]);
+    let entry: EntryId = "e1".parse().unwrap();
+    cluster.admin("rosa", AdminAction::DrainEntry(entry.clone()));
+    cluster.send(link, report(3, false));
+    cluster.join("e1", 2);
+    assert_eq!(entry_draining(&cluster), [true, true]);
+    cluster.admin("rosa", AdminAction::RestoreEntry(entry.clone()));
+    assert_eq!(entry_draining(&cluster), [false, false]);
+    let again = cluster.admin("rosa", AdminAction::RestoreEntry(entry));
+    assert!(matches!(again, AdminOutcome::Rejected(_)));
+}
+
+// An older process that joins after its successor would take an ordinal that nobody frees in time.
+#[test]
+fn an_older_process_does_not_join_after_a_newer_one() {
+    let mut cluster = single();
+    cluster.join("e1", 2);
+    let (_, messages) = cluster.join("e1", 1);
+    assert!(matches!(messages[..], [ControlMessage::Refused(_)]), "{messages:?}");
+    let (_, messages) = cluster.join("e1", 2);
+    let [ControlMessage::Welcome { ordinal, .. }] = messages[..] else { panic!("{messages:?}") };
+    assert_eq!(ordinal, OrdinalNumber(0), "the process did not keep its ordinal");
+}
+
+// Operators must see who decided what, and the sheet that is in force.
+#[test]
+fn operators_can_read_sheets_history_and_domains() {
+    let mut cluster = single();
+    cluster.announce(&target("t1", 1, 1));
+    cluster.admin_as("rosa", "c1", apply_sheet(3, "monday"));
+    let drained = cluster.admin_as("ingrid", "c2", AdminAction::DrainDomain("a".parse().unwrap()));
+    assert!(matches!(drained, AdminOutcome::Accepted { .. }));
+    let unknown = cluster.admin("ingrid", AdminAction::DrainDomain("z".parse().unwrap()));
+    assert!(matches!(unknown, AdminOutcome::Rejected(_)));
+    let history = AdminQuery::History { limit: 2 };
+    let reply = cluster.ask(|token| ControlEvent::Query(token, history.clone()));
+    let ControlReply::History(records) = reply else { panic!("{reply:?}") };
+    assert_eq!(records.len(), 2);
+    assert_eq!(records[1].operator.as_str(), "ingrid");
+    assert_eq!(&*records[1].summary, "drain failure domain a");
+    let reply = cluster.ask(|token| ControlEvent::Query(token, AdminQuery::Sheet(None)));
+    assert_eq!(reply, ControlReply::Sheet(Some(sheet(3, "monday"))));
+    let reply = cluster.ask(|token| ControlEvent::Query(token, AdminQuery::Targets));
+    assert!(matches!(reply, ControlReply::Targets(targets) if targets.len() == 1));
+}
