Hand over before a leader is removed, and keep voters until successors vote

The set had also shrunk to two voters while the replacements were still learners. Change: a leader never proposes its own removal but hands leadership over first, with a time limit; a voter that answers is removed only when every wanted learner votes.

--- a/hickoryspan_core/src/control/machine/leadership.rs
+++ b/hickoryspan_core/src/control/machine/leadership.rs
@@ -439,8 +439,9 @@
     }
 
     pub(super) fn begin_drain(&mut self, now: MonotonicTime) {
-        self.drain_until = Some(now + self.settings.drain_timeout);
-        self.raft.start_transfer();
+        let until = now + self.settings.drain_timeout;
+        self.drain_until = Some(until);
+        self.raft.start_transfer(until);
     }
 
     /// Whether a planned stop is complete: another replica leads, or this one cannot hand over and
--- a/hickoryspan_core/src/control/machine/mod.rs
+++ b/hickoryspan_core/src/control/machine/mod.rs
@@ -271,7 +271,16 @@
         // A learner that is silent would only enlarge the majority.
         let caught_up =
             |replica| self.raft.matched(replica) >= commit && self.raft.is_heard(replica, now);
-        let Some(next) = set.next_change(self.state.replicas(), caught_up) else { return };
+        let identity = self.raft.identity();
+        let heard = |replica| replica == identity || self.raft.is_heard(replica, now);
+        let next = set.next_change(identity, self.state.replicas(), caught_up, heard);
+        let Some(next) = next else { return };
+        if !next.is_voter(identity) {
+            // The next leader removes this one. If this leader alone had the entry that removes it, it would
+            // not stand after a restart, and its longer log would keep the others from winning.
+            self.raft.start_transfer(now + self.settings.drain_timeout);
+            return;
+        }
         // A refusal is not final: the change follows from the state and is proposed again.
         let _ = self.raft.propose_replicas(next);
     }
--- a/hickoryspan_core/src/control/raft/election.rs
+++ b/hickoryspan_core/src/control/raft/election.rs
@@ -234,6 +234,7 @@
             heartbeat_at: now,
             heard_quorum_at: now,
             transfer_to: None,
+            transfer_until: now,
             uncommitted_bytes: uncommitted,
         }));
         let payload = self.opening_payload();
--- a/hickoryspan_core/src/control/raft/node.rs
+++ b/hickoryspan_core/src/control/raft/node.rs
@@ -56,6 +56,7 @@
     pub heartbeat_at: MonotonicTime,
     pub heard_quorum_at: MonotonicTime,
     pub transfer_to: Option<ReplicaId>,
+    pub transfer_until: MonotonicTime,
     pub uncommitted_bytes: u64,
 }
 
--- a/hickoryspan_core/src/control/raft/replicas.rs
+++ b/hickoryspan_core/src/control/raft/replicas.rs
@@ -84,11 +84,15 @@
     }
 
     /// The next single change towards the wanted replicas. Learners come first, so that their transfer runs
-    /// while other changes wait; a voter is removed only if another one stays.
+    /// while other changes wait. A voter that answers is removed only when every wanted learner votes, so
+    /// that a replacement never leaves fewer voters than before; a silent one only raises the majority. The
+    /// leader is the last one to be removed.
     pub fn next_change(
         &self,
+        leader: ReplicaId,
         wanted: &BTreeMap<ReplicaId, ReplicaRecord>,
         is_caught_up: impl Fn(ReplicaId) -> bool,
+        is_heard: impl Fn(ReplicaId) -> bool,
     ) -> Option<Self> {
         for record in wanted.values() {
             match self.find(record.replica) {
@@ -101,15 +105,19 @@
                 }
             }
         }
-        let learners = self.records().filter(|record| !record.voter);
-        let mut ready = learners
-            .filter(|record| wanted.contains_key(&record.replica) && is_caught_up(record.replica));
-        if let Some(record) = ready.next() {
+        let is_wanted = |record: &&ReplicaRecord| wanted.contains_key(&record.replica);
+        let learners = || self.records().filter(|record| !record.voter).filter(is_wanted);
+        if let Some(record) = learners().find(|record| is_caught_up(record.replica)) {
             return Some(self.with(ReplicaRecord { voter: true, ..record.clone() }));
         }
-        let mut unwanted = self.records().filter(|record| !wanted.contains_key(&record.replica));
-        let removable = |record: &&ReplicaRecord| !record.voter || self.voters().count() > 1;
-        unwanted.find(removable).map(|record| self.without(record.replica))
+        let complete = learners().next().is_none();
+        let removable = |record: &&ReplicaRecord| {
+            let spare = self.voters().count() > 1 && (complete || !is_heard(record.replica));
+            !record.voter || spare
+        };
+        let unwanted = || self.records().filter(|record| !is_wanted(record)).filter(removable);
+        let other = unwanted().find(|record| record.replica != leader);
+        other.or_else(|| unwanted().next()).map(|record| self.without(record.replica))
     }
 }
 
--- a/hickoryspan_core/src/control/raft/replication.rs
+++ b/hickoryspan_core/src/control/raft/replication.rs
@@ -96,7 +96,7 @@
         for replica in replicas {
             self.replicate_to(now, replica);
         }
-        self.continue_transfer();
+        self.continue_transfer(now);
     }
 
     fn sync_peers(&mut self, now: MonotonicTime) {
--- a/hickoryspan_core/src/control/raft/transfer.rs
+++ b/hickoryspan_core/src/control/raft/transfer.rs
@@ -126,18 +126,24 @@
         }
     }
 
-    /// Hands leadership to the voter with the longest log; proposals are refused from now on. Returns
-    /// whether there is another voter.
-    pub fn start_transfer(&mut self) -> bool {
+    /// Hands leadership to the voter that answered last; proposals are refused meanwhile. If no other
+    /// replica leads after the time given, this one goes on.
+    pub fn start_transfer(&mut self, until: MonotonicTime) {
         let set = self.replicas.current().1.clone();
-        let Some(leading) = self.leading_mut() else { return false };
+        let Some(leading) = self.leading_mut() else { return };
+        if leading.transfer_to.is_some() {
+            return;
+        }
         let voters = leading.peers.iter().filter(|(replica, _)| set.is_voter(**replica));
         let best = voters.max_by_key(|(_, peer)| (peer.heard_at, peer.matched));
         leading.transfer_to = best.map(|(replica, _)| *replica);
-        leading.transfer_to.is_some()
+        leading.transfer_until = until;
     }
 
-    pub(super) fn continue_transfer(&mut self) {
+    pub(super) fn continue_transfer(&mut self, now: MonotonicTime) {
+        if let Some(leading) = self.leading_mut().filter(|leading| leading.transfer_until <= now) {
+            leading.transfer_to = None;
+        }
         let last = self.log.last().index;
         if self.commit < last {
             return;
--- a/hickoryspan_core/tests/control_replication.rs
+++ b/hickoryspan_core/tests/control_replication.rs
@@ -150,6 +150,43 @@
     assert_eq!(*disk, HardState { term: TermNumber(40), voted_for: None });
 }
 
+// A leader that is removed must hand over first: if it alone had the entry that removes it, it would not
+// stand, and its longer log would keep the others from winning. The random histories found a cluster
+// without a leader for ever (3 replicas, seed 2790).
+#[test]
+fn a_removed_leader_hands_over() {
+    let mut cluster = Cluster::voting(28, 3, |_| {});
+    let leader = cluster.await_leader();
+    assert!(accepted(&cluster.admin("rosa", AdminAction::RemoveReplica(leader))));
+    cluster.run_until(Duration::from_millis(400), |cluster| {
+        let Some(other) = cluster.leader().filter(|other| *other != leader) else { return false };
+        let (set, committed) = cluster.machine(other).raft().replica_set();
+        committed && set.find(leader).is_none()
+    });
+    assert_sound(&cluster);
+}
+
+// A replacement must not pass through a set with fewer voters while its new replica still lacks the log.
+#[test]
+fn a_running_voter_stays_until_its_successor_votes() {
+    let mut cluster = Cluster::voting(29, 3, |_| {});
+    let removed = cluster.up().into_iter().find(|id| Some(*id) != cluster.leader()).unwrap();
+    cluster.nodes.insert(replica(4), Node::default());
+    assert!(accepted(&cluster.admin("rosa", AdminAction::AddReplica(record(replica(4))))));
+    assert!(accepted(&cluster.admin("rosa", AdminAction::RemoveReplica(removed))));
+    cluster.run(Duration::from_secs(3));
+    let voters = |cluster: &mut Cluster| {
+        let leader = cluster.await_leader();
+        cluster.machine(leader).raft().replica_set().0.voters().collect::<Vec<_>>()
+    };
+    assert_eq!(voters(&mut cluster).len(), 3);
+    cluster.start(replica(4));
+    cluster.run(Duration::from_secs(3));
+    let after = voters(&mut cluster);
+    assert!(after.len() == 3 && after.contains(&replica(4)) && !after.contains(&removed));
+    assert_sound(&cluster);
+}
+
 // A removed replica that still runs must not depose the leader with ever newer terms.
 #[test]
 fn a_removed_replica_does_not_disturb() {
@@ -160,6 +197,19 @@
     cluster.run(Duration::from_secs(1));
     let term = cluster.status().term;
     cluster.run(Duration::from_secs(20));
+    let message = ReplicaMessage {
+        term: TermNumber(40),
+        address: record(removed).peer_address,
+        founder: Some(replica(1)),
+        body: ReplicaBody::Vote {
+            last: LogPosition { term: TermNumber(39), index: LogIndex(9_999) },
+            transfer: false,
+        },
+    };
+    for id in cluster.up().into_iter().filter(|id| *id != removed) {
+        cluster.handle(id, ControlEvent::Replica(removed, message.clone()));
+    }
+    cluster.run(Duration::from_secs(2));
     assert_eq!(cluster.status().term, term);
     assert_sound(&cluster);
 }
