Refuse old processes early, and refuse entries only when the ordinal is gone

Cause: a changed announcement of an older process prolonged the lease of the registered newer one; a renewal on a link from an earlier leadership, or a greeting while too much was waiting, was refused, which makes an entry give up an ordinal that it still holds. Change: older incarnations are refused before they reach the lease; such links are sent to the leader. Conclusion: Refused now always means that the ordinal is gone or cannot be had.

--- a/hickoryspan_core/src/control/machine/entries.rs
+++ b/hickoryspan_core/src/control/machine/entries.rs
@@ -121,8 +121,9 @@
         };
         if !accepted {
             self.links.remove(&link);
-            let reason = "too much is waiting, try again".into();
-            actions.push(ControlAction::SendEntry(link, ControlMessage::Refused(reason)));
+            // Too much is waiting. A refusal would make a process give up an ordinal that it still holds.
+            let message = ControlMessage::NotLeader { leader: None, pledge: Duration::ZERO };
+            actions.push(ControlAction::SendEntry(link, message));
         }
     }
 
@@ -180,9 +181,7 @@
         actions: &mut Vec<ControlAction>,
     ) {
         let Some(process) = self.joined(link) else {
-            let reason = "the process has no ordinal on this link".into();
-            actions.push(ControlAction::SendEntry(link, ControlMessage::Refused(reason)));
-            return;
+            return self.ask_for_hello(link, actions);
         };
         let lease_ends = now.monotonic + entry_lease(&self.settings);
         let sheet = self.state.view().sheet.clone();
@@ -200,6 +199,17 @@
         let _ = self.wait_for_read(WaitingRead::Renewal(link, sequence));
     }
 
+    // The link may be from an earlier leadership of this replica. A refusal would make the process give up
+    // an ordinal that it still holds, so it is sent to the leader, which is this replica.
+    fn ask_for_hello(&self, link: LinkId, actions: &mut Vec<ControlAction>) {
+        if self.links.contains_key(&link) {
+            return;
+        }
+        let leader = Some(self.settings.peer_address);
+        let message = ControlMessage::NotLeader { leader, pledge: Duration::ZERO };
+        actions.push(ControlAction::SendEntry(link, message));
+    }
+
     // The entry takes a whole view only if it is newer, so this helps if changes came since its report.
     fn note_digest(
         &mut self,
--- a/hickoryspan_core/src/control/machine/targets.rs
+++ b/hickoryspan_core/src/control/machine/targets.rs
@@ -39,6 +39,13 @@
             actions.push(ControlAction::Reply(token, ControlReply::AnnounceRefused(reason)));
             return;
         }
+        // The registered process would otherwise be kept alive by an older one that still announces itself.
+        let registered = self.state.view().targets.get(&record.target);
+        if registered.is_some_and(|registered| registered.incarnation > record.incarnation) {
+            let reason = "a newer incarnation is registered".into();
+            actions.push(ControlAction::Reply(token, ControlReply::AnnounceRefused(reason)));
+            return;
+        }
         let lease = self.settings.target_lease;
         let unchanged = self.state.registry().is_unchanged(self.state.view(), &record);
         let max_waiting = self.settings.max_waiting_announcements;
--- a/hickoryspan_core/tests/control_single.rs
+++ b/hickoryspan_core/tests/control_single.rs
@@ -529,3 +529,25 @@
     let reply = cluster.ask(|token| ControlEvent::Query(token, AdminQuery::Targets));
     assert!(matches!(reply, ControlReply::Targets(targets) if targets.len() == 1));
 }
+
+// An old process that still announces itself must not keep the lost new one registered.
+#[test]
+fn an_older_process_does_not_renew_the_lease_of_a_newer_one() {
+    let mut cluster = single();
+    ["t1", "t2", "t3"].iter().for_each(|name| drop(cluster.announce(&target(name, 5, 1))));
+    for _ in 0..9 {
+        cluster.run(Duration::from_secs(1));
+        cluster.announce(&target("t1", 4, 1));
+        ["t2", "t3"].iter().for_each(|name| drop(cluster.announce(&target(name, 5, 1))));
+    }
+    assert_eq!(cluster.status().targets, 2);
+}
+
+// A refusal makes an entry close its connections, so a link that only lacks its greeting must not get one.
+#[test]
+fn a_renewal_on_an_unknown_link_is_sent_to_the_leader() {
+    let mut cluster = single();
+    let messages = cluster.send(LinkId(99), renewal(1));
+    let leader = Some(record(replica(1)).peer_address);
+    assert_eq!(messages, [ControlMessage::NotLeader { leader, pledge: Duration::ZERO }]);
+}
