--- a/hickoryspan_core/src/control/machine/leadership.rs
+++ b/hickoryspan_core/src/control/machine/leadership.rs
@@ -294,7 +294,6 @@
                 self.answer_registration(now.monotonic, link, result, actions);
             }
             (CommandWaiter::Release(link), _) => {
-                self.links.remove(&link);
                 actions.push(ControlAction::CloseLink(link));
             }
             (CommandWaiter::Claim(link, token), CommandOutcome::Claimed(verdict)) => {
@@ -316,6 +315,10 @@
             return;
         }
         let confirmed = |ticket| self.raft.is_confirmed(ticket);
+        // Tickets never go back, so nothing is ready while the oldest one waits.
+        if leadership.reads.first().is_none_or(|(oldest, _)| !confirmed(*oldest)) {
+            return;
+        }
         let reads = std::mem::take(&mut leadership.reads);
         let (ready, waiting): (Vec<_>, Vec<_>) =
             reads.into_iter().partition(|(ticket, _)| confirmed(*ticket));
@@ -436,8 +439,9 @@
     }
 
     pub(super) fn begin_drain(&mut self, now: MonotonicTime) {
-        self.drain_until = Some(now + self.settings.drain_timeout);
-        self.raft.start_transfer();
+        let until = now + self.settings.drain_timeout;
+        self.drain_until = Some(until);
+        self.raft.start_transfer(until);
     }
 
     /// Whether a planned stop is complete: another replica leads, or this one cannot hand over and
--- a/hickoryspan_core/src/control/machine/targets.rs
+++ b/hickoryspan_core/src/control/machine/targets.rs
@@ -39,6 +39,13 @@
             actions.push(ControlAction::Reply(token, ControlReply::AnnounceRefused(reason)));
             return;
         }
+        // The registered process would otherwise be kept alive by an older one that still announces itself.
+        let registered = self.state.view().targets.get(&record.target);
+        if registered.is_some_and(|registered| registered.incarnation > record.incarnation) {
+            let reason = "a newer incarnation is registered".into();
+            actions.push(ControlAction::Reply(token, ControlReply::AnnounceRefused(reason)));
+            return;
+        }
         let lease = self.settings.target_lease;
         let unchanged = self.state.registry().is_unchanged(self.state.view(), &record);
         let max_waiting = self.settings.max_waiting_announcements;
@@ -77,12 +84,15 @@
     pub(super) fn propose_announcements(&mut self, now: ClockReading) {
         loop {
             let Some(leadership) = &mut self.leadership else { return };
+            if leadership.announcements.is_empty() {
+                return;
+            }
             let waiters = leadership.waiters.values();
             let running = waiters
                 .filter(|waiter| matches!(waiter, CommandWaiter::Announcements(_)))
                 .take(MAX_ANNOUNCEMENT_COMMANDS)
                 .count();
-            if leadership.announcements.is_empty() || running >= MAX_ANNOUNCEMENT_COMMANDS {
+            if running >= MAX_ANNOUNCEMENT_COMMANDS {
                 return;
             }
             let mut records = Vec::new();
