Test a broken data folder, and keep other tests off the ports under test

Cause: nothing guarded the way from a failed write to the end of the replica in the daemon. A test of the command line used a port that it had given back, and failed once when another test took it. Change: a test removes a follower's data folder, loses the leader, and expects the follower to stop and the others to accept sheets again. Ports that must stay closed are held by a bound socket, and a replica that starts again at its old ports repeats the start while another test uses one of them. Conclusion: a replica stops after a failed write; the port race in the tests is gone.

--- a/hickoryspan_control/tests/support/mod.rs
+++ b/hickoryspan_control/tests/support/mod.rs
@@ -34,7 +34,26 @@
 const ANSWER_BYTES: usize = 1024 * 1024;
 
 pub async fn start_replica(folder: &Path, addresses: [SocketAddr; 2], seed: u64) -> ControlDaemon {
-    let settings = ControlDaemonSettings {
+    ControlDaemon::start(settings(folder, addresses, seed)).await.unwrap()
+}
+
+/// Starts a replica at addresses that it had before; another test may use a port for a while.
+pub async fn restart_replica(
+    folder: &Path,
+    addresses: [SocketAddr; 2],
+    seed: u64,
+) -> ControlDaemon {
+    for _ in 0..MAX_ATTEMPTS {
+        match ControlDaemon::start(settings(folder, addresses, seed)).await {
+            Ok(daemon) => return daemon,
+            Err(_) => tokio::time::sleep(ATTEMPT_PAUSE).await,
+        }
+    }
+    panic!("no start at {addresses:?} after {MAX_ATTEMPTS} attempts");
+}
+
+fn settings(folder: &Path, addresses: [SocketAddr; 2], seed: u64) -> ControlDaemonSettings {
+    ControlDaemonSettings {
         data_folder: folder.to_owned(),
         initialize: None,
         peer_address: addresses[0],
@@ -47,8 +66,7 @@
         },
         logs: LogSettings::default(),
         seed: Some(seed),
-    };
-    ControlDaemon::start(settings).await.unwrap()
+    }
 }
 
 pub fn any_addresses() -> [SocketAddr; 2] {
--- a/hickoryspan_control/tests/three_replicas.rs
+++ b/hickoryspan_control/tests/three_replicas.rs
@@ -6,6 +6,8 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
 
 use hickoryspan_control::{ControlDaemon, FolderRole, initialize_folder};
 use hickoryspan_core::control::interface::{
@@ -17,6 +19,9 @@
 use support::*;
 use tempfile::TempDir;
 
+/// A bound against endless tests.
+const LONGEST_WAIT: Duration = Duration::from_secs(60);
+
 /// The body of `GET /v1/admin/history`.
 #[derive(serde::Deserialize)]
 struct History {
@@ -25,6 +30,7 @@
 
 struct Cluster {
     folder: TempDir,
+    folders: BTreeMap<ReplicaId, PathBuf>,
     replicas: BTreeMap<ReplicaId, ControlDaemon>,
     /// The relays before the peer ports of the added replicas, through which the others reach them.
     relays: Vec<SilentRelay>,
@@ -34,9 +40,15 @@
     /// The first replica initialized, two added; all three vote.
     async fn start(seed: u64) -> Self {
         let folder = tempfile::tempdir().unwrap();
-        let first = first_replica(&folder.path().join("1"), seed).await;
-        let replicas = BTreeMap::from([(first.record().replica, first)]);
-        let mut cluster = Self { folder, replicas, relays: Vec::new() };
+        let path = folder.path().join("1");
+        let first = first_replica(&path, seed).await;
+        let replica = first.record().replica;
+        let mut cluster = Self {
+            folder,
+            folders: BTreeMap::from([(replica, path)]),
+            replicas: BTreeMap::from([(replica, first)]),
+            relays: Vec::new(),
+        };
         for number in 2..=3 {
             cluster.add(number, seed).await;
         }
@@ -57,6 +69,7 @@
         let outcome = command(&self.addresses(), "ana", &id, AdminAction::AddReplica(record)).await;
         assert!(matches!(outcome, AdminOutcome::Accepted { .. }), "{outcome:?}");
         self.replicas.insert(replica, daemon);
+        self.folders.insert(replica, folder);
         await_status(&self.addresses(), |report| voter_count(report) == voters + 1).await;
         replica
     }
@@ -210,3 +223,23 @@
     assert_kept(&cluster.addresses(), &outcomes).await;
     cluster.stop().await;
 }
+
+// A replica that votes without having stored its vote may vote twice after a restart.
+#[tokio::test]
+async fn a_replica_with_a_broken_folder_stops_and_the_others_go_on() {
+    let mut cluster = Cluster::start(600).await;
+    let leader = cluster.take_leader().await;
+    let broken = cluster.replicas.keys().next().copied().unwrap();
+    let broken = cluster.replicas.remove(&broken).unwrap();
+    std::fs::remove_dir_all(&cluster.folders[&broken.record().replica]).unwrap();
+    let leader_folder = cluster.folders[&leader.record().replica].clone();
+    let addresses = [leader.record().peer_address, leader.record().http_address];
+    leader.stop().await;
+    // The election that follows needs a vote, which the broken replica cannot store.
+    tokio::time::timeout(LONGEST_WAIT, broken.stopped()).await.unwrap();
+    broken.stop().await;
+    let leader = restart_replica(&leader_folder, addresses, 604).await;
+    cluster.replicas.insert(leader.record().replica, leader);
+    assert_accepted(&command(&cluster.addresses(), "ana", "c-1", apply(sheet(1))).await);
+    cluster.stop().await;
+}
--- a/hickoryspan_ctl/tests/undecided.rs
+++ b/hickoryspan_ctl/tests/undecided.rs
@@ -10,7 +10,7 @@
 use http::StatusCode;
 use rstest::rstest;
 use support::*;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpSocket};
 
 /// Time for runs that end by themselves; a bound against endless tests.
 const PATIENT: &str = "--timeout=2m";
@@ -29,9 +29,12 @@
     ctl(addresses, &[timeout, "--command-id", "c-1", "drain", "target", "press-1"]).await
 }
 
-/// An address on which nothing listens.
-async fn closed_address() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").await.unwrap().local_addr().unwrap()
+/// An address on which nothing listens; the bound socket keeps other tests from it.
+fn closed_address() -> (TcpSocket, SocketAddr) {
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.bind(SocketAddr::from(([127, 0, 0, 1], 0))).unwrap();
+    let address = socket.local_addr().unwrap();
+    (socket, address)
 }
 
 // A command that is repeated under another id runs twice.
@@ -69,8 +72,9 @@
 // A report that the outcome is unknown although nothing was sent costs the operator a search for its effects.
 #[tokio::test]
 async fn a_command_that_was_never_sent_is_reported_as_such() {
-    let (closed, looping) = (closed_address().await, closed_address().await);
-    let listener = TcpListener::bind(looping).await.unwrap();
+    let (_socket, closed) = closed_address();
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let looping = listener.local_addr().unwrap();
     let looping = StandIn::serve(listener, vec![Reaction::Redirect(looping)]);
     let ended = drain(&[closed, looping.address], SHORT).await;
     assert_eq!(ended.status, ExitStatus::Unreached, "{ended:?}");
@@ -95,7 +99,8 @@
 async fn a_redirect_is_followed_with_the_same_command() {
     let leader = StandIn::start(vec![accepted()]).await;
     let follower = StandIn::start(vec![Reaction::Redirect(leader.address)]).await;
-    let ended = drain(&[closed_address().await, follower.address], PATIENT).await;
+    let (_socket, closed) = closed_address();
+    let ended = drain(&[closed, follower.address], PATIENT).await;
     assert_eq!(ended.status, ExitStatus::Done, "{ended:?}");
     assert_eq!(follower.bodies(), leader.bodies());
 }
