--- a/hickoryspan_core/tests/engine_connections.rs
+++ b/hickoryspan_core/tests/engine_connections.rs
@@ -97,21 +97,14 @@
 fn opens_are_limited_and_spread_when_targets_refuse() {
     let settings = EngineSettings::default();
     let mut bench = EngineBench::unopened(even_view(20, 1), settings, 3);
-    let mut rounds: Vec<Vec<u64>> = Vec::new();
     let end = bench.now + ms(10_000);
-    while bench.now < end {
-        let mut times = Vec::new();
+    loop {
         while let Some(connection) = bench.opening.first().copied() {
             bench.close(connection);
         }
-        if let Some(at) = bench.engine.next_wakeup().filter(|at| *at <= end) {
-            bench.now = bench.now.max(at);
-            bench.event(EntryEvent::Tick);
-            times.push(at.0);
-        } else {
-            bench.now = end;
-        }
-        rounds.push(times);
+        let Some(at) = bench.engine.next_wakeup().filter(|at| *at <= end) else { break };
+        bench.now = bench.now.max(at);
+        bench.event(EntryEvent::Tick);
     }
     let mut by_target: BTreeMap<_, Vec<_>> = BTreeMap::new();
     for (at, target) in &bench.opens {
@@ -126,6 +119,14 @@
     assert!(second.len() > 10);
 }
 
+#[test]
+fn few_connections_of_one_target_open_at_the_same_time() {
+    let mut bench = EngineBench::unopened(even_view(1, 1), EngineSettings::default(), 3);
+    let tokens: Vec<_> = (0..6).map(|_| bench.search_all()).collect();
+    bench.advance(ms(100));
+    assert_eq!((tokens.len(), bench.opening.len()), (6, 2));
+}
+
 #[test]
 fn lost_connections_reopen_at_a_limited_rate() {
     let mut bench = EngineBench::new(even_view(1, 1));
--- a/hickoryspan_entry/tests/common/mod.rs
+++ b/hickoryspan_entry/tests/common/mod.rs
@@ -149,12 +149,17 @@
     view
 }
 
-type ClaimTable = HashMap<ClaimKey, ClaimState>;
+#[derive(Default)]
+struct ControlState {
+    claims: HashMap<ClaimKey, ClaimState>,
+    released: bool,
+}
 
 /// Answers entries like a control replica that leads, without replication.
 pub struct FakeControl {
     pub address: SocketAddr,
     view: Arc<Mutex<MembershipView>>,
+    state: Arc<Mutex<ControlState>>,
     publish: watch::Sender<u64>,
     /// Counts the times at which all links are dropped.
     drops: watch::Sender<u64>,
@@ -169,8 +174,15 @@
         let publish = watch::Sender::new(0);
         let drops = watch::Sender::new(0);
         let mut tasks = JoinSet::new();
-        tasks.spawn(run_control(listener, Arc::clone(&view), publish.clone(), drops.clone()));
-        Self { address, view, publish, drops, tasks }
+        let state = Arc::new(Mutex::new(ControlState::default()));
+        tasks.spawn(run_control(
+            listener,
+            Arc::clone(&state),
+            Arc::clone(&view),
+            publish.clone(),
+            drops.clone(),
+        ));
+        Self { address, view, state, publish, drops, tasks }
     }
 
     /// Applies changes and sends the whole view to the connected entries.
@@ -188,6 +200,11 @@
         self.view.lock().unwrap().revision
     }
 
+    /// Whether an entry gave its ordinal back.
+    pub fn has_released(&self) -> bool {
+        self.state.lock().unwrap().released
+    }
+
     /// Ends all links to entries, which may connect again.
     pub fn drop_links(&self) {
         self.drops.send_modify(|count| *count += 1);
@@ -200,11 +217,11 @@
 
 async fn run_control(
     listener: TcpListener,
+    state: Arc<Mutex<ControlState>>,
     view: Arc<Mutex<MembershipView>>,
     publish: watch::Sender<u64>,
     drops: watch::Sender<u64>,
 ) {
-    let claims = Arc::new(Mutex::new(ClaimTable::new()));
     let mut links = JoinSet::new();
     loop {
         let (stream, _) = listener.accept().await.unwrap();
@@ -212,7 +229,7 @@
         let Ok(accepted) = PeerLink::accept(stream, &credential()).await else { continue };
         let link = accepted.link;
         let mut dropped = drops.subscribe();
-        let (view, claims) = (Arc::clone(&view), Arc::clone(&claims));
+        let (view, state) = (Arc::clone(&view), Arc::clone(&state));
         let mut published = publish.subscribe();
         published.mark_unchanged();
         links.spawn(async move {
@@ -220,7 +237,7 @@
             let answers = sender.clone();
             let view_in_link = Arc::clone(&view);
             let pump = link.pump(outgoing, move |message: EntryMessage| {
-                if let Some(answer) = answer(&claims, &view_in_link, message) {
+                for answer in answer(&state, &view_in_link, message) {
                     answers.try_send(answer).unwrap();
                 }
                 true
@@ -241,59 +258,81 @@
 }
 
 fn answer(
-    claims: &Mutex<ClaimTable>,
+    state: &Mutex<ControlState>,
     view: &Mutex<MembershipView>,
     message: EntryMessage,
-) -> Option<ControlMessage> {
-    let mut claims = claims.lock().unwrap();
+) -> Vec<ControlMessage> {
+    let mut state = state.lock().unwrap();
     match message {
         EntryMessage::Hello { registration, .. } => {
             let view = welcome_view(&mut view.lock().unwrap(), &registration);
-            Some(ControlMessage::Welcome {
+            vec![ControlMessage::Welcome {
                 ordinal: OrdinalNumber(0),
                 max_ordinals: 1,
                 view: Box::new(view),
-            })
+            }]
+        }
+        EntryMessage::Renew { sequence, draining, .. } => {
+            let mut view = view.lock().unwrap();
+            let renewed = ControlMessage::Renewed {
+                sequence,
+                lease: Duration::from_secs(60),
+                committed: view.revision,
+                shares: Vec::new(),
+                share_lease: Duration::from_secs(60),
+            };
+            let left = draining.then(|| leave_addresses(&mut view)).flatten();
+            [renewed].into_iter().chain(left).collect()
         }
-        EntryMessage::Renew { sequence, .. } => Some(ControlMessage::Renewed {
-            sequence,
-            lease: Duration::from_secs(60),
-            committed: view.lock().unwrap().revision,
-            shares: Vec::new(),
-            share_lease: Duration::from_secs(60),
-        }),
-        EntryMessage::Resync => Some(ControlMessage::View(Box::new(view.lock().unwrap().clone()))),
+        EntryMessage::Resync => vec![ControlMessage::View(Box::new(view.lock().unwrap().clone()))],
         EntryMessage::Claim { token, key, .. } => {
-            let verdict = match claims.get(&key) {
+            let verdict = match state.claims.get(&key) {
                 Some(existing) => ClaimVerdict::Existing(existing.clone()),
                 None => {
                     let open = ClaimState::Open {
                         entry: "e1".parse().unwrap(),
                         incarnation: Default::default(),
                     };
-                    claims.insert(key, open);
+                    state.claims.insert(key, open);
                     ClaimVerdict::Granted
                 }
             };
-            Some(ControlMessage::ClaimAnswer { token, verdict })
+            vec![ControlMessage::ClaimAnswer { token, verdict }]
         }
         EntryMessage::Settle { key, outcome } => {
-            claims.insert(key.clone(), ClaimState::Settled(outcome));
-            Some(ControlMessage::Settled(key))
+            state.claims.insert(key.clone(), ClaimState::Settled(outcome));
+            vec![ControlMessage::Settled(key)]
         }
         EntryMessage::Lookup { token, key } => {
-            let verdict = match claims.get(&key) {
+            let verdict = match state.claims.get(&key) {
                 Some(found) => LookupVerdict::Found(found.clone()),
                 None => LookupVerdict::Absent,
             };
-            Some(ControlMessage::LookupAnswer { token, verdict })
+            vec![ControlMessage::LookupAnswer { token, verdict }]
         }
-        EntryMessage::Release
-        | EntryMessage::ReportCrash { .. }
-        | EntryMessage::ClearSuspect(_) => None,
+        EntryMessage::Release => {
+            state.released = true;
+            Vec::new()
+        }
+        EntryMessage::ReportCrash { .. } | EntryMessage::ClearSuspect(_) => Vec::new(),
     }
 }
 
+/// Marks the entries as draining; nothing if they are already.
+fn leave_addresses(view: &mut MembershipView) -> Option<ControlMessage> {
+    let records = view.entries.values().flat_map(|incarnations| incarnations.values());
+    let serving = records.filter(|record| !record.draining);
+    let changes: Vec<ViewChange> = serving
+        .map(|record| ViewChange::PutEntry(EntryRecord { draining: true, ..record.clone() }))
+        .collect();
+    if changes.is_empty() {
+        return None;
+    }
+    let next = view.revision.next();
+    view.apply(next, changes);
+    Some(ControlMessage::View(Box::new(view.clone())))
+}
+
 fn welcome_view(view: &mut MembershipView, registration: &EntryRegistration) -> MembershipView {
     let record = EntryRecord {
         entry: registration.entry.clone(),
--- /dev/null
+++ b/hickoryspan_entry/tests/drain.rs
@@ -0,0 +1,138 @@
+//! Guards against a planned stop that cuts a request, refuses callers who were told to come, or keeps its ordinal.
+
+#![allow(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
+
+mod common;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use common::*;
+use hickoryspan_core::entry::addresses::AddressSettings;
+use hickoryspan_core::entry::drain::DrainSettings;
+use hickoryspan_core::membership::TargetRecord;
+use hickoryspan_core::types::{ConnectionCount, SlotCount};
+use hickoryspan_entry::EntryDaemonSettings;
+use hickoryspan_runtime::http_client::HttpConnection;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio::task::JoinSet;
+
+/// Short, so that the stop does not wait for long.
+const LIFETIME: Duration = Duration::from_millis(50);
+
+/// Counts requests and answers each only after the gate has opened.
+struct GatedTarget {
+    record: TargetRecord,
+    gate: watch::Sender<bool>,
+    received: watch::Receiver<u32>,
+    _tasks: JoinSet<()>,
+}
+
+impl GatedTarget {
+    async fn start(service: &str, body: &'static str) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let record = gated_record(service, listener.local_addr().unwrap());
+        let gate = watch::Sender::new(false);
+        let (count, received) = watch::channel(0);
+        let mut tasks = JoinSet::new();
+        let opened = gate.subscribe();
+        tasks.spawn(async move {
+            let answer = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{body}", body.len());
+            let mut connections = JoinSet::new();
+            loop {
+                let (mut stream, _) = listener.accept().await.unwrap();
+                let (mut opened, count, answer) = (opened.clone(), count.clone(), answer.clone());
+                connections.spawn(async move {
+                    let mut buffer = vec![0; 16 * 1024];
+                    while stream.read(&mut buffer).await.is_ok_and(|bytes| bytes > 0) {
+                        count.send_modify(|count| *count += 1);
+                        opened.wait_for(|is_open| *is_open).await.unwrap();
+                        stream.write_all(answer.as_bytes()).await.unwrap();
+                    }
+                });
+            }
+        });
+        Self { record, gate, received, _tasks: tasks }
+    }
+
+    async fn wait_received(&self) {
+        let mut received = self.received.clone();
+        let waiting = received.wait_for(|count| *count > 0);
+        tokio::time::timeout(PATIENCE, waiting).await.unwrap().unwrap();
+    }
+}
+
+fn gated_record(service: &str, address: SocketAddr) -> TargetRecord {
+    TargetRecord {
+        target: format!("gated-{service}").parse().unwrap(),
+        incarnation: Default::default(),
+        address,
+        tenant: TENANT.parse().unwrap(),
+        service: service.parse().unwrap(),
+        failure_domain: "d1".parse().unwrap(),
+        slots: SlotCount(8),
+        connections: ConnectionCount(16),
+        partitions: vec![whole_partition()],
+        draining: false,
+    }
+}
+
+/// Short times for the stop, and no action that a long wait for an answer would cause.
+fn change_settings(mut settings: EntryDaemonSettings) -> EntryDaemonSettings {
+    let machine = &mut settings.machine;
+    machine.addresses = AddressSettings { lifetime: LIFETIME, ..AddressSettings::default() };
+    machine.drain = DrainSettings { propagation: LIFETIME, ..DrainSettings::default() };
+    machine.engine.hedging.enabled = false;
+    machine.engine.connections.silence_floor = 2 * PATIENCE;
+    settings
+}
+
+#[tokio::test]
+async fn a_planned_stop_cuts_nothing() {
+    const HITS: &str = r#"{"status":"done","snapshot":7,"hits":[{"key":"00"}]}"#;
+    const RESULT: &str = r#"{"status":"done","result":{"trays":12}}"#;
+    let history = GatedTarget::start("history", HITS).await;
+    let press = GatedTarget::start("press", RESULT).await;
+    let targets = [history.record.clone(), press.record.clone()];
+    let control = FakeControl::start(view(targets, 2 * PATIENCE)).await;
+    let entry = start_entry_with(&control, change_settings).await;
+    wait_ready(&entry, []).await;
+    let address = entry.caller_address();
+    let listed = call(address, "GET", "/v1/addresses", &caller_headers(), "").await;
+    assert_eq!(listed.body["addresses"], serde_json::json!([address]));
+
+    let searching = tokio::spawn(async move { search(address, "1").await });
+    let ordering = tokio::spawn(async move { order(address, &order_headers("o1")).await });
+    history.wait_received().await;
+    press.wait_received().await;
+    entry.begin_drain().await;
+    assert_eq!(plain_get(entry.admin_address(), "/readyz").await.0, 503);
+
+    // The stop waits for both requests, so a later caller is answered, first as usual and then with a refusal.
+    let mut headers = caller_headers();
+    headers.push(("hs-deadline-ms", "20".to_owned()));
+    let body = r#"{"search":"find","query":2}"#;
+    let refused = loop {
+        let answer = call(address, "POST", "/v1/search", &headers, body).await;
+        if answer.reason() == "draining" {
+            break answer;
+        }
+    };
+    assert_eq!((refused.status, refused.outcome()), (503, "not_run"), "{}", refused.body);
+    assert!(!control.has_released());
+
+    history.gate.send_replace(true);
+    press.gate.send_replace(true);
+    let found = searching.await.unwrap();
+    assert_eq!((found.status, found.outcome()), (200, "complete"), "{}", found.body);
+    let ordered = ordering.await.unwrap();
+    assert_eq!((ordered.status, ordered.outcome()), (200, "complete"), "{}", ordered.body);
+    assert_eq!(ordered.body["result"]["trays"], 12);
+
+    tokio::time::timeout(PATIENCE, entry.drain()).await.unwrap();
+    assert!(control.has_released());
+    assert!(HttpConnection::open(address, PATIENCE).await.is_err());
+    control.stop().await;
+}
