Let a new entry spend its part of a caller's burst at once

Cause: the whole-path test was refused its first print order with limit_exceeded. Every bucket started empty, because an earlier holder of the ordinal might just have spent its burst, and held half of the even share; a caller with 25.5 units/s earned the 4 units of one order at 0.9 units/s. Change: control tells a new process how long nobody held its ordinal (Welcome.idle) and hands out the ordinal that was free the longest; the bucket starts with what would have been earned in that time. The burst is split evenly over the ordinals, and grants add rate only, so that all bursts still sum up to the caller's. The property test over grants, delays and restarts passes unchanged. Conclusion: a start refuses nobody who has not spent the limit, and the sum stays within it.

--- a/hickoryspan_core/src/control/machine/entries.rs
+++ b/hickoryspan_core/src/control/machine/entries.rs
@@ -24,6 +24,9 @@
 /// Requests of one crash report that are taken; a target runs far fewer at the same time.
 const MAX_REPORTED_FINGERPRINTS: usize = 1_024;
 
+/// Told to the first holder of an ordinal: longer than any part of a limit takes to be earned.
+const NEVER_HELD: Duration = Duration::from_secs(3600);
+
 impl ControlMachine {
     pub(super) fn take_entry_message(
         &mut self,
@@ -136,7 +139,10 @@
     ) {
         match result {
             // The registration is committed in this term, which confirms the state as a read would.
-            Ok(_) => self.answer_hello(now, link, actions),
+            Ok(ordinal) => {
+                let idle = self.idle_time(link, ordinal);
+                self.welcome(now, link, idle, actions);
+            }
             Err(reason) => {
                 self.links.remove(&link);
                 actions.push(ControlAction::SendEntry(link, ControlMessage::Refused(reason)));
@@ -144,11 +150,34 @@
         }
     }
 
+    /// How long nobody held the ordinal of a process that has just been registered.
+    fn idle_time(&mut self, link: LinkId, ordinal: OrdinalNumber) -> Duration {
+        if self.state.registry().is_first_holder(ordinal) {
+            return NEVER_HELD;
+        }
+        let (Some(session), Some(leadership)) = (self.links.get(&link), &mut self.leadership)
+        else {
+            return Duration::ZERO;
+        };
+        leadership.take_idle_time(&session.process)
+    }
+
+    /// Answers a process that keeps its ordinal; its limits go on as they are.
     pub(super) fn answer_hello(
         &mut self,
         now: MonotonicTime,
         link: LinkId,
         actions: &mut Vec<ControlAction>,
+    ) {
+        self.welcome(now, link, Duration::ZERO, actions);
+    }
+
+    fn welcome(
+        &mut self,
+        now: MonotonicTime,
+        link: LinkId,
+        idle: Duration,
+        actions: &mut Vec<ControlAction>,
     ) {
         let view = self.state.view();
         let Some(session) = self.links.get_mut(&link) else { return };
@@ -167,6 +196,7 @@
         let message = ControlMessage::Welcome {
             ordinal: record.ordinal,
             max_ordinals: self.state.registry().max_ordinals(),
+            idle,
             view: Box::new(view.clone()),
         };
         actions.push(ControlAction::SendEntry(link, message));
--- a/hickoryspan_core/src/control/machine/leadership.rs
+++ b/hickoryspan_core/src/control/machine/leadership.rs
@@ -16,8 +16,8 @@
 use crate::membership::ViewChange;
 use crate::messages::{ClaimKey, ClaimVerdict, ControlMessage, LookupVerdict};
 use crate::types::{
-    ClockReading, IncarnationNumber, MonotonicTime, QueryToken, RevisionNumber, TargetId,
-    TermNumber, WallTime,
+    ClockReading, IncarnationNumber, MonotonicTime, OrdinalNumber, QueryToken, RevisionNumber,
+    TargetId, TermNumber, WallTime,
 };
 
 /// How often the claim horizon moves.
@@ -78,6 +78,10 @@
     target_expiry: LogIndex,
     pub entry_expiry: LogIndex,
     quarantine_expiry: LogIndex,
+    // Only what this leader saw itself; an unknown idle time counts as none.
+    ordinals: BTreeMap<EntryProcess, OrdinalNumber>,
+    freed_at: BTreeMap<OrdinalNumber, MonotonicTime>,
+    idle: BTreeMap<EntryProcess, Duration>,
 }
 
 impl Leadership {
@@ -99,6 +103,9 @@
             target_expiry: LogIndex(0),
             entry_expiry: LogIndex(0),
             quarantine_expiry: LogIndex(0),
+            ordinals: BTreeMap::new(),
+            freed_at: BTreeMap::new(),
+            idle: BTreeMap::new(),
         }
     }
 
@@ -117,6 +124,7 @@
             ViewChange::PutEntry(record) => {
                 let (entry, incarnation) = (record.entry.clone(), record.incarnation);
                 let process = EntryProcess { entry, incarnation };
+                self.note_ordinal(now, &process, record.ordinal);
                 if !self.entries.is_held(&process, now) {
                     self.entries.renew(process, now + entry_lease(settings));
                 }
@@ -126,10 +134,28 @@
                 self.entries.remove(&process);
                 self.reported.remove(&process);
                 self.expiring.remove(&process);
+                self.idle.remove(&process);
+                if let Some(ordinal) = self.ordinals.remove(&process) {
+                    self.freed_at.insert(ordinal, now);
+                }
             }
             _ => {}
         }
     }
+
+    fn note_ordinal(&mut self, now: MonotonicTime, process: &EntryProcess, ordinal: OrdinalNumber) {
+        if self.ordinals.insert(process.clone(), ordinal).is_some() {
+            return;
+        }
+        if let Some(freed_at) = self.freed_at.remove(&ordinal) {
+            self.idle.insert(process.clone(), now.since(freed_at));
+        }
+    }
+
+    /// How long nobody held a process's ordinal before it, as far as this leader saw; told only once.
+    pub fn take_idle_time(&mut self, process: &EntryProcess) -> Duration {
+        self.idle.remove(process).unwrap_or_default()
+    }
 }
 
 /// An entry's lease as the leader counts it.
--- a/hickoryspan_core/src/control/registry.rs
+++ b/hickoryspan_core/src/control/registry.rs
@@ -74,6 +74,9 @@
     leaving_entries: BTreeSet<EntryProcess>,
     departed: BTreeMap<TargetId, DepartedTarget>,
     max_ordinals: u32,
+    // The order in which ordinals were freed; an ordinal that was never held is absent.
+    freed: BTreeMap<OrdinalNumber, u64>,
+    frees: u64,
     // The number of targets by partition, so that the last one's loss is found without a scan.
     #[serde(skip)]
     served: BTreeMap<ServiceKey, ServedSnapshots>,
@@ -268,7 +271,9 @@
     /// Frees the ordinal of a process.
     pub fn release_entry(&mut self, editor: &mut ViewEditor<'_>, process: &EntryProcess) {
         self.leaving_entries.remove(process);
-        if find_entry(editor.view, process).is_some() {
+        if let Some(record) = find_entry(editor.view, process) {
+            self.frees += 1;
+            self.freed.insert(record.ordinal, self.frees);
             editor.push(ViewChange::RemoveEntry(process.entry.clone(), process.incarnation));
         }
     }
@@ -292,15 +297,32 @@
     ) -> Result<OrdinalNumber, Arc<str>> {
         let processes = || view.entries.values().flat_map(|processes| processes.values());
         if self.max_ordinals == 0 || processes().next().is_none() {
-            self.max_ordinals = max_ordinals;
+            self.set_max_ordinals(max_ordinals);
         }
         let used: BTreeSet<OrdinalNumber> = processes().map(|record| record.ordinal).collect();
         (0..u64::from(self.max_ordinals))
             .map(OrdinalNumber)
-            .find(|ordinal| !used.contains(ordinal))
+            .filter(|ordinal| !used.contains(ordinal))
+            // The one that was free the longest, because its part of every limit is most likely unspent.
+            .min_by_key(|ordinal| self.freed.get(ordinal).copied().unwrap_or_default())
             .ok_or_else(|| format!("all {} ordinals are in use", self.max_ordinals).into())
     }
 
+    fn set_max_ordinals(&mut self, max_ordinals: u32) {
+        if self.max_ordinals != 0 && self.max_ordinals != max_ordinals {
+            // Under another number the parts of a limit differ, so none of them is known to be unspent.
+            self.frees += 1;
+            let all = (0..u64::from(max_ordinals)).map(OrdinalNumber);
+            self.freed = all.map(|ordinal| (ordinal, self.frees)).collect();
+        }
+        self.max_ordinals = max_ordinals;
+    }
+
+    /// Whether no process but the present one ever held the ordinal.
+    pub fn is_first_holder(&self, ordinal: OrdinalNumber) -> bool {
+        !self.freed.contains_key(&ordinal)
+    }
+
     fn check_incarnation(
         &self,
         view: &MembershipView,
--- a/hickoryspan_core/src/entry/machine.rs
+++ b/hickoryspan_core/src/entry/machine.rs
@@ -78,6 +78,8 @@
     generator: ChaCha12Rng,
     engine: Box<dyn SearchEngine>,
     engine_share: Option<OrdinalShare>,
+    /// How long nobody held the ordinal before this process, until the limits have taken it over.
+    ordinal_idle: Duration,
     requests: BTreeMap<QueryToken, ActiveRequest>,
     deadlines: BTreeSet<(MonotonicTime, QueryToken)>,
 }
@@ -122,6 +124,7 @@
             generator,
             engine,
             engine_share: None,
+            ordinal_idle: Duration::ZERO,
             requests: BTreeMap::new(),
             deadlines: BTreeSet::new(),
         }
@@ -273,7 +276,8 @@
         let share = self.session.standing(now.monotonic).share();
         if share != self.engine_share {
             self.engine_share = share;
-            self.limits.set_share(now.monotonic, share);
+            let idle = std::mem::take(&mut self.ordinal_idle);
+            self.limits.set_share(now.monotonic, share, idle);
             self.engine.set_share(now, share, actions);
             self.take_reports(now, actions);
         }
@@ -289,7 +293,7 @@
             return;
         }
         match message {
-            ControlMessage::Welcome { ordinal, max_ordinals, view } => {
+            ControlMessage::Welcome { ordinal, max_ordinals, idle, view } => {
                 let update = self.configuration.replace(*view);
                 if update == ViewUpdate::Regressed {
                     // Control lost committed state; an older configuration must not come into force.
@@ -297,6 +301,7 @@
                     return;
                 }
                 self.session.welcome(now.monotonic, ordinal, max_ordinals);
+                self.ordinal_idle = idle;
                 self.after_update(now, update, actions);
                 self.quarantine.reconnected();
                 self.with_orders(now, actions, |orders, send, effects| {
--- a/hickoryspan_core/src/messages.rs
+++ b/hickoryspan_core/src/messages.rs
@@ -212,6 +212,9 @@
         ordinal: OrdinalNumber,
         /// The number of ordinals, from which shares follow.
         max_ordinals: u32,
+        /// How long nobody held the ordinal before this process; zero if that is not known.
+        #[serde(with = "duration_millis", default)]
+        idle: Duration,
         /// The view.
         view: Box<MembershipView>,
     },
--- a/hickoryspan_core/tests/control_single.rs
+++ b/hickoryspan_core/tests/control_single.rs
@@ -551,3 +551,27 @@
     let leader = Some(record(replica(1)).peer_address);
     assert_eq!(messages, [ControlMessage::NotLeader { leader, pledge: Duration::ZERO }]);
 }
+
+// A wrong idle time would let a new holder of an ordinal spend what the former one has just spent.
+#[test]
+fn the_idle_time_of_an_ordinal_is_known_only_to_its_first_holder_and_to_the_leader_that_freed_it() {
+    let idle_time = |messages: &[ControlMessage]| match messages {
+        [ControlMessage::Welcome { idle, ordinal, .. }] => (*ordinal, *idle),
+        other => panic!("{other:?}"),
+    };
+    let mut cluster = single();
+    let (link, messages) = cluster.join("e1", 1);
+    let (ordinal, idle) = idle_time(&messages);
+    assert!(ordinal == OrdinalNumber(0) && idle >= Duration::from_secs(3600));
+    let (_, messages) = cluster.join("e1", 1);
+    assert_eq!(idle_time(&messages), (OrdinalNumber(0), Duration::ZERO), "the same process");
+    cluster.send(link, EntryMessage::Release);
+    // Every other ordinal is taken before the freed one.
+    for number in 1..14 {
+        let (_, messages) = cluster.join(&format!("f{number}"), 1);
+        assert_eq!(idle_time(&messages).0, OrdinalNumber(number));
+    }
+    let (_, messages) = cluster.join("g1", 1);
+    let (ordinal, idle) = idle_time(&messages);
+    assert!(ordinal == OrdinalNumber(0) && idle < Duration::from_secs(3600), "{idle:?}");
+}
--- a/hickoryspan_core/tests/entry_limits.rs
+++ b/hickoryspan_core/tests/entry_limits.rs
@@ -22,7 +22,11 @@
     let mut limits = CallerLimits::new(LimitSettings::default(), generator);
     limits.update_sheet(now, &sheet(rate, burst));
     let ordinal = OrdinalNumber(ordinal as u64);
-    limits.set_share(now, Some(OrdinalShare { ordinal, max_ordinals: MAX_ORDINALS }));
+    limits.set_share(
+        now,
+        Some(OrdinalShare { ordinal, max_ordinals: MAX_ORDINALS }),
+        Duration::ZERO,
+    );
     limits
 }
 
@@ -154,9 +158,9 @@
     let mut limits = limits(0, at(1000), RATE, 1e6);
     assert!(limits.spend(at(1000), &key(), CostUnits(0.1)).is_err());
     assert!(limits.spend(at(9000), &key(), CostUnits(0.1)).is_ok());
-    limits.set_share(at(9000), None);
+    limits.set_share(at(9000), None, Duration::ZERO);
     let share = OrdinalShare { ordinal: OrdinalNumber(1), max_ordinals: MAX_ORDINALS };
-    limits.set_share(at(9000), Some(share));
+    limits.set_share(at(9000), Some(share), Duration::ZERO);
     assert!(limits.spend(at(9000), &key(), CostUnits(0.1)).is_err());
 }
 
@@ -215,3 +219,24 @@
     bench.advance(millis(500));
     assert_eq!(bench.probe_search(), None, "the grant admits more");
 }
+
+/// Guards against a new entry that refuses callers with a low rate for seconds, although nobody spent their burst.
+#[test]
+fn the_first_holder_of_an_ordinal_may_spend_its_part_of_the_burst() {
+    let never_held = Duration::from_secs(3600);
+    let (rate, burst) = (25.5, 60.0);
+    let mut spent = 0.0;
+    for ordinal in 0..MAX_ORDINALS {
+        let generator = ChaCha12Rng::seed_from_u64(u64::from(ordinal));
+        let mut limits = CallerLimits::new(LimitSettings::default(), generator);
+        limits.update_sheet(at(1), &sheet(rate, burst));
+        let ordinal = OrdinalNumber(u64::from(ordinal));
+        let share = OrdinalShare { ordinal, max_ordinals: MAX_ORDINALS };
+        limits.set_share(at(1), Some(share), never_held);
+        for _ in 0..100 {
+            spent += if limits.spend(at(1), &key(), CostUnits(4.0)).is_ok() { 4.0 } else { 0.0 };
+        }
+    }
+    assert_eq!(spent, 4.0 * f64::from(MAX_ORDINALS), "one order at each entry");
+    assert!(spent <= burst);
+}
--- a/hickoryspan_core/tests/entry_support/mod.rs
+++ b/hickoryspan_core/tests/entry_support/mod.rs
@@ -273,6 +273,7 @@
         EntryEvent::Control(ControlMessage::Welcome {
             ordinal: OrdinalNumber(ordinal),
             max_ordinals: MAX_ORDINALS,
+            idle: std::time::Duration::ZERO,
             view: Box::new(self.view.clone()),
         })
     }
--- a/hickoryspan_entry/tests/common/mod.rs
+++ b/hickoryspan_entry/tests/common/mod.rs
@@ -269,6 +269,7 @@
             vec![ControlMessage::Welcome {
                 ordinal: OrdinalNumber(0),
                 max_ordinals: 1,
+                idle: std::time::Duration::ZERO,
                 view: Box::new(view),
             }]
         }
