Keep unsettled orders from slowing down searches

Cause: each event looked at every order run twice, so the cost of a search grew with the unsettled orders that pile up while control is away. Change: the order book keeps its next due time and looks at its runs only then, or when an order event arrives; add a benchmark of the machine's own work.

--- /dev/null
+++ b/hickoryspan_core/benches/entry_machine.rs
@@ -0,0 +1,68 @@
+//! Cost of one search in the entry machine, by the number of searches in flight and of unsettled orders.
+//!
+//! The engine is scripted, so that only the machine's own work is measured. Compare the cases of one run.
+
+#[path = "../tests/entry_support/mod.rs"]
+mod entry_support;
+
+use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
+
+use entry_support::*;
+use hickoryspan_core::entry::admission::AdmissionSettings;
+
+/// A ready machine that admits everything.
+fn open_bench() -> EntryBench {
+    let admission = AdmissionSettings {
+        initial_limit: 1e6,
+        max_limit: 1e6,
+        entry_limit: 1_000_000,
+        ..AdmissionSettings::default()
+    };
+    let settings = EntrySettings { admission, ..EntrySettings::default() };
+    let mut bench = EntryBench::with_settings(1, settings, sheet(1e9, 1e9));
+    bench.advance(millis(2000));
+    bench
+}
+
+/// One search from arrival to response, with the wake-up question that a driver asks after each event.
+fn run_search(bench: &mut EntryBench) {
+    let token = bench.search();
+    bench.machine.next_wakeup();
+    bench.engine.script().searches.clear();
+    bench.report(EngineReport::Search(token, search_result(1.0, &[token.0])));
+    bench.machine.next_wakeup();
+    bench.actions.clear();
+}
+
+fn searches_in_flight(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("search_by_searches_in_flight");
+    for count in [0, 100, 1000] {
+        let mut bench = open_bench();
+        for _ in 0..count {
+            bench.search();
+        }
+        group.bench_function(BenchmarkId::from_parameter(count), |bencher| {
+            bencher.iter(|| run_search(&mut bench));
+        });
+    }
+    group.finish();
+}
+
+fn unsettled_orders(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("search_by_unsettled_orders");
+    for count in [0, 100, 1000] {
+        let mut bench = open_bench();
+        for index in 0..count {
+            let token = bench.order(&format!("order-{index}"));
+            let verdict = ClaimVerdict::Granted;
+            bench.control(ControlMessage::ClaimAnswer { token, verdict });
+        }
+        group.bench_function(BenchmarkId::from_parameter(count), |bencher| {
+            bencher.iter(|| run_search(&mut bench));
+        });
+    }
+    group.finish();
+}
+
+criterion_group!(benches, searches_in_flight, unsettled_orders);
+criterion_main!(benches);
--- a/hickoryspan_core/src/entry/orders.rs
+++ b/hickoryspan_core/src/entry/orders.rs
@@ -121,6 +121,7 @@
     lookups: BTreeMap<QueryToken, PendingLookup>,
     recent: BTreeMap<ClaimKey, RecentOutcome>,
     recent_order: VecDeque<ClaimKey>,
+    next_due: Option<MonotonicTime>,
 }
 
 impl OrderBook {
@@ -135,6 +136,7 @@
             lookups: BTreeMap::new(),
             recent: BTreeMap::new(),
             recent_order: VecDeque::new(),
+            next_due: None,
         }
     }
 
@@ -207,7 +209,7 @@
             };
             self.runs.insert(request.key, run);
         }
-        self.advance(now, send, effects);
+        self.advance_all(now, send, effects);
     }
 
     /// Asks what became of an order.
@@ -232,7 +234,7 @@
         }
         let interval = self.settings.settle_base;
         self.lookups.insert(token, PendingLookup { key, deadline, send_at: now, interval });
-        self.advance(now, send, effects);
+        self.advance_all(now, send, effects);
     }
 
     /// The caller of a lookup went away.
@@ -276,7 +278,7 @@
         for lookup in self.lookups.values_mut() {
             lookup.send_at = now;
         }
-        self.advance(now, send, effects);
+        self.advance_all(now, send, effects);
     }
 
     /// Control decided a claim. `may_start` says whether the ordinal's lease runs.
@@ -330,7 +332,7 @@
                 _ => {}
             },
         }
-        self.advance(now, send, effects);
+        self.advance_all(now, send, effects);
     }
 
     /// Control answered a lookup.
@@ -347,7 +349,7 @@
         } else if let Some(key) = self.keys.get(&token).cloned() {
             self.answer_own_lookup(now, &key, verdict, effects);
         }
-        self.advance(now, send, effects);
+        self.advance_all(now, send, effects);
     }
 
     fn answer_lookup(
@@ -459,7 +461,7 @@
             send_at: now,
             interval: settle_base,
         };
-        self.advance(now, send, effects);
+        self.advance_all(now, send, effects);
     }
 
     /// Sends what is due and answers callers whose time is over.
@@ -468,6 +470,19 @@
         now: MonotonicTime,
         send: ControlSender<'_>,
         effects: &mut Vec<OrderEffect>,
+    ) {
+        // Every event of the machine comes here, and looking at each run would let unsettled orders slow
+        // down searches.
+        if self.next_due.is_some_and(|due| now >= due) {
+            self.advance_all(now, send, effects);
+        }
+    }
+
+    fn advance_all(
+        &mut self,
+        now: MonotonicTime,
+        send: ControlSender<'_>,
+        effects: &mut Vec<OrderEffect>,
     ) {
         let margin = self.settings.reply_margin;
         let late: Vec<ClaimKey> = self
@@ -481,10 +496,15 @@
         }
         self.send_due(now, &mut *send);
         self.send_due_lookups(now, send, effects);
+        self.next_due = self.earliest_due();
     }
 
-    /// When the book wants to be woken.
+    /// When the book wants to be woken; it may be earlier than needed, but never later.
     pub fn next_wakeup(&self) -> Option<MonotonicTime> {
+        self.next_due
+    }
+
+    fn earliest_due(&self) -> Option<MonotonicTime> {
         let margin = self.settings.reply_margin;
         let runs = self.runs.values().flat_map(|run| run.wakeups(margin));
         let lookups = self.lookups.values().flat_map(|lookup| [lookup.deadline, lookup.send_at]);
