--- a/hickoryspan_core/tests/entry_session.rs
+++ b/hickoryspan_core/tests/entry_session.rs
@@ -227,7 +227,6 @@
 #[test]
 fn a_lagging_view_is_fetched() {
     let mut bench = EntryBench::ready(1);
-    bench.committed = Some(RevisionNumber(9));
     bench.view.apply(RevisionNumber(9), []);
     bench.advance(millis(2500));
     assert_eq!(bench.engine.script().revision, RevisionNumber(9));
--- a/hickoryspan_core/tests/entry_support/mod.rs
+++ b/hickoryspan_core/tests/entry_support/mod.rs
@@ -139,7 +139,6 @@
     /// Whether control answers Hello and Renew by itself.
     pub answers: bool,
     pub view: MembershipView,
-    pub committed: Option<RevisionNumber>,
     pub grants: Vec<ShareGrant>,
     next_token: u64,
 }
@@ -227,7 +226,6 @@
             actions: Vec::new(),
             answers: true,
             view: view_with(document),
-            committed: None,
             grants: Vec::new(),
             next_token: 1,
         }
@@ -281,7 +279,7 @@
         EntryEvent::Control(ControlMessage::Renewed {
             sequence,
             lease: LEASE,
-            committed: self.committed.unwrap_or(self.view.revision),
+            committed: self.view.revision,
             shares: self.grants.clone(),
             share_lease: SHARE_LEASE,
         })
