Refuse an order as not run only if it was never claimed

Cause: the whole-path test sent a completed order again through an entry whose share of the limit was used up, and was told not_run for an order that had run. The same held for refusals by overload, quarantine, drain and cut-off, and for a claim that control refused to decide. Change: a refused order waits for a lookup at control. An earlier outcome is returned, an absent claim confirms not_run, another content is a conflict, and silence or a missing session gives unknown. Three tests expected not_run where an earlier request may have run (a claim that control never decided, and two orders at an entry that is cut off); they now expect unknown, which is the stricter statement.

--- a/hickoryspan_core/src/control/claims.rs
+++ b/hickoryspan_core/src/control/claims.rs
@@ -147,6 +147,11 @@
         }
     }
 
+    /// The content with which an order was claimed.
+    pub fn fingerprint(&self, key: &ClaimKey) -> Option<RequestFingerprint> {
+        self.record(key).map(|record| record.fingerprint)
+    }
+
     /// Drops the claims issued at `horizon` or earlier; the horizon never moves back.
     pub fn advance_horizon(&mut self, horizon: WallTime) {
         if horizon <= self.horizon {
--- a/hickoryspan_core/src/control/machine/entries.rs
+++ b/hickoryspan_core/src/control/machine/entries.rs
@@ -82,7 +82,7 @@
             }
             EntryMessage::Lookup { token, .. } => {
                 let verdict = LookupVerdict::Unavailable;
-                Some(ControlMessage::LookupAnswer { token: *token, verdict })
+                Some(ControlMessage::LookupAnswer { token: *token, verdict, fingerprint: None })
             }
             _ => None,
         };
--- a/hickoryspan_core/src/control/machine/leadership.rs
+++ b/hickoryspan_core/src/control/machine/leadership.rs
@@ -282,7 +282,7 @@
         match read {
             WaitingRead::Lookup(link, token, _) => {
                 let verdict = LookupVerdict::Unavailable;
-                let message = ControlMessage::LookupAnswer { token, verdict };
+                let message = ControlMessage::LookupAnswer { token, verdict, fingerprint: None };
                 actions.push(ControlAction::SendEntry(link, message));
             }
             WaitingRead::Query(token, _) => self.reply_unavailable(token, actions),
@@ -358,7 +358,8 @@
                 WaitingRead::View(link) => self.answer_resync(link, actions),
                 WaitingRead::Lookup(link, token, key) => {
                     let verdict = self.state.claims().lookup(&key);
-                    let message = ControlMessage::LookupAnswer { token, verdict };
+                    let fingerprint = self.state.claims().fingerprint(&key);
+                    let message = ControlMessage::LookupAnswer { token, verdict, fingerprint };
                     actions.push(ControlAction::SendEntry(link, message));
                 }
                 WaitingRead::Query(token, query) => self.answer_query(token, query, actions),
--- a/hickoryspan_core/src/entry/machine.rs
+++ b/hickoryspan_core/src/entry/machine.rs
@@ -2,6 +2,8 @@
 //!
 //! It connects the policies of this module's siblings; see `docs/design.md`, sections 5 to 8.
 
+mod refusals;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
@@ -28,11 +30,11 @@
     RequestKind, ResponseReason,
 };
 use super::limits::{CallerLimits, LimitKey, LimitSettings};
-use super::orders::{OrderBook, OrderEffect, OrderReply, OrderRequest, OrderSettings};
+use super::orders::{OrderBook, OrderEffect, OrderLookup, OrderReply, OrderRequest, OrderSettings};
 use super::plan::{EngineReport, FanoutMode, SearchResult};
 use super::quarantine::{CrashQuarantine, QuarantineSettings, QuarantineVerdict};
 use super::requests::{ActiveRequest, ActiveWork, PaidWork, WorkPlan, make_plan};
-use super::responses::{blank_response, can_run_elsewhere, order_response, search_response};
+use super::responses::{blank_response, can_run_elsewhere, search_response};
 use super::search_engine::SearchEngine;
 use super::session::{ControlSession, RenewalReport, SessionSettings, SessionStanding};
 
@@ -337,9 +339,16 @@
             ControlMessage::Settled(key) => {
                 self.with_orders(now, actions, |orders, _, effects| orders.settled(&key, effects));
             }
-            ControlMessage::LookupAnswer { token, verdict } => {
+            ControlMessage::LookupAnswer { token, verdict, fingerprint } => {
                 self.with_orders(now, actions, |orders, send, effects| {
-                    orders.lookup_answered(now.monotonic, token, verdict, send, effects);
+                    orders.lookup_answered(
+                        now.monotonic,
+                        token,
+                        verdict,
+                        fingerprint,
+                        send,
+                        effects,
+                    );
                 });
             }
             ControlMessage::NotLeader { leader, pledge } => {
@@ -409,6 +418,7 @@
             class: resolved.class.clone(),
             arrival: now.monotonic,
             deadline: now.monotonic + resolved.deadline,
+            is_measured: true,
             work: ActiveWork::Unpaid,
         };
         let priority = resolved.class_spec.priority;
@@ -425,7 +435,9 @@
         }
         let cost = match self.charge(now, &request, &active.limit, &plan, weight) {
             Ok(cost) => cost,
-            Err(response) => return self.finish(now, &active, token, *response, actions),
+            Err(response) => {
+                return self.refuse_request(now, token, &request, active, *response, actions);
+            }
         };
         let service = plan.service().clone();
         let deadline = active.deadline;
@@ -511,7 +523,14 @@
         }
         let mut response = self.refused_response(now, reason, &active.limit.caller);
         response.retry_after = hint;
-        self.finish(now, &active, token, response, actions);
+        let order = match &active.work {
+            ActiveWork::Paid(paid) => paid.plan.to_order_content(),
+            _ => None,
+        };
+        match order {
+            Some(order) => self.refuse_order(now, token, active, order, response, actions),
+            None => self.finish(now, &active, token, response, actions),
+        }
     }
 
     fn verdict(&self, now: ClockReading, fingerprint: &RequestFingerprint) -> QuarantineVerdict {
@@ -643,6 +662,7 @@
             class,
             arrival: now.monotonic,
             deadline,
+            is_measured: true,
             work: ActiveWork::Unpaid,
         };
         let key =
@@ -658,7 +678,8 @@
         }
         self.requests.insert(token, active);
         self.with_orders(now, actions, |orders, send, effects| {
-            orders.look_up(now.monotonic, token, key, deadline, send, effects);
+            let lookup = OrderLookup { key, fingerprint: None, deadline };
+            orders.look_up(now.monotonic, token, lookup, send, effects);
         });
     }
 
@@ -673,7 +694,7 @@
                 }
                 _ => self.engine.cancel(now, token, actions),
             }
-        } else if matches!(active.work, ActiveWork::Unpaid) {
+        } else if matches!(active.work, ActiveWork::Unpaid | ActiveWork::Refused(_)) {
             self.orders.forget_lookup(token);
             self.requests.remove(&token);
         }
@@ -798,54 +819,30 @@
             None => WorkEnd::InTime,
         };
         let Some(active) = self.end_work(now, token, end) else { return };
-        let response = order_response(reply, self.configuration.revision());
+        let response = self.settled_response(&active, reply);
         self.finish(now, &active, token, response, actions);
     }
 
-    fn refuse_unresolved(
+    fn finish(
         &mut self,
         now: ClockReading,
+        active: &ActiveRequest,
         token: QueryToken,
-        request: &CallerRequest,
-        reason: ResponseReason,
+        response: CallerResponse,
         actions: &mut Vec<EntryAction>,
     ) {
-        let mut response = self.refused_response(now, reason, &request.caller);
-        if matches!(request.kind, RequestKind::Lookup { .. }) {
-            // Nothing is known here about the order that is asked about.
-            response.outcome = RequestOutcome::Unknown;
-        }
-        // Names outside the sheet would let callers create any number of metrics.
-        if let Some((tenant, class)) = self.configuration.known_names(request) {
+        if active.is_measured {
             actions.push(EntryAction::Measure(EntryMeasure::Request {
-                tenant,
-                class,
+                tenant: active.limit.tenant.clone(),
+                class: active.class.clone(),
                 outcome: response.outcome,
-                latency: Duration::ZERO,
+                latency: now.monotonic.since(active.arrival),
                 coverage: response.coverage,
             }));
         }
         actions.push(EntryAction::Respond(token, Box::new(response)));
     }
 
-    fn finish(
-        &mut self,
-        now: ClockReading,
-        active: &ActiveRequest,
-        token: QueryToken,
-        response: CallerResponse,
-        actions: &mut Vec<EntryAction>,
-    ) {
-        actions.push(EntryAction::Measure(EntryMeasure::Request {
-            tenant: active.limit.tenant.clone(),
-            class: active.class.clone(),
-            outcome: response.outcome,
-            latency: now.monotonic.since(active.arrival),
-            coverage: response.coverage,
-        }));
-        actions.push(EntryAction::Respond(token, Box::new(response)));
-    }
-
     /// The response to a request that is refused here; other entries are named if they could serve it.
     fn refused_response(
         &self,
--- a/hickoryspan_core/src/entry/order_run.rs
+++ b/hickoryspan_core/src/entry/order_run.rs
@@ -130,14 +130,10 @@
         OrderReply { reason: reply.reason, ..OrderReply::recorded(outcome.clone()) }
     }
 
-    /// What a waiter is told at its deadline. A claim that was sent and not answered may meet a run by
-    /// another process, so only orders without such a claim are reported as not run.
-    pub(super) fn late_reply(&self, token: QueryToken, is_last: bool) -> OrderReply {
+    /// What a waiter is told at its deadline. Without an answer to the claim, an earlier request with the same key
+    /// may have run through another process, so the order is not reported as not run.
+    pub(super) fn late_reply(&self, token: QueryToken) -> OrderReply {
         match &self.phase {
-            RunPhase::Claiming { unanswered: 0, .. } if is_last => {
-                let reason = ResponseReason::ControlUnavailable;
-                OrderReply::without_body(RequestOutcome::NotRun, reason)
-            }
             RunPhase::Claiming { .. } | RunPhase::Abandoned { .. } => {
                 let reason = ResponseReason::ControlUnavailable;
                 OrderReply::without_body(RequestOutcome::Unknown, reason)
--- a/hickoryspan_core/src/entry/orders.rs
+++ b/hickoryspan_core/src/entry/orders.rs
@@ -102,9 +102,21 @@
     outcome: OrderOutcome,
 }
 
+/// A question about an order.
+#[derive(Clone, Debug)]
+pub struct OrderLookup {
+    /// The order's key.
+    pub key: ClaimKey,
+    /// The content of a resend, if the question comes from one; the record of another content is a conflict.
+    pub fingerprint: Option<RequestFingerprint>,
+    /// When the response must be given.
+    pub deadline: MonotonicTime,
+}
+
 #[derive(Debug)]
 struct PendingLookup {
     key: ClaimKey,
+    fingerprint: Option<RequestFingerprint>,
     deadline: MonotonicTime,
     send_at: MonotonicTime,
     interval: Duration,
@@ -217,11 +229,16 @@
         &mut self,
         now: MonotonicTime,
         token: QueryToken,
-        key: ClaimKey,
-        deadline: MonotonicTime,
+        lookup: OrderLookup,
         send: ControlSender<'_>,
         effects: &mut Vec<OrderEffect>,
     ) {
+        let OrderLookup { key, fingerprint, deadline } = lookup;
+        let known_content = self.known_content(&key);
+        if is_conflict(fingerprint, known_content) {
+            effects.push(OrderEffect::Reply(token, conflict_reply()));
+            return;
+        }
         if let Some(reply) = self.known_state(&key) {
             effects.push(OrderEffect::Reply(token, reply));
             return;
@@ -233,7 +250,8 @@
             return;
         }
         let interval = self.settings.settle_base;
-        self.lookups.insert(token, PendingLookup { key, deadline, send_at: now, interval });
+        self.lookups
+            .insert(token, PendingLookup { key, fingerprint, deadline, send_at: now, interval });
         self.advance_all(now, send, effects);
     }
 
@@ -242,6 +260,11 @@
         self.lookups.remove(&token);
     }
 
+    /// The content of an order whose outcome this process remembers.
+    fn known_content(&self, key: &ClaimKey) -> Option<RequestFingerprint> {
+        self.recent.get(key).map(|recent| recent.fingerprint)
+    }
+
     /// What this process knows about an order without asking control.
     pub fn known_state(&self, key: &ClaimKey) -> Option<OrderReply> {
         if let Some(recent) = self.recent.get(key) {
@@ -341,10 +364,15 @@
         now: MonotonicTime,
         token: QueryToken,
         verdict: LookupVerdict,
+        content: Option<RequestFingerprint>,
         send: ControlSender<'_>,
         effects: &mut Vec<OrderEffect>,
     ) {
-        if self.lookups.contains_key(&token) {
+        let asked = self.lookups.get(&token).and_then(|lookup| lookup.fingerprint);
+        if is_conflict(asked, content) {
+            self.lookups.remove(&token);
+            effects.push(OrderEffect::Reply(token, conflict_reply()));
+        } else if self.lookups.contains_key(&token) {
             self.answer_lookup(now, token, verdict, effects);
         } else if let Some(key) = self.keys.get(&token).cloned() {
             self.answer_own_lookup(now, &key, verdict, effects);
@@ -650,9 +678,8 @@
         let (late, waiting): (Vec<_>, Vec<_>) =
             run.waiters.iter().partition(|waiter| now >= run.reply_time(waiter, margin));
         run.waiters = waiting;
-        for (index, waiter) in late.iter().enumerate() {
-            let is_last = run.waiters.is_empty() && index + 1 == late.len();
-            effects.push(OrderEffect::Reply(waiter.token, run.late_reply(waiter.token, is_last)));
+        for waiter in late {
+            effects.push(OrderEffect::Reply(waiter.token, run.late_reply(waiter.token)));
         }
         if !run.waiters.is_empty() {
             return;
@@ -673,3 +700,13 @@
         }
     }
 }
+
+/// Whether two contents are known and differ.
+fn is_conflict(asked: Option<RequestFingerprint>, found: Option<RequestFingerprint>) -> bool {
+    matches!((asked, found), (Some(asked), Some(found)) if asked != found)
+}
+
+/// The key belongs to another content, so this one did not run.
+fn conflict_reply() -> OrderReply {
+    OrderReply::without_body(RequestOutcome::NotRun, ResponseReason::Conflict)
+}
--- a/hickoryspan_core/src/entry/requests.rs
+++ b/hickoryspan_core/src/entry/requests.rs
@@ -5,7 +5,7 @@
 use crate::types::{ClassId, CostUnits, MonotonicTime, RequestFingerprint};
 
 use super::configuration::ResolvedRequest;
-use super::interface::{CallerRequest, RequestKind};
+use super::interface::{CallerRequest, CallerResponse, RequestKind};
 use super::limits::LimitKey;
 use super::orders::OrderRequest;
 use super::plan::{FanoutMode, SearchPlan};
@@ -17,6 +17,8 @@
     pub(super) class: ClassId,
     pub(super) arrival: MonotonicTime,
     pub(super) deadline: MonotonicTime,
+    /// Whether tenant and class are names of the sheet, and may become labels of metrics.
+    pub(super) is_measured: bool,
     pub(super) work: ActiveWork,
 }
 
@@ -30,6 +32,8 @@
 pub(super) enum ActiveWork {
     /// Passed the limit; waits for admission, runs, or shares the run of an equal order.
     Paid(Box<PaidWork>),
+    /// A refused order; control is asked whether an earlier request with its key ran.
+    Refused(Box<CallerResponse>),
     /// A lookup, or a request that is refused at once.
     Unpaid,
 }
@@ -43,6 +47,13 @@
     pub(super) started: Option<MonotonicTime>,
 }
 
+/// An order's key and content.
+#[derive(Clone, Debug)]
+pub(super) struct OrderContent {
+    pub(super) key: ClaimKey,
+    pub(super) fingerprint: RequestFingerprint,
+}
+
 #[derive(Clone, Debug)]
 pub(super) enum WorkPlan {
     Search(SearchPlan),
@@ -57,6 +68,15 @@
         }
     }
 
+    pub(super) fn to_order_content(&self) -> Option<OrderContent> {
+        match self {
+            Self::Search(_) => None,
+            Self::Order(order) => {
+                Some(OrderContent { key: order.key.clone(), fingerprint: order.fingerprint })
+            }
+        }
+    }
+
     pub(super) fn service(&self) -> &ServiceKey {
         match self {
             Self::Search(plan) => &plan.service,
--- a/hickoryspan_core/src/messages.rs
+++ b/hickoryspan_core/src/messages.rs
@@ -261,6 +261,9 @@
         token: QueryToken,
         /// The order's state.
         verdict: LookupVerdict,
+        /// The content with which the order was claimed, if it was.
+        #[serde(default)]
+        fingerprint: Option<RequestFingerprint>,
     },
     /// This replica does not lead.
     NotLeader {
--- a/hickoryspan_core/tests/entry_quarantine.rs
+++ b/hickoryspan_core/tests/entry_quarantine.rs
@@ -62,6 +62,7 @@
     let sent = bench.sent();
     let claimed = sent.iter().filter(|message| matches!(message, EntryMessage::Claim { .. }));
     assert_eq!(claimed.count(), claims);
+    bench.answer_lookups(&sent, &LookupVerdict::Absent);
     assert_eq!(bench.response(token).is_some(), claims == 0);
 }
 
--- a/hickoryspan_core/tests/entry_support/mod.rs
+++ b/hickoryspan_core/tests/entry_support/mod.rs
@@ -37,6 +37,10 @@
     Some((RequestOutcome::NotRun, Some(reason)))
 }
 
+pub fn unknown(reason: ResponseReason) -> Option<Told> {
+    Some((RequestOutcome::Unknown, Some(reason)))
+}
+
 pub fn id<T: std::str::FromStr>(text: &str) -> T {
     text.parse().ok().expect("a valid identifier")
 }
@@ -387,6 +391,16 @@
         })
     }
 
+    /// Answers every lookup among the sent messages, as a control that has decided.
+    pub fn answer_lookups(&mut self, sent: &[EntryMessage], verdict: &LookupVerdict) {
+        for message in sent {
+            if let EntryMessage::Lookup { token, .. } = message {
+                let (token, verdict) = (*token, verdict.clone());
+                self.control(ControlMessage::LookupAnswer { token, verdict, fingerprint: None });
+            }
+        }
+    }
+
     /// Whether the engine may use connections now.
     pub fn has_share(&self) -> bool {
         self.engine.script().shares.last().is_some_and(Option::is_some)
