--- a/hickoryspan_store/src/file_ops.rs
+++ b/hickoryspan_store/src/file_ops.rs
@@ -40,6 +40,8 @@
     pub rename: &'static str,
 }
 
+// Only fail points call it, and builds without tests leave them out.
+#[allow(dead_code)]
 fn injected(action: Option<String>) -> io::Error {
     match action.as_deref() {
         Some("nospace") => io::Error::new(io::ErrorKind::StorageFull, "injected"),
