Test that a target that misses deadlines gets no more work

Change: a test of a target that never answers in time. It holds with either of two rules, so it does not fail when only the failure count at a deadline is removed. Measured: not measured.

--- a/hickoryspan_core/tests/engine_hedging.rs
+++ b/hickoryspan_core/tests/engine_hedging.rs
@@ -4,6 +4,7 @@
 
 use hickoryspan_core::entry::engine::EngineSettings;
 use hickoryspan_core::entry::interface::{AnswerStatus, AttemptFailure, LoadReport};
+use hickoryspan_core::entry::plan::SearchPlan;
 use hickoryspan_core::types::{CoverageShare, KeyRange, SlotCount, SnapshotVersion};
 use support::*;
 
@@ -230,6 +231,26 @@
     assert_eq!(bench.target_of(attempt), "t0-0");
 }
 
+#[test]
+fn a_target_that_misses_deadlines_gets_no_more_work() {
+    let mut settings = EngineSettings::default();
+    settings.hedging.enabled = false;
+    let mut bench = EngineBench::with_settings(even_view(1, 2), settings);
+    bench.warm_up(ms(5));
+    for _ in 0..6 {
+        let deadline = bench.now + ms(60);
+        bench.search(SearchPlan { deadline, ..plan(bench.now) });
+        let attempt = *bench.attempts.keys().next().unwrap();
+        if bench.target_of(attempt) == "t0-1" {
+            bench.done(attempt);
+        }
+        bench.advance(ms(100));
+    }
+    bench.search_all();
+    let newest = bench.attempts.values().max_by_key(|sent| sent.sent_at).unwrap();
+    assert_eq!(newest.order.target.as_str(), "t0-1");
+}
+
 #[test]
 fn connections_that_ended_while_idle_do_not_eject_a_target() {
     let mut bench = EngineBench::new(even_view(1, 2));
