Give every entry host of both tenants an ordinal, with room for restarts

Cause: one sheet and one control serve both tenants, whose 14 entry hosts took all 14 ordinals; a new process of a restart had to wait until the old one had released its own. Change: 20 ordinals by default, still below the 25 connections of the smallest targets, so that every entry keeps a connection to each. Measured: cargo test of core, sheet, local, control, ctl and entry passes. Conclusion: up to 6 of 14 entries can restart with an overlap.

--- a/hickoryspan_core/src/control/settings.rs
+++ b/hickoryspan_core/src/control/settings.rs
@@ -30,7 +30,9 @@
     pub sweep_interval: Duration,
     /// Targets of one failure domain that one sweep may remove.
     pub max_expiries_per_domain: usize,
-    /// The number of ordinals for entry processes.
+    /// The number of ordinals for entry processes. The default has one for each of the 14 entry hosts of both
+    /// tenants and six for new processes that overlap with old ones in restarts; it is below the 25 connections of
+    /// the smallest targets, so that every entry has one to each.
     pub max_ordinals: u32,
     /// How long a claim is kept after it was issued.
     pub claim_retention: Duration,
@@ -69,7 +71,7 @@
             share_lease: Duration::from_secs(2),
             sweep_interval: Duration::from_millis(500),
             max_expiries_per_domain: 256,
-            max_ordinals: 14,
+            max_ordinals: 20,
             claim_retention: Duration::from_secs(48 * 60 * 60),
             max_claims: 1_000_000,
             max_outcome_bytes: 16 * 1024,
--- a/hickoryspan_core/tests/control_single.rs
+++ b/hickoryspan_core/tests/control_single.rs
@@ -592,7 +592,7 @@
     assert_eq!(idle_time(&messages), (OrdinalNumber(0), Duration::ZERO), "the same process");
     cluster.send(link, EntryMessage::Release);
     // Every other ordinal is taken before the freed one.
-    for number in 1..14 {
+    for number in 1..20 {
         let (_, messages) = cluster.join(&format!("f{number}"), 1);
         assert_eq!(idle_time(&messages).0, OrdinalNumber(number));
     }
--- a/hickoryspan_load/src/capacity/fan_out.rs
+++ b/hickoryspan_load/src/capacity/fan_out.rs
@@ -87,7 +87,7 @@
 ) -> anyhow::Result<FanOutCost> {
     let service = ServicePlan {
         slots: SlotCount(CONCURRENCY as u32 * 2),
-        connections: ConnectionCount(14 * CONCURRENCY as u32 * 2),
+        connections: ConnectionCount(20 * CONCURRENCY as u32 * 2),
         service_time: Duration::from_millis(1),
         ..ServicePlan::new("quindio", "sales-console", width, 1)?
     };
--- a/hickoryspan_load/src/capacity_main.rs
+++ b/hickoryspan_load/src/capacity_main.rs
@@ -89,7 +89,7 @@
     // The library counts in fractions of a megabyte.
     let allocated = || (ALLOCATOR.current_usage_as_kb() * 1024.0) as usize;
     let entry = measure_points(&TARGET_COUNTS, |count| {
-        Ok(measure_entry_state(&allocated, count, 7, 14)? as f64)
+        Ok(measure_entry_state(&allocated, count, 7, 20)? as f64)
     })?;
     print_line("entry state with all shares, bytes by targets", &entry);
     let subset = measure_points(&TARGET_COUNTS, |count| {
