Choose faulty targets by number and set the service time of experiments

Cause: with one target in a hundred slow, the seed could choose none at all, and the run then measured nothing. Conclusion: a straggler run has a straggler.

--- a/hickoryspan_load/src/driver.rs
+++ b/hickoryspan_load/src/driver.rs
@@ -12,13 +12,14 @@
 use hickoryspan_local::{LocalDeployment, LostTarget};
 use hickoryspan_runtime::clock::wall_time;
 use hickoryspan_runtime::http_client::HttpConnection;
+use hickoryspan_target::TargetHandle;
 use hickoryspan_target::documents::DocumentHit;
 use hickoryspan_target::faults::{FaultEvent, FaultSettings};
 use http::Request;
 use http::header::{CONTENT_TYPE, HOST};
 use http_body_util::Full;
+use rand::SeedableRng;
 use rand::seq::IndexedRandom;
-use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha12Rng;
 use serde::Deserialize;
 use serde_json::json;
@@ -358,6 +359,17 @@
     })
 }
 
+/// A share of the targets, rounded up, so that a small share of few targets is not none at all.
+fn choose_targets<'a>(
+    deployment: &'a LocalDeployment,
+    share: f64,
+    generator: &mut ChaCha12Rng,
+) -> Vec<&'a TargetHandle> {
+    let targets = deployment.targets();
+    let count = (share.clamp(0.0, 1.0) * targets.len() as f64).ceil() as usize;
+    targets.sample(generator, count).collect()
+}
+
 /// Injects faults at their times.
 struct FaultInjector {
     seed: u64,
@@ -390,11 +402,9 @@
         let mut generator = ChaCha12Rng::seed_from_u64(self.seed);
         match *fault {
             FaultKind::Stragglers { share, factor } => {
-                for target in deployment.targets() {
-                    if generator.random_bool(share.clamp(0.0, 1.0)) {
-                        let straggler_factor = factor;
-                        target.set_faults(FaultSettings { straggler_factor, ..Default::default() });
-                    }
+                for target in choose_targets(deployment, share, &mut generator) {
+                    let straggler_factor = factor;
+                    target.set_faults(FaultSettings { straggler_factor, ..Default::default() });
                 }
             }
             FaultKind::Stall { at, length } => {
@@ -423,10 +433,8 @@
             }
             FaultKind::SilenceConnections { at, share } => {
                 self.wait_until(at).await;
-                for target in deployment.targets() {
-                    if generator.random_bool(share.clamp(0.0, 1.0)) {
-                        target.cause(FaultEvent::SilenceConnections);
-                    }
+                for target in choose_targets(deployment, share, &mut generator) {
+                    target.cause(FaultEvent::SilenceConnections);
                 }
             }
             FaultKind::RollingRestart { at } => {
--- a/hickoryspan_load/src/experiment.rs
+++ b/hickoryspan_load/src/experiment.rs
@@ -11,7 +11,7 @@
 use crate::arrivals::plan_arrivals;
 use crate::driver::run_schedule;
 use crate::fault_plan::FaultKind;
-use crate::profile::LoadProfile;
+use crate::profile::{LoadProfile, SERVICE_TIME};
 use crate::summary::{RunSummary, summarize};
 
 /// A set of policies.
@@ -85,6 +85,8 @@
     pub profile: LoadProfile,
     /// Mean arrivals a second.
     pub requests_per_second: f64,
+    /// Median time of a sub-request in its slot.
+    pub service_time: Duration,
     /// Length of each variant's run.
     pub duration: Duration,
     /// Seed of arrivals, faults and the deployment.
@@ -100,6 +102,7 @@
         Self {
             profile: LoadProfile::default(),
             requests_per_second: 40.0,
+            service_time: SERVICE_TIME,
             duration: Duration::from_secs(15),
             seed: 41,
             variants: vec![PolicyVariant::Baseline, PolicyVariant::Full],
@@ -113,7 +116,10 @@
     let mut summaries = Vec::new();
     for variant in &settings.variants {
         let name = variant.to_string();
-        let plan = settings.profile.to_plan(settings.seed)?;
+        let mut plan = settings.profile.to_plan(settings.seed)?;
+        for service in &mut plan.deployment.services {
+            service.service_time = settings.service_time;
+        }
         let requests = plan_arrivals(
             &plan.traffic,
             settings.requests_per_second,
--- a/hickoryspan_load/src/main.rs
+++ b/hickoryspan_load/src/main.rs
@@ -26,6 +26,12 @@
         meta = "RATE"
     )]
     rate: Option<String>,
+    #[options(
+        help = "median time of a sub-request in its slot, 1ms to 1s (default 4ms)",
+        no_short,
+        meta = "DURATION"
+    )]
+    service_time: Option<String>,
     #[options(help = "length of each run, 1s to 10m (default 15s)", no_short, meta = "DURATION")]
     duration: Option<String>,
     #[options(help = "seed of arrivals, faults and targets (default 41)", no_short, meta = "SEED")]
@@ -106,6 +112,12 @@
             "a number above 0, at most 5000",
             |rate| *rate > 0.0 && *rate <= 5000.0,
         ),
+        service_time: reader.duration(
+            "service-time",
+            options.service_time.as_deref(),
+            default.service_time,
+            Duration::from_millis(1)..=Duration::from_secs(1),
+        ),
         duration: reader.duration(
             "duration",
             options.duration.as_deref(),
--- a/hickoryspan_load/src/report.rs
+++ b/hickoryspan_load/src/report.rs
@@ -14,10 +14,11 @@
     // Writing to a string cannot fail.
     let _ = writeln!(
         text,
-        "Profile {}, {} requests/s for {}, seed {}, faults: {faults}\n",
+        "Profile {}, {} requests/s for {}, service time {}, seed {}, faults: {faults}\n",
         settings.profile,
         settings.requests_per_second,
         humantime::format_duration(settings.duration),
+        humantime::format_duration(settings.service_time),
         settings.seed,
     );
     let _ = writeln!(
