Show admission the time that sub-requests wait in the engine

Cause: at twice the capacity of the sales console, complete answers fell to 54% of their peak. The engine keeps queues away from the targets, so the targets' latency, which admission follows, hardly rose; only missed deadlines lowered the limit, after the fact. Ruled out: missing feedback from partial answers, which count as missed deadlines. Change: the latency reported to admission contains the wait for capacity before the first attempt.

--- a/hickoryspan_core/src/entry/answers.rs
+++ b/hickoryspan_core/src/entry/answers.rs
@@ -2,6 +2,8 @@
 
 use std::sync::Arc;
 
+use std::time::Duration;
+
 use crate::types::{AttemptId, ConnectionId, MonotonicTime, SnapshotVersion};
 
 use super::dispatch::PartitionRef;
@@ -89,6 +91,17 @@
         self.launch_rest(&attempt, now, actions);
     }
 
+    /// How long a sub-request waited for capacity before its first attempt. Admission must see this time: the engine
+    /// keeps the queue away from the targets, so that their own latency hardly shows an overload.
+    fn waiting_time(&self, attempt: &AttemptState) -> Duration {
+        let Some(query) = self.queries.get(attempt.query) else { return Duration::ZERO };
+        let is_first = query
+            .partitions
+            .get(attempt.partition as usize)
+            .is_some_and(|partition| partition.sent == 1);
+        if is_first { attempt.started.since(query.begun) } else { Duration::ZERO }
+    }
+
     /// Updates latency, load, limit and health from an answer.
     fn learn_from_answer(
         &mut self,
@@ -97,6 +110,7 @@
         now: MonotonicTime,
         actions: &mut Vec<EntryAction>,
     ) {
+        let waited = self.waiting_time(attempt);
         let dispatcher = &mut self.dispatcher;
         let service = dispatcher.fleet.target(attempt.target).service;
         let latency = now.since(attempt.started);
@@ -125,7 +139,7 @@
                 let key = state.key.clone();
                 let service = key.clone();
                 actions.push(EntryAction::Measure(EntryMeasure::Attempt { service, latency }));
-                self.reports.push_back(EngineReport::SubrequestLatency(key, latency));
+                self.reports.push_back(EngineReport::SubrequestLatency(key, latency + waited));
             }
             AnswerStatus::Shed => {
                 let typical = quantiles.median;
--- a/hickoryspan_core/src/entry/engine.rs
+++ b/hickoryspan_core/src/entry/engine.rs
@@ -274,6 +274,7 @@
             kind: start.kind,
             service: start.service,
             fingerprint: start.fingerprint,
+            begun: now,
             end_at: start.end_at,
             open: partitions.len() as u32,
             layout,
--- a/hickoryspan_core/src/entry/plan.rs
+++ b/hickoryspan_core/src/entry/plan.rs
@@ -115,6 +115,6 @@
     },
     /// A canary ran without a crash.
     CanaryPassed(RequestFingerprint),
-    /// The latency of one sub-request of a service, for admission.
+    /// The latency of one sub-request of a service with its wait for capacity, for admission.
     SubrequestLatency(ServiceKey, Duration),
 }
--- a/hickoryspan_core/src/entry/queries.rs
+++ b/hickoryspan_core/src/entry/queries.rs
@@ -232,6 +232,8 @@
     pub service: ServiceIndex,
     /// The request's content.
     pub fingerprint: RequestFingerprint,
+    /// When it began; its sub-requests may wait for capacity from then on.
+    pub begun: MonotonicTime,
     /// When it ends at the latest.
     pub end_at: MonotonicTime,
     /// The pinned partitions.
--- a/hickoryspan_core/tests/engine_connections.rs
+++ b/hickoryspan_core/tests/engine_connections.rs
@@ -6,6 +6,7 @@
 
 use hickoryspan_core::entry::engine::{EngineSettings, OrdinalShare};
 use hickoryspan_core::entry::interface::{AnswerStatus, EntryEvent, ResponseReason};
+use hickoryspan_core::entry::plan::EngineReport;
 use hickoryspan_core::entry::plan::{OrderResult, SearchPlan};
 use hickoryspan_core::types::{
     ConnectionCount, CoverageShare, IncarnationNumber, KeyRange, OrdinalNumber, SlotCount, TargetId,
@@ -384,3 +385,24 @@
     let moved = bench.attempts.values().find(|sent| sent.order.token == token).unwrap();
     assert_eq!(moved.order.target.as_str(), "new");
 }
+
+/// Guards against an overload that admission cannot see, because requests wait in the engine and not at the targets.
+#[test]
+fn the_reported_latency_contains_the_wait_for_capacity() {
+    let mut view = even_view(1, 1);
+    view.targets.values_mut().for_each(|record| record.slots = SlotCount(1));
+    let mut bench = EngineBench::new(view);
+    let mut latencies = Vec::new();
+    bench.search_all();
+    bench.search_all();
+    for _ in 0..2 {
+        bench.advance(ms(10));
+        bench.done_all();
+    }
+    for report in bench.reports.drain(..) {
+        if let EngineReport::SubrequestLatency(_, latency) = report {
+            latencies.push(latency);
+        }
+    }
+    assert_eq!(latencies, [ms(10), ms(20)]);
+}
