Answer one request at a time in the test of the reported latency

Change: each request is answered 10 ms after it began to run. Conclusion: the test states the wait and the run apart.

--- a/hickoryspan_core/tests/engine_connections.rs
+++ b/hickoryspan_core/tests/engine_connections.rs
@@ -397,7 +397,8 @@
     bench.search_all();
     for _ in 0..2 {
         bench.advance(ms(10));
-        bench.done_all();
+        let running = *bench.attempts.keys().next().expect("an attempt");
+        bench.done(running);
     }
     for report in bench.reports.drain(..) {
         if let EngineReport::SubrequestLatency(_, latency) = report {
