Split the entry machine by step and give all programs the same help

Change: arrivals, endings and refusals are modules of the machine; every program parses its arguments with the shared function. Behaviour of the machine is unchanged.

--- a/hickoryspan_core/src/entry/machine.rs
+++ b/hickoryspan_core/src/entry/machine.rs
@@ -2,39 +2,35 @@
 //!
 //! It connects the policies of this module's siblings; see `docs/design.md`, sections 5 to 8.
 
+mod arrivals;
+mod endings;
 mod refusals;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
-use rand::{Rng, RngExt};
+use rand::Rng;
 use rand_chacha::ChaCha12Rng;
 use rand_chacha::rand_core::SeedableRng;
 
-use crate::messages::{ClaimKey, ControlMessage, EntryMessage, RequestOutcome};
+use crate::messages::{ControlMessage, EntryMessage, RequestOutcome};
 use crate::sheet::SheetDocument;
-use crate::types::{
-    CallerId, ClockReading, CostUnits, MonotonicTime, QueryToken, RequestFingerprint,
-};
+use crate::types::{CallerId, ClockReading, MonotonicTime, QueryToken};
 
 use super::addresses::{AddressBook, AddressSettings, OwnCondition};
-use super::admission::{
-    AdmissionControl, AdmissionDecision, AdmissionRequest, AdmissionSettings, WorkEnd,
-};
+use super::admission::{AdmissionControl, AdmissionSettings};
 use super::configuration::{ConfigurationSettings, ViewConfiguration, ViewUpdate};
 use super::drain::{DrainControl, DrainSettings};
 use super::engine::{EngineSettings, FanoutEngine, OrdinalShare};
 use super::interface::{
-    CallerRequest, CallerResponse, EntryAction, EntryEvent, EntryIdentity, EntryMeasure,
-    RequestKind, ResponseReason,
+    CallerResponse, EntryAction, EntryEvent, EntryIdentity, EntryMeasure, ResponseReason,
 };
-use super::limits::{CallerLimits, LimitKey, LimitSettings};
-use super::orders::{OrderBook, OrderEffect, OrderLookup, OrderReply, OrderRequest, OrderSettings};
-use super::plan::{EngineReport, FanoutMode, SearchResult};
-use super::quarantine::{CrashQuarantine, QuarantineSettings, QuarantineVerdict};
-use super::requests::{ActiveRequest, ActiveWork, PaidWork, WorkPlan, make_plan};
-use super::responses::{blank_response, can_run_elsewhere, search_response};
+use super::limits::{CallerLimits, LimitSettings};
+use super::orders::{OrderBook, OrderSettings};
+use super::quarantine::{CrashQuarantine, QuarantineSettings};
+use super::requests::ActiveRequest;
+use super::responses::{blank_response, can_run_elsewhere};
 use super::search_engine::SearchEngine;
 use super::session::{ControlSession, RenewalReport, SessionSettings, SessionStanding};
 
@@ -387,320 +383,6 @@
         self.sheet = Some(sheet);
     }
 
-    fn on_request(
-        &mut self,
-        now: ClockReading,
-        token: QueryToken,
-        request: CallerRequest,
-        actions: &mut Vec<EntryAction>,
-    ) {
-        match &request.kind {
-            RequestKind::Lookup { .. } => self.on_lookup(now, token, request, actions),
-            RequestKind::Search { .. } | RequestKind::Order { .. } => {
-                self.on_work(now, token, request, actions);
-            }
-        }
-    }
-
-    fn on_work(
-        &mut self,
-        now: ClockReading,
-        token: QueryToken,
-        request: CallerRequest,
-        actions: &mut Vec<EntryAction>,
-    ) {
-        let resolved = match self.configuration.resolve(&request) {
-            Ok(resolved) => resolved,
-            Err(reason) => return self.refuse_unresolved(now, token, &request, reason, actions),
-        };
-        let active = ActiveRequest {
-            limit: LimitKey { tenant: request.tenant.clone(), caller: request.caller.clone() },
-            class: resolved.class.clone(),
-            arrival: now.monotonic,
-            deadline: now.monotonic + resolved.deadline,
-            is_measured: true,
-            work: ActiveWork::Unpaid,
-        };
-        let priority = resolved.class_spec.priority;
-        let weight = resolved.weight;
-        let plan = make_plan(&request, resolved, active.deadline);
-        if let WorkPlan::Order(order) = &plan
-            && self.orders.shares_run(&order.key)
-        {
-            // The run was paid for and admitted with its first request. It comes before all refusals,
-            // because `not_run` would be untrue for an order that runs or ran here.
-            let order = order.clone();
-            self.accept(token, active, plan, CostUnits::default());
-            return self.submit_order(now, token, order, actions);
-        }
-        let cost = match self.charge(now, &request, &active.limit, &plan, weight) {
-            Ok(cost) => cost,
-            Err(response) => {
-                return self.refuse_request(now, token, &request, active, *response, actions);
-            }
-        };
-        let service = plan.service().clone();
-        let deadline = active.deadline;
-        self.accept(token, active, plan, cost);
-        let ask = AdmissionRequest { token, service, priority, deadline };
-        let decision = self.admission.arrive(now.monotonic, ask);
-        self.perform_decision(now, decision, actions);
-    }
-
-    fn accept(
-        &mut self,
-        token: QueryToken,
-        active: ActiveRequest,
-        plan: WorkPlan,
-        cost: CostUnits,
-    ) {
-        let work = ActiveWork::Paid(Box::new(PaidWork { plan, cost, started: None }));
-        self.requests.insert(token, ActiveRequest { work, ..active });
-    }
-
-    /// Takes the cost of a request from its caller's limit, or gives the response that refuses it.
-    fn charge(
-        &mut self,
-        now: ClockReading,
-        request: &CallerRequest,
-        key: &LimitKey,
-        plan: &WorkPlan,
-        weight: CostUnits,
-    ) -> Result<CostUnits, Box<CallerResponse>> {
-        if let Some(reason) = self.refusal(now, request) {
-            return Err(Box::new(self.refused_response(now, reason, &request.caller)));
-        }
-        if self.verdict(now, &request.fingerprint) == QuarantineVerdict::Condemned {
-            let reason = ResponseReason::Quarantined;
-            return Err(Box::new(self.refused_response(now, reason, &request.caller)));
-        }
-        let cost = self.cost_of(plan, weight);
-        self.limits.spend(now.monotonic, key, cost).map(|()| cost).map_err(|hint| {
-            let reason = ResponseReason::LimitExceeded;
-            let mut response = self.refused_response(now, reason, &request.caller);
-            response.retry_after = Some(hint);
-            Box::new(response)
-        })
-    }
-
-    fn cost_of(&self, plan: &WorkPlan, weight: CostUnits) -> CostUnits {
-        match plan {
-            WorkPlan::Search(plan) => {
-                CostUnits(weight.0 * f64::from(self.engine.fanout_width(plan)))
-            }
-            WorkPlan::Order(_) => weight,
-        }
-    }
-
-    fn perform_decision(
-        &mut self,
-        now: ClockReading,
-        decision: AdmissionDecision,
-        actions: &mut Vec<EntryAction>,
-    ) {
-        match decision {
-            AdmissionDecision::Start(token) => self.start_work(now, token, actions),
-            AdmissionDecision::Wait(_) => {}
-            AdmissionDecision::Shed(token, hint) => {
-                let reason = ResponseReason::Overloaded;
-                self.refuse_paid(now, token, reason, Some(hint), actions);
-            }
-        }
-    }
-
-    /// Ends a paid request for which nothing was sent; its cost is given back.
-    fn refuse_paid(
-        &mut self,
-        now: ClockReading,
-        token: QueryToken,
-        reason: ResponseReason,
-        hint: Option<Duration>,
-        actions: &mut Vec<EntryAction>,
-    ) {
-        let Some(active) = self.end_work(now, token, WorkEnd::Neutral) else { return };
-        if let ActiveWork::Paid(paid) = &active.work {
-            self.limits.refund(now.monotonic, &active.limit, paid.cost);
-        }
-        let mut response = self.refused_response(now, reason, &active.limit.caller);
-        response.retry_after = hint;
-        let order = match &active.work {
-            ActiveWork::Paid(paid) => paid.plan.to_order_content(),
-            _ => None,
-        };
-        match order {
-            Some(order) => self.refuse_order(now, token, active, order, response, actions),
-            None => self.finish(now, &active, token, response, actions),
-        }
-    }
-
-    fn verdict(&self, now: ClockReading, fingerprint: &RequestFingerprint) -> QuarantineVerdict {
-        self.quarantine.verdict(now, self.configuration.view(), fingerprint)
-    }
-
-    fn start_work(&mut self, now: ClockReading, token: QueryToken, actions: &mut Vec<EntryAction>) {
-        let Some(active) = self.requests.get_mut(&token) else { return };
-        let deadline = active.deadline;
-        let ActiveWork::Paid(paid) = &mut active.work else { return };
-        paid.started = Some(now.monotonic);
-        let mut plan = paid.plan.clone();
-        // Both may have changed while the request waited for admission.
-        if self.session.standing(now.monotonic) == SessionStanding::Ended {
-            return self.refuse_paid(now, token, ResponseReason::CutOff, None, actions);
-        }
-        let verdict = self.verdict(now, plan.fingerprint());
-        if verdict == QuarantineVerdict::Condemned {
-            return self.refuse_paid(now, token, ResponseReason::Quarantined, None, actions);
-        }
-        if let WorkPlan::Search(search) = &mut plan
-            && verdict == QuarantineVerdict::Suspect
-        {
-            if !self.quarantine.begin_canary(search.fingerprint) {
-                let jitter = self.generator.random_range(1.0..2.0);
-                let hint = Some(self.quarantine.canary_hint().mul_f64(jitter));
-                return self.refuse_paid(now, token, ResponseReason::Quarantined, hint, actions);
-            }
-            search.mode = FanoutMode::Canary;
-            self.note_canary(token);
-        }
-        match plan {
-            WorkPlan::Search(plan) => {
-                self.deadlines.insert((deadline, token));
-                self.engine.start_search(now, token, plan, actions);
-            }
-            WorkPlan::Order(order) => self.submit_order(now, token, order, actions),
-        }
-    }
-
-    fn note_canary(&mut self, token: QueryToken) {
-        let active = self.requests.get_mut(&token);
-        if let Some(ActiveWork::Paid(paid)) = active.map(|active| &mut active.work)
-            && let WorkPlan::Search(plan) = &mut paid.plan
-        {
-            plan.mode = FanoutMode::Canary;
-        }
-    }
-
-    fn submit_order(
-        &mut self,
-        now: ClockReading,
-        token: QueryToken,
-        order: OrderRequest,
-        actions: &mut Vec<EntryAction>,
-    ) {
-        self.with_orders(now, actions, |orders, send, effects| {
-            orders.submit(now.monotonic, token, order, send, effects);
-        });
-    }
-
-    /// Takes a request out of the books and tells admission how it ended.
-    fn end_work(
-        &mut self,
-        now: ClockReading,
-        token: QueryToken,
-        end: WorkEnd,
-    ) -> Option<ActiveRequest> {
-        let active = self.requests.remove(&token)?;
-        self.deadlines.remove(&(active.deadline, token));
-        if let ActiveWork::Paid(paid) = &active.work
-            && let Some(started) = paid.started
-        {
-            let latency = now.monotonic.since(started);
-            self.admission.release(now.monotonic, paid.plan.service(), end, latency);
-        }
-        if let ActiveWork::Paid(paid) = &active.work
-            && let WorkPlan::Search(plan) = &paid.plan
-            && plan.mode == FanoutMode::Canary
-        {
-            self.quarantine.end_canary(&plan.fingerprint);
-        }
-        Some(active)
-    }
-
-    fn take_decisions(&mut self, now: ClockReading, actions: &mut Vec<EntryAction>) {
-        while let Some(decision) = self.admission.next_decision(now.monotonic) {
-            self.perform_decision(now, decision, actions);
-        }
-    }
-
-    /// Why a request is refused before anything is done for it.
-    fn refusal(&self, now: ClockReading, request: &CallerRequest) -> Option<ResponseReason> {
-        let standing = self.session.standing(now.monotonic);
-        if self.drain.is_refusing() {
-            return Some(ResponseReason::Draining);
-        }
-        match &request.kind {
-            RequestKind::Order { issued_at, .. } => {
-                if !self.orders.accepts_issue_time(now.wall, *issued_at) {
-                    Some(ResponseReason::Malformed)
-                } else if !matches!(standing, SessionStanding::Held(_)) {
-                    Some(ResponseReason::CutOff)
-                } else if self.orders.is_full() {
-                    Some(ResponseReason::Overloaded)
-                } else {
-                    None
-                }
-            }
-            _ => (standing == SessionStanding::Ended).then_some(ResponseReason::CutOff),
-        }
-    }
-
-    fn on_lookup(
-        &mut self,
-        now: ClockReading,
-        token: QueryToken,
-        request: CallerRequest,
-        actions: &mut Vec<EntryAction>,
-    ) {
-        let (class, time) = match self.configuration.resolve_lookup(&request) {
-            Ok(resolved) => resolved,
-            Err(reason) => return self.refuse_unresolved(now, token, &request, reason, actions),
-        };
-        let RequestKind::Lookup { request: id, issued_at } = request.kind else { return };
-        let deadline = now.monotonic + time;
-        let active = ActiveRequest {
-            limit: LimitKey { tenant: request.tenant.clone(), caller: request.caller.clone() },
-            class,
-            arrival: now.monotonic,
-            deadline,
-            is_measured: true,
-            work: ActiveWork::Unpaid,
-        };
-        let key =
-            ClaimKey { tenant: request.tenant, caller: request.caller, request: id, issued_at };
-        let is_ended = self.session.standing(now.monotonic) == SessionStanding::Ended;
-        let is_known = self.orders.known_state(&key).is_some();
-        if !is_known && (is_ended || self.drain.is_refusing()) {
-            let reason = if is_ended { ResponseReason::CutOff } else { ResponseReason::Draining };
-            let mut response = self.refused_response(now, reason, &key.caller);
-            // Nothing is known here about the order that is asked about.
-            response.outcome = RequestOutcome::Unknown;
-            return self.finish(now, &active, token, response, actions);
-        }
-        self.requests.insert(token, active);
-        self.with_orders(now, actions, |orders, send, effects| {
-            let lookup = OrderLookup { key, fingerprint: None, deadline };
-            orders.look_up(now.monotonic, token, lookup, send, effects);
-        });
-    }
-
-    fn on_hangup(&mut self, now: ClockReading, token: QueryToken, actions: &mut Vec<EntryAction>) {
-        let Some(active) = self.requests.get(&token) else { return };
-        if active.is_search() {
-            let was_waiting = self.admission.forget(token);
-            let Some(active) = self.end_work(now, token, WorkEnd::Neutral) else { return };
-            match &active.work {
-                ActiveWork::Paid(paid) if was_waiting => {
-                    self.limits.refund(now.monotonic, &active.limit, paid.cost);
-                }
-                _ => self.engine.cancel(now, token, actions),
-            }
-        } else if matches!(active.work, ActiveWork::Unpaid | ActiveWork::Refused(_)) {
-            self.orders.forget_lookup(token);
-            self.requests.remove(&token);
-        }
-        // An order goes on, and its response tells the driver when its body is no longer needed.
-    }
-
     fn on_addresses(
         &mut self,
         now: ClockReading,
@@ -725,124 +407,6 @@
         }
     }
 
-    fn take_reports(&mut self, now: ClockReading, actions: &mut Vec<EntryAction>) {
-        while let Some(report) = self.engine.next_report() {
-            match report {
-                EngineReport::Search(token, result) => {
-                    self.search_ended(now, token, result, actions);
-                }
-                EngineReport::Order(token, result) => {
-                    self.with_orders(now, actions, |orders, send, effects| {
-                        orders.run_ended(now.monotonic, token, result, send, effects);
-                    });
-                }
-                EngineReport::SubrequestLatency(service, latency) => {
-                    self.admission.note_latency(now.monotonic, &service, latency);
-                }
-                EngineReport::Crash { evidence, fingerprints } => {
-                    self.quarantine.note_crash(now.monotonic, evidence, fingerprints);
-                }
-                EngineReport::CanaryPassed(fingerprint) => self.quarantine.note_passed(fingerprint),
-            }
-        }
-    }
-
-    fn search_ended(
-        &mut self,
-        now: ClockReading,
-        token: QueryToken,
-        result: SearchResult,
-        actions: &mut Vec<EntryAction>,
-    ) {
-        let end = match result.reason {
-            Some(ResponseReason::Deadline) => WorkEnd::DeadlineMissed,
-            _ => WorkEnd::InTime,
-        };
-        let Some(active) = self.end_work(now, token, end) else { return };
-        let response = search_response(result, self.configuration.revision());
-        self.finish(now, &active, token, response, actions);
-    }
-
-    /// Ends searches that the engine did not end in time, so that no caller waits for ever.
-    fn expire_searches(&mut self, now: ClockReading, actions: &mut Vec<EntryAction>) {
-        let is_due = self.deadlines.first().is_some_and(|(deadline, _)| *deadline <= now.monotonic);
-        if !is_due {
-            return;
-        }
-        // The engine may not have had a wake-up since the deadline, and knows what has arrived.
-        self.engine.handle(now, &EntryEvent::Tick, actions);
-        self.take_reports(now, actions);
-        while let Some(&(deadline, token)) = self.deadlines.first() {
-            if now.monotonic < deadline {
-                return;
-            }
-            self.deadlines.pop_first();
-            let Some(active) = self.end_work(now, token, WorkEnd::DeadlineMissed) else { continue };
-            self.engine.cancel(now, token, actions);
-            let reason = Some(ResponseReason::Deadline);
-            let revision = self.configuration.revision();
-            let response = blank_response(RequestOutcome::Failed, reason, revision);
-            self.finish(now, &active, token, response, actions);
-        }
-    }
-
-    /// Lets the order book act, then performs what it asks for.
-    fn with_orders(
-        &mut self,
-        now: ClockReading,
-        actions: &mut Vec<EntryAction>,
-        act: impl FnOnce(&mut OrderBook, &mut dyn FnMut(EntryMessage) -> bool, &mut Vec<OrderEffect>),
-    ) {
-        let mut effects = Vec::new();
-        let session = &self.session;
-        act(&mut self.orders, &mut |message| session.send(message, actions), &mut effects);
-        for effect in effects {
-            match effect {
-                OrderEffect::Start(token, plan) => {
-                    self.engine.start_order(now, token, plan, actions);
-                }
-                OrderEffect::Reply(token, reply) => self.order_ended(now, token, reply, actions),
-            }
-        }
-    }
-
-    fn order_ended(
-        &mut self,
-        now: ClockReading,
-        token: QueryToken,
-        reply: OrderReply,
-        actions: &mut Vec<EntryAction>,
-    ) {
-        let end = match reply.reason {
-            Some(ResponseReason::Deadline) => WorkEnd::DeadlineMissed,
-            Some(_) => WorkEnd::Neutral,
-            None => WorkEnd::InTime,
-        };
-        let Some(active) = self.end_work(now, token, end) else { return };
-        let response = self.settled_response(&active, reply);
-        self.finish(now, &active, token, response, actions);
-    }
-
-    fn finish(
-        &mut self,
-        now: ClockReading,
-        active: &ActiveRequest,
-        token: QueryToken,
-        response: CallerResponse,
-        actions: &mut Vec<EntryAction>,
-    ) {
-        if active.is_measured {
-            actions.push(EntryAction::Measure(EntryMeasure::Request {
-                tenant: active.limit.tenant.clone(),
-                class: active.class.clone(),
-                outcome: response.outcome,
-                latency: now.monotonic.since(active.arrival),
-                coverage: response.coverage,
-            }));
-        }
-        actions.push(EntryAction::Respond(token, Box::new(response)));
-    }
-
     /// The response to a request that is refused here; other entries are named if they could serve it.
     fn refused_response(
         &self,
--- a/hickoryspan_load/src/capacity_main.rs
+++ b/hickoryspan_load/src/capacity_main.rs
@@ -10,6 +10,7 @@
     measure_claims, measure_control_targets, measure_entry_state,
 };
 use hickoryspan_runtime::logs::{LogFormat, LogLevel, install_logs};
+use hickoryspan_runtime::process::parse_arguments;
 use peak_alloc::PeakAlloc;
 
 #[global_allocator]
@@ -38,16 +39,21 @@
 /// Ordinals for 1,600 daemons with room for the overlap of restarts.
 const DESIGN_ORDINALS: u32 = 3200;
 
+const PROGRAM: &str = "hickoryspan-capacity";
+
 fn main() -> ExitCode {
-    let options = CapacityOptions::parse_args_default_or_exit();
+    let options: CapacityOptions = match parse_arguments(PROGRAM) {
+        Ok(options) => options,
+        Err(code) => return code,
+    };
     if options.version {
-        println!("hickoryspan-capacity {}", env!("CARGO_PKG_VERSION"));
+        println!("{PROGRAM} {}", env!("CARGO_PKG_VERSION"));
         return ExitCode::SUCCESS;
     }
     match run(&options) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
-            eprintln!("hickoryspan-capacity: {error:#}");
+            eprintln!("{PROGRAM}: {error:#}");
             ExitCode::FAILURE
         }
     }
--- a/hickoryspan_load/src/main.rs
+++ b/hickoryspan_load/src/main.rs
@@ -8,7 +8,7 @@
 use gumdrop::Options;
 use hickoryspan_load::experiment::{ExperimentSettings, run_experiment};
 use hickoryspan_load::report::render_report;
-use hickoryspan_runtime::process::LogSettings;
+use hickoryspan_runtime::process::{LogSettings, parse_arguments};
 use hickoryspan_runtime::settings::{SETTINGS_EXIT_CODE, SettingFaults, SettingsReader};
 
 /// Flags of `hickoryspan-load`.
@@ -68,10 +68,15 @@
     logs: LogSettings,
 }
 
+const PROGRAM: &str = "hickoryspan-load";
+
 fn main() -> ExitCode {
-    let options = LoadOptions::parse_args_default_or_exit();
+    let options: LoadOptions = match parse_arguments(PROGRAM) {
+        Ok(options) => options,
+        Err(code) => return code,
+    };
     if options.version {
-        println!("hickoryspan-load {}", env!("CARGO_PKG_VERSION"));
+        println!("{PROGRAM} {}", env!("CARGO_PKG_VERSION"));
         return ExitCode::SUCCESS;
     }
     let settings = match read_settings(&options) {
@@ -84,11 +89,11 @@
     match run(&settings) {
         Ok(true) => ExitCode::SUCCESS,
         Ok(false) => {
-            eprintln!("hickoryspan-load: invariants were broken; see above");
+            eprintln!("{PROGRAM}: invariants were broken; see above");
             ExitCode::FAILURE
         }
         Err(error) => {
-            eprintln!("hickoryspan-load: {error:#}");
+            eprintln!("{PROGRAM}: {error:#}");
             ExitCode::FAILURE
         }
     }
--- a/hickoryspan_local/src/main.rs
+++ b/hickoryspan_local/src/main.rs
@@ -5,7 +5,7 @@
 use anyhow::Context;
 use gumdrop::Options;
 use hickoryspan_local::{CallerAnswer, LocalCaller, LocalDeployment, LocalSettings};
-use hickoryspan_runtime::process::{LogSettings, StopSignals};
+use hickoryspan_runtime::process::{LogSettings, StopSignals, parse_arguments};
 use hickoryspan_runtime::settings::SettingsReader;
 use serde_json::json;
 
@@ -34,16 +34,21 @@
 
 const DEFAULT_FIRST_PORT: u16 = 7200;
 
+const PROGRAM: &str = "hickoryspan-local";
+
 fn main() -> ExitCode {
-    let options = LocalOptions::parse_args_default_or_exit();
+    let options: LocalOptions = match parse_arguments(PROGRAM) {
+        Ok(options) => options,
+        Err(code) => return code,
+    };
     if options.version {
-        println!("hickoryspan-local {}", env!("CARGO_PKG_VERSION"));
+        println!("{PROGRAM} {}", env!("CARGO_PKG_VERSION"));
         return ExitCode::SUCCESS;
     }
     match run(&options) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
-            eprintln!("hickoryspan-local: {error:#}");
+            eprintln!("{PROGRAM}: {error:#}");
             ExitCode::FAILURE
         }
     }
