Check and print the settings of the load, capacity and local programs

Change: all three programs read, check and print their settings with the shared reader. Conclusion: every program treats its settings alike.

--- a/hickoryspan_load/src/capacity_main.rs
+++ b/hickoryspan_load/src/capacity_main.rs
@@ -10,7 +10,8 @@
     measure_claims, measure_control_targets, measure_entry_state,
 };
 use hickoryspan_runtime::logs::{LogFormat, LogLevel, install_logs};
-use hickoryspan_runtime::process::parse_arguments;
+use hickoryspan_runtime::process::{SettingsRequest, accept_settings, parse_arguments};
+use hickoryspan_runtime::settings::{SettingFaults, SettingValue, SettingsReader};
 use peak_alloc::PeakAlloc;
 
 #[global_allocator]
@@ -23,10 +24,18 @@
     help: bool,
     #[options(help = "print the version", no_short)]
     version: bool,
-    #[options(help = "queries for each fan-out width (default 400)", no_short, meta = "COUNT")]
-    queries: Option<u64>,
+    #[options(help = "check the settings and exit", no_short)]
+    check_settings: bool,
+    #[options(help = "print the settings in force and exit", no_short)]
+    print_settings: bool,
+    #[options(
+        help = "queries for each fan-out width (default 400), 4 to 1000000",
+        no_short,
+        meta = "COUNT"
+    )]
+    queries: Option<String>,
     #[options(help = "seed (default 41)", no_short, meta = "SEED")]
-    seed: Option<u64>,
+    seed: Option<String>,
     #[options(help = "leave out the processor time, which takes a minute", no_short)]
     state_only: bool,
 }
@@ -50,7 +59,12 @@
         println!("{PROGRAM} {}", env!("CARGO_PKG_VERSION"));
         return ExitCode::SUCCESS;
     }
-    match run(&options) {
+    let request = SettingsRequest { check: options.check_settings, print: options.print_settings };
+    let settings = match accept_settings(read_settings(&options), request) {
+        Ok(settings) => settings,
+        Err(code) => return code,
+    };
+    match run(&settings) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("{PROGRAM}: {error:#}");
@@ -59,14 +73,42 @@
     }
 }
 
-fn run(options: &CapacityOptions) -> anyhow::Result<()> {
+struct CapacitySettings {
+    queries: u64,
+    seed: u64,
+    is_state_only: bool,
+}
+
+fn read_settings(
+    options: &CapacityOptions,
+) -> Result<(CapacitySettings, Vec<SettingValue>), SettingFaults> {
+    let mut reader = SettingsReader::from_environment();
+    let queries = reader.with_default(
+        "queries",
+        options.queries.as_deref(),
+        DEFAULT_QUERIES,
+        "a number from 4 to 1000000",
+        |count| (4..=1_000_000).contains(count),
+    );
+    let seed = reader.with_default(
+        "seed",
+        options.seed.as_deref(),
+        DEFAULT_SEED,
+        "a whole number",
+        |_| true,
+    );
+    let values = reader.finish()?;
+    Ok((CapacitySettings { queries, seed, is_state_only: options.state_only }, values))
+}
+
+fn run(settings: &CapacitySettings) -> anyhow::Result<()> {
     install_logs(LogFormat::Text, LogLevel::Error)?;
     print_messages()?;
     print_state()?;
-    if options.state_only {
+    if settings.is_state_only {
         return Ok(());
     }
-    print_fan_out(options.queries.unwrap_or(DEFAULT_QUERIES), options.seed.unwrap_or(DEFAULT_SEED))
+    print_fan_out(settings.queries, settings.seed)
 }
 
 fn print_line(name: &str, points: &[SizePoint]) {
--- a/hickoryspan_load/src/main.rs
+++ b/hickoryspan_load/src/main.rs
@@ -8,8 +8,10 @@
 use gumdrop::Options;
 use hickoryspan_load::experiment::{ExperimentSettings, run_experiment};
 use hickoryspan_load::report::render_report;
-use hickoryspan_runtime::process::{LogSettings, parse_arguments};
-use hickoryspan_runtime::settings::{SETTINGS_EXIT_CODE, SettingFaults, SettingsReader};
+use hickoryspan_runtime::process::{
+    LogSettings, SettingsRequest, accept_settings, parse_arguments,
+};
+use hickoryspan_runtime::settings::{SettingFaults, SettingValue, SettingsReader};
 
 /// Flags of `hickoryspan-load`.
 #[derive(Debug, Default, Options)]
@@ -18,6 +20,10 @@
     help: bool,
     #[options(help = "print the version", no_short)]
     version: bool,
+    #[options(help = "check the settings and exit", no_short)]
+    check_settings: bool,
+    #[options(help = "print the settings in force and exit", no_short)]
+    print_settings: bool,
     #[options(help = "quindio or vestera (default quindio)", no_short, meta = "NAME")]
     profile: Option<String>,
     #[options(
@@ -79,12 +85,10 @@
         println!("{PROGRAM} {}", env!("CARGO_PKG_VERSION"));
         return ExitCode::SUCCESS;
     }
-    let settings = match read_settings(&options) {
+    let request = SettingsRequest { check: options.check_settings, print: options.print_settings };
+    let settings = match accept_settings(read_settings(&options), request) {
         Ok(settings) => settings,
-        Err(faults) => {
-            eprint!("{faults}");
-            return ExitCode::from(u8::try_from(SETTINGS_EXIT_CODE).unwrap_or(u8::MAX));
-        }
+        Err(code) => return code,
     };
     match run(&settings) {
         Ok(true) => ExitCode::SUCCESS,
@@ -99,7 +103,9 @@
     }
 }
 
-fn read_settings(options: &LoadOptions) -> Result<LoadSettings, SettingFaults> {
+fn read_settings(
+    options: &LoadOptions,
+) -> Result<(LoadSettings, Vec<SettingValue>), SettingFaults> {
     let mut reader = SettingsReader::from_environment();
     let default = ExperimentSettings::default();
     let mut experiment = ExperimentSettings {
@@ -145,8 +151,8 @@
     let output = reader.optional("output", options.output.as_deref(), "a file", |_| true);
     let level = options.log_level.as_deref().or(Some("error"));
     let logs = LogSettings::read(&mut reader, options.log_format.as_deref(), level);
-    reader.finish()?;
-    Ok(LoadSettings { experiment, output, logs })
+    let values = reader.finish()?;
+    Ok((LoadSettings { experiment, output, logs }, values))
 }
 
 #[tokio::main]
--- a/hickoryspan_local/src/main.rs
+++ b/hickoryspan_local/src/main.rs
@@ -5,8 +5,10 @@
 use anyhow::Context;
 use gumdrop::Options;
 use hickoryspan_local::{CallerAnswer, LocalCaller, LocalDeployment, LocalSettings};
-use hickoryspan_runtime::process::{LogSettings, StopSignals, parse_arguments};
-use hickoryspan_runtime::settings::SettingsReader;
+use hickoryspan_runtime::process::{
+    LogSettings, SettingsRequest, StopSignals, accept_settings, parse_arguments,
+};
+use hickoryspan_runtime::settings::{SettingFaults, SettingValue, SettingsReader};
 use serde_json::json;
 
 /// Flags of `hickoryspan-local`.
@@ -16,6 +18,10 @@
     help: bool,
     #[options(help = "print the version", no_short)]
     version: bool,
+    #[options(help = "check the settings and exit", no_short)]
+    check_settings: bool,
+    #[options(help = "print the settings in force and exit", no_short)]
+    print_settings: bool,
     #[options(help = "stop after the example requests", no_short)]
     once: bool,
     #[options(help = "entry processes, 1 to 7 (default 2)", no_short, meta = "COUNT")]
@@ -45,7 +51,12 @@
         println!("{PROGRAM} {}", env!("CARGO_PKG_VERSION"));
         return ExitCode::SUCCESS;
     }
-    match run(&options) {
+    let request = SettingsRequest { check: options.check_settings, print: options.print_settings };
+    let settings = match accept_settings(read_settings(&options), request) {
+        Ok(settings) => settings,
+        Err(code) => return code,
+    };
+    match run(&settings) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("{PROGRAM}: {error:#}");
@@ -54,8 +65,16 @@
     }
 }
 
-#[tokio::main]
-async fn run(options: &LocalOptions) -> anyhow::Result<()> {
+struct ProgramSettings {
+    entries: usize,
+    first_port: u16,
+    is_once: bool,
+    logs: LogSettings,
+}
+
+fn read_settings(
+    options: &LocalOptions,
+) -> Result<(ProgramSettings, Vec<SettingValue>), SettingFaults> {
     let mut reader = SettingsReader::from_environment();
     let entries = reader.with_default(
         "entries",
@@ -73,13 +92,22 @@
     );
     let level = options.log_level.as_deref().or(Some("warn"));
     let logs = LogSettings::read(&mut reader, options.log_format.as_deref(), level);
-    reader.finish()?;
-    logs.install()?;
+    let values = reader.finish()?;
+    Ok((ProgramSettings { entries, first_port, is_once: options.once, logs }, values))
+}
+
+#[tokio::main]
+async fn run(program: &ProgramSettings) -> anyhow::Result<()> {
+    program.logs.install()?;
     let mut signals = StopSignals::install()?;
-    let settings = LocalSettings { entries, first_port, ..LocalSettings::from_example()? };
+    let settings = LocalSettings {
+        entries: program.entries,
+        first_port: program.first_port,
+        ..LocalSettings::from_example()?
+    };
     let deployment = LocalDeployment::start(settings).await?;
     show_requests(&deployment).await?;
-    if !options.once {
+    if !program.is_once {
         println!("\nrunning; Ctrl-C drains and ends, a second one ends at once");
         signals.next().await;
     }
