Let one function be the main function of six programs

Cause: arguments, version, settings and errors were handled by the same lines in six main functions, and the conflict reply of orders stood three times. Change: run_program with the trait ProgramArguments serves all six; the order book uses its conflict_reply. Behaviour is unchanged; the control daemon still logs its failure instead of printing it. Conclusion: a change of how programs start is made in one place.

--- a/hickoryspan_control/src/main.rs
+++ b/hickoryspan_control/src/main.rs
@@ -5,28 +5,17 @@
 use hickoryspan_control::{
     ControlDaemon, ControlDaemonSettings, ControlOptions, FolderRole, initialize_folder,
 };
-use hickoryspan_runtime::process::{
-    SettingsRequest, StopSignals, accept_settings, parse_arguments,
-};
-use hickoryspan_runtime::settings::SettingsReader;
+use hickoryspan_runtime::process::{StopSignals, run_program};
 
 const PROGRAM: &str = "hickoryspan-control";
 
 fn main() -> ExitCode {
-    let options: ControlOptions = match parse_arguments(PROGRAM) {
-        Ok(options) => options,
-        Err(code) => return code,
-    };
-    if options.version {
-        println!("{PROGRAM} {}", env!("CARGO_PKG_VERSION"));
-        return ExitCode::SUCCESS;
-    }
-    let read = ControlDaemonSettings::read(&options, SettingsReader::from_environment());
-    let request = SettingsRequest { check: options.check_settings, print: options.print_settings };
-    let settings = match accept_settings(read, request) {
-        Ok(settings) => settings,
-        Err(code) => return code,
-    };
+    run_program::<ControlOptions>(PROGRAM, env!("CARGO_PKG_VERSION"), |settings| {
+        Ok(start(settings))
+    })
+}
+
+fn start(settings: ControlDaemonSettings) -> ExitCode {
     if let Some(role) = settings.initialize {
         return initialize(&settings, role);
     }
--- a/hickoryspan_control/src/settings.rs
+++ b/hickoryspan_control/src/settings.rs
@@ -7,7 +7,7 @@
 use gumdrop::Options;
 use hickoryspan_runtime::credential::SharedCredential;
 use hickoryspan_runtime::http_server::HttpLimits;
-use hickoryspan_runtime::process::LogSettings;
+use hickoryspan_runtime::process::{LogSettings, ProgramArguments, SettingsRequest};
 use hickoryspan_runtime::settings::{SettingFaults, SettingValue, SettingsReader};
 
 use crate::folder_setup::FolderRole;
@@ -216,3 +216,22 @@
     );
     HttpLimits { body_bytes, connections, read_time, drain_time, ..Default::default() }
 }
+
+impl ProgramArguments for ControlOptions {
+    type Settings = ControlDaemonSettings;
+
+    fn wants_version(&self) -> bool {
+        self.version
+    }
+
+    fn to_request(&self) -> SettingsRequest {
+        SettingsRequest { check: self.check_settings, print: self.print_settings }
+    }
+
+    fn read(
+        &self,
+        reader: SettingsReader,
+    ) -> Result<(Self::Settings, Vec<SettingValue>), SettingFaults> {
+        ControlDaemonSettings::read(self, reader)
+    }
+}
--- a/hickoryspan_core/src/entry/orders.rs
+++ b/hickoryspan_core/src/entry/orders.rs
@@ -195,7 +195,7 @@
             let reply = if recent.fingerprint == request.fingerprint {
                 OrderReply::recorded(recent.outcome.clone())
             } else {
-                OrderReply::without_body(RequestOutcome::NotRun, ResponseReason::Conflict)
+                conflict_reply()
             };
             effects.push(OrderEffect::Reply(token, reply));
             return;
@@ -337,9 +337,7 @@
                 self.finish(&key, &OrderReply::recorded(outcome), effects);
             }
             ClaimVerdict::Conflict => {
-                let reason = ResponseReason::Conflict;
-                let reply = OrderReply::without_body(RequestOutcome::NotRun, reason);
-                self.finish(&key, &reply, effects);
+                self.finish(&key, &conflict_reply(), effects);
             }
             ClaimVerdict::Expired => {
                 let reason = ResponseReason::Expired;
--- a/hickoryspan_entry/src/arguments.rs
+++ b/hickoryspan_entry/src/arguments.rs
@@ -9,7 +9,7 @@
 use hickoryspan_core::types::{ByteCount, IncarnationNumber};
 use hickoryspan_runtime::credential::SharedCredential;
 use hickoryspan_runtime::http_server::HttpLimits;
-use hickoryspan_runtime::process::{LogSettings, SettingsRequest};
+use hickoryspan_runtime::process::{LogSettings, ProgramArguments, SettingsRequest};
 use hickoryspan_runtime::settings::{SettingFaults, SettingValue, SettingsReader};
 
 use crate::settings::EntryDaemonSettings;
@@ -312,3 +312,22 @@
         );
     }
 }
+
+impl ProgramArguments for EntryArguments {
+    type Settings = EntryProgram;
+
+    fn wants_version(&self) -> bool {
+        self.version
+    }
+
+    fn to_request(&self) -> SettingsRequest {
+        EntryArguments::to_request(self)
+    }
+
+    fn read(
+        &self,
+        reader: SettingsReader,
+    ) -> Result<(Self::Settings, Vec<SettingValue>), SettingFaults> {
+        EntryArguments::read(self, reader)
+    }
+}
--- a/hickoryspan_load/src/capacity_main.rs
+++ b/hickoryspan_load/src/capacity_main.rs
@@ -10,7 +10,7 @@
     measure_claims, measure_control_targets, measure_entry_state,
 };
 use hickoryspan_runtime::logs::{LogFormat, LogLevel, install_logs};
-use hickoryspan_runtime::process::{SettingsRequest, accept_settings, parse_arguments};
+use hickoryspan_runtime::process::{ProgramArguments, SettingsRequest, run_program};
 use hickoryspan_runtime::settings::{SettingFaults, SettingValue, SettingsReader};
 use peak_alloc::PeakAlloc;
 
@@ -51,25 +51,27 @@
 const PROGRAM: &str = "hickoryspan-capacity";
 
 fn main() -> ExitCode {
-    let options: CapacityOptions = match parse_arguments(PROGRAM) {
-        Ok(options) => options,
-        Err(code) => return code,
-    };
-    if options.version {
-        println!("{PROGRAM} {}", env!("CARGO_PKG_VERSION"));
-        return ExitCode::SUCCESS;
+    run_program::<CapacityOptions>(PROGRAM, env!("CARGO_PKG_VERSION"), |settings| {
+        run(&settings).map(|()| ExitCode::SUCCESS)
+    })
+}
+
+impl ProgramArguments for CapacityOptions {
+    type Settings = CapacitySettings;
+
+    fn wants_version(&self) -> bool {
+        self.version
     }
-    let request = SettingsRequest { check: options.check_settings, print: options.print_settings };
-    let settings = match accept_settings(read_settings(&options), request) {
-        Ok(settings) => settings,
-        Err(code) => return code,
-    };
-    match run(&settings) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            eprintln!("{PROGRAM}: {error:#}");
-            ExitCode::FAILURE
-        }
+
+    fn to_request(&self) -> SettingsRequest {
+        SettingsRequest { check: self.check_settings, print: self.print_settings }
+    }
+
+    fn read(
+        &self,
+        reader: SettingsReader,
+    ) -> Result<(Self::Settings, Vec<SettingValue>), SettingFaults> {
+        read_settings(self, reader)
     }
 }
 
@@ -81,8 +83,8 @@
 
 fn read_settings(
     options: &CapacityOptions,
+    mut reader: SettingsReader,
 ) -> Result<(CapacitySettings, Vec<SettingValue>), SettingFaults> {
-    let mut reader = SettingsReader::from_environment();
     let queries = reader.with_default(
         "queries",
         options.queries.as_deref(),
--- a/hickoryspan_load/src/main.rs
+++ b/hickoryspan_load/src/main.rs
@@ -8,9 +8,7 @@
 use gumdrop::Options;
 use hickoryspan_load::experiment::{ExperimentSettings, run_experiment};
 use hickoryspan_load::report::render_report;
-use hickoryspan_runtime::process::{
-    LogSettings, SettingsRequest, accept_settings, parse_arguments,
-};
+use hickoryspan_runtime::process::{LogSettings, ProgramArguments, SettingsRequest, run_program};
 use hickoryspan_runtime::settings::{SettingFaults, SettingValue, SettingsReader};
 
 /// Flags of `hickoryspan-load`.
@@ -77,36 +75,32 @@
 const PROGRAM: &str = "hickoryspan-load";
 
 fn main() -> ExitCode {
-    let options: LoadOptions = match parse_arguments(PROGRAM) {
-        Ok(options) => options,
-        Err(code) => return code,
-    };
-    if options.version {
-        println!("{PROGRAM} {}", env!("CARGO_PKG_VERSION"));
-        return ExitCode::SUCCESS;
+    run_program::<LoadOptions>(PROGRAM, env!("CARGO_PKG_VERSION"), |settings| run(&settings))
+}
+
+impl ProgramArguments for LoadOptions {
+    type Settings = LoadSettings;
+
+    fn wants_version(&self) -> bool {
+        self.version
     }
-    let request = SettingsRequest { check: options.check_settings, print: options.print_settings };
-    let settings = match accept_settings(read_settings(&options), request) {
-        Ok(settings) => settings,
-        Err(code) => return code,
-    };
-    match run(&settings) {
-        Ok(true) => ExitCode::SUCCESS,
-        Ok(false) => {
-            eprintln!("{PROGRAM}: invariants were broken; see above");
-            ExitCode::FAILURE
-        }
-        Err(error) => {
-            eprintln!("{PROGRAM}: {error:#}");
-            ExitCode::FAILURE
-        }
+
+    fn to_request(&self) -> SettingsRequest {
+        SettingsRequest { check: self.check_settings, print: self.print_settings }
+    }
+
+    fn read(
+        &self,
+        reader: SettingsReader,
+    ) -> Result<(Self::Settings, Vec<SettingValue>), SettingFaults> {
+        read_settings(self, reader)
     }
 }
 
 fn read_settings(
     options: &LoadOptions,
+    mut reader: SettingsReader,
 ) -> Result<(LoadSettings, Vec<SettingValue>), SettingFaults> {
-    let mut reader = SettingsReader::from_environment();
     let default = ExperimentSettings::default();
     let mut experiment = ExperimentSettings {
         profile: reader.with_default(
@@ -156,7 +150,7 @@
 }
 
 #[tokio::main]
-async fn run(settings: &LoadSettings) -> anyhow::Result<bool> {
+async fn run(settings: &LoadSettings) -> anyhow::Result<ExitCode> {
     settings.logs.install()?;
     let summaries = run_experiment(&settings.experiment).await?;
     println!("{}", render_report(&settings.experiment, &summaries));
@@ -168,5 +162,9 @@
         let text = lines.context("encode results")?.join("\n") + "\n";
         fs::write(output, text).with_context(|| format!("write results: {output}"))?;
     }
-    Ok(summaries.iter().all(|summary| summary.breaches.is_empty()))
+    if summaries.iter().all(|summary| summary.breaches.is_empty()) {
+        return Ok(ExitCode::SUCCESS);
+    }
+    eprintln!("{PROGRAM}: invariants were broken; see above");
+    Ok(ExitCode::FAILURE)
 }
--- a/hickoryspan_local/src/main.rs
+++ b/hickoryspan_local/src/main.rs
@@ -6,7 +6,7 @@
 use gumdrop::Options;
 use hickoryspan_local::{CallerAnswer, LocalCaller, LocalDeployment, LocalSettings};
 use hickoryspan_runtime::process::{
-    LogSettings, SettingsRequest, StopSignals, accept_settings, parse_arguments,
+    LogSettings, ProgramArguments, SettingsRequest, StopSignals, run_program,
 };
 use hickoryspan_runtime::settings::{SettingFaults, SettingValue, SettingsReader};
 use serde_json::json;
@@ -43,25 +43,27 @@
 const PROGRAM: &str = "hickoryspan-local";
 
 fn main() -> ExitCode {
-    let options: LocalOptions = match parse_arguments(PROGRAM) {
-        Ok(options) => options,
-        Err(code) => return code,
-    };
-    if options.version {
-        println!("{PROGRAM} {}", env!("CARGO_PKG_VERSION"));
-        return ExitCode::SUCCESS;
+    run_program::<LocalOptions>(PROGRAM, env!("CARGO_PKG_VERSION"), |settings| {
+        run(&settings).map(|()| ExitCode::SUCCESS)
+    })
+}
+
+impl ProgramArguments for LocalOptions {
+    type Settings = ProgramSettings;
+
+    fn wants_version(&self) -> bool {
+        self.version
     }
-    let request = SettingsRequest { check: options.check_settings, print: options.print_settings };
-    let settings = match accept_settings(read_settings(&options), request) {
-        Ok(settings) => settings,
-        Err(code) => return code,
-    };
-    match run(&settings) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            eprintln!("{PROGRAM}: {error:#}");
-            ExitCode::FAILURE
-        }
+
+    fn to_request(&self) -> SettingsRequest {
+        SettingsRequest { check: self.check_settings, print: self.print_settings }
+    }
+
+    fn read(
+        &self,
+        reader: SettingsReader,
+    ) -> Result<(Self::Settings, Vec<SettingValue>), SettingFaults> {
+        read_settings(self, reader)
     }
 }
 
@@ -74,8 +76,8 @@
 
 fn read_settings(
     options: &LocalOptions,
+    mut reader: SettingsReader,
 ) -> Result<(ProgramSettings, Vec<SettingValue>), SettingFaults> {
-    let mut reader = SettingsReader::from_environment();
     let entries = reader.with_default(
         "entries",
         options.entries.as_deref(),
--- a/hickoryspan_runtime/src/process.rs
+++ b/hickoryspan_runtime/src/process.rs
@@ -48,6 +48,49 @@
     if request.print || request.check { Err(ExitCode::SUCCESS) } else { Ok(settings) }
 }
 
+/// The arguments of a program, as [`run_program`] needs them.
+pub trait ProgramArguments: Options {
+    /// The checked settings.
+    type Settings;
+
+    /// Whether only the version is asked for.
+    fn wants_version(&self) -> bool;
+
+    /// What is asked of the settings before the program's work starts.
+    fn to_request(&self) -> SettingsRequest;
+
+    /// Reads all settings; the error lists every wrong one.
+    fn read(
+        &self,
+        reader: SettingsReader,
+    ) -> Result<(Self::Settings, Vec<SettingValue>), SettingFaults>;
+}
+
+/// The main function of a program: arguments, version, settings, then `run`, whose error is printed.
+pub fn run_program<A: ProgramArguments>(
+    program: &str,
+    version: &str,
+    run: impl FnOnce(A::Settings) -> anyhow::Result<ExitCode>,
+) -> ExitCode {
+    let arguments: A = match parse_arguments(program) {
+        Ok(arguments) => arguments,
+        Err(code) => return code,
+    };
+    if arguments.wants_version() {
+        println!("{program} {version}");
+        return ExitCode::SUCCESS;
+    }
+    let read = arguments.read(SettingsReader::from_environment());
+    let settings = match accept_settings(read, arguments.to_request()) {
+        Ok(settings) => settings,
+        Err(code) => return code,
+    };
+    run(settings).unwrap_or_else(|error| {
+        eprintln!("{program}: {error:#}");
+        ExitCode::FAILURE
+    })
+}
+
 /// The log settings that every daemon has.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct LogSettings {
--- a/hickoryspan_target/src/arguments.rs
+++ b/hickoryspan_target/src/arguments.rs
@@ -5,7 +5,7 @@
 
 use gumdrop::Options;
 use hickoryspan_core::types::{ByteCount, ConnectionCount, SlotCount};
-use hickoryspan_runtime::process::{LogSettings, SettingsRequest};
+use hickoryspan_runtime::process::{LogSettings, ProgramArguments, SettingsRequest};
 use hickoryspan_runtime::settings::{SettingFaults, SettingValue, SettingsReader};
 
 use crate::settings::{PartitionText, TargetSettings};
@@ -228,3 +228,22 @@
         target.drain_time = reader.duration("drain-time", given, target.drain_time, SHORT);
     }
 }
+
+impl ProgramArguments for TargetArguments {
+    type Settings = TargetProgram;
+
+    fn wants_version(&self) -> bool {
+        self.version
+    }
+
+    fn to_request(&self) -> SettingsRequest {
+        TargetArguments::to_request(self)
+    }
+
+    fn read(
+        &self,
+        reader: SettingsReader,
+    ) -> Result<(Self::Settings, Vec<SettingValue>), SettingFaults> {
+        TargetArguments::read(self, reader)
+    }
+}
