Add the decisions of a gateway and its configuration document to the core

Cause: the users' platform needs forwarding by route, fan-out with raw records, one versioned document and targets that announce themselves without a quorum; the entry machine has none of these. Change: the module gateway holds the document, the route table, the target directory, the choice of targets, the budget, the fan-out and the poison table; the control machine replicates the document and lets the replica set follow hosts that report themselves. Measured: not measured. Conclusion: drivers can be built on it.

--- a/hickoryspan_control/src/actor.rs
+++ b/hickoryspan_control/src/actor.rs
@@ -15,6 +15,7 @@
 use tokio_util::sync::CancellationToken;
 use xtra::prelude::*;
 
+use crate::control_handle::ControlView;
 use crate::persistence::PersistenceThread;
 use crate::replica_links::ReplicaLinks;
 
@@ -31,6 +32,7 @@
     pub(crate) entry_links: HashMap<LinkId, mpsc::Sender<ControlMessage>>,
     pub(crate) replies: HashMap<ReplyToken, oneshot::Sender<ControlReply>>,
     pub(crate) wakeup: watch::Sender<Option<MonotonicTime>>,
+    pub(crate) view: watch::Sender<ControlView>,
     /// Cancelled when the machine has stopped.
     pub(crate) stopped: CancellationToken,
     pub(crate) actions: Vec<ControlAction>,
@@ -45,6 +47,7 @@
         }
         self.actions = actions;
         self.wakeup.send_replace(self.machine.next_wakeup());
+        self.view.send_if_modified(|view| view.follow(&self.machine));
     }
 
     fn perform(&mut self, action: ControlAction) {
--- a/hickoryspan_control/src/daemon.rs
+++ b/hickoryspan_control/src/daemon.rs
@@ -19,6 +19,7 @@
 use xtra::Mailbox;
 
 use crate::actor::{ControlActor, ControlInbox, run_timer};
+use crate::control_handle::{ControlHandle, ControlView};
 use crate::folder_setup::open_folder;
 use crate::http_routes::ControlRoutes;
 use crate::link_server::LinkServer;
@@ -33,6 +34,7 @@
     tasks: JoinSet<()>,
     stop: CancellationToken,
     stopped: CancellationToken,
+    views: watch::Receiver<ControlView>,
 }
 
 impl ControlDaemon {
@@ -60,6 +62,7 @@
             folder.opened.recovered,
             ControlSettings {
                 bootstrap: folder.is_first,
+                members: settings.members,
                 ..ControlSettings::new(peer_address, http_address)
             },
             ChaCha12Rng::seed_from_u64(seed),
@@ -72,6 +75,7 @@
             report_inbox.deliver_own(event);
         })?;
         let (wakeup, wakeup_changes) = watch::channel(machine.next_wakeup());
+        let (view, views) = watch::channel(ControlView::default());
         let (stop, stopped) = (CancellationToken::new(), CancellationToken::new());
         let actor = ControlActor {
             machine,
@@ -81,6 +85,7 @@
             entry_links: HashMap::new(),
             replies: HashMap::new(),
             wakeup,
+            view,
             stopped: stopped.clone(),
             actions: Vec::new(),
         };
@@ -98,7 +103,7 @@
         tasks.spawn(links.serve(stop.clone()));
         tasks.spawn(server.serve(Arc::new(routes), stop.clone()));
         inbox.deliver_own(ControlEvent::Tick);
-        Ok(Self { record, inbox, tasks, stop, stopped })
+        Ok(Self { record, inbox, tasks, stop, stopped, views })
     }
 
     /// The replica's identity and bound addresses.
@@ -111,6 +116,11 @@
         self.stopped.cancelled().await;
     }
 
+    /// The machine's inbox and published view, for interfaces that other crates add.
+    pub fn handle(&self) -> ControlHandle {
+        ControlHandle { inbox: self.inbox.clone(), views: self.views.clone() }
+    }
+
     /// Hands over leadership, finishes what is in flight and joins all tasks.
     pub async fn drain(self) {
         self.inbox.deliver_own(ControlEvent::Drain);
--- a/hickoryspan_control/src/folder_setup.rs
+++ b/hickoryspan_control/src/folder_setup.rs
@@ -60,6 +60,11 @@
     Ok(folder.identity())
 }
 
+/// Whether the path has an initialized data folder.
+pub fn has_folder(path: &Path) -> bool {
+    DataFolder::exists(path)
+}
+
 /// An opened data folder.
 pub(crate) struct OpenedFolder {
     pub(crate) replica: ReplicaId,
--- a/hickoryspan_control/src/http_routes.rs
+++ b/hickoryspan_control/src/http_routes.rs
@@ -233,6 +233,11 @@
         ControlReply::Quarantines(quarantines) => {
             json_response(StatusCode::OK, &QuarantinePage { quarantines })
         }
+        ControlReply::Document(Some(document)) => json_response(StatusCode::OK, &document),
+        ControlReply::Document(None) => {
+            text_response(StatusCode::NOT_FOUND, "no configuration document was accepted")
+        }
+        ControlReply::DocumentDecided(outcome) => json_response(StatusCode::OK, &outcome),
         ControlReply::NotLeader(Some(leader)) => redirect(&leader, path),
         ControlReply::NotLeader(None) => unavailable(Duration::from_secs(1)),
         ControlReply::Unavailable { retry_after } => unavailable(retry_after),
--- a/hickoryspan_control/src/lib.rs
+++ b/hickoryspan_control/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod actor;
 mod admin_json;
+mod control_handle;
 mod daemon;
 mod folder_setup;
 mod http_routes;
@@ -15,7 +16,8 @@
 mod settings;
 
 pub use admin_json::{CommandRequest, HistoryPage, QuarantinePage, TargetPage};
+pub use control_handle::{ControlHandle, ControlView};
 pub use daemon::ControlDaemon;
-pub use folder_setup::{FolderRole, initialize_folder};
+pub use folder_setup::{FolderRole, has_folder, initialize_folder};
 pub use http_routes::ROUTES;
 pub use settings::{ControlDaemonSettings, ControlOptions};
--- a/hickoryspan_control/src/settings.rs
+++ b/hickoryspan_control/src/settings.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use gumdrop::Options;
+use hickoryspan_core::gateway::members::MemberSettings;
 use hickoryspan_runtime::credential::SharedCredential;
 use hickoryspan_runtime::http_server::HttpLimits;
 use hickoryspan_runtime::process::{LogSettings, ProgramArguments, SettingsRequest};
@@ -113,6 +114,8 @@
     pub logs: LogSettings,
     /// Seed of the generator for election timeouts; from the operating system unless a test sets it.
     pub seed: Option<u64>,
+    /// Lets the replica set follow the control hosts that report themselves; without it, operators change it.
+    pub members: Option<MemberSettings>,
 }
 
 const ADDRESS: &str =
@@ -171,6 +174,7 @@
             limits,
             logs,
             seed: None,
+                members: None,
         };
         Ok((settings, values))
     }
--- a/hickoryspan_control/tests/support/mod.rs
+++ b/hickoryspan_control/tests/support/mod.rs
@@ -65,6 +65,7 @@
             ..Default::default()
         },
         logs: LogSettings::default(),
+        members: None,
         seed: Some(seed),
     }
 }
--- a/hickoryspan_core/src/control/commands.rs
+++ b/hickoryspan_core/src/control/commands.rs
@@ -6,6 +6,7 @@
 
 use super::interface::{AdminCommand, AdminOutcome};
 use super::raft::ReplicaSet;
+use crate::gateway::document::{ConfigurationDocument, DocumentOutcome};
 use crate::membership::{CrashEvidence, TargetRecord};
 use crate::messages::{ClaimKey, ClaimVerdict, EntryRegistration, OrderOutcome};
 use crate::types::{
@@ -108,6 +109,8 @@
     ExpireQuarantines,
     /// An operator's command.
     Admin(AdminCommand),
+    /// A configuration document is submitted.
+    ReplaceDocument(Arc<ConfigurationDocument>),
 }
 
 /// The result of an applied command, for whoever waits for it.
@@ -127,6 +130,8 @@
     Settled(bool),
     /// The decision on an operator's command.
     Decided(AdminOutcome),
+    /// The decision on a configuration document.
+    DocumentDecided(DocumentOutcome),
 }
 
 /// The content of a log entry.
--- a/hickoryspan_core/src/control/interface.rs
+++ b/hickoryspan_core/src/control/interface.rs
@@ -11,6 +11,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::gateway::document::{ConfigurationDocument, DocumentOutcome};
 use crate::membership::{EntryRecord, QuarantineRecord, TargetRecord};
 use crate::messages::{ControlMessage, EntryMessage};
 use crate::sheet::{SheetDocument, duration_millis};
@@ -247,6 +248,8 @@
     Targets,
     /// The quarantined requests.
     Quarantines,
+    /// The configuration document in force.
+    Document,
 }
 
 /// One audit record.
@@ -342,6 +345,10 @@
     Targets(Vec<TargetRecord>),
     /// Quarantined requests.
     Quarantines(Vec<QuarantineStatus>),
+    /// The configuration document in force.
+    Document(Option<Arc<ConfigurationDocument>>),
+    /// The decision on a configuration document.
+    DocumentDecided(DocumentOutcome),
     /// This replica does not lead.
     NotLeader(Option<ReplicaRecord>),
     /// No quorum answered, or too much is waiting; the command may or may not take effect.
@@ -374,6 +381,10 @@
     Admin(ReplyToken, Box<AdminCommand>),
     /// An operator's question.
     Query(ReplyToken, AdminQuery),
+    /// A configuration document is submitted.
+    ReplaceDocument(ReplyToken, Arc<ConfigurationDocument>),
+    /// A control host reports itself.
+    ReplicaSeen(Box<ReplicaRecord>),
     /// A planned stop: leadership is handed over.
     Drain,
 }
--- a/hickoryspan_core/src/control/machine/leadership.rs
+++ b/hickoryspan_core/src/control/machine/leadership.rs
@@ -42,6 +42,7 @@
     Announcements(Vec<AnnouncedTarget>),
     Withdrawal(ReplyToken),
     Admin(ReplyToken),
+    Document(ReplyToken),
     Registration(LinkId),
     Release(LinkId),
     Claim(LinkId, QueryToken),
@@ -73,6 +74,7 @@
     pub expiring: BTreeSet<EntryProcess>,
     pub sweep_at: MonotonicTime,
     pub ticked_at: MonotonicTime,
+    pub began_at: MonotonicTime,
     horizon_at: MonotonicTime,
     // The newest housekeeping commands; the next ones wait until these are applied.
     target_expiry: LogIndex,
@@ -99,6 +101,7 @@
             expiring: BTreeSet::new(),
             sweep_at: now + settings.sweep_interval,
             ticked_at: now,
+            began_at: now,
             horizon_at: now,
             target_expiry: LogIndex(0),
             entry_expiry: LogIndex(0),
@@ -264,7 +267,9 @@
                     self.reply_unavailable(token, actions);
                 }
             }
-            CommandWaiter::Withdrawal(token) | CommandWaiter::Admin(token) => {
+            CommandWaiter::Withdrawal(token)
+            | CommandWaiter::Admin(token)
+            | CommandWaiter::Document(token) => {
                 self.reply_unavailable(token, actions);
             }
             CommandWaiter::Claim(link, token) => {
@@ -316,6 +321,10 @@
             (CommandWaiter::Admin(token), CommandOutcome::Decided(outcome)) => {
                 actions.push(ControlAction::Reply(token, ControlReply::Admin(outcome)));
             }
+            (CommandWaiter::Document(token), CommandOutcome::DocumentDecided(outcome)) => {
+                let reply = ControlReply::DocumentDecided(outcome);
+                actions.push(ControlAction::Reply(token, reply));
+            }
             (CommandWaiter::Registration(link), CommandOutcome::Registered(result)) => {
                 self.answer_registration(now.monotonic, link, result, actions);
             }
--- /dev/null
+++ b/hickoryspan_core/src/control/machine/members.rs
@@ -0,0 +1,57 @@
+//! Lets the replica set follow the control hosts that report themselves.
+
+use std::time::Duration;
+
+use super::ControlMachine;
+use crate::control::interface::LogIndex;
+use crate::control::raft::RaftNode;
+use crate::gateway::members::{MemberSettings, ReplicaProgress};
+use crate::types::{MonotonicTime, ReplicaId};
+
+/// How long a new leader waits for the wanted number of voters before it accepts documents with fewer.
+const VOTER_PATIENCE: Duration = Duration::from_secs(5);
+
+struct LeaderProgress<'a> {
+    raft: &'a RaftNode,
+    now: MonotonicTime,
+    commit: LogIndex,
+}
+
+impl ReplicaProgress for LeaderProgress<'_> {
+    fn is_caught_up(&self, replica: ReplicaId) -> bool {
+        self.raft.matched(replica) >= self.commit && self.raft.is_heard(replica, self.now)
+    }
+
+    fn silence(&self, replica: ReplicaId) -> Duration {
+        if replica == self.raft.identity() {
+            return Duration::ZERO;
+        }
+        self.raft.silence(replica, self.now)
+    }
+}
+
+impl ControlMachine {
+    pub(super) fn propose_member_change(&mut self, now: MonotonicTime, settings: &MemberSettings) {
+        let (set, committed) = self.raft.replica_set();
+        if !self.raft.is_ready_leader() || !committed {
+            return;
+        }
+        let commit = self.raft.commit();
+        let progress = LeaderProgress { raft: &self.raft, now, commit };
+        let identity = self.raft.identity();
+        let next = self.reports.next_change(now, set, identity, settings, &progress);
+        if let Some(next) = next {
+            // A refusal is not final: the change follows from the reports and is proposed again.
+            let _ = self.raft.propose_replicas(next);
+        }
+    }
+
+    /// Whether a document that is durable on a majority also survives the loss of as many disks as the number of
+    /// voters was chosen for. A deployment with fewer hosts than that is served after a while.
+    pub(super) fn has_enough_voters(&self, now: MonotonicTime) -> bool {
+        let Some(settings) = self.settings.members else { return true };
+        let voters = self.raft.replica_set().0.voters().count();
+        let Some(leadership) = &self.leadership else { return false };
+        voters >= settings.voters || now.since(leadership.began_at) >= VOTER_PATIENCE
+    }
+}
--- a/hickoryspan_core/src/control/machine/mod.rs
+++ b/hickoryspan_core/src/control/machine/mod.rs
@@ -2,6 +2,7 @@
 
 mod entries;
 mod leadership;
+mod members;
 mod operators;
 mod targets;
 
@@ -16,6 +17,7 @@
 use super::raft::RaftNode;
 use super::settings::ControlSettings;
 use super::state::ReplicatedState;
+use crate::gateway::members::ReplicaReports;
 use crate::membership::ViewChange;
 use crate::types::{ClockReading, MonotonicTime, ReplicaId, RevisionNumber};
 use leadership::Leadership;
@@ -33,6 +35,7 @@
     leadership: Option<Leadership>,
     drain_until: Option<MonotonicTime>,
     stopped: bool,
+    reports: ReplicaReports,
     fault: Option<Arc<str>>,
     unsnapped_bytes: u64,
     unsnapped_entries: u64,
@@ -62,6 +65,7 @@
             leadership: None,
             drain_until: None,
             stopped: false,
+            reports: ReplicaReports::default(),
             fault: None,
             unsnapped_bytes: 0,
             unsnapped_entries: 0,
@@ -146,6 +150,10 @@
                 self.take_admin(now, token, *command, actions);
             }
             ControlEvent::Query(token, query) => self.take_query(token, query, actions),
+            ControlEvent::ReplaceDocument(token, document) => {
+                self.take_document(now, token, document, actions);
+            }
+            ControlEvent::ReplicaSeen(record) => self.reports.note(now.monotonic, *record),
             ControlEvent::Drain => self.begin_drain(now.monotonic),
         }
     }
@@ -263,6 +271,9 @@
     }
 
     fn propose_replica_change(&mut self, now: MonotonicTime) {
+        if let Some(settings) = self.settings.members {
+            return self.propose_member_change(now, &settings);
+        }
         let (set, committed) = self.raft.replica_set();
         if !self.raft.is_ready_leader() || !committed || self.state.replicas().is_empty() {
             return;
--- a/hickoryspan_core/src/control/machine/operators.rs
+++ b/hickoryspan_core/src/control/machine/operators.rs
@@ -1,5 +1,7 @@
 //! Commands and questions of operators.
 
+use std::sync::Arc;
+
 use super::ControlMachine;
 use super::leadership::{CommandWaiter, WaitingRead};
 use crate::control::commands::{CommandBody, EntryProcess};
@@ -7,6 +9,7 @@
     AdminCommand, AdminQuery, ControlAction, ControlReply, EntryStatus, QuarantineStatus,
     ReplyToken, StatusReport,
 };
+use crate::gateway::document::ConfigurationDocument;
 use crate::types::{ClockReading, RevisionNumber};
 
 /// Audit records in one answer.
@@ -29,6 +32,23 @@
         }
     }
 
+    pub(super) fn take_document(
+        &mut self,
+        now: ClockReading,
+        token: ReplyToken,
+        document: Arc<ConfigurationDocument>,
+        actions: &mut Vec<ControlAction>,
+    ) {
+        if !self.can_serve(token, actions) {
+            return;
+        }
+        let body = CommandBody::ReplaceDocument(document);
+        let settled = self.has_enough_voters(now.monotonic);
+        if !settled || self.propose_for(now, body, CommandWaiter::Document(token)).is_err() {
+            self.reply_unavailable(token, actions);
+        }
+    }
+
     pub(super) fn take_query(
         &mut self,
         token: ReplyToken,
@@ -57,6 +77,7 @@
                 let limit = usize::try_from(limit).unwrap_or(MAX_HISTORY).min(MAX_HISTORY);
                 ControlReply::History(self.state.audit().newest(limit))
             }
+            AdminQuery::Document => ControlReply::Document(self.state.document().cloned()),
             AdminQuery::Targets => ControlReply::Targets(view.targets.values().cloned().collect()),
             AdminQuery::Quarantines => {
                 let records = view.quarantines.iter();
--- a/hickoryspan_core/src/control/raft/node.rs
+++ b/hickoryspan_core/src/control/raft/node.rs
@@ -274,6 +274,12 @@
         peer.is_some_and(|peer| !self.is_silent_since(peer.heard_at, now))
     }
 
+    /// How long ago a replica answered this leader; an unknown one counts as silent since for ever.
+    pub fn silence(&self, replica: ReplicaId, now: MonotonicTime) -> Duration {
+        let peer = self.leading().and_then(|leading| leading.peers.get(&replica));
+        peer.map_or(Duration::MAX, |peer| now.since(peer.heard_at))
+    }
+
     pub(super) fn leading(&self) -> Option<&LeaderState> {
         match &self.role {
             RaftRole::Leader(leading) => Some(leading),
--- a/hickoryspan_core/src/control/settings.rs
+++ b/hickoryspan_core/src/control/settings.rs
@@ -5,6 +5,7 @@
 
 use super::interface::ReplicaRecord;
 use super::raft::RaftSettings;
+use crate::gateway::members::MemberSettings;
 use crate::types::ReplicaId;
 
 /// What the driver decides for one control replica.
@@ -16,6 +17,8 @@
     pub http_address: SocketAddr,
     /// Whether an empty data folder starts a new cluster with this replica as its only voter.
     pub bootstrap: bool,
+    /// Lets the replica set follow the control hosts that report themselves; without it, operators change it.
+    pub members: Option<MemberSettings>,
     /// Timing and bounds of log replication.
     pub raft: RaftSettings,
     /// How long a target stays registered after its last announcement.
@@ -64,6 +67,7 @@
             peer_address,
             http_address,
             bootstrap: false,
+            members: None,
             raft: RaftSettings::default(),
             target_lease: Duration::from_secs(6),
             entry_lease: Duration::from_secs(5),
--- a/hickoryspan_core/src/control/state.rs
+++ b/hickoryspan_core/src/control/state.rs
@@ -13,6 +13,7 @@
 use super::raft::ReplicaSet;
 use super::registry::{MemberRegistry, ViewEditor, find_entry};
 use super::sheets::{AcceptedSheet, SheetBook};
+use crate::gateway::document::{ConfigurationDocument, DocumentOutcome, decide_document};
 use crate::membership::{MembershipView, ViewChange};
 use crate::messages::{ClaimKey, ClaimVerdict};
 use crate::sheet::SheetDocument;
@@ -34,6 +35,7 @@
     crashes: CrashLedger,
     // The replicas that operators want; the leader changes the replica set towards it, also after a leader change.
     replicas: BTreeMap<ReplicaId, ReplicaRecord>,
+    document: Option<Arc<ConfigurationDocument>>,
 }
 
 /// The effect of one command.
@@ -87,6 +89,19 @@
         &self.replicas
     }
 
+    /// The configuration document in force.
+    pub fn document(&self) -> Option<&Arc<ConfigurationDocument>> {
+        self.document.as_ref()
+    }
+
+    fn replace_document(&mut self, next: Arc<ConfigurationDocument>) -> DocumentOutcome {
+        let outcome = decide_document(self.document.as_deref(), &next);
+        if outcome == DocumentOutcome::Accepted {
+            self.document = Some(next);
+        }
+        outcome
+    }
+
     /// Takes the wanted replicas from the first committed replica set.
     pub fn note_replica_set(&mut self, set: &ReplicaSet) {
         if self.replicas.is_empty() {
@@ -158,6 +173,9 @@
             CommandBody::Admin(command) => {
                 return CommandOutcome::Decided(self.decide(editor, at, command));
             }
+            CommandBody::ReplaceDocument(document) => {
+                return CommandOutcome::DocumentDecided(self.replace_document(document));
+            }
         }
         CommandOutcome::Done
     }
--- a/hickoryspan_core/src/entry/latency.rs
+++ b/hickoryspan_core/src/entry/latency.rs
@@ -33,7 +33,7 @@
 
 /// The quantiles in use.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct LatencyQuantiles {
+pub struct LatencyQuantiles {
     /// Few sub-requests are faster (1%); used to tell what cannot finish.
     pub fastest: Duration,
     /// The median.
@@ -46,7 +46,7 @@
 
 /// Latencies of one service.
 #[derive(Debug)]
-pub(super) struct LatencyDistribution {
+pub struct LatencyDistribution {
     settings: LatencySettings,
     counts: Vec<u32>,
     total: u32,
--- /dev/null
+++ b/hickoryspan_core/src/gateway/budget.rs
@@ -0,0 +1,82 @@
+//! The budget for repeated and duplicated requests to one service, over a sliding window.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use crate::types::MonotonicTime;
+
+/// Slots of the window; the sum over them is never shorter than the window.
+const WINDOW_SLOTS: u64 = 10;
+
+/// How many extra requests a service may get from all entries together.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct BudgetSettings {
+    /// The window.
+    pub window: Duration,
+    /// Extra requests as a share of the callers' requests in the window.
+    pub ratio: f64,
+    /// Extra requests on top of that, over all entries.
+    pub fixed: f64,
+    /// The part of both that is used, for counts that differ between hosts.
+    pub safety: f64,
+}
+
+impl Default for BudgetSettings {
+    fn default() -> Self {
+        Self { window: Duration::from_secs(10), ratio: 0.2, fixed: 50.0, safety: 0.75 }
+    }
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct WindowSlot {
+    number: u64,
+    first: u32,
+    extra: u32,
+}
+
+/// One entry's part of a service's budget.
+#[derive(Clone, Debug)]
+pub struct ExtraBudget {
+    settings: BudgetSettings,
+    slots: VecDeque<WindowSlot>,
+}
+
+impl ExtraBudget {
+    /// An empty window.
+    pub fn new(settings: BudgetSettings) -> Self {
+        Self { settings, slots: VecDeque::new() }
+    }
+
+    fn slot(&mut self, now: MonotonicTime) -> &mut WindowSlot {
+        let width = (self.settings.window.as_micros() as u64 / WINDOW_SLOTS).max(1);
+        let number = now.0 / width;
+        // One slot more than the window, so that every sliding window is covered.
+        while self.slots.front().is_some_and(|slot| slot.number + WINDOW_SLOTS < number) {
+            self.slots.pop_front();
+        }
+        if self.slots.back().is_none_or(|slot| slot.number != number) {
+            self.slots.push_back(WindowSlot { number, ..WindowSlot::default() });
+        }
+        // The line above pushed a slot if there was none.
+        self.slots.back_mut().expect("the window has a slot")
+    }
+
+    /// A caller's request for the service.
+    pub fn note_first(&mut self, now: MonotonicTime) {
+        self.slot(now).first += 1;
+    }
+
+    /// Takes one extra request from the budget, which `entries` entries share; false if it is used up.
+    pub fn try_take(&mut self, now: MonotonicTime, entries: u32) -> bool {
+        self.slot(now);
+        let first: u32 = self.slots.iter().map(|slot| slot.first).sum();
+        let extra: u32 = self.slots.iter().map(|slot| slot.extra).sum();
+        let fixed = self.settings.fixed / f64::from(entries.max(1));
+        let allowed = (self.settings.ratio * f64::from(first) + fixed) * self.settings.safety;
+        if f64::from(extra) + 1.0 > allowed {
+            return false;
+        }
+        self.slot(now).extra += 1;
+        true
+    }
+}
--- /dev/null
+++ b/hickoryspan_core/src/gateway/document.rs
@@ -0,0 +1,287 @@
+//! The configuration of the gateway as one versioned document; the highest accepted version is in force.
+
+use std::collections::BTreeSet;
+use std::fmt;
+use std::str::FromStr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::sheet::duration_millis;
+use crate::types::{ParseValueError, ServiceId};
+
+/// The number of a configuration document; higher ones replace lower ones.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct DocumentVersion(pub u64);
+
+impl fmt::Display for DocumentVersion {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{}", self.0)
+    }
+}
+
+impl FromStr for DocumentVersion {
+    type Err = ParseValueError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let fault = |_| ParseValueError::new("DocumentVersion", text, "a whole number");
+        text.parse().map(Self).map_err(fault)
+    }
+}
+
+/// What a route allows to be repeated.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum RepeatRule {
+    /// The request may run more than once.
+    Idempotent,
+    /// The request runs at most once for each attempt of a caller.
+    AtMostOnce,
+}
+
+/// One part of a weighted split.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct WeightedService {
+    /// The service.
+    pub service: ServiceId,
+    /// Its weight; the shares are the weights over their sum.
+    pub weight: f64,
+}
+
+/// The shards that a route's requests are sent to, all at once.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct ShardSpread {
+    /// One service for each shard.
+    pub shards: Vec<ServiceId>,
+    /// The number of records in an answer.
+    pub result_limit: usize,
+    /// The smallest share of the shards that a successful answer contains, 0 to 1.
+    pub minimum_share: f64,
+}
+
+impl ShardSpread {
+    /// The fewest parts of a successful answer; never zero.
+    pub fn min_parts(&self) -> usize {
+        let exact = self.minimum_share * self.shards.len() as f64;
+        // A share such as 0.9 of 20 must not become 19 parts because of its binary form.
+        ((exact - 1e-9).ceil().max(1.0)) as usize
+    }
+}
+
+/// Where a route's requests go.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum RouteDestination {
+    /// One target of a service.
+    Service(ServiceId),
+    /// One target of one of several services, chosen by weight.
+    Split(Vec<WeightedService>),
+    /// One target of each shard.
+    Shards(ShardSpread),
+}
+
+impl RouteDestination {
+    /// All services that requests of the route may reach.
+    pub fn services(&self) -> Vec<&ServiceId> {
+        match self {
+            Self::Service(service) => vec![service],
+            Self::Split(parts) => parts.iter().map(|part| &part.service).collect(),
+            Self::Shards(spread) => spread.shards.iter().collect(),
+        }
+    }
+}
+
+/// One route.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct RouteRule {
+    /// Its name.
+    pub name: Arc<str>,
+    /// The host that requests name.
+    pub host: Arc<str>,
+    /// The path prefix, which begins and ends with a slash.
+    pub path_prefix: Arc<str>,
+    /// What may be repeated.
+    pub repeat: RepeatRule,
+    /// The longest time that a caller is kept waiting.
+    #[serde(with = "duration_millis")]
+    pub timeout: Duration,
+    /// The time within which an answer has its full value.
+    #[serde(with = "duration_millis")]
+    pub objective: Duration,
+    /// The rank; 0 is the most urgent.
+    pub priority: u32,
+    /// Where requests go.
+    pub destination: RouteDestination,
+    /// The most targets that one caller attempt reaches, for each shard.
+    pub max_attempts: u32,
+}
+
+/// One service.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct ServiceRule {
+    /// Its name.
+    pub service: ServiceId,
+    /// The connections that each of its targets accepts from all callers together.
+    pub connections: u32,
+}
+
+/// What callers may send.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct CallerLimits {
+    /// Bytes of the headers of one request.
+    pub header_bytes: usize,
+    /// Bytes of the body of one request.
+    pub body_bytes: usize,
+    /// Time for the headers of one request.
+    #[serde(with = "duration_millis")]
+    pub header_time: Duration,
+    /// Time that a connection may stay idle.
+    #[serde(with = "duration_millis")]
+    pub idle_time: Duration,
+}
+
+impl Default for CallerLimits {
+    fn default() -> Self {
+        Self {
+            header_bytes: 16 * 1024,
+            body_bytes: 256 * 1024,
+            header_time: Duration::from_secs(3),
+            idle_time: Duration::from_secs(15),
+        }
+    }
+}
+
+/// A whole configuration.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct ConfigurationDocument {
+    /// Its number.
+    pub version: DocumentVersion,
+    /// The routes.
+    pub routes: Vec<RouteRule>,
+    /// The services.
+    pub services: Vec<ServiceRule>,
+    /// What callers may send.
+    pub limits: CallerLimits,
+    /// The text that was submitted; reads return it unchanged.
+    pub source: Arc<str>,
+}
+
+/// Why a document is refused.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum DocumentFault {
+    /// A route names a service that the document does not have.
+    #[error("route {route}: service {service} is not in the document")]
+    UnknownService {
+        /// The route.
+        route: Arc<str>,
+        /// The service.
+        service: ServiceId,
+    },
+    /// Two routes have the same host and path prefix.
+    #[error("route {route}: another route has the host {host} and the prefix {prefix}")]
+    SamePlace {
+        /// The second route.
+        route: Arc<str>,
+        /// The host.
+        host: Arc<str>,
+        /// The prefix.
+        prefix: Arc<str>,
+    },
+    /// The weights of a split are negative, not finite, or add up to zero.
+    #[error("route {0}: the weights add up to nothing")]
+    NoWeight(Arc<str>),
+    /// A timeout is zero.
+    #[error("route {0}: the timeout is zero")]
+    NoTimeout(Arc<str>),
+    /// A list of shards is empty.
+    #[error("route {0}: the list of shards is empty")]
+    NoShards(Arc<str>),
+}
+
+impl ConfigurationDocument {
+    /// Checks what the types cannot express; the first fault is returned.
+    pub fn check(&self) -> Result<(), DocumentFault> {
+        let known: BTreeSet<&ServiceId> = self.services.iter().map(|rule| &rule.service).collect();
+        let mut places = BTreeSet::new();
+        for route in &self.routes {
+            check_route(route, &known)?;
+            if !places.insert((&route.host, &route.path_prefix)) {
+                return Err(DocumentFault::SamePlace {
+                    route: route.name.clone(),
+                    host: route.host.clone(),
+                    prefix: route.path_prefix.clone(),
+                });
+            }
+        }
+        Ok(())
+    }
+}
+
+fn check_route(route: &RouteRule, known: &BTreeSet<&ServiceId>) -> Result<(), DocumentFault> {
+    let name = || route.name.clone();
+    if route.timeout.is_zero() {
+        return Err(DocumentFault::NoTimeout(name()));
+    }
+    match &route.destination {
+        RouteDestination::Split(parts) => {
+            let valid = parts.iter().all(|part| part.weight.is_finite() && part.weight >= 0.0);
+            if !valid || parts.iter().map(|part| part.weight).sum::<f64>() <= 0.0 {
+                return Err(DocumentFault::NoWeight(name()));
+            }
+        }
+        RouteDestination::Shards(spread) if spread.shards.is_empty() => {
+            return Err(DocumentFault::NoShards(name()));
+        }
+        RouteDestination::Service(_) | RouteDestination::Shards(_) => {}
+    }
+    match route.destination.services().into_iter().find(|service| !known.contains(service)) {
+        Some(service) => {
+            Err(DocumentFault::UnknownService { route: name(), service: service.clone() })
+        }
+        None => Ok(()),
+    }
+}
+
+/// The decision on a submitted document.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum DocumentOutcome {
+    /// It is durable and in force.
+    Accepted,
+    /// The same or a higher version is in force; nothing changed.
+    Overtaken {
+        /// The version in force.
+        current: DocumentVersion,
+    },
+    /// Another document has the number that is in force.
+    Conflict {
+        /// The version in force.
+        current: DocumentVersion,
+    },
+}
+
+/// Decides on a document, given the one in force.
+pub fn decide_document(
+    current: Option<&ConfigurationDocument>,
+    next: &ConfigurationDocument,
+) -> DocumentOutcome {
+    let Some(current) = current else { return DocumentOutcome::Accepted };
+    let version = current.version;
+    if next.version > version {
+        return DocumentOutcome::Accepted;
+    }
+    if next.version == version && next.source != current.source {
+        return DocumentOutcome::Conflict { current: version };
+    }
+    DocumentOutcome::Overtaken { current: version }
+}
--- /dev/null
+++ b/hickoryspan_core/src/gateway/messages.rs
@@ -0,0 +1,79 @@
+//! Messages of the directory links. Every entry and every control host connects to every control host.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use super::directory::{AnnouncementAge, TargetAnnouncement, TargetDeparture};
+use super::document::ConfigurationDocument;
+use crate::control::interface::ReplicaRecord;
+use crate::types::{EntryId, FailureDomain, RequestFingerprint, TargetId};
+
+/// An entry host as callers can reach it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct EntryHost {
+    /// Its name.
+    pub entry: EntryId,
+    /// Where callers connect.
+    pub caller_address: SocketAddr,
+    /// Its failure domain.
+    pub domain: FailureDomain,
+    /// Whether callers should be sent to it.
+    pub open: bool,
+}
+
+/// A renewal of an announcement that changed nothing.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct TargetRenewal {
+    /// The target.
+    pub target: TargetId,
+    /// The new age.
+    pub age: AnnouncementAge,
+}
+
+/// Numbers the messages of one link that must be confirmed.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct ConfirmNumber(pub u64);
+
+/// What the host that opened the link sends.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum DirectoryRequest {
+    /// An entry reports itself, at once and regularly.
+    Entry(EntryHost),
+    /// A control host reports itself, at once and regularly.
+    Control(ReplicaRecord),
+    /// Everything up to this number has been applied.
+    Confirm(ConfirmNumber),
+    /// Requests that a target was running when it crashed.
+    Crashes(Vec<RequestFingerprint>),
+}
+
+/// What a control host sends over a link.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum DirectoryUpdate {
+    /// Targets that are new or changed.
+    Targets(Vec<TargetAnnouncement>),
+    /// Targets that left.
+    Departures(Vec<TargetDeparture>),
+    /// Targets that announced themselves without a change.
+    Renewals(Vec<TargetRenewal>),
+    /// The addresses of all known control hosts, and the number of entries.
+    Hosts {
+        /// Where control hosts take directory links.
+        controls: Vec<SocketAddr>,
+        /// The number of entries that are linked to the sender.
+        entries: u32,
+    },
+    /// The configuration in force.
+    Document(Arc<ConfigurationDocument>),
+    /// Requests that crashed targets, with the number of crashes.
+    Crashes(Vec<RequestFingerprint>),
+    /// Asks for a confirmation once everything before it has been applied.
+    Confirm(ConfirmNumber),
+}
--- /dev/null
+++ b/hickoryspan_core/src/gateway/mod.rs
@@ -0,0 +1,13 @@
+//! Decisions of the gateway, which forwards HTTP requests by route and merges raw records of many shards
+//! (`docs/design/gateway.md`).
+
+pub mod budget;
+pub mod directory;
+pub mod document;
+pub mod gather;
+pub mod members;
+pub mod messages;
+pub mod outcomes;
+pub mod poison;
+pub mod routes;
+pub mod selection;
--- /dev/null
+++ b/hickoryspan_core/src/gateway/routes.rs
@@ -0,0 +1,86 @@
+//! Selects a route by host and longest path prefix.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use super::document::{ConfigurationDocument, RouteRule, WeightedService};
+use crate::types::ServiceId;
+
+/// The routes of one document, ready for look-ups.
+#[derive(Debug)]
+pub struct RouteTable {
+    document: Arc<ConfigurationDocument>,
+    // Longest prefix first, for each host in lower case.
+    by_host: HashMap<String, Vec<usize>>,
+    connections: HashMap<ServiceId, u32>,
+}
+
+impl RouteTable {
+    /// Prepares a document.
+    pub fn new(document: Arc<ConfigurationDocument>) -> Self {
+        let mut by_host: HashMap<String, Vec<usize>> = HashMap::new();
+        for (index, route) in document.routes.iter().enumerate() {
+            by_host.entry(route.host.to_ascii_lowercase()).or_default().push(index);
+        }
+        for routes in by_host.values_mut() {
+            let length = |index: &usize| document.routes[*index].path_prefix.len();
+            routes.sort_by_key(|index| std::cmp::Reverse(length(index)));
+        }
+        let rules = document.services.iter();
+        let connections = rules.map(|rule| (rule.service.clone(), rule.connections)).collect();
+        Self { document, by_host, connections }
+    }
+
+    /// The document.
+    pub fn document(&self) -> &Arc<ConfigurationDocument> {
+        &self.document
+    }
+
+    /// The route for a host, with or without a port, and a path.
+    pub fn find(&self, host: &str, path: &str) -> Option<&RouteRule> {
+        let name = host.split(':').next().unwrap_or(host).to_ascii_lowercase();
+        let routes = self.by_host.get(&name)?.iter().map(|index| &self.document.routes[*index]);
+        routes.into_iter().find(|route| path.starts_with(&*route.path_prefix))
+    }
+
+    /// The connections that each target of a service accepts.
+    pub fn connections(&self, service: &ServiceId) -> Option<u32> {
+        self.connections.get(service).copied()
+    }
+}
+
+/// Spreads the requests of a split by weight without randomness, so that short windows keep the shares too.
+#[derive(Clone, Debug, Default)]
+pub struct SplitCounter {
+    credits: HashMap<ServiceId, f64>,
+}
+
+impl SplitCounter {
+    /// The service of the next request.
+    pub fn next<'a>(&mut self, parts: &'a [WeightedService]) -> Option<&'a ServiceId> {
+        let total: f64 = parts.iter().map(|part| part.weight).sum();
+        if total <= 0.0 {
+            return None;
+        }
+        self.credits.retain(|service, _| parts.iter().any(|part| part.service == *service));
+        for part in parts {
+            *self.credits.entry(part.service.clone()).or_default() += part.weight / total;
+        }
+        let credit = |part: &&WeightedService| self.credits.get(&part.service).copied();
+        let chosen = parts
+            .iter()
+            .filter(|part| part.weight > 0.0)
+            .max_by(|left, right| credit(left).partial_cmp(&credit(right)).unwrap_or(std::cmp::Ordering::Equal))?;
+        *self.credits.entry(chosen.service.clone()).or_default() -= 1.0;
+        Some(&chosen.service)
+    }
+
+    /// Starts at a random phase, so that entries do not send their first requests to the same part.
+    pub fn with_phase(parts: &[WeightedService], phase: f64) -> Self {
+        let credits = parts.iter().enumerate().map(|(index, part)| {
+            let shift = if index == 0 { phase } else { 0.0 };
+            (part.service.clone(), shift)
+        });
+        Self { credits: credits.collect() }
+    }
+}
--- /dev/null
+++ b/hickoryspan_core/src/gateway/selection.rs
@@ -0,0 +1,339 @@
+//! Chooses targets from what this entry saw of them; reported load only breaks ties.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use rand::RngExt;
+use rand_chacha::ChaCha12Rng;
+
+use super::directory::{TargetAnnouncement, TargetPhase};
+use super::outcomes::{AttemptEnd, AttemptFailure, ReportedLoad};
+use crate::types::{FailureDomain, MonotonicTime, ServiceId, TargetId};
+
+/// Settings of the choice of targets.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct SelectionSettings {
+    /// Time after which half of what was learned about a target is forgotten.
+    pub half_life: Duration,
+    /// How long an unanswered request keeps other requests away from a target.
+    pub overdue_hold: Duration,
+    /// Consecutive failures after which a target is ejected.
+    pub eject_after: u32,
+    /// The first ejection.
+    pub eject_min: Duration,
+    /// The longest ejection.
+    pub eject_max: Duration,
+    /// Factor on the cost of targets in other failure domains.
+    pub remote_factor: f64,
+    /// Factor on the cost of targets that have just started.
+    pub cold_factor: f64,
+    /// Age after which a reported load is ignored.
+    pub load_lifetime: Duration,
+}
+
+impl Default for SelectionSettings {
+    fn default() -> Self {
+        Self {
+            half_life: Duration::from_secs(3),
+            overdue_hold: Duration::from_millis(400),
+            eject_after: 3,
+            eject_min: Duration::from_millis(1_000),
+            eject_max: Duration::from_secs(8),
+            remote_factor: 1.2,
+            cold_factor: 1.8,
+            load_lifetime: Duration::from_millis(500),
+        }
+    }
+}
+
+/// Weight of one new observation in the running means.
+const OBSERVATION_WEIGHT: f64 = 0.25;
+/// Cost of an expected failure relative to that of the work itself.
+const FAILURE_COST: f64 = 8.0;
+/// Factor on the cost of a target that leaves a request unanswered.
+const OVERDUE_FACTOR: f64 = 20.0;
+/// Largest relative latency that one observation counts as.
+const MAX_PACE: f64 = 30.0;
+
+/// A chosen target.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ChosenTarget {
+    /// The target.
+    pub target: TargetId,
+    /// Where it takes requests.
+    pub address: SocketAddr,
+}
+
+#[derive(Clone, Debug)]
+struct TargetState {
+    announcement: TargetAnnouncement,
+    cold_until: MonotonicTime,
+    in_flight: u32,
+    // Latency over the usual latency of the same route; 1 is usual.
+    pace: f64,
+    failure_rate: f64,
+    learned_at: MonotonicTime,
+    failures: u32,
+    ejections: u32,
+    ejected_until: MonotonicTime,
+    overdue_at: Option<MonotonicTime>,
+    load: Option<ReportedLoad>,
+    load_at: MonotonicTime,
+}
+
+impl TargetState {
+    fn new(now: MonotonicTime, announcement: TargetAnnouncement) -> Self {
+        let cold_until = now + announcement.cold;
+        Self {
+            announcement,
+            cold_until,
+            in_flight: 0,
+            pace: 1.0,
+            failure_rate: 0.0,
+            learned_at: now,
+            failures: 0,
+            ejections: 0,
+            ejected_until: MonotonicTime(0),
+            overdue_at: None,
+            load: None,
+            load_at: now,
+        }
+    }
+
+    fn decay(&self, now: MonotonicTime, half_life: Duration) -> f64 {
+        0.5_f64.powf(now.since(self.learned_at).as_secs_f64() / half_life.as_secs_f64())
+    }
+
+    fn observe(&mut self, now: MonotonicTime, settings: &SelectionSettings, failed: bool) {
+        let decay = self.decay(now, settings.half_life);
+        self.pace = 1.0 + (self.pace - 1.0) * decay;
+        let rate = self.failure_rate * decay;
+        let sample = if failed { 1.0 } else { 0.0 };
+        self.failure_rate = rate + (sample - rate) * OBSERVATION_WEIGHT;
+        self.learned_at = now;
+    }
+
+    fn is_usable(&self) -> bool {
+        self.announcement.phase == TargetPhase::Ready
+    }
+
+    fn cost(
+        &self,
+        now: MonotonicTime,
+        settings: &SelectionSettings,
+        domain: &FailureDomain,
+    ) -> f64 {
+        let decay = self.decay(now, settings.half_life);
+        let pace = 1.0 + (self.pace - 1.0) * decay;
+        let slots = f64::from(self.announcement.slots.max(1));
+        let load = self.load.filter(|_| now.since(self.load_at) < settings.load_lifetime);
+        let busy = load.map_or(0.0, |load| f64::from(load.running.saturating_sub(1) + load.waiting));
+        let reported_pace = load.map_or(1.0, |load| f64::from(load.pace_percent.max(100)) / 100.0);
+        let waiting = f64::from(self.in_flight).max(busy) / slots;
+        let mut cost = pace.max(reported_pace).max(0.2) * (1.0 + waiting);
+        cost *= 1.0 + FAILURE_COST * self.failure_rate * decay;
+        if self.announcement.domain != *domain {
+            cost *= settings.remote_factor;
+        }
+        if self.cold_until > now {
+            cost *= settings.cold_factor;
+        }
+        if self.overdue_at.is_some_and(|at| now.since(at) < settings.overdue_hold) {
+            cost *= OVERDUE_FACTOR;
+        }
+        cost
+    }
+}
+
+/// All targets as this entry sees them.
+#[derive(Debug)]
+pub struct TargetSelector {
+    settings: SelectionSettings,
+    domain: FailureDomain,
+    generator: ChaCha12Rng,
+    targets: HashMap<TargetId, TargetState>,
+    by_service: BTreeMap<ServiceId, Vec<TargetId>>,
+}
+
+impl TargetSelector {
+    /// A selector without targets for an entry in `domain`.
+    pub fn new(
+        settings: SelectionSettings,
+        domain: FailureDomain,
+        generator: ChaCha12Rng,
+    ) -> Self {
+        let (targets, by_service) = (HashMap::new(), BTreeMap::new());
+        Self { settings, domain, generator, targets, by_service }
+    }
+
+    /// Adds or changes a target.
+    pub fn put(&mut self, now: MonotonicTime, announcement: TargetAnnouncement) {
+        let target = announcement.target.clone();
+        let service = announcement.service.clone();
+        match self.targets.get_mut(&target) {
+            Some(state)
+                if state.announcement.age.started == announcement.age.started
+                    && state.announcement.address == announcement.address
+                    && state.announcement.service == service =>
+            {
+                state.cold_until = now + announcement.cold;
+                state.announcement = announcement;
+            }
+            _ => {
+                self.remove(&target);
+                self.targets.insert(target.clone(), TargetState::new(now, announcement));
+                self.by_service.entry(service).or_default().push(target);
+            }
+        }
+    }
+
+    /// Takes a target out.
+    pub fn remove(&mut self, target: &TargetId) {
+        let Some(state) = self.targets.remove(target) else { return };
+        if let Some(targets) = self.by_service.get_mut(&state.announcement.service) {
+            targets.retain(|known| known != target);
+        }
+    }
+
+    /// Keeps only these targets.
+    pub fn retain(&mut self, keep: impl Fn(&TargetId) -> bool) {
+        let gone: Vec<TargetId> =
+            self.targets.keys().filter(|target| !keep(target)).cloned().collect();
+        for target in gone {
+            self.remove(&target);
+        }
+    }
+
+    /// The targets of a service that take new work, whether healthy or not.
+    pub fn count_usable(&self, service: &ServiceId) -> usize {
+        self.states(service).filter(|state| state.is_usable()).count()
+    }
+
+    fn states(&self, service: &ServiceId) -> impl Iterator<Item = &TargetState> {
+        let targets = self.by_service.get(service).into_iter().flatten();
+        targets.filter_map(|target| self.targets.get(target))
+    }
+
+    /// Chooses a target and counts a request on it; `tried` are left out.
+    pub fn choose(
+        &mut self,
+        now: MonotonicTime,
+        service: &ServiceId,
+        tried: &[TargetId],
+    ) -> Option<ChosenTarget> {
+        let chosen = self.find_best(now, service, tried)?;
+        let state = self.targets.get_mut(&chosen)?;
+        state.in_flight += 1;
+        Some(ChosenTarget { target: chosen, address: state.announcement.address })
+    }
+
+    fn find_best(
+        &mut self,
+        now: MonotonicTime,
+        service: &ServiceId,
+        tried: &[TargetId],
+    ) -> Option<TargetId> {
+        let untried =
+            |state: &&TargetState| state.is_usable() && !tried.contains(&state.announcement.target);
+        let healthy = self.states(service).filter(untried).any(|state| state.ejected_until <= now);
+        let costs: Vec<(TargetId, f64)> = self
+            .states(service)
+            .filter(untried)
+            // If all look bad, the fault may be on this side, so all are used.
+            .filter(|state| !healthy || state.ejected_until <= now)
+            .map(|state| {
+                let cost = state.cost(now, &self.settings, &self.domain);
+                (state.announcement.target.clone(), cost)
+            })
+            .collect();
+        let mut best: Option<(TargetId, f64)> = None;
+        for (target, cost) in costs {
+            // A little randomness spreads requests over equal targets.
+            let cost = cost * (1.0 + self.generator.random::<f64>() * 0.1);
+            if best.as_ref().is_none_or(|(_, lowest)| cost < *lowest) {
+                best = Some((target, cost));
+            }
+        }
+        best.map(|(target, _)| target)
+    }
+
+    /// Whether another target is worth a second request: one exists and does not look much worse.
+    pub fn has_alternative(
+        &self,
+        now: MonotonicTime,
+        service: &ServiceId,
+        tried: &[TargetId],
+    ) -> bool {
+        self.states(service).any(|state| {
+            let untried = state.is_usable() && !tried.contains(&state.announcement.target);
+            let overdue = state
+                .overdue_at
+                .is_some_and(|at| now.since(at) < self.settings.overdue_hold);
+            untried && state.ejected_until <= now && !overdue
+        })
+    }
+
+    /// Learns from the end of an attempt; `usual` is the route's usual latency.
+    pub fn finish(
+        &mut self,
+        now: MonotonicTime,
+        target: &TargetId,
+        end: AttemptEnd,
+        usual: Duration,
+    ) {
+        let settings = self.settings;
+        let Some(state) = self.targets.get_mut(target) else { return };
+        state.in_flight = state.in_flight.saturating_sub(1);
+        match end {
+            AttemptEnd::Cancelled => {}
+            AttemptEnd::Success(latency) => {
+                state.observe(now, &settings, false);
+                let pace = latency.as_secs_f64() / usual.as_secs_f64().max(1e-4);
+                state.pace += (pace.min(MAX_PACE) - state.pace) * OBSERVATION_WEIGHT;
+                state.failures = 0;
+                state.ejections = 0;
+                state.overdue_at = None;
+            }
+            AttemptEnd::Failure(failure) => state.note_failure(now, &settings, failure),
+        }
+    }
+
+    /// Takes the load that came with a response.
+    pub fn note_load(&mut self, now: MonotonicTime, target: &TargetId, load: ReportedLoad) {
+        let Some(state) = self.targets.get_mut(target) else { return };
+        state.load = Some(load);
+        state.load_at = now;
+    }
+
+    /// A request to the target is still unanswered after the time in which nearly all are answered.
+    pub fn note_overdue(&mut self, now: MonotonicTime, target: &TargetId) {
+        if let Some(state) = self.targets.get_mut(target) {
+            state.overdue_at = Some(now);
+        }
+    }
+}
+
+impl TargetState {
+    fn note_failure(
+        &mut self,
+        now: MonotonicTime,
+        settings: &SelectionSettings,
+        failure: AttemptFailure,
+    ) {
+        self.observe(now, settings, true);
+        if failure == AttemptFailure::Timeout {
+            self.overdue_at = Some(now);
+        }
+        self.failures += 1;
+        let certain = matches!(failure, AttemptFailure::Unreachable | AttemptFailure::OtherTarget);
+        if self.failures < settings.eject_after && !certain {
+            return;
+        }
+        let doubled = settings.eject_min * 2_u32.pow(self.ejections.min(8));
+        self.ejected_until = now + doubled.min(settings.eject_max);
+        self.ejections += 1;
+        // One success or failure after the ejection decides again.
+        self.failures = settings.eject_after.saturating_sub(1);
+    }
+}
--- a/hickoryspan_core/src/lib.rs
+++ b/hickoryspan_core/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod control;
 pub mod entry;
+pub mod gateway;
 pub mod membership;
 pub mod messages;
 pub mod sheet;
--- a/hickoryspan_ctl/tests/sheet_day.rs
+++ b/hickoryspan_ctl/tests/sheet_day.rs
@@ -38,7 +38,8 @@
             credential: SharedCredential::new(CREDENTIAL).unwrap(),
             limits: HttpLimits::default(),
             logs: LogSettings::default(),
-            seed: Some(seed),
+            members: None,
+        seed: Some(seed),
         });
         Self { folder, daemon: daemon.await.unwrap() }
     }
--- a/hickoryspan_local/src/deployment.rs
+++ b/hickoryspan_local/src/deployment.rs
@@ -295,6 +295,7 @@
         credential: credential.clone(),
         limits: HttpLimits { body_bytes: MAX_CONTROL_BODY_BYTES, ..Default::default() },
         logs: LogSettings::default(),
+        members: None,
         seed: Some(seed),
     })
 }
--- a/hickoryspan_store/src/folder.rs
+++ b/hickoryspan_store/src/folder.rs
@@ -64,6 +64,11 @@
         Ok(Self { path: path.to_owned(), identity, _lock: lock })
     }
 
+    /// Whether the path has a complete data folder; the format file is its last part.
+    pub fn exists(path: impl AsRef<Path>) -> bool {
+        path.as_ref().join(FORMAT_NAME).exists()
+    }
+
     /// Locks an existing folder and reads its identity.
     pub fn open(path: impl AsRef<Path>) -> Result<Self, StoreError> {
         let path = path.as_ref();
