Serve the users' platform thinly: gateway, directory links and adapter

Cause: nothing served the platform's callers, targets and operators. Change: the crate hickoryspan_gateway has an entry that forwards by route and merges raw records, and the directory links of control hosts; platform/ translates the platform's settings, calls and headers; deploy/system.toml names the two programs.

--- a/hickoryspan_core/src/gateway/directory.rs
+++ b/hickoryspan_core/src/gateway/directory.rs
@@ -139,6 +139,18 @@
         DirectoryChange::Changed
     }
 
+    /// Takes a renewal that changed nothing else; false if the target is not known or the renewal is old.
+    pub fn renew(&mut self, now: MonotonicTime, target: &TargetId, age: AnnouncementAge) -> bool {
+        let Some(known) = self.targets.get_mut(target) else { return false };
+        let current = known.announcement.age;
+        if age.started != current.started || age.sequence <= current.sequence {
+            return false;
+        }
+        known.announcement.age = age;
+        known.heard_at = now;
+        true
+    }
+
     // A process that started later at the same address shows that the earlier one is gone.
     fn is_address_taken(&self, announcement: &TargetAnnouncement) -> bool {
         self.targets.values().any(|known| {
--- a/hickoryspan_core/src/gateway/messages.rs
+++ b/hickoryspan_core/src/gateway/messages.rs
@@ -8,7 +8,7 @@
 use super::directory::{AnnouncementAge, TargetAnnouncement, TargetDeparture};
 use super::document::ConfigurationDocument;
 use crate::control::interface::ReplicaRecord;
-use crate::types::{EntryId, FailureDomain, RequestFingerprint, TargetId};
+use crate::types::{EntryId, FailureDomain, TargetId};
 
 /// An entry host as callers can reach it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -49,8 +49,6 @@
     Control(ReplicaRecord),
     /// Everything up to this number has been applied.
     Confirm(ConfirmNumber),
-    /// Requests that a target was running when it crashed.
-    Crashes(Vec<RequestFingerprint>),
 }
 
 /// What a control host sends over a link.
@@ -72,8 +70,6 @@
     },
     /// The configuration in force.
     Document(Arc<ConfigurationDocument>),
-    /// Requests that crashed targets, with the number of crashes.
-    Crashes(Vec<RequestFingerprint>),
     /// Asks for a confirmation once everything before it has been applied.
     Confirm(ConfirmNumber),
 }
--- a/hickoryspan_core/src/gateway/outcomes.rs
+++ b/hickoryspan_core/src/gateway/outcomes.rs
@@ -58,6 +58,6 @@
     Success(Duration),
     /// It did not succeed.
     Failure(AttemptFailure),
-    /// It was cancelled, because another attempt was faster or the caller left.
-    Cancelled,
+    /// It was cancelled after this time, because another attempt was faster or the caller left.
+    Cancelled(Duration),
 }
--- a/hickoryspan_core/src/gateway/selection.rs
+++ b/hickoryspan_core/src/gateway/selection.rs
@@ -53,6 +53,8 @@
 const FAILURE_COST: f64 = 8.0;
 /// Factor on the cost of a target that leaves a request unanswered.
 const OVERDUE_FACTOR: f64 = 20.0;
+/// Smallest usual latency in seconds, which bounds a relative latency.
+const MIN_USUAL_SECONDS: f64 = 1e-4;
 /// Largest relative latency that one observation counts as.
 const MAX_PACE: f64 = 30.0;
 
@@ -258,6 +260,13 @@
         best.map(|(target, _)| target)
     }
 
+    /// Takes back a choice that was not used.
+    pub fn release(&mut self, target: &TargetId) {
+        if let Some(state) = self.targets.get_mut(target) {
+            state.in_flight = state.in_flight.saturating_sub(1);
+        }
+    }
+
     /// Whether another target is worth a second request: one exists and does not look much worse.
     pub fn has_alternative(
         &self,
@@ -286,11 +295,13 @@
         let Some(state) = self.targets.get_mut(target) else { return };
         state.in_flight = state.in_flight.saturating_sub(1);
         match end {
-            AttemptEnd::Cancelled => {}
+            // An attempt that was given up late took at least that long.
+            AttemptEnd::Cancelled(elapsed) if elapsed > usual * 2 => {
+                state.learn_pace(now, &settings, elapsed, usual);
+            }
+            AttemptEnd::Cancelled(_) => {}
             AttemptEnd::Success(latency) => {
-                state.observe(now, &settings, false);
-                let pace = latency.as_secs_f64() / usual.as_secs_f64().max(1e-4);
-                state.pace += (pace.min(MAX_PACE) - state.pace) * OBSERVATION_WEIGHT;
+                state.learn_pace(now, &settings, latency, usual);
                 state.failures = 0;
                 state.ejections = 0;
                 state.overdue_at = None;
@@ -315,6 +326,18 @@
 }
 
 impl TargetState {
+    fn learn_pace(
+        &mut self,
+        now: MonotonicTime,
+        settings: &SelectionSettings,
+        latency: Duration,
+        usual: Duration,
+    ) {
+        self.observe(now, settings, false);
+        let pace = latency.as_secs_f64() / usual.as_secs_f64().max(MIN_USUAL_SECONDS);
+        self.pace += (pace.min(MAX_PACE) - self.pace) * OBSERVATION_WEIGHT;
+    }
+
     fn note_failure(
         &mut self,
         now: MonotonicTime,
--- /dev/null
+++ b/hickoryspan_gateway/src/caller_server.rs
@@ -0,0 +1,110 @@
+//! Takes connections of callers over HTTP/1.1, and stops without cutting a request.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hickoryspan_core::gateway::document::CallerLimits;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::server::graceful::GracefulShutdown;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::JoinSet;
+use tokio_util::sync::CancellationToken;
+
+use crate::forward::answer_request;
+use crate::gateway_state::GatewayState;
+
+/// Pause after a failed accept, so that a lack of file descriptors does not spin the processor.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
+/// Header lines in one request.
+const MAX_HEADERS: usize = 100;
+/// Smallest buffer that the HTTP library accepts, in bytes.
+const MIN_BUFFER_BYTES: usize = 8192;
+
+/// The steps of a planned stop.
+#[derive(Clone, Default)]
+pub(crate) struct StopSteps {
+    /// Kept connections end between requests.
+    pub(crate) leave: CancellationToken,
+    /// No connection is accepted.
+    pub(crate) close: CancellationToken,
+    /// What is still in flight is cut.
+    pub(crate) end: CancellationToken,
+}
+
+/// Serves callers until `end`, or until `close` and nothing is in flight.
+pub(crate) async fn serve_callers(
+    listener: TcpListener,
+    state: Arc<GatewayState>,
+    steps: StopSteps,
+) {
+    let mut connections = JoinSet::new();
+    let mut listener = Some(listener);
+    loop {
+        let accepted = tokio::select! {
+            () = steps.end.cancelled() => break,
+            () = steps.close.cancelled() => break,
+            accepted = accept(listener.as_ref()) => accepted,
+        };
+        while connections.try_join_next().is_some() {}
+        match accepted {
+            Ok(stream) => {
+                connections.spawn(serve_connection(stream, Arc::clone(&state), steps.leave.clone()));
+            }
+            Err(error) => {
+                spdlog::warn!("caller port: accept: {}", error);
+                tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
+            }
+        }
+    }
+    listener.take();
+    let finish = async { while connections.join_next().await.is_some() {} };
+    tokio::select! {
+        () = finish => {}
+        () = steps.end.cancelled() => {
+            spdlog::warn!("caller port: requests in flight exceeded the time for a stop");
+        }
+    }
+    connections.shutdown().await;
+}
+
+async fn accept(listener: Option<&TcpListener>) -> std::io::Result<TcpStream> {
+    match listener {
+        Some(listener) => listener.accept().await.map(|(stream, _)| stream),
+        None => std::future::pending().await,
+    }
+}
+
+async fn serve_connection(stream: TcpStream, state: Arc<GatewayState>, leave: CancellationToken) {
+    if let Err(error) = stream.set_nodelay(true) {
+        spdlog::debug!("caller port: set TCP_NODELAY: {}", error);
+    }
+    let routes = state.decisions().routes.clone();
+    let limits = routes.map_or_else(CallerLimits::default, |routes| routes.document().limits);
+    let service = service_fn(move |request| {
+        let state = Arc::clone(&state);
+        async move { Ok::<_, Infallible>(answer_request(state, request).await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        // The library's timer also runs while a kept connection is idle.
+        .header_read_timeout(limits.idle_time.max(limits.header_time))
+        .max_headers(MAX_HEADERS)
+        .max_buf_size(limits.header_bytes.max(MIN_BUFFER_BYTES))
+        .serve_connection(TokioIo::new(stream), service);
+    let graceful = GracefulShutdown::new();
+    let watched = graceful.watch(connection);
+    tokio::pin!(watched);
+    let ended = tokio::select! {
+        ended = &mut watched => ended,
+        () = leave.cancelled() => {
+            let (ended, ()) = tokio::join!(&mut watched, graceful.shutdown());
+            ended
+        }
+    };
+    if let Err(error) = ended {
+        spdlog::debug!("caller port: {}", error);
+    }
+}
--- /dev/null
+++ b/hickoryspan_gateway/src/directory_links.rs
@@ -0,0 +1,190 @@
+//! Outgoing directory links, one to each known control host.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use anyhow::{Context, bail};
+use hickoryspan_core::gateway::messages::{DirectoryRequest, DirectoryUpdate};
+use hickoryspan_runtime::peer_link::PeerLink;
+use tokio::sync::{mpsc, watch};
+use tokio::task::{AbortHandle, JoinSet};
+use tokio_util::sync::CancellationToken;
+
+use crate::host_list::HostList;
+use crate::settings::DirectorySettings;
+
+/// Path that directory links ask for.
+pub(crate) const DIRECTORY_PATH: &str = "/v1/directory";
+/// Messages that may wait on one link.
+const QUEUE_MESSAGES: usize = 256;
+/// First pause after a failed connection.
+const MIN_RECONNECT_DELAY: Duration = Duration::from_millis(60);
+/// Longest pause after failed connections.
+const MAX_RECONNECT_DELAY: Duration = Duration::from_millis(700);
+/// Time without a connection after which a host is forgotten; seeds and other hosts name it again if it lives.
+const FORGET_AFTER: Duration = Duration::from_secs(20);
+
+/// One end of the links: what it says, and what it does with what it hears.
+pub trait LinkReporter: Send + Sync {
+    /// What is reported at once and regularly.
+    fn report(&self) -> DirectoryRequest;
+    /// Takes an update of the control host at `from`.
+    fn apply(&self, from: SocketAddr, update: DirectoryUpdate);
+    /// A link is up or down.
+    fn note_link(&self, from: SocketAddr, up: bool);
+}
+
+/// Keeps a link to every host of a list.
+pub struct DirectoryLinks {
+    /// The hosts.
+    pub hosts: HostList,
+    /// The address of this process itself, to which no link is opened.
+    pub own: Option<SocketAddr>,
+    /// Timing and credential.
+    pub settings: DirectorySettings,
+    /// The end of the links.
+    pub reporter: Arc<dyn LinkReporter>,
+    /// Changes whenever a report should be sent at once.
+    pub urgent: watch::Receiver<u64>,
+}
+
+impl DirectoryLinks {
+    /// Runs until `stop` is cancelled, then ends all links.
+    pub async fn run(self, stop: CancellationToken) {
+        let mut tasks = JoinSet::new();
+        let mut open: BTreeMap<SocketAddr, AbortHandle> = BTreeMap::new();
+        let mut hosts = self.hosts.subscribe();
+        loop {
+            let wanted = hosts.borrow_and_update().clone();
+            open.retain(|address, task| {
+                let keep = wanted.contains(address);
+                if !keep {
+                    task.abort();
+                }
+                keep
+            });
+            for address in wanted {
+                if Some(address) == self.own || open.contains_key(&address) {
+                    continue;
+                }
+                let link = LinkTask {
+                    address,
+                    hosts: self.hosts.clone(),
+                    settings: self.settings.clone(),
+                    reporter: Arc::clone(&self.reporter),
+                    urgent: self.urgent.clone(),
+                };
+                open.insert(address, tasks.spawn(link.run()));
+            }
+            tokio::select! {
+                () = stop.cancelled() => break,
+                changed = hosts.changed() => {
+                    if changed.is_err() {
+                        break;
+                    }
+                }
+                Some(_) = tasks.join_next() => {}
+            }
+        }
+        tasks.shutdown().await;
+    }
+}
+
+struct LinkTask {
+    address: SocketAddr,
+    hosts: HostList,
+    settings: DirectorySettings,
+    reporter: Arc<dyn LinkReporter>,
+    urgent: watch::Receiver<u64>,
+}
+
+impl LinkTask {
+    async fn run(mut self) {
+        let mut delay = MIN_RECONNECT_DELAY;
+        let mut last_up = Instant::now();
+        while last_up.elapsed() < FORGET_AFTER {
+            let began = Instant::now();
+            let result = self.serve().await;
+            if let Err(error) = result {
+                spdlog::debug!("directory link: {}: {:#}", self.address, error);
+            }
+            if began.elapsed() > self.settings.silence_limit {
+                delay = MIN_RECONNECT_DELAY;
+                last_up = Instant::now();
+            }
+            tokio::time::sleep(delay).await;
+            delay = (delay * 2).min(MAX_RECONNECT_DELAY);
+        }
+        self.hosts.remove(self.address);
+    }
+
+    async fn serve(&mut self) -> anyhow::Result<()> {
+        let credential = &self.settings.credential;
+        let connect = PeerLink::connect(self.address, DIRECTORY_PATH, [], credential);
+        let link = tokio::time::timeout(self.settings.silence_limit, connect)
+            .await
+            .context("connect: timeout")??;
+        let (queue, outgoing) = mpsc::channel(QUEUE_MESSAGES);
+        let (heard, mut last_heard) = watch::channel(());
+        let reporter = Arc::clone(&self.reporter);
+        let (address, confirm) = (self.address, queue.clone());
+        let receive = move |update: DirectoryUpdate| {
+            heard.send_replace(());
+            if let DirectoryUpdate::Confirm(number) = update {
+                return confirm.try_send(DirectoryRequest::Confirm(number)).is_ok();
+            }
+            reporter.apply(address, update);
+            true
+        };
+        let limit = self.settings.silence_limit;
+        let silence = async move {
+            while let Ok(Ok(())) = tokio::time::timeout(limit, last_heard.changed()).await {}
+        };
+        let reports = send_reports(&self.settings, &*self.reporter, &mut self.urgent, queue);
+        let up = LinkUp::new(Arc::clone(&self.reporter), address);
+        let ended = tokio::select! {
+            ended = link.pump(outgoing, receive) => ended,
+            ended = reports => ended,
+            () = silence => bail!("nothing received for {limit:?}"),
+        };
+        drop(up);
+        ended
+    }
+}
+
+async fn send_reports(
+    settings: &DirectorySettings,
+    reporter: &dyn LinkReporter,
+    urgent: &mut watch::Receiver<u64>,
+    queue: mpsc::Sender<DirectoryRequest>,
+) -> anyhow::Result<()> {
+    loop {
+        queue.send(reporter.report()).await.context("the link ended")?;
+        tokio::select! {
+            () = tokio::time::sleep(settings.report_interval) => {}
+            changed = urgent.changed() => changed.context("the process stops")?,
+        }
+    }
+}
+
+struct LinkUp {
+    reporter: Arc<dyn LinkReporter>,
+    address: SocketAddr,
+}
+
+impl LinkUp {
+    fn new(reporter: Arc<dyn LinkReporter>, address: SocketAddr) -> Self {
+        spdlog::info!("directory link up", kv: { peer: = address });
+        reporter.note_link(address, true);
+        Self { reporter, address }
+    }
+}
+
+impl Drop for LinkUp {
+    fn drop(&mut self) {
+        spdlog::info!("directory link down", kv: { peer: = self.address });
+        self.reporter.note_link(self.address, false);
+    }
+}
--- /dev/null
+++ b/hickoryspan_gateway/src/entry_daemon.rs
@@ -0,0 +1,233 @@
+//! Starts and stops a gateway entry.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use anyhow::Context;
+use hickoryspan_core::gateway::directory::TargetPhase;
+use hickoryspan_core::gateway::messages::{DirectoryRequest, DirectoryUpdate, EntryHost};
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio::task::JoinSet;
+use tokio_util::sync::CancellationToken;
+
+use crate::caller_server::{StopSteps, serve_callers};
+use crate::directory_links::{DirectoryLinks, LinkReporter};
+use crate::gateway_state::GatewayState;
+use crate::host_list::HostList;
+use crate::settings::GatewaySettings;
+
+/// How often ended targets and idle connections are looked for.
+const SWEEP_INTERVAL: Duration = Duration::from_millis(1_000);
+/// A sweep that comes this much late means that the process stood still, and that targets were not heard meanwhile.
+const STALL_LIMIT: Duration = Duration::from_millis(1_500);
+
+/// Whether callers should be sent here.
+#[derive(Clone)]
+pub struct ReadinessView(watch::Receiver<bool>);
+
+impl ReadinessView {
+    /// Whether the entry has a configuration and is not stopping.
+    pub fn is_ready(&self) -> bool {
+        *self.0.borrow()
+    }
+}
+
+/// The entry's end of the directory links.
+struct EntryReporter {
+    state: Arc<GatewayState>,
+    hosts: HostList,
+    ready: watch::Sender<bool>,
+    urgent: watch::Sender<u64>,
+    stopping: CancellationToken,
+    // The number of entries that each linked control host counts.
+    counts: Mutex<BTreeMap<SocketAddr, u32>>,
+}
+
+impl EntryReporter {
+    fn set_ready(&self, ready: bool) {
+        if self.ready.send_replace(ready) != ready {
+            self.urgent.send_modify(|count| *count += 1);
+        }
+    }
+
+    fn count_entries(&self, from: SocketAddr, count: Option<u32>) {
+        let mut counts = self.counts.lock().unwrap_or_else(PoisonError::into_inner);
+        match count {
+            Some(count) => counts.insert(from, count),
+            None => counts.remove(&from),
+        };
+        let known = counts.values().copied().max();
+        drop(counts);
+        // A host that just started counts few; an entry that is cut off keeps the last count.
+        if let Some(known) = known.filter(|known| *known > 0) {
+            self.state.decisions().entries = known;
+        }
+    }
+
+    fn apply_targets(&self, update: DirectoryUpdate) {
+        let now = self.state.now();
+        let mut decisions = self.state.decisions();
+        match update {
+            DirectoryUpdate::Targets(targets) => {
+                for announcement in targets {
+                    decisions.directory.announce(now, announcement.clone());
+                    let target = &announcement.target;
+                    let known = decisions.directory.find(target).cloned();
+                    if let Some(known) = known {
+                        decisions.selector.put(now, known.announcement);
+                    }
+                    if announcement.phase != TargetPhase::Ready {
+                        self.state.pool.forget(target);
+                    }
+                }
+            }
+            DirectoryUpdate::Departures(departures) => {
+                for departure in departures {
+                    if decisions.directory.depart(now, &departure) {
+                        self.state.pool.forget(&departure.target);
+                    }
+                }
+            }
+            DirectoryUpdate::Renewals(renewals) => {
+                for renewal in renewals {
+                    decisions.directory.renew(now, &renewal.target, renewal.age);
+                }
+                return;
+            }
+            _ => return,
+        }
+        let decisions = &mut *decisions;
+        let directory = &decisions.directory;
+        decisions.selector.retain(|target| directory.find(target).is_some());
+    }
+}
+
+impl LinkReporter for EntryReporter {
+    fn report(&self) -> DirectoryRequest {
+        let settings = &self.state.settings;
+        DirectoryRequest::Entry(EntryHost {
+            entry: settings.entry.clone(),
+            caller_address: settings.caller_address,
+            domain: settings.domain.clone(),
+            open: *self.ready.borrow(),
+        })
+    }
+
+    fn apply(&self, from: SocketAddr, update: DirectoryUpdate) {
+        match update {
+            DirectoryUpdate::Hosts { controls, entries } => {
+                self.hosts.add(controls);
+                self.count_entries(from, Some(entries));
+            }
+            DirectoryUpdate::Document(document) => {
+                let version = document.version;
+                if self.state.decisions().install(&document) {
+                    spdlog::info!("document in force", kv: { version: = version, from: = from });
+                }
+                self.set_ready(!self.stopping.is_cancelled());
+            }
+            DirectoryUpdate::Confirm(_) => {}
+            targets => self.apply_targets(targets),
+        }
+    }
+
+    fn note_link(&self, from: SocketAddr, up: bool) {
+        if !up {
+            self.count_entries(from, None);
+        }
+    }
+}
+
+/// A running entry.
+pub struct GatewayEntry {
+    state: Arc<GatewayState>,
+    reporter: Arc<EntryReporter>,
+    steps: StopSteps,
+    stop: CancellationToken,
+    callers: JoinSet<()>,
+    tasks: JoinSet<()>,
+}
+
+impl GatewayEntry {
+    /// Binds the caller port and starts all tasks; `hosts` holds the seeds.
+    pub async fn start(settings: GatewaySettings, hosts: HostList) -> anyhow::Result<Self> {
+        let address = settings.caller_address;
+        let listener =
+            TcpListener::bind(address).await.with_context(|| format!("bind callers: {address}"))?;
+        let directory = settings.directory.clone();
+        let state = Arc::new(GatewayState::new(settings, rand::random()));
+        let steps = StopSteps::default();
+        let stop = CancellationToken::new();
+        let reporter = Arc::new(EntryReporter {
+            state: Arc::clone(&state),
+            hosts: hosts.clone(),
+            ready: watch::Sender::new(false),
+            urgent: watch::Sender::new(0),
+            stopping: steps.leave.clone(),
+            counts: Mutex::default(),
+        });
+        let links = DirectoryLinks {
+            hosts,
+            own: None,
+            settings: directory,
+            reporter: Arc::clone(&reporter) as Arc<dyn LinkReporter>,
+            urgent: reporter.urgent.subscribe(),
+        };
+        let mut callers = JoinSet::new();
+        callers.spawn(serve_callers(listener, Arc::clone(&state), steps.clone()));
+        let mut tasks = JoinSet::new();
+        tasks.spawn(links.run(stop.clone()));
+        tasks.spawn(sweep(Arc::clone(&state), stop.clone()));
+        Ok(Self { state, reporter, steps, stop, callers, tasks })
+    }
+
+    /// Whether callers should be sent here.
+    pub fn readiness(&self) -> ReadinessView {
+        ReadinessView(self.reporter.ready.subscribe())
+    }
+
+    /// A planned stop: callers are sent elsewhere, requests in flight finish.
+    pub async fn drain(mut self) {
+        let began = Instant::now();
+        self.reporter.set_ready(false);
+        self.steps.leave.cancel();
+        let settings = &self.state.settings;
+        tokio::time::sleep(settings.accept_after_stop).await;
+        self.steps.close.cancel();
+        let left = settings.finish_after_stop.saturating_sub(began.elapsed());
+        let finish = async { while self.callers.join_next().await.is_some() {} };
+        if tokio::time::timeout(left, finish).await.is_err() {
+            self.steps.end.cancel();
+        }
+        while self.callers.join_next().await.is_some() {}
+        self.stop.cancel();
+        while self.tasks.join_next().await.is_some() {}
+    }
+}
+
+async fn sweep(state: Arc<GatewayState>, stop: CancellationToken) {
+    let lease = state.settings.directory.target_lease + SWEEP_INTERVAL * 2;
+    let mut swept = state.now();
+    loop {
+        tokio::select! {
+            () = stop.cancelled() => return,
+            () = tokio::time::sleep(SWEEP_INTERVAL) => {}
+        }
+        let now = state.now();
+        let mut decisions = state.decisions();
+        let gap = now.since(swept);
+        swept = now;
+        if gap > STALL_LIMIT {
+            decisions.directory.absorb_stall(gap);
+        }
+        for target in decisions.directory.expire(now, lease) {
+            spdlog::info!("target silent", kv: { target: = target });
+            decisions.selector.remove(&target);
+        }
+        drop(decisions);
+        state.pool.sweep(|target| state.is_known(target));
+    }
+}
--- /dev/null
+++ b/hickoryspan_gateway/src/forward.rs
@@ -0,0 +1,351 @@
+//! From a caller's request to its response.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hickoryspan_core::gateway::document::{
+    CallerLimits, RepeatRule, RouteDestination, RouteRule, ShardSpread,
+};
+use hickoryspan_core::gateway::gather::{GatherMachine, GatherSettings, merge_records};
+use hickoryspan_core::gateway::routes::RouteTable;
+use hickoryspan_core::types::{MonotonicTime, RequestFingerprint, ServiceId};
+use hickoryspan_runtime::http_client::HttpAnswer;
+use http::header::{CONTENT_LENGTH, CONTENT_TYPE, HOST, RETRY_AFTER};
+use http::request::Parts;
+use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::body::Incoming;
+
+use crate::attempt::{GatewayJob, is_promise};
+use crate::gateway_state::GatewayState;
+use crate::headers::remove_connection_headers;
+use crate::run::{AnswerRule, RunEnd, RunOutcome, run_gather};
+
+/// Taken off a caller's deadline, so that a last answer still reaches it.
+const LAST_ANSWER_WAY: Duration = Duration::from_millis(8);
+/// Shortest time before another target is asked.
+const MIN_HEDGE_DELAY: Duration = Duration::from_millis(4);
+/// Longest delay of a response to a caller that asks again, in milliseconds.
+const MAX_RETRY_MILLIS: u64 = 1_000;
+/// Shortest time after which a refused caller should come back, in milliseconds.
+const MIN_RETRY_MILLIS: u64 = 60;
+/// Body of shard answers.
+const RECORDS_TYPE: &str = "application/octet-stream";
+
+pub(crate) type GatewayResponse = Response<Full<Bytes>>;
+
+/// Why a request ends without a target's answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum RefusalReason {
+    NoConfiguration,
+    NoHost,
+    NoRoute,
+    BodyTooLarge,
+    BodyTooSlow,
+    BodyIncomplete,
+    Poisoned,
+    NoTarget,
+    MayHaveRun,
+    TimedOut,
+}
+
+impl RefusalReason {
+    fn as_str(self) -> &'static str {
+        match self {
+            Self::NoConfiguration => "no_configuration",
+            Self::NoHost => "no_host",
+            Self::NoRoute => "no_route",
+            Self::BodyTooLarge => "body_too_large",
+            Self::BodyTooSlow => "body_too_slow",
+            Self::BodyIncomplete => "body_incomplete",
+            Self::Poisoned => "poisoned",
+            Self::NoTarget => "no_target",
+            Self::MayHaveRun => "may_have_run",
+            Self::TimedOut => "timed_out",
+        }
+    }
+
+    fn status(self) -> StatusCode {
+        match self {
+            Self::NoConfiguration | Self::NoTarget | Self::Poisoned => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
+            Self::NoHost | Self::BodyIncomplete => StatusCode::BAD_REQUEST,
+            Self::NoRoute => StatusCode::NOT_FOUND,
+            Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::BodyTooSlow => StatusCode::REQUEST_TIMEOUT,
+            Self::MayHaveRun => StatusCode::BAD_GATEWAY,
+            Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
+        }
+    }
+}
+
+fn refuse(request: &str, reason: RefusalReason, retry_after: Duration) -> GatewayResponse {
+    spdlog::info!(
+        "request refused",
+        kv: { request: = request, reason: = reason.as_str(), status: = reason.status().as_u16() }
+    );
+    metrics::counter!("hickoryspan_gateway_refusals_total", "reason" => reason.as_str())
+        .increment(1);
+    let mut response = Response::new(Full::new(Bytes::from_static(reason.as_str().as_bytes())));
+    *response.status_mut() = reason.status();
+    let headers = response.headers_mut();
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/plain"));
+    if reason.status() == StatusCode::SERVICE_UNAVAILABLE
+        && let Ok(seconds) = HeaderValue::from_str(&format!("{:.3}", retry_after.as_secs_f64()))
+    {
+        headers.insert(RETRY_AFTER, seconds);
+    }
+    response
+}
+
+/// Answers one request; dropping the future cancels everything that was started for it.
+pub(crate) async fn answer_request(
+    state: Arc<GatewayState>,
+    request: Request<Incoming>,
+) -> GatewayResponse {
+    let received_at = state.now();
+    let (parts, body) = request.into_parts();
+    let id = parts.headers.get(&state.settings.headers.request).cloned();
+    let text = id.as_ref().and_then(|value| value.to_str().ok()).unwrap_or("-").to_owned();
+    let no_wait = Duration::from_millis(MIN_RETRY_MILLIS);
+    let Some(routes) = state.decisions().routes.clone() else {
+        return refuse(&text, RefusalReason::NoConfiguration, Duration::from_millis(300));
+    };
+    let Some(host) = host_of(&parts) else {
+        return refuse(&text, RefusalReason::NoHost, no_wait);
+    };
+    let Some(route) = routes.find(&host, parts.uri.path()).cloned() else {
+        return refuse(&text, RefusalReason::NoRoute, no_wait);
+    };
+    let limits = routes.document().limits;
+    let body = match read_body(&parts, body, &limits, route.timeout).await {
+        Ok(body) => body,
+        Err(reason) => return refuse(&text, reason, no_wait),
+    };
+    let job = to_job(&state, parts, body, route, id, received_at);
+    if state.decisions().poison.is_condemned(received_at, &job.fingerprint) {
+        return refuse(&text, RefusalReason::Poisoned, Duration::from_secs(1));
+    }
+    run_job(state, routes, Arc::new(job)).await
+}
+
+fn host_of(parts: &Parts) -> Option<String> {
+    if let Some(authority) = parts.uri.authority() {
+        return Some(authority.host().to_owned());
+    }
+    parts.headers.get(HOST)?.to_str().ok().map(str::to_owned)
+}
+
+async fn read_body(
+    parts: &Parts,
+    body: Incoming,
+    limits: &CallerLimits,
+    time: Duration,
+) -> Result<Bytes, RefusalReason> {
+    let stated = parts.headers.get(CONTENT_LENGTH).and_then(|value| value.to_str().ok());
+    let stated = stated.and_then(|text| text.parse::<usize>().ok());
+    if stated.is_some_and(|length| length > limits.body_bytes) {
+        return Err(RefusalReason::BodyTooLarge);
+    }
+    let read = Limited::new(body, limits.body_bytes).collect();
+    match tokio::time::timeout(time, read).await {
+        Err(_) => Err(RefusalReason::BodyTooSlow),
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(RefusalReason::BodyTooLarge),
+        Ok(Err(_)) => Err(RefusalReason::BodyIncomplete),
+    }
+}
+
+fn to_job(
+    state: &GatewayState,
+    parts: Parts,
+    body: Bytes,
+    route: RouteRule,
+    request: Option<HeaderValue>,
+    received_at: MonotonicTime,
+) -> GatewayJob {
+    let names = &state.settings.headers;
+    let stated = parts.headers.get(&names.deadline).and_then(|value| value.to_str().ok());
+    let stated = stated.and_then(|text| text.trim().parse::<u64>().ok());
+    let patience = stated.map_or(route.timeout, |millis| {
+        Duration::from_millis(millis).saturating_sub(LAST_ANSWER_WAY).min(route.timeout)
+    });
+    let target_path =
+        parts.uri.path_and_query().map_or_else(|| "/".to_owned(), |path| path.to_string());
+    let fingerprint = fingerprint(&route, parts.method.as_str(), &target_path, &body);
+    let mut headers = parts.headers;
+    remove_connection_headers(&mut headers);
+    GatewayJob {
+        give_up_at: received_at + patience,
+        route,
+        method: parts.method,
+        target_path,
+        headers,
+        body,
+        request,
+        fingerprint,
+        received_at,
+    }
+}
+
+fn fingerprint(route: &RouteRule, method: &str, path: &str, body: &[u8]) -> RequestFingerprint {
+    let mut hasher = blake3::Hasher::new();
+    for part in [route.host.as_bytes(), method.as_bytes(), path.as_bytes(), body] {
+        hasher.update(&(part.len() as u64).to_le_bytes());
+        hasher.update(part);
+    }
+    RequestFingerprint(*hasher.finalize().as_bytes())
+}
+
+async fn run_job(
+    state: Arc<GatewayState>,
+    _routes: Arc<RouteTable>,
+    job: Arc<GatewayJob>,
+) -> GatewayResponse {
+    let spread = match &job.route.destination {
+        RouteDestination::Shards(spread) => Some(spread.clone()),
+        RouteDestination::Service(_) | RouteDestination::Split(_) => None,
+    };
+    let services = match choose_services(&state, &job) {
+        Some(services) => services,
+        None => return refuse(job.request_text(), RefusalReason::NoTarget, retry_time(&state, &job)),
+    };
+    let rule = if spread.is_some() { AnswerRule::SuccessOnly } else { AnswerRule::Any };
+    let machine = GatherMachine::new(gather_settings(&state, &job, spread.as_ref()));
+    let run = run_gather(Arc::clone(&state), Arc::clone(&job), services, machine, rule);
+    let outcome = run.await;
+    record_outcome(&state, &job, &outcome);
+    match outcome.end {
+        RunEnd::Answered => match spread {
+            Some(spread) => merge_answers(&state, &spread, outcome.answers),
+            None => pass_answer(outcome.answers.into_iter().flatten().next()),
+        },
+        RunEnd::Failed | RunEnd::TimedOut => fail(&state, &job, outcome),
+    }
+}
+
+fn choose_services(state: &GatewayState, job: &GatewayJob) -> Option<Vec<ServiceId>> {
+    match &job.route.destination {
+        RouteDestination::Service(service) => Some(vec![service.clone()]),
+        RouteDestination::Split(parts) => {
+            state.decisions().split(&job.route, parts).map(|service| vec![service])
+        }
+        RouteDestination::Shards(spread) => Some(spread.shards.clone()),
+    }
+}
+
+fn gather_settings(
+    state: &GatewayState,
+    job: &GatewayJob,
+    spread: Option<&ShardSpread>,
+) -> GatherSettings {
+    let latency = state.decisions().route_latency(&job.route);
+    let objective = job.route.objective;
+    let answer_in = objective.saturating_sub(state.settings.caller_delay).max(objective / 2);
+    let answer_by = (job.received_at + answer_in).min(job.give_up_at);
+    let hedge_after = latency.hedge.clamp(MIN_HEDGE_DELAY, (answer_in / 2).max(MIN_HEDGE_DELAY));
+    let max_attempts = match job.route.repeat {
+        RepeatRule::Idempotent => job.route.max_attempts.max(1),
+        RepeatRule::AtMostOnce => 1,
+    };
+    GatherSettings {
+        shards: spread.map_or(1, |spread| spread.shards.len()),
+        min_parts: spread.map_or(1, ShardSpread::min_parts),
+        max_attempts,
+        answer_by: if spread.is_some() { answer_by } else { job.give_up_at },
+        give_up_at: job.give_up_at,
+        hedge_after,
+    }
+}
+
+fn record_outcome(state: &GatewayState, job: &GatewayJob, outcome: &RunOutcome) {
+    let elapsed = state.now().since(job.received_at);
+    let missing = outcome.answers.iter().filter(|answer| answer.is_none()).count();
+    metrics::histogram!("hickoryspan_gateway_request_seconds", "route" => job.route.name.to_string())
+        .record(elapsed.as_secs_f64());
+    let complete = missing == 0 && outcome.end == RunEnd::Answered;
+    if complete && elapsed <= job.route.objective {
+        return;
+    }
+    spdlog::info!(
+        "request outcome",
+        kv: {
+            request: = job.request_text(),
+            route: = job.route.name,
+            end: ? = outcome.end,
+            missing: = missing,
+            attempts: = outcome.attempts,
+            hedges: = outcome.hedges,
+            failure: = outcome.last_failure.map_or("-", |failure| failure.as_str()),
+            elapsed_ms: = elapsed.as_millis()
+        }
+    );
+}
+
+fn merge_answers(
+    state: &GatewayState,
+    spread: &ShardSpread,
+    answers: Vec<Option<HttpAnswer>>,
+) -> GatewayResponse {
+    let names = &state.settings.headers;
+    let missing = answers.iter().filter(|answer| answer.is_none()).count();
+    let parts: Vec<HttpAnswer> = answers.into_iter().flatten().collect();
+    let records = merge_records(parts.iter().map(|part| &*part.body), spread.result_limit);
+    let stamps: Vec<&str> = parts
+        .iter()
+        .filter_map(|part| part.headers.get(&names.stamp)?.to_str().ok())
+        .collect();
+    let mut response = Response::new(Full::new(Bytes::from(records)));
+    let headers = response.headers_mut();
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static(RECORDS_TYPE));
+    match HeaderValue::from_str(&stamps.join(", ")) {
+        Ok(stamps) => headers.insert(names.part_stamps.clone(), stamps),
+        Err(error) => {
+            // Stamps come from headers, so that they are valid there.
+            spdlog::error!("encode stamps: {}", error);
+            None
+        }
+    };
+    headers.insert(names.missing_parts.clone(), HeaderValue::from(missing));
+    response
+}
+
+fn pass_answer(answer: Option<HttpAnswer>) -> GatewayResponse {
+    let Some(HttpAnswer { status, headers, body }) = answer else {
+        // A run ends as answered only with an answer for its only shard.
+        let mut response = Response::new(Full::new(Bytes::new()));
+        *response.status_mut() = StatusCode::BAD_GATEWAY;
+        return response;
+    };
+    let mut response = Response::new(Full::new(body));
+    *response.status_mut() = status;
+    let mut headers: HeaderMap = headers;
+    remove_connection_headers(&mut headers);
+    *response.headers_mut() = headers;
+    response
+}
+
+fn fail(state: &GatewayState, job: &GatewayJob, outcome: RunOutcome) -> GatewayResponse {
+    let single = !matches!(job.route.destination, RouteDestination::Shards(_));
+    if single && let Some(answer) = outcome.failure_answer {
+        // A status that promises that nothing ran would not be true here.
+        if !is_promise(answer.status) {
+            return pass_answer(Some(answer));
+        }
+    }
+    let reason = match (outcome.end, outcome.may_have_run) {
+        (_, false) => RefusalReason::NoTarget,
+        (RunEnd::TimedOut, true) => RefusalReason::TimedOut,
+        (_, true) => RefusalReason::MayHaveRun,
+    };
+    refuse(job.request_text(), reason, retry_time(state, job))
+}
+
+/// When a refused caller should come back: within its objective if there is time, and spread over a while.
+fn retry_time(state: &GatewayState, job: &GatewayJob) -> Duration {
+    let left = job.give_up_at.since(state.now());
+    let millis = u64::try_from(left.as_millis() / 4).unwrap_or(MAX_RETRY_MILLIS);
+    Duration::from_millis(millis.clamp(MIN_RETRY_MILLIS, MAX_RETRY_MILLIS))
+}
--- /dev/null
+++ b/hickoryspan_gateway/src/gateway_state.rs
@@ -0,0 +1,159 @@
+//! What all requests of one entry share.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use hickoryspan_core::entry::latency::{LatencyDistribution, LatencySettings};
+use hickoryspan_core::gateway::budget::ExtraBudget;
+use hickoryspan_core::gateway::directory::TargetDirectory;
+use hickoryspan_core::gateway::document::{ConfigurationDocument, RouteRule, WeightedService};
+use hickoryspan_core::gateway::poison::PoisonTable;
+use hickoryspan_core::gateway::routes::{RouteTable, SplitCounter};
+use hickoryspan_core::gateway::selection::TargetSelector;
+use hickoryspan_core::types::{MonotonicTime, ServiceId, TargetId};
+use hickoryspan_runtime::clock::SystemClock;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha12Rng;
+
+use crate::settings::GatewaySettings;
+use crate::target_pool::TargetPool;
+
+/// The quantile of a route's latency after which another target is asked.
+const HEDGE_QUANTILE: f64 = 0.93;
+/// Assumed latency of a route as a part of its objective, until enough requests were measured.
+const INITIAL_LATENCY_PART: u32 = 3;
+/// Measured requests of a route before they replace the assumption.
+const MIN_LATENCY_RECORDS: u32 = 40;
+
+/// The parts that decisions change, behind one lock that is never held across a wait.
+pub(crate) struct SharedDecisions {
+    pub(crate) routes: Option<Arc<RouteTable>>,
+    pub(crate) directory: TargetDirectory,
+    pub(crate) selector: TargetSelector,
+    pub(crate) poison: PoisonTable,
+    /// The number of entries that share the budgets and the connections of targets.
+    pub(crate) entries: u32,
+    budgets: HashMap<ServiceId, ExtraBudget>,
+    latencies: HashMap<Arc<str>, LatencyDistribution>,
+    splits: HashMap<Arc<str>, SplitCounter>,
+    generator: ChaCha12Rng,
+}
+
+/// The usual latencies of a route.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct RouteLatency {
+    pub(crate) median: Duration,
+    pub(crate) hedge: Duration,
+}
+
+impl SharedDecisions {
+    /// Puts a document in force if it is newer; true if it did.
+    pub(crate) fn install(&mut self, document: &Arc<ConfigurationDocument>) -> bool {
+        let current = self.routes.as_ref().map(|routes| routes.document().version);
+        if current.is_some_and(|current| current >= document.version) {
+            return false;
+        }
+        self.routes = Some(Arc::new(RouteTable::new(Arc::clone(document))));
+        true
+    }
+
+    pub(crate) fn budget(
+        &mut self,
+        settings: &GatewaySettings,
+        service: &ServiceId,
+    ) -> &mut ExtraBudget {
+        if !self.budgets.contains_key(service) {
+            self.budgets.insert(service.clone(), ExtraBudget::new(settings.budget));
+        }
+        // The lines above inserted a missing budget.
+        self.budgets.get_mut(service).expect("the budget exists")
+    }
+
+    fn latency(&mut self, route: &RouteRule) -> &mut LatencyDistribution {
+        self.latencies.entry(route.name.clone()).or_insert_with(|| {
+            LatencyDistribution::new(LatencySettings {
+                hedge_quantile: HEDGE_QUANTILE,
+                min_records: MIN_LATENCY_RECORDS,
+                initial: route.objective / INITIAL_LATENCY_PART,
+            })
+        })
+    }
+
+    pub(crate) fn record_latency(&mut self, route: &RouteRule, latency: Duration) {
+        self.latency(route).record(latency);
+    }
+
+    pub(crate) fn route_latency(&mut self, route: &RouteRule) -> RouteLatency {
+        let quantiles = self.latency(route).quantiles();
+        RouteLatency { median: quantiles.median, hedge: quantiles.hedge }
+    }
+
+    pub(crate) fn split(
+        &mut self,
+        route: &RouteRule,
+        parts: &[WeightedService],
+    ) -> Option<ServiceId> {
+        let phase = self.generator.random::<f64>();
+        let counter = self.splits.entry(route.name.clone());
+        let counter = counter.or_insert_with(|| SplitCounter::with_phase(parts, phase));
+        counter.next(parts).cloned()
+    }
+}
+
+/// One entry's state.
+pub(crate) struct GatewayState {
+    pub(crate) settings: GatewaySettings,
+    pub(crate) clock: SystemClock,
+    pub(crate) pool: TargetPool,
+    decisions: Mutex<SharedDecisions>,
+}
+
+impl GatewayState {
+    pub(crate) fn new(settings: GatewaySettings, seed: u64) -> Self {
+        let mut generator = ChaCha12Rng::seed_from_u64(seed);
+        let selector = TargetSelector::new(
+            settings.selection,
+            settings.domain.clone(),
+            ChaCha12Rng::seed_from_u64(generator.random()),
+        );
+        let decisions = SharedDecisions {
+            routes: None,
+            directory: TargetDirectory::default(),
+            selector,
+            poison: PoisonTable::default(),
+            entries: 1,
+            budgets: HashMap::new(),
+            latencies: HashMap::new(),
+            splits: HashMap::new(),
+            generator,
+        };
+        Self {
+            settings,
+            clock: SystemClock::start(),
+            pool: TargetPool::default(),
+            decisions: Mutex::new(decisions),
+        }
+    }
+
+    pub(crate) fn now(&self) -> MonotonicTime {
+        self.clock.reading().monotonic
+    }
+
+    pub(crate) fn decisions(&self) -> MutexGuard<'_, SharedDecisions> {
+        self.decisions.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The connections that this entry may open to one target of a service.
+    pub(crate) fn connection_share(&self, service: &ServiceId) -> usize {
+        let decisions = self.decisions();
+        let limit = decisions.routes.as_ref().and_then(|routes| routes.connections(service));
+        // A restart overlaps with the old process, and more entries may come.
+        let sharers = decisions.entries + 1;
+        (limit.unwrap_or(16) / sharers.max(2)).max(1) as usize
+    }
+
+    pub(crate) fn is_known(&self, target: &TargetId) -> bool {
+        self.decisions().directory.find(target).is_some()
+    }
+}
--- /dev/null
+++ b/hickoryspan_gateway/src/lib.rs
@@ -0,0 +1,26 @@
+//! The gateway: forwards HTTP requests by route, merges raw records of many shards, and keeps the directory of
+//! targets on the control hosts. Its decisions are in `hickoryspan_core::gateway`; see `docs/design/gateway.md`.
+
+#![warn(missing_docs)]
+
+mod attempt;
+mod caller_server;
+mod directory_hub;
+mod directory_links;
+mod directory_server;
+mod entry_daemon;
+mod forward;
+mod gateway_state;
+mod headers;
+mod host_list;
+mod run;
+mod settings;
+mod target_pool;
+
+pub use directory_hub::{AnnounceVerdict, DirectoryHub};
+pub use directory_links::{DirectoryLinks, LinkReporter};
+pub use directory_server::DirectoryServer;
+pub use entry_daemon::{GatewayEntry, ReadinessView};
+pub use headers::GatewayHeaders;
+pub use host_list::HostList;
+pub use settings::{DirectorySettings, GatewaySettings};
--- /dev/null
+++ b/hickoryspan_gateway/src/run.rs
@@ -0,0 +1,229 @@
+//! Runs one request over its shards: performs the steps of the gather machine with real attempts and timers.
+
+use std::pin::Pin;
+use std::sync::Arc;
+
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
+use hickoryspan_core::gateway::gather::{GatherMachine, GatherStep, LaunchReason, ShardIndex};
+use hickoryspan_core::gateway::outcomes::AttemptFailure;
+use hickoryspan_core::types::{ServiceId, TargetId};
+use hickoryspan_runtime::http_client::HttpAnswer;
+
+use crate::attempt::{AttemptReport, AttemptResult, GatewayJob, run_attempt};
+use crate::gateway_state::GatewayState;
+
+/// Targets asked for one shard of one request, whether or not they ran it; bounds the work for a service that sheds.
+const MAX_TRIES: usize = 5;
+
+type AttemptFuture = Pin<Box<dyn Future<Output = AttemptReport> + Send>>;
+
+/// What an answer of a target must be to count.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum AnswerRule {
+    /// Any final answer.
+    Any,
+    /// Only a success: a failure is not a part.
+    SuccessOnly,
+}
+
+/// How the run ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum RunEnd {
+    /// There are enough answers.
+    Answered,
+    /// Enough answers are out of reach.
+    Failed,
+    /// The time is up.
+    TimedOut,
+}
+
+/// The answers of a run.
+pub(crate) struct RunOutcome {
+    pub(crate) end: RunEnd,
+    /// One for each shard that answered.
+    pub(crate) answers: Vec<Option<HttpAnswer>>,
+    /// Whether a target may have run the request.
+    pub(crate) may_have_run: bool,
+    /// A target's own failure, if it was the last thing heard.
+    pub(crate) failure_answer: Option<HttpAnswer>,
+    /// The attempts that were sent.
+    pub(crate) attempts: u32,
+    pub(crate) hedges: u32,
+    pub(crate) last_failure: Option<AttemptFailure>,
+}
+
+#[derive(Default)]
+struct ShardTries {
+    tried: Vec<TargetId>,
+    // Attempts that reached nobody, so that the next one is not a repetition for the service.
+    unreached: bool,
+    tries: usize,
+}
+
+struct GatherRun {
+    state: Arc<GatewayState>,
+    job: Arc<GatewayJob>,
+    services: Vec<ServiceId>,
+    rule: AnswerRule,
+    machine: GatherMachine,
+    shards: Vec<ShardTries>,
+    pending: FuturesUnordered<AttemptFuture>,
+    outcome: RunOutcome,
+}
+
+/// Runs the request; dropping the future cancels every attempt.
+pub(crate) async fn run_gather(
+    state: Arc<GatewayState>,
+    job: Arc<GatewayJob>,
+    services: Vec<ServiceId>,
+    machine: GatherMachine,
+    rule: AnswerRule,
+) -> RunOutcome {
+    let shards = services.iter().map(|_| ShardTries::default()).collect();
+    let outcome = RunOutcome {
+        end: RunEnd::Failed,
+        answers: services.iter().map(|_| None).collect(),
+        may_have_run: false,
+        failure_answer: None,
+        attempts: 0,
+        hedges: 0,
+        last_failure: None,
+    };
+    let pending = FuturesUnordered::new();
+    let run = GatherRun { state, job, services, rule, machine, shards, pending, outcome };
+    run.finish().await
+}
+
+impl GatherRun {
+    async fn finish(mut self) -> RunOutcome {
+        loop {
+            let now = self.state.now();
+            match self.machine.next_step(now) {
+                GatherStep::Launch(shard, reason) => self.launch(shard, reason),
+                GatherStep::Answer => {
+                    self.outcome.end = RunEnd::Answered;
+                    break;
+                }
+                GatherStep::Fail => {
+                    let late = now >= self.job.give_up_at;
+                    self.outcome.end = if late { RunEnd::TimedOut } else { RunEnd::Failed };
+                    break;
+                }
+                GatherStep::Wait(until) => {
+                    let until = self.state.clock.instant(until);
+                    tokio::select! {
+                        biased;
+                        Some(report) = self.pending.next(), if !self.pending.is_empty() => {
+                            self.take_report(report);
+                        }
+                        () = tokio::time::sleep_until(until.into()) => {}
+                    }
+                }
+            }
+        }
+        if !self.pending.is_empty() {
+            // What is cancelled here may run all the same.
+            self.outcome.may_have_run = true;
+        }
+        self.outcome
+    }
+
+    fn launch(&mut self, shard: ShardIndex, reason: LaunchReason) {
+        let now = self.state.now();
+        let service = self.services[shard.0].clone();
+        let tries = &mut self.shards[shard.0];
+        let mut decisions = self.state.decisions();
+        let entries = decisions.entries;
+        if reason == LaunchReason::Hedge
+            && let Some(slow) = tries.tried.last()
+        {
+            decisions.selector.note_overdue(now, slow);
+        }
+        let is_extra = reason != LaunchReason::First && !tries.unreached;
+        let useful = reason != LaunchReason::Hedge
+            || decisions.selector.has_alternative(now, &service, &tries.tried);
+        let suspect = is_extra && decisions.poison.is_suspect(&self.job.fingerprint);
+        if tries.tries >= MAX_TRIES || suspect {
+            return self.machine.note_unsent(shard, true);
+        }
+        if !useful {
+            return self.machine.note_unsent(shard, false);
+        }
+        let chosen = decisions.selector.choose(now, &service, &tries.tried);
+        let again = chosen.is_none() && reason == LaunchReason::Retry && !tries.unreached;
+        let chosen =
+            if again { decisions.selector.choose(now, &service, &[]) } else { chosen };
+        let Some(chosen) = chosen else {
+            return self.machine.note_unsent(shard, true);
+        };
+        let budget = decisions.budget(&self.state.settings, &service);
+        if reason == LaunchReason::First {
+            budget.note_first(now);
+        } else if is_extra && !budget.try_take(now, entries) {
+            decisions.selector.release(&chosen.target);
+            metrics::counter!("hickoryspan_gateway_budget_refusals_total").increment(1);
+            return self.machine.note_unsent(shard, false);
+        }
+        drop(decisions);
+        tries.tried.push(chosen.target.clone());
+        tries.tries += 1;
+        tries.unreached = false;
+        self.outcome.attempts += 1;
+        self.outcome.hedges += u32::from(reason == LaunchReason::Hedge);
+        self.machine.note_sent(now, shard);
+        let (state, job) = (Arc::clone(&self.state), Arc::clone(&self.job));
+        self.pending.push(Box::pin(run_attempt(state, job, service, shard, chosen)));
+    }
+
+    fn take_report(&mut self, report: AttemptReport) {
+        let AttemptReport { shard, target, result } = report;
+        match result {
+            AttemptResult::Answer(answer)
+                if self.rule == AnswerRule::Any || answer.status.is_success() =>
+            {
+                self.outcome.may_have_run = true;
+                self.state.decisions().poison.note_answer(&self.job.fingerprint);
+                if self.machine.note_part(shard) {
+                    self.outcome.answers[shard.0] = Some(answer);
+                }
+            }
+            AttemptResult::Answer(answer) => {
+                self.note_failure(shard, AttemptFailure::Failed, Some(answer));
+            }
+            AttemptResult::Failure(failure, answer) => {
+                spdlog::debug!(
+                    "attempt failed",
+                    kv: {
+                        request: = self.job.request_text(),
+                        target: = target.target,
+                        failure: = failure.as_str()
+                    }
+                );
+                self.note_failure(shard, failure, answer);
+            }
+        }
+    }
+
+    fn note_failure(
+        &mut self,
+        shard: ShardIndex,
+        failure: AttemptFailure,
+        answer: Option<HttpAnswer>,
+    ) {
+        let ran = !failure.is_not_run();
+        self.outcome.may_have_run |= ran;
+        self.outcome.last_failure = Some(failure);
+        if answer.is_some() {
+            self.outcome.failure_answer = answer;
+        }
+        if failure == AttemptFailure::Lost {
+            let now = self.state.now();
+            self.state.decisions().poison.note_loss(now, self.job.fingerprint);
+        }
+        self.shards[shard.0].unreached = failure == AttemptFailure::Unreachable;
+        self.machine.note_failed(shard, ran);
+        metrics::counter!("hickoryspan_gateway_attempt_failures_total", "reason" => failure.as_str())
+            .increment(1);
+    }
+}
--- a/hickoryspan_runtime/src/logs.rs
+++ b/hickoryspan_runtime/src/logs.rs
@@ -94,20 +94,32 @@
     }
 }
 
-fn build_sink(formatter: impl Formatter + 'static) -> anyhow::Result<StdStreamSink> {
+fn build_sink(
+    stream: StdStream,
+    formatter: impl Formatter + 'static,
+) -> anyhow::Result<StdStreamSink> {
     StdStreamSink::builder()
-        .std_stream(StdStream::Stderr)
+        .std_stream(stream)
         .formatter(formatter)
         .build()
         .context("install logs: build the sink")
 }
 
-/// Sets the process's default logger.
+/// Sets the process's default logger, which writes to standard error.
 pub fn install_logs(format: LogFormat, level: LogLevel) -> anyhow::Result<()> {
     let sink = match format {
-        LogFormat::Text => build_sink(FullFormatter::new()),
-        LogFormat::Json => build_sink(JsonFormatter::new()),
+        LogFormat::Text => build_sink(StdStream::Stderr, FullFormatter::new()),
+        LogFormat::Json => build_sink(StdStream::Stderr, JsonFormatter::new()),
     }?;
+    install_sink(sink, level)
+}
+
+/// Sets the process's default logger to one that writes JSON lines to standard output.
+pub fn install_stdout_logs(level: LogLevel) -> anyhow::Result<()> {
+    install_sink(build_sink(StdStream::Stdout, JsonFormatter::new())?, level)
+}
+
+fn install_sink(sink: StdStreamSink, level: LogLevel) -> anyhow::Result<()> {
     let logger = Logger::builder()
         .sink(Arc::new(sink))
         .level_filter(level.to_filter())
