--- a/hickoryspan_control/src/daemon.rs
+++ b/hickoryspan_control/src/daemon.rs
@@ -63,6 +63,7 @@
             ControlSettings {
                 bootstrap: folder.is_first,
                 members: settings.members,
+                raft: settings.raft.clone(),
                 ..ControlSettings::new(peer_address, http_address)
             },
             ChaCha12Rng::seed_from_u64(seed),
--- a/hickoryspan_control/src/settings.rs
+++ b/hickoryspan_control/src/settings.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use gumdrop::Options;
+use hickoryspan_core::control::raft::RaftSettings;
 use hickoryspan_core::gateway::members::MemberSettings;
 use hickoryspan_runtime::credential::SharedCredential;
 use hickoryspan_runtime::http_server::HttpLimits;
@@ -116,6 +117,8 @@
     pub seed: Option<u64>,
     /// Lets the replica set follow the control hosts that report themselves; without it, operators change it.
     pub members: Option<MemberSettings>,
+    /// Timing and bounds of log replication.
+    pub raft: RaftSettings,
 }
 
 const ADDRESS: &str =
@@ -175,6 +178,7 @@
             logs,
             seed: None,
                 members: None,
+                raft: RaftSettings::default(),
         };
         Ok((settings, values))
     }
--- a/hickoryspan_control/tests/support/mod.rs
+++ b/hickoryspan_control/tests/support/mod.rs
@@ -66,6 +66,7 @@
         },
         logs: LogSettings::default(),
         members: None,
+        raft: Default::default(),
         seed: Some(seed),
     }
 }
--- a/hickoryspan_core/src/gateway/budget.rs
+++ b/hickoryspan_core/src/gateway/budget.rs
@@ -8,6 +8,9 @@
 /// Slots of the window; the sum over them is never shorter than the window.
 const WINDOW_SLOTS: u64 = 10;
 
+/// The part of the fixed budget that a new process has at once.
+const INITIAL_FIXED_PART: f64 = 0.3;
+
 /// How many extra requests a service may get from all entries together.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct BudgetSettings {
@@ -23,7 +26,7 @@
 
 impl Default for BudgetSettings {
     fn default() -> Self {
-        Self { window: Duration::from_secs(10), ratio: 0.2, fixed: 50.0, safety: 0.75 }
+        Self { window: Duration::from_secs(10), ratio: 0.2, fixed: 50.0, safety: 0.9 }
     }
 }
 
@@ -39,12 +42,14 @@
 pub struct ExtraBudget {
     settings: BudgetSettings,
     slots: VecDeque<WindowSlot>,
+    began_at: MonotonicTime,
 }
 
 impl ExtraBudget {
-    /// An empty window.
-    pub fn new(settings: BudgetSettings) -> Self {
-        Self { settings, slots: VecDeque::new() }
+    /// An empty window. The process may have spent its part just before it was restarted, so that the fixed part is
+    /// reached only after one window.
+    pub fn new(began_at: MonotonicTime, settings: BudgetSettings) -> Self {
+        Self { settings, slots: VecDeque::new(), began_at }
     }
 
     fn slot(&mut self, now: MonotonicTime) -> &mut WindowSlot {
@@ -71,7 +76,9 @@
         self.slot(now);
         let first: u32 = self.slots.iter().map(|slot| slot.first).sum();
         let extra: u32 = self.slots.iter().map(|slot| slot.extra).sum();
-        let fixed = self.settings.fixed / f64::from(entries.max(1));
+        let age = now.since(self.began_at).as_secs_f64() / self.settings.window.as_secs_f64();
+        let earned = (INITIAL_FIXED_PART + age).min(1.0);
+        let fixed = self.settings.fixed * earned / f64::from(entries.max(1));
         let allowed = (self.settings.ratio * f64::from(first) + fixed) * self.settings.safety;
         if f64::from(extra) + 1.0 > allowed {
             return false;
--- a/hickoryspan_core/src/gateway/directory.rs
+++ b/hickoryspan_core/src/gateway/directory.rs
@@ -7,6 +7,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::messages::TargetRenewal;
 use crate::sheet::duration_millis;
 use crate::types::{FailureDomain, MonotonicTime, ServiceId, TargetId, WallTime};
 
@@ -184,20 +185,39 @@
     }
 
     /// Forgets targets that were not heard for the lease, and ends that are old enough.
-    pub fn expire(&mut self, now: MonotonicTime, lease: Duration) -> Vec<TargetId> {
+    pub fn expire(&mut self, now: MonotonicTime, lease: Duration) -> Vec<TargetRenewal> {
         self.ended.retain(|_, end| end.until > now);
-        let silent: Vec<TargetId> = self
+        let silent: Vec<TargetRenewal> = self
             .targets
             .iter()
             .filter(|(_, known)| now.since(known.heard_at) > lease)
-            .map(|(target, _)| target.clone())
+            .map(|(target, known)| TargetRenewal {
+                target: target.clone(),
+                age: known.announcement.age,
+            })
             .collect();
-        for target in &silent {
-            self.targets.remove(target);
+        for renewal in &silent {
+            self.targets.remove(&renewal.target);
         }
         silent
     }
 
+    /// Takes out a target that another host has not heard, unless a later announcement is known here.
+    pub fn drop_silent(&mut self, silent: &TargetRenewal) -> bool {
+        let known = self.targets.get(&silent.target);
+        let outdated = known.is_some_and(|known| known.announcement.age <= silent.age);
+        if outdated {
+            self.targets.remove(&silent.target);
+        }
+        outdated
+    }
+
+    /// Takes back a target that was known before a restart; `heard_at` decides how long it is kept.
+    pub fn restore(&mut self, heard_at: MonotonicTime, announcement: TargetAnnouncement) {
+        let target = announcement.target.clone();
+        self.targets.entry(target).or_insert(KnownTarget { announcement, heard_at });
+    }
+
     /// The known targets.
     pub fn targets(&self) -> impl Iterator<Item = &KnownTarget> {
         self.targets.values()
--- a/hickoryspan_core/src/gateway/gather.rs
+++ b/hickoryspan_core/src/gateway/gather.rs
@@ -99,6 +99,11 @@
         progress.exhausted |= for_good || progress.open == 0;
     }
 
+    /// No other target is worth a hedge at this moment; it is looked for again after a while.
+    pub fn postpone_hedge(&mut self, now: MonotonicTime, shard: ShardIndex) {
+        self.shards[shard.0].hedge_at = Some(now + self.settings.hedge_after);
+    }
+
     /// A part is in; false if the shard had one already.
     pub fn note_part(&mut self, shard: ShardIndex) -> bool {
         let progress = &mut self.shards[shard.0];
--- a/hickoryspan_core/src/gateway/messages.rs
+++ b/hickoryspan_core/src/gateway/messages.rs
@@ -61,6 +61,8 @@
     Departures(Vec<TargetDeparture>),
     /// Targets that announced themselves without a change.
     Renewals(Vec<TargetRenewal>),
+    /// Targets that the sender has not heard for a whole lease, with the newest announcement it knows of each.
+    Silent(Vec<TargetRenewal>),
     /// The addresses of all known control hosts, and the number of entries.
     Hosts {
         /// Where control hosts take directory links.
--- a/hickoryspan_core/src/gateway/selection.rs
+++ b/hickoryspan_core/src/gateway/selection.rs
@@ -35,12 +35,12 @@
 impl Default for SelectionSettings {
     fn default() -> Self {
         Self {
-            half_life: Duration::from_secs(3),
-            overdue_hold: Duration::from_millis(400),
+            half_life: Duration::from_secs(6),
+            overdue_hold: Duration::from_millis(150),
             eject_after: 3,
             eject_min: Duration::from_millis(1_000),
             eject_max: Duration::from_secs(8),
-            remote_factor: 1.2,
+            remote_factor: 1.4,
             cold_factor: 1.8,
             load_lifetime: Duration::from_millis(500),
         }
@@ -267,7 +267,7 @@
         }
     }
 
-    /// Whether another target is worth a second request: one exists and does not look much worse.
+    /// Whether another target is worth a second request: one exists that is not ejected.
     pub fn has_alternative(
         &self,
         now: MonotonicTime,
@@ -276,10 +276,7 @@
     ) -> bool {
         self.states(service).any(|state| {
             let untried = state.is_usable() && !tried.contains(&state.announcement.target);
-            let overdue = state
-                .overdue_at
-                .is_some_and(|at| now.since(at) < self.settings.overdue_hold);
-            untried && state.ejected_until <= now && !overdue
+            untried && state.ejected_until <= now
         })
     }
 
--- a/hickoryspan_gateway/src/attempt.rs
+++ b/hickoryspan_gateway/src/attempt.rs
@@ -14,6 +14,7 @@
 use http::{HeaderMap, HeaderValue, Method, Request, StatusCode};
 use http_body_util::Full;
 
+use crate::forward::ConnectionPosition;
 use crate::gateway_state::GatewayState;
 use crate::target_pool::PooledConnection;
 
@@ -30,6 +31,7 @@
     pub(crate) body: Bytes,
     pub(crate) request: Option<HeaderValue>,
     pub(crate) fingerprint: RequestFingerprint,
+    pub(crate) position: ConnectionPosition,
     pub(crate) received_at: MonotonicTime,
     pub(crate) give_up_at: MonotonicTime,
 }
--- a/hickoryspan_gateway/src/caller_server.rs
+++ b/hickoryspan_gateway/src/caller_server.rs
@@ -2,6 +2,7 @@
 
 use std::convert::Infallible;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use hickoryspan_core::gateway::document::CallerLimits;
@@ -13,7 +14,7 @@
 use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
 
-use crate::forward::answer_request;
+use crate::forward::{ConnectionPosition, answer_request};
 use crate::gateway_state::GatewayState;
 
 /// Pause after a failed accept, so that a lack of file descriptors does not spin the processor.
@@ -83,9 +84,14 @@
     }
     let routes = state.decisions().routes.clone();
     let limits = routes.map_or_else(CallerLimits::default, |routes| routes.document().limits);
+    let is_first = AtomicBool::new(true);
     let service = service_fn(move |request| {
         let state = Arc::clone(&state);
-        async move { Ok::<_, Infallible>(answer_request(state, request).await) }
+        let position = match is_first.swap(false, Ordering::Relaxed) {
+            true => ConnectionPosition::First,
+            false => ConnectionPosition::Later,
+        };
+        async move { Ok::<_, Infallible>(answer_request(state, request, position).await) }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
--- /dev/null
+++ b/hickoryspan_gateway/src/directory_cache.rs
@@ -0,0 +1,62 @@
+//! Keeps the known targets on disk, so that a restart of all control hosts does not have to wait for every target's
+//! next announcement. What is read back is only a hint: it expires soon unless targets announce themselves.
+
+use std::fs::{self, File};
+use std::io::Write;
+use std::path::{Path, PathBuf};
+
+use anyhow::Context;
+use hickoryspan_core::gateway::directory::{TargetAnnouncement, TargetDeparture};
+use serde::{Deserialize, Serialize};
+
+/// Name of the file in the folder.
+const FILE_NAME: &str = "targets";
+/// Name of the file while it is written.
+const TEMPORARY_NAME: &str = "targets.new";
+
+/// What is kept.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case", default)]
+pub(crate) struct CachedDirectory {
+    pub(crate) targets: Vec<TargetAnnouncement>,
+    pub(crate) departures: Vec<TargetDeparture>,
+}
+
+/// The file with the known targets.
+#[derive(Clone, Debug)]
+pub(crate) struct DirectoryCache {
+    folder: PathBuf,
+}
+
+impl DirectoryCache {
+    pub(crate) fn new(folder: impl Into<PathBuf>) -> Self {
+        Self { folder: folder.into() }
+    }
+
+    /// Replaces the file; it is synced before its name is changed.
+    pub(crate) fn save(&self, directory: &CachedDirectory) -> anyhow::Result<()> {
+        let mut bytes = Vec::new();
+        ciborium::into_writer(directory, &mut bytes).context("encode targets")?;
+        let temporary = self.folder.join(TEMPORARY_NAME);
+        let target = self.folder.join(FILE_NAME);
+        let write = || -> std::io::Result<()> {
+            let mut file = File::create(&temporary)?;
+            file.write_all(&bytes)?;
+            file.sync_data()?;
+            fs::rename(&temporary, &target)?;
+            File::open(&self.folder)?.sync_all()
+        };
+        write().with_context(|| format!("save targets: {}", target.display()))
+    }
+
+    /// Reads the file; nothing if there is none.
+    pub(crate) fn load(&self) -> anyhow::Result<Option<CachedDirectory>> {
+        let path = self.folder.join(FILE_NAME);
+        if !Path::exists(&path) {
+            return Ok(None);
+        }
+        let step = || format!("load targets: {}", path.display());
+        let bytes = fs::read(&path).with_context(step)?;
+        ciborium::from_reader(bytes.as_slice()).map(Some).with_context(step)
+    }
+}
--- a/hickoryspan_gateway/src/directory_hub.rs
+++ b/hickoryspan_gateway/src/directory_hub.rs
@@ -2,7 +2,9 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
 use hickoryspan_control::ControlHandle;
 use hickoryspan_core::control::interface::ReplicaRecord;
@@ -17,6 +19,7 @@
 use hickoryspan_runtime::clock::SystemClock;
 use tokio::sync::{mpsc, watch};
 
+use crate::directory_cache::{CachedDirectory, DirectoryCache};
 use crate::directory_links::LinkReporter;
 use crate::host_list::HostList;
 use crate::settings::DirectorySettings;
@@ -50,6 +53,8 @@
     renewals: Vec<TargetRenewal>,
     document: Option<Arc<ConfigurationDocument>>,
     confirm: ConfirmNumber,
+    // Whether the file with the targets is out of date.
+    unsaved: bool,
 }
 
 impl HubState {
@@ -70,6 +75,35 @@
     }
 }
 
+/// How long a target that was read back from disk is kept without an announcement.
+const RESTORED_LEASE: Duration = Duration::from_millis(2_800);
+
+/// The time, moved by one lease, so that a target can count as heard before the process started.
+fn now_after(clock: &SystemClock, settings: &DirectorySettings) -> MonotonicTime {
+    clock.reading().monotonic + settings.target_lease
+}
+
+fn restore(cache: &DirectoryCache, now: MonotonicTime, lease: Duration) -> HubState {
+    let mut state = HubState::default();
+    let cached = match cache.load() {
+        Ok(Some(cached)) => cached,
+        Ok(None) => return state,
+        Err(error) => {
+            spdlog::warn!("{:#}", error);
+            return state;
+        }
+    };
+    let heard_at = now - lease.saturating_sub(RESTORED_LEASE);
+    spdlog::info!("targets restored", kv: { count: = cached.targets.len() });
+    for departure in &cached.departures {
+        state.directory.depart(now, departure);
+    }
+    for announcement in cached.targets {
+        state.directory.restore(heard_at, announcement);
+    }
+    state
+}
+
 /// The directory of one control host.
 pub struct DirectoryHub {
     settings: DirectorySettings,
@@ -78,6 +112,7 @@
     record: ReplicaRecord,
     directory_address: SocketAddr,
     hosts: HostList,
+    cache: DirectoryCache,
     state: Mutex<HubState>,
     confirmations: watch::Sender<u64>,
 }
@@ -101,22 +136,28 @@
 }
 
 impl DirectoryHub {
-    /// The directory of the control host with this record; `hosts` is shared with its outgoing links.
+    /// The directory of the control host with this record; `hosts` is shared with its outgoing links, and known targets
+    /// are kept in `folder`.
     pub fn new(
         settings: DirectorySettings,
         control: ControlHandle,
         record: ReplicaRecord,
         directory_address: SocketAddr,
         hosts: HostList,
+        folder: impl Into<PathBuf>,
     ) -> Self {
+        let cache = DirectoryCache::new(folder);
+        let clock = SystemClock::start();
+        let state = restore(&cache, now_after(&clock, &settings), settings.target_lease);
         Self {
             settings,
-            clock: SystemClock::start(),
+            clock,
             control,
             record,
             directory_address,
             hosts,
-            state: Mutex::new(HubState::default()),
+            cache,
+            state: Mutex::new(state),
             confirmations: watch::Sender::new(0),
         }
     }
@@ -130,7 +171,7 @@
     }
 
     fn now(&self) -> MonotonicTime {
-        self.clock.reading().monotonic
+        now_after(&self.clock, &self.settings)
     }
 
     /// Where another control host takes directory links, given its record: the ports are the same on all hosts.
@@ -203,11 +244,13 @@
 
     /// Takes an announcement. One that ends a target's work is answered only when the entries have it.
     pub async fn announce(&self, announcement: TargetAnnouncement) -> AnnounceVerdict {
-        if !self.is_connected() {
-            return AnnounceVerdict::Isolated;
-        }
         let leaves = announcement.phase != TargetPhase::Ready;
         let now = self.now();
+        let has_entries = !self.lock().entries(now, &self.settings).is_empty();
+        // Right after a start of all hosts, entries should know the targets before there is a leader.
+        if !self.is_connected() && (leaves || !has_entries) {
+            return AnnounceVerdict::Isolated;
+        }
         {
             let mut state = self.lock();
             match state.directory.announce(now, announcement.clone()) {
@@ -226,6 +269,7 @@
                             phase: ? = announcement.phase
                         }
                     );
+                    state.unsaved = true;
                     state.broadcast(&DirectoryUpdate::Targets(vec![announcement]));
                 }
             }
@@ -243,6 +287,7 @@
             let mut state = self.lock();
             if state.directory.depart(now, &departure) {
                 spdlog::info!("target left", kv: { target: = departure.target });
+                state.unsaved = true;
                 state.broadcast(&DirectoryUpdate::Departures(vec![departure]));
             }
         }
@@ -291,7 +336,26 @@
         let now = self.now();
         let state = self.lock();
         let entries = state.entries(now, &self.settings);
-        entries.into_iter().filter(|entry| entry.open).cloned().collect()
+        let open = entries.into_iter().filter(|entry| entry.open);
+        open.cloned().collect()
+    }
+
+    /// Writes the known targets to disk if they changed; to be called regularly, off the thread that serves others.
+    pub fn save(&self) {
+        let directory = {
+            let mut state = self.lock();
+            if !std::mem::take(&mut state.unsaved) {
+                return;
+            }
+            CachedDirectory {
+                targets: state.directory.targets().map(|k| k.announcement.clone()).collect(),
+                departures: state.directory.departures().collect(),
+            }
+        };
+        if let Err(error) = self.cache.save(&directory) {
+            spdlog::warn!("{:#}", error);
+            self.lock().unsaved = true;
+        }
     }
 
     /// Puts a document in force at all linked entries.
@@ -316,9 +380,15 @@
         }
         let hosts = self.to_hosts(&state, now);
         state.broadcast(&hosts);
-        for target in state.directory.expire(now, self.settings.target_lease) {
-            spdlog::info!("target silent", kv: { target: = target });
+        let silent = state.directory.expire(now, self.settings.target_lease);
+        if silent.is_empty() {
+            return;
+        }
+        for renewal in &silent {
+            spdlog::info!("target silent", kv: { target: = renewal.target });
         }
+        state.unsaved = true;
+        state.broadcast(&DirectoryUpdate::Silent(silent));
     }
 }
 
@@ -334,13 +404,14 @@
             DirectoryUpdate::Targets(targets) => {
                 let mut state = self.lock();
                 for announcement in targets {
-                    state.directory.announce(now, announcement);
+                    let change = state.directory.announce(now, announcement);
+                    state.unsaved |= change == DirectoryChange::Changed;
                 }
             }
             DirectoryUpdate::Departures(departures) => {
                 let mut state = self.lock();
                 for departure in departures {
-                    state.directory.depart(now, &departure);
+                    state.unsaved |= state.directory.depart(now, &departure);
                 }
             }
             DirectoryUpdate::Renewals(renewals) => {
@@ -351,7 +422,10 @@
             }
             DirectoryUpdate::Hosts { controls, .. } => self.hosts.add(controls),
             // Documents come from the log, confirmations concern entries.
-            DirectoryUpdate::Document(_) | DirectoryUpdate::Confirm(_) => {}
+            // Every control host counts the silence of targets itself.
+            DirectoryUpdate::Document(_)
+            | DirectoryUpdate::Confirm(_)
+            | DirectoryUpdate::Silent(_) => {}
         }
     }
 
--- a/hickoryspan_gateway/src/entry_daemon.rs
+++ b/hickoryspan_gateway/src/entry_daemon.rs
@@ -97,7 +97,14 @@
                 }
                 return;
             }
-            _ => return,
+            DirectoryUpdate::Silent(silent) => {
+                for renewal in silent {
+                    decisions.directory.drop_silent(&renewal);
+                }
+            }
+            DirectoryUpdate::Hosts { .. }
+            | DirectoryUpdate::Document(_)
+            | DirectoryUpdate::Confirm(_) => return,
         }
         let decisions = &mut *decisions;
         let directory = &decisions.directory;
@@ -223,9 +230,9 @@
         if gap > STALL_LIMIT {
             decisions.directory.absorb_stall(gap);
         }
-        for target in decisions.directory.expire(now, lease) {
-            spdlog::info!("target silent", kv: { target: = target });
-            decisions.selector.remove(&target);
+        for silent in decisions.directory.expire(now, lease) {
+            spdlog::info!("target silent", kv: { target: = silent.target });
+            decisions.selector.remove(&silent.target);
         }
         drop(decisions);
         state.pool.sweep(|target| state.is_known(target));
--- a/hickoryspan_gateway/src/forward.rs
+++ b/hickoryspan_gateway/src/forward.rs
@@ -35,6 +35,13 @@
 
 pub(crate) type GatewayResponse = Response<Full<Bytes>>;
 
+/// Where a request stands on its caller's connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ConnectionPosition {
+    First,
+    Later,
+}
+
 /// Why a request ends without a target's answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum RefusalReason {
@@ -104,6 +111,7 @@
 pub(crate) async fn answer_request(
     state: Arc<GatewayState>,
     request: Request<Incoming>,
+    position: ConnectionPosition,
 ) -> GatewayResponse {
     let received_at = state.now();
     let (parts, body) = request.into_parts();
@@ -124,7 +132,8 @@
         Ok(body) => body,
         Err(reason) => return refuse(&text, reason, no_wait),
     };
-    let job = to_job(&state, parts, body, route, id, received_at);
+    let mut job = to_job(&state, parts, body, route, id, received_at);
+    job.position = position;
     if state.decisions().poison.is_condemned(received_at, &job.fingerprint) {
         return refuse(&text, RefusalReason::Poisoned, Duration::from_secs(1));
     }
@@ -186,6 +195,7 @@
         body,
         request,
         fingerprint,
+        position: ConnectionPosition::First,
         received_at,
     }
 }
@@ -212,6 +222,11 @@
         Some(services) => services,
         None => return refuse(job.request_text(), RefusalReason::NoTarget, retry_time(&state, &job)),
     };
+    if let Some(spread) = &spread
+        && !can_reach(&state, spread)
+    {
+        return refuse(job.request_text(), RefusalReason::NoTarget, retry_time(&state, &job));
+    }
     let rule = if spread.is_some() { AnswerRule::SuccessOnly } else { AnswerRule::Any };
     let machine = GatherMachine::new(gather_settings(&state, &job, spread.as_ref()));
     let run = run_gather(Arc::clone(&state), Arc::clone(&job), services, machine, rule);
@@ -236,6 +251,13 @@
     }
 }
 
+/// Whether enough shards have a target. Nothing is sent for an answer that cannot succeed.
+fn can_reach(state: &GatewayState, spread: &ShardSpread) -> bool {
+    let decisions = state.decisions();
+    let reachable = |shard: &&ServiceId| decisions.selector.count_usable(shard) > 0;
+    spread.shards.iter().filter(reachable).count() >= spread.min_parts()
+}
+
 fn gather_settings(
     state: &GatewayState,
     job: &GatewayJob,
@@ -243,7 +265,12 @@
 ) -> GatherSettings {
     let latency = state.decisions().route_latency(&job.route);
     let objective = job.route.objective;
-    let answer_in = objective.saturating_sub(state.settings.caller_delay).max(objective / 2);
+    let connect = match job.position {
+        ConnectionPosition::First => state.settings.connect_delay,
+        ConnectionPosition::Later => Duration::ZERO,
+    };
+    let delay = state.settings.caller_delay + connect;
+    let answer_in = objective.saturating_sub(delay).max(objective / 3);
     let answer_by = (job.received_at + answer_in).min(job.give_up_at);
     let hedge_after = latency.hedge.clamp(MIN_HEDGE_DELAY, (answer_in / 2).max(MIN_HEDGE_DELAY));
     let max_attempts = match job.route.repeat {
@@ -265,6 +292,7 @@
     let missing = outcome.answers.iter().filter(|answer| answer.is_none()).count();
     metrics::histogram!("hickoryspan_gateway_request_seconds", "route" => job.route.name.to_string())
         .record(elapsed.as_secs_f64());
+    let latency = state.decisions().route_latency(&job.route);
     let complete = missing == 0 && outcome.end == RunEnd::Answered;
     if complete && elapsed <= job.route.objective {
         return;
@@ -278,6 +306,7 @@
             missing: = missing,
             attempts: = outcome.attempts,
             hedges: = outcome.hedges,
+            hedge_after_ms: = latency.hedge.as_millis(),
             failure: = outcome.last_failure.map_or("-", |failure| failure.as_str()),
             elapsed_ms: = elapsed.as_millis()
         }
--- a/hickoryspan_gateway/src/gateway_state.rs
+++ b/hickoryspan_gateway/src/gateway_state.rs
@@ -20,12 +20,15 @@
 use crate::target_pool::TargetPool;
 
 /// The quantile of a route's latency after which another target is asked.
-const HEDGE_QUANTILE: f64 = 0.93;
+const HEDGE_QUANTILE: f64 = 0.9;
 /// Assumed latency of a route as a part of its objective, until enough requests were measured.
 const INITIAL_LATENCY_PART: u32 = 3;
 /// Measured requests of a route before they replace the assumption.
 const MIN_LATENCY_RECORDS: u32 = 40;
 
+/// Connections that a target is assumed to accept if the configuration does not say.
+const DEFAULT_CONNECTIONS: u32 = 16;
+
 /// The parts that decisions change, behind one lock that is never held across a wait.
 pub(crate) struct SharedDecisions {
     pub(crate) routes: Option<Arc<RouteTable>>,
@@ -64,7 +67,8 @@
         service: &ServiceId,
     ) -> &mut ExtraBudget {
         if !self.budgets.contains_key(service) {
-            self.budgets.insert(service.clone(), ExtraBudget::new(settings.budget));
+            let began_at = MonotonicTime(0);
+            self.budgets.insert(service.clone(), ExtraBudget::new(began_at, settings.budget));
         }
         // The lines above inserted a missing budget.
         self.budgets.get_mut(service).expect("the budget exists")
@@ -150,7 +154,9 @@
         let limit = decisions.routes.as_ref().and_then(|routes| routes.connections(service));
         // A restart overlaps with the old process, and more entries may come.
         let sharers = decisions.entries + 1;
-        (limit.unwrap_or(16) / sharers.max(2)).max(1) as usize
+        // A target accepts fewer connections while its queue is long, and closes ended ones late.
+        let usable = limit.unwrap_or(DEFAULT_CONNECTIONS) * 3 / 4;
+        (usable / sharers.max(2)).max(1) as usize
     }
 
     pub(crate) fn is_known(&self, target: &TargetId) -> bool {
--- a/hickoryspan_gateway/src/lib.rs
+++ b/hickoryspan_gateway/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod attempt;
 mod caller_server;
+mod directory_cache;
 mod directory_hub;
 mod directory_links;
 mod directory_server;
--- a/hickoryspan_gateway/src/run.rs
+++ b/hickoryspan_gateway/src/run.rs
@@ -148,7 +148,7 @@
             return self.machine.note_unsent(shard, true);
         }
         if !useful {
-            return self.machine.note_unsent(shard, false);
+            return self.machine.postpone_hedge(now, shard);
         }
         let chosen = decisions.selector.choose(now, &service, &tries.tried);
         let again = chosen.is_none() && reason == LaunchReason::Retry && !tries.unreached;
--- a/hickoryspan_gateway/src/settings.rs
+++ b/hickoryspan_gateway/src/settings.rs
@@ -57,8 +57,10 @@
     pub directory: DirectorySettings,
     /// Longest answer of a target.
     pub answer_bytes: usize,
-    /// Time of an answer's way to the caller and of a caller's way to connect, taken off the objective.
+    /// Taken off the objective of a request on a kept connection: its way here and the answer's way back.
     pub caller_delay: Duration,
+    /// Taken off the objective in addition for the first request on a connection: the caller opened it for it.
+    pub connect_delay: Duration,
     /// How long a stopping entry still accepts connections.
     pub accept_after_stop: Duration,
     /// How long a stopping entry finishes requests.
@@ -84,8 +86,9 @@
             budget: BudgetSettings::default(),
             directory,
             answer_bytes: 4 * 1024 * 1024,
-            caller_delay: Duration::from_millis(14),
-            accept_after_stop: Duration::from_millis(3_500),
+            caller_delay: Duration::from_millis(11),
+            connect_delay: Duration::from_millis(7),
+            accept_after_stop: Duration::from_millis(4_600),
             finish_after_stop: Duration::from_millis(5_300),
             target_idle: Duration::from_secs(4),
         }
--- a/hickoryspan_local/src/deployment.rs
+++ b/hickoryspan_local/src/deployment.rs
@@ -296,6 +296,7 @@
         limits: HttpLimits { body_bytes: MAX_CONTROL_BODY_BYTES, ..Default::default() },
         logs: LogSettings::default(),
         members: None,
+        raft: Default::default(),
         seed: Some(seed),
     })
 }
--- a/hickoryspan_runtime/src/peer_link.rs
+++ b/hickoryspan_runtime/src/peer_link.rs
@@ -27,6 +27,9 @@
 
 /// Time for the TCP connection and the WebSocket handshake together.
 pub const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time for the TCP connection alone. The first packet to a host that is still starting is lost, and its repetition
+/// after a second would come later than a new attempt.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Outgoing bytes that may wait for a slow peer before the link is closed.
 const MAX_WRITE_BYTES: usize = 2 * MAX_FRAME_BYTES;
 
@@ -77,7 +80,9 @@
             fields.insert(name, value.parse()?);
         }
         let open = async {
-            let stream = TcpStream::connect(address).await?;
+            let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
+                .await
+                .map_err(|_| Error::Io(std::io::ErrorKind::TimedOut.into()))??;
             stream.set_nodelay(true)?;
             let (socket, _) =
                 client_async_with_config(request, stream, Some(socket_config())).await?;
