Release a target's permit when its connection is put back, and stand early after a start

After a start of all hosts, the first election waited for the full timeout. Ruled out: dead targets and the retry budget; the lines show no failed attempt.

--- a/hickoryspan_core/src/control/raft/mod.rs
+++ b/hickoryspan_core/src/control/raft/mod.rs
@@ -150,6 +150,15 @@
     TimeoutNow,
 }
 
+/// The bounds of a random time before an election.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ElectionRange {
+    /// The shortest time.
+    pub min: Duration,
+    /// The longest time.
+    pub max: Duration,
+}
+
 /// Timing and bounds of log replication.
 #[derive(Clone, Debug)]
 pub struct RaftSettings {
@@ -159,6 +168,9 @@
     pub election_min: Duration,
     /// Longest time without a leader before an election.
     pub election_max: Duration,
+    /// The time after a start in which a replica that hears no leader stands for the first time; pre-votes keep a
+    /// replica that starts alone from disturbing a leader.
+    pub first_election: Option<ElectionRange>,
     /// How long one pledge holds; see `docs/design/replication.md`.
     pub pledge: Duration,
     /// Entries in one message.
@@ -191,6 +203,7 @@
             heartbeat: Duration::from_millis(100),
             election_min: Duration::from_millis(600),
             election_max: Duration::from_millis(1_200),
+            first_election: None,
             pledge: Duration::from_millis(1_500),
             max_append_entries: 512,
             max_append_bytes: 1 << 20,
--- a/hickoryspan_core/src/control/raft/node.rs
+++ b/hickoryspan_core/src/control/raft/node.rs
@@ -14,7 +14,7 @@
 use super::progress::PeerProgress;
 use super::replicas::{ReplicaHistory, ReplicaSet};
 use super::transfer::IncomingSnapshot;
-use super::{LogPosition, RaftSettings, ReplicaBody, ReplicaMessage, RoundNumber};
+use super::{ElectionRange, LogPosition, RaftSettings, ReplicaBody, ReplicaMessage, RoundNumber};
 use crate::control::commands::{self, LogPayload};
 use crate::control::interface::{
     ControlAction, HardState, LogEntry, LogIndex, PersistError, PersistSequence, RecoveredState,
@@ -315,12 +315,19 @@
             self.pledges_from = now + self.settings.election_min;
         }
         self.reset_election(now);
+        if let Some(range) = self.settings.first_election {
+            self.election_at = now + self.draw(range);
+        }
     }
 
     pub(super) fn reset_election(&mut self, now: MonotonicTime) {
-        let range = self.settings.election_min.as_micros()..self.settings.election_max.as_micros();
-        let micros = self.generator.random_range(range.start as u64..=range.end as u64);
-        self.election_at = now + Duration::from_micros(micros);
+        let (min, max) = (self.settings.election_min, self.settings.election_max);
+        self.election_at = now + self.draw(ElectionRange { min, max });
+    }
+
+    fn draw(&mut self, range: ElectionRange) -> Duration {
+        let micros = range.min.as_micros() as u64..=range.max.as_micros() as u64;
+        Duration::from_micros(self.generator.random_range(micros))
     }
 
     /// Runs the timers that are due.
--- a/hickoryspan_core/src/gateway/selection.rs
+++ b/hickoryspan_core/src/gateway/selection.rs
@@ -16,7 +16,8 @@
 pub struct SelectionSettings {
     /// Time after which half of what was learned about a target is forgotten.
     pub half_life: Duration,
-    /// How long an unanswered request keeps other requests away from a target.
+    /// How long an unanswered request keeps other requests away from a target; doubled each time that this happens
+    /// again without an answer in between.
     pub overdue_hold: Duration,
     /// Consecutive failures after which a target is ejected.
     pub eject_after: u32,
@@ -40,7 +41,7 @@
             eject_after: 3,
             eject_min: Duration::from_millis(1_000),
             eject_max: Duration::from_secs(8),
-            remote_factor: 1.4,
+            remote_factor: 1.12,
             cold_factor: 1.8,
             load_lifetime: Duration::from_millis(500),
         }
@@ -55,6 +56,12 @@
 const OVERDUE_FACTOR: f64 = 20.0;
 /// Smallest usual latency in seconds, which bounds a relative latency.
 const MIN_USUAL_SECONDS: f64 = 1e-4;
+/// Doublings of a hold or an ejection; more would only overflow.
+const MAX_DOUBLINGS: u32 = 8;
+/// Smallest relative latency that is expected of a target.
+const MIN_PACE: f64 = 0.2;
+/// Cost of each used slot, relative to the work: a used slot is busy a moment longer for the next request.
+const SHARING_COST: f64 = 0.25;
 /// Largest relative latency that one observation counts as.
 const MAX_PACE: f64 = 30.0;
 
@@ -79,7 +86,8 @@
     failures: u32,
     ejections: u32,
     ejected_until: MonotonicTime,
-    overdue_at: Option<MonotonicTime>,
+    overdue_until: MonotonicTime,
+    overdue_count: u32,
     load: Option<ReportedLoad>,
     load_at: MonotonicTime,
 }
@@ -97,7 +105,8 @@
             failures: 0,
             ejections: 0,
             ejected_until: MonotonicTime(0),
-            overdue_at: None,
+            overdue_until: MonotonicTime(0),
+            overdue_count: 0,
             load: None,
             load_at: now,
         }
@@ -120,6 +129,25 @@
         self.announcement.phase == TargetPhase::Ready
     }
 
+    /// The latency to expect, relative to the usual one of the same route.
+    fn expected_pace(&self, now: MonotonicTime, settings: &SelectionSettings) -> f64 {
+        let decay = self.decay(now, settings.half_life);
+        let pace = 1.0 + (self.pace - 1.0) * decay;
+        let load = self.load.filter(|_| now.since(self.load_at) < settings.load_lifetime);
+        let reported_pace = load.map_or(1.0, |load| f64::from(load.pace_percent.max(100)) / 100.0);
+        // The response that carried the report counts itself as running.
+        let reported = load.map_or(0, |load| (load.running + load.waiting).saturating_sub(1));
+        let ahead = f64::from(self.in_flight.max(reported));
+        let slots = f64::from(self.announcement.slots.max(1));
+        let waiting = (ahead + 1.0 - slots).max(0.0) / slots;
+        let sharing = SHARING_COST * ahead / slots;
+        let mut expected = pace.max(reported_pace).max(MIN_PACE) * (1.0 + waiting + sharing);
+        if self.cold_until > now {
+            expected *= settings.cold_factor;
+        }
+        expected
+    }
+
     fn cost(
         &self,
         now: MonotonicTime,
@@ -127,21 +155,12 @@
         domain: &FailureDomain,
     ) -> f64 {
         let decay = self.decay(now, settings.half_life);
-        let pace = 1.0 + (self.pace - 1.0) * decay;
-        let slots = f64::from(self.announcement.slots.max(1));
-        let load = self.load.filter(|_| now.since(self.load_at) < settings.load_lifetime);
-        let busy = load.map_or(0.0, |load| f64::from(load.running.saturating_sub(1) + load.waiting));
-        let reported_pace = load.map_or(1.0, |load| f64::from(load.pace_percent.max(100)) / 100.0);
-        let waiting = f64::from(self.in_flight).max(busy) / slots;
-        let mut cost = pace.max(reported_pace).max(0.2) * (1.0 + waiting);
+        let mut cost = self.expected_pace(now, settings);
         cost *= 1.0 + FAILURE_COST * self.failure_rate * decay;
         if self.announcement.domain != *domain {
             cost *= settings.remote_factor;
         }
-        if self.cold_until > now {
-            cost *= settings.cold_factor;
-        }
-        if self.overdue_at.is_some_and(|at| now.since(at) < settings.overdue_hold) {
+        if self.overdue_until > now {
             cost *= OVERDUE_FACTOR;
         }
         cost
@@ -301,7 +320,8 @@
                 state.learn_pace(now, &settings, latency, usual);
                 state.failures = 0;
                 state.ejections = 0;
-                state.overdue_at = None;
+                state.overdue_until = now;
+                state.overdue_count = 0;
             }
             AttemptEnd::Failure(failure) => state.note_failure(now, &settings, failure),
         }
@@ -317,12 +337,22 @@
     /// A request to the target is still unanswered after the time in which nearly all are answered.
     pub fn note_overdue(&mut self, now: MonotonicTime, target: &TargetId) {
         if let Some(state) = self.targets.get_mut(target) {
-            state.overdue_at = Some(now);
+            state.hold(now, &self.settings);
         }
     }
 }
 
 impl TargetState {
+    fn hold(&mut self, now: MonotonicTime, settings: &SelectionSettings) {
+        // Requests that were sent before the hold began say nothing new.
+        if self.overdue_until > now {
+            return;
+        }
+        let doubled = settings.overdue_hold * 2_u32.pow(self.overdue_count.min(MAX_DOUBLINGS));
+        self.overdue_until = now + doubled.min(settings.eject_max);
+        self.overdue_count += 1;
+    }
+
     fn learn_pace(
         &mut self,
         now: MonotonicTime,
@@ -343,14 +373,14 @@
     ) {
         self.observe(now, settings, true);
         if failure == AttemptFailure::Timeout {
-            self.overdue_at = Some(now);
+            self.hold(now, settings);
         }
         self.failures += 1;
         let certain = matches!(failure, AttemptFailure::Unreachable | AttemptFailure::OtherTarget);
         if self.failures < settings.eject_after && !certain {
             return;
         }
-        let doubled = settings.eject_min * 2_u32.pow(self.ejections.min(8));
+        let doubled = settings.eject_min * 2_u32.pow(self.ejections.min(MAX_DOUBLINGS));
         self.ejected_until = now + doubled.min(settings.eject_max);
         self.ejections += 1;
         // One success or failure after the ejection decides again.
--- a/hickoryspan_gateway/src/forward.rs
+++ b/hickoryspan_gateway/src/forward.rs
@@ -227,8 +227,9 @@
     {
         return refuse(job.request_text(), RefusalReason::NoTarget, retry_time(&state, &job));
     }
+    let settings = gather_settings(&state, &job, spread.as_ref());
     let rule = if spread.is_some() { AnswerRule::SuccessOnly } else { AnswerRule::Any };
-    let machine = GatherMachine::new(gather_settings(&state, &job, spread.as_ref()));
+    let machine = GatherMachine::new(settings);
     let run = run_gather(Arc::clone(&state), Arc::clone(&job), services, machine, rule);
     let outcome = run.await;
     record_outcome(&state, &job, &outcome);
--- a/hickoryspan_gateway/src/gateway_state.rs
+++ b/hickoryspan_gateway/src/gateway_state.rs
@@ -152,11 +152,9 @@
     pub(crate) fn connection_share(&self, service: &ServiceId) -> usize {
         let decisions = self.decisions();
         let limit = decisions.routes.as_ref().and_then(|routes| routes.connections(service));
-        // A restart overlaps with the old process, and more entries may come.
-        let sharers = decisions.entries + 1;
-        // A target accepts fewer connections while its queue is long, and closes ended ones late.
-        let usable = limit.unwrap_or(DEFAULT_CONNECTIONS) * 3 / 4;
-        (usable / sharers.max(2)).max(1) as usize
+        // A target closes ended connections late, so that a part is left over.
+        let usable = limit.unwrap_or(DEFAULT_CONNECTIONS) * 9 / 10;
+        (usable / decisions.entries.max(1)).max(1) as usize
     }
 
     pub(crate) fn is_known(&self, target: &TargetId) -> bool {
--- a/hickoryspan_gateway/src/target_pool.rs
+++ b/hickoryspan_gateway/src/target_pool.rs
@@ -17,12 +17,14 @@
 
 struct IdleConnection {
     connection: HttpConnection,
-    permit: OwnedSemaphorePermit,
     usable_until: Instant,
 }
 
 struct TargetConnections {
     address: SocketAddr,
+    // One for each request in flight. A request takes a kept connection if there is one, so that kept and used
+    // connections together never exceed the share; a kept connection holds no permit, or waiting requests would not
+    // see that it was put back.
     permits: Arc<Semaphore>,
     idle: Vec<IdleConnection>,
 }
@@ -32,7 +34,7 @@
     pub(crate) connection: HttpConnection,
     /// Whether it was used before, so that the target may have closed it meanwhile.
     pub(crate) reused: bool,
-    permit: OwnedSemaphorePermit,
+    _permit: OwnedSemaphorePermit,
 }
 
 /// Connections to all targets.
@@ -46,7 +48,8 @@
         self.targets.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// A kept connection, or a new one; waits while the share of the target is in use.
+    /// A kept connection, or a new one; waits while the share of the target is in use. The share of a known target
+    /// stays as it was.
     pub(crate) async fn acquire(
         &self,
         target: &TargetId,
@@ -54,27 +57,17 @@
         share: usize,
         allow_kept: bool,
     ) -> io::Result<PooledConnection> {
-        let permits = match self.take_idle(target, address, share, allow_kept) {
-            Ok(connection) => return Ok(connection),
-            Err(permits) => permits,
-        };
+        let permits = self.permits(target, address, share);
         let permit = permits.acquire_owned().await.map_err(io::Error::other)?;
-        // Another request may have put a connection back while this one waited.
-        if allow_kept && let Ok(connection) = self.take_idle(target, address, share, true) {
-            return Ok(connection);
+        if let Some(connection) = self.take_idle(target, allow_kept) {
+            return Ok(PooledConnection { connection, reused: true, _permit: permit });
         }
         let connection = HttpConnection::open(address, CONNECT_TIME).await?;
         metrics::counter!("hickoryspan_gateway_connections_opened_total").increment(1);
-        Ok(PooledConnection { connection, reused: false, permit })
+        Ok(PooledConnection { connection, reused: false, _permit: permit })
     }
 
-    fn take_idle(
-        &self,
-        target: &TargetId,
-        address: SocketAddr,
-        share: usize,
-        allow_kept: bool,
-    ) -> Result<PooledConnection, Arc<Semaphore>> {
+    fn permits(&self, target: &TargetId, address: SocketAddr, share: usize) -> Arc<Semaphore> {
         let mut targets = self.lock();
         let entry = targets.entry(target.clone()).or_insert_with(|| TargetConnections {
             address,
@@ -85,15 +78,23 @@
             entry.address = address;
             entry.idle.clear();
         }
+        Arc::clone(&entry.permits)
+    }
+
+    /// The kept connection that was used last; without `allow_kept`, all of them are closed.
+    fn take_idle(&self, target: &TargetId, allow_kept: bool) -> Option<HttpConnection> {
+        let mut targets = self.lock();
+        let entry = targets.get_mut(target)?;
+        if !allow_kept {
+            entry.idle.clear();
+        }
         let now = Instant::now();
         while let Some(idle) = entry.idle.pop() {
-            let usable = idle.usable_until > now && !idle.connection.is_closed();
-            if usable && allow_kept {
-                let IdleConnection { connection, permit, .. } = idle;
-                return Ok(PooledConnection { connection, reused: true, permit });
+            if idle.usable_until > now && !idle.connection.is_closed() {
+                return Some(idle.connection);
             }
         }
-        Err(Arc::clone(&entry.permits))
+        None
     }
 
     /// Keeps a connection whose last answer was whole.
@@ -105,7 +106,6 @@
         if let Some(entry) = self.lock().get_mut(target) {
             entry.idle.push(IdleConnection {
                 connection: pooled.connection,
-                permit: pooled.permit,
                 usable_until: Instant::now() + keep_for,
             });
         }
