--- a/hickoryspan_core/src/gateway/poison.rs
+++ b/hickoryspan_core/src/gateway/poison.rs
@@ -12,6 +12,15 @@
 /// Suspicions kept at once, which bounds memory.
 const MAX_SUSPECTS: usize = 4096;
 
+/// How the targets of one run ended.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct RunLosses {
+    /// Targets that answered.
+    pub answered: u32,
+    /// Targets whose connection was lost while they ran the request.
+    pub lost: u32,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Suspicion {
     losses: u32,
@@ -25,8 +34,21 @@
 }
 
 impl PoisonTable {
-    /// A target was lost while it ran the request.
-    pub fn note_loss(&mut self, now: MonotonicTime, fingerprint: RequestFingerprint) {
+    /// Learns from a whole run. A request that any target answered is not the cause of the losses.
+    pub fn note_run(
+        &mut self,
+        now: MonotonicTime,
+        fingerprint: RequestFingerprint,
+        run: RunLosses,
+    ) {
+        if run.answered > 0 {
+            self.suspects.remove(&fingerprint);
+        } else if run.lost > 0 {
+            self.note_losses(now, fingerprint, run.lost);
+        }
+    }
+
+    fn note_losses(&mut self, now: MonotonicTime, fingerprint: RequestFingerprint, lost: u32) {
         if self.suspects.len() >= MAX_SUSPECTS {
             self.suspects.retain(|_, suspicion| now.since(suspicion.last) < MEMORY);
         }
@@ -38,26 +60,14 @@
         if now.since(suspicion.last) >= MEMORY {
             suspicion.losses = 0;
         }
-        suspicion.losses += 1;
+        suspicion.losses += lost;
         suspicion.last = now;
     }
 
-    /// A target answered the request.
-    pub fn note_answer(&mut self, fingerprint: &RequestFingerprint) {
-        if !self.suspects.is_empty() {
-            self.suspects.remove(fingerprint);
-        }
-    }
-
     /// Whether the request is refused.
     pub fn is_condemned(&self, now: MonotonicTime, fingerprint: &RequestFingerprint) -> bool {
         self.suspects.get(fingerprint).is_some_and(|suspicion| {
             suspicion.losses >= MAX_LOSSES && now.since(suspicion.last) < MEMORY
         })
     }
-
-    /// Whether the request was lost before; it then runs without hedges and retries.
-    pub fn is_suspect(&self, fingerprint: &RequestFingerprint) -> bool {
-        self.suspects.contains_key(fingerprint)
-    }
 }
--- a/hickoryspan_gateway/src/run.rs
+++ b/hickoryspan_gateway/src/run.rs
@@ -7,6 +7,7 @@
 use futures::stream::FuturesUnordered;
 use hickoryspan_core::gateway::gather::{GatherMachine, GatherStep, LaunchReason, ShardIndex};
 use hickoryspan_core::gateway::outcomes::AttemptFailure;
+use hickoryspan_core::gateway::poison::RunLosses;
 use hickoryspan_core::types::{ServiceId, TargetId};
 use hickoryspan_runtime::http_client::HttpAnswer;
 
@@ -70,6 +71,8 @@
     shards: Vec<ShardTries>,
     pending: FuturesUnordered<AttemptFuture>,
     outcome: RunOutcome,
+    answered: u32,
+    lost: u32,
 }
 
 /// Runs the request; dropping the future cancels every attempt.
@@ -91,7 +94,7 @@
         last_failure: None,
     };
     let pending = FuturesUnordered::new();
-    let run = GatherRun { state, job, services, rule, machine, shards, pending, outcome };
+    let run = GatherRun { state, job, services, rule, machine, shards, pending, outcome, answered: 0, lost: 0 };
     run.finish().await
 }
 
@@ -126,6 +129,9 @@
             // What is cancelled here may run all the same.
             self.outcome.may_have_run = true;
         }
+        let now = self.state.now();
+        let run = RunLosses { answered: self.answered, lost: self.lost };
+        self.state.decisions().poison.note_run(now, self.job.fingerprint, run);
         self.outcome
     }
 
@@ -143,8 +149,7 @@
         let is_extra = reason != LaunchReason::First && !tries.unreached;
         let useful = reason != LaunchReason::Hedge
             || decisions.selector.has_alternative(now, &service, &tries.tried);
-        let suspect = is_extra && decisions.poison.is_suspect(&self.job.fingerprint);
-        if tries.tries >= MAX_TRIES || suspect {
+        if tries.tries >= MAX_TRIES {
             return self.machine.note_unsent(shard, true);
         }
         if !useful {
@@ -183,7 +188,7 @@
                 if self.rule == AnswerRule::Any || answer.status.is_success() =>
             {
                 self.outcome.may_have_run = true;
-                self.state.decisions().poison.note_answer(&self.job.fingerprint);
+                self.answered += 1;
                 if self.machine.note_part(shard) {
                     self.outcome.answers[shard.0] = Some(answer);
                 }
@@ -217,10 +222,7 @@
         if answer.is_some() {
             self.outcome.failure_answer = answer;
         }
-        if failure == AttemptFailure::Lost {
-            let now = self.state.now();
-            self.state.decisions().poison.note_loss(now, self.job.fingerprint);
-        }
+        self.lost += u32::from(failure == AttemptFailure::Lost);
         self.shards[shard.0].unreached = failure == AttemptFailure::Unreachable;
         self.machine.note_failed(shard, ran);
         metrics::counter!("hickoryspan_gateway_attempt_failures_total", "reason" => failure.as_str())
