--- a/hickoryspan_gateway/src/settings.rs
+++ b/hickoryspan_gateway/src/settings.rs
@@ -86,7 +86,7 @@
             budget: BudgetSettings::default(),
             directory,
             answer_bytes: 4 * 1024 * 1024,
-            caller_delay: Duration::from_millis(11),
+            caller_delay: Duration::from_millis(15),
             connect_delay: Duration::from_millis(7),
             accept_after_stop: Duration::from_millis(4_600),
             finish_after_stop: Duration::from_millis(5_300),
