Refuse a part of the requests while targets report queues

Change: the queue of the shard that completes the smallest answer decides which part is refused at once, less urgent ranks first; a hedge is not sent to a target with a long queue.

--- a/hickoryspan_control/src/settings.rs
+++ b/hickoryspan_control/src/settings.rs
@@ -177,8 +177,8 @@
             limits,
             logs,
             seed: None,
-                members: None,
-                raft: RaftSettings::default(),
+            members: None,
+            raft: RaftSettings::default(),
         };
         Ok((settings, values))
     }
--- a/hickoryspan_core/src/gateway/gather.rs
+++ b/hickoryspan_core/src/gateway/gather.rs
@@ -164,8 +164,7 @@
     }
 
     fn next_wakeup(&self, enough: bool) -> MonotonicTime {
-        let bound =
-            if enough { self.settings.answer_by } else { self.settings.give_up_at };
+        let bound = if enough { self.settings.answer_by } else { self.settings.give_up_at };
         let hedges = self.shards.iter().filter(|shard| !shard.done).filter_map(|s| s.hedge_at);
         hedges.fold(bound, MonotonicTime::min)
     }
--- a/hickoryspan_core/src/gateway/mod.rs
+++ b/hickoryspan_core/src/gateway/mod.rs
@@ -8,6 +8,7 @@
 pub mod members;
 pub mod messages;
 pub mod outcomes;
+pub mod overload;
 pub mod poison;
 pub mod routes;
 pub mod selection;
--- a/hickoryspan_core/src/gateway/routes.rs
+++ b/hickoryspan_core/src/gateway/routes.rs
@@ -67,10 +67,9 @@
             *self.credits.entry(part.service.clone()).or_default() += part.weight / total;
         }
         let credit = |part: &&WeightedService| self.credits.get(&part.service).copied();
-        let chosen = parts
-            .iter()
-            .filter(|part| part.weight > 0.0)
-            .max_by(|left, right| credit(left).partial_cmp(&credit(right)).unwrap_or(std::cmp::Ordering::Equal))?;
+        let chosen = parts.iter().filter(|part| part.weight > 0.0).max_by(|left, right| {
+            credit(left).partial_cmp(&credit(right)).unwrap_or(std::cmp::Ordering::Equal)
+        })?;
         *self.credits.entry(chosen.service.clone()).or_default() -= 1.0;
         Some(&chosen.service)
     }
--- a/hickoryspan_core/src/gateway/selection.rs
+++ b/hickoryspan_core/src/gateway/selection.rs
@@ -58,6 +58,8 @@
 const MIN_USUAL_SECONDS: f64 = 1e-4;
 /// Doublings of a hold or an ejection; more would only overflow.
 const MAX_DOUBLINGS: u32 = 8;
+/// Waiting requests per slot up to which a target gets a second request.
+const MAX_HEDGE_QUEUE: f64 = 2.0;
 /// Smallest relative latency that is expected of a target.
 const MIN_PACE: f64 = 0.2;
 /// Cost of each used slot, relative to the work: a used slot is busy a moment longer for the next request.
@@ -148,6 +150,13 @@
         expected
     }
 
+    /// Requests that wait per slot, as lately reported.
+    fn queue(&self, now: MonotonicTime, settings: &SelectionSettings) -> f64 {
+        let load = self.load.filter(|_| now.since(self.load_at) < settings.load_lifetime);
+        let slots = f64::from(self.announcement.slots.max(1));
+        load.map_or(0.0, |load| f64::from(load.waiting) / slots)
+    }
+
     fn cost(
         &self,
         now: MonotonicTime,
@@ -179,11 +188,7 @@
 
 impl TargetSelector {
     /// A selector without targets for an entry in `domain`.
-    pub fn new(
-        settings: SelectionSettings,
-        domain: FailureDomain,
-        generator: ChaCha12Rng,
-    ) -> Self {
+    pub fn new(settings: SelectionSettings, domain: FailureDomain, generator: ChaCha12Rng) -> Self {
         let (targets, by_service) = (HashMap::new(), BTreeMap::new());
         Self { settings, domain, generator, targets, by_service }
     }
@@ -286,7 +291,7 @@
         }
     }
 
-    /// Whether another target is worth a second request: one exists that is not ejected.
+    /// Whether another target is worth a second request: one exists that is not ejected and has no queue.
     pub fn has_alternative(
         &self,
         now: MonotonicTime,
@@ -295,10 +300,17 @@
     ) -> bool {
         self.states(service).any(|state| {
             let untried = state.is_usable() && !tried.contains(&state.announcement.target);
-            untried && state.ejected_until <= now
+            let free = state.queue(now, &self.settings) <= MAX_HEDGE_QUEUE;
+            untried && free && state.ejected_until <= now
         })
     }
 
+    /// The shortest queue among a service's targets, in waiting requests per slot; nothing without a target.
+    pub fn shortest_queue(&self, now: MonotonicTime, service: &ServiceId) -> Option<f64> {
+        let usable = self.states(service).filter(|state| state.is_usable());
+        usable.map(|state| state.queue(now, &self.settings)).reduce(f64::min)
+    }
+
     /// Learns from the end of an attempt; `usual` is the route's usual latency.
     pub fn finish(
         &mut self,
--- a/hickoryspan_core/tests/gateway_gather.rs
+++ b/hickoryspan_core/tests/gateway_gather.rs
@@ -63,10 +63,7 @@
 fn a_hedge_that_finds_no_target_is_tried_again() {
     let mut machine = GatherMachine::new(settings(1, 1));
     launch_all(&mut machine, at(0));
-    assert_eq!(
-        machine.next_step(at(10)),
-        GatherStep::Launch(ShardIndex(0), LaunchReason::Hedge)
-    );
+    assert_eq!(machine.next_step(at(10)), GatherStep::Launch(ShardIndex(0), LaunchReason::Hedge));
     machine.postpone_hedge(at(10), ShardIndex(0));
     assert_eq!(machine.next_step(at(10)), GatherStep::Wait(at(20)));
     assert_eq!(launch_all(&mut machine, at(20)), [(ShardIndex(0), LaunchReason::Hedge)]);
@@ -130,8 +127,7 @@
 
 #[test]
 fn a_request_that_runs_at_most_once_is_never_hedged_or_retried_after_it_ran() {
-    let mut machine =
-        GatherMachine::new(GatherSettings { max_attempts: 1, ..settings(1, 1) });
+    let mut machine = GatherMachine::new(GatherSettings { max_attempts: 1, ..settings(1, 1) });
     launch_all(&mut machine, at(0));
     assert_eq!(machine.next_step(at(700)), GatherStep::Wait(at(800)));
     machine.note_failed(ShardIndex(0), true);
@@ -140,8 +136,7 @@
 
 #[test]
 fn a_request_that_certainly_did_not_run_is_sent_elsewhere() {
-    let mut machine =
-        GatherMachine::new(GatherSettings { max_attempts: 1, ..settings(1, 1) });
+    let mut machine = GatherMachine::new(GatherSettings { max_attempts: 1, ..settings(1, 1) });
     launch_all(&mut machine, at(0));
     machine.note_failed(ShardIndex(0), false);
     assert_eq!(launch_all(&mut machine, at(1)), [(ShardIndex(0), LaunchReason::Retry)]);
--- a/hickoryspan_ctl/tests/sheet_day.rs
+++ b/hickoryspan_ctl/tests/sheet_day.rs
@@ -39,8 +39,8 @@
             limits: HttpLimits::default(),
             logs: LogSettings::default(),
             members: None,
-        raft: Default::default(),
-        seed: Some(seed),
+            raft: Default::default(),
+            seed: Some(seed),
         });
         Self { folder, daemon: daemon.await.unwrap() }
     }
--- a/hickoryspan_gateway/src/attempt.rs
+++ b/hickoryspan_gateway/src/attempt.rs
@@ -163,10 +163,7 @@
     let headers = request.headers_mut();
     *headers = job.headers.clone();
     headers.insert(names.deadline.clone(), left);
-    headers.insert(
-        names.expected_target.clone(),
-        HeaderValue::from_str(target.target.as_str())?,
-    );
+    headers.insert(names.expected_target.clone(), HeaderValue::from_str(target.target.as_str())?);
     Ok(request)
 }
 
@@ -231,9 +228,9 @@
 /// How long the target keeps the connection; nothing if it closes it.
 fn kept_time(headers: &HeaderMap, default: Duration) -> Option<Duration> {
     let close = headers.get_all(CONNECTION).iter().any(|value| {
-        value.to_str().is_ok_and(|text| {
-            text.split(',').any(|word| word.trim().eq_ignore_ascii_case("close"))
-        })
+        value
+            .to_str()
+            .is_ok_and(|text| text.split(',').any(|word| word.trim().eq_ignore_ascii_case("close")))
     });
     if close {
         return None;
--- a/hickoryspan_gateway/src/caller_server.rs
+++ b/hickoryspan_gateway/src/caller_server.rs
@@ -52,7 +52,11 @@
         while connections.try_join_next().is_some() {}
         match accepted {
             Ok(stream) => {
-                connections.spawn(serve_connection(stream, Arc::clone(&state), steps.leave.clone()));
+                connections.spawn(serve_connection(
+                    stream,
+                    Arc::clone(&state),
+                    steps.leave.clone(),
+                ));
             }
             Err(error) => {
                 spdlog::warn!("caller port: accept: {}", error);
--- a/hickoryspan_gateway/src/directory_hub.rs
+++ b/hickoryspan_gateway/src/directory_hub.rs
@@ -179,7 +179,10 @@
         SocketAddr::new(record.peer_address.ip(), self.directory_address.port())
     }
 
-    pub(crate) fn open_link(self: &Arc<Self>, queue: mpsc::Sender<DirectoryUpdate>) -> HubLinkGuard {
+    pub(crate) fn open_link(
+        self: &Arc<Self>,
+        queue: mpsc::Sender<DirectoryUpdate>,
+    ) -> HubLinkGuard {
         let now = self.now();
         let mut state = self.lock();
         let targets: Vec<TargetAnnouncement> =
--- a/hickoryspan_gateway/src/forward.rs
+++ b/hickoryspan_gateway/src/forward.rs
@@ -8,6 +8,7 @@
     CallerLimits, RepeatRule, RouteDestination, RouteRule, ShardSpread,
 };
 use hickoryspan_core::gateway::gather::{GatherMachine, GatherSettings, merge_records};
+use hickoryspan_core::gateway::overload::{ShardQueues, refused_part};
 use hickoryspan_core::gateway::routes::RouteTable;
 use hickoryspan_core::types::{MonotonicTime, RequestFingerprint, ServiceId};
 use hickoryspan_runtime::http_client::HttpAnswer;
@@ -53,6 +54,7 @@
     BodyIncomplete,
     Poisoned,
     NoTarget,
+    Overloaded,
     MayHaveRun,
     TimedOut,
 }
@@ -68,6 +70,7 @@
             Self::BodyIncomplete => "body_incomplete",
             Self::Poisoned => "poisoned",
             Self::NoTarget => "no_target",
+            Self::Overloaded => "overloaded",
             Self::MayHaveRun => "may_have_run",
             Self::TimedOut => "timed_out",
         }
@@ -75,7 +78,7 @@
 
     fn status(self) -> StatusCode {
         match self {
-            Self::NoConfiguration | Self::NoTarget | Self::Poisoned => {
+            Self::NoConfiguration | Self::NoTarget | Self::Overloaded | Self::Poisoned => {
                 StatusCode::SERVICE_UNAVAILABLE
             }
             Self::NoHost | Self::BodyIncomplete => StatusCode::BAD_REQUEST,
@@ -220,7 +223,9 @@
     };
     let services = match choose_services(&state, &job) {
         Some(services) => services,
-        None => return refuse(job.request_text(), RefusalReason::NoTarget, retry_time(&state, &job)),
+        None => {
+            return refuse(job.request_text(), RefusalReason::NoTarget, retry_time(&state, &job));
+        }
     };
     if let Some(spread) = &spread
         && !can_reach(&state, spread)
@@ -228,6 +233,9 @@
         return refuse(job.request_text(), RefusalReason::NoTarget, retry_time(&state, &job));
     }
     let settings = gather_settings(&state, &job, spread.as_ref());
+    if is_overloaded(&state, &job, &services, &settings) {
+        return refuse(job.request_text(), RefusalReason::Overloaded, retry_time(&state, &job));
+    }
     let rule = if spread.is_some() { AnswerRule::SuccessOnly } else { AnswerRule::Any };
     let machine = GatherMachine::new(settings);
     let run = run_gather(Arc::clone(&state), Arc::clone(&job), services, machine, rule);
@@ -259,6 +267,21 @@
     spread.shards.iter().filter(reachable).count() >= spread.min_parts()
 }
 
+/// Whether this request is among those that are refused because of the targets' queues.
+fn is_overloaded(
+    state: &GatewayState,
+    job: &GatewayJob,
+    services: &[ServiceId],
+    settings: &GatherSettings,
+) -> bool {
+    let now = state.now();
+    let mut decisions = state.decisions();
+    let queue = |service| decisions.selector.shortest_queue(now, service);
+    let queues = ShardQueues::new(services.iter().filter_map(queue));
+    let part = refused_part(queues.deciding_queue(settings.min_parts), job.route.priority);
+    part > 0.0 && decisions.draw() < part
+}
+
 fn gather_settings(
     state: &GatewayState,
     job: &GatewayJob,
@@ -323,10 +346,8 @@
     let missing = answers.iter().filter(|answer| answer.is_none()).count();
     let parts: Vec<HttpAnswer> = answers.into_iter().flatten().collect();
     let records = merge_records(parts.iter().map(|part| &*part.body), spread.result_limit);
-    let stamps: Vec<&str> = parts
-        .iter()
-        .filter_map(|part| part.headers.get(&names.stamp)?.to_str().ok())
-        .collect();
+    let stamps: Vec<&str> =
+        parts.iter().filter_map(|part| part.headers.get(&names.stamp)?.to_str().ok()).collect();
     let mut response = Response::new(Full::new(Bytes::from(records)));
     let headers = response.headers_mut();
     headers.insert(CONTENT_TYPE, HeaderValue::from_static(RECORDS_TYPE));
--- a/hickoryspan_gateway/src/gateway_state.rs
+++ b/hickoryspan_gateway/src/gateway_state.rs
@@ -93,6 +93,11 @@
         RouteLatency { median: quantiles.median, hedge: quantiles.hedge }
     }
 
+    /// A random number from 0 to 1.
+    pub(crate) fn draw(&mut self) -> f64 {
+        self.generator.random()
+    }
+
     pub(crate) fn split(
         &mut self,
         route: &RouteRule,
--- a/hickoryspan_gateway/src/run.rs
+++ b/hickoryspan_gateway/src/run.rs
@@ -94,7 +94,18 @@
         last_failure: None,
     };
     let pending = FuturesUnordered::new();
-    let run = GatherRun { state, job, services, rule, machine, shards, pending, outcome, answered: 0, lost: 0 };
+    let run = GatherRun {
+        state,
+        job,
+        services,
+        rule,
+        machine,
+        shards,
+        pending,
+        outcome,
+        answered: 0,
+        lost: 0,
+    };
     run.finish().await
 }
 
@@ -157,8 +168,7 @@
         }
         let chosen = decisions.selector.choose(now, &service, &tries.tried);
         let again = chosen.is_none() && reason == LaunchReason::Retry && !tries.unreached;
-        let chosen =
-            if again { decisions.selector.choose(now, &service, &[]) } else { chosen };
+        let chosen = if again { decisions.selector.choose(now, &service, &[]) } else { chosen };
         let Some(chosen) = chosen else {
             return self.machine.note_unsent(shard, true);
         };
