--- a/hickoryspan_gateway/src/forward.rs
+++ b/hickoryspan_gateway/src/forward.rs
@@ -5,9 +5,10 @@
 
 use bytes::Bytes;
 use hickoryspan_core::gateway::document::{
-    CallerLimits, RepeatRule, RouteDestination, RouteRule, ShardSpread,
+    CallerLimits, DocumentVersion, RepeatRule, RouteDestination, RouteRule, ShardSpread,
 };
 use hickoryspan_core::gateway::gather::{GatherMachine, GatherSettings, merge_records};
+use hickoryspan_core::gateway::line_budget::LineKind;
 use hickoryspan_core::gateway::overload::{ShardQueues, refused_part};
 use hickoryspan_core::gateway::routes::RouteTable;
 use hickoryspan_core::types::{MonotonicTime, RequestFingerprint, ServiceId};
@@ -91,11 +92,18 @@
     }
 }
 
-fn refuse(request: &str, reason: RefusalReason, retry_after: Duration) -> GatewayResponse {
-    spdlog::info!(
-        "request refused",
-        kv: { request: = request, reason: = reason.as_str(), status: = reason.status().as_u16() }
-    );
+fn refuse(
+    state: &GatewayState,
+    request: &str,
+    reason: RefusalReason,
+    retry_after: Duration,
+) -> GatewayResponse {
+    if state.admits_line(LineKind::Important) {
+        spdlog::info!(
+            "request refused",
+            kv: { request: = request, reason: = reason.as_str(), status: = reason.status().as_u16() }
+        );
+    }
     metrics::counter!("hickoryspan_gateway_refusals_total", "reason" => reason.as_str())
         .increment(1);
     let mut response = Response::new(Full::new(Bytes::from_static(reason.as_str().as_bytes())));
@@ -122,23 +130,23 @@
     let text = id.as_ref().and_then(|value| value.to_str().ok()).unwrap_or("-").to_owned();
     let no_wait = Duration::from_millis(MIN_RETRY_MILLIS);
     let Some(routes) = state.decisions().routes.clone() else {
-        return refuse(&text, RefusalReason::NoConfiguration, Duration::from_millis(300));
+        return refuse(&state, &text, RefusalReason::NoConfiguration, Duration::from_millis(300));
     };
     let Some(host) = host_of(&parts) else {
-        return refuse(&text, RefusalReason::NoHost, no_wait);
+        return refuse(&state, &text, RefusalReason::NoHost, no_wait);
     };
     let Some(route) = routes.find(&host, parts.uri.path()).cloned() else {
-        return refuse(&text, RefusalReason::NoRoute, no_wait);
+        return refuse(&state, &text, RefusalReason::NoRoute, no_wait);
     };
     let limits = routes.document().limits;
     let body = match read_body(&parts, body, &limits, route.timeout).await {
         Ok(body) => body,
-        Err(reason) => return refuse(&text, reason, no_wait),
+        Err(reason) => return refuse(&state, &text, reason, no_wait),
     };
     let mut job = to_job(&state, parts, body, route, id, received_at);
     job.position = position;
     if state.decisions().poison.is_condemned(received_at, &job.fingerprint) {
-        return refuse(&text, RefusalReason::Poisoned, Duration::from_secs(1));
+        return refuse(&state, &text, RefusalReason::Poisoned, Duration::from_secs(1));
     }
     run_job(state, routes, Arc::new(job)).await
 }
@@ -214,7 +222,7 @@
 
 async fn run_job(
     state: Arc<GatewayState>,
-    _routes: Arc<RouteTable>,
+    routes: Arc<RouteTable>,
     job: Arc<GatewayJob>,
 ) -> GatewayResponse {
     let spread = match &job.route.destination {
@@ -224,23 +232,38 @@
     let services = match choose_services(&state, &job) {
         Some(services) => services,
         None => {
-            return refuse(job.request_text(), RefusalReason::NoTarget, retry_time(&state, &job));
+            return refuse(
+                &state,
+                job.request_text(),
+                RefusalReason::NoTarget,
+                retry_time(&state, &job),
+            );
         }
     };
     if let Some(spread) = &spread
         && !can_reach(&state, spread)
     {
-        return refuse(job.request_text(), RefusalReason::NoTarget, retry_time(&state, &job));
+        return refuse(
+            &state,
+            job.request_text(),
+            RefusalReason::NoTarget,
+            retry_time(&state, &job),
+        );
     }
     let settings = gather_settings(&state, &job, spread.as_ref());
     if is_overloaded(&state, &job, &services, &settings) {
-        return refuse(job.request_text(), RefusalReason::Overloaded, retry_time(&state, &job));
+        return refuse(
+            &state,
+            job.request_text(),
+            RefusalReason::Overloaded,
+            retry_time(&state, &job),
+        );
     }
     let rule = if spread.is_some() { AnswerRule::SuccessOnly } else { AnswerRule::Any };
     let machine = GatherMachine::new(settings);
     let run = run_gather(Arc::clone(&state), Arc::clone(&job), services, machine, rule);
     let outcome = run.await;
-    record_outcome(&state, &job, &outcome);
+    record_outcome(&state, routes.document().version, &job, &outcome);
     match outcome.end {
         RunEnd::Answered => match spread {
             Some(spread) => merge_answers(&state, &spread, outcome.answers),
@@ -311,16 +334,26 @@
     }
 }
 
-fn record_outcome(state: &GatewayState, job: &GatewayJob, outcome: &RunOutcome) {
+fn record_outcome(
+    state: &GatewayState,
+    version: DocumentVersion,
+    job: &GatewayJob,
+    outcome: &RunOutcome,
+) {
     let elapsed = state.now().since(job.received_at);
     let missing = outcome.answers.iter().filter(|answer| answer.is_none()).count();
     metrics::histogram!("hickoryspan_gateway_request_seconds", "route" => job.route.name.to_string())
         .record(elapsed.as_secs_f64());
     let latency = state.decisions().route_latency(&job.route);
     let complete = missing == 0 && outcome.end == RunEnd::Answered;
-    if complete && elapsed <= job.route.objective {
+    let kind = match outcome.end {
+        RunEnd::Answered => LineKind::Ordinary,
+        RunEnd::Failed | RunEnd::TimedOut => LineKind::Important,
+    };
+    if (complete && elapsed <= job.route.objective) || !state.admits_line(kind) {
         return;
     }
+    let entries = state.decisions().entries;
     spdlog::info!(
         "request outcome",
         kv: {
@@ -328,6 +361,8 @@
             route: = job.route.name,
             end: ? = outcome.end,
             missing: = missing,
+            entries: = entries,
+            version: = version,
             attempts: = outcome.attempts,
             hedges: = outcome.hedges,
             hedge_after_ms: = latency.hedge.as_millis(),
@@ -391,7 +426,7 @@
         (RunEnd::TimedOut, true) => RefusalReason::TimedOut,
         (_, true) => RefusalReason::MayHaveRun,
     };
-    refuse(job.request_text(), reason, retry_time(state, job))
+    refuse(state, job.request_text(), reason, retry_time(state, job))
 }
 
 /// When a refused caller should come back: within its objective if there is time, and spread over a while.
--- a/hickoryspan_gateway/src/gateway_state.rs
+++ b/hickoryspan_gateway/src/gateway_state.rs
@@ -8,6 +8,7 @@
 use hickoryspan_core::gateway::budget::ExtraBudget;
 use hickoryspan_core::gateway::directory::TargetDirectory;
 use hickoryspan_core::gateway::document::{ConfigurationDocument, RouteRule, WeightedService};
+use hickoryspan_core::gateway::line_budget::{LineBudget, LineKind};
 use hickoryspan_core::gateway::poison::PoisonTable;
 use hickoryspan_core::gateway::routes::{RouteTable, SplitCounter};
 use hickoryspan_core::gateway::selection::TargetSelector;
@@ -116,6 +117,7 @@
     pub(crate) clock: SystemClock,
     pub(crate) pool: TargetPool,
     decisions: Mutex<SharedDecisions>,
+    lines: Mutex<LineBudget>,
 }
 
 impl GatewayState {
@@ -142,6 +144,7 @@
             clock: SystemClock::start(),
             pool: TargetPool::default(),
             decisions: Mutex::new(decisions),
+            lines: Mutex::default(),
         }
     }
 
@@ -153,6 +156,17 @@
         self.decisions.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Whether a log line about a request is written; reports the number of those that were not.
+    pub(crate) fn admits_line(&self, kind: LineKind) -> bool {
+        let mut lines = self.lines.lock().unwrap_or_else(PoisonError::into_inner);
+        let verdict = lines.admit(self.now(), kind);
+        drop(lines);
+        if verdict.left_out > 0 {
+            spdlog::warn!("lines left out", kv: { count: = verdict.left_out });
+        }
+        verdict.write
+    }
+
     /// The connections that this entry may open to one target of a service.
     pub(crate) fn connection_share(&self, service: &ServiceId) -> usize {
         let decisions = self.decisions();
--- a/hickoryspan_gateway/src/run.rs
+++ b/hickoryspan_gateway/src/run.rs
@@ -6,8 +6,10 @@
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
 use hickoryspan_core::gateway::gather::{GatherMachine, GatherStep, LaunchReason, ShardIndex};
+use hickoryspan_core::gateway::line_budget::LineKind;
 use hickoryspan_core::gateway::outcomes::AttemptFailure;
 use hickoryspan_core::gateway::poison::RunLosses;
+use hickoryspan_core::gateway::selection::ChosenTarget;
 use hickoryspan_core::types::{ServiceId, TargetId};
 use hickoryspan_runtime::http_client::HttpAnswer;
 
@@ -207,19 +209,29 @@
                 self.note_failure(shard, AttemptFailure::Failed, Some(answer));
             }
             AttemptResult::Failure(failure, answer) => {
-                spdlog::debug!(
-                    "attempt failed",
-                    kv: {
-                        request: = self.job.request_text(),
-                        target: = target.target,
-                        failure: = failure.as_str()
-                    }
-                );
+                self.log_failure(&target, failure);
                 self.note_failure(shard, failure, answer);
             }
         }
     }
 
+    fn log_failure(&self, target: &ChosenTarget, failure: AttemptFailure) {
+        if !self.state.admits_line(LineKind::Important) {
+            return;
+        }
+        spdlog::info!(
+            "attempt failed",
+            kv: {
+                request: = self.job.request_text(),
+                route: = self.job.route.name,
+                target: = target.target,
+                address: = target.address,
+                failure: = failure.as_str(),
+                after_ms: = self.state.now().since(self.job.received_at).as_millis()
+            }
+        );
+    }
+
     fn note_failure(
         &mut self,
         shard: ShardIndex,
--- a/hickoryspan_runtime/src/logs.rs
+++ b/hickoryspan_runtime/src/logs.rs
@@ -1,14 +1,18 @@
 //! Structured logs on standard error, as text or JSON lines.
 
 use std::fmt;
+use std::num::NonZeroUsize;
 use std::str::FromStr;
 use std::sync::Arc;
 
 use anyhow::Context;
 use hickoryspan_core::types::ParseValueError;
 use spdlog::formatter::{Formatter, FullFormatter, JsonFormatter};
-use spdlog::sink::{StdStream, StdStreamSink};
-use spdlog::{LevelFilter, Logger};
+use spdlog::sink::{AsyncPoolSink, OverflowPolicy, StdStream, StdStreamSink};
+use spdlog::{LevelFilter, Logger, ThreadPool};
+
+/// Log lines that may wait for standard output.
+const MAX_WAITING_LINES: NonZeroUsize = NonZeroUsize::new(4096).expect("not zero");
 
 /// The form of log lines.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -114,9 +118,28 @@
     install_sink(sink, level)
 }
 
-/// Sets the process's default logger to one that writes JSON lines to standard output.
+/// Sets the process's default logger to one that writes JSON lines to standard output from a thread of its own. Lines
+/// that find the queue full are dropped, so that a reader that stops never blocks the process.
 pub fn install_stdout_logs(level: LogLevel) -> anyhow::Result<()> {
-    install_sink(build_sink(StdStream::Stdout, JsonFormatter::new())?, level)
+    let pool = ThreadPool::builder()
+        .capacity(MAX_WAITING_LINES)
+        .build_arc()
+        .context("install logs: start the thread")?;
+    let sink = AsyncPoolSink::builder()
+        .sink(Arc::new(build_sink(StdStream::Stdout, JsonFormatter::new())?))
+        .overflow_policy(OverflowPolicy::DropIncoming)
+        .thread_pool(pool)
+        .build()
+        .context("install logs: build the queue")?;
+    let logger = Logger::builder()
+        .sink(Arc::new(sink))
+        .level_filter(level.to_filter())
+        // The stream itself writes whole lines.
+        .flush_level_filter(LevelFilter::MoreSevereEqual(spdlog::Level::Critical))
+        .build()
+        .context("install logs: build the logger")?;
+    spdlog::set_default_logger(Arc::new(logger));
+    Ok(())
 }
 
 fn install_sink(sink: StdStreamSink, level: LogLevel) -> anyhow::Result<()> {
