--- a/hickoryspan_gateway/src/forward.rs
+++ b/hickoryspan_gateway/src/forward.rs
@@ -301,8 +301,22 @@
     let mut decisions = state.decisions();
     let queue = |service| decisions.selector.shortest_queue(now, service);
     let queues = ShardQueues::new(services.iter().filter_map(queue));
-    let part = refused_part(queues.deciding_queue(settings.min_parts), job.route.priority);
-    part > 0.0 && decisions.draw() < part
+    let queue = queues.deciding_queue(settings.min_parts);
+    let part = refused_part(queue, job.route.priority);
+    let refused = part > 0.0 && decisions.draw() < part;
+    drop(decisions);
+    if refused && state.admits_line(LineKind::Important) {
+        spdlog::info!(
+            "queues are long",
+            kv: {
+                request: = job.request_text(),
+                route: = job.route.name,
+                waiting_per_slot: = queue,
+                refused_part: = part
+            }
+        );
+    }
+    refused
 }
 
 fn gather_settings(
