Stand again soon after a split first vote

Change: until a leader is heard, elections come after 80 to 240 ms each. Conclusion: kept for the shorter bound.

--- a/hickoryspan_core/src/control/raft/mod.rs
+++ b/hickoryspan_core/src/control/raft/mod.rs
@@ -168,8 +168,8 @@
     pub election_min: Duration,
     /// Longest time without a leader before an election.
     pub election_max: Duration,
-    /// The time after a start in which a replica that hears no leader stands for the first time; pre-votes keep a
-    /// replica that starts alone from disturbing a leader.
+    /// The time before an election while a replica has heard no leader since its start; pre-votes keep a replica that
+    /// starts alone from disturbing a leader.
     pub first_election: Option<ElectionRange>,
     /// How long one pledge holds; see `docs/design/replication.md`.
     pub pledge: Duration,
--- a/hickoryspan_core/src/control/raft/node.rs
+++ b/hickoryspan_core/src/control/raft/node.rs
@@ -315,14 +315,14 @@
             self.pledges_from = now + self.settings.election_min;
         }
         self.reset_election(now);
-        if let Some(range) = self.settings.first_election {
-            self.election_at = now + self.draw(range);
-        }
     }
 
     pub(super) fn reset_election(&mut self, now: MonotonicTime) {
         let (min, max) = (self.settings.election_min, self.settings.election_max);
-        self.election_at = now + self.draw(ElectionRange { min, max });
+        let usual = ElectionRange { min, max };
+        // Until the first leader is heard, a split vote is followed by the next one as soon as the first came.
+        let first = self.settings.first_election.filter(|_| self.heard_leader.is_none());
+        self.election_at = now + self.draw(first.unwrap_or(usual));
     }
 
     fn draw(&mut self, range: ElectionRange) -> Duration {
