Read callers' bodies with the reader that the other servers use

Cause: a read of the whole change. The gateway read bodies with a copy of the runtime's reader, set a request's place on its connection after the request was made, and copied the control host's view to list its addresses. Conclusion: one reader instead of two.

--- a/hickoryspan_gateway/src/directory_hub.rs
+++ b/hickoryspan_gateway/src/directory_hub.rs
@@ -233,7 +233,8 @@
     }
 
     fn to_hosts(&self, state: &HubState, now: MonotonicTime) -> DirectoryUpdate {
-        let view = self.control.views().borrow().clone();
+        let views = self.control.views();
+        let view = views.borrow();
         let controls = view.replicas.iter().map(|record| self.directory_of(record));
         let controls = controls.chain([self.directory_address]).collect();
         let entries = state.entries(now, &self.settings).len();
--- a/hickoryspan_gateway/src/forward.rs
+++ b/hickoryspan_gateway/src/forward.rs
@@ -13,10 +13,11 @@
 use hickoryspan_core::gateway::routes::RouteTable;
 use hickoryspan_core::types::{MonotonicTime, RequestFingerprint, ServiceId};
 use hickoryspan_runtime::http_client::HttpAnswer;
+use hickoryspan_runtime::http_server::{self, BodyError, HttpLimits};
 use http::header::{CONTENT_LENGTH, CONTENT_TYPE, HOST, RETRY_AFTER};
 use http::request::Parts;
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 
 use crate::attempt::{GatewayJob, is_promise};
@@ -143,8 +144,7 @@
         Ok(body) => body,
         Err(reason) => return refuse(&state, &text, reason, no_wait),
     };
-    let mut job = to_job(&state, parts, body, route, id, received_at);
-    job.position = position;
+    let job = to_job(&state, parts, body, route, id, position, received_at);
     if state.decisions().poison.is_condemned(received_at, &job.fingerprint) {
         return refuse(&state, &text, RefusalReason::Poisoned, Duration::from_secs(1));
     }
@@ -169,13 +169,13 @@
     if stated.is_some_and(|length| length > limits.body_bytes) {
         return Err(RefusalReason::BodyTooLarge);
     }
-    let read = Limited::new(body, limits.body_bytes).collect();
-    match tokio::time::timeout(time, read).await {
-        Err(_) => Err(RefusalReason::BodyTooSlow),
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(RefusalReason::BodyTooLarge),
-        Ok(Err(_)) => Err(RefusalReason::BodyIncomplete),
-    }
+    let limits =
+        HttpLimits { body_bytes: limits.body_bytes, read_time: time, ..HttpLimits::default() };
+    http_server::read_body(body, &limits).await.map_err(|error| match error {
+        BodyError::TooLarge(_) => RefusalReason::BodyTooLarge,
+        BodyError::TooSlow(_) => RefusalReason::BodyTooSlow,
+        BodyError::Incomplete => RefusalReason::BodyIncomplete,
+    })
 }
 
 fn to_job(
@@ -184,6 +184,7 @@
     body: Bytes,
     route: RouteRule,
     request: Option<HeaderValue>,
+    position: ConnectionPosition,
     received_at: MonotonicTime,
 ) -> GatewayJob {
     let names = &state.settings.headers;
@@ -206,7 +207,7 @@
         body,
         request,
         fingerprint,
-        position: ConnectionPosition::First,
+        position,
         received_at,
     }
 }
