Send entries the changes of a document from one host, and no renewals

The queues delayed the following versions by more than the bound: control hosts had version 33 up to 2.2 s after the leader, and an entry answered by version 37 more than 4 s after 39 was acknowledged. Change: a control host names the version in force; the entry asks one of them for the difference to the version that it has, and another one after 500 ms. Renewals of targets go to control hosts only, which count the leases; an entry keeps a target while one linked host vouches for it and asks one host for the announcements that it does not have. Ruled out: the log replication, whose leader had each version in force at once.

--- a/hickoryspan_core/src/gateway/directory.rs
+++ b/hickoryspan_core/src/gateway/directory.rs
@@ -236,10 +236,12 @@
         self.targets.get(target)
     }
 
-    /// Counts the time of a stall in no target's lease, for a process that was suspended or cut off itself.
-    pub fn absorb_stall(&mut self, stall: Duration) {
-        for known in self.targets.values_mut() {
-            known.heard_at = known.heard_at + stall;
+    /// Counts these targets as heard now: somebody else counts their leases.
+    pub fn keep_alive(&mut self, now: MonotonicTime, is_alive: impl Fn(&TargetId) -> bool) {
+        for (target, known) in &mut self.targets {
+            if is_alive(target) {
+                known.heard_at = now;
+            }
         }
     }
 }
--- a/hickoryspan_core/src/gateway/messages.rs
+++ b/hickoryspan_core/src/gateway/messages.rs
@@ -6,7 +6,8 @@
 use serde::{Deserialize, Serialize};
 
 use super::directory::{AnnouncementAge, TargetAnnouncement, TargetDeparture};
-use super::document::ConfigurationDocument;
+use super::document::DocumentVersion;
+use super::document_change::DocumentChange;
 use crate::control::interface::ReplicaRecord;
 use crate::types::{EntryId, FailureDomain, TargetId};
 
@@ -49,6 +50,13 @@
     Control(ReplicaRecord),
     /// Everything up to this number has been applied.
     Confirm(ConfirmNumber),
+    /// An entry asks for the document in force.
+    FetchDocument {
+        /// The version that it has.
+        held: Option<DocumentVersion>,
+    },
+    /// An entry asks for the last announcements of these targets.
+    FetchTargets(Vec<TargetId>),
 }
 
 /// What a control host sends over a link.
@@ -59,8 +67,11 @@
     Targets(Vec<TargetAnnouncement>),
     /// Targets that left.
     Departures(Vec<TargetDeparture>),
-    /// Targets that announced themselves without a change.
+    /// Targets that announced themselves without a change; only control hosts get these, since each of them counts the
+    /// leases.
     Renewals(Vec<TargetRenewal>),
+    /// Targets that the sender has heard of and that the receiver may know already.
+    Vouched(Vec<TargetRenewal>),
     /// Targets that the sender has not heard for a whole lease, with the newest announcement it knows of each.
     Silent(Vec<TargetRenewal>),
     /// The addresses of all known control hosts, and the number of entries.
@@ -69,9 +80,11 @@
         controls: Vec<SocketAddr>,
         /// The number of entries that are linked to the sender.
         entries: u32,
+        /// The version of the document in force at the sender.
+        document: Option<DocumentVersion>,
     },
-    /// The configuration in force.
-    Document(Arc<ConfigurationDocument>),
+    /// The document in force, as a change of what the receiver has.
+    Document(Arc<DocumentChange>),
     /// Asks for a confirmation once everything before it has been applied.
     Confirm(ConfirmNumber),
 }
--- a/hickoryspan_core/src/gateway/mod.rs
+++ b/hickoryspan_core/src/gateway/mod.rs
@@ -4,6 +4,7 @@
 pub mod budget;
 pub mod directory;
 pub mod document;
+pub mod document_change;
 pub mod gather;
 pub mod line_budget;
 pub mod members;
@@ -13,3 +14,4 @@
 pub mod poison;
 pub mod routes;
 pub mod selection;
+pub mod vouching;
--- a/hickoryspan_gateway/src/directory_hub.rs
+++ b/hickoryspan_gateway/src/directory_hub.rs
@@ -1,6 +1,6 @@
 //! The directory of one control host: what targets announced here and elsewhere, and the links to all who need it.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -11,11 +11,12 @@
 use hickoryspan_core::gateway::directory::{
     DirectoryChange, TargetAnnouncement, TargetDeparture, TargetDirectory, TargetPhase,
 };
-use hickoryspan_core::gateway::document::ConfigurationDocument;
+use hickoryspan_core::gateway::document::{ConfigurationDocument, DocumentVersion};
+use hickoryspan_core::gateway::document_change::DocumentChange;
 use hickoryspan_core::gateway::messages::{
     ConfirmNumber, DirectoryRequest, DirectoryUpdate, EntryHost, TargetRenewal,
 };
-use hickoryspan_core::types::MonotonicTime;
+use hickoryspan_core::types::{MonotonicTime, TargetId};
 use hickoryspan_runtime::clock::SystemClock;
 use tokio::sync::{mpsc, watch};
 
@@ -38,8 +39,21 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct LinkNumber(u64);
 
+/// Documents that are kept so that an entry gets only what changed since the one it has.
+const MAX_DOCUMENTS: usize = 16;
+
+/// Who is at the other end of a link.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum LinkPeer {
+    /// It has not reported itself yet, and gets nothing.
+    Unknown,
+    Entry,
+    Control,
+}
+
 struct HubLink {
     queue: mpsc::Sender<DirectoryUpdate>,
+    peer: LinkPeer,
     entry: Option<EntryHost>,
     heard_at: MonotonicTime,
     confirmed: ConfirmNumber,
@@ -51,16 +65,64 @@
     links: BTreeMap<LinkNumber, HubLink>,
     next_link: u64,
     renewals: Vec<TargetRenewal>,
-    document: Option<Arc<ConfigurationDocument>>,
+    // Targets that other control hosts told of since the last flush.
+    heard_of: Vec<TargetRenewal>,
+    // The newest is the last one.
+    documents: VecDeque<Arc<ConfigurationDocument>>,
+    last_change: Option<Arc<DocumentChange>>,
     confirm: ConfirmNumber,
     // Whether the file with the targets is out of date.
     unsaved: bool,
 }
 
 impl HubState {
-    /// Sends an update over every link; a link whose queue is full ends, and its other end asks again.
+    /// Sends an update to every entry and control host.
     fn broadcast(&mut self, update: &DirectoryUpdate) {
-        self.links.retain(|_, link| link.queue.try_send(update.clone()).is_ok());
+        self.send_where(update, |peer| peer != LinkPeer::Unknown);
+    }
+
+    /// Sends an update over some links; a link whose queue is full ends, and its other end asks again.
+    fn send_where(&mut self, update: &DirectoryUpdate, is_meant: impl Fn(LinkPeer) -> bool) {
+        self.links
+            .retain(|_, link| !is_meant(link.peer) || link.queue.try_send(update.clone()).is_ok());
+    }
+
+    /// Sends an update over one link, which ends if its queue is full.
+    fn send_to(&mut self, number: LinkNumber, update: DirectoryUpdate) {
+        let Some(link) = self.links.get(&number) else { return };
+        if link.queue.try_send(update).is_err() {
+            self.links.remove(&number);
+        }
+    }
+
+    fn version(&self) -> Option<DocumentVersion> {
+        self.documents.back().map(|document| document.version)
+    }
+
+    /// What an entry needs that has the version `held`; all entries of one moment need the same.
+    fn change_since(&mut self, held: Option<DocumentVersion>) -> Option<Arc<DocumentChange>> {
+        let next = Arc::clone(self.documents.back()?);
+        let base = self.documents.iter().find(|document| Some(document.version) == held);
+        let base_version = base.map(|document| document.version);
+        if let Some(change) = &self.last_change
+            && change.version == next.version
+            && change.base == base_version
+        {
+            return Some(Arc::clone(change));
+        }
+        let change = Arc::new(DocumentChange::between(base.map(Arc::as_ref), &next));
+        self.last_change = Some(Arc::clone(&change));
+        Some(change)
+    }
+
+    fn renewals_of_all(&self) -> Vec<TargetRenewal> {
+        let known = self.directory.targets().map(|known| &known.announcement);
+        known.map(to_renewal).collect()
+    }
+
+    fn announcements_of(&self, targets: &[TargetId]) -> Vec<TargetAnnouncement> {
+        let known = targets.iter().filter_map(|target| self.directory.find(target));
+        known.map(|known| known.announcement.clone()).collect()
     }
 
     fn entries(&self, now: MonotonicTime, settings: &DirectorySettings) -> Vec<&EntryHost> {
@@ -75,6 +137,10 @@
     }
 }
 
+fn to_renewal(announcement: &TargetAnnouncement) -> TargetRenewal {
+    TargetRenewal { target: announcement.target.clone(), age: announcement.age }
+}
+
 /// How long a target that was read back from disk is kept without an announcement.
 const RESTORED_LEASE: Duration = Duration::from_millis(2_800);
 
@@ -185,22 +251,15 @@
     ) -> HubLinkGuard {
         let now = self.now();
         let mut state = self.lock();
-        let targets: Vec<TargetAnnouncement> =
-            state.directory.targets().map(|known| known.announcement.clone()).collect();
-        let departures: Vec<TargetDeparture> = state.directory.departures().collect();
-        let mut updates = vec![
-            self.to_hosts(&state, now),
-            DirectoryUpdate::Departures(departures),
-            DirectoryUpdate::Targets(targets),
-        ];
-        updates.extend(state.document.clone().map(DirectoryUpdate::Document));
-        for update in updates {
-            // The queue is new and longer than this list.
-            let _ = queue.try_send(update);
-        }
         let number = LinkNumber(state.next_link);
         state.next_link += 1;
-        let link = HubLink { queue, entry: None, heard_at: now, confirmed: ConfirmNumber(0) };
+        let link = HubLink {
+            queue,
+            peer: LinkPeer::Unknown,
+            entry: None,
+            heard_at: now,
+            confirmed: ConfirmNumber(0),
+        };
         state.links.insert(number, link);
         HubLinkGuard { hub: Arc::clone(self), number }
     }
@@ -219,8 +278,10 @@
                     );
                 }
                 link.entry = Some(entry);
+                self.greet(&mut state, number, LinkPeer::Entry, now);
             }
             DirectoryRequest::Control(record) => {
+                self.greet(&mut state, number, LinkPeer::Control, now);
                 drop(state);
                 self.hosts.add([self.directory_of(&record)]);
                 self.control.note_replica(record);
@@ -229,6 +290,38 @@
                 link.confirmed = link.confirmed.max(confirmed);
                 self.confirmations.send_modify(|count| *count += 1);
             }
+            DirectoryRequest::FetchDocument { held } => {
+                if let Some(change) = state.change_since(held) {
+                    state.send_to(number, DirectoryUpdate::Document(change));
+                }
+            }
+            DirectoryRequest::FetchTargets(targets) => {
+                let announcements = state.announcements_of(&targets);
+                state.send_to(number, DirectoryUpdate::Targets(announcements));
+            }
+        }
+    }
+
+    /// Sends what is known over a link whose other end has just said who it is. Control hosts get all announcements;
+    /// entries ask one of the hosts for those that they do not have.
+    fn greet(&self, state: &mut HubState, number: LinkNumber, peer: LinkPeer, now: MonotonicTime) {
+        let Some(link) = state.links.get_mut(&number) else { return };
+        if std::mem::replace(&mut link.peer, peer) == peer {
+            return;
+        }
+        let hosts = self.to_hosts(state, now);
+        let departures = state.directory.departures().collect();
+        let targets = match peer {
+            LinkPeer::Control => {
+                let known = state.directory.targets();
+                DirectoryUpdate::Targets(known.map(|known| known.announcement.clone()).collect())
+            }
+            LinkPeer::Entry | LinkPeer::Unknown => {
+                DirectoryUpdate::Vouched(state.renewals_of_all())
+            }
+        };
+        for update in [hosts, DirectoryUpdate::Departures(departures), targets] {
+            state.send_to(number, update);
         }
     }
 
@@ -238,7 +331,11 @@
         let controls = view.replicas.iter().map(|record| self.directory_of(record));
         let controls = controls.chain([self.directory_address]).collect();
         let entries = state.entries(now, &self.settings).len();
-        DirectoryUpdate::Hosts { controls, entries: u32::try_from(entries).unwrap_or(u32::MAX) }
+        DirectoryUpdate::Hosts {
+            controls,
+            entries: u32::try_from(entries).unwrap_or(u32::MAX),
+            document: state.version(),
+        }
     }
 
     /// Whether this host hears a leader; a host that does not must not vouch for anything.
@@ -362,16 +459,19 @@
         }
     }
 
-    /// Puts a document in force at all linked entries.
+    /// Tells all linked entries that a document is in force; they ask for what they do not have.
     pub fn set_document(&self, document: Arc<ConfigurationDocument>) {
         let mut state = self.lock();
-        let current = state.document.as_ref().map(|document| document.version);
-        if current.is_some_and(|current| current >= document.version) {
+        if state.version().is_some_and(|current| current >= document.version) {
             return;
         }
         spdlog::info!("document in force", kv: { version: = document.version });
-        state.document = Some(Arc::clone(&document));
-        state.broadcast(&DirectoryUpdate::Document(document));
+        state.documents.push_back(document);
+        if state.documents.len() > MAX_DOCUMENTS {
+            state.documents.pop_front();
+        }
+        let hosts = self.to_hosts(&state, self.now());
+        state.send_where(&hosts, |peer| peer == LinkPeer::Entry);
     }
 
     /// Passes on renewals and hosts, and forgets what ended; to be called regularly.
@@ -380,7 +480,13 @@
         let mut state = self.lock();
         let renewals = std::mem::take(&mut state.renewals);
         if !renewals.is_empty() {
-            state.broadcast(&DirectoryUpdate::Renewals(renewals));
+            let update = DirectoryUpdate::Renewals(renewals);
+            state.send_where(&update, |peer| peer == LinkPeer::Control);
+        }
+        let heard_of = std::mem::take(&mut state.heard_of);
+        if !heard_of.is_empty() {
+            let update = DirectoryUpdate::Vouched(heard_of);
+            state.send_where(&update, |peer| peer == LinkPeer::Entry);
         }
         let hosts = self.to_hosts(&state, now);
         state.broadcast(&hosts);
@@ -392,7 +498,7 @@
             spdlog::info!("target silent", kv: { target: = renewal.target });
         }
         state.unsaved = true;
-        state.broadcast(&DirectoryUpdate::Silent(silent));
+        state.send_where(&DirectoryUpdate::Silent(silent), |peer| peer == LinkPeer::Entry);
     }
 }
 
@@ -401,21 +507,31 @@
         DirectoryRequest::Control(self.record.clone())
     }
 
-    // What another host heard reaches the entries from that host itself.
-    fn apply(&self, _from: SocketAddr, update: DirectoryUpdate) {
+    // What another host heard reaches the entries from that host itself. They are told that this host knows it too, so
+    // that the loss of the other one takes no target out of use.
+    fn apply(&self, _from: SocketAddr, update: DirectoryUpdate) -> Option<DirectoryRequest> {
         let now = self.now();
         match update {
             DirectoryUpdate::Targets(targets) => {
                 let mut state = self.lock();
                 for announcement in targets {
-                    let change = state.directory.announce(now, announcement);
-                    state.unsaved |= change == DirectoryChange::Changed;
+                    let renewal = to_renewal(&announcement);
+                    if state.directory.announce(now, announcement) == DirectoryChange::Changed {
+                        state.unsaved = true;
+                        state.heard_of.push(renewal);
+                    }
                 }
             }
             DirectoryUpdate::Departures(departures) => {
                 let mut state = self.lock();
-                for departure in departures {
-                    state.unsaved |= state.directory.depart(now, &departure);
+                let news: Vec<TargetDeparture> = departures
+                    .into_iter()
+                    .filter(|departure| state.directory.depart(now, departure))
+                    .collect();
+                if !news.is_empty() {
+                    state.unsaved = true;
+                    let update = DirectoryUpdate::Departures(news);
+                    state.send_where(&update, |peer| peer == LinkPeer::Entry);
                 }
             }
             DirectoryUpdate::Renewals(renewals) => {
@@ -429,8 +545,10 @@
             // Every control host counts the silence of targets itself.
             DirectoryUpdate::Document(_)
             | DirectoryUpdate::Confirm(_)
+            | DirectoryUpdate::Vouched(_)
             | DirectoryUpdate::Silent(_) => {}
         }
+        None
     }
 
     fn note_link(&self, _from: SocketAddr, _up: bool) {}
--- a/hickoryspan_gateway/src/directory_links.rs
+++ b/hickoryspan_gateway/src/directory_links.rs
@@ -30,8 +30,8 @@
 pub trait LinkReporter: Send + Sync {
     /// What is reported at once and regularly.
     fn report(&self) -> DirectoryRequest;
-    /// Takes an update of the control host at `from`.
-    fn apply(&self, from: SocketAddr, update: DirectoryUpdate);
+    /// Takes an update of the control host at `from`; what it returns is sent back to that host.
+    fn apply(&self, from: SocketAddr, update: DirectoryUpdate) -> Option<DirectoryRequest>;
     /// A link is up or down.
     fn note_link(&self, from: SocketAddr, up: bool);
 }
@@ -129,14 +129,14 @@
         let (queue, outgoing) = mpsc::channel(QUEUE_MESSAGES);
         let (heard, mut last_heard) = watch::channel(());
         let reporter = Arc::clone(&self.reporter);
-        let (address, confirm) = (self.address, queue.clone());
+        let (address, replies) = (self.address, queue.clone());
         let receive = move |update: DirectoryUpdate| {
             heard.send_replace(());
-            if let DirectoryUpdate::Confirm(number) = update {
-                return confirm.try_send(DirectoryRequest::Confirm(number)).is_ok();
-            }
-            reporter.apply(address, update);
-            true
+            let reply = match update {
+                DirectoryUpdate::Confirm(number) => Some(DirectoryRequest::Confirm(number)),
+                update => reporter.apply(address, update),
+            };
+            reply.is_none_or(|reply| replies.try_send(reply).is_ok())
         };
         let limit = self.settings.silence_limit;
         let silence = async move {
--- a/hickoryspan_gateway/src/entry_daemon.rs
+++ b/hickoryspan_gateway/src/entry_daemon.rs
@@ -6,8 +6,11 @@
 use std::time::{Duration, Instant};
 
 use anyhow::Context;
-use hickoryspan_core::gateway::directory::TargetPhase;
+use hickoryspan_core::gateway::directory::{DirectoryChange, TargetAnnouncement, TargetPhase};
+use hickoryspan_core::gateway::document::DocumentVersion;
+use hickoryspan_core::gateway::document_change::DocumentChange;
 use hickoryspan_core::gateway::messages::{DirectoryRequest, DirectoryUpdate, EntryHost};
+use hickoryspan_core::types::{MonotonicTime, TargetId};
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::task::JoinSet;
@@ -15,14 +18,12 @@
 
 use crate::caller_server::{StopSteps, serve_callers};
 use crate::directory_links::{DirectoryLinks, LinkReporter};
-use crate::gateway_state::GatewayState;
+use crate::gateway_state::{GatewayState, SharedDecisions};
 use crate::host_list::HostList;
 use crate::settings::GatewaySettings;
 
 /// How often ended targets and idle connections are looked for.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(1_000);
-/// A sweep that comes this much late means that the process stood still, and that targets were not heard meanwhile.
-const STALL_LIMIT: Duration = Duration::from_millis(1_500);
 
 /// Whether callers should be sent here.
 #[derive(Clone)]
@@ -67,21 +68,13 @@
         }
     }
 
-    fn apply_targets(&self, update: DirectoryUpdate) {
+    fn apply_targets(&self, from: SocketAddr, update: DirectoryUpdate) {
         let now = self.state.now();
         let mut decisions = self.state.decisions();
         match update {
             DirectoryUpdate::Targets(targets) => {
                 for announcement in targets {
-                    decisions.directory.announce(now, announcement.clone());
-                    let target = &announcement.target;
-                    let known = decisions.directory.find(target).cloned();
-                    if let Some(known) = known {
-                        decisions.selector.put(now, known.announcement);
-                    }
-                    if announcement.phase != TargetPhase::Ready {
-                        self.state.pool.forget(target);
-                    }
+                    self.apply_announcement(&mut decisions, now, from, announcement);
                 }
             }
             DirectoryUpdate::Departures(departures) => {
@@ -91,18 +84,26 @@
                     }
                 }
             }
-            DirectoryUpdate::Renewals(renewals) => {
-                for renewal in renewals {
-                    decisions.directory.renew(now, &renewal.target, renewal.age);
+            DirectoryUpdate::Vouched(vouched) => {
+                for renewal in vouched {
+                    let known = decisions.directory.find(&renewal.target);
+                    let started = known.map(|known| known.announcement.age.started);
+                    match started.is_some_and(|started| started >= renewal.age.started) {
+                        true => decisions.vouching.vouch(from, &renewal.target),
+                        false => decisions.vouching.vouch_unknown(from, &renewal.target),
+                    }
                 }
                 return;
             }
             DirectoryUpdate::Silent(silent) => {
                 for renewal in silent {
-                    decisions.directory.drop_silent(&renewal);
+                    if decisions.vouching.withdraw(from, &renewal.target) {
+                        decisions.directory.drop_silent(&renewal);
+                    }
                 }
             }
             DirectoryUpdate::Hosts { .. }
+            | DirectoryUpdate::Renewals(_)
             | DirectoryUpdate::Document(_)
             | DirectoryUpdate::Confirm(_) => return,
         }
@@ -110,6 +111,62 @@
         let directory = &decisions.directory;
         decisions.selector.retain(|target| directory.find(target).is_some());
     }
+
+    fn apply_announcement(
+        &self,
+        decisions: &mut SharedDecisions,
+        now: MonotonicTime,
+        from: SocketAddr,
+        announcement: TargetAnnouncement,
+    ) {
+        let target = announcement.target.clone();
+        let change = decisions.directory.announce(now, announcement);
+        let Some(known) = decisions.directory.find(&target) else { return };
+        decisions.vouching.vouch(from, &target);
+        if change == DirectoryChange::Stale {
+            return;
+        }
+        let announcement = known.announcement.clone();
+        if announcement.phase != TargetPhase::Ready {
+            self.state.pool.forget(&target);
+        }
+        decisions.selector.put(now, announcement);
+    }
+
+    /// What to ask a host that has just said what it has.
+    fn next_question(
+        &self,
+        from: SocketAddr,
+        offered: Option<DocumentVersion>,
+    ) -> Option<DirectoryRequest> {
+        let now = self.state.now();
+        let mut decisions = self.state.decisions();
+        let held = decisions.version();
+        if let Some(offered) = offered
+            && decisions.document_fetch.should_ask(now, held, offered, from)
+        {
+            return Some(DirectoryRequest::FetchDocument { held });
+        }
+        let unknown = decisions.vouching.take_questions(now, from);
+        (!unknown.is_empty()).then_some(DirectoryRequest::FetchTargets(unknown))
+    }
+
+    fn apply_document(&self, from: SocketAddr, change: &DocumentChange) {
+        let mut decisions = self.state.decisions();
+        decisions.document_fetch.note_end(from);
+        let installed = decisions.install_change(change);
+        let known = decisions.routes.is_some();
+        drop(decisions);
+        if installed {
+            spdlog::info!(
+                "document in force",
+                kv: { version: = change.version, from: = from, routes: = change.routes.len() }
+            );
+        }
+        if known {
+            self.set_ready(!self.stopping.is_cancelled());
+        }
+    }
 }
 
 impl LinkReporter for EntryReporter {
@@ -123,28 +180,34 @@
         })
     }
 
-    fn apply(&self, from: SocketAddr, update: DirectoryUpdate) {
+    fn apply(&self, from: SocketAddr, update: DirectoryUpdate) -> Option<DirectoryRequest> {
         match update {
-            DirectoryUpdate::Hosts { controls, entries } => {
+            DirectoryUpdate::Hosts { controls, entries, document } => {
                 self.hosts.add(controls);
                 self.count_entries(from, Some(entries));
+                return self.next_question(from, document);
             }
-            DirectoryUpdate::Document(document) => {
-                let version = document.version;
-                if self.state.decisions().install(&document) {
-                    spdlog::info!("document in force", kv: { version: = version, from: = from });
-                }
-                self.set_ready(!self.stopping.is_cancelled());
-            }
+            DirectoryUpdate::Document(change) => self.apply_document(from, &change),
             DirectoryUpdate::Confirm(_) => {}
-            targets => self.apply_targets(targets),
+            targets @ DirectoryUpdate::Vouched(_) => {
+                self.apply_targets(from, targets);
+                return self.next_question(from, None);
+            }
+            targets => self.apply_targets(from, targets),
         }
+        None
     }
 
     fn note_link(&self, from: SocketAddr, up: bool) {
-        if !up {
-            self.count_entries(from, None);
+        let mut decisions = self.state.decisions();
+        if up {
+            decisions.vouching.begin_host(from);
+            return;
         }
+        decisions.vouching.end_host(from);
+        decisions.document_fetch.note_end(from);
+        drop(decisions);
+        self.count_entries(from, None);
     }
 }
 
@@ -217,7 +280,6 @@
 
 async fn sweep(state: Arc<GatewayState>, stop: CancellationToken) {
     let lease = state.settings.directory.target_lease + SWEEP_INTERVAL * 2;
-    let mut swept = state.now();
     loop {
         tokio::select! {
             () = stop.cancelled() => return,
@@ -225,11 +287,11 @@
         }
         let now = state.now();
         let mut decisions = state.decisions();
-        let gap = now.since(swept);
-        swept = now;
-        if gap > STALL_LIMIT {
-            decisions.directory.absorb_stall(gap);
-        }
+        let decisions_now = &mut *decisions;
+        let vouching = &decisions_now.vouching;
+        // Without any link nothing is known, so that an entry that is cut off serves with the targets that it has.
+        let is_alive = |target: &TargetId| !vouching.is_linked() || vouching.is_vouched(target);
+        decisions_now.directory.keep_alive(now, is_alive);
         for silent in decisions.directory.expire(now, lease) {
             spdlog::info!("target silent", kv: { target: = silent.target });
             decisions.selector.remove(&silent.target);
--- a/hickoryspan_gateway/src/gateway_state.rs
+++ b/hickoryspan_gateway/src/gateway_state.rs
@@ -7,11 +7,13 @@
 use hickoryspan_core::entry::latency::{LatencyDistribution, LatencySettings};
 use hickoryspan_core::gateway::budget::ExtraBudget;
 use hickoryspan_core::gateway::directory::TargetDirectory;
-use hickoryspan_core::gateway::document::{ConfigurationDocument, RouteRule, WeightedService};
+use hickoryspan_core::gateway::document::{DocumentVersion, RouteRule, WeightedService};
+use hickoryspan_core::gateway::document_change::{DocumentChange, DocumentFetch};
 use hickoryspan_core::gateway::line_budget::{LineBudget, LineKind};
 use hickoryspan_core::gateway::poison::PoisonTable;
 use hickoryspan_core::gateway::routes::{RouteTable, SplitCounter};
 use hickoryspan_core::gateway::selection::TargetSelector;
+use hickoryspan_core::gateway::vouching::VouchTable;
 use hickoryspan_core::types::{MonotonicTime, ServiceId, TargetId};
 use hickoryspan_runtime::clock::SystemClock;
 use rand::{RngExt, SeedableRng};
@@ -33,7 +35,9 @@
 /// The parts that decisions change, behind one lock that is never held across a wait.
 pub(crate) struct SharedDecisions {
     pub(crate) routes: Option<Arc<RouteTable>>,
+    pub(crate) document_fetch: DocumentFetch,
     pub(crate) directory: TargetDirectory,
+    pub(crate) vouching: VouchTable,
     pub(crate) selector: TargetSelector,
     pub(crate) poison: PoisonTable,
     /// The number of entries that share the budgets and the connections of targets.
@@ -52,13 +56,19 @@
 }
 
 impl SharedDecisions {
-    /// Puts a document in force if it is newer; true if it did.
-    pub(crate) fn install(&mut self, document: &Arc<ConfigurationDocument>) -> bool {
-        let current = self.routes.as_ref().map(|routes| routes.document().version);
-        if current.is_some_and(|current| current >= document.version) {
+    /// The version of the document in force.
+    pub(crate) fn version(&self) -> Option<DocumentVersion> {
+        self.routes.as_ref().map(|routes| routes.document().version)
+    }
+
+    /// Puts the document in force that a change leads to, if it is newer; true if it did.
+    pub(crate) fn install_change(&mut self, change: &DocumentChange) -> bool {
+        if self.version().is_some_and(|current| current >= change.version) {
             return false;
         }
-        self.routes = Some(Arc::new(RouteTable::new(Arc::clone(document))));
+        let held = self.routes.as_ref().map(|routes| &**routes.document());
+        let Some(document) = change.apply(held) else { return false };
+        self.routes = Some(Arc::new(RouteTable::new(Arc::new(document))));
         true
     }
 
@@ -130,7 +140,9 @@
         );
         let decisions = SharedDecisions {
             routes: None,
+            document_fetch: DocumentFetch::default(),
             directory: TargetDirectory::default(),
+            vouching: VouchTable::default(),
             selector,
             poison: PoisonTable::default(),
             entries: 1,
