--- a/hickoryspan_core/src/gateway/budget.rs
+++ b/hickoryspan_core/src/gateway/budget.rs
@@ -73,6 +73,15 @@
 
     /// Takes one extra request from the budget, which `entries` entries share; false if it is used up.
     pub fn try_take(&mut self, now: MonotonicTime, entries: u32) -> bool {
+        let has_room = self.has_room(now, entries);
+        if has_room {
+            self.slot(now).extra += 1;
+        }
+        has_room
+    }
+
+    /// Whether one extra request may be taken.
+    pub fn has_room(&mut self, now: MonotonicTime, entries: u32) -> bool {
         self.slot(now);
         let first: u32 = self.slots.iter().map(|slot| slot.first).sum();
         let extra: u32 = self.slots.iter().map(|slot| slot.extra).sum();
@@ -80,10 +89,6 @@
         let earned = (INITIAL_FIXED_PART + age).min(1.0);
         let fixed = self.settings.fixed * earned / f64::from(entries.max(1));
         let allowed = (self.settings.ratio * f64::from(first) + fixed) * self.settings.safety;
-        if f64::from(extra) + 1.0 > allowed {
-            return false;
-        }
-        self.slot(now).extra += 1;
-        true
+        f64::from(extra) + 1.0 <= allowed
     }
 }
--- a/hickoryspan_core/src/gateway/gather.rs
+++ b/hickoryspan_core/src/gateway/gather.rs
@@ -91,6 +91,22 @@
         progress.hedge_at = (progress.attempts < max_attempts).then(|| now + hedge_after);
     }
 
+    /// Another entry sends to the shard, and hedges there itself.
+    pub fn note_relayed(&mut self, shard: ShardIndex) {
+        let progress = &mut self.shards[shard.0];
+        progress.attempts += 1;
+        progress.open += 1;
+        progress.must_retry = false;
+        progress.hedge_at = None;
+    }
+
+    /// The other entry will not bring this part, and no further attempt may be made.
+    pub fn note_given_up(&mut self, shard: ShardIndex) {
+        let progress = &mut self.shards[shard.0];
+        progress.open = progress.open.saturating_sub(1);
+        progress.exhausted |= progress.open == 0;
+    }
+
     /// No attempt can be sent now; with `for_good`, none will be.
     pub fn note_unsent(&mut self, shard: ShardIndex, for_good: bool) {
         let progress = &mut self.shards[shard.0];
--- a/hickoryspan_core/src/gateway/messages.rs
+++ b/hickoryspan_core/src/gateway/messages.rs
@@ -8,6 +8,7 @@
 use super::directory::{AnnouncementAge, TargetAnnouncement, TargetDeparture};
 use super::document::DocumentVersion;
 use super::document_change::DocumentChange;
+use super::relays::RelayPeer;
 use crate::control::interface::ReplicaRecord;
 use crate::types::{EntryId, FailureDomain, TargetId};
 
@@ -21,6 +22,8 @@
     pub caller_address: SocketAddr,
     /// Its failure domain.
     pub domain: FailureDomain,
+    /// Where it takes parts of wide fan-outs from other entries.
+    pub fanout_address: Option<SocketAddr>,
     /// Whether callers should be sent to it.
     pub open: bool,
 }
@@ -74,6 +77,8 @@
     Vouched(Vec<TargetRenewal>),
     /// Targets that the sender has not heard for a whole lease, with the newest announcement it knows of each.
     Silent(Vec<TargetRenewal>),
+    /// The open entries of the receiver's failure domain that take parts of wide fan-outs.
+    Relays(Vec<RelayPeer>),
     /// The addresses of all known control hosts, and the number of entries.
     Hosts {
         /// Where control hosts take directory links.
--- a/hickoryspan_core/src/gateway/mod.rs
+++ b/hickoryspan_core/src/gateway/mod.rs
@@ -12,6 +12,7 @@
 pub mod outcomes;
 pub mod overload;
 pub mod poison;
+pub mod relays;
 pub mod routes;
 pub mod selection;
 pub mod vouching;
--- a/hickoryspan_core/src/gateway/selection.rs
+++ b/hickoryspan_core/src/gateway/selection.rs
@@ -184,13 +184,27 @@
     generator: ChaCha12Rng,
     targets: HashMap<TargetId, TargetState>,
     by_service: BTreeMap<ServiceId, Vec<TargetId>>,
+    // What other entries saw of services that they send to.
+    queues: HashMap<ServiceId, ReportedQueue>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct ReportedQueue {
+    waiting_per_slot: f64,
+    seen_at: MonotonicTime,
 }
 
 impl TargetSelector {
     /// A selector without targets for an entry in `domain`.
     pub fn new(settings: SelectionSettings, domain: FailureDomain, generator: ChaCha12Rng) -> Self {
-        let (targets, by_service) = (HashMap::new(), BTreeMap::new());
-        Self { settings, domain, generator, targets, by_service }
+        Self {
+            settings,
+            domain,
+            generator,
+            targets: HashMap::new(),
+            by_service: BTreeMap::new(),
+            queues: HashMap::new(),
+        }
     }
 
     /// Adds or changes a target.
@@ -308,7 +322,22 @@
     /// The shortest queue among a service's targets, in waiting requests per slot; nothing without a target.
     pub fn shortest_queue(&self, now: MonotonicTime, service: &ServiceId) -> Option<f64> {
         let usable = self.states(service).filter(|state| state.is_usable());
-        usable.map(|state| state.queue(now, &self.settings)).reduce(f64::min)
+        let own = usable.map(|state| state.queue(now, &self.settings)).reduce(f64::min)?;
+        let reported = self.queues.get(service);
+        let reported =
+            reported.filter(|queue| now.since(queue.seen_at) < self.settings.load_lifetime);
+        Some(reported.map_or(own, |queue| queue.waiting_per_slot.max(own)))
+    }
+
+    /// Takes the shortest queue of a service that another entry saw.
+    pub fn note_queue(&mut self, now: MonotonicTime, service: &ServiceId, queue: Option<f64>) {
+        match queue {
+            Some(waiting_per_slot) => {
+                let queue = ReportedQueue { waiting_per_slot, seen_at: now };
+                self.queues.insert(service.clone(), queue);
+            }
+            None => drop(self.queues.remove(service)),
+        }
     }
 
     /// Learns from the end of an attempt; `usual` is the route's usual latency.
--- /dev/null
+++ b/hickoryspan_core/tests/gateway_relays.rs
@@ -0,0 +1,178 @@
+//! A query over 90 shards at 89 small entries: which entry sends which part, and who takes over when one is silent.
+//! Guards against a fan-out that waits for one entry's processor, and against a third attempt on a shard whose first two
+//! were made by an entry that counted as silent.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use hickoryspan_core::gateway::gather::{
+    GatherMachine, GatherSettings, GatherStep, LaunchReason, ShardIndex,
+};
+use hickoryspan_core::gateway::relays::{
+    RelayPeer, RelaySelector, RelaySettings, RepeatGate, divide_shards,
+};
+use hickoryspan_core::types::{EntryId, MonotonicTime, ServiceId};
+
+const SHARDS: usize = 90;
+const ENTRIES: u8 = 22;
+
+fn at(millis: u64) -> MonotonicTime {
+    MonotonicTime(millis * 1_000)
+}
+
+fn host(number: u8) -> SocketAddr {
+    ([10, 0, 0, number], 7_000).into()
+}
+
+fn entry(number: u8) -> EntryId {
+    EntryId::new(format!("entry-{number}")).expect("an entry name")
+}
+
+fn peers(numbers: impl IntoIterator<Item = u8>) -> Vec<RelayPeer> {
+    let peer = |number| RelayPeer { entry: entry(number), address: host(number) };
+    numbers.into_iter().map(peer).collect()
+}
+
+fn shards(count: usize) -> Vec<ServiceId> {
+    (0..count).map(|n| ServiceId::new(format!("shard-{n:03}")).expect("a service name")).collect()
+}
+
+fn selector(own: u8) -> RelaySelector {
+    let mut selector = RelaySelector::new(RelaySettings::default(), entry(own));
+    selector.set_peers(host(200), peers(0..ENTRIES));
+    selector
+}
+
+#[test]
+fn every_shard_is_in_one_group_of_bounded_size() {
+    let settings = RelaySettings::default();
+    let groups = divide_shards(&settings, &shards(SHARDS));
+    assert!(groups.iter().all(|group| group.shards.len() <= settings.group_shards));
+    let mut all: Vec<ShardIndex> = groups.into_iter().flat_map(|group| group.shards).collect();
+    all.sort_unstable();
+    assert_eq!(all, (0..SHARDS).map(ShardIndex).collect::<Vec<_>>());
+}
+
+#[test]
+fn a_narrow_route_is_not_divided() {
+    assert!(divide_shards(&RelaySettings::default(), &shards(30)).is_empty());
+}
+
+#[test]
+fn the_order_of_the_list_does_not_change_the_groups() {
+    let settings = RelaySettings::default();
+    let forward = shards(SHARDS);
+    let backward: Vec<ServiceId> = forward.iter().rev().cloned().collect();
+    let keys = |list: &[ServiceId]| {
+        divide_shards(&settings, list).into_iter().map(|group| group.key).collect::<Vec<_>>()
+    };
+    assert_eq!(keys(&forward), keys(&backward));
+}
+
+#[test]
+fn all_entries_send_a_group_to_the_same_few() {
+    let groups = divide_shards(&RelaySettings::default(), &shards(SHARDS));
+    let mut used: BTreeMap<ServiceId, Vec<EntryId>> = BTreeMap::new();
+    for own in 0..ENTRIES {
+        let mut selector = selector(own);
+        for group in &groups {
+            for draw in [0.1, 0.9] {
+                let peer = selector.place(at(0), &group.key, draw);
+                let place = peer.map_or(entry(own), |peer| peer.entry);
+                used.entry(group.key.clone()).or_default().push(place);
+            }
+        }
+    }
+    for places in used.values_mut() {
+        places.sort_unstable();
+        places.dedup();
+        assert_eq!(places.len(), RelaySettings::default().choices);
+    }
+}
+
+#[test]
+fn a_silent_entry_is_replaced_by_the_next_one_for_a_while() {
+    let key = shards(1).remove(0);
+    let own = (0..ENTRIES).find(|own| selector(*own).place(at(0), &key, 0.0).is_some());
+    let mut selector = selector(own.expect("an entry that is not the first one"));
+    let first = selector.place(at(0), &key, 0.0).expect("a place");
+    selector.note_silent(at(0), &first.entry);
+    assert_ne!(selector.place(at(1), &key, 0.0), Some(first.clone()));
+    assert_eq!(selector.place(at(301), &key, 0.0), Some(first.clone()));
+    selector.note_silent(at(301), &first.entry);
+    assert_ne!(selector.place(at(800), &key, 0.0), Some(first.clone()));
+    selector.note_answer(&first.entry);
+    assert_eq!(selector.place(at(800), &key, 0.0), Some(first));
+}
+
+#[test]
+fn without_enough_other_entries_all_is_sent_by_the_own_one() {
+    let mut selector = RelaySelector::new(RelaySettings::default(), entry(0));
+    selector.set_peers(host(200), peers(0..4));
+    assert_eq!(selector.place(at(0), &shards(1)[0], 0.0), None);
+}
+
+#[test]
+fn an_entry_counts_while_one_control_host_names_it() {
+    let mut selector = RelaySelector::new(RelaySettings::default(), entry(0));
+    selector.set_peers(host(200), peers(0..ENTRIES));
+    selector.set_peers(host(201), peers(0..2));
+    assert_eq!(selector.count(), usize::from(ENTRIES));
+    selector.end_host(host(200));
+    assert_eq!(selector.count(), 2);
+    selector.end_host(host(201));
+    assert_eq!(selector.count(), 2, "an entry that is cut off keeps what it knows");
+}
+
+#[test]
+fn second_attempts_begin_only_with_a_first_batch_in_time() {
+    let mut gate = RepeatGate::new(at(20));
+    assert!(!gate.is_open());
+    assert!(gate.open(at(20)));
+    assert!(gate.open(at(900)), "once open it stays open");
+    let mut late = RepeatGate::new(at(20));
+    assert!(!late.open(at(21)), "an entry that stood still must not send to second targets");
+}
+
+fn machine() -> GatherMachine {
+    GatherMachine::new(GatherSettings {
+        shards: 3,
+        min_parts: 2,
+        max_attempts: 2,
+        answer_by: at(60),
+        give_up_at: at(800),
+        hedge_after: Duration::from_millis(10),
+    })
+}
+
+#[test]
+fn relayed_shards_are_neither_sent_nor_hedged_here() {
+    let mut machine = machine();
+    (0..3).for_each(|shard| machine.note_relayed(ShardIndex(shard)));
+    assert_eq!(machine.next_step(at(0)), GatherStep::Wait(at(800)));
+    assert_eq!(machine.next_step(at(30)), GatherStep::Wait(at(800)));
+    (0..2).for_each(|shard| assert!(machine.note_part(ShardIndex(shard))));
+    assert_eq!(machine.next_step(at(31)), GatherStep::Wait(at(60)));
+    assert_eq!(machine.next_step(at(60)), GatherStep::Answer);
+}
+
+#[test]
+fn shards_of_a_silent_entry_are_sent_to_once_more() {
+    let mut machine = machine();
+    (0..3).for_each(|shard| machine.note_relayed(ShardIndex(shard)));
+    machine.note_failed(ShardIndex(1), true);
+    let retry = GatherStep::Launch(ShardIndex(1), LaunchReason::Retry);
+    assert_eq!(machine.next_step(at(20)), retry);
+    machine.note_sent(at(20), ShardIndex(1));
+    assert_eq!(machine.next_step(at(40)), GatherStep::Wait(at(800)), "and not a third time");
+}
+
+#[test]
+fn parts_that_another_entry_gave_up_do_not_delay_the_answer() {
+    let mut machine = machine();
+    (0..3).for_each(|shard| machine.note_relayed(ShardIndex(shard)));
+    (0..2).for_each(|shard| assert!(machine.note_part(ShardIndex(shard))));
+    machine.note_given_up(ShardIndex(2));
+    assert_eq!(machine.next_step(at(5)), GatherStep::Answer);
+}
--- a/hickoryspan_gateway/src/attempt.rs
+++ b/hickoryspan_gateway/src/attempt.rs
@@ -21,6 +21,15 @@
 /// Taken off the deadline that a target gets, for the way of its answer.
 const ANSWER_WAY: Duration = Duration::from_millis(2);
 
+/// On whose behalf attempts are made, which decides how many connections they may use.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum AttemptScope {
+    /// This entry has the caller's request.
+    Own,
+    /// Another entry has it, and few entries send to the same targets.
+    Relayed,
+}
+
 /// A caller's request, read whole.
 pub(crate) struct GatewayJob {
     pub(crate) route: RouteRule,
@@ -32,6 +41,7 @@
     pub(crate) request: Option<HeaderValue>,
     pub(crate) fingerprint: RequestFingerprint,
     pub(crate) position: ConnectionPosition,
+    pub(crate) scope: AttemptScope,
     pub(crate) received_at: MonotonicTime,
     pub(crate) give_up_at: MonotonicTime,
 }
@@ -113,7 +123,7 @@
     service: &ServiceId,
     target: &ChosenTarget,
 ) -> AttemptResult {
-    let share = state.connection_share(service);
+    let share = state.connection_share(service, job.scope);
     let mut allow_kept = true;
     loop {
         let acquired = state.pool.acquire(&target.target, target.address, share, allow_kept);
--- a/hickoryspan_gateway/src/directory_hub.rs
+++ b/hickoryspan_gateway/src/directory_hub.rs
@@ -16,7 +16,8 @@
 use hickoryspan_core::gateway::messages::{
     ConfirmNumber, DirectoryRequest, DirectoryUpdate, EntryHost, TargetRenewal,
 };
-use hickoryspan_core::types::{MonotonicTime, TargetId};
+use hickoryspan_core::gateway::relays::RelayPeer;
+use hickoryspan_core::types::{FailureDomain, MonotonicTime, TargetId};
 use hickoryspan_runtime::clock::SystemClock;
 use tokio::sync::{mpsc, watch};
 
@@ -55,6 +56,8 @@
     queue: mpsc::Sender<DirectoryUpdate>,
     peer: LinkPeer,
     entry: Option<EntryHost>,
+    // What the entry was told last about the entries of its failure domain.
+    relays: Vec<RelayPeer>,
     heard_at: MonotonicTime,
     confirmed: ConfirmNumber,
 }
@@ -95,6 +98,26 @@
         }
     }
 
+    /// Tells entries of changes among the entries of their failure domain.
+    fn spread_relays(&mut self, now: MonotonicTime, settings: &DirectorySettings) {
+        let mut by_domain: BTreeMap<FailureDomain, Vec<RelayPeer>> = BTreeMap::new();
+        for host in self.entries(now, settings).into_iter().filter(|host| host.open) {
+            if let Some(address) = host.fanout_address {
+                let peer = RelayPeer { entry: host.entry.clone(), address };
+                by_domain.entry(host.domain.clone()).or_default().push(peer);
+            }
+        }
+        self.links.retain(|_, link| {
+            let Some(entry) = &link.entry else { return true };
+            let relays = by_domain.get(&entry.domain).cloned().unwrap_or_default();
+            if link.relays == relays {
+                return true;
+            }
+            link.relays.clone_from(&relays);
+            link.queue.try_send(DirectoryUpdate::Relays(relays)).is_ok()
+        });
+    }
+
     fn version(&self) -> Option<DocumentVersion> {
         self.documents.back().map(|document| document.version)
     }
@@ -257,6 +280,7 @@
             queue,
             peer: LinkPeer::Unknown,
             entry: None,
+            relays: Vec::new(),
             heard_at: now,
             confirmed: ConfirmNumber(0),
         };
@@ -490,6 +514,7 @@
         }
         let hosts = self.to_hosts(&state, now);
         state.broadcast(&hosts);
+        state.spread_relays(now, &self.settings);
         let silent = state.directory.expire(now, self.settings.target_lease);
         if silent.is_empty() {
             return;
@@ -546,6 +571,7 @@
             DirectoryUpdate::Document(_)
             | DirectoryUpdate::Confirm(_)
             | DirectoryUpdate::Vouched(_)
+            | DirectoryUpdate::Relays(_)
             | DirectoryUpdate::Silent(_) => {}
         }
         None
--- a/hickoryspan_gateway/src/entry_daemon.rs
+++ b/hickoryspan_gateway/src/entry_daemon.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -10,6 +11,7 @@
 use hickoryspan_core::gateway::document::DocumentVersion;
 use hickoryspan_core::gateway::document_change::DocumentChange;
 use hickoryspan_core::gateway::messages::{DirectoryRequest, DirectoryUpdate, EntryHost};
+use hickoryspan_core::gateway::relays::RelayPeer;
 use hickoryspan_core::types::{MonotonicTime, TargetId};
 use tokio::net::TcpListener;
 use tokio::sync::watch;
@@ -18,6 +20,7 @@
 
 use crate::caller_server::{StopSteps, serve_callers};
 use crate::directory_links::{DirectoryLinks, LinkReporter};
+use crate::fanout_server::serve_fanouts;
 use crate::gateway_state::{GatewayState, SharedDecisions};
 use crate::host_list::HostList;
 use crate::settings::GatewaySettings;
@@ -104,6 +107,7 @@
             }
             DirectoryUpdate::Hosts { .. }
             | DirectoryUpdate::Renewals(_)
+            | DirectoryUpdate::Relays(_)
             | DirectoryUpdate::Document(_)
             | DirectoryUpdate::Confirm(_) => return,
         }
@@ -151,6 +155,17 @@
         (!unknown.is_empty()).then_some(DirectoryRequest::FetchTargets(unknown))
     }
 
+    fn apply_relays(&self, from: SocketAddr, peers: Vec<RelayPeer>) {
+        let mut decisions = self.state.decisions();
+        decisions.relays.set_peers(from, peers);
+        let addresses: Vec<SocketAddr> = decisions.relays.addresses().collect();
+        drop(decisions);
+        // A request uses only links that are up, so that all are opened before they are needed.
+        for address in addresses {
+            self.state.fanout.is_up(address);
+        }
+    }
+
     fn apply_document(&self, from: SocketAddr, change: &DocumentChange) {
         let mut decisions = self.state.decisions();
         decisions.document_fetch.note_end(from);
@@ -176,6 +191,7 @@
             entry: settings.entry.clone(),
             caller_address: settings.caller_address,
             domain: settings.domain.clone(),
+            fanout_address: settings.fanout_address,
             open: *self.ready.borrow(),
         })
     }
@@ -189,6 +205,7 @@
             }
             DirectoryUpdate::Document(change) => self.apply_document(from, &change),
             DirectoryUpdate::Confirm(_) => {}
+            DirectoryUpdate::Relays(peers) => self.apply_relays(from, peers),
             targets @ DirectoryUpdate::Vouched(_) => {
                 self.apply_targets(from, targets);
                 return self.next_question(from, None);
@@ -205,12 +222,22 @@
             return;
         }
         decisions.vouching.end_host(from);
+        decisions.relays.end_host(from);
         decisions.document_fetch.note_end(from);
         drop(decisions);
         self.count_entries(from, None);
     }
 }
 
+/// How far an entry takes part in the fan-outs of others.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct FanoutCounts {
+    /// Links to other entries that are up.
+    pub links_up: usize,
+    /// Tasks of other entries since the start.
+    pub tasks_served: u64,
+}
+
 /// A running entry.
 pub struct GatewayEntry {
     state: Arc<GatewayState>,
@@ -227,6 +254,7 @@
         let address = settings.caller_address;
         let listener =
             TcpListener::bind(address).await.with_context(|| format!("bind callers: {address}"))?;
+        let fanouts = bind_fanouts(&settings).await?;
         let directory = settings.directory.clone();
         let state = Arc::new(GatewayState::new(settings, rand::random()));
         let steps = StopSteps::default();
@@ -251,6 +279,9 @@
         let mut tasks = JoinSet::new();
         tasks.spawn(links.run(stop.clone()));
         tasks.spawn(sweep(Arc::clone(&state), stop.clone()));
+        if let Some(listener) = fanouts {
+            tasks.spawn(serve_fanouts(listener, Arc::clone(&state), stop.clone()));
+        }
         Ok(Self { state, reporter, steps, stop, callers, tasks })
     }
 
@@ -259,6 +290,14 @@
         ReadinessView(self.reporter.ready.subscribe())
     }
 
+    /// How far this entry takes part in wide fan-outs.
+    pub fn fanout_counts(&self) -> FanoutCounts {
+        FanoutCounts {
+            links_up: self.state.fanout.count_up(),
+            tasks_served: self.state.tasks_served.load(Ordering::Relaxed),
+        }
+    }
+
     /// A planned stop: callers are sent elsewhere, requests in flight finish.
     pub async fn drain(mut self) {
         let began = Instant::now();
@@ -273,11 +312,18 @@
             self.steps.end.cancel();
         }
         while self.callers.join_next().await.is_some() {}
+        self.state.fanout.shut_down().await;
         self.stop.cancel();
         while self.tasks.join_next().await.is_some() {}
     }
 }
 
+async fn bind_fanouts(settings: &GatewaySettings) -> anyhow::Result<Option<TcpListener>> {
+    let Some(address) = settings.fanout_address else { return Ok(None) };
+    let listener = TcpListener::bind(address).await;
+    listener.map(Some).with_context(|| format!("bind fan-out links: {address}"))
+}
+
 async fn sweep(state: Arc<GatewayState>, stop: CancellationToken) {
     let lease = state.settings.directory.target_lease + SWEEP_INTERVAL * 2;
     loop {
--- /dev/null
+++ b/hickoryspan_gateway/src/fanout_links.rs
@@ -0,0 +1,209 @@
+//! Outgoing fan-out links: opened in the background, used only while they are up.
+//!
+//! A link is replaced when an entry does not answer on it, since a connection may have gone silent for good.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use hickoryspan_runtime::credential::SharedCredential;
+use hickoryspan_runtime::peer_link::PeerLink;
+use tokio::sync::mpsc;
+use tokio::task::JoinSet;
+
+use crate::fanout_messages::{FanoutBatch, FanoutReply, FanoutRequest, FanoutTask, TaskNumber};
+
+/// Path that fan-out links ask for.
+pub(crate) const FANOUT_PATH: &str = "/v1/fan-out";
+/// Messages that may wait on one link; more show that it is stuck.
+const QUEUE_MESSAGES: usize = 256;
+/// Time to open a link.
+const CONNECT_TIME: Duration = Duration::from_millis(600);
+
+/// Index of a group of shards within one request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct GroupIndex(pub(crate) usize);
+
+/// What became of a part of a request that another entry sends.
+pub(crate) enum RelayEvent {
+    Batch(GroupIndex, FanoutBatch),
+    /// The link ended.
+    Lost(GroupIndex),
+}
+
+struct TaskWaiter {
+    group: GroupIndex,
+    events: mpsc::UnboundedSender<RelayEvent>,
+}
+
+type WaiterMap = Arc<Mutex<HashMap<TaskNumber, TaskWaiter>>>;
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+struct OpenLink {
+    // Nothing until the link is up.
+    queue: Option<mpsc::Sender<FanoutRequest>>,
+    waiters: WaiterMap,
+}
+
+#[derive(Default)]
+struct LinkTable {
+    links: HashMap<SocketAddr, OpenLink>,
+    tasks: JoinSet<()>,
+}
+
+/// The links of one entry.
+pub(crate) struct FanoutLinks {
+    credential: SharedCredential,
+    numbers: AtomicU64,
+    table: Arc<Mutex<LinkTable>>,
+}
+
+/// A task at another entry; dropping it cancels the task unless it has ended.
+pub(crate) struct FanoutTicket {
+    number: TaskNumber,
+    queue: mpsc::Sender<FanoutRequest>,
+    waiters: WaiterMap,
+}
+
+impl Drop for FanoutTicket {
+    fn drop(&mut self) {
+        let waits = lock(&self.waiters).remove(&self.number).is_some();
+        // A link whose queue is full is stuck; its end cancels the task too.
+        if waits && self.queue.try_send(FanoutRequest::Cancel(self.number)).is_err() {
+            spdlog::debug!("fan-out link: a cancellation could not be queued");
+        }
+    }
+}
+
+impl FanoutLinks {
+    pub(crate) fn new(credential: SharedCredential) -> Self {
+        Self { credential, numbers: AtomicU64::new(0), table: Arc::default() }
+    }
+
+    /// Whether the link is up; if not, it is opened for later requests.
+    pub(crate) fn is_up(&self, address: SocketAddr) -> bool {
+        let mut table = lock(&self.table);
+        match table.links.get(&address) {
+            Some(link) => link.queue.is_some(),
+            None => {
+                self.open(&mut table, address);
+                false
+            }
+        }
+    }
+
+    fn open(&self, table: &mut LinkTable, address: SocketAddr) {
+        while table.tasks.try_join_next().is_some() {}
+        let waiters = WaiterMap::default();
+        let link = LinkRun {
+            address,
+            credential: self.credential.clone(),
+            waiters: Arc::clone(&waiters),
+            table: Arc::clone(&self.table),
+        };
+        table.tasks.spawn(link.run());
+        table.links.insert(address, OpenLink { queue: None, waiters });
+    }
+
+    /// The number of links that are up.
+    pub(crate) fn count_up(&self) -> usize {
+        lock(&self.table).links.values().filter(|link| link.queue.is_some()).count()
+    }
+
+    /// Sends a task over the link if it is up; the number in it is set here.
+    pub(crate) fn send(
+        &self,
+        address: SocketAddr,
+        mut task: FanoutTask,
+        group: GroupIndex,
+        events: mpsc::UnboundedSender<RelayEvent>,
+    ) -> Option<FanoutTicket> {
+        let table = lock(&self.table);
+        let link = table.links.get(&address)?;
+        let queue = link.queue.clone()?;
+        let waiters = Arc::clone(&link.waiters);
+        drop(table);
+        let number = TaskNumber(self.numbers.fetch_add(1, Ordering::Relaxed));
+        task.number = number;
+        lock(&waiters).insert(number, TaskWaiter { group, events });
+        if queue.try_send(FanoutRequest::Run(Box::new(task))).is_err() {
+            lock(&waiters).remove(&number);
+            return None;
+        }
+        Some(FanoutTicket { number, queue, waiters })
+    }
+
+    /// Takes a link out of use on which an entry did not answer; the next request opens a new one. The old link ends
+    /// once the cancellations in its queue are sent and nobody waits on it.
+    pub(crate) fn retire(&self, address: SocketAddr) {
+        lock(&self.table).links.remove(&address);
+    }
+
+    /// Ends all links.
+    pub(crate) async fn shut_down(&self) {
+        let mut tasks = std::mem::take(&mut lock(&self.table).tasks);
+        tasks.shutdown().await;
+    }
+}
+
+fn fail_waiters(waiters: &WaiterMap) {
+    for (_, waiter) in lock(waiters).drain() {
+        // The request may have ended meanwhile.
+        let _ = waiter.events.send(RelayEvent::Lost(waiter.group));
+    }
+}
+
+struct LinkRun {
+    address: SocketAddr,
+    credential: SharedCredential,
+    waiters: WaiterMap,
+    table: Arc<Mutex<LinkTable>>,
+}
+
+impl LinkRun {
+    async fn run(self) {
+        if let Err(error) = self.serve().await {
+            spdlog::debug!("fan-out link: {}: {:#}", self.address, error);
+        }
+        let mut table = lock(&self.table);
+        let is_own = |link: &OpenLink| Arc::ptr_eq(&link.waiters, &self.waiters);
+        if table.links.get(&self.address).is_some_and(is_own) {
+            table.links.remove(&self.address);
+        }
+        drop(table);
+        fail_waiters(&self.waiters);
+    }
+
+    async fn serve(&self) -> anyhow::Result<()> {
+        let connect = PeerLink::connect(self.address, FANOUT_PATH, [], &self.credential);
+        let link = tokio::time::timeout(CONNECT_TIME, connect).await??;
+        let (queue, outgoing) = mpsc::channel(QUEUE_MESSAGES);
+        if let Some(open) = lock(&self.table).links.get_mut(&self.address) {
+            open.queue = Some(queue);
+        }
+        spdlog::info!("fan-out link up", kv: { peer: = self.address });
+        let ended = link.pump(outgoing, |reply: FanoutReply| self.take_reply(reply)).await;
+        spdlog::info!("fan-out link down", kv: { peer: = self.address });
+        ended
+    }
+
+    fn take_reply(&self, reply: FanoutReply) -> bool {
+        let FanoutReply::Batch(batch) = reply;
+        let mut waiters = lock(&self.waiters);
+        let number = batch.number;
+        let last = batch.last;
+        // A task that was cancelled has no waiter any more.
+        if let Some(waiter) = waiters.get(&number) {
+            let _ = waiter.events.send(RelayEvent::Batch(waiter.group, batch));
+        }
+        if last {
+            waiters.remove(&number);
+        }
+        true
+    }
+}
--- /dev/null
+++ b/hickoryspan_gateway/src/fanout_server.rs
@@ -0,0 +1,322 @@
+//! Accepts fan-out links and sends the sub-requests that other entries ask for.
+
+use std::collections::{HashMap, VecDeque};
+use std::sync::atomic::Ordering;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use anyhow::{Context, bail};
+use bytes::Bytes;
+use hickoryspan_core::gateway::document::{RepeatRule, RouteDestination, RouteRule, ShardSpread};
+use hickoryspan_core::gateway::gather::{GatherMachine, GatherSettings, ShardIndex, merge_records};
+use hickoryspan_core::gateway::relays::RepeatGate;
+use hickoryspan_core::types::{MonotonicTime, ServiceId};
+use hickoryspan_runtime::http_client::HttpAnswer;
+use hickoryspan_runtime::peer_link::PeerLink;
+use http::Method;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
+use tokio::task::{AbortHandle, JoinSet};
+use tokio_util::sync::CancellationToken;
+
+use crate::attempt::{AttemptScope, GatewayJob};
+use crate::fanout_links::FANOUT_PATH;
+use crate::fanout_messages::{
+    FanoutBatch, FanoutPart, FanoutReply, FanoutRequest, FanoutTask, TaskNumber, from_fields,
+};
+use crate::forward::{ConnectionPosition, fingerprint, hedge_delay};
+use crate::gateway_state::GatewayState;
+use crate::relayed_groups::RelayedGroups;
+use crate::run::{AnswerRule, RunEvent, RunSink, run_gather};
+
+/// Pause after a failed accept, so that a lack of file descriptors does not spin the processor.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
+/// How late the first batch of a task may leave; the other entry waits somewhat longer than that.
+const GATE_SLACK: Duration = Duration::from_millis(4);
+/// Replies that may wait on one link.
+const QUEUE_MESSAGES: usize = 256;
+
+/// Serves fan-out links until `stop` is cancelled, then ends all links.
+pub(crate) async fn serve_fanouts(
+    listener: TcpListener,
+    state: Arc<GatewayState>,
+    stop: CancellationToken,
+) {
+    let mut links = JoinSet::new();
+    loop {
+        let accepted = tokio::select! {
+            () = stop.cancelled() => break,
+            accepted = listener.accept() => accepted,
+        };
+        while links.try_join_next().is_some() {}
+        match accepted {
+            Ok((stream, _)) => {
+                links.spawn(run_link(stream, Arc::clone(&state)));
+            }
+            Err(error) => {
+                spdlog::warn!("fan-out port: accept: {}", error);
+                tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
+            }
+        }
+    }
+    links.shutdown().await;
+}
+
+async fn run_link(stream: TcpStream, state: Arc<GatewayState>) {
+    if let Err(error) = serve_link(stream, state).await {
+        spdlog::debug!("fan-out port: {:#}", error);
+    }
+}
+
+async fn serve_link(stream: TcpStream, state: Arc<GatewayState>) -> anyhow::Result<()> {
+    let accepted = PeerLink::accept(stream, &state.settings.directory.credential).await?;
+    if accepted.path != FANOUT_PATH {
+        bail!("{}: unknown path {:?}", accepted.link.peer(), accepted.path);
+    }
+    let (replies, outgoing) = mpsc::channel(QUEUE_MESSAGES);
+    let mut jobs = JoinSet::new();
+    let mut running: HashMap<TaskNumber, AbortHandle> = HashMap::new();
+    let receive = |request: FanoutRequest| {
+        while jobs.try_join_next().is_some() {}
+        match request {
+            FanoutRequest::Run(task) => {
+                running.retain(|_, job| !job.is_finished());
+                let number = task.number;
+                let job = jobs.spawn(run_task(Arc::clone(&state), *task, replies.clone()));
+                running.insert(number, job);
+            }
+            FanoutRequest::Cancel(number) => {
+                if let Some(job) = running.remove(&number) {
+                    job.abort();
+                }
+            }
+        }
+        true
+    };
+    let ended = accepted.link.pump(outgoing, receive).await;
+    jobs.shutdown().await;
+    ended
+}
+
+async fn run_task(state: Arc<GatewayState>, task: FanoutTask, replies: mpsc::Sender<FanoutReply>) {
+    let number = task.number;
+    if let Err(error) = serve_task(state, task, &replies).await {
+        spdlog::warn!("fan-out task: {:#}", error);
+        let batch = FanoutBatch { last: true, ..FanoutBatch::empty(number) };
+        // The link may have ended meanwhile, and with it the task.
+        let _ = replies.send(FanoutReply::Batch(batch)).await;
+    }
+}
+
+async fn serve_task(
+    state: Arc<GatewayState>,
+    task: FanoutTask,
+    replies: &mpsc::Sender<FanoutReply>,
+) -> anyhow::Result<()> {
+    state.tasks_served.fetch_add(1, Ordering::Relaxed);
+    metrics::counter!("hickoryspan_gateway_fanout_tasks_total").increment(1);
+    let now = state.now();
+    let services = task.shards.clone();
+    let mut run = TaskRun {
+        batches_due: VecDeque::from([now + task.first_batch_in, now + task.answer_in]),
+        batcher: TaskBatcher::new(&task),
+        answer_in: task.answer_in,
+        gate: Arc::new(Mutex::new(RepeatGate::new(now + task.first_batch_in + GATE_SLACK))),
+        state: Arc::clone(&state),
+        replies,
+    };
+    let job = to_job(&state, task, now)?;
+    let condemned = state.decisions().poison.is_condemned(now, &job.fingerprint);
+    let mut batch = match condemned {
+        true => run.batcher.take_batch(),
+        false => run.finish(job, services.clone()).await?,
+    };
+    batch.last = true;
+    batch.queues = shortest_queues(&state, &services);
+    replies.send(FanoutReply::Batch(batch)).await.context("the link ended")
+}
+
+fn shortest_queues(state: &GatewayState, services: &[ServiceId]) -> Vec<Option<f32>> {
+    let now = state.now();
+    let decisions = state.decisions();
+    let queue = |service| decisions.selector.shortest_queue(now, service);
+    services.iter().map(|service| queue(service).map(|waiting| waiting as f32)).collect()
+}
+
+/// A task while its sub-requests run.
+struct TaskRun<'a> {
+    state: Arc<GatewayState>,
+    batcher: TaskBatcher,
+    answer_in: Duration,
+    gate: Arc<Mutex<RepeatGate>>,
+    // When the parts that are in must leave; after the last of these times, each part leaves at once.
+    batches_due: VecDeque<MonotonicTime>,
+    replies: &'a mpsc::Sender<FanoutReply>,
+}
+
+impl TaskRun<'_> {
+    /// Sends batches while the sub-requests run, and returns the last one.
+    async fn finish(
+        &mut self,
+        job: GatewayJob,
+        services: Vec<ServiceId>,
+    ) -> anyhow::Result<FanoutBatch> {
+        let machine =
+            GatherMachine::new(gather_settings(&self.state, &job, services.len(), self.answer_in));
+        let (events, mut reports) = mpsc::unbounded_channel();
+        let run = run_gather(
+            Arc::clone(&self.state),
+            Arc::new(job),
+            services,
+            machine,
+            AnswerRule::SuccessOnly,
+            RelayedGroups::none(Arc::clone(&self.state)),
+            Some(RunSink { events, gate: Arc::clone(&self.gate) }),
+        );
+        tokio::pin!(run);
+        let outcome = loop {
+            let due = self.batches_due.front().copied();
+            let due_at = due.map(|due| self.state.clock.instant(due));
+            tokio::select! {
+                biased;
+                outcome = run.as_mut() => break outcome,
+                Some(event) = reports.recv() => {
+                    let is_due = matches!(event, RunEvent::Repeats) || due.is_none();
+                    self.take_event(event);
+                    if is_due {
+                        self.send_batch().await?;
+                    }
+                }
+                () = sleep_until(due_at) => {
+                    self.batches_due.pop_front();
+                    self.open_gate();
+                    self.send_batch().await?;
+                }
+            }
+        };
+        while let Ok(event) = reports.try_recv() {
+            self.take_event(event);
+        }
+        let unsent = outcome.unsent.iter().map(|shard| shard.0).collect();
+        Ok(FanoutBatch { lost: outcome.lost, unsent, ..self.batcher.take_batch() })
+    }
+
+    fn take_event(&mut self, event: RunEvent) {
+        match event {
+            RunEvent::Part(shard, answer) => self.batcher.add(&self.state, shard, answer),
+            RunEvent::Repeats => {}
+        }
+    }
+
+    fn open_gate(&self) {
+        let now = self.state.now();
+        let mut gate = self.gate.lock().unwrap_or_else(PoisonError::into_inner);
+        if !gate.open(now) {
+            spdlog::info!("first batch late", kv: { task: = self.batcher.number.0 });
+        }
+    }
+
+    async fn send_batch(&mut self) -> anyhow::Result<()> {
+        let batch = self.batcher.take_batch();
+        self.replies.send(FanoutReply::Batch(batch)).await.context("the link ended")
+    }
+}
+
+async fn sleep_until(instant: Option<Instant>) {
+    match instant {
+        Some(instant) => tokio::time::sleep_until(instant.into()).await,
+        None => std::future::pending().await,
+    }
+}
+
+fn to_job(
+    state: &GatewayState,
+    task: FanoutTask,
+    now: MonotonicTime,
+) -> anyhow::Result<GatewayJob> {
+    let headers = from_fields(task.headers)?;
+    let method = Method::from_bytes(task.method.as_bytes())?;
+    let host = headers.get(http::header::HOST).and_then(|value| value.to_str().ok());
+    let route = RouteRule {
+        name: task.route,
+        host: host.unwrap_or_default().into(),
+        path_prefix: "/".into(),
+        repeat: RepeatRule::Idempotent,
+        timeout: task.give_up_in,
+        objective: task.objective,
+        priority: 0,
+        destination: RouteDestination::Shards(ShardSpread {
+            shards: task.shards,
+            result_limit: task.result_limit,
+            minimum_share: 0.0,
+        }),
+        max_attempts: task.max_attempts,
+    };
+    Ok(GatewayJob {
+        fingerprint: fingerprint(&route.host, method.as_str(), &task.target_path, &task.body),
+        route,
+        method,
+        target_path: task.target_path.to_string(),
+        request: headers.get(&state.settings.headers.request).cloned(),
+        headers,
+        body: task.body,
+        position: ConnectionPosition::Later,
+        scope: AttemptScope::Relayed,
+        received_at: now,
+        give_up_at: now + task.give_up_in,
+    })
+}
+
+fn gather_settings(
+    state: &GatewayState,
+    job: &GatewayJob,
+    shards: usize,
+    answer_in: Duration,
+) -> GatherSettings {
+    GatherSettings {
+        shards,
+        min_parts: 1,
+        max_attempts: job.route.max_attempts,
+        // Parts leave in batches; the run itself ends when nothing more can come.
+        answer_by: job.give_up_at,
+        give_up_at: job.give_up_at,
+        hedge_after: hedge_delay(state, job, answer_in),
+    }
+}
+
+/// Collects the parts of one task between two batches.
+struct TaskBatcher {
+    number: TaskNumber,
+    result_limit: usize,
+    parts: Vec<FanoutPart>,
+    bodies: Vec<Bytes>,
+}
+
+impl TaskBatcher {
+    fn new(task: &FanoutTask) -> Self {
+        Self {
+            number: task.number,
+            result_limit: task.result_limit,
+            parts: Vec::new(),
+            bodies: Vec::new(),
+        }
+    }
+
+    fn add(&mut self, state: &GatewayState, shard: ShardIndex, answer: HttpAnswer) {
+        let stamp = answer.headers.get(&state.settings.headers.stamp);
+        // An attempt is a success only with a stamp.
+        let Some(stamp) = stamp.and_then(|value| value.to_str().ok()) else { return };
+        self.parts.push(FanoutPart { shard: shard.0, stamp: stamp.into() });
+        self.bodies.push(answer.body);
+    }
+
+    fn take_batch(&mut self) -> FanoutBatch {
+        let bodies = std::mem::take(&mut self.bodies);
+        let records = merge_records(bodies.iter().map(|body| &**body), self.result_limit);
+        FanoutBatch {
+            parts: std::mem::take(&mut self.parts),
+            records: records.into(),
+            ..FanoutBatch::empty(self.number)
+        }
+    }
+}
--- a/hickoryspan_gateway/src/forward.rs
+++ b/hickoryspan_gateway/src/forward.rs
@@ -20,15 +20,19 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 
-use crate::attempt::{GatewayJob, is_promise};
+use crate::attempt::{AttemptScope, GatewayJob, is_promise};
 use crate::gateway_state::GatewayState;
 use crate::headers::remove_connection_headers;
-use crate::run::{AnswerRule, RunEnd, RunOutcome, run_gather};
+use crate::relayed_groups::RelayedGroups;
+use crate::run::{AnswerRule, RunEnd, RunOutcome, ShardAnswer, run_gather};
 
 /// Taken off a caller's deadline, so that a last answer still reaches it.
 const LAST_ANSWER_WAY: Duration = Duration::from_millis(8);
 /// Shortest time before another target is asked.
 const MIN_HEDGE_DELAY: Duration = Duration::from_millis(4);
+/// The part of the time for an answer after which a second target is asked at the latest: the answer of that one takes
+/// as long again.
+const LATEST_HEDGE_PART: f64 = 0.45;
 /// Longest delay of a response to a caller that asks again, in milliseconds.
 const MAX_RETRY_MILLIS: u64 = 1_000;
 /// Shortest time after which a refused caller should come back, in milliseconds.
@@ -195,7 +199,7 @@
     });
     let target_path =
         parts.uri.path_and_query().map_or_else(|| "/".to_owned(), |path| path.to_string());
-    let fingerprint = fingerprint(&route, parts.method.as_str(), &target_path, &body);
+    let fingerprint = fingerprint(&route.host, parts.method.as_str(), &target_path, &body);
     let mut headers = parts.headers;
     remove_connection_headers(&mut headers);
     GatewayJob {
@@ -208,13 +212,14 @@
         request,
         fingerprint,
         position,
+        scope: AttemptScope::Own,
         received_at,
     }
 }
 
-fn fingerprint(route: &RouteRule, method: &str, path: &str, body: &[u8]) -> RequestFingerprint {
+pub(crate) fn fingerprint(host: &str, method: &str, path: &str, body: &[u8]) -> RequestFingerprint {
     let mut hasher = blake3::Hasher::new();
-    for part in [route.host.as_bytes(), method.as_bytes(), path.as_bytes(), body] {
+    for part in [host.as_bytes(), method.as_bytes(), path.as_bytes(), body] {
         hasher.update(&(part.len() as u64).to_le_bytes());
         hasher.update(part);
     }
@@ -261,19 +266,43 @@
         );
     }
     let rule = if spread.is_some() { AnswerRule::SuccessOnly } else { AnswerRule::Any };
+    let relayed = relay_groups(&state, &job, &services, spread.as_ref(), &settings);
     let machine = GatherMachine::new(settings);
-    let run = run_gather(Arc::clone(&state), Arc::clone(&job), services, machine, rule);
+    let run =
+        run_gather(Arc::clone(&state), Arc::clone(&job), services, machine, rule, relayed, None);
     let outcome = run.await;
     record_outcome(&state, routes.document().version, &job, &outcome);
     match outcome.end {
         RunEnd::Answered => match spread {
-            Some(spread) => merge_answers(&state, &spread, outcome.answers),
-            None => pass_answer(outcome.answers.into_iter().flatten().next()),
+            Some(spread) => merge_answers(&state, &spread, outcome),
+            None => pass_answer(first_whole(outcome.answers)),
         },
         RunEnd::Failed | RunEnd::TimedOut => fail(&state, &job, outcome),
     }
 }
 
+/// Hands parts of a wide fan-out to other entries.
+fn relay_groups(
+    state: &Arc<GatewayState>,
+    job: &GatewayJob,
+    services: &[ServiceId],
+    spread: Option<&ShardSpread>,
+    settings: &GatherSettings,
+) -> RelayedGroups {
+    let divided = spread.map(|spread| state.decisions().shard_groups(&job.route.name, spread));
+    match (divided, spread) {
+        (Some(divided), Some(spread)) if !divided.is_empty() => RelayedGroups::start(
+            Arc::clone(state),
+            job,
+            services,
+            &divided,
+            settings,
+            spread.result_limit,
+        ),
+        _ => RelayedGroups::none(Arc::clone(state)),
+    }
+}
+
 fn choose_services(state: &GatewayState, job: &GatewayJob) -> Option<Vec<ServiceId>> {
     match &job.route.destination {
         RouteDestination::Service(service) => Some(vec![service.clone()]),
@@ -325,7 +354,6 @@
     job: &GatewayJob,
     spread: Option<&ShardSpread>,
 ) -> GatherSettings {
-    let latency = state.decisions().route_latency(&job.route);
     let objective = job.route.objective;
     let connect = match job.position {
         ConnectionPosition::First => state.settings.connect_delay,
@@ -334,7 +362,7 @@
     let delay = state.settings.caller_delay + connect;
     let answer_in = objective.saturating_sub(delay).max(objective / 3);
     let answer_by = (job.received_at + answer_in).min(job.give_up_at);
-    let hedge_after = latency.hedge.clamp(MIN_HEDGE_DELAY, (answer_in / 2).max(MIN_HEDGE_DELAY));
+    let hedge_after = hedge_delay(state, job, answer_in);
     let max_attempts = match job.route.repeat {
         RepeatRule::Idempotent => job.route.max_attempts.max(1),
         RepeatRule::AtMostOnce => 1,
@@ -349,6 +377,13 @@
     }
 }
 
+/// How long an attempt stays alone, given the time for an answer.
+pub(crate) fn hedge_delay(state: &GatewayState, job: &GatewayJob, answer_in: Duration) -> Duration {
+    let latency = state.decisions().route_latency(&job.route);
+    let latest = answer_in.mul_f64(LATEST_HEDGE_PART).max(MIN_HEDGE_DELAY);
+    latency.hedge.clamp(MIN_HEDGE_DELAY, latest)
+}
+
 fn record_outcome(
     state: &GatewayState,
     version: DocumentVersion,
@@ -380,6 +415,7 @@
             version: = version,
             attempts: = outcome.attempts,
             hedges: = outcome.hedges,
+            relayed_groups: = outcome.relayed_groups,
             hedge_after_ms: = latency.hedge.as_millis(),
             failure: = outcome.last_failure.map_or("-", |failure| failure.as_str()),
             elapsed_ms: = elapsed.as_millis()
@@ -390,14 +426,23 @@
 fn merge_answers(
     state: &GatewayState,
     spread: &ShardSpread,
-    answers: Vec<Option<HttpAnswer>>,
+    outcome: RunOutcome,
 ) -> GatewayResponse {
     let names = &state.settings.headers;
-    let missing = answers.iter().filter(|answer| answer.is_none()).count();
-    let parts: Vec<HttpAnswer> = answers.into_iter().flatten().collect();
-    let records = merge_records(parts.iter().map(|part| &*part.body), spread.result_limit);
-    let stamps: Vec<&str> =
-        parts.iter().filter_map(|part| part.headers.get(&names.stamp)?.to_str().ok()).collect();
+    let missing = outcome.answers.iter().filter(|answer| answer.is_none()).count();
+    let answers = || outcome.answers.iter().flatten();
+    let whole = answers().filter_map(|answer| match answer {
+        ShardAnswer::Whole(answer) => Some(&*answer.body),
+        ShardAnswer::Relayed(_) => None,
+    });
+    let relayed = outcome.relayed_records.iter().map(|records| &**records);
+    let records = merge_records(whole.chain(relayed), spread.result_limit);
+    let stamps: Vec<&str> = answers()
+        .filter_map(|answer| match answer {
+            ShardAnswer::Whole(answer) => answer.headers.get(&names.stamp)?.to_str().ok(),
+            ShardAnswer::Relayed(stamp) => Some(&**stamp),
+        })
+        .collect();
     let mut response = Response::new(Full::new(Bytes::from(records)));
     let headers = response.headers_mut();
     headers.insert(CONTENT_TYPE, HeaderValue::from_static(RECORDS_TYPE));
@@ -413,6 +458,13 @@
     response
 }
 
+fn first_whole(answers: Vec<Option<ShardAnswer>>) -> Option<HttpAnswer> {
+    answers.into_iter().flatten().find_map(|answer| match answer {
+        ShardAnswer::Whole(answer) => Some(answer),
+        ShardAnswer::Relayed(_) => None,
+    })
+}
+
 fn pass_answer(answer: Option<HttpAnswer>) -> GatewayResponse {
     let Some(HttpAnswer { status, headers, body }) = answer else {
         // A run ends as answered only with an answer for its only shard.
--- a/hickoryspan_gateway/src/gateway_state.rs
+++ b/hickoryspan_gateway/src/gateway_state.rs
@@ -1,16 +1,20 @@
 //! What all requests of one entry share.
 
 use std::collections::HashMap;
+use std::sync::atomic::AtomicU64;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use hickoryspan_core::entry::latency::{LatencyDistribution, LatencySettings};
 use hickoryspan_core::gateway::budget::ExtraBudget;
 use hickoryspan_core::gateway::directory::TargetDirectory;
-use hickoryspan_core::gateway::document::{DocumentVersion, RouteRule, WeightedService};
+use hickoryspan_core::gateway::document::{
+    DocumentVersion, RouteRule, ShardSpread, WeightedService,
+};
 use hickoryspan_core::gateway::document_change::{DocumentChange, DocumentFetch};
 use hickoryspan_core::gateway::line_budget::{LineBudget, LineKind};
 use hickoryspan_core::gateway::poison::PoisonTable;
+use hickoryspan_core::gateway::relays::{RelayPeer, RelaySelector, ShardGroup, divide_shards};
 use hickoryspan_core::gateway::routes::{RouteTable, SplitCounter};
 use hickoryspan_core::gateway::selection::TargetSelector;
 use hickoryspan_core::gateway::vouching::VouchTable;
@@ -19,6 +23,8 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha12Rng;
 
+use crate::attempt::AttemptScope;
+use crate::fanout_links::FanoutLinks;
 use crate::settings::GatewaySettings;
 use crate::target_pool::TargetPool;
 
@@ -40,8 +46,11 @@
     pub(crate) vouching: VouchTable,
     pub(crate) selector: TargetSelector,
     pub(crate) poison: PoisonTable,
+    pub(crate) relays: RelaySelector,
     /// The number of entries that share the budgets and the connections of targets.
     pub(crate) entries: u32,
+    // Of the routes of the document in force.
+    groups: HashMap<Arc<str>, Arc<[ShardGroup]>>,
     budgets: HashMap<ServiceId, ExtraBudget>,
     latencies: HashMap<Arc<str>, LatencyDistribution>,
     splits: HashMap<Arc<str>, SplitCounter>,
@@ -69,6 +78,7 @@
         let held = self.routes.as_ref().map(|routes| &**routes.document());
         let Some(document) = change.apply(held) else { return false };
         self.routes = Some(Arc::new(RouteTable::new(Arc::new(document))));
+        self.groups.clear();
         true
     }
 
@@ -104,6 +114,32 @@
         RouteLatency { median: quantiles.median, hedge: quantiles.hedge }
     }
 
+    /// The groups into which a route's shards are divided; none if it is not wide.
+    pub(crate) fn shard_groups(
+        &mut self,
+        route: &Arc<str>,
+        spread: &ShardSpread,
+    ) -> Arc<[ShardGroup]> {
+        let settings = *self.relays.settings();
+        let divide = || divide_shards(&settings, &spread.shards).into();
+        Arc::clone(self.groups.entry(route.clone()).or_insert_with(divide))
+    }
+
+    /// The entry that sends this group; nothing if this one should.
+    pub(crate) fn place_group(&mut self, now: MonotonicTime, key: &ServiceId) -> Option<RelayPeer> {
+        let draw = self.draw();
+        self.relays.place(now, key, draw)
+    }
+
+    /// The number of entries that usually send to the same target on behalf of others.
+    fn relay_users(&self) -> u32 {
+        let in_domain = self.relays.count() as u32;
+        let domains = self.entries.div_ceil(in_domain);
+        let choices = self.relays.settings().choices as u32;
+        // Twice as many, for times in which the entries do not agree on the ranking.
+        (domains * choices * 2).min(self.entries)
+    }
+
     /// A random number from 0 to 1.
     pub(crate) fn draw(&mut self) -> f64 {
         self.generator.random()
@@ -126,6 +162,9 @@
     pub(crate) settings: GatewaySettings,
     pub(crate) clock: SystemClock,
     pub(crate) pool: TargetPool,
+    pub(crate) fanout: FanoutLinks,
+    /// Tasks of other entries since the start.
+    pub(crate) tasks_served: AtomicU64,
     decisions: Mutex<SharedDecisions>,
     lines: Mutex<LineBudget>,
 }
@@ -145,14 +184,19 @@
             vouching: VouchTable::default(),
             selector,
             poison: PoisonTable::default(),
+            relays: RelaySelector::new(settings.relays, settings.entry.clone()),
+            groups: HashMap::new(),
             entries: 1,
             budgets: HashMap::new(),
             latencies: HashMap::new(),
             splits: HashMap::new(),
             generator,
         };
+        let fanout = FanoutLinks::new(settings.directory.credential.clone());
         Self {
             settings,
+            fanout,
+            tasks_served: AtomicU64::new(0),
             clock: SystemClock::start(),
             pool: TargetPool::default(),
             decisions: Mutex::new(decisions),
@@ -180,12 +224,16 @@
     }
 
     /// The connections that this entry may open to one target of a service.
-    pub(crate) fn connection_share(&self, service: &ServiceId) -> usize {
+    pub(crate) fn connection_share(&self, service: &ServiceId, scope: AttemptScope) -> usize {
         let decisions = self.decisions();
         let limit = decisions.routes.as_ref().and_then(|routes| routes.connections(service));
         // A target closes ended connections late, so that a part is left over.
         let usable = limit.unwrap_or(DEFAULT_CONNECTIONS) * 9 / 10;
-        (usable / decisions.entries.max(1)).max(1) as usize
+        let users = match scope {
+            AttemptScope::Own => decisions.entries,
+            AttemptScope::Relayed => decisions.relay_users(),
+        };
+        (usable / users.max(1)).max(1) as usize
     }
 
     pub(crate) fn is_known(&self, target: &TargetId) -> bool {
--- a/hickoryspan_gateway/src/run.rs
+++ b/hickoryspan_gateway/src/run.rs
@@ -1,20 +1,26 @@
 //! Runs one request over its shards: performs the steps of the gather machine with real attempts and timers.
 
 use std::pin::Pin;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 
+use bytes::Bytes;
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
 use hickoryspan_core::gateway::gather::{GatherMachine, GatherStep, LaunchReason, ShardIndex};
 use hickoryspan_core::gateway::line_budget::LineKind;
 use hickoryspan_core::gateway::outcomes::AttemptFailure;
 use hickoryspan_core::gateway::poison::RunLosses;
+use hickoryspan_core::gateway::relays::RepeatGate;
 use hickoryspan_core::gateway::selection::ChosenTarget;
-use hickoryspan_core::types::{ServiceId, TargetId};
+use hickoryspan_core::types::{MonotonicTime, ServiceId, TargetId};
 use hickoryspan_runtime::http_client::HttpAnswer;
+use tokio::sync::mpsc;
 
 use crate::attempt::{AttemptReport, AttemptResult, GatewayJob, run_attempt};
+use crate::fanout_links::GroupIndex;
+use crate::fanout_messages::FanoutBatch;
 use crate::gateway_state::GatewayState;
+use crate::relayed_groups::{RelayNews, RelayedGroups};
 
 /// Targets asked for one shard of one request, whether or not they ran it; bounds the work for a service that sheds.
 const MAX_TRIES: usize = 5;
@@ -41,11 +47,58 @@
     TimedOut,
 }
 
+/// The answer of one shard.
+pub(crate) enum ShardAnswer {
+    /// As the target sent it.
+    Whole(HttpAnswer),
+    /// Its stamp; its records are among the relayed ones.
+    Relayed(Arc<str>),
+}
+
+/// What a run on behalf of another entry reports while it runs.
+pub(crate) enum RunEvent {
+    Part(ShardIndex, HttpAnswer),
+    /// A second target is about to be asked, so that the first batch must leave.
+    Repeats,
+}
+
+/// Takes the events of a run, which then leaves no answers in its outcome.
+pub(crate) struct RunSink {
+    pub(crate) events: mpsc::UnboundedSender<RunEvent>,
+    pub(crate) gate: Arc<Mutex<RepeatGate>>,
+}
+
+impl RunSink {
+    /// Whether a second target may be asked.
+    fn allows_repeat(&self, now: MonotonicTime) -> bool {
+        let mut gate = self.gate.lock().unwrap_or_else(PoisonError::into_inner);
+        let was_open = gate.is_open();
+        let is_open = gate.open(now);
+        if is_open && !was_open {
+            self.send(RunEvent::Repeats);
+        }
+        is_open
+    }
+
+    fn send(&self, event: RunEvent) {
+        // The receiver ends only together with the run.
+        let _ = self.events.send(event);
+    }
+}
+
 /// The answers of a run.
 pub(crate) struct RunOutcome {
     pub(crate) end: RunEnd,
     /// One for each shard that answered.
-    pub(crate) answers: Vec<Option<HttpAnswer>>,
+    pub(crate) answers: Vec<Option<ShardAnswer>>,
+    /// The greatest records of the parts that other entries sent.
+    pub(crate) relayed_records: Vec<Bytes>,
+    /// Shards to which nothing was sent.
+    pub(crate) unsent: Vec<ShardIndex>,
+    /// Targets that were lost, if none answered.
+    pub(crate) lost: u32,
+    /// Groups that other entries sent.
+    pub(crate) relayed_groups: usize,
     /// Whether a target may have run the request.
     pub(crate) may_have_run: bool,
     /// A target's own failure, if it was the last thing heard.
@@ -73,6 +126,8 @@
     shards: Vec<ShardTries>,
     pending: FuturesUnordered<AttemptFuture>,
     outcome: RunOutcome,
+    relayed: RelayedGroups,
+    sink: Option<RunSink>,
     answered: u32,
     lost: u32,
 }
@@ -84,11 +139,17 @@
     services: Vec<ServiceId>,
     machine: GatherMachine,
     rule: AnswerRule,
+    relayed: RelayedGroups,
+    sink: Option<RunSink>,
 ) -> RunOutcome {
     let shards = services.iter().map(|_| ShardTries::default()).collect();
     let outcome = RunOutcome {
         end: RunEnd::Failed,
         answers: services.iter().map(|_| None).collect(),
+        relayed_records: Vec::new(),
+        unsent: Vec::new(),
+        lost: 0,
+        relayed_groups: relayed.count(),
         may_have_run: false,
         failure_answer: None,
         attempts: 0,
@@ -105,6 +166,8 @@
         shards,
         pending,
         outcome,
+        relayed,
+        sink,
         answered: 0,
         lost: 0,
     };
@@ -113,6 +176,10 @@
 
 impl GatherRun {
     async fn finish(mut self) -> RunOutcome {
+        for shard in self.relayed.shards() {
+            self.outcome.may_have_run = true;
+            self.machine.note_relayed(shard);
+        }
         loop {
             let now = self.state.now();
             match self.machine.next_step(now) {
@@ -127,17 +194,28 @@
                     break;
                 }
                 GatherStep::Wait(until) => {
+                    let until = self.relayed.next_deadline().map_or(until, |at| at.min(until));
                     let until = self.state.clock.instant(until);
                     tokio::select! {
                         biased;
                         Some(report) = self.pending.next(), if !self.pending.is_empty() => {
                             self.take_report(report);
                         }
-                        () = tokio::time::sleep_until(until.into()) => {}
+                        Some(event) = self.relayed.next_event(), if self.relayed.is_open() => {
+                            if let Some(news) = self.relayed.take_event(event) {
+                                self.take_news(news);
+                            }
+                        }
+                        () = tokio::time::sleep_until(until.into()) => {
+                            // Batches that have arrived are read before their entries count as silent.
+                            tokio::task::yield_now().await;
+                            self.end_silent_groups();
+                        }
                     }
                 }
             }
         }
+        self.outcome.unsent = self.find_unsent();
         if !self.pending.is_empty() {
             // What is cancelled here may run all the same.
             self.outcome.may_have_run = true;
@@ -145,9 +223,91 @@
         let now = self.state.now();
         let run = RunLosses { answered: self.answered, lost: self.lost };
         self.state.decisions().poison.note_run(now, self.job.fingerprint, run);
+        self.outcome.lost = if self.answered == 0 { self.lost } else { 0 };
         self.outcome
     }
 
+    fn find_unsent(&self) -> Vec<ShardIndex> {
+        let tries = self.shards.iter().enumerate();
+        tries.filter(|(_, tries)| tries.tries == 0).map(|(index, _)| ShardIndex(index)).collect()
+    }
+
+    fn end_silent_groups(&mut self) {
+        while let Some(news) = self.relayed.take_arrived() {
+            self.take_news(news);
+        }
+        let now = self.state.now();
+        while let Some(index) = self.relayed.find_silent(now) {
+            // What this entry cannot send itself is better waited for.
+            if self.can_repeat(now, index) {
+                let news = self.relayed.end_silent(now, index);
+                self.take_news(news);
+            } else {
+                self.relayed.wait_longer(now, index);
+            }
+        }
+    }
+
+    /// Whether the budgets allow most of a group's shards to be sent to again.
+    fn can_repeat(&self, now: MonotonicTime, index: GroupIndex) -> bool {
+        let mut decisions = self.state.decisions();
+        let entries = decisions.entries;
+        let shards = self.relayed.shards_of(index);
+        let has_room = |shard: &&ShardIndex| {
+            decisions.budget(&self.state.settings, &self.services[shard.0]).has_room(now, entries)
+        };
+        shards.iter().filter(has_room).count() * 2 > shards.len()
+    }
+
+    fn take_news(&mut self, news: RelayNews) {
+        match news {
+            RelayNews::Parts(shards, batch) => self.take_batch(&shards, batch),
+            RelayNews::Silent(shards) => {
+                for shard in shards {
+                    self.machine.note_failed(shard, true);
+                }
+            }
+            RelayNews::LostLater(shards) => {
+                for shard in shards {
+                    self.machine.note_given_up(shard);
+                }
+            }
+        }
+    }
+
+    fn take_batch(&mut self, shards: &[ShardIndex], batch: FanoutBatch) {
+        for part in batch.parts {
+            let Some(shard) = shards.get(part.shard) else { continue };
+            self.answered += 1;
+            if self.machine.note_part(*shard) {
+                self.outcome.answers[shard.0] = Some(ShardAnswer::Relayed(part.stamp));
+            }
+        }
+        if !batch.records.is_empty() {
+            self.outcome.relayed_records.push(batch.records);
+        }
+        if !batch.last {
+            return;
+        }
+        self.lost += batch.lost;
+        let now = self.state.now();
+        let mut decisions = self.state.decisions();
+        for (shard, queue) in shards.iter().zip(batch.queues) {
+            decisions.selector.note_queue(now, &self.services[shard.0], queue.map(f64::from));
+        }
+        drop(decisions);
+        for shard in batch.unsent.iter().filter_map(|index| shards.get(*index)) {
+            self.shards[shard.0].unreached = true;
+            self.machine.note_failed(*shard, false);
+        }
+        let is_unsent = |index: usize| batch.unsent.contains(&index);
+        for (index, shard) in shards.iter().enumerate() {
+            if self.outcome.answers[shard.0].is_none() && !is_unsent(index) {
+                self.machine.note_given_up(*shard);
+            }
+        }
+    }
+
     fn launch(&mut self, shard: ShardIndex, reason: LaunchReason) {
         let now = self.state.now();
         let service = self.services[shard.0].clone();
@@ -160,6 +320,9 @@
             decisions.selector.note_overdue(now, slow);
         }
         let is_extra = reason != LaunchReason::First && !tries.unreached;
+        if is_extra && !self.sink.as_ref().is_none_or(|sink| sink.allows_repeat(now)) {
+            return self.machine.note_unsent(shard, true);
+        }
         let useful = reason != LaunchReason::Hedge
             || decisions.selector.has_alternative(now, &service, &tries.tried);
         if tries.tries >= MAX_TRIES {
@@ -202,7 +365,7 @@
                 self.outcome.may_have_run = true;
                 self.answered += 1;
                 if self.machine.note_part(shard) {
-                    self.outcome.answers[shard.0] = Some(answer);
+                    self.keep_answer(shard, answer);
                 }
             }
             AttemptResult::Answer(answer) => {
@@ -215,6 +378,13 @@
         }
     }
 
+    fn keep_answer(&mut self, shard: ShardIndex, answer: HttpAnswer) {
+        match &self.sink {
+            Some(sink) => sink.send(RunEvent::Part(shard, answer)),
+            None => self.outcome.answers[shard.0] = Some(ShardAnswer::Whole(answer)),
+        }
+    }
+
     fn log_failure(&self, target: &ChosenTarget, failure: AttemptFailure) {
         if !self.state.admits_line(LineKind::Important) {
             return;
--- a/hickoryspan_gateway/src/settings.rs
+++ b/hickoryspan_gateway/src/settings.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use hickoryspan_core::gateway::budget::BudgetSettings;
+use hickoryspan_core::gateway::relays::RelaySettings;
 use hickoryspan_core::gateway::selection::SelectionSettings;
 use hickoryspan_core::types::{EntryId, FailureDomain};
 use hickoryspan_runtime::credential::SharedCredential;
@@ -53,6 +54,10 @@
     pub selection: SelectionSettings,
     /// Extra requests to one service.
     pub budget: BudgetSettings,
+    /// Where other entries connect to divide a wide fan-out; nothing if this entry takes no part in it.
+    pub fanout_address: Option<SocketAddr>,
+    /// How a wide fan-out is divided.
+    pub relays: RelaySettings,
     /// The directory links.
     pub directory: DirectorySettings,
     /// Longest answer of a target.
@@ -84,6 +89,8 @@
             headers: GatewayHeaders::default(),
             selection: SelectionSettings::default(),
             budget: BudgetSettings::default(),
+            fanout_address: None,
+            relays: RelaySettings::default(),
             directory,
             answer_bytes: 4 * 1024 * 1024,
             caller_delay: Duration::from_millis(15),
--- a/hickoryspan_gateway/src/target_pool.rs
+++ b/hickoryspan_gateway/src/target_pool.rs
@@ -26,6 +26,7 @@
     // connections together never exceed the share; a kept connection holds no permit, or waiting requests would not
     // see that it was put back.
     permits: Arc<Semaphore>,
+    share: usize,
     idle: Vec<IdleConnection>,
 }
 
@@ -49,7 +50,7 @@
     }
 
     /// A kept connection, or a new one; waits while the share of the target is in use. The share of a known target
-    /// stays as it was.
+    /// never shrinks.
     pub(crate) async fn acquire(
         &self,
         target: &TargetId,
@@ -72,12 +73,18 @@
         let entry = targets.entry(target.clone()).or_insert_with(|| TargetConnections {
             address,
             permits: Arc::new(Semaphore::new(share)),
+            share,
             idle: Vec::new(),
         });
         if entry.address != address {
             entry.address = address;
             entry.idle.clear();
         }
+        // It only grows: permits in use cannot be taken back.
+        if share > entry.share {
+            entry.permits.add_permits(share - entry.share);
+            entry.share = share;
+        }
         Arc::clone(&entry.permits)
     }
 
--- a/hickoryspan_gateway/tests/forwarding.rs
+++ b/hickoryspan_gateway/tests/gateway/forwarding.rs
@@ -1,19 +1,17 @@
 //! Requests through a real entry on loopback, with targets that behave well and badly.
 
-mod support;
-
 use std::sync::Arc;
 use std::time::Duration;
 
-use hickoryspan_core::gateway::document::RepeatRule;
-use support::{
+use crate::support::{
     Deployment, PATIENCE, ScriptedTarget, SeenRequest, TargetAction, get, route, to_service,
     to_shards,
 };
+use hickoryspan_core::gateway::document::RepeatRule;
 
 const RECORD: usize = 16;
 
-fn answering(stamp: &'static str, body: Vec<u8>) -> support::TargetScript {
+fn answering(stamp: &'static str, body: Vec<u8>) -> crate::support::TargetScript {
     Arc::new(move |request: &SeenRequest| TargetAction::Send(request.answer(stamp, &body)))
 }
 
--- a/hickoryspan_gateway/tests/support/mod.rs
+++ b/hickoryspan_gateway/tests/gateway/support.rs
@@ -12,6 +12,7 @@
     CallerLimits, ConfigurationDocument, DocumentVersion, RepeatRule, RouteDestination, RouteRule,
     ServiceRule, ShardSpread,
 };
+use hickoryspan_core::gateway::relays::RelaySettings;
 use hickoryspan_core::types::{EntryId, FailureDomain, ServiceId, TargetId, WallTime};
 use hickoryspan_gateway::{
     DirectoryHub, DirectoryServer, DirectorySettings, GatewayEntry, GatewaySettings, HostList,
@@ -146,6 +147,8 @@
 pub struct Deployment {
     pub hub: Arc<DirectoryHub>,
     pub entry: Option<GatewayEntry>,
+    /// Further entries, which take parts of wide fan-outs.
+    pub others: Vec<GatewayEntry>,
     pub address: SocketAddr,
     daemon: Option<ControlDaemon>,
     version: u64,
@@ -178,8 +181,20 @@
     listener.local_addr().expect("a free port")
 }
 
+async fn flush_regularly(hub: Arc<DirectoryHub>, stop: CancellationToken) {
+    while !stop.is_cancelled() {
+        hub.flush();
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
 impl Deployment {
     pub async fn start() -> Self {
+        Self::start_with(0, RelaySettings::default()).await
+    }
+
+    /// A deployment with this number of further entries.
+    pub async fn start_with(others: usize, relays: RelaySettings) -> Self {
         let folder = tempfile::tempdir().expect("a folder");
         let settings = control_settings(folder.path());
         initialize_folder(&settings.data_folder, FolderRole::First).expect("a data folder");
@@ -210,10 +225,26 @@
                 DirectorySettings::new(credential()),
             )
         };
-        let entry = GatewayEntry::start(gateway, hosts).await.expect("an entry");
+        let mut gateways = Vec::new();
+        for number in 0..=others {
+            let caller_address = if number == 0 { address } else { free_address().await };
+            let gateway = GatewaySettings {
+                entry: EntryId::new(format!("entry-{number}")).expect("a name"),
+                caller_address,
+                fanout_address: Some(free_address().await),
+                relays,
+                ..gateway.clone()
+            };
+            let started = GatewayEntry::start(gateway, hosts.clone()).await;
+            gateways.push(started.expect("an entry"));
+        }
+        let entry = gateways.remove(0);
+        let flush = flush_regularly(Arc::clone(&hub), stop.clone());
+        tasks.spawn(flush);
         Self {
             hub,
             entry: Some(entry),
+            others: gateways,
             address,
             daemon: Some(daemon),
             version: 0,
@@ -288,6 +319,17 @@
         tokio::time::timeout(PATIENCE, read).await.expect("an answer in time")
     }
 
+    /// Waits until the first entry has fan-out links to this number of others.
+    pub async fn await_links(&self, count: usize) {
+        let entry = self.entry.as_ref().expect("an entry");
+        let linked = async {
+            while entry.fanout_counts().links_up < count {
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            }
+        };
+        tokio::time::timeout(PATIENCE, linked).await.expect("fan-out links are up");
+    }
+
     pub async fn stop(mut self) {
         self.stop.cancel();
         while self.tasks.join_next().await.is_some() {}
--- /dev/null
+++ b/hickoryspan_gateway/tests/gateway/wide_fan_out.rs
@@ -0,0 +1,109 @@
+//! A fan-out that several real entries divide among themselves on loopback.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::support::{
+    Deployment, ScriptedTarget, SeenRequest, TargetAction, get, route, to_shards,
+};
+use hickoryspan_core::gateway::document::RepeatRule;
+use hickoryspan_core::gateway::relays::RelaySettings;
+
+const SHARDS: usize = 12;
+const RECORD: usize = 16;
+
+fn relays() -> RelaySettings {
+    RelaySettings { min_shards: 4, group_shards: 3, min_peers: 1, ..RelaySettings::default() }
+}
+
+/// One target for each shard; shard N answers with one record of the byte N.
+struct WideDeployment {
+    deployment: Deployment,
+    targets: Vec<ScriptedTarget>,
+}
+
+impl WideDeployment {
+    async fn start(others: usize, slow_shard: Option<usize>) -> Self {
+        let mut deployment = Deployment::start_with(others, relays()).await;
+        let names: Vec<String> = (0..SHARDS).map(|shard| format!("shard-{shard}")).collect();
+        let shards: Vec<&str> = names.iter().map(String::as_str).collect();
+        let destination = to_shards(&shards, 0.5);
+        deployment.configure(vec![route("/all/", RepeatRule::Idempotent, destination)]).await;
+        let mut targets = Vec::new();
+        for (shard, name) in names.iter().enumerate() {
+            let delay = Duration::from_secs(if slow_shard == Some(shard) { 60 } else { 0 });
+            let target = ScriptedTarget::start(Arc::new(move |request: &SeenRequest| {
+                let body = [shard as u8; RECORD];
+                let answer = request.answer(&format!("stamp-{shard}"), &body);
+                match delay.is_zero() {
+                    true => TargetAction::Send(answer),
+                    false => TargetAction::SendLater(delay, answer),
+                }
+            }))
+            .await;
+            deployment.announce(&format!("target-{shard}"), name, target.address).await;
+            targets.push(target);
+        }
+        deployment.await_links(others).await;
+        Self { deployment, targets }
+    }
+
+    fn tasks_served(&self) -> u64 {
+        self.deployment.others.iter().map(|entry| entry.fanout_counts().tasks_served).sum()
+    }
+}
+
+fn stamps(answer: &crate::support::CallerAnswer) -> Vec<String> {
+    let stamps = answer.header("hs-part-stamps").expect("stamps");
+    let mut stamps: Vec<String> = stamps.split(", ").map(str::to_owned).collect();
+    stamps.sort();
+    stamps
+}
+
+fn all_stamps() -> Vec<String> {
+    let mut stamps: Vec<String> = (0..SHARDS).map(|shard| format!("stamp-{shard}")).collect();
+    stamps.sort();
+    stamps
+}
+
+#[tokio::test]
+async fn entries_send_parts_for_each_other_and_the_answer_is_whole() {
+    let wide = WideDeployment::start(4, None).await;
+    let answer = wide.deployment.exchange(&get("/all/x?y=1")).await;
+    assert_eq!((answer.status, answer.header("hs-missing-parts")), (200, Some("0")));
+    assert_eq!(stamps(&answer), all_stamps());
+    let greatest: Vec<u8> = [11, 10, 9].into_iter().flat_map(|byte| [byte; RECORD]).collect();
+    assert_eq!(answer.body, greatest);
+    assert!(wide.tasks_served() > 0, "another entry took a part");
+    for target in &wide.targets {
+        assert_eq!(target.count(), 1);
+        let seen = target.seen.lock().expect("requests")[0].clone();
+        assert!(seen.head.starts_with("GET /all/x?y=1 HTTP/1.1"), "{}", seen.head);
+        assert_eq!(seen.header("hs-request-id"), Some("r-1"));
+        let left: u64 =
+            seen.header("hs-deadline-ms").and_then(|t| t.parse().ok()).expect("a deadline");
+        assert!(left <= 6_000, "{left}");
+    }
+    wide.deployment.stop().await;
+}
+
+#[tokio::test]
+async fn a_part_that_does_not_come_leaves_the_others_of_its_group_in_the_answer() {
+    let wide = WideDeployment::start(4, Some(7)).await;
+    let answer = wide.deployment.exchange(&get("/all/")).await;
+    assert_eq!((answer.status, answer.header("hs-missing-parts")), (200, Some("1")));
+    let mut expected = all_stamps();
+    expected.retain(|stamp| stamp != "stamp-7");
+    assert_eq!(stamps(&answer), expected);
+    wide.deployment.stop().await;
+}
+
+#[tokio::test]
+async fn the_loss_of_the_other_entries_leaves_the_answer_whole() {
+    let mut wide = WideDeployment::start(4, None).await;
+    wide.deployment.others.clear();
+    let answer = wide.deployment.exchange(&get("/all/")).await;
+    assert_eq!((answer.status, answer.header("hs-missing-parts")), (200, Some("0")));
+    assert_eq!(stamps(&answer), all_stamps());
+    wide.deployment.stop().await;
+}
