--- a/hickoryspan_core/src/gateway/directory.rs
+++ b/hickoryspan_core/src/gateway/directory.rs
@@ -76,6 +76,8 @@
 pub struct KnownTarget {
     /// Its newest announcement.
     pub announcement: TargetAnnouncement,
+    /// The age of the last announcement that changed something; whoever has that one needs no later one.
+    pub changed: AnnouncementAge,
     /// When the newest announcement was heard here.
     pub heard_at: MonotonicTime,
 }
@@ -133,7 +135,7 @@
         } == announcement
             && known.announcement.age.started == announcement.age.started;
         if unchanged {
-            *known = KnownTarget { announcement, heard_at: now };
+            *known = KnownTarget { announcement, changed: known.changed, heard_at: now };
             return DirectoryChange::Renewed;
         }
         self.insert(now, announcement);
@@ -167,7 +169,8 @@
             known.announcement.address != address || *target == announcement.target
         });
         let target = announcement.target.clone();
-        self.targets.insert(target, KnownTarget { announcement, heard_at: now });
+        let changed = announcement.age;
+        self.targets.insert(target, KnownTarget { announcement, changed, heard_at: now });
     }
 
     /// Takes a target out for good; true if something changed.
@@ -215,7 +218,8 @@
     /// Takes back a target that was known before a restart; `heard_at` decides how long it is kept.
     pub fn restore(&mut self, heard_at: MonotonicTime, announcement: TargetAnnouncement) {
         let target = announcement.target.clone();
-        self.targets.entry(target).or_insert(KnownTarget { announcement, heard_at });
+        let changed = announcement.age;
+        self.targets.entry(target).or_insert(KnownTarget { announcement, changed, heard_at });
     }
 
     /// The known targets.
@@ -231,6 +235,11 @@
         })
     }
 
+    /// The number of known targets.
+    pub fn count(&self) -> usize {
+        self.targets.len()
+    }
+
     /// One target.
     pub fn find(&self, target: &TargetId) -> Option<&KnownTarget> {
         self.targets.get(target)
--- a/hickoryspan_core/src/gateway/document.rs
+++ b/hickoryspan_core/src/gateway/document.rs
@@ -57,8 +57,8 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub struct ShardSpread {
-    /// One service for each shard.
-    pub shards: Vec<ServiceId>,
+    /// One service for each shard; routes over the same shards share the list.
+    pub shards: Arc<[ServiceId]>,
     /// The number of records in an answer.
     pub result_limit: usize,
     /// The smallest share of the shards that a successful answer contains, 0 to 1.
@@ -166,8 +166,8 @@
 pub struct ConfigurationDocument {
     /// Its number.
     pub version: DocumentVersion,
-    /// The routes.
-    pub routes: Vec<RouteRule>,
+    /// The routes; documents that follow each other share those that did not change.
+    pub routes: Vec<Arc<RouteRule>>,
     /// The services.
     pub services: Vec<ServiceRule>,
     /// What callers may send.
--- a/hickoryspan_core/src/gateway/document_change.rs
+++ b/hickoryspan_core/src/gateway/document_change.rs
@@ -4,7 +4,7 @@
 //! entry's network link whenever the configuration is large, so every link only names the version in force, and the
 //! entry asks one host for the difference to the version that it has.
 
-use std::collections::BTreeMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -12,7 +12,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::document::{
-    CallerLimits, ConfigurationDocument, DocumentVersion, RouteRule, ServiceRule,
+    CallerLimits, ConfigurationDocument, DocumentVersion, RouteDestination, RouteRule, ServiceRule,
 };
 use crate::types::{MonotonicTime, ServiceId};
 
@@ -20,7 +20,7 @@
 const FETCH_PATIENCE: Duration = Duration::from_millis(500);
 
 /// What makes a route unique within a document.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub struct RoutePlace {
     /// The host that requests name.
@@ -35,6 +35,51 @@
     }
 }
 
+/// A route that is new or differs.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct RouteChange {
+    /// The route, with an empty list of shards if it has one.
+    pub rule: RouteRule,
+    /// Position of its list of shards. Hundreds of routes may share a list of hundreds of shards, which would take a small
+    /// entry a tenth of a second to decode for each of them.
+    pub shard_list: Option<usize>,
+}
+
+/// Collects the different lists of shards.
+#[derive(Default)]
+struct ListTable {
+    lists: Vec<Arc<[ServiceId]>>,
+}
+
+impl ListTable {
+    fn split(&mut self, route: &RouteRule) -> RouteChange {
+        let mut rule = route.clone();
+        let RouteDestination::Shards(spread) = &mut rule.destination else {
+            return RouteChange { rule, shard_list: None };
+        };
+        let list = std::mem::replace(&mut spread.shards, Arc::from([]));
+        let known = self.lists.iter().position(|known| *known == list);
+        let position = known.unwrap_or_else(|| {
+            self.lists.push(list);
+            self.lists.len() - 1
+        });
+        RouteChange { rule, shard_list: Some(position) }
+    }
+}
+
+impl RouteChange {
+    fn join(&self, lists: &[Arc<[ServiceId]>]) -> Option<RouteRule> {
+        let mut rule = self.rule.clone();
+        if let (Some(position), RouteDestination::Shards(spread)) =
+            (self.shard_list, &mut rule.destination)
+        {
+            spread.shards = Arc::clone(lists.get(position)?);
+        }
+        Some(rule)
+    }
+}
+
 /// The difference between two documents, without the text that was submitted.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -44,7 +89,9 @@
     /// The version that it leads to.
     pub version: DocumentVersion,
     /// Routes that are new or differ.
-    pub routes: Vec<RouteRule>,
+    pub routes: Vec<RouteChange>,
+    /// The different lists of shards of these routes.
+    pub shard_lists: Vec<Arc<[ServiceId]>>,
     /// Routes that are gone.
     pub dropped_routes: Vec<RoutePlace>,
     /// Services that are new or differ.
@@ -55,57 +102,76 @@
     pub limits: CallerLimits,
 }
 
-fn routes_by_place(document: &ConfigurationDocument) -> BTreeMap<RoutePlace, &RouteRule> {
+fn routes_by_place(document: &ConfigurationDocument) -> HashMap<RoutePlace, &Arc<RouteRule>> {
     document.routes.iter().map(|route| (RoutePlace::of(route), route)).collect()
 }
 
-fn services_by_name(document: &ConfigurationDocument) -> BTreeMap<&ServiceId, &ServiceRule> {
+fn services_by_name(document: &ConfigurationDocument) -> HashMap<&ServiceId, &ServiceRule> {
     document.services.iter().map(|rule| (&rule.service, rule)).collect()
 }
 
 impl DocumentChange {
+    /// A change of nothing but the version and the limits.
+    pub(super) fn empty(version: DocumentVersion, limits: CallerLimits) -> Self {
+        Self {
+            base: None,
+            version,
+            routes: Vec::new(),
+            shard_lists: Vec::new(),
+            dropped_routes: Vec::new(),
+            services: Vec::new(),
+            dropped_services: Vec::new(),
+            limits,
+        }
+    }
+
     /// What leads from `base`, or from nothing, to `next`.
     pub fn between(base: Option<&ConfigurationDocument>, next: &ConfigurationDocument) -> Self {
         let old_routes = base.map(routes_by_place).unwrap_or_default();
         let old_services = base.map(services_by_name).unwrap_or_default();
         let new_routes = routes_by_place(next);
         let new_services = services_by_name(next);
-        let changed_route =
-            |(place, route): (&RoutePlace, &&RouteRule)| old_routes.get(place) != Some(route);
-        let changed_service =
-            |(name, rule): (&&ServiceId, &&ServiceRule)| old_services.get(*name) != Some(rule);
-        let routes = new_routes.iter().filter(|entry| changed_route(*entry));
-        let services = new_services.iter().filter(|entry| changed_service(*entry));
+        let is_changed =
+            |route: &&Arc<RouteRule>| old_routes.get(&RoutePlace::of(route)) != Some(route);
+        let is_new = |rule: &&ServiceRule| old_services.get(&rule.service) != Some(rule);
+        let mut lists = ListTable::default();
+        let routes = next.routes.iter().filter(is_changed);
+        let routes = routes.map(|route| lists.split(route)).collect();
         let dropped_routes = old_routes.keys().filter(|place| !new_routes.contains_key(*place));
         let dropped_services =
             old_services.keys().filter(|name| !new_services.contains_key(**name));
         Self {
             base: base.map(|base| base.version),
-            version: next.version,
-            routes: routes.map(|(_, route)| (*route).clone()).collect(),
+            routes,
+            shard_lists: lists.lists,
             dropped_routes: dropped_routes.cloned().collect(),
-            services: services.map(|(_, rule)| (*rule).clone()).collect(),
+            services: next.services.iter().filter(is_new).cloned().collect(),
             dropped_services: dropped_services.map(|name| (*name).clone()).collect(),
-            limits: next.limits,
+            ..Self::empty(next.version, next.limits)
         }
     }
 
-    /// The document that this change leads to; nothing if `held` is not what it applies to.
+    /// The document that this change leads to; nothing if `held` is not what it applies to. What is new comes last.
     pub fn apply(&self, held: Option<&ConfigurationDocument>) -> Option<ConfigurationDocument> {
         let base = match self.base {
             Some(version) => Some(held.filter(|held| held.version == version)?),
             None => None,
         };
-        let mut routes = base.map(routes_by_place).unwrap_or_default();
-        let mut services = base.map(services_by_name).unwrap_or_default();
-        routes.retain(|place, _| !self.dropped_routes.contains(place));
-        services.retain(|name, _| !self.dropped_services.contains(*name));
-        routes.extend(self.routes.iter().map(|route| (RoutePlace::of(route), route)));
-        services.extend(self.services.iter().map(|rule| (&rule.service, rule)));
+        let changed = self.routes.iter().map(|route| route.join(&self.shard_lists).map(Arc::new));
+        let changed = changed.collect::<Option<Vec<Arc<RouteRule>>>>()?;
+        let places = changed.iter().map(|route| RoutePlace::of(route));
+        let places: HashSet<RoutePlace> =
+            places.chain(self.dropped_routes.iter().cloned()).collect();
+        let names = self.services.iter().map(|rule| &rule.service);
+        let names: HashSet<&ServiceId> = names.chain(&self.dropped_services).collect();
+        let old_routes = base.into_iter().flat_map(|base| &base.routes);
+        let old_services = base.into_iter().flat_map(|base| &base.services);
+        let kept_routes = old_routes.filter(|route| !places.contains(&RoutePlace::of(route)));
+        let kept_services = old_services.filter(|rule| !names.contains(&rule.service));
         Some(ConfigurationDocument {
             version: self.version,
-            routes: routes.into_values().cloned().collect(),
-            services: services.into_values().cloned().collect(),
+            routes: kept_routes.chain(&changed).cloned().collect(),
+            services: kept_services.chain(&self.services).cloned().collect(),
             limits: self.limits,
             source: Arc::from(""),
         })
@@ -144,6 +210,13 @@
         true
     }
 
+    /// A host has sent a part of what it was asked for.
+    pub fn note_progress(&mut self, now: MonotonicTime, from: SocketAddr) {
+        if let Some(fetch) = self.pending.as_mut().filter(|fetch| fetch.from == from) {
+            fetch.asked_at = now;
+        }
+    }
+
     /// A host sent what it was asked for, or its link ended.
     pub fn note_end(&mut self, from: SocketAddr) {
         if self.pending.is_some_and(|fetch| fetch.from == from) {
--- a/hickoryspan_core/src/gateway/messages.rs
+++ b/hickoryspan_core/src/gateway/messages.rs
@@ -7,7 +7,7 @@
 
 use super::directory::{AnnouncementAge, TargetAnnouncement, TargetDeparture};
 use super::document::DocumentVersion;
-use super::document_change::DocumentChange;
+use super::document_parts::DocumentPart;
 use super::relays::RelayPeer;
 use crate::control::interface::ReplicaRecord;
 use crate::types::{EntryId, FailureDomain, TargetId};
@@ -73,7 +73,8 @@
     /// Targets that announced themselves without a change; only control hosts get these, since each of them counts the
     /// leases.
     Renewals(Vec<TargetRenewal>),
-    /// Targets that the sender has heard of and that the receiver may know already.
+    /// Targets that the sender has heard of and that the receiver may know already, with the age of the last change of
+    /// each.
     Vouched(Vec<TargetRenewal>),
     /// Targets that the sender has not heard for a whole lease, with the newest announcement it knows of each.
     Silent(Vec<TargetRenewal>),
@@ -88,8 +89,8 @@
         /// The version of the document in force at the sender.
         document: Option<DocumentVersion>,
     },
-    /// The document in force, as a change of what the receiver has.
-    Document(Arc<DocumentChange>),
+    /// A part of the document in force, as a change of what the receiver has.
+    Document(Arc<DocumentPart>),
     /// Asks for a confirmation once everything before it has been applied.
     Confirm(ConfirmNumber),
 }
--- a/hickoryspan_core/src/gateway/mod.rs
+++ b/hickoryspan_core/src/gateway/mod.rs
@@ -5,6 +5,7 @@
 pub mod directory;
 pub mod document;
 pub mod document_change;
+pub mod document_parts;
 pub mod gather;
 pub mod line_budget;
 pub mod members;
--- a/hickoryspan_core/src/gateway/relays.rs
+++ b/hickoryspan_core/src/gateway/relays.rs
@@ -112,6 +112,44 @@
     pub address: SocketAddr,
 }
 
+/// How far the entry that has a request relies on another one.
+///
+/// A slow entry cannot be told from a lost one, and both entries together must not exceed the attempts on a shard.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RelayTrust {
+    /// It answered last time. It makes all attempts, and is given up only when it is surely lost.
+    Full,
+    /// It was silent last time. It makes one attempt less, which is left for the entry that has the request.
+    Probing,
+}
+
+impl RelayTrust {
+    /// The attempts on each shard that the other entry may make.
+    pub fn attempts(self, max_attempts: u32) -> u32 {
+        match self {
+            Self::Full => max_attempts,
+            Self::Probing => max_attempts.saturating_sub(1).max(1),
+        }
+    }
+
+    /// How much later than planned the first batch may arrive before the other entry is given up.
+    pub fn patience(self) -> Duration {
+        match self {
+            Self::Full => Duration::from_millis(120),
+            Self::Probing => Duration::from_millis(16),
+        }
+    }
+}
+
+/// The entry that is asked to send a group.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RelayPlace {
+    /// The entry.
+    pub peer: RelayPeer,
+    /// How far to rely on it.
+    pub trust: RelayTrust,
+}
+
 #[derive(Clone, Copy, Debug, Default)]
 struct RelayHold {
     until: MonotonicTime,
@@ -174,7 +212,7 @@
     }
 
     /// The entry that sends this group; nothing if the own entry should. `draw` is a random number from 0 to 1.
-    pub fn place(&mut self, now: MonotonicTime, key: &ServiceId, draw: f64) -> Option<RelayPeer> {
+    pub fn place(&mut self, now: MonotonicTime, key: &ServiceId, draw: f64) -> Option<RelayPlace> {
         if self.peers.len() < self.settings.min_peers {
             return None;
         }
@@ -186,7 +224,11 @@
             order.filter_map(|index| rank.get(index)).find(|entry| !self.is_held(now, entry));
         let entry = usable.filter(|entry| **entry != self.own)?.clone();
         let address = *self.peers.get(&entry)?;
-        Some(RelayPeer { entry, address })
+        let trust = match self.holds.contains_key(&entry) {
+            true => RelayTrust::Probing,
+            false => RelayTrust::Full,
+        };
+        Some(RelayPlace { peer: RelayPeer { entry, address }, trust })
     }
 
     fn rank(&mut self, key: &ServiceId) -> Arc<[EntryId]> {
--- a/hickoryspan_core/src/gateway/routes.rs
+++ b/hickoryspan_core/src/gateway/routes.rs
@@ -37,7 +37,7 @@
     }
 
     /// The route for a host, with or without a port, and a path.
-    pub fn find(&self, host: &str, path: &str) -> Option<&RouteRule> {
+    pub fn find(&self, host: &str, path: &str) -> Option<&Arc<RouteRule>> {
         let name = host.split(':').next().unwrap_or(host).to_ascii_lowercase();
         let routes = self.by_host.get(&name)?.iter().map(|index| &self.document.routes[*index]);
         routes.into_iter().find(|route| path.starts_with(&*route.path_prefix))
--- a/hickoryspan_core/src/gateway/selection.rs
+++ b/hickoryspan_core/src/gateway/selection.rs
@@ -236,6 +236,11 @@
         }
     }
 
+    /// The number of targets.
+    pub fn count(&self) -> usize {
+        self.targets.len()
+    }
+
     /// Keeps only these targets.
     pub fn retain(&mut self, keep: impl Fn(&TargetId) -> bool) {
         let gone: Vec<TargetId> =
--- a/hickoryspan_core/tests/gateway_directory.rs
+++ b/hickoryspan_core/tests/gateway_directory.rs
@@ -110,3 +110,17 @@
     assert!(directory.expire(at(10), LEASE).is_empty());
     assert_eq!(directory.expire(at(11), LEASE).len(), 1);
 }
+
+#[test]
+fn a_renewal_does_not_count_as_a_change() {
+    let mut directory = TargetDirectory::default();
+    directory.announce(at(1), announcement("t", 10, 1));
+    let draining = TargetAnnouncement { phase: TargetPhase::Draining, ..announcement("t", 10, 3) };
+    directory.announce(at(2), draining.clone());
+    let renewed = AnnouncementAge { started: WallTime(10), sequence: 9 };
+    directory.announce(at(3), TargetAnnouncement { age: renewed, ..draining });
+    let known = directory.find(&target("t")).expect("the target");
+    // An entry that has only the first announcement must ask for the drain that it missed.
+    assert_eq!(known.changed, AnnouncementAge { started: WallTime(10), sequence: 3 });
+    assert_eq!(known.announcement.age, renewed);
+}
--- a/hickoryspan_core/tests/gateway_document.rs
+++ b/hickoryspan_core/tests/gateway_document.rs
@@ -34,7 +34,7 @@
     let names = ["a", "b"];
     ConfigurationDocument {
         version: DocumentVersion(version),
-        routes,
+        routes: routes.into_iter().map(Arc::new).collect(),
         services: names.map(|name| ServiceRule { service: service(name), connections: 26 }).into(),
         limits: CallerLimits::default(),
         source: format!("document {version}").into(),
@@ -69,7 +69,7 @@
     assert!(matches!(weightless.check(), Err(DocumentFault::NoWeight(_))));
     let timeless = RouteRule { timeout: Duration::ZERO, ..route("r", "/a/", to("a")) };
     assert!(matches!(document(1, vec![timeless]).check(), Err(DocumentFault::NoTimeout(_))));
-    let spread = ShardSpread { shards: vec![], result_limit: 5, minimum_share: 0.5 };
+    let spread = ShardSpread { shards: Arc::from([]), result_limit: 5, minimum_share: 0.5 };
     let shardless = document(1, vec![route("r", "/a/", RouteDestination::Shards(spread))]);
     assert!(matches!(shardless.check(), Err(DocumentFault::NoShards(_))));
 }
@@ -103,7 +103,7 @@
     #[case] expected: usize,
 ) {
     let shards = vec![service("a"); shards];
-    let spread = ShardSpread { shards, result_limit: 5, minimum_share };
+    let spread = ShardSpread { shards: shards.into(), result_limit: 5, minimum_share };
     assert_eq!(spread.min_parts(), expected);
 }
 
--- a/hickoryspan_core/tests/gateway_relays.rs
+++ b/hickoryspan_core/tests/gateway_relays.rs
@@ -10,7 +10,7 @@
     GatherMachine, GatherSettings, GatherStep, LaunchReason, ShardIndex,
 };
 use hickoryspan_core::gateway::relays::{
-    RelayPeer, RelaySelector, RelaySettings, RepeatGate, divide_shards,
+    RelayPeer, RelayPlace, RelaySelector, RelaySettings, RelayTrust, RepeatGate, divide_shards,
 };
 use hickoryspan_core::types::{EntryId, MonotonicTime, ServiceId};
 
@@ -79,7 +79,7 @@
         for group in &groups {
             for draw in [0.1, 0.9] {
                 let peer = selector.place(at(0), &group.key, draw);
-                let place = peer.map_or(entry(own), |peer| peer.entry);
+                let place = peer.map_or(entry(own), |place| place.peer.entry);
                 used.entry(group.key.clone()).or_default().push(place);
             }
         }
@@ -97,15 +97,29 @@
     let own = (0..ENTRIES).find(|own| selector(*own).place(at(0), &key, 0.0).is_some());
     let mut selector = selector(own.expect("an entry that is not the first one"));
     let first = selector.place(at(0), &key, 0.0).expect("a place");
-    selector.note_silent(at(0), &first.entry);
-    assert_ne!(selector.place(at(1), &key, 0.0), Some(first.clone()));
-    assert_eq!(selector.place(at(301), &key, 0.0), Some(first.clone()));
-    selector.note_silent(at(301), &first.entry);
-    assert_ne!(selector.place(at(800), &key, 0.0), Some(first.clone()));
-    selector.note_answer(&first.entry);
+    assert_eq!(first.trust, RelayTrust::Full);
+    let probed = RelayPlace { trust: RelayTrust::Probing, ..first.clone() };
+    let entry = &first.peer.entry;
+    let is_elsewhere = |place: Option<RelayPlace>| place.is_none_or(|p| p.peer.entry != *entry);
+    selector.note_silent(at(0), entry);
+    assert!(is_elsewhere(selector.place(at(1), &key, 0.0)));
+    assert_eq!(selector.place(at(301), &key, 0.0), Some(probed));
+    selector.note_silent(at(301), entry);
+    assert!(is_elsewhere(selector.place(at(800), &key, 0.0)));
+    selector.note_answer(entry);
     assert_eq!(selector.place(at(800), &key, 0.0), Some(first));
 }
 
+#[test]
+fn both_entries_together_never_exceed_the_attempts_on_a_shard() {
+    for max_attempts in 2..5 {
+        let own_attempt = 1;
+        assert_eq!(RelayTrust::Probing.attempts(max_attempts) + own_attempt, max_attempts);
+        assert_eq!(RelayTrust::Full.attempts(max_attempts), max_attempts);
+    }
+    assert!(RelayTrust::Full.patience() > RelayTrust::Probing.patience() * 4);
+}
+
 #[test]
 fn without_enough_other_entries_all_is_sent_by_the_own_one() {
     let mut selector = RelaySelector::new(RelaySettings::default(), entry(0));
--- a/hickoryspan_core/tests/gateway_spread.rs
+++ b/hickoryspan_core/tests/gateway_spread.rs
@@ -3,13 +3,15 @@
 //! routes to each of them for every version.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use hickoryspan_core::gateway::document::{
     CallerLimits, ConfigurationDocument, DocumentVersion, RepeatRule, RouteDestination, RouteRule,
-    ServiceRule,
+    ServiceRule, ShardSpread,
 };
 use hickoryspan_core::gateway::document_change::{DocumentChange, DocumentFetch};
+use hickoryspan_core::gateway::document_parts::{PartAssembly, encode_parts};
 use hickoryspan_core::gateway::vouching::VouchTable;
 use hickoryspan_core::types::{MonotonicTime, ServiceId, TargetId};
 
@@ -48,7 +50,7 @@
 fn document(version: u64) -> ConfigurationDocument {
     ConfigurationDocument {
         version: DocumentVersion(version),
-        routes: (0..ROUTES).map(|number| route(number, number % 4)).collect(),
+        routes: (0..ROUTES).map(|number| route(number, number % 4).into()).collect(),
         services: (0..4).map(|n| ServiceRule { service: service(n), connections: 26 }).collect(),
         limits: CallerLimits::default(),
         source: format!("the text of version {version}").into(),
@@ -66,10 +68,10 @@
 fn one_changed_route_among_many_travels_alone() {
     let old = document(4);
     let mut new = document(7);
-    new.routes[17] = route(17, 3);
+    new.routes[17] = route(17, 3).into();
     let change = DocumentChange::between(Some(&old), &new);
     assert_eq!((change.routes.len(), change.services.len()), (1, 0));
-    assert_eq!(change.apply(Some(&old)), Some(sorted(new)));
+    assert_eq!(change.apply(Some(&old)).map(sorted), Some(sorted(new)));
 }
 
 #[test]
@@ -77,22 +79,38 @@
     let old = document(4);
     let mut new = document(7);
     new.routes.remove(5);
-    new.routes.iter_mut().for_each(|rule| rule.destination = to(2));
+    for rule in &mut new.routes {
+        Arc::make_mut(rule).destination = to(2);
+    }
     new.services.remove(3);
     new.limits.body_bytes = 7;
     let change = DocumentChange::between(Some(&old), &new);
-    assert_eq!(change.apply(Some(&old)), Some(sorted(new)));
+    assert_eq!(change.apply(Some(&old)).map(sorted), Some(sorted(new)));
 }
 
 fn to(number: u64) -> RouteDestination {
     RouteDestination::Service(service(number))
 }
 
+#[test]
+fn routes_over_the_same_shards_share_one_list() {
+    let shards: Arc<[ServiceId]> = (0..90).map(service).collect();
+    let mut new = document(7);
+    for rule in &mut new.routes {
+        let spread =
+            ShardSpread { shards: shards.to_vec().into(), result_limit: 5, minimum_share: 0.9 };
+        Arc::make_mut(rule).destination = RouteDestination::Shards(spread);
+    }
+    let change = DocumentChange::between(Some(&document(4)), &new);
+    assert_eq!((change.routes.len(), change.shard_lists.len()), (350, 1));
+    assert_eq!(change.apply(Some(&document(4))).map(sorted), Some(sorted(new)));
+}
+
 #[test]
 fn without_a_base_the_whole_document_travels() {
     let change = DocumentChange::between(None, &document(7));
-    assert_eq!(change.apply(None), Some(sorted(document(7))));
-    assert_eq!(change.apply(Some(&document(4))), Some(sorted(document(7))));
+    assert_eq!(change.apply(None).map(sorted), Some(sorted(document(7))));
+    assert_eq!(change.apply(Some(&document(4))).map(sorted), Some(sorted(document(7))));
 }
 
 #[test]
@@ -102,6 +120,40 @@
     assert_eq!(change.apply(None), None);
 }
 
+#[test]
+fn a_large_change_arrives_in_parts_of_bounded_size() {
+    let change = DocumentChange::between(None, &document(7));
+    let parts = encode_parts(&change).expect("parts");
+    assert_eq!(parts.len(), 6, "350 routes, 64 in a part");
+    let mut assembly = PartAssembly::default();
+    let (last, first) = parts.split_last().expect("parts");
+    for part in first {
+        assert_eq!(assembly.take(host(1), part), Ok(None));
+    }
+    assert_eq!(assembly.take(host(1), last), Ok(Some(change)));
+}
+
+#[test]
+fn parts_of_two_hosts_or_two_versions_are_not_mixed() {
+    let parts = |version| encode_parts(&DocumentChange::between(None, &document(version)));
+    let (old, new) = (parts(7).expect("parts"), parts(9).expect("parts"));
+    let mut assembly = PartAssembly::default();
+    assert_eq!(assembly.take(host(1), &old[0]), Ok(None));
+    assert!(assembly.take(host(2), &old[1]).is_err());
+    assert!(assembly.take(host(1), &new[1]).is_err());
+    assert!(assembly.take(host(1), &old[1]).is_err(), "a broken sequence begins anew");
+    assert_eq!(assembly.take(host(1), &old[0]), Ok(None));
+}
+
+#[test]
+fn a_host_that_is_sending_is_not_replaced() {
+    let mut fetch = DocumentFetch::default();
+    let (held, offered) = (Some(DocumentVersion(4)), DocumentVersion(7));
+    assert!(fetch.should_ask(at(0), held, offered, host(1)));
+    fetch.note_progress(at(400), host(1));
+    assert!(!fetch.should_ask(at(600), held, offered, host(2)));
+}
+
 #[test]
 fn one_host_is_asked_at_a_time_and_another_one_if_it_does_not_answer() {
     let mut fetch = DocumentFetch::default();
--- a/hickoryspan_gateway/src/attempt.rs
+++ b/hickoryspan_gateway/src/attempt.rs
@@ -32,7 +32,7 @@
 
 /// A caller's request, read whole.
 pub(crate) struct GatewayJob {
-    pub(crate) route: RouteRule,
+    pub(crate) route: Arc<RouteRule>,
     pub(crate) method: Method,
     /// Path and query as the caller sent them.
     pub(crate) target_path: String,
--- a/hickoryspan_gateway/src/directory_hub.rs
+++ b/hickoryspan_gateway/src/directory_hub.rs
@@ -4,22 +4,23 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use hickoryspan_control::ControlHandle;
 use hickoryspan_core::control::interface::ReplicaRecord;
 use hickoryspan_core::gateway::directory::{
-    DirectoryChange, TargetAnnouncement, TargetDeparture, TargetDirectory, TargetPhase,
+    DirectoryChange, KnownTarget, TargetAnnouncement, TargetDeparture, TargetDirectory, TargetPhase,
 };
 use hickoryspan_core::gateway::document::{ConfigurationDocument, DocumentVersion};
 use hickoryspan_core::gateway::document_change::DocumentChange;
+use hickoryspan_core::gateway::document_parts::{DocumentPart, encode_parts};
 use hickoryspan_core::gateway::messages::{
     ConfirmNumber, DirectoryRequest, DirectoryUpdate, EntryHost, TargetRenewal,
 };
 use hickoryspan_core::gateway::relays::RelayPeer;
 use hickoryspan_core::types::{FailureDomain, MonotonicTime, TargetId};
 use hickoryspan_runtime::clock::SystemClock;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{Notify, mpsc, watch};
 
 use crate::directory_cache::{CachedDirectory, DirectoryCache};
 use crate::directory_links::LinkReporter;
@@ -40,9 +41,18 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct LinkNumber(u64);
 
+/// How long a change waits for others that come at the same time.
+const SPREAD_DELAY: Duration = Duration::from_millis(20);
 /// Documents that are kept so that an entry gets only what changed since the one it has.
 const MAX_DOCUMENTS: usize = 16;
 
+/// A change that was encoded for an entry, and that others are about to need too.
+struct EncodedChange {
+    base: Option<DocumentVersion>,
+    version: DocumentVersion,
+    parts: Vec<Arc<DocumentPart>>,
+}
+
 /// Who is at the other end of a link.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum LinkPeer {
@@ -62,8 +72,19 @@
     confirmed: ConfirmNumber,
 }
 
+/// Changes that wait to be sent together. Hundreds of targets may leave within a second, and each message of its own
+/// would wake every entry twice.
+#[derive(Default)]
+struct ChangeBatch {
+    targets: Vec<TargetAnnouncement>,
+    departures: Vec<TargetDeparture>,
+    // When the batch leaves; nothing while it is empty.
+    due_at: Option<Instant>,
+}
+
 #[derive(Default)]
 struct HubState {
+    changes: ChangeBatch,
     directory: TargetDirectory,
     links: BTreeMap<LinkNumber, HubLink>,
     next_link: u64,
@@ -72,7 +93,7 @@
     heard_of: Vec<TargetRenewal>,
     // The newest is the last one.
     documents: VecDeque<Arc<ConfigurationDocument>>,
-    last_change: Option<Arc<DocumentChange>>,
+    last_change: Option<EncodedChange>,
     confirm: ConfirmNumber,
     // Whether the file with the targets is out of date.
     unsaved: bool,
@@ -123,24 +144,30 @@
     }
 
     /// What an entry needs that has the version `held`; all entries of one moment need the same.
-    fn change_since(&mut self, held: Option<DocumentVersion>) -> Option<Arc<DocumentChange>> {
-        let next = Arc::clone(self.documents.back()?);
+    fn change_since(&mut self, held: Option<DocumentVersion>) -> Vec<Arc<DocumentPart>> {
+        let Some(next) = self.documents.back() else { return Vec::new() };
         let base = self.documents.iter().find(|document| Some(document.version) == held);
         let base_version = base.map(|document| document.version);
         if let Some(change) = &self.last_change
             && change.version == next.version
             && change.base == base_version
         {
-            return Some(Arc::clone(change));
+            return change.parts.clone();
         }
-        let change = Arc::new(DocumentChange::between(base.map(Arc::as_ref), &next));
-        self.last_change = Some(Arc::clone(&change));
-        Some(change)
+        let change = DocumentChange::between(base.map(Arc::as_ref), next);
+        let parts = match encode_parts(&change) {
+            Ok(parts) => parts.into_iter().map(Arc::new).collect(),
+            Err(error) => {
+                spdlog::error!("{}", error);
+                Vec::new()
+            }
+        };
+        let change = EncodedChange { base: base_version, version: next.version, parts };
+        self.last_change.insert(change).parts.clone()
     }
 
-    fn renewals_of_all(&self) -> Vec<TargetRenewal> {
-        let known = self.directory.targets().map(|known| &known.announcement);
-        known.map(to_renewal).collect()
+    fn changes_of_all(&self) -> Vec<TargetRenewal> {
+        self.directory.targets().map(to_change).collect()
     }
 
     fn announcements_of(&self, targets: &[TargetId]) -> Vec<TargetAnnouncement> {
@@ -160,8 +187,8 @@
     }
 }
 
-fn to_renewal(announcement: &TargetAnnouncement) -> TargetRenewal {
-    TargetRenewal { target: announcement.target.clone(), age: announcement.age }
+fn to_change(known: &KnownTarget) -> TargetRenewal {
+    TargetRenewal { target: known.announcement.target.clone(), age: known.changed }
 }
 
 /// How long a target that was read back from disk is kept without an announcement.
@@ -204,6 +231,7 @@
     cache: DirectoryCache,
     state: Mutex<HubState>,
     confirmations: watch::Sender<u64>,
+    spread_planned: Notify,
 }
 
 /// An accepted link; dropping it takes it out.
@@ -248,6 +276,7 @@
             cache,
             state: Mutex::new(state),
             confirmations: watch::Sender::new(0),
+            spread_planned: Notify::new(),
         }
     }
 
@@ -315,8 +344,8 @@
                 self.confirmations.send_modify(|count| *count += 1);
             }
             DirectoryRequest::FetchDocument { held } => {
-                if let Some(change) = state.change_since(held) {
-                    state.send_to(number, DirectoryUpdate::Document(change));
+                for part in state.change_since(held) {
+                    state.send_to(number, DirectoryUpdate::Document(part));
                 }
             }
             DirectoryRequest::FetchTargets(targets) => {
@@ -333,18 +362,26 @@
         if std::mem::replace(&mut link.peer, peer) == peer {
             return;
         }
+        // All that was sent to others before is part of what follows.
+        link.confirmed = state.confirm;
         let hosts = self.to_hosts(state, now);
         let departures = state.directory.departures().collect();
-        let targets = match peer {
-            LinkPeer::Control => {
-                let known = state.directory.targets();
-                DirectoryUpdate::Targets(known.map(|known| known.announcement.clone()).collect())
-            }
-            LinkPeer::Entry | LinkPeer::Unknown => {
-                DirectoryUpdate::Vouched(state.renewals_of_all())
-            }
+        // What ends a target's work does not wait for a question.
+        let is_sent = |known: &&KnownTarget| {
+            peer == LinkPeer::Control || known.announcement.phase != TargetPhase::Ready
         };
-        for update in [hosts, DirectoryUpdate::Departures(departures), targets] {
+        let announcements = state.directory.targets().filter(is_sent);
+        let announcements = announcements.map(|known| known.announcement.clone()).collect();
+        let changes = match peer {
+            LinkPeer::Entry => state.changes_of_all(),
+            LinkPeer::Control | LinkPeer::Unknown => Vec::new(),
+        };
+        for update in [
+            hosts,
+            DirectoryUpdate::Departures(departures),
+            DirectoryUpdate::Targets(announcements),
+            DirectoryUpdate::Vouched(changes),
+        ] {
             state.send_to(number, update);
         }
     }
@@ -395,7 +432,8 @@
                         }
                     );
                     state.unsaved = true;
-                    state.broadcast(&DirectoryUpdate::Targets(vec![announcement]));
+                    state.changes.targets.push(announcement);
+                    self.plan_spread(&mut state);
                 }
             }
         }
@@ -413,19 +451,50 @@
             if state.directory.depart(now, &departure) {
                 spdlog::info!("target left", kv: { target: = departure.target });
                 state.unsaved = true;
-                state.broadcast(&DirectoryUpdate::Departures(vec![departure]));
+                state.changes.departures.push(departure);
             }
         }
         self.confirm().await
     }
 
+    fn plan_spread(&self, state: &mut HubState) {
+        if state.changes.due_at.is_none() {
+            state.changes.due_at = Some(Instant::now() + SPREAD_DELAY);
+            self.spread_planned.notify_one();
+        }
+    }
+
+    /// Waits until changes are due to be sent; may be dropped and called again.
+    pub(crate) async fn await_changes(&self) {
+        loop {
+            let due_at = self.lock().changes.due_at;
+            match due_at {
+                Some(due_at) => return tokio::time::sleep_until(due_at.into()).await,
+                None => self.spread_planned.notified().await,
+            }
+        }
+    }
+
+    /// Sends the changes that wait, and asks for a confirmation of all of them.
+    pub(crate) fn spread_changes(&self) {
+        let mut state = self.lock();
+        let ChangeBatch { targets, departures, .. } = std::mem::take(&mut state.changes);
+        if !targets.is_empty() {
+            state.broadcast(&DirectoryUpdate::Targets(targets));
+        }
+        if !departures.is_empty() {
+            state.broadcast(&DirectoryUpdate::Departures(departures));
+        }
+        state.confirm = ConfirmNumber(state.confirm.0 + 1);
+        let confirm = DirectoryUpdate::Confirm(state.confirm);
+        state.send_where(&confirm, |peer| peer == LinkPeer::Entry);
+    }
+
     async fn confirm(&self) -> AnnounceVerdict {
         let number = {
             let mut state = self.lock();
-            state.confirm = ConfirmNumber(state.confirm.0 + 1);
-            let number = state.confirm;
-            state.broadcast(&DirectoryUpdate::Confirm(number));
-            number
+            self.plan_spread(&mut state);
+            ConfirmNumber(state.confirm.0 + 1)
         };
         let mut confirmations = self.confirmations.subscribe();
         let wait = async {
@@ -540,10 +609,11 @@
             DirectoryUpdate::Targets(targets) => {
                 let mut state = self.lock();
                 for announcement in targets {
-                    let renewal = to_renewal(&announcement);
+                    let target = announcement.target.clone();
                     if state.directory.announce(now, announcement) == DirectoryChange::Changed {
                         state.unsaved = true;
-                        state.heard_of.push(renewal);
+                        let change = state.directory.find(&target).map(to_change);
+                        state.heard_of.extend(change);
                     }
                 }
             }
--- a/hickoryspan_gateway/src/directory_server.rs
+++ b/hickoryspan_gateway/src/directory_server.rs
@@ -34,6 +34,10 @@
         loop {
             let accepted = tokio::select! {
                 () = stop.cancelled() => break,
+                () = self.hub.await_changes() => {
+                    self.hub.spread_changes();
+                    continue;
+                }
                 accepted = self.listener.accept() => accepted,
             };
             while links.try_join_next().is_some() {}
--- a/hickoryspan_gateway/src/entry_daemon.rs
+++ b/hickoryspan_gateway/src/entry_daemon.rs
@@ -9,7 +9,7 @@
 use anyhow::Context;
 use hickoryspan_core::gateway::directory::{DirectoryChange, TargetAnnouncement, TargetPhase};
 use hickoryspan_core::gateway::document::DocumentVersion;
-use hickoryspan_core::gateway::document_change::DocumentChange;
+use hickoryspan_core::gateway::document_parts::DocumentPart;
 use hickoryspan_core::gateway::messages::{DirectoryRequest, DirectoryUpdate, EntryHost};
 use hickoryspan_core::gateway::relays::RelayPeer;
 use hickoryspan_core::types::{MonotonicTime, TargetId};
@@ -46,6 +46,8 @@
     ready: watch::Sender<bool>,
     urgent: watch::Sender<u64>,
     stopping: CancellationToken,
+    // As it was bound, so that the settings may leave the port open.
+    fanout_address: Option<SocketAddr>,
     // The number of entries that each linked control host counts.
     counts: Mutex<BTreeMap<SocketAddr, u32>>,
 }
@@ -90,8 +92,8 @@
             DirectoryUpdate::Vouched(vouched) => {
                 for renewal in vouched {
                     let known = decisions.directory.find(&renewal.target);
-                    let started = known.map(|known| known.announcement.age.started);
-                    match started.is_some_and(|started| started >= renewal.age.started) {
+                    let is_known = known.is_some_and(|known| known.announcement.age >= renewal.age);
+                    match is_known {
                         true => decisions.vouching.vouch(from, &renewal.target),
                         false => decisions.vouching.vouch_unknown(from, &renewal.target),
                     }
@@ -113,7 +115,9 @@
         }
         let decisions = &mut *decisions;
         let directory = &decisions.directory;
-        decisions.selector.retain(|target| directory.find(target).is_some());
+        if decisions.selector.count() > directory.count() {
+            decisions.selector.retain(|target| directory.find(target).is_some());
+        }
     }
 
     fn apply_announcement(
@@ -166,10 +170,21 @@
         }
     }
 
-    fn apply_document(&self, from: SocketAddr, change: &DocumentChange) {
+    fn apply_document(&self, from: SocketAddr, part: &DocumentPart) {
+        let now = self.state.now();
         let mut decisions = self.state.decisions();
+        decisions.document_fetch.note_progress(now, from);
+        let change = match decisions.document_parts.take(from, part) {
+            Ok(None) => return,
+            Ok(Some(change)) => change,
+            Err(error) => {
+                spdlog::warn!("directory link: {}: {}", from, error);
+                decisions.document_fetch.note_end(from);
+                return;
+            }
+        };
         decisions.document_fetch.note_end(from);
-        let installed = decisions.install_change(change);
+        let installed = decisions.install_change(&change);
         let known = decisions.routes.is_some();
         drop(decisions);
         if installed {
@@ -191,7 +206,7 @@
             entry: settings.entry.clone(),
             caller_address: settings.caller_address,
             domain: settings.domain.clone(),
-            fanout_address: settings.fanout_address,
+            fanout_address: self.fanout_address,
             open: *self.ready.borrow(),
         })
     }
@@ -203,7 +218,7 @@
                 self.count_entries(from, Some(entries));
                 return self.next_question(from, document);
             }
-            DirectoryUpdate::Document(change) => self.apply_document(from, &change),
+            DirectoryUpdate::Document(part) => self.apply_document(from, &part),
             DirectoryUpdate::Confirm(_) => {}
             DirectoryUpdate::Relays(peers) => self.apply_relays(from, peers),
             targets @ DirectoryUpdate::Vouched(_) => {
@@ -224,6 +239,7 @@
         decisions.vouching.end_host(from);
         decisions.relays.end_host(from);
         decisions.document_fetch.note_end(from);
+        decisions.document_parts.forget(from);
         drop(decisions);
         self.count_entries(from, None);
     }
@@ -255,6 +271,10 @@
         let listener =
             TcpListener::bind(address).await.with_context(|| format!("bind callers: {address}"))?;
         let fanouts = bind_fanouts(&settings).await?;
+        let fanout_address = match &fanouts {
+            Some(listener) => Some(listener.local_addr().context("read the fan-out address")?),
+            None => None,
+        };
         let directory = settings.directory.clone();
         let state = Arc::new(GatewayState::new(settings, rand::random()));
         let steps = StopSteps::default();
@@ -265,6 +285,7 @@
             ready: watch::Sender::new(false),
             urgent: watch::Sender::new(0),
             stopping: steps.leave.clone(),
+            fanout_address,
             counts: Mutex::default(),
         });
         let links = DirectoryLinks {
--- a/hickoryspan_gateway/src/fanout_server.rs
+++ b/hickoryspan_gateway/src/fanout_server.rs
@@ -116,7 +116,7 @@
     state.tasks_served.fetch_add(1, Ordering::Relaxed);
     metrics::counter!("hickoryspan_gateway_fanout_tasks_total").increment(1);
     let now = state.now();
-    let services = task.shards.clone();
+    let services: Arc<[ServiceId]> = task.shards.as_slice().into();
     let mut run = TaskRun {
         batches_due: VecDeque::from([now + task.first_batch_in, now + task.answer_in]),
         batcher: TaskBatcher::new(&task),
@@ -129,7 +129,7 @@
     let condemned = state.decisions().poison.is_condemned(now, &job.fingerprint);
     let mut batch = match condemned {
         true => run.batcher.take_batch(),
-        false => run.finish(job, services.clone()).await?,
+        false => run.finish(job, Arc::clone(&services)).await?,
     };
     batch.last = true;
     batch.queues = shortest_queues(&state, &services);
@@ -159,7 +159,7 @@
     async fn finish(
         &mut self,
         job: GatewayJob,
-        services: Vec<ServiceId>,
+        services: Arc<[ServiceId]>,
     ) -> anyhow::Result<FanoutBatch> {
         let machine =
             GatherMachine::new(gather_settings(&self.state, &job, services.len(), self.answer_in));
@@ -246,7 +246,7 @@
         objective: task.objective,
         priority: 0,
         destination: RouteDestination::Shards(ShardSpread {
-            shards: task.shards,
+            shards: task.shards.into(),
             result_limit: task.result_limit,
             minimum_share: 0.0,
         }),
@@ -254,7 +254,7 @@
     };
     Ok(GatewayJob {
         fingerprint: fingerprint(&route.host, method.as_str(), &task.target_path, &task.body),
-        route,
+        route: Arc::new(route),
         method,
         target_path: task.target_path.to_string(),
         request: headers.get(&state.settings.headers.request).cloned(),
--- a/hickoryspan_gateway/src/forward.rs
+++ b/hickoryspan_gateway/src/forward.rs
@@ -186,7 +186,7 @@
     state: &GatewayState,
     parts: Parts,
     body: Bytes,
-    route: RouteRule,
+    route: Arc<RouteRule>,
     request: Option<HeaderValue>,
     position: ConnectionPosition,
     received_at: MonotonicTime,
@@ -303,13 +303,13 @@
     }
 }
 
-fn choose_services(state: &GatewayState, job: &GatewayJob) -> Option<Vec<ServiceId>> {
+fn choose_services(state: &GatewayState, job: &GatewayJob) -> Option<Arc<[ServiceId]>> {
     match &job.route.destination {
-        RouteDestination::Service(service) => Some(vec![service.clone()]),
+        RouteDestination::Service(service) => Some(Arc::from([service.clone()])),
         RouteDestination::Split(parts) => {
-            state.decisions().split(&job.route, parts).map(|service| vec![service])
+            state.decisions().split(&job.route, parts).map(|service| Arc::from([service]))
         }
-        RouteDestination::Shards(spread) => Some(spread.shards.clone()),
+        RouteDestination::Shards(spread) => Some(Arc::clone(&spread.shards)),
     }
 }
 
--- a/hickoryspan_gateway/src/gateway_state.rs
+++ b/hickoryspan_gateway/src/gateway_state.rs
@@ -12,9 +12,10 @@
     DocumentVersion, RouteRule, ShardSpread, WeightedService,
 };
 use hickoryspan_core::gateway::document_change::{DocumentChange, DocumentFetch};
+use hickoryspan_core::gateway::document_parts::PartAssembly;
 use hickoryspan_core::gateway::line_budget::{LineBudget, LineKind};
 use hickoryspan_core::gateway::poison::PoisonTable;
-use hickoryspan_core::gateway::relays::{RelayPeer, RelaySelector, ShardGroup, divide_shards};
+use hickoryspan_core::gateway::relays::{RelayPlace, RelaySelector, ShardGroup, divide_shards};
 use hickoryspan_core::gateway::routes::{RouteTable, SplitCounter};
 use hickoryspan_core::gateway::selection::TargetSelector;
 use hickoryspan_core::gateway::vouching::VouchTable;
@@ -42,6 +43,7 @@
 pub(crate) struct SharedDecisions {
     pub(crate) routes: Option<Arc<RouteTable>>,
     pub(crate) document_fetch: DocumentFetch,
+    pub(crate) document_parts: PartAssembly,
     pub(crate) directory: TargetDirectory,
     pub(crate) vouching: VouchTable,
     pub(crate) selector: TargetSelector,
@@ -126,7 +128,11 @@
     }
 
     /// The entry that sends this group; nothing if this one should.
-    pub(crate) fn place_group(&mut self, now: MonotonicTime, key: &ServiceId) -> Option<RelayPeer> {
+    pub(crate) fn place_group(
+        &mut self,
+        now: MonotonicTime,
+        key: &ServiceId,
+    ) -> Option<RelayPlace> {
         let draw = self.draw();
         self.relays.place(now, key, draw)
     }
@@ -180,6 +186,7 @@
         let decisions = SharedDecisions {
             routes: None,
             document_fetch: DocumentFetch::default(),
+            document_parts: PartAssembly::default(),
             directory: TargetDirectory::default(),
             vouching: VouchTable::default(),
             selector,
--- a/hickoryspan_gateway/src/relayed_groups.rs
+++ b/hickoryspan_gateway/src/relayed_groups.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use hickoryspan_core::gateway::gather::{GatherSettings, ShardIndex};
-use hickoryspan_core::gateway::relays::{RelayPeer, ShardGroup};
+use hickoryspan_core::gateway::relays::{RelayPeer, RelayPlace, RelayTrust, ShardGroup};
 use hickoryspan_core::types::{MonotonicTime, ServiceId};
 use tokio::sync::mpsc;
 
@@ -17,11 +17,15 @@
 const RELAY_WAY: Duration = Duration::from_millis(6);
 /// The part of the time for an answer after which an entry shows that it is alive.
 const FIRST_BATCH_PART: f64 = 0.35;
-/// How much later than that a batch may arrive.
-const FIRST_BATCH_SLACK: Duration = Duration::from_millis(16);
+
+/// How late this entry may notice a silence for it to count.
+const OWN_DELAY_LIMIT: Duration = Duration::from_millis(5);
+/// How long the links are given to read batches before an entry counts as silent.
+const ARRIVAL_PAUSE: Duration = Duration::from_millis(3);
 
 struct RelayedGroup {
     peer: RelayPeer,
+    trust: RelayTrust,
     shards: Vec<ShardIndex>,
     // Nothing once the group has ended.
     ticket: Option<FanoutTicket>,
@@ -51,7 +55,6 @@
     job: &'a GatewayJob,
     services: &'a [ServiceId],
     result_limit: usize,
-    max_attempts: u32,
     headers: Vec<HeaderField>,
     first_batch_in: Duration,
     answer_in: Duration,
@@ -64,7 +67,7 @@
             number: TaskNumber::default(),
             route: self.job.route.name.clone(),
             objective: self.job.route.objective,
-            max_attempts: self.max_attempts,
+            max_attempts: 1,
             method: self.job.method.as_str().into(),
             target_path: self.job.target_path.as_str().into(),
             headers: self.headers.clone(),
@@ -102,25 +105,28 @@
             job,
             services,
             result_limit,
-            max_attempts: settings.max_attempts,
             headers: to_fields(&job.headers),
             first_batch_in,
             answer_in,
             give_up_in: settings.give_up_at.since(now).saturating_sub(RELAY_WAY),
         };
-        let silent_at = now + first_batch_in + FIRST_BATCH_SLACK;
         let mut groups = Vec::new();
         for group in divided {
-            let Some(peer) = state.decisions().place_group(now, &group.key) else { continue };
+            let Some(place) = state.decisions().place_group(now, &group.key) else { continue };
+            let RelayPlace { peer, trust } = place;
             if !state.fanout.is_up(peer.address) {
                 continue;
             }
-            let task = frame.to_task(&group.shards);
+            let task = FanoutTask {
+                max_attempts: trust.attempts(settings.max_attempts),
+                ..frame.to_task(&group.shards)
+            };
             let index = GroupIndex(groups.len());
             let ticket = state.fanout.send(peer.address, task, index, sender.clone());
             if ticket.is_some() {
                 let shards = group.shards.clone();
-                groups.push(RelayedGroup { peer, shards, ticket, silent_at: Some(silent_at) });
+                let silent_at = Some(now + first_batch_in + trust.patience());
+                groups.push(RelayedGroup { peer, trust, shards, ticket, silent_at });
             }
         }
         Self { state, groups, events }
@@ -152,6 +158,23 @@
         self.events.recv().await
     }
 
+    /// Lets the links read what has arrived. This entry may be late itself, and then batches wait in its sockets.
+    pub(crate) async fn read_arrived(&mut self, now: MonotonicTime) {
+        let Some(late) = self.groups.iter().filter_map(|group| group.silent_at).min() else {
+            return;
+        };
+        // If this entry stood still, the others' silence says nothing yet.
+        if now.since(late) > OWN_DELAY_LIMIT {
+            for group in &mut self.groups {
+                let patience = group.trust.patience();
+                group.silent_at = group.silent_at.map(|at| at.max(now + patience));
+            }
+        }
+        if self.find_silent(now).is_some() {
+            tokio::time::sleep(ARRIVAL_PAUSE).await;
+        }
+    }
+
     /// Takes an event that is here already.
     pub(crate) fn take_arrived(&mut self) -> Option<RelayNews> {
         while let Ok(event) = self.events.try_recv() {
--- a/hickoryspan_gateway/src/run.rs
+++ b/hickoryspan_gateway/src/run.rs
@@ -2,6 +2,7 @@
 
 use std::pin::Pin;
 use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
 
 use bytes::Bytes;
 use futures::StreamExt;
@@ -22,6 +23,8 @@
 use crate::gateway_state::GatewayState;
 use crate::relayed_groups::{RelayNews, RelayedGroups};
 
+/// Time for the links to send cancellations.
+const CANCEL_PAUSE: Duration = Duration::from_millis(1);
 /// Targets asked for one shard of one request, whether or not they ran it; bounds the work for a service that sheds.
 const MAX_TRIES: usize = 5;
 
@@ -120,7 +123,7 @@
 struct GatherRun {
     state: Arc<GatewayState>,
     job: Arc<GatewayJob>,
-    services: Vec<ServiceId>,
+    services: Arc<[ServiceId]>,
     rule: AnswerRule,
     machine: GatherMachine,
     shards: Vec<ShardTries>,
@@ -136,7 +139,7 @@
 pub(crate) async fn run_gather(
     state: Arc<GatewayState>,
     job: Arc<GatewayJob>,
-    services: Vec<ServiceId>,
+    services: Arc<[ServiceId]>,
     machine: GatherMachine,
     rule: AnswerRule,
     relayed: RelayedGroups,
@@ -207,9 +210,8 @@
                             }
                         }
                         () = tokio::time::sleep_until(until.into()) => {
-                            // Batches that have arrived are read before their entries count as silent.
-                            tokio::task::yield_now().await;
-                            self.end_silent_groups();
+                            self.relayed.read_arrived(self.state.now()).await;
+                            self.end_silent_groups().await;
                         }
                     }
                 }
@@ -232,20 +234,28 @@
         tries.filter(|(_, tries)| tries.tries == 0).map(|(index, _)| ShardIndex(index)).collect()
     }
 
-    fn end_silent_groups(&mut self) {
+    async fn end_silent_groups(&mut self) {
         while let Some(news) = self.relayed.take_arrived() {
             self.take_news(news);
         }
         let now = self.state.now();
+        let mut ended = Vec::new();
         while let Some(index) = self.relayed.find_silent(now) {
             // What this entry cannot send itself is better waited for.
             if self.can_repeat(now, index) {
-                let news = self.relayed.end_silent(now, index);
-                self.take_news(news);
+                ended.push(self.relayed.end_silent(now, index));
             } else {
                 self.relayed.wait_longer(now, index);
             }
         }
+        if ended.is_empty() {
+            return;
+        }
+        // The cancellations leave before this entry is busy with the shards itself.
+        tokio::time::sleep(CANCEL_PAUSE).await;
+        for news in ended {
+            self.take_news(news);
+        }
     }
 
     /// Whether the budgets allow most of a group's shards to be sent to again.
--- a/hickoryspan_gateway/tests/gateway/support.rs
+++ b/hickoryspan_gateway/tests/gateway/support.rs
@@ -231,7 +231,7 @@
             let gateway = GatewaySettings {
                 entry: EntryId::new(format!("entry-{number}")).expect("a name"),
                 caller_address,
-                fanout_address: Some(free_address().await),
+                fanout_address: Some(ANY_PORT),
                 relays,
                 ..gateway.clone()
             };
@@ -263,7 +263,7 @@
         let services = names.into_iter().map(|service| ServiceRule { service, connections });
         let document = Arc::new(ConfigurationDocument {
             version: DocumentVersion(self.version),
-            routes,
+            routes: routes.into_iter().map(Arc::new).collect(),
             services: services.collect(),
             limits: CallerLimits::default(),
             source: format!("version {}", self.version).into(),
--- a/hickoryspan_runtime/src/peer_link.rs
+++ b/hickoryspan_runtime/src/peer_link.rs
@@ -33,6 +33,9 @@
 /// Outgoing bytes that may wait for a slow peer before the link is closed.
 const MAX_WRITE_BYTES: usize = 2 * MAX_FRAME_BYTES;
 
+/// Bytes of a frame whose decoding takes noticeably long.
+const LARGE_FRAME_BYTES: usize = 4 * 1024;
+
 /// Answers to unknown message kinds that may wait to be sent.
 const UNSUPPORTED_QUEUE: usize = 16;
 
@@ -182,6 +185,10 @@
                 if !incoming(message) {
                     return Ok(());
                 }
+                // More large frames may wait in the socket, and others need the thread in between.
+                if bytes.len() > LARGE_FRAME_BYTES {
+                    tokio::task::yield_now().await;
+                }
             }
             InboundFrame::Unknown(kind) => {
                 spdlog::warn!("peer link: unknown message kind {}", kind);
