Split the directory of a control host by concern

Change: hub_state.rs holds what is known and the links, document_history.rs the last documents and what entries need; behaviour is unchanged. Measured: not measured; the tests of the gateway pass.

--- a/hickoryspan_gateway/src/directory_hub.rs
+++ b/hickoryspan_gateway/src/directory_hub.rs
@@ -1,6 +1,5 @@
 //! The directory of one control host: what targets announced here and elsewhere, and the links to all who need it.
 
-use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -9,22 +8,22 @@
 use hickoryspan_control::ControlHandle;
 use hickoryspan_core::control::interface::ReplicaRecord;
 use hickoryspan_core::gateway::directory::{
-    DirectoryChange, KnownTarget, TargetAnnouncement, TargetDeparture, TargetDirectory, TargetPhase,
+    DirectoryChange, KnownTarget, TargetAnnouncement, TargetDeparture, TargetPhase,
 };
-use hickoryspan_core::gateway::document::{ConfigurationDocument, DocumentVersion};
-use hickoryspan_core::gateway::document_change::DocumentChange;
-use hickoryspan_core::gateway::document_parts::{DocumentPart, encode_parts};
+use hickoryspan_core::gateway::document::ConfigurationDocument;
 use hickoryspan_core::gateway::messages::{
     ConfirmNumber, DirectoryRequest, DirectoryUpdate, EntryHost, TargetRenewal,
 };
-use hickoryspan_core::gateway::relays::RelayPeer;
-use hickoryspan_core::types::{FailureDomain, MonotonicTime, TargetId};
+use hickoryspan_core::types::MonotonicTime;
 use hickoryspan_runtime::clock::SystemClock;
 use tokio::sync::{Notify, mpsc, watch};
 
 use crate::directory_cache::{CachedDirectory, DirectoryCache};
 use crate::directory_links::LinkReporter;
 use crate::host_list::HostList;
+use crate::hub_state::{
+    ChangeBatch, HubLink, HubState, LinkNumber, LinkPeer, SPREAD_DELAY, to_change,
+};
 use crate::settings::DirectorySettings;
 
 /// What became of an announcement.
@@ -38,159 +37,6 @@
     Isolated,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub(crate) struct LinkNumber(u64);
-
-/// How long a change waits for others that come at the same time.
-const SPREAD_DELAY: Duration = Duration::from_millis(20);
-/// Documents that are kept so that an entry gets only what changed since the one it has.
-const MAX_DOCUMENTS: usize = 16;
-
-/// A change that was encoded for an entry, and that others are about to need too.
-struct EncodedChange {
-    base: Option<DocumentVersion>,
-    version: DocumentVersion,
-    parts: Vec<Arc<DocumentPart>>,
-}
-
-/// Who is at the other end of a link.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum LinkPeer {
-    /// It has not reported itself yet, and gets nothing.
-    Unknown,
-    Entry,
-    Control,
-}
-
-struct HubLink {
-    queue: mpsc::Sender<DirectoryUpdate>,
-    peer: LinkPeer,
-    entry: Option<EntryHost>,
-    // What the entry was told last about the entries of its failure domain.
-    relays: Vec<RelayPeer>,
-    heard_at: MonotonicTime,
-    confirmed: ConfirmNumber,
-}
-
-/// Changes that wait to be sent together. Hundreds of targets may leave within a second, and each message of its own
-/// would wake every entry twice.
-#[derive(Default)]
-struct ChangeBatch {
-    targets: Vec<TargetAnnouncement>,
-    departures: Vec<TargetDeparture>,
-    // When the batch leaves; nothing while it is empty.
-    due_at: Option<Instant>,
-}
-
-#[derive(Default)]
-struct HubState {
-    changes: ChangeBatch,
-    directory: TargetDirectory,
-    links: BTreeMap<LinkNumber, HubLink>,
-    next_link: u64,
-    renewals: Vec<TargetRenewal>,
-    // Targets that other control hosts told of since the last flush.
-    heard_of: Vec<TargetRenewal>,
-    // The newest is the last one.
-    documents: VecDeque<Arc<ConfigurationDocument>>,
-    last_change: Option<EncodedChange>,
-    confirm: ConfirmNumber,
-    // Whether the file with the targets is out of date.
-    unsaved: bool,
-}
-
-impl HubState {
-    /// Sends an update to every entry and control host.
-    fn broadcast(&mut self, update: &DirectoryUpdate) {
-        self.send_where(update, |peer| peer != LinkPeer::Unknown);
-    }
-
-    /// Sends an update over some links; a link whose queue is full ends, and its other end asks again.
-    fn send_where(&mut self, update: &DirectoryUpdate, is_meant: impl Fn(LinkPeer) -> bool) {
-        self.links
-            .retain(|_, link| !is_meant(link.peer) || link.queue.try_send(update.clone()).is_ok());
-    }
-
-    /// Sends an update over one link, which ends if its queue is full.
-    fn send_to(&mut self, number: LinkNumber, update: DirectoryUpdate) {
-        let Some(link) = self.links.get(&number) else { return };
-        if link.queue.try_send(update).is_err() {
-            self.links.remove(&number);
-        }
-    }
-
-    /// Tells entries of changes among the entries of their failure domain.
-    fn spread_relays(&mut self, now: MonotonicTime, settings: &DirectorySettings) {
-        let mut by_domain: BTreeMap<FailureDomain, Vec<RelayPeer>> = BTreeMap::new();
-        for host in self.entries(now, settings).into_iter().filter(|host| host.open) {
-            if let Some(address) = host.fanout_address {
-                let peer = RelayPeer { entry: host.entry.clone(), address };
-                by_domain.entry(host.domain.clone()).or_default().push(peer);
-            }
-        }
-        self.links.retain(|_, link| {
-            let Some(entry) = &link.entry else { return true };
-            let relays = by_domain.get(&entry.domain).cloned().unwrap_or_default();
-            if link.relays == relays {
-                return true;
-            }
-            link.relays.clone_from(&relays);
-            link.queue.try_send(DirectoryUpdate::Relays(relays)).is_ok()
-        });
-    }
-
-    fn version(&self) -> Option<DocumentVersion> {
-        self.documents.back().map(|document| document.version)
-    }
-
-    /// What an entry needs that has the version `held`; all entries of one moment need the same.
-    fn change_since(&mut self, held: Option<DocumentVersion>) -> Vec<Arc<DocumentPart>> {
-        let Some(next) = self.documents.back() else { return Vec::new() };
-        let base = self.documents.iter().find(|document| Some(document.version) == held);
-        let base_version = base.map(|document| document.version);
-        if let Some(change) = &self.last_change
-            && change.version == next.version
-            && change.base == base_version
-        {
-            return change.parts.clone();
-        }
-        let change = DocumentChange::between(base.map(Arc::as_ref), next);
-        let parts = match encode_parts(&change) {
-            Ok(parts) => parts.into_iter().map(Arc::new).collect(),
-            Err(error) => {
-                spdlog::error!("{}", error);
-                Vec::new()
-            }
-        };
-        let change = EncodedChange { base: base_version, version: next.version, parts };
-        self.last_change.insert(change).parts.clone()
-    }
-
-    fn changes_of_all(&self) -> Vec<TargetRenewal> {
-        self.directory.targets().map(to_change).collect()
-    }
-
-    fn announcements_of(&self, targets: &[TargetId]) -> Vec<TargetAnnouncement> {
-        let known = targets.iter().filter_map(|target| self.directory.find(target));
-        known.map(|known| known.announcement.clone()).collect()
-    }
-
-    fn entries(&self, now: MonotonicTime, settings: &DirectorySettings) -> Vec<&EntryHost> {
-        let mut entries: BTreeMap<SocketAddr, &EntryHost> = BTreeMap::new();
-        for link in self.links.values() {
-            let Some(entry) = &link.entry else { continue };
-            if now.since(link.heard_at) <= settings.silence_limit {
-                entries.insert(entry.caller_address, entry);
-            }
-        }
-        entries.into_values().collect()
-    }
-}
-
-fn to_change(known: &KnownTarget) -> TargetRenewal {
-    TargetRenewal { target: known.announcement.target.clone(), age: known.changed }
-}
-
 /// How long a target that was read back from disk is kept without an announcement.
 const RESTORED_LEASE: Duration = Duration::from_millis(2_800);
 
@@ -344,7 +190,7 @@
                 self.confirmations.send_modify(|count| *count += 1);
             }
             DirectoryRequest::FetchDocument { held } => {
-                for part in state.change_since(held) {
+                for part in state.documents.change_since(held) {
                     state.send_to(number, DirectoryUpdate::Document(part));
                 }
             }
@@ -395,7 +241,7 @@
         DirectoryUpdate::Hosts {
             controls,
             entries: u32::try_from(entries).unwrap_or(u32::MAX),
-            document: state.version(),
+            document: state.documents.version(),
         }
     }
 
@@ -555,14 +401,11 @@
     /// Tells all linked entries that a document is in force; they ask for what they do not have.
     pub fn set_document(&self, document: Arc<ConfigurationDocument>) {
         let mut state = self.lock();
-        if state.version().is_some_and(|current| current >= document.version) {
+        let version = document.version;
+        if !state.documents.push(document) {
             return;
         }
-        spdlog::info!("document in force", kv: { version: = document.version });
-        state.documents.push_back(document);
-        if state.documents.len() > MAX_DOCUMENTS {
-            state.documents.pop_front();
-        }
+        spdlog::info!("document in force", kv: { version: = version });
         let hosts = self.to_hosts(&state, self.now());
         state.send_where(&hosts, |peer| peer == LinkPeer::Entry);
     }
--- /dev/null
+++ b/hickoryspan_gateway/src/hub_state.rs
@@ -0,0 +1,140 @@
+//! What one control host's directory knows, and the links over which it tells others.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use hickoryspan_core::gateway::directory::{
+    KnownTarget, TargetAnnouncement, TargetDeparture, TargetDirectory,
+};
+use hickoryspan_core::gateway::messages::{
+    ConfirmNumber, DirectoryUpdate, EntryHost, TargetRenewal,
+};
+use hickoryspan_core::gateway::relays::RelayPeer;
+use hickoryspan_core::types::{FailureDomain, MonotonicTime, TargetId};
+use tokio::sync::mpsc;
+
+use crate::document_history::DocumentHistory;
+use crate::settings::DirectorySettings;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct LinkNumber(pub(crate) u64);
+
+/// How long a change waits for others that come at the same time.
+pub(crate) const SPREAD_DELAY: Duration = Duration::from_millis(20);
+/// Who is at the other end of a link.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum LinkPeer {
+    /// It has not reported itself yet, and gets nothing.
+    Unknown,
+    Entry,
+    Control,
+}
+
+pub(crate) struct HubLink {
+    pub(crate) queue: mpsc::Sender<DirectoryUpdate>,
+    pub(crate) peer: LinkPeer,
+    pub(crate) entry: Option<EntryHost>,
+    // What the entry was told last about the entries of its failure domain.
+    pub(crate) relays: Vec<RelayPeer>,
+    pub(crate) heard_at: MonotonicTime,
+    pub(crate) confirmed: ConfirmNumber,
+}
+
+/// Changes that wait to be sent together. Hundreds of targets may leave within a second, and each message of its own
+/// would wake every entry twice.
+#[derive(Default)]
+pub(crate) struct ChangeBatch {
+    pub(crate) targets: Vec<TargetAnnouncement>,
+    pub(crate) departures: Vec<TargetDeparture>,
+    // When the batch leaves; nothing while it is empty.
+    pub(crate) due_at: Option<Instant>,
+}
+
+#[derive(Default)]
+pub(crate) struct HubState {
+    pub(crate) changes: ChangeBatch,
+    pub(crate) directory: TargetDirectory,
+    pub(crate) links: BTreeMap<LinkNumber, HubLink>,
+    pub(crate) next_link: u64,
+    pub(crate) renewals: Vec<TargetRenewal>,
+    // Targets that other control hosts told of since the last flush.
+    pub(crate) heard_of: Vec<TargetRenewal>,
+    pub(crate) documents: DocumentHistory,
+    pub(crate) confirm: ConfirmNumber,
+    // Whether the file with the targets is out of date.
+    pub(crate) unsaved: bool,
+}
+
+impl HubState {
+    /// Sends an update to every entry and control host.
+    pub(crate) fn broadcast(&mut self, update: &DirectoryUpdate) {
+        self.send_where(update, |peer| peer != LinkPeer::Unknown);
+    }
+
+    /// Sends an update over some links; a link whose queue is full ends, and its other end asks again.
+    pub(crate) fn send_where(
+        &mut self,
+        update: &DirectoryUpdate,
+        is_meant: impl Fn(LinkPeer) -> bool,
+    ) {
+        self.links
+            .retain(|_, link| !is_meant(link.peer) || link.queue.try_send(update.clone()).is_ok());
+    }
+
+    /// Sends an update over one link, which ends if its queue is full.
+    pub(crate) fn send_to(&mut self, number: LinkNumber, update: DirectoryUpdate) {
+        let Some(link) = self.links.get(&number) else { return };
+        if link.queue.try_send(update).is_err() {
+            self.links.remove(&number);
+        }
+    }
+
+    /// Tells entries of changes among the entries of their failure domain.
+    pub(crate) fn spread_relays(&mut self, now: MonotonicTime, settings: &DirectorySettings) {
+        let mut by_domain: BTreeMap<FailureDomain, Vec<RelayPeer>> = BTreeMap::new();
+        for host in self.entries(now, settings).into_iter().filter(|host| host.open) {
+            if let Some(address) = host.fanout_address {
+                let peer = RelayPeer { entry: host.entry.clone(), address };
+                by_domain.entry(host.domain.clone()).or_default().push(peer);
+            }
+        }
+        self.links.retain(|_, link| {
+            let Some(entry) = &link.entry else { return true };
+            let relays = by_domain.get(&entry.domain).cloned().unwrap_or_default();
+            if link.relays == relays {
+                return true;
+            }
+            link.relays.clone_from(&relays);
+            link.queue.try_send(DirectoryUpdate::Relays(relays)).is_ok()
+        });
+    }
+
+    pub(crate) fn changes_of_all(&self) -> Vec<TargetRenewal> {
+        self.directory.targets().map(to_change).collect()
+    }
+
+    pub(crate) fn announcements_of(&self, targets: &[TargetId]) -> Vec<TargetAnnouncement> {
+        let known = targets.iter().filter_map(|target| self.directory.find(target));
+        known.map(|known| known.announcement.clone()).collect()
+    }
+
+    pub(crate) fn entries(
+        &self,
+        now: MonotonicTime,
+        settings: &DirectorySettings,
+    ) -> Vec<&EntryHost> {
+        let mut entries: BTreeMap<SocketAddr, &EntryHost> = BTreeMap::new();
+        for link in self.links.values() {
+            let Some(entry) = &link.entry else { continue };
+            if now.since(link.heard_at) <= settings.silence_limit {
+                entries.insert(entry.caller_address, entry);
+            }
+        }
+        entries.into_values().collect()
+    }
+}
+
+pub(crate) fn to_change(known: &KnownTarget) -> TargetRenewal {
+    TargetRenewal { target: known.announcement.target.clone(), age: known.changed }
+}
