--- a/hickoryspan_core/src/gateway/relays.rs
+++ b/hickoryspan_core/src/gateway/relays.rs
@@ -22,6 +22,11 @@
 /// Doublings of a hold; more would only overflow.
 const MAX_DOUBLINGS: u32 = 6;
 
+/// Patience with an entry whose attempts could add up with others: longer than an entry under load stands still.
+const FULL_PATIENCE: Duration = Duration::from_millis(120);
+/// Patience with an entry that was silent last time, whose part is sent again without harm.
+const PROBING_PATIENCE: Duration = Duration::from_millis(16);
+
 /// How a fan-out is divided among entries.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct RelaySettings {
@@ -135,8 +140,8 @@
     /// How much later than planned the first batch may arrive before the other entry is given up.
     pub fn patience(self) -> Duration {
         match self {
-            Self::Full => Duration::from_millis(120),
-            Self::Probing => Duration::from_millis(16),
+            Self::Full => FULL_PATIENCE,
+            Self::Probing => PROBING_PATIENCE,
         }
     }
 }
--- a/hickoryspan_gateway/src/entry_daemon.rs
+++ b/hickoryspan_gateway/src/entry_daemon.rs
@@ -353,17 +353,17 @@
             () = tokio::time::sleep(SWEEP_INTERVAL) => {}
         }
         let now = state.now();
-        let mut decisions = state.decisions();
-        let decisions_now = &mut *decisions;
-        let vouching = &decisions_now.vouching;
+        let mut guard = state.decisions();
+        let decisions = &mut *guard;
+        let vouching = &decisions.vouching;
         // Without any link nothing is known, so that an entry that is cut off serves with the targets that it has.
         let is_alive = |target: &TargetId| !vouching.is_linked() || vouching.is_vouched(target);
-        decisions_now.directory.keep_alive(now, is_alive);
+        decisions.directory.keep_alive(now, is_alive);
         for silent in decisions.directory.expire(now, lease) {
             spdlog::info!("target silent", kv: { target: = silent.target });
             decisions.selector.remove(&silent.target);
         }
-        drop(decisions);
+        drop(guard);
         state.pool.sweep(|target| state.is_known(target));
     }
 }
--- a/hickoryspan_gateway/src/relayed_groups.rs
+++ b/hickoryspan_gateway/src/relayed_groups.rs
@@ -17,7 +17,6 @@
 const RELAY_WAY: Duration = Duration::from_millis(6);
 /// The part of the time for an answer after which an entry shows that it is alive.
 const FIRST_BATCH_PART: f64 = 0.35;
-
 /// How late this entry may notice a silence for it to count.
 const OWN_DELAY_LIMIT: Duration = Duration::from_millis(5);
 /// How long the links are given to read batches before an entry counts as silent.
@@ -37,7 +36,7 @@
 pub(crate) enum RelayNews {
     /// Parts are in; with `last`, the others will not come.
     Parts(Vec<ShardIndex>, FanoutBatch),
-    /// The entry sent nothing. The shards were sent to at most once.
+    /// The entry sent nothing. One more attempt on each shard is allowed.
     Silent(Vec<ShardIndex>),
     /// The entry was lost after its first batch. The shards may have been sent to as often as allowed.
     LostLater(Vec<ShardIndex>),
