Answer look-ups of entries on entries too

Cause: a control host that is frozen or without power neither accepts nor refuses a look-up, so each caller that asks it waits one second. Change: control hosts send their entries the changes among the open entries, and entries answer look-ups from that. Three to four times as many hosts answer, so a silent one is asked less often.

--- a/hickoryspan_core/src/gateway/messages.rs
+++ b/hickoryspan_core/src/gateway/messages.rs
@@ -9,6 +9,7 @@
 use super::directory::{AnnouncementAge, TargetAnnouncement, TargetDeparture};
 use super::document::DocumentVersion;
 use super::document_parts::DocumentPart;
+use super::entry_list::EntryListChange;
 use super::relays::RelayPeer;
 use crate::control::interface::ReplicaRecord;
 use crate::types::{EntryId, FailureDomain, TargetId};
@@ -82,6 +83,8 @@
     Silent(Vec<TargetRenewal>),
     /// The open entries of the receiver's failure domain that accept parts of wide fan-outs.
     Relays(Vec<RelayPeer>),
+    /// Changes among the open entries of all failure domains, for callers that look up entries.
+    Entries(EntryListChange),
     /// The known control hosts, the number of entries and the version of the document in force.
     Hosts {
         /// Addresses at which control hosts accept directory links.
--- a/hickoryspan_core/src/gateway/mod.rs
+++ b/hickoryspan_core/src/gateway/mod.rs
@@ -6,6 +6,7 @@
 pub mod document;
 pub mod document_change;
 pub mod document_parts;
+pub mod entry_list;
 pub mod fanout;
 pub mod liveness;
 pub mod log_limit;
--- a/hickoryspan_gateway/src/directory_hub.rs
+++ b/hickoryspan_gateway/src/directory_hub.rs
@@ -1,6 +1,7 @@
 //! The target directory of one control host, and the links over which it is shared with entries and other control
 //! hosts.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -12,8 +13,9 @@
     DirectoryChange, KnownTarget, TargetAnnouncement, TargetDeparture, TargetPhase,
 };
 use hickoryspan_core::gateway::document::ConfigurationDocument;
+use hickoryspan_core::gateway::entry_list::{EntryListChange, OpenEntry};
 use hickoryspan_core::gateway::messages::{
-    ConfirmNumber, DirectoryRequest, DirectoryUpdate, EntryHost, TargetRenewal,
+    ConfirmNumber, DirectoryRequest, DirectoryUpdate, TargetRenewal,
 };
 use hickoryspan_core::types::MonotonicTime;
 use hickoryspan_runtime::clock::SystemClock;
@@ -227,18 +229,19 @@
         };
         let announcements = state.directory.targets().filter(is_sent);
         let announcements = announcements.map(|known| known.announcement.clone()).collect();
-        let changes = match peer {
-            LinkPeer::Entry => state.last_changes(),
-            LinkPeer::Control | LinkPeer::Unknown => Vec::new(),
-        };
         for update in [
             hosts,
             DirectoryUpdate::Departures(departures),
             DirectoryUpdate::Targets(announcements),
-            DirectoryUpdate::Vouched(changes),
         ] {
             state.send_to(number, update);
         }
+        if peer == LinkPeer::Entry {
+            let changes = state.last_changes();
+            state.send_to(number, DirectoryUpdate::Vouched(changes));
+            let entries = EntryListChange::between(&BTreeSet::new(), &state.listed);
+            state.send_to(number, DirectoryUpdate::Entries(entries));
+        }
     }
 
     fn hosts_update(&self, state: &HubState, now: MonotonicTime) -> DirectoryUpdate {
@@ -383,12 +386,9 @@
     }
 
     /// Returns the entries that accept callers.
-    pub fn open_entries(&self) -> Vec<EntryHost> {
+    pub fn open_entries(&self) -> Vec<OpenEntry> {
         let now = self.now();
-        let state = self.lock();
-        let entries = state.entries(now, &self.settings);
-        let open = entries.into_iter().filter(|entry| entry.open);
-        open.cloned().collect()
+        self.lock().open_entries(now, &self.settings).into_iter().collect()
     }
 
     /// Saves the known targets to disk if they changed. Called periodically; blocks, so it must run on a thread of its
@@ -440,6 +440,7 @@
         let hosts = self.hosts_update(&state, now);
         state.broadcast(&hosts);
         state.send_relays(now, &self.settings);
+        state.send_entry_changes(now, &self.settings);
         let expired = state.directory.expire(now, self.settings.target_lease);
         if expired.is_empty() {
             return;
@@ -498,6 +499,7 @@
             | DirectoryUpdate::Confirm(_)
             | DirectoryUpdate::Vouched(_)
             | DirectoryUpdate::Relays(_)
+            | DirectoryUpdate::Entries(_)
             | DirectoryUpdate::Silent(_) => {}
         }
         None
--- a/hickoryspan_gateway/src/entry_daemon.rs
+++ b/hickoryspan_gateway/src/entry_daemon.rs
@@ -10,6 +10,7 @@
 use hickoryspan_core::gateway::directory::{DirectoryChange, TargetAnnouncement, TargetPhase};
 use hickoryspan_core::gateway::document::DocumentVersion;
 use hickoryspan_core::gateway::document_parts::DocumentPart;
+use hickoryspan_core::gateway::entry_list::OpenEntry;
 use hickoryspan_core::gateway::messages::{DirectoryRequest, DirectoryUpdate, EntryHost};
 use hickoryspan_core::gateway::relays::RelayPeer;
 use hickoryspan_core::types::{MonotonicTime, TargetId};
@@ -112,6 +113,7 @@
             DirectoryUpdate::Hosts { .. }
             | DirectoryUpdate::Renewals(_)
             | DirectoryUpdate::Relays(_)
+            | DirectoryUpdate::Entries(_)
             | DirectoryUpdate::Document(_)
             | DirectoryUpdate::Confirm(_) => return,
         }
@@ -224,6 +226,9 @@
             DirectoryUpdate::Document(part) => self.apply_document(from, &part),
             DirectoryUpdate::Confirm(_) => {}
             DirectoryUpdate::Relays(peers) => self.apply_relays(from, peers),
+            DirectoryUpdate::Entries(change) => {
+                self.state.decisions().entry_list.apply(from, change);
+            }
             targets @ DirectoryUpdate::Vouched(_) => {
                 self.apply_targets(from, targets);
                 return self.next_request(from, None);
@@ -241,6 +246,7 @@
         }
         decisions.liveness.remove_host(from);
         decisions.relays.remove_host(from);
+        decisions.entry_list.remove_host(from);
         decisions.document_fetch.note_end(from);
         decisions.document_parts.forget(from);
         drop(decisions);
@@ -248,6 +254,26 @@
     }
 }
 
+/// Answers which entries accept callers, as far as one entry knows.
+#[derive(Clone)]
+pub struct EntryListView {
+    state: Arc<GatewayState>,
+    readiness: ReadinessView,
+}
+
+impl EntryListView {
+    /// Returns the open entries. This entry knows best whether it is open itself.
+    pub fn open_entries(&self) -> Vec<OpenEntry> {
+        let settings = &self.state.settings;
+        let own_address = settings.caller_address;
+        let decisions = self.state.decisions();
+        let others = decisions.entry_list.entries();
+        let others = others.filter(|entry| entry.caller_address != own_address).cloned();
+        let own = OpenEntry { caller_address: own_address, domain: settings.domain.clone() };
+        others.chain(self.readiness.is_ready().then_some(own)).collect()
+    }
+}
+
 /// Counts of the work that an entry does for the fan-outs of other entries.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct FanoutCounts {
@@ -314,6 +340,11 @@
         ReadinessView(self.handler.ready.subscribe())
     }
 
+    /// Returns a view of the entries that accept callers.
+    pub fn entry_list(&self) -> EntryListView {
+        EntryListView { state: Arc::clone(&self.state), readiness: self.readiness() }
+    }
+
     /// Returns the counts of this entry's work for the fan-outs of other entries.
     pub fn fanout_counts(&self) -> FanoutCounts {
         FanoutCounts {
--- a/hickoryspan_gateway/src/gateway_state.rs
+++ b/hickoryspan_gateway/src/gateway_state.rs
@@ -13,6 +13,7 @@
 };
 use hickoryspan_core::gateway::document_change::{DocumentChange, DocumentFetch};
 use hickoryspan_core::gateway::document_parts::PartAssembly;
+use hickoryspan_core::gateway::entry_list::EntryList;
 use hickoryspan_core::gateway::liveness::LivenessTable;
 use hickoryspan_core::gateway::log_limit::{LogLimiter, LogPriority};
 use hickoryspan_core::gateway::poison::PoisonTable;
@@ -50,6 +51,8 @@
     pub(crate) directory: TargetDirectory,
     /// Which control hosts report which targets as alive.
     pub(crate) liveness: LivenessTable,
+    /// The entries that accept callers.
+    pub(crate) entry_list: EntryList,
     pub(crate) selector: TargetSelector,
     pub(crate) poison: PoisonTable,
     pub(crate) relays: RelaySelector,
@@ -196,6 +199,7 @@
             document_parts: PartAssembly::default(),
             directory: TargetDirectory::default(),
             liveness: LivenessTable::default(),
+            entry_list: EntryList::default(),
             selector,
             poison: PoisonTable::default(),
             relays: RelaySelector::new(settings.relays, settings.entry.clone()),
--- a/hickoryspan_gateway/src/hub_state.rs
+++ b/hickoryspan_gateway/src/hub_state.rs
@@ -1,12 +1,13 @@
 //! The state of a control host's directory and of its links.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use hickoryspan_core::gateway::directory::{
     KnownTarget, TargetAnnouncement, TargetDeparture, TargetDirectory,
 };
+use hickoryspan_core::gateway::entry_list::{EntryListChange, OpenEntry};
 use hickoryspan_core::gateway::messages::{
     ConfirmNumber, DirectoryUpdate, EntryHost, TargetRenewal,
 };
@@ -61,6 +62,8 @@
     pub(crate) renewals: Vec<TargetRenewal>,
     // Targets that other control hosts reported as new or changed since the last flush.
     pub(crate) peer_changes: Vec<TargetRenewal>,
+    // The open entries, as last sent to all entries.
+    pub(crate) listed: BTreeSet<OpenEntry>,
     pub(crate) documents: DocumentHistory,
     pub(crate) confirm_number: ConfirmNumber,
     // Whether the directory has changed since it was last saved.
@@ -112,6 +115,32 @@
         });
     }
 
+    /// Notifies all entries of changes among the open entries.
+    pub(crate) fn send_entry_changes(&mut self, now: MonotonicTime, settings: &DirectorySettings) {
+        let open = self.open_entries(now, settings);
+        let change = EntryListChange::between(&self.listed, &open);
+        if change.is_empty() {
+            return;
+        }
+        self.listed = open;
+        let update = DirectoryUpdate::Entries(change);
+        self.send_where(&update, |peer| peer == LinkPeer::Entry);
+    }
+
+    /// Returns the entries that accept callers.
+    pub(crate) fn open_entries(
+        &self,
+        now: MonotonicTime,
+        settings: &DirectorySettings,
+    ) -> BTreeSet<OpenEntry> {
+        let open = self.entries(now, settings).into_iter().filter(|host| host.open);
+        open.map(|host| OpenEntry {
+            caller_address: host.caller_address,
+            domain: host.domain.clone(),
+        })
+        .collect()
+    }
+
     /// Returns all known targets with the age of their last change.
     pub(crate) fn last_changes(&self) -> Vec<TargetRenewal> {
         self.directory.targets().map(last_change_of).collect()
--- a/hickoryspan_gateway/src/lib.rs
+++ b/hickoryspan_gateway/src/lib.rs
@@ -28,7 +28,7 @@
 pub use directory_hub::{AnnounceVerdict, DirectoryHub};
 pub use directory_links::{DirectoryLinks, LinkHandler};
 pub use directory_server::DirectoryServer;
-pub use entry_daemon::{FanoutCounts, GatewayEntry, ReadinessView};
+pub use entry_daemon::{EntryListView, FanoutCounts, GatewayEntry, ReadinessView};
 pub use headers::GatewayHeaders;
 pub use host_list::HostList;
 pub use settings::{DirectorySettings, GatewaySettings};
