Elect and reconnect quickly after a common restart

Cause: after all processes restart, entries refuse every request until a majority of the control hosts has a leader and they have a link. The first election took 80 to 240 ms, a connection to a host without power 300 ms, and the delay between attempts grew to 500 and 700 ms. Change: first election after 15 to 60 ms, connections given up after 100 ms, replica links retried within 80 ms, directory links within 100 ms while the process has none. What remains is the time without processes.

--- a/hickoryspan_control/src/replica_links.rs
+++ b/hickoryspan_control/src/replica_links.rs
@@ -6,6 +6,7 @@
 
 use anyhow::{Context, bail};
 use hickoryspan_core::control::raft::ReplicaMessage;
+use hickoryspan_core::reconnect::{ReconnectDelay, ReconnectSettings};
 use hickoryspan_core::types::ReplicaId;
 use hickoryspan_runtime::credential::SharedCredential;
 use hickoryspan_runtime::peer_link::PeerLink;
@@ -18,10 +19,8 @@
 /// Maximum number of messages in the queue of one link. Further ones are dropped, because the replication protocol
 /// retransmits what is still needed.
 const QUEUE_CAPACITY: usize = 1024;
-/// Delay after the first failed connection.
-const MIN_RECONNECT_DELAY: Duration = Duration::from_millis(50);
 /// Longest delay after failed connections. It is short because an election may have to wait for it.
-const MAX_RECONNECT_DELAY: Duration = Duration::from_millis(500);
+const MAX_RECONNECT_DELAY: Duration = Duration::from_millis(80);
 /// Interval between probes, which detect connections that are dead but were never closed.
 const PROBE_INTERVAL: Duration = Duration::from_millis(500);
 /// Number of unanswered probes after which a link is replaced. This takes 2 s, so that a burst of log entries queued
@@ -110,21 +109,24 @@
     credential: SharedCredential,
     mut messages: mpsc::Receiver<ReplicaFrame>,
 ) {
-    let mut delay = MIN_RECONNECT_DELAY;
+    let mut delay = ReconnectDelay::new(ReconnectSettings {
+        max: MAX_RECONNECT_DELAY,
+        max_unlinked: MAX_RECONNECT_DELAY,
+        ..Default::default()
+    });
     // The link is opened when there is a message to send, which then becomes the first message on it.
     while let Some(first) = messages.recv().await {
         let headers = [(REPLICA_HEADER, local_id.to_string())];
         match PeerLink::connect(address, REPLICA_PATH, headers, &credential).await {
             Ok(link) => {
-                delay = MIN_RECONNECT_DELAY;
+                delay.reset();
                 if let Err(error) = serve_link(link, first, &mut messages).await {
                     spdlog::info!("replica link: {}: {:#}", address, error);
                 }
             }
             Err(error) => {
                 spdlog::debug!("replica link: {:#}", error);
-                tokio::time::sleep(delay).await;
-                delay = (delay * 2).min(MAX_RECONNECT_DELAY);
+                tokio::time::sleep(delay.after_failure(false)).await;
                 // Messages that were queued during the delay are outdated.
                 while messages.try_recv().is_ok() {}
             }
--- a/hickoryspan_core/src/control/raft/mod.rs
+++ b/hickoryspan_core/src/control/raft/mod.rs
@@ -160,6 +160,12 @@
     pub max: Duration,
 }
 
+impl ElectionRange {
+    /// Range of the first election after a start. Shorter than later timeouts, because after a start of all hosts
+    /// at once callers are refused until there is a leader. Several round trips and disk writes fit in it.
+    pub const FIRST: Self = Self { min: Duration::from_millis(15), max: Duration::from_millis(60) };
+}
+
 /// Timeouts and limits of log replication.
 #[derive(Clone, Debug)]
 pub struct RaftSettings {
--- a/hickoryspan_core/src/lib.rs
+++ b/hickoryspan_core/src/lib.rs
@@ -11,5 +11,6 @@
 pub mod gateway;
 pub mod membership;
 pub mod messages;
+pub mod reconnect;
 pub mod sheet;
 pub mod types;
--- a/hickoryspan_gateway/src/directory_links.rs
+++ b/hickoryspan_gateway/src/directory_links.rs
@@ -3,10 +3,12 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
 use anyhow::{Context, bail};
 use hickoryspan_core::gateway::messages::{DirectoryRequest, DirectoryUpdate};
+use hickoryspan_core::reconnect::{ReconnectDelay, ReconnectSettings};
 use hickoryspan_runtime::peer_link::PeerLink;
 use tokio::sync::{mpsc, watch};
 use tokio::task::{AbortHandle, JoinSet};
@@ -19,10 +21,6 @@
 pub(crate) const DIRECTORY_PATH: &str = "/v1/directory";
 /// Maximum number of messages in the queue of one link.
 const QUEUE_CAPACITY: usize = 256;
-/// Delay before the first reconnect.
-const MIN_RECONNECT_DELAY: Duration = Duration::from_millis(60);
-/// Longest delay between reconnects.
-const MAX_RECONNECT_DELAY: Duration = Duration::from_millis(700);
 /// Time without a connection after which a host is removed from the list. If it is still running, seeds and other hosts
 /// add it again.
 const FORGET_AFTER: Duration = Duration::from_secs(20);
@@ -55,6 +53,7 @@
     /// Runs until `stop` is cancelled, then closes all links.
     pub async fn run(self, stop: CancellationToken) {
         let mut tasks = JoinSet::new();
+        let links_up = Arc::new(AtomicUsize::new(0));
         let mut open: BTreeMap<SocketAddr, AbortHandle> = BTreeMap::new();
         let mut hosts = self.hosts.subscribe();
         loop {
@@ -74,6 +73,7 @@
                     address,
                     hosts: self.hosts.clone(),
                     settings: self.settings.clone(),
+                    links_up: Arc::clone(&links_up),
                     handler: Arc::clone(&self.handler),
                     report_trigger: self.report_trigger.clone(),
                 };
@@ -97,13 +97,15 @@
     address: SocketAddr,
     hosts: HostList,
     settings: DirectorySettings,
+    // Number of links of this process that are up.
+    links_up: Arc<AtomicUsize>,
     handler: Arc<dyn LinkHandler>,
     report_trigger: watch::Receiver<u64>,
 }
 
 impl LinkTask {
     async fn run(mut self) {
-        let mut delay = MIN_RECONNECT_DELAY;
+        let mut delay = ReconnectDelay::new(ReconnectSettings::default());
         let mut last_up = Instant::now();
         while last_up.elapsed() < FORGET_AFTER {
             let started_at = Instant::now();
@@ -112,11 +114,11 @@
                 spdlog::debug!("directory link: {}: {:#}", self.address, error);
             }
             if started_at.elapsed() > self.settings.receive_timeout {
-                delay = MIN_RECONNECT_DELAY;
+                delay.reset();
                 last_up = Instant::now();
             }
-            tokio::time::sleep(delay).await;
-            delay = (delay * 2).min(MAX_RECONNECT_DELAY);
+            let linked = self.links_up.load(Ordering::Relaxed) > 0;
+            tokio::time::sleep(delay.after_failure(linked)).await;
         }
         self.hosts.remove(self.address);
     }
@@ -144,7 +146,8 @@
             while let Ok(Ok(())) = tokio::time::timeout(limit, last_received.changed()).await {}
         };
         let reports = send_reports(&self.settings, &*self.handler, &mut self.report_trigger, queue);
-        let up = LinkStateGuard::new(Arc::clone(&self.handler), address);
+        let up =
+            LinkStateGuard::new(Arc::clone(&self.handler), address, Arc::clone(&self.links_up));
         let ended = tokio::select! {
             ended = link.run(outgoing, receive) => ended,
             ended = reports => ended,
@@ -173,19 +176,22 @@
 struct LinkStateGuard {
     handler: Arc<dyn LinkHandler>,
     address: SocketAddr,
+    links_up: Arc<AtomicUsize>,
 }
 
 impl LinkStateGuard {
-    fn new(handler: Arc<dyn LinkHandler>, address: SocketAddr) -> Self {
+    fn new(handler: Arc<dyn LinkHandler>, address: SocketAddr, links_up: Arc<AtomicUsize>) -> Self {
         spdlog::info!("directory link up", kv: { peer: = address });
+        links_up.fetch_add(1, Ordering::Relaxed);
         handler.on_link_change(address, true);
-        Self { handler, address }
+        Self { handler, address, links_up }
     }
 }
 
 impl Drop for LinkStateGuard {
     fn drop(&mut self) {
         spdlog::info!("directory link down", kv: { peer: = self.address });
+        self.links_up.fetch_sub(1, Ordering::Relaxed);
         self.handler.on_link_change(self.address, false);
     }
 }
--- a/hickoryspan_runtime/src/peer_link.rs
+++ b/hickoryspan_runtime/src/peer_link.rs
@@ -30,7 +30,7 @@
 pub const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(2);
 /// Timeout for the TCP connection alone. The first packet to a host that is still starting is lost and would be
 /// retransmitted only after a second, so a new attempt connects sooner.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
 /// Maximum number of outgoing bytes that are buffered for a slow peer. The link is closed if there are more.
 const MAX_WRITE_BYTES: usize = 2 * MAX_FRAME_BYTES;
 
