Prefer targets of the own failure domain more clearly

Cause: targets of one shard differ by up to 1.6 times in speed, so a cost factor of 1.12 sent about half of the fan-out to other failure domains although answers from there were no more often in time. Change: cost factor 2 for targets of other failure domains.

--- a/hickoryspan_core/src/gateway/selection.rs
+++ b/hickoryspan_core/src/gateway/selection.rs
@@ -43,7 +43,7 @@
             eject_after: 3,
             eject_min: Duration::from_millis(1_000),
             eject_max: Duration::from_secs(8),
-            remote_factor: 1.12,
+            remote_factor: 2.0,
             cold_factor: 1.8,
             load_lifetime: Duration::from_millis(500),
         }
--- a/hickoryspan_core/tests/gateway_selection.rs
+++ b/hickoryspan_core/tests/gateway_selection.rs
@@ -78,6 +78,49 @@
     assert!((60..=140).contains(&chosen), "{chosen} of 200");
 }
 
+/// A target of the entry's failure domain (`one`) and one of another (`two`).
+fn near_and_far() -> TargetSelector {
+    let mut selector = pair();
+    selector.put(at(0), TargetAnnouncement { domain: domain("b"), ..announcement("two", 9002) });
+    selector
+}
+
+// Pattern: ordinary load. Equal targets in two failure domains cost an entry the same latency, but every answer from
+// the other one crosses the link between them.
+#[test]
+fn ordinary_load_stays_in_the_failure_domain() {
+    let mut selector = near_and_far();
+    let faster_far = |chosen: &TargetId| {
+        let near = *chosen == target("one");
+        AttemptOutcome::Success(if near { MEDIAN * 13 / 10 } else { MEDIAN })
+    };
+    let near = count_chosen(&mut selector, 0, 200, "one", faster_far);
+    assert!(near >= 190, "{near} of 200 in the failure domain");
+}
+
+// Pattern: stragglers at home. The preference must not keep requests on a target that is several times slower.
+#[test]
+fn straggler_in_the_failure_domain_loses_its_work_to_another_domain() {
+    let mut selector = near_and_far();
+    let slow_near = |chosen: &TargetId| {
+        let near = *chosen == target("one");
+        AttemptOutcome::Success(if near { MEDIAN * 5 } else { MEDIAN })
+    };
+    let near = count_chosen(&mut selector, 0, 200, "one", slow_near);
+    assert!(near <= 40, "{near} of 200 on the straggler");
+}
+
+// Pattern: burst. A queue in the own failure domain sends the next requests to the other one.
+#[test]
+fn queue_in_the_failure_domain_sends_work_to_another_domain() {
+    let mut selector = near_and_far();
+    let far = (0..8).filter(|_| {
+        let chosen = selector.choose(at(1), &service(), &[]).expect("a target");
+        chosen.target == target("two")
+    });
+    assert!(far.count() >= 2, "with eight requests at once both targets work");
+}
+
 #[test]
 fn a_slow_target_loses_nearly_all_work() {
     let mut selector = pair();
