Name the missing shards of a request in its log line

Cause: `request outcome` said how many parts were missing, not which, so that a shard with one overloaded target could not be found in the logs. Change: the line names up to four missing shards, each with the target that was asked last. Measured: not measured; at most four names a line.

--- a/hickoryspan_gateway/src/forward.rs
+++ b/hickoryspan_gateway/src/forward.rs
@@ -416,6 +416,7 @@
             route: = job.route.name,
             end: ? = outcome.end,
             missing: = missing,
+            missing_shards: = missing_text(outcome),
             entries: = entries,
             version: = version,
             attempts: = outcome.attempts,
@@ -428,6 +429,12 @@
     );
 }
 
+/// Returns the missing shards with the targets that were asked last, for the log.
+fn missing_text(outcome: &RunOutcome) -> String {
+    let missing: Vec<String> = outcome.missing.iter().map(ToString::to_string).collect();
+    if missing.is_empty() { "-".to_owned() } else { missing.join(" ") }
+}
+
 fn merge_answers(
     state: &GatewayState,
     spread: &ShardSpread,
--- a/hickoryspan_gateway/src/run.rs
+++ b/hickoryspan_gateway/src/run.rs
@@ -1,5 +1,6 @@
 //! Executes one request over its shards: carries out the steps of [`FanoutMachine`] with real attempts and timers.
 
+use std::fmt;
 use std::pin::Pin;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
@@ -28,6 +29,8 @@
 /// Maximum number of times that one request is sent to one shard, including sends that the target did not run. Bounds
 /// the work when a service sheds load.
 const MAX_SHARD_SENDS: usize = 5;
+/// Maximum number of missing shards that a log line names.
+const MAX_LOGGED_SHARDS: usize = 4;
 
 type AttemptFuture = Pin<Box<dyn Future<Output = AttemptReport> + Send>>;
 
@@ -92,6 +95,22 @@
     }
 }
 
+/// A shard whose answer is missing, for the log.
+pub(crate) struct MissingShard {
+    service: ServiceId,
+    // The target that was asked last; `None` if this entry asked none.
+    target: Option<TargetId>,
+}
+
+impl fmt::Display for MissingShard {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match &self.target {
+            Some(target) => write!(formatter, "{}@{}", self.service, target),
+            None => write!(formatter, "{}@-", self.service),
+        }
+    }
+}
+
 /// The result of a run.
 pub(crate) struct RunOutcome {
     pub(crate) end: RunEnd,
@@ -101,6 +120,8 @@
     pub(crate) relayed_records: Vec<Bytes>,
     /// Shards to which nothing was sent.
     pub(crate) unsent: Vec<ShardIndex>,
+    /// The first shards without an answer, at most [`MAX_LOGGED_SHARDS`].
+    pub(crate) missing: Vec<MissingShard>,
     /// Number of targets whose connection was lost, or 0 if any target answered.
     pub(crate) lost: u32,
     /// Number of shard groups that were handed to other entries.
@@ -155,6 +176,7 @@
         answers: services.iter().map(|_| None).collect(),
         relayed_records: Vec::new(),
         unsent: Vec::new(),
+        missing: Vec::new(),
         lost: 0,
         relayed_groups: relayed.count(),
         may_have_run: false,
@@ -222,6 +244,7 @@
             }
         }
         self.outcome.unsent = self.unsent_shards();
+        self.outcome.missing = self.missing_shards();
         if !self.pending.is_empty() {
             // Targets may still run the attempts that are cancelled here.
             self.outcome.may_have_run = true;
@@ -241,6 +264,17 @@
             .collect()
     }
 
+    fn missing_shards(&self) -> Vec<MissingShard> {
+        let answers = self.outcome.answers.iter().enumerate();
+        let missing = answers.filter(|(_, answer)| answer.is_none()).take(MAX_LOGGED_SHARDS);
+        missing
+            .map(|(index, _)| MissingShard {
+                service: self.services[index].clone(),
+                target: self.shards[index].tried.last().cloned(),
+            })
+            .collect()
+    }
+
     async fn end_timed_out_groups(&mut self) {
         while let Some(progress) = self.relayed.next_received() {
             self.apply_progress(progress);
