Record metrics without a calibrated clock

Cause: the metrics exporter creates a clock that calibrates itself for up to 200 ms of wall time. Change: an own recorder on the registry of metrics-util, with the same page.

--- a/hickoryspan_runtime/src/lib.rs
+++ b/hickoryspan_runtime/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod http_server;
 pub mod logs;
 pub mod metrics_page;
+mod metrics_recorder;
 pub mod peer_link;
 pub mod process;
 pub mod settings;
