Direct callers to entries that are not slowed down

Change: an entry compares the time to start an attempt with the usual one. While it is three times longer, the entry reports that it lags; it is left out of look-ups unless most entries lag, and closes connections after each answer once others are listed in its place. A first version, with the time until all attempts were queued against the objective, never noticed the lag: that time is under a millisecond, as attempts start later.

--- a/hickoryspan_core/src/gateway/entry_list.rs
+++ b/hickoryspan_core/src/gateway/entry_list.rs
@@ -9,6 +9,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::messages::EntryHost;
 use crate::types::FailureDomain;
 
 /// An entry that accepts callers.
@@ -21,6 +22,18 @@
     pub domain: FailureDomain,
 }
 
+/// Returns the entries to which callers are directed: the open ones that do not lag, or all open ones
+/// if fewer than half of them do not lag, because the others could not carry the load.
+pub fn listed_entries<'a>(hosts: impl IntoIterator<Item = &'a EntryHost>) -> BTreeSet<OpenEntry> {
+    let open: Vec<&EntryHost> = hosts.into_iter().filter(|host| host.open).collect();
+    let steady = open.iter().filter(|host| !host.lagging).count();
+    let all = steady * 2 < open.len();
+    open.into_iter()
+        .filter(|host| all || !host.lagging)
+        .map(|host| OpenEntry { caller_address: host.caller_address, domain: host.domain.clone() })
+        .collect()
+}
+
 /// How the open entries known to a control host have changed since its last report on a link.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -75,6 +88,12 @@
         }
     }
 
+    /// Returns whether callers are directed to other entries instead of the one at this address.
+    pub fn prefers_others(&self, caller_address: SocketAddr) -> bool {
+        let is_listed = self.last_known.iter().any(|entry| entry.caller_address == caller_address);
+        !is_listed && !self.last_known.is_empty()
+    }
+
     /// Returns the open entries.
     pub fn entries(&self) -> impl Iterator<Item = &OpenEntry> {
         self.last_known.iter()
--- a/hickoryspan_core/src/gateway/messages.rs
+++ b/hickoryspan_core/src/gateway/messages.rs
@@ -26,8 +26,11 @@
     pub domain: FailureDomain,
     /// Address at which it accepts parts of wide fan-outs from other entries, if it does.
     pub fanout_address: Option<SocketAddr>,
-    /// Whether callers should be directed to it.
+    /// Whether callers may be directed to it.
     pub open: bool,
+    /// Whether it has too little processor time, so that callers should prefer other entries.
+    #[serde(default)]
+    pub lagging: bool,
 }
 
 /// The renewal of an announcement without any other change.
--- a/hickoryspan_core/src/gateway/mod.rs
+++ b/hickoryspan_core/src/gateway/mod.rs
@@ -15,6 +15,7 @@
 pub mod outcomes;
 pub mod overload;
 pub mod poison;
+pub mod processor_lag;
 pub mod relays;
 pub mod routes;
 pub mod selection;
--- a/hickoryspan_gateway/src/attempt.rs
+++ b/hickoryspan_gateway/src/attempt.rs
@@ -65,6 +65,8 @@
 pub(crate) struct AttemptReport {
     pub(crate) shard: ShardIndex,
     pub(crate) target: ChosenTarget,
+    /// Time between the launch of the attempt and its start, in which this process did other work.
+    pub(crate) start_delay: Duration,
     pub(crate) result: AttemptResult,
 }
 
@@ -95,8 +97,10 @@
     service: ServiceId,
     shard: ShardIndex,
     target: ChosenTarget,
+    launched_at: MonotonicTime,
 ) -> AttemptReport {
     let started_at = state.now();
+    let start_delay = started_at.since(launched_at);
     let mut guard = AttemptGuard {
         state: Arc::clone(&state),
         job: Arc::clone(&job),
@@ -114,7 +118,7 @@
         state.decisions().record_latency(&job.route, now.since(started_at));
     }
     drop(guard);
-    AttemptReport { shard, target, result }
+    AttemptReport { shard, target, start_delay, result }
 }
 
 async fn exchange(
--- a/hickoryspan_gateway/src/caller_server.rs
+++ b/hickoryspan_gateway/src/caller_server.rs
@@ -6,6 +6,8 @@
 use std::time::Duration;
 
 use hickoryspan_core::gateway::document::CallerLimits;
+use http::HeaderValue;
+use http::header::CONNECTION;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -94,7 +96,13 @@
             true => ConnectionPosition::First,
             false => ConnectionPosition::Later,
         };
-        async move { Ok::<_, Infallible>(answer_request(state, request, position).await) }
+        async move {
+            let mut response = answer_request(Arc::clone(&state), request, position).await;
+            if state.should_leave_callers() {
+                response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+            }
+            Ok::<_, Infallible>(response)
+        }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
--- a/hickoryspan_gateway/src/entry_daemon.rs
+++ b/hickoryspan_gateway/src/entry_daemon.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::atomic::Ordering;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -50,6 +50,8 @@
     // The bound address, because the settings may leave the choice of the port to the system. `None` if this entry
     // takes no part in fan-outs of others.
     fanout_address: Option<SocketAddr>,
+    // Whether the last report said that this entry lags.
+    lagging: AtomicBool,
     // The number of entries that each linked control host reports.
     entry_counts: Mutex<BTreeMap<SocketAddr, u32>>,
 }
@@ -61,6 +63,15 @@
         }
     }
 
+    fn is_lagging(&self) -> bool {
+        let now = self.state.now();
+        let lagging = self.state.decisions().lag.is_lagging(now);
+        if self.lagging.swap(lagging, Ordering::Relaxed) != lagging {
+            spdlog::info!("processor lag", kv: { lagging: = lagging });
+        }
+        lagging
+    }
+
     fn update_entry_count(&self, from: SocketAddr, count: Option<u32>) {
         let mut entry_counts = self.entry_counts.lock().unwrap_or_else(PoisonError::into_inner);
         match count {
@@ -213,6 +224,7 @@
             domain: settings.domain.clone(),
             fanout_address: self.fanout_address,
             open: *self.ready.borrow(),
+            lagging: self.is_lagging(),
         })
     }
 
@@ -266,11 +278,12 @@
     pub fn open_entries(&self) -> Vec<OpenEntry> {
         let settings = &self.state.settings;
         let own_address = settings.caller_address;
+        let is_listed = self.readiness.is_ready() && !self.state.should_leave_callers();
         let decisions = self.state.decisions();
         let others = decisions.entry_list.entries();
         let others = others.filter(|entry| entry.caller_address != own_address).cloned();
         let own = OpenEntry { caller_address: own_address, domain: settings.domain.clone() };
-        others.chain(self.readiness.is_ready().then_some(own)).collect()
+        others.chain(is_listed.then_some(own)).collect()
     }
 }
 
@@ -315,6 +328,7 @@
             report_trigger: watch::Sender::new(0),
             stopping: shutdown.drain.clone(),
             fanout_address,
+            lagging: AtomicBool::new(false),
             entry_counts: Mutex::default(),
         });
         let links = DirectoryLinks {
--- a/hickoryspan_gateway/src/gateway_state.rs
+++ b/hickoryspan_gateway/src/gateway_state.rs
@@ -17,6 +17,7 @@
 use hickoryspan_core::gateway::liveness::LivenessTable;
 use hickoryspan_core::gateway::log_limit::{LogLimiter, LogPriority};
 use hickoryspan_core::gateway::poison::PoisonTable;
+use hickoryspan_core::gateway::processor_lag::{LagMonitor, LagSettings};
 use hickoryspan_core::gateway::relays::{
     RelayAssignment, RelaySelector, ShardGroup, divide_shards,
 };
@@ -53,6 +54,7 @@
     pub(crate) liveness: LivenessTable,
     /// The entries that accept callers.
     pub(crate) entry_list: EntryList,
+    pub(crate) lag: LagMonitor,
     pub(crate) selector: TargetSelector,
     pub(crate) poison: PoisonTable,
     pub(crate) relays: RelaySelector,
@@ -200,6 +202,7 @@
             directory: TargetDirectory::default(),
             liveness: LivenessTable::default(),
             entry_list: EntryList::default(),
+            lag: LagMonitor::new(LagSettings::default()),
             selector,
             poison: PoisonTable::default(),
             relays: RelaySelector::new(settings.relays, settings.entry.clone()),
@@ -254,6 +257,14 @@
         (usable / users.max(1)).max(1) as usize
     }
 
+    /// Returns whether this entry lags and callers are already directed to others.
+    pub(crate) fn should_leave_callers(&self) -> bool {
+        let now = self.now();
+        let decisions = self.decisions();
+        let own_address = self.settings.caller_address;
+        decisions.lag.is_lagging(now) && decisions.entry_list.prefers_others(own_address)
+    }
+
     pub(crate) fn is_known(&self, target: &TargetId) -> bool {
         self.decisions().directory.find(target).is_some()
     }
--- a/hickoryspan_gateway/src/hub_state.rs
+++ b/hickoryspan_gateway/src/hub_state.rs
@@ -7,7 +7,7 @@
 use hickoryspan_core::gateway::directory::{
     KnownTarget, TargetAnnouncement, TargetDeparture, TargetDirectory,
 };
-use hickoryspan_core::gateway::entry_list::{EntryListChange, OpenEntry};
+use hickoryspan_core::gateway::entry_list::{EntryListChange, OpenEntry, listed_entries};
 use hickoryspan_core::gateway::messages::{
     ConfirmNumber, DirectoryUpdate, EntryHost, TargetRenewal,
 };
@@ -127,18 +127,13 @@
         self.send_where(&update, |peer| peer == LinkPeer::Entry);
     }
 
-    /// Returns the entries that accept callers.
+    /// Returns the entries to which callers are directed.
     pub(crate) fn open_entries(
         &self,
         now: MonotonicTime,
         settings: &DirectorySettings,
     ) -> BTreeSet<OpenEntry> {
-        let open = self.entries(now, settings).into_iter().filter(|host| host.open);
-        open.map(|host| OpenEntry {
-            caller_address: host.caller_address,
-            domain: host.domain.clone(),
-        })
-        .collect()
+        listed_entries(self.entries(now, settings))
     }
 
     /// Returns all known targets with the age of their last change.
--- a/hickoryspan_gateway/src/run.rs
+++ b/hickoryspan_gateway/src/run.rs
@@ -29,6 +29,8 @@
 /// Maximum number of times that one request is sent to one shard, including sends that the target did not run. Bounds
 /// the work when a service sheds load.
 const MAX_SHARD_SENDS: usize = 5;
+/// Smallest number of attempts of one request whose start is measured. Fewer take too little time.
+const MIN_LAG_ATTEMPTS: u32 = 8;
 /// Maximum number of missing shards that a log line names.
 const MAX_LOGGED_SHARDS: usize = 4;
 
@@ -158,6 +160,8 @@
     sink: Option<RunSink>,
     answered: u32,
     lost: u32,
+    // The longest time between the launch of an attempt and its start.
+    longest_start_delay: Duration,
 }
 
 /// Runs the request. Dropping the future cancels every attempt.
@@ -199,6 +203,7 @@
         sink,
         answered: 0,
         lost: 0,
+        longest_start_delay: Duration::ZERO,
     };
     run.run_to_end().await
 }
@@ -250,12 +255,21 @@
             self.outcome.may_have_run = true;
         }
         let now = self.state.now();
+        self.observe_lag(now);
         let run = RunCounts { answered: self.answered, lost: self.lost };
         self.state.decisions().poison.note_run(now, self.job.fingerprint, run);
         self.outcome.lost = if self.answered == 0 { self.lost } else { 0 };
         self.outcome
     }
 
+    /// Records the time that it took to start one attempt, as a measure of the processor time that this process gets.
+    fn observe_lag(&self, now: MonotonicTime) {
+        let started = self.outcome.attempts - self.outcome.hedges;
+        if started >= MIN_LAG_ATTEMPTS {
+            self.state.decisions().lag.observe(now, self.longest_start_delay / started);
+        }
+    }
+
     fn unsent_shards(&self) -> Vec<ShardIndex> {
         let attempts = self.shards.iter().enumerate();
         attempts
@@ -406,11 +420,12 @@
         self.outcome.hedges += u32::from(reason == LaunchReason::Hedge);
         self.machine.note_sent(now, shard);
         let (state, job) = (Arc::clone(&self.state), Arc::clone(&self.job));
-        self.pending.push(Box::pin(run_attempt(state, job, service, shard, chosen)));
+        self.pending.push(Box::pin(run_attempt(state, job, service, shard, chosen, now)));
     }
 
     fn handle_report(&mut self, report: AttemptReport) {
-        let AttemptReport { shard, target, result } = report;
+        let AttemptReport { shard, target, start_delay, result } = report;
+        self.longest_start_delay = self.longest_start_delay.max(start_delay);
         match result {
             AttemptResult::Answer(answer)
                 if self.rule == AnswerRule::Any || answer.status.is_success() =>
