Cut off responses that never end

Cause: interim responses without end were read until the deadline of the request, at the speed at which the target sent them; in a test with a deadline of 992 ms the request ended after 1,190 ms, because the parser kept the thread busy. Change: a connection reads at most twice the largest response and 512 KiB from one request to the next; beyond that the response counts as lost.

--- a/hickoryspan_gateway/tests/gateway/main.rs
+++ b/hickoryspan_gateway/tests/gateway/main.rs
@@ -1,5 +1,6 @@
 //! Tests with real entries, a real control host and scripted targets on loopback.
 
+mod endless_answers;
 mod forwarding;
 mod support;
 mod wide_fan_out;
--- a/hickoryspan_gateway/tests/gateway/support.rs
+++ b/hickoryspan_gateway/tests/gateway/support.rs
@@ -2,6 +2,7 @@
 
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::Path;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -71,12 +72,16 @@
     SendLater(Duration, Vec<u8>),
     /// Sends these bytes and closes the connection.
     SendAndClose(Vec<u8>),
+    /// Sends the first bytes and then the second ones again and again, until the connection is closed.
+    SendForever(Vec<u8>, Vec<u8>),
 }
 
 /// A running target. Dropping it closes its connections.
 pub struct ScriptedTarget {
     pub address: SocketAddr,
     pub seen: Arc<Mutex<Vec<SeenRequest>>>,
+    /// Number of endless answers that were not cut off yet.
+    pub endless: Arc<AtomicUsize>,
     _tasks: JoinSet<()>,
 }
 
@@ -87,13 +92,16 @@
         let seen = Arc::new(Mutex::new(Vec::new()));
         let mut tasks = JoinSet::new();
         let requests = Arc::clone(&seen);
+        let endless = Arc::new(AtomicUsize::new(0));
+        let open = Arc::clone(&endless);
         tasks.spawn(async move {
             let mut connections = JoinSet::new();
             while let Ok((stream, _)) = listener.accept().await {
-                connections.spawn(serve(stream, Arc::clone(&script), Arc::clone(&requests)));
+                let (script, requests) = (Arc::clone(&script), Arc::clone(&requests));
+                connections.spawn(serve(stream, script, requests, Arc::clone(&open)));
             }
         });
-        Self { address, seen, _tasks: tasks }
+        Self { address, seen, endless, _tasks: tasks }
     }
 
     pub fn count(&self) -> usize {
@@ -101,7 +109,12 @@
     }
 }
 
-async fn serve(mut stream: TcpStream, script: TargetScript, seen: Arc<Mutex<Vec<SeenRequest>>>) {
+async fn serve(
+    mut stream: TcpStream,
+    script: TargetScript,
+    seen: Arc<Mutex<Vec<SeenRequest>>>,
+    endless: Arc<AtomicUsize>,
+) {
     while let Some(request) = read_request(&mut stream).await {
         let action = script(&request);
         seen.lock().expect("the seen requests").push(request);
@@ -111,6 +124,15 @@
                 tokio::time::sleep(delay).await;
                 stream.write_all(&bytes).await
             }
+            TargetAction::SendForever(first, repeated) => {
+                endless.fetch_add(1, Ordering::SeqCst);
+                let mut sent = stream.write_all(&first).await;
+                while sent.is_ok() {
+                    sent = stream.write_all(&repeated).await;
+                }
+                endless.fetch_sub(1, Ordering::SeqCst);
+                return;
+            }
             TargetAction::SendAndClose(bytes) => {
                 let _ = stream.write_all(&bytes).await;
                 return;
--- a/hickoryspan_runtime/src/http_client.rs
+++ b/hickoryspan_runtime/src/http_client.rs
@@ -20,10 +20,18 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::AbortOnDropHandle;
 
-/// A TCP stream that counts the bytes written to the operating system.
+/// Number of bytes that may arrive before and between responses, for example in response heads. A peer could otherwise
+/// keep the process busy with interim responses that never end.
+const MAX_EXTRA_BYTES: u64 = 512 * 1024;
+/// Factor by which chunked encoding may enlarge a response.
+const CHUNK_OVERHEAD: u64 = 2;
+
+/// A TCP stream that counts the bytes written to the operating system and limits the bytes read from it.
 struct CountingStream {
     inner: TcpStream,
     written: Arc<AtomicU64>,
+    // Number of bytes that may still be read.
+    readable: Arc<AtomicU64>,
 }
 
 impl AsyncRead for CountingStream {
@@ -32,7 +40,17 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.inner).poll_read(context, buffer)
+        if self.readable.load(Ordering::Acquire) == 0 {
+            return Poll::Ready(Err(io::Error::other(
+                "too many bytes without a complete response",
+            )));
+        }
+        let filled_before = buffer.filled().len();
+        let polled = Pin::new(&mut self.inner).poll_read(context, buffer);
+        let read = (buffer.filled().len() - filled_before) as u64;
+        let left = self.readable.load(Ordering::Acquire).saturating_sub(read);
+        self.readable.store(left, Ordering::Release);
+        polled
     }
 }
 
@@ -107,6 +125,7 @@
 pub struct HttpConnection {
     sender: http1::SendRequest<Full<Bytes>>,
     written: Arc<AtomicU64>,
+    readable: Arc<AtomicU64>,
     driver: AbortOnDropHandle<()>,
     ended: CancellationToken,
     peer: SocketAddr,
@@ -120,7 +139,12 @@
             .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
         stream.set_nodelay(true)?;
         let written = Arc::new(AtomicU64::new(0));
-        let counting = CountingStream { inner: stream, written: Arc::clone(&written) };
+        let readable = Arc::new(AtomicU64::new(MAX_EXTRA_BYTES));
+        let counting = CountingStream {
+            inner: stream,
+            written: Arc::clone(&written),
+            readable: Arc::clone(&readable),
+        };
         let (sender, connection) =
             http1::handshake(TokioIo::new(counting)).await.map_err(io::Error::other)?;
         let ended = CancellationToken::new();
@@ -131,7 +155,7 @@
                 spdlog::debug!("HTTP connection: {}: {}", address, error);
             }
         }));
-        Ok(Self { sender, written, driver, ended, peer: address })
+        Ok(Self { sender, written, readable, driver, ended, peer: address })
     }
 
     /// Returns the address of the peer.
@@ -160,13 +184,16 @@
         Arc::clone(&self.written)
     }
 
-    /// Sends a request and reads the complete response, whose body may have at most `max_response_bytes` bytes.
+    /// Sends a request and reads the complete response, whose body may have at most `max_response_bytes` bytes. A peer
+    /// that sends much more without completing the response is treated like one that closes the connection.
     pub async fn send(
         &mut self,
         request: Request<Full<Bytes>>,
         max_response_bytes: usize,
     ) -> Result<HttpAnswer, SendError> {
         let written_before = self.written.load(Ordering::Acquire);
+        let max_bytes = max_response_bytes as u64 * CHUNK_OVERHEAD + MAX_EXTRA_BYTES;
+        self.readable.store(max_bytes, Ordering::Release);
         let send_error = |written: &AtomicU64, error: &dyn std::fmt::Display| {
             let cause: Arc<str> = error.to_string().into();
             if written.load(Ordering::Acquire) == written_before {
--- a/hickoryspan_runtime/tests/http.rs
+++ b/hickoryspan_runtime/tests/http.rs
@@ -15,6 +15,7 @@
 use http::{Request, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
+use rstest::rstest;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
@@ -127,6 +128,37 @@
     assert!(matches!(error, SendError::ConnectionLost(_)), "{error}");
 }
 
+// A peer that sends without end must not keep the process busy until a deadline ends the request.
+#[rstest]
+#[case::status_line("HTTP/1.1 200 ", "x")]
+#[case::header_line("HTTP/1.1 200 OK\r\nx-filler: ", "x")]
+#[case::header_lines("HTTP/1.1 200 OK\r\n", "x-filler: x\r\n")]
+#[case::interim_responses("", "HTTP/1.1 102 Processing\r\n\r\n")]
+#[case::body("HTTP/1.1 200 OK\r\n\r\n", "x")]
+#[case::chunks("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n", "1\r\nx\r\n")]
+#[case::chunk_extension("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n1;", "x")]
+#[case::trailers("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n0\r\n", "x: y\r\n")]
+#[tokio::test]
+async fn an_endless_response_ends_without_a_deadline(#[case] first: &str, #[case] repeated: &str) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let server = async {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let repeated = repeated.repeat(1_000);
+        let mut sent = stream.write_all(first.as_bytes()).await;
+        while sent.is_ok() {
+            sent = stream.write_all(repeated.as_bytes()).await;
+        }
+    };
+    let client = async {
+        let mut connection = HttpConnection::open(address, TIMEOUT).await.unwrap();
+        connection.send(request("/", "abc"), MAX_RESPONSE_BYTES).await.unwrap_err()
+    };
+    let ((), error) = tokio::join!(server, client);
+    let is_lost = matches!(error, SendError::ConnectionLost(_) | SendError::TooLarge(_));
+    assert!(is_lost, "{error}");
+}
+
 #[tokio::test]
 async fn a_client_that_stops_reading_frees_its_connection_slot() {
     let read_time = Duration::from_millis(50);
