--- a/hickoryspan_core/src/gateway/processor_lag.rs
+++ b/hickoryspan_core/src/gateway/processor_lag.rs
@@ -39,6 +39,9 @@
 
 /// Factor within which observations vary on a host that is not slowed down.
 const USUAL_VARIATION: f64 = 1.5;
+/// Largest observation, as a multiple of the limit. With it, a single pause of the process is not taken for a lack of
+/// processor time.
+const MAX_EXCESS: f64 = 2.0;
 /// Largest number of doublings of a period. More would only overflow.
 const MAX_DOUBLINGS: u32 = 8;
 
@@ -81,8 +84,7 @@
             self.recent = self.usual;
             return;
         }
-        // Limited, so that a single pause of the process is not taken for a lack of processor time.
-        let work = work.min(self.usual * max_ratio * 2.0);
+        let work = work.min(self.usual * max_ratio * MAX_EXCESS);
         self.recent += (work - self.recent) * recent_weight;
         if self.recent > self.usual * max_ratio {
             self.start_period(now);
--- a/hickoryspan_gateway/src/attempt.rs
+++ b/hickoryspan_gateway/src/attempt.rs
@@ -90,7 +90,7 @@
     }
 }
 
-/// Runs one attempt. Dropping the future closes the connection, upon which the target stops the work.
+/// Runs one attempt, which was decided on at `launched_at`. Dropping the future closes the connection, upon which the target stops the work.
 pub(crate) async fn run_attempt(
     state: Arc<GatewayState>,
     job: Arc<GatewayJob>,
--- a/hickoryspan_gateway/src/caller_server.rs
+++ b/hickoryspan_gateway/src/caller_server.rs
@@ -6,8 +6,9 @@
 use std::time::Duration;
 
 use hickoryspan_core::gateway::document::CallerLimits;
-use http::HeaderValue;
 use http::header::CONNECTION;
+use http::{HeaderValue, Request};
+use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -15,7 +16,7 @@
 use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
 
-use crate::forward::{ConnectionPosition, answer_request};
+use crate::forward::{ConnectionPosition, GatewayResponse, answer_request};
 use crate::gateway_state::GatewayState;
 
 /// Delay after a failed accept, so that a lack of file descriptors does not cause a busy loop.
@@ -96,13 +97,7 @@
             true => ConnectionPosition::First,
             false => ConnectionPosition::Later,
         };
-        async move {
-            let mut response = answer_request(Arc::clone(&state), request, position).await;
-            if state.should_leave_callers() {
-                response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
-            }
-            Ok::<_, Infallible>(response)
-        }
+        async move { Ok::<_, Infallible>(answer_caller(state, request, position).await) }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -123,3 +118,16 @@
         spdlog::debug!("caller port: {}", error);
     }
 }
+
+/// Answers a request, and asks the caller to use another entry for the next one if this entry lags.
+async fn answer_caller(
+    state: Arc<GatewayState>,
+    request: Request<Incoming>,
+    position: ConnectionPosition,
+) -> GatewayResponse {
+    let mut response = answer_request(Arc::clone(&state), request, position).await;
+    if state.should_leave_callers() {
+        response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    response
+}
--- a/hickoryspan_gateway/src/run.rs
+++ b/hickoryspan_gateway/src/run.rs
@@ -122,7 +122,7 @@
     pub(crate) relayed_records: Vec<Bytes>,
     /// Shards to which nothing was sent.
     pub(crate) unsent: Vec<ShardIndex>,
-    /// The first shards without an answer, at most [`MAX_LOGGED_SHARDS`].
+    /// The first shards without an answer, at most [`MAX_LOGGED_SHARDS`]; empty if the run was for another entry.
     pub(crate) missing: Vec<MissingShard>,
     /// Number of targets whose connection was lost, or 0 if any target answered.
     pub(crate) lost: u32,
@@ -249,7 +249,9 @@
             }
         }
         self.outcome.unsent = self.unsent_shards();
-        self.outcome.missing = self.missing_shards();
+        if self.sink.is_none() {
+            self.outcome.missing = self.missing_shards();
+        }
         if !self.pending.is_empty() {
             // Targets may still run the attempts that are cancelled here.
             self.outcome.may_have_run = true;
