--- a/hickoryspan_gateway/tests/gateway/main.rs
+++ b/hickoryspan_gateway/tests/gateway/main.rs
@@ -1,6 +1,7 @@
 //! Tests with real entries, a real control host and scripted targets on loopback.
 
 mod endless_answers;
+mod entry_lookups;
 mod forwarding;
 mod support;
 mod wide_fan_out;
