Answer the first request on a connection accepted during a stop

Cause: a stopping entry accepts connections for some seconds, because callers keep its address. It began to close each of them at once, before the first request was read, so the request ended without an answer. Change: the close waits for the first request, 500 ms at most.

--- a/hickoryspan_gateway/src/caller_server.rs
+++ b/hickoryspan_gateway/src/caller_server.rs
@@ -2,7 +2,6 @@
 
 use std::convert::Infallible;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use hickoryspan_core::gateway::document::CallerLimits;
@@ -21,6 +20,9 @@
 
 /// Delay after a failed accept, so that a lack of file descriptors does not cause a busy loop.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
+/// How long a stopping entry waits for the first request on a connection. Shorter than the time between the end of
+/// accepting and the end of the process.
+const FIRST_REQUEST_TIME: Duration = Duration::from_millis(500);
 /// Maximum number of header fields in a request.
 const MAX_HEADERS: usize = 100;
 /// Smallest buffer that the HTTP library accepts, in bytes.
@@ -90,13 +92,15 @@
     }
     let routes = state.decisions().routes.clone();
     let limits = routes.map_or_else(CallerLimits::default, |routes| routes.document().limits);
-    let is_first = AtomicBool::new(true);
+    let has_request = CancellationToken::new();
+    let first_request = has_request.clone();
     let service = service_fn(move |request| {
         let state = Arc::clone(&state);
-        let position = match is_first.swap(false, Ordering::Relaxed) {
-            true => ConnectionPosition::First,
-            false => ConnectionPosition::Later,
+        let position = match first_request.is_cancelled() {
+            true => ConnectionPosition::Later,
+            false => ConnectionPosition::First,
         };
+        first_request.cancel();
         async move { Ok::<_, Infallible>(answer_caller(state, request, position).await) }
     });
     let connection = http1::Builder::new()
@@ -109,7 +113,7 @@
     tokio::pin!(connection);
     let ended = tokio::select! {
         ended = connection.as_mut() => ended,
-        () = drain.cancelled() => {
+        () = await_drain(&drain, &has_request) => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
@@ -119,6 +123,14 @@
     }
 }
 
+/// Waits until the connection may be closed for a shutdown. A connection that was accepted during the shutdown is closed
+/// only after its first request, which would otherwise end without an answer.
+async fn await_drain(drain: &CancellationToken, has_request: &CancellationToken) {
+    drain.cancelled().await;
+    // A caller that sends nothing within this time is not waited for.
+    let _ = tokio::time::timeout(FIRST_REQUEST_TIME, has_request.cancelled()).await;
+}
+
 /// Answers a request, and asks the caller to use another entry for the next one if this entry lags.
 async fn answer_caller(
     state: Arc<GatewayState>,
--- a/hickoryspan_gateway/tests/gateway/main.rs
+++ b/hickoryspan_gateway/tests/gateway/main.rs
@@ -3,5 +3,6 @@
 mod endless_answers;
 mod entry_lookups;
 mod forwarding;
+mod planned_stop;
 mod support;
 mod wide_fan_out;
--- a/hickoryspan_gateway/tests/gateway/support.rs
+++ b/hickoryspan_gateway/tests/gateway/support.rs
@@ -337,9 +337,7 @@
     /// Sends bytes on a new connection and reads one response.
     pub async fn exchange(&self, request: &[u8]) -> CallerAnswer {
         let mut stream = TcpStream::connect(self.address).await.expect("connect to the entry");
-        stream.write_all(request).await.expect("send a request");
-        let read = read_answer(&mut stream);
-        tokio::time::timeout(TEST_TIMEOUT, read).await.expect("an answer in time")
+        exchange_on(&mut stream, request).await
     }
 
     /// Waits until the first entry has fan-out links to `count` other entries.
@@ -379,6 +377,13 @@
     }
 }
 
+/// Sends bytes on an open connection and reads one response.
+pub async fn exchange_on(stream: &mut TcpStream, request: &[u8]) -> CallerAnswer {
+    stream.write_all(request).await.expect("send a request");
+    let read = read_answer(stream);
+    tokio::time::timeout(TEST_TIMEOUT, read).await.expect("an answer in time")
+}
+
 async fn read_answer(stream: &mut TcpStream) -> CallerAnswer {
     let seen = read_request(stream).await.expect("a response");
     let status = seen.head.split(' ').nth(1).and_then(|text| text.parse().ok());
