Log how losses add up to the refusal of a request

'request suspicion changed' has the request, its fingerprint and the count; 0 means that an answer cleared it. No decision changes.

--- a/hickoryspan_core/src/gateway/poison.rs
+++ b/hickoryspan_core/src/gateway/poison.rs
@@ -21,6 +21,17 @@
     pub lost: u32,
 }
 
+/// How a run changed what is known about its request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SuspicionChange {
+    /// Nothing changed.
+    None,
+    /// The request is suspected, with the number of lost connections so far.
+    Suspected(u32),
+    /// An answer ended the suspicion.
+    Cleared,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Suspicion {
     lost_connections: u32,
@@ -35,18 +46,23 @@
 
 impl PoisonTable {
     /// Records the results of a whole run. A request that any target answered is not the cause of
-    /// the lost connections.
+    /// the lost connections. Returns what changed.
     pub fn note_run(
         &mut self,
         now: MonotonicTime,
         fingerprint: RequestFingerprint,
         run: RunCounts,
-    ) {
+    ) -> SuspicionChange {
         if run.answered > 0 {
-            self.suspects.remove(&fingerprint);
-        } else if run.lost > 0 {
-            self.note_lost_connections(now, fingerprint, run.lost);
+            let cleared = self.suspects.remove(&fingerprint).is_some();
+            return if cleared { SuspicionChange::Cleared } else { SuspicionChange::None };
+        }
+        if run.lost == 0 {
+            return SuspicionChange::None;
         }
+        self.note_lost_connections(now, fingerprint, run.lost);
+        let suspicion = self.suspects.get(&fingerprint);
+        SuspicionChange::Suspected(suspicion.map_or(0, |suspicion| suspicion.lost_connections))
     }
 
     fn note_lost_connections(
--- a/hickoryspan_gateway/src/run.rs
+++ b/hickoryspan_gateway/src/run.rs
@@ -11,7 +11,7 @@
 use hickoryspan_core::gateway::fanout::{FanoutMachine, FanoutStep, LaunchReason, ShardIndex};
 use hickoryspan_core::gateway::log_limit::LogPriority;
 use hickoryspan_core::gateway::outcomes::AttemptFailure;
-use hickoryspan_core::gateway::poison::RunCounts;
+use hickoryspan_core::gateway::poison::{RunCounts, SuspicionChange};
 use hickoryspan_core::gateway::relays::RetryGate;
 use hickoryspan_core::gateway::selection::ChosenTarget;
 use hickoryspan_core::types::{MonotonicTime, ServiceId, TargetId};
@@ -259,11 +259,30 @@
         let now = self.state.now();
         self.observe_lag(now);
         let run = RunCounts { answered: self.answered, lost: self.lost };
-        self.state.decisions().poison.note_run(now, self.job.fingerprint, run);
+        let change = self.state.decisions().poison.note_run(now, self.job.fingerprint, run);
+        self.log_suspicion(change);
         self.outcome.lost = if self.answered == 0 { self.lost } else { 0 };
         self.outcome
     }
 
+    fn log_suspicion(&self, change: SuspicionChange) {
+        let lost = match change {
+            SuspicionChange::None => return,
+            SuspicionChange::Suspected(lost) => lost,
+            SuspicionChange::Cleared => 0,
+        };
+        if self.state.admits_log_line(LogPriority::Important) {
+            spdlog::info!(
+                "request suspicion changed",
+                kv: {
+                    request: = self.job.request_text(),
+                    fingerprint: = self.job.fingerprint,
+                    lost_connections: = lost
+                }
+            );
+        }
+    }
+
     /// Records the time that it took to start one attempt, as a measure of the processor time that this process gets.
     fn observe_lag(&self, now: MonotonicTime) {
         let started = self.outcome.attempts - self.outcome.hedges;
