Add failing tests of a request that crashes targets through several entries

Three entries and twelve targets on loopback. A request that ends each target that runs it is sent through the entries in turn. After three crashes and one second (users allow four) every entry must refuse it, also one that joins later.

--- a/hickoryspan_gateway/tests/gateway/main.rs
+++ b/hickoryspan_gateway/tests/gateway/main.rs
@@ -1,5 +1,6 @@
 //! Tests with real entries, a real control host and scripted targets on loopback.
 
+mod crash_sharing;
 mod endless_answers;
 mod entry_lookups;
 mod forwarding;
--- a/hickoryspan_gateway/tests/gateway/support.rs
+++ b/hickoryspan_gateway/tests/gateway/support.rs
@@ -74,6 +74,8 @@
     SendAndClose(Vec<u8>),
     /// Sends the first bytes and then the second ones again and again, until the connection is closed.
     SendForever(Vec<u8>, Vec<u8>),
+    /// Ends the target with all its connections, as a crash of its process does.
+    Crash,
 }
 
 /// A running target. Dropping it closes its connections.
@@ -96,9 +98,16 @@
         let open = Arc::clone(&endless);
         tasks.spawn(async move {
             let mut connections = JoinSet::new();
-            while let Ok((stream, _)) = listener.accept().await {
+            let crash = CancellationToken::new();
+            loop {
+                let accepted = tokio::select! {
+                    () = crash.cancelled() => return,
+                    accepted = listener.accept() => accepted,
+                };
+                let Ok((stream, _)) = accepted else { return };
                 let (script, requests) = (Arc::clone(&script), Arc::clone(&requests));
-                connections.spawn(serve(stream, script, requests, Arc::clone(&open)));
+                let (open, crash) = (Arc::clone(&open), crash.clone());
+                connections.spawn(serve(stream, script, requests, open, crash));
             }
         });
         Self { address, seen, endless, _tasks: tasks }
@@ -114,6 +123,7 @@
     script: TargetScript,
     seen: Arc<Mutex<Vec<SeenRequest>>>,
     endless: Arc<AtomicUsize>,
+    crash: CancellationToken,
 ) {
     while let Some(request) = read_request(&mut stream).await {
         let action = script(&request);
@@ -133,6 +143,7 @@
                 endless.fetch_sub(1, Ordering::SeqCst);
                 return;
             }
+            TargetAction::Crash => return crash.cancel(),
             TargetAction::SendAndClose(bytes) => {
                 let _ = stream.write_all(&bytes).await;
                 return;
@@ -172,6 +183,10 @@
     /// Further entries, which take part in wide fan-outs.
     pub others: Vec<GatewayEntry>,
     pub address: SocketAddr,
+    // Caller addresses of all entries, in the order of their start.
+    addresses: Vec<SocketAddr>,
+    template: GatewaySettings,
+    hosts: HostList,
     daemon: Option<ControlDaemon>,
     version: u64,
     stop: CancellationToken,
@@ -236,7 +251,9 @@
         let mut tasks = JoinSet::new();
         tasks.spawn(DirectoryServer { listener, hub: Arc::clone(&hub) }.run(stop.clone()));
         let address = free_address().await;
-        let gateway = GatewaySettings {
+        let template = GatewaySettings {
+            relays,
+            fanout_address: Some(ANY_PORT),
             accept_after_stop: Duration::from_millis(50),
             // Longer than the timeout of a test, so that a stop that waits for this fails the test.
             finish_after_stop: TEST_TIMEOUT * 10,
@@ -247,33 +264,49 @@
                 DirectorySettings::new(credential()),
             )
         };
-        let mut gateways = Vec::new();
-        for number in 0..=others {
-            let caller_address = if number == 0 { address } else { free_address().await };
-            let gateway = GatewaySettings {
-                entry: EntryId::new(format!("entry-{number}")).expect("a name"),
-                caller_address,
-                fanout_address: Some(ANY_PORT),
-                relays,
-                ..gateway.clone()
-            };
-            let started = GatewayEntry::start(gateway, hosts.clone()).await;
-            gateways.push(started.expect("an entry"));
-        }
-        let entry = gateways.remove(0);
         let flush = flush_regularly(Arc::clone(&hub), stop.clone());
         tasks.spawn(flush);
-        Self {
+        let mut deployment = Self {
             hub,
-            entry: Some(entry),
-            others: gateways,
+            entry: None,
+            others: Vec::new(),
             address,
+            addresses: Vec::new(),
+            template,
+            hosts,
             daemon: Some(daemon),
             version: 0,
             stop,
             tasks,
             _folder: folder,
+        };
+        deployment.entry = Some(deployment.start_entry(address).await);
+        for _ in 0..others {
+            deployment.add_entry().await;
         }
+        deployment
+    }
+
+    async fn start_entry(&mut self, caller_address: SocketAddr) -> GatewayEntry {
+        let gateway = GatewaySettings {
+            entry: EntryId::new(format!("entry-{}", self.addresses.len())).expect("a name"),
+            caller_address,
+            ..self.template.clone()
+        };
+        self.addresses.push(caller_address);
+        GatewayEntry::start(gateway, self.hosts.clone()).await.expect("an entry")
+    }
+
+    /// Starts one more entry.
+    pub async fn add_entry(&mut self) {
+        let address = free_address().await;
+        let entry = self.start_entry(address).await;
+        self.others.push(entry);
+    }
+
+    /// Returns the number of entries that were started.
+    pub fn entry_count(&self) -> usize {
+        self.addresses.len()
     }
 
     /// Submits routes and waits until the entry is ready with them.
@@ -302,13 +335,15 @@
         };
         tokio::time::timeout(TEST_TIMEOUT, decided).await.expect("the document is accepted");
         self.hub.set_document(document);
-        let readiness = self.entry.as_ref().expect("an entry").readiness();
-        let ready = async {
-            while !readiness.is_ready() {
-                tokio::time::sleep(Duration::from_millis(5)).await;
-            }
-        };
-        tokio::time::timeout(TEST_TIMEOUT, ready).await.expect("the entry is ready");
+        for entry in self.entry.iter().chain(&self.others) {
+            let readiness = entry.readiness();
+            let ready = async {
+                while !readiness.is_ready() {
+                    tokio::time::sleep(Duration::from_millis(5)).await;
+                }
+            };
+            tokio::time::timeout(TEST_TIMEOUT, ready).await.expect("the entry is ready");
+        }
     }
 
     /// Announces a target and waits until the entry knows it. A departure is confirmed only after the entry has applied
@@ -340,6 +375,12 @@
         exchange_on(&mut stream, request).await
     }
 
+    /// Sends bytes on a new connection to one entry, counted in the order of their start, and reads one response.
+    pub async fn exchange_at(&self, entry: usize, request: &[u8]) -> CallerAnswer {
+        let stream = TcpStream::connect(self.addresses[entry]).await;
+        exchange_on(&mut stream.expect("connect to the entry"), request).await
+    }
+
     /// Waits until the first entry has fan-out links to `count` other entries.
     pub async fn await_links(&self, count: usize) {
         let entry = self.entry.as_ref().expect("an entry");
