Count crashed targets of a request over all entries

Cause: each entry counted lost targets alone and for 60 s, so that seven entries let three targets crash each, and an entry that restarted counted from zero.

Change: entries and control hosts exchange records of crashed target processes and of answers that clear a request over the directory links; control hosts save them. Records merge in any order. A target counts once, a process that answers later does not count, a relayed group is judged by the entry that has the whole request, and retries of runs that have begun stop. The refusal lasts ten minutes, as in the other path.

Tests: crash_sharing (three entries on loopback; joined later; common restart) and gateway_poison (no network).

--- a/hickoryspan_core/src/gateway/messages.rs
+++ b/hickoryspan_core/src/gateway/messages.rs
@@ -10,6 +10,7 @@
 use super::document::DocumentVersion;
 use super::document_parts::DocumentPart;
 use super::entry_list::EntryListChange;
+use super::poison::SuspicionRecord;
 use super::relays::RelayPeer;
 use crate::control::interface::ReplicaRecord;
 use crate::types::{EntryId, FailureDomain, TargetId};
@@ -65,6 +66,8 @@
     },
     /// An entry requests the latest announcements of these targets.
     FetchTargets(Vec<TargetId>),
+    /// What an entry knows of requests that crash targets, as far as it changed since the last such message.
+    Suspicions(Vec<SuspicionRecord>),
 }
 
 /// A message from a control host over a link.
@@ -97,6 +100,8 @@
         /// Version of the document in force at the sender, if there is one.
         document: Option<DocumentVersion>,
     },
+    /// What the sender knows of requests that crash targets: everything on a new link, then what changes.
+    Suspicions(Vec<SuspicionRecord>),
     /// A part of the document in force, as a change to the version that the receiver has.
     Document(Arc<DocumentPart>),
     /// Requests a confirmation once all earlier messages have been applied.
--- a/hickoryspan_core/src/gateway/poison.rs
+++ b/hickoryspan_core/src/gateway/poison.rs
@@ -1,24 +1,67 @@
-//! Detects requests that crash the targets that run them.
+//! Detects requests that crash the targets that run them. Entries and control hosts exchange what they know of such
+//! requests, so that all entries count the same crashes.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap, HashSet};
+use std::fmt;
 use std::time::Duration;
 
-use crate::types::{MonotonicTime, RequestFingerprint};
+use serde::{Deserialize, Serialize};
 
-/// Lost connections without a single answer after which the request counts as their cause.
-const MAX_LOST_CONNECTIONS: u32 = 3;
-/// Time for which a request stays suspected after its last lost connection.
-const SUSPICION_LIFETIME: Duration = Duration::from_secs(60);
+use crate::control::quarantine::QUARANTINE_MILLIS;
+use crate::types::{MonotonicTime, RequestFingerprint, TargetId, WallTime};
+
+/// Crashed targets after which a request counts as their cause and is refused.
+const CONDEMNING_CRASHES: usize = 3;
+/// Time for which a request stays suspected after its last crash.
+const SUSPICION_LIFETIME: Duration = Duration::from_millis(QUARANTINE_MILLIS);
 /// Largest number of suspected requests, which bounds memory.
-const MAX_SUSPECTS: usize = 4096;
-
-/// Results of the targets of one run.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct RunCounts {
-    /// Number of targets that answered.
-    pub answered: u32,
-    /// Number of targets whose connection was lost while they ran the request.
-    pub lost: u32,
+const MAX_SUSPECTS: usize = 1024;
+/// Number of suspected requests that are kept when there are too many. Removing several at once saves searches.
+const KEPT_SUSPECTS: usize = MAX_SUSPECTS / 8 * 7;
+/// Largest number of crashes kept for one request. A request over many shards may crash hundreds of targets at once.
+const MAX_KEPT_CRASHES: usize = 16;
+
+/// The end of one process of a target while it ran a request.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct TargetCrash {
+    /// The target.
+    pub target: TargetId,
+    /// Start time of the process that ended, by the target's clock.
+    pub started: WallTime,
+}
+
+impl fmt::Display for TargetCrash {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{}@{}", self.target, self.started.0)
+    }
+}
+
+/// What one process knows of a suspected request. Records of several processes merge in any order, any number of times.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct SuspicionRecord {
+    /// The request.
+    pub fingerprint: RequestFingerprint,
+    /// How often an answer has cleared the request. Crashes from before the last clearance do not count.
+    pub clearances: u32,
+    /// The crashes since the last clearance.
+    pub crashes: BTreeSet<TargetCrash>,
+    /// Time since the last crash or clearance.
+    pub age: Duration,
+}
+
+/// Position in the sequence of a table's changes.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct ChangeNumber(pub u64);
+
+/// The records that changed after some change.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct ChangedSuspicions {
+    /// The table's last change.
+    pub newest: ChangeNumber,
+    /// The changed records.
+    pub records: Vec<SuspicionRecord>,
 }
 
 /// How a run changed what is known about its request.
@@ -26,72 +69,214 @@
 pub enum SuspicionChange {
     /// Nothing changed.
     None,
-    /// The request is suspected, with the number of lost connections so far.
-    Suspected(u32),
+    /// The request is suspected, with the number of crashes so far.
+    Suspected(usize),
     /// An answer ended the suspicion.
     Cleared,
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct Suspicion {
-    lost_connections: u32,
-    last: MonotonicTime,
+    clearances: u32,
+    crashes: BTreeSet<TargetCrash>,
+    expires_at: MonotonicTime,
+    changed: ChangeNumber,
 }
 
-/// Lost connections by request fingerprint.
+#[derive(Clone, Copy, Debug)]
+struct CrashState {
+    noted_at: MonotonicTime,
+    // Set once the same process has answered a request that was sent to it later.
+    refuted: bool,
+}
+
+/// Suspected requests and the crashes that they may have caused.
 #[derive(Clone, Debug, Default)]
 pub struct PoisonTable {
     suspects: HashMap<RequestFingerprint, Suspicion>,
+    crashes: HashMap<TargetCrash, CrashState>,
+    newest: ChangeNumber,
 }
 
 impl PoisonTable {
-    /// Records the results of a whole run. A request that any target answered is not the cause of
-    /// the lost connections. Returns what changed.
+    /// Records the results of a whole run. `crashes` are the targets whose connection was lost while they ran the
+    /// request. A request that any target answered is not the cause. Returns what changed.
     pub fn note_run(
         &mut self,
         now: MonotonicTime,
         fingerprint: RequestFingerprint,
-        run: RunCounts,
+        answered: bool,
+        crashes: impl IntoIterator<Item = TargetCrash>,
     ) -> SuspicionChange {
-        if run.answered > 0 {
-            let cleared = self.suspects.remove(&fingerprint).is_some();
-            return if cleared { SuspicionChange::Cleared } else { SuspicionChange::None };
+        if answered {
+            return self.clear(now, &fingerprint);
+        }
+        let known = self.suspects.get(&fingerprint);
+        let record = SuspicionRecord {
+            fingerprint,
+            clearances: known.map_or(0, |suspicion| suspicion.clearances),
+            crashes: crashes.into_iter().take(MAX_KEPT_CRASHES).collect(),
+            age: Duration::ZERO,
+        };
+        if record.crashes.is_empty() || !self.merge(now, record) {
+            return SuspicionChange::None;
         }
-        if run.lost == 0 {
+        SuspicionChange::Suspected(self.count_crashes(&fingerprint))
+    }
+
+    fn clear(&mut self, now: MonotonicTime, fingerprint: &RequestFingerprint) -> SuspicionChange {
+        let Some(suspicion) = self.suspects.get_mut(fingerprint) else {
+            return SuspicionChange::None;
+        };
+        if suspicion.crashes.is_empty() {
             return SuspicionChange::None;
         }
-        self.note_lost_connections(now, fingerprint, run.lost);
-        let suspicion = self.suspects.get(&fingerprint);
-        SuspicionChange::Suspected(suspicion.map_or(0, |suspicion| suspicion.lost_connections))
+        self.newest.0 += 1;
+        *suspicion = Suspicion {
+            clearances: suspicion.clearances.saturating_add(1),
+            crashes: BTreeSet::new(),
+            expires_at: now + SUSPICION_LIFETIME,
+            changed: self.newest,
+        };
+        SuspicionChange::Cleared
+    }
+
+    /// Merges what another process knows, and returns whether that was new.
+    pub fn merge(&mut self, now: MonotonicTime, record: SuspicionRecord) -> bool {
+        let Some(remaining) = SUSPICION_LIFETIME.checked_sub(record.age) else { return false };
+        let expires_at = now + remaining;
+        self.remove_if_expired(now, &record.fingerprint);
+        let known = self.suspects.get(&record.fingerprint);
+        let (mut crashes, expires_at) = match known {
+            Some(known) if known.clearances > record.clearances => return false,
+            Some(known) if known.clearances == record.clearances => {
+                (known.crashes.clone(), known.expires_at.max(expires_at))
+            }
+            Some(_) | None => (BTreeSet::new(), expires_at),
+        };
+        let is_newer = known.is_none_or(|known| known.clearances < record.clearances);
+        let mut has_new_crash = false;
+        for crash in record.crashes {
+            if crashes.len() >= MAX_KEPT_CRASHES || !crashes.insert(crash.clone()) {
+                continue;
+            }
+            has_new_crash = true;
+            self.crashes.insert(crash, CrashState { noted_at: now, refuted: false });
+        }
+        if !is_newer && !has_new_crash {
+            return false;
+        }
+        if known.is_none() {
+            self.make_room(now);
+        }
+        self.newest.0 += 1;
+        let suspicion =
+            Suspicion { clearances: record.clearances, crashes, expires_at, changed: self.newest };
+        self.suspects.insert(record.fingerprint, suspicion);
+        true
+    }
+
+    /// Returns whether any crash is recorded.
+    pub fn has_crashes(&self) -> bool {
+        !self.crashes.is_empty()
+    }
+
+    /// Records that a process answered a request that was sent to it at `sent_at`, so that it did not end before.
+    pub fn note_response(&mut self, process: &TargetCrash, sent_at: MonotonicTime) {
+        if let Some(state) = self.crashes.get_mut(process) {
+            state.refuted |= sent_at > state.noted_at;
+        }
+    }
+
+    /// Returns the position of the last change.
+    pub fn newest(&self) -> ChangeNumber {
+        self.newest
+    }
+
+    /// Returns whether the request must be refused, because it has probably crashed several targets.
+    pub fn is_condemned(&self, now: MonotonicTime, fingerprint: &RequestFingerprint) -> bool {
+        let is_current = |suspicion: &Suspicion| now < suspicion.expires_at;
+        self.suspects.get(fingerprint).is_some_and(is_current)
+            && self.count_crashes(fingerprint) >= CONDEMNING_CRASHES
+    }
+
+    /// Returns the number of crashes that count against a request.
+    fn count_crashes(&self, fingerprint: &RequestFingerprint) -> usize {
+        let crashes = self.suspects.get(fingerprint).into_iter().flat_map(|known| &known.crashes);
+        let counts = |crash: &&TargetCrash| self.crashes.get(*crash).is_none_or(|s| !s.refuted);
+        crashes.filter(counts).count()
+    }
+
+    /// Returns the records that changed after the change `known`.
+    pub fn changed_since(&self, now: MonotonicTime, known: ChangeNumber) -> ChangedSuspicions {
+        let changed = self
+            .suspects
+            .iter()
+            .filter(|(_, suspicion)| suspicion.changed > known && now < suspicion.expires_at);
+        let to_record = |(fingerprint, suspicion): (&RequestFingerprint, &Suspicion)| {
+            let remaining = suspicion.expires_at.since(now);
+            SuspicionRecord {
+                fingerprint: *fingerprint,
+                clearances: suspicion.clearances,
+                crashes: suspicion.crashes.clone(),
+                age: SUSPICION_LIFETIME.saturating_sub(remaining),
+            }
+        };
+        ChangedSuspicions { newest: self.newest, records: changed.map(to_record).collect() }
     }
 
-    fn note_lost_connections(
+    /// Merges records and returns those that changed here, as they are now.
+    pub fn merge_all(
         &mut self,
         now: MonotonicTime,
-        fingerprint: RequestFingerprint,
-        lost: u32,
-    ) {
-        if self.suspects.len() >= MAX_SUSPECTS {
-            self.suspects.retain(|_, suspicion| now.since(suspicion.last) < SUSPICION_LIFETIME);
+        records: impl IntoIterator<Item = SuspicionRecord>,
+    ) -> Vec<SuspicionRecord> {
+        let before = self.newest;
+        for record in records {
+            self.merge(now, record);
+        }
+        if self.newest == before {
+            return Vec::new();
         }
-        if self.suspects.len() >= MAX_SUSPECTS {
+        self.changed_since(now, before).records
+    }
+
+    /// Removes suspicions that have expired. Must be called periodically.
+    pub fn expire(&mut self, now: MonotonicTime) {
+        if self.suspects.is_empty() {
             return;
         }
-        let entry = self.suspects.entry(fingerprint);
-        let suspicion = entry.or_insert(Suspicion { lost_connections: 0, last: now });
-        if now.since(suspicion.last) >= SUSPICION_LIFETIME {
-            suspicion.lost_connections = 0;
+        self.suspects.retain(|_, suspicion| now < suspicion.expires_at);
+        self.remove_unused_crashes();
+    }
+
+    fn remove_unused_crashes(&mut self) {
+        let used: HashSet<&TargetCrash> =
+            self.suspects.values().flat_map(|known| &known.crashes).collect();
+        self.crashes.retain(|crash, _| used.contains(crash));
+    }
+
+    fn remove_if_expired(&mut self, now: MonotonicTime, fingerprint: &RequestFingerprint) {
+        if self.suspects.get(fingerprint).is_some_and(|known| known.expires_at <= now) {
+            self.suspects.remove(fingerprint);
         }
-        suspicion.lost_connections += lost;
-        suspicion.last = now;
     }
 
-    /// Returns whether the request must be refused, because it has probably crashed several
-    /// targets.
-    pub fn is_condemned(&self, now: MonotonicTime, fingerprint: &RequestFingerprint) -> bool {
-        self.suspects.get(fingerprint).is_some_and(|suspicion| {
-            suspicion.lost_connections >= MAX_LOST_CONNECTIONS
-                && now.since(suspicion.last) < SUSPICION_LIFETIME
-        })
+    fn make_room(&mut self, now: MonotonicTime) {
+        if self.suspects.len() < MAX_SUSPECTS {
+            return;
+        }
+        self.suspects.retain(|_, suspicion| now < suspicion.expires_at);
+        // Condemned requests are the last to be dropped.
+        let rank =
+            |known: &Suspicion| (known.crashes.len() >= CONDEMNING_CRASHES, known.expires_at);
+        let mut ranked: Vec<_> =
+            self.suspects.iter().map(|(fingerprint, known)| (rank(known), *fingerprint)).collect();
+        ranked.sort_unstable();
+        let excess = ranked.len().saturating_sub(KEPT_SUSPECTS);
+        for (_, fingerprint) in ranked.into_iter().take(excess) {
+            self.suspects.remove(&fingerprint);
+        }
+        self.remove_unused_crashes();
     }
 }
--- a/hickoryspan_core/src/gateway/selection.rs
+++ b/hickoryspan_core/src/gateway/selection.rs
@@ -10,7 +10,8 @@
 
 use super::directory::{TargetAnnouncement, TargetPhase};
 use super::outcomes::{AttemptFailure, AttemptOutcome, ReportedLoad};
-use crate::types::{FailureDomain, MonotonicTime, ServiceId, TargetId};
+use super::poison::TargetCrash;
+use crate::types::{FailureDomain, MonotonicTime, ServiceId, TargetId, WallTime};
 
 /// Settings of the target selection.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -77,6 +78,15 @@
     pub target: TargetId,
     /// Address at which it accepts requests.
     pub address: SocketAddr,
+    /// Start time of its process, by its own clock.
+    pub started: WallTime,
+}
+
+impl ChosenTarget {
+    /// Returns the crash that is recorded if this process ends.
+    pub fn crash(&self) -> TargetCrash {
+        TargetCrash { target: self.target.clone(), started: self.started }
+    }
 }
 
 #[derive(Clone, Debug)]
@@ -277,7 +287,8 @@
         let chosen = self.find_best(now, service, tried)?;
         let state = self.targets.get_mut(&chosen)?;
         state.in_flight += 1;
-        Some(ChosenTarget { target: chosen, address: state.announcement.address })
+        let TargetAnnouncement { address, age, .. } = &state.announcement;
+        Some(ChosenTarget { target: chosen, address: *address, started: age.started })
     }
 
     fn find_best(
--- a/hickoryspan_core/tests/gateway_poison.rs
+++ b/hickoryspan_core/tests/gateway_poison.rs
@@ -1,36 +1,72 @@
-//! Tests the detection of requests that crash their targets, and that other lost answers do not
-//! trigger it.
+//! Tests the detection of requests that crash their targets, that all hosts count the same crashes, and that other lost
+//! answers do not trigger it.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
-use hickoryspan_core::gateway::poison::{PoisonTable, RunCounts};
-use hickoryspan_core::types::{MonotonicTime, RequestFingerprint};
+use hickoryspan_core::gateway::poison::{
+    ChangeNumber, PoisonTable, SuspicionChange, SuspicionRecord, TargetCrash,
+};
+use hickoryspan_core::types::{MonotonicTime, RequestFingerprint, TargetId, WallTime};
+use rand::seq::SliceRandom;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha12Rng;
+use rstest::rstest;
 
 const FINGERPRINT: RequestFingerprint = RequestFingerprint([7; 32]);
+const HOSTS: usize = 7;
+const LIFETIME: Duration = Duration::from_secs(600);
 
 fn at(seconds: u64) -> MonotonicTime {
     MonotonicTime(seconds * 1_000_000)
 }
 
-fn run(answered: u32, lost: u32) -> RunCounts {
-    RunCounts { answered, lost }
+fn crash(target: u32) -> TargetCrash {
+    TargetCrash {
+        target: TargetId::new(format!("target-{target}")).expect("a name"),
+        started: WallTime(1),
+    }
+}
+
+fn crashes(targets: impl IntoIterator<Item = u32>) -> Vec<TargetCrash> {
+    targets.into_iter().map(crash).collect()
+}
+
+/// Passes all changes of one table to another.
+fn pass_on(now: MonotonicTime, from: &PoisonTable, to: &mut PoisonTable) {
+    for record in from.changed_since(now, ChangeNumber::default()).records {
+        to.merge(now, record);
+    }
 }
 
 #[test]
 fn a_request_that_crashed_three_targets_is_refused() {
     let mut table = PoisonTable::default();
-    table.note_run(at(1), FINGERPRINT, run(0, 2));
+    table.note_run(at(1), FINGERPRINT, false, crashes([1, 2]));
     assert!(!table.is_condemned(at(2), &FINGERPRINT));
-    table.note_run(at(3), FINGERPRINT, run(0, 1));
+    table.note_run(at(3), FINGERPRINT, false, crashes([3]));
     assert!(table.is_condemned(at(4), &FINGERPRINT));
     assert!(!table.is_condemned(at(4), &RequestFingerprint([8; 32])));
 }
 
+/// Guards against several requests that were lost with one target being counted as several crashes.
+#[test]
+fn a_target_that_crashed_once_counts_once() {
+    let mut table = PoisonTable::default();
+    for second in 0..10 {
+        table.note_run(at(second), FINGERPRINT, false, crashes([1, 2]));
+    }
+    assert!(!table.is_condemned(at(10), &FINGERPRINT));
+    let restarted = TargetCrash { started: WallTime(2), ..crash(1) };
+    table.note_run(at(11), FINGERPRINT, false, [restarted]);
+    assert!(table.is_condemned(at(11), &FINGERPRINT));
+}
+
 #[test]
 fn lost_answers_of_some_shards_condemn_no_request_that_others_answered() {
     let mut table = PoisonTable::default();
     for second in 0..20 {
-        table.note_run(at(second), FINGERPRINT, run(18, 12));
+        table.note_run(at(second), FINGERPRINT, true, crashes(0..12));
     }
     assert!(!table.is_condemned(at(20), &FINGERPRINT));
 }
@@ -38,16 +74,123 @@
 #[test]
 fn an_answer_ends_the_suspicion() {
     let mut table = PoisonTable::default();
-    table.note_run(at(1), FINGERPRINT, run(0, 2));
-    table.note_run(at(2), FINGERPRINT, run(1, 0));
-    table.note_run(at(3), FINGERPRINT, run(0, 2));
+    table.note_run(at(1), FINGERPRINT, false, crashes([1, 2]));
+    let change = table.note_run(at(2), FINGERPRINT, true, []);
+    assert_eq!(change, SuspicionChange::Cleared);
+    table.note_run(at(3), FINGERPRINT, false, crashes([3, 4]));
     assert!(!table.is_condemned(at(4), &FINGERPRINT));
 }
 
 #[test]
 fn a_refusal_ends_after_a_while() {
     let mut table = PoisonTable::default();
-    table.note_run(at(1), FINGERPRINT, run(0, 5));
-    assert!(table.is_condemned(at(30), &FINGERPRINT));
-    assert!(!table.is_condemned(at(1) + Duration::from_secs(61), &FINGERPRINT));
+    table.note_run(at(1), FINGERPRINT, false, crashes(0..5));
+    assert!(table.is_condemned(at(1) + LIFETIME - Duration::from_secs(1), &FINGERPRINT));
+    assert!(!table.is_condemned(at(1) + LIFETIME + Duration::from_secs(1), &FINGERPRINT));
+}
+
+/// Guards against seven entries that let a request crash three targets each.
+#[test]
+fn crashes_seen_by_different_hosts_add_up() {
+    let mut tables = vec![PoisonTable::default(); HOSTS];
+    for (table, target) in tables.iter_mut().zip(0..3) {
+        table.note_run(at(1), FINGERPRINT, false, [crash(target)]);
+    }
+    let mut hub = PoisonTable::default();
+    for table in &tables {
+        pass_on(at(2), table, &mut hub);
+    }
+    for table in &mut tables {
+        pass_on(at(2), &hub, table);
+        assert!(table.is_condemned(at(2), &FINGERPRINT));
+    }
+}
+
+/// Guards against records that depend on the order or number of their deliveries.
+#[rstest]
+fn records_merge_in_any_order(#[values(1, 2, 3, 4, 5, 6, 7, 8)] seed: u64) {
+    let mut generator = ChaCha12Rng::seed_from_u64(seed);
+    let mut tables = vec![PoisonTable::default(); HOSTS];
+    for second in 0..200 {
+        let host = generator.random_range(0..HOSTS);
+        let fingerprint = RequestFingerprint([generator.random_range(0..4); 32]);
+        let answered = generator.random_bool(0.2);
+        let target = generator.random_range(0..5);
+        tables[host].note_run(at(second), fingerprint, answered, [crash(target)]);
+        let (from, to) = (generator.random_range(0..HOSTS), generator.random_range(0..HOSTS));
+        let source = tables[from].clone();
+        pass_on(at(second), &source, &mut tables[to]);
+    }
+    let all: Vec<SuspicionRecord> = tables
+        .iter()
+        .flat_map(|table| table.changed_since(at(200), ChangeNumber::default()).records)
+        .collect();
+    let mut merged = Vec::new();
+    for _ in 0..HOSTS {
+        let mut shuffled = [all.clone(), all.clone()].concat();
+        shuffled.shuffle(&mut generator);
+        let mut table = PoisonTable::default();
+        for record in shuffled {
+            table.merge(at(200), record);
+        }
+        let mut records = table.changed_since(at(200), ChangeNumber::default()).records;
+        records.sort_by_key(|record| record.fingerprint);
+        let known: Vec<(RequestFingerprint, u32, BTreeSet<TargetCrash>)> =
+            records.into_iter().map(|r| (r.fingerprint, r.clearances, r.crashes)).collect();
+        merged.push(known);
+    }
+    assert!(merged.iter().all(|known| *known == merged[0]));
+}
+
+/// Guards against hosts that pass the same record to each other forever.
+#[test]
+fn a_known_record_is_no_change() {
+    let mut table = PoisonTable::default();
+    table.note_run(at(1), FINGERPRINT, false, crashes([1, 2]));
+    let changed = table.changed_since(at(2), ChangeNumber::default());
+    assert_eq!(changed.records.len(), 1);
+    assert!(!table.merge(at(3), changed.records[0].clone()));
+    assert!(table.changed_since(at(3), changed.newest).records.is_empty());
+}
+
+/// Guards against a process that restarts with what it had saved and counts from zero, or extends the refusal.
+#[test]
+fn a_restored_record_keeps_its_age() {
+    let mut table = PoisonTable::default();
+    table.note_run(at(1), FINGERPRINT, false, crashes(0..3));
+    let saved = table.changed_since(at(101), ChangeNumber::default()).records;
+    let mut restarted = PoisonTable::default();
+    for record in saved {
+        restarted.merge(at(5), record);
+    }
+    assert!(restarted.is_condemned(at(504), &FINGERPRINT));
+    assert!(!restarted.is_condemned(at(506), &FINGERPRINT));
+}
+
+/// Guards against refusing requests whose connections were reset while their targets live on.
+#[test]
+fn a_target_that_answers_later_has_not_crashed() {
+    let mut table = PoisonTable::default();
+    table.note_run(at(1), FINGERPRINT, false, crashes(0..3));
+    table.note_response(&crash(0), at(0));
+    assert!(table.is_condemned(at(2), &FINGERPRINT));
+    table.note_response(&crash(0), at(2));
+    assert!(!table.is_condemned(at(2), &FINGERPRINT));
+    let restarted = TargetCrash { started: WallTime(2), ..crash(0) };
+    table.note_run(at(3), FINGERPRINT, false, [restarted]);
+    assert!(table.is_condemned(at(3), &FINGERPRINT));
+}
+
+/// Guards against a flood of suspects that drops the condemned ones or grows without bound.
+#[test]
+fn a_condemned_request_outlasts_many_suspects() {
+    let mut table = PoisonTable::default();
+    table.note_run(at(1), FINGERPRINT, false, crashes(0..3));
+    for number in 0..5_000_u32 {
+        let mut bytes = [0; 32];
+        bytes[..4].copy_from_slice(&number.to_le_bytes());
+        table.note_run(at(2), RequestFingerprint(bytes), false, [crash(number)]);
+    }
+    assert!(table.is_condemned(at(3), &FINGERPRINT));
+    assert!(table.changed_since(at(3), ChangeNumber::default()).records.len() <= 1_024);
 }
--- a/hickoryspan_gateway/src/attempt.rs
+++ b/hickoryspan_gateway/src/attempt.rs
@@ -115,7 +115,11 @@
         AttemptResult::Failure(failure, _) => AttemptOutcome::Failure(*failure),
     });
     if let AttemptResult::Answer(_) = &result {
-        state.decisions().record_latency(&job.route, now.since(started_at));
+        let mut decisions = state.decisions();
+        decisions.record_latency(&job.route, now.since(started_at));
+        if decisions.poison.has_crashes() {
+            decisions.poison.note_response(&target.crash(), started_at);
+        }
     }
     drop(guard);
     AttemptReport { shard, target, start_delay, result }
--- a/hickoryspan_gateway/src/directory_cache.rs
+++ b/hickoryspan_gateway/src/directory_cache.rs
@@ -1,5 +1,6 @@
 //! Saves the known targets on disk, so that control hosts that all restart need not wait for the next announcement of
-//! every target. Loaded targets expire soon unless they announce themselves again.
+//! every target. Loaded targets expire soon unless they announce themselves again. Requests that crash targets are saved
+//! too, so that a common restart of all hosts does not let them run again.
 
 use std::fs::{self, File};
 use std::io::Write;
@@ -7,6 +8,7 @@
 
 use anyhow::Context;
 use hickoryspan_core::gateway::directory::{TargetAnnouncement, TargetDeparture};
+use hickoryspan_core::gateway::poison::SuspicionRecord;
 use serde::{Deserialize, Serialize};
 
 /// File name in the folder.
@@ -20,6 +22,7 @@
 pub(crate) struct CachedDirectory {
     pub(crate) targets: Vec<TargetAnnouncement>,
     pub(crate) departures: Vec<TargetDeparture>,
+    pub(crate) suspicions: Vec<SuspicionRecord>,
 }
 
 /// The file that holds the known targets.
--- a/hickoryspan_gateway/src/directory_hub.rs
+++ b/hickoryspan_gateway/src/directory_hub.rs
@@ -17,6 +17,7 @@
 use hickoryspan_core::gateway::messages::{
     ConfirmNumber, DirectoryRequest, DirectoryUpdate, TargetRenewal,
 };
+use hickoryspan_core::gateway::poison::{ChangeNumber, ChangedSuspicions};
 use hickoryspan_core::types::MonotonicTime;
 use hickoryspan_runtime::clock::SystemClock;
 use tokio::sync::{Notify, mpsc, watch};
@@ -67,6 +68,7 @@
     for announcement in cached.targets {
         state.directory.restore(announced_at, announcement);
     }
+    state.poison.merge_all(now, cached.suspicions);
     state
 }
 
@@ -202,6 +204,7 @@
                 let announcements = state.announcements_of(&targets);
                 state.send_to(number, DirectoryUpdate::Targets(announcements));
             }
+            DirectoryRequest::Suspicions(records) => state.merge_suspicions(now, records),
         }
     }
 
@@ -236,6 +239,10 @@
         ] {
             state.send_to(number, update);
         }
+        let suspicions = state.poison.changed_since(now, ChangeNumber::default()).records;
+        if !suspicions.is_empty() {
+            state.send_to(number, DirectoryUpdate::Suspicions(suspicions));
+        }
         if peer == LinkPeer::Entry {
             let changes = state.last_changes();
             state.send_to(number, DirectoryUpdate::Vouched(changes));
@@ -394,6 +401,7 @@
     /// Saves the known targets to disk if they changed. Called periodically; blocks, so it must run on a thread of its
     /// own.
     pub fn save(&self) {
+        let now = self.now();
         let directory = {
             let mut state = self.lock();
             if !std::mem::take(&mut state.unsaved) {
@@ -402,6 +410,7 @@
             CachedDirectory {
                 targets: state.directory.targets().map(|k| k.announcement.clone()).collect(),
                 departures: state.directory.departures().collect(),
+                suspicions: state.poison.changed_since(now, ChangeNumber::default()).records,
             }
         };
         if let Err(error) = self.cache.save(&directory) {
@@ -441,6 +450,7 @@
         state.broadcast(&hosts);
         state.send_relays(now, &self.settings);
         state.send_entry_changes(now, &self.settings);
+        state.poison.expire(now);
         let expired = state.directory.expire(now, self.settings.target_lease);
         if expired.is_empty() {
             return;
@@ -493,6 +503,7 @@
                 }
             }
             DirectoryUpdate::Hosts { controls, .. } => self.hosts.add(controls),
+            DirectoryUpdate::Suspicions(records) => self.lock().merge_suspicions(now, records),
             // Documents come from the replicated log, confirmations concern only entries, and every control host tracks
             // the leases of the targets itself.
             DirectoryUpdate::Document(_)
@@ -505,5 +516,10 @@
         None
     }
 
+    // The other control hosts receive the changes over the links that they open to this host.
+    fn changed_suspicions(&self, known: ChangeNumber) -> ChangedSuspicions {
+        ChangedSuspicions { newest: known, records: Vec::new() }
+    }
+
     fn on_link_change(&self, _from: SocketAddr, _up: bool) {}
 }
--- a/hickoryspan_gateway/src/directory_links.rs
+++ b/hickoryspan_gateway/src/directory_links.rs
@@ -8,6 +8,7 @@
 
 use anyhow::{Context, bail};
 use hickoryspan_core::gateway::messages::{DirectoryRequest, DirectoryUpdate};
+use hickoryspan_core::gateway::poison::{ChangeNumber, ChangedSuspicions};
 use hickoryspan_core::reconnect::{ReconnectDelay, ReconnectSettings};
 use hickoryspan_runtime::peer_link::PeerLink;
 use tokio::sync::{mpsc, watch};
@@ -29,6 +30,8 @@
 pub trait LinkHandler: Send + Sync {
     /// Returns the report that is sent when a link is up, and periodically after that.
     fn report(&self) -> DirectoryRequest;
+    /// Returns what changed about requests that crash targets after the change `known`.
+    fn changed_suspicions(&self, known: ChangeNumber) -> ChangedSuspicions;
     /// Applies an update of the control host at `from`. A returned request is sent back to that host.
     fn apply(&self, from: SocketAddr, update: DirectoryUpdate) -> Option<DirectoryRequest>;
     /// Called when the link to `from` is established (`up`) or lost.
@@ -164,8 +167,15 @@
     report_trigger: &mut watch::Receiver<u64>,
     queue: mpsc::Sender<DirectoryRequest>,
 ) -> anyhow::Result<()> {
+    let mut known = ChangeNumber::default();
     loop {
         queue.send(handler.report()).await.context("the link ended")?;
+        let changed = handler.changed_suspicions(known);
+        if !changed.records.is_empty() {
+            let request = DirectoryRequest::Suspicions(changed.records);
+            queue.send(request).await.context("the link ended")?;
+        }
+        known = changed.newest;
         tokio::select! {
             () = tokio::time::sleep(settings.report_interval) => {}
             changed = report_trigger.changed() => changed.context("the process stops")?,
--- a/hickoryspan_gateway/src/entry_daemon.rs
+++ b/hickoryspan_gateway/src/entry_daemon.rs
@@ -12,6 +12,7 @@
 use hickoryspan_core::gateway::document_parts::DocumentPart;
 use hickoryspan_core::gateway::entry_list::OpenEntry;
 use hickoryspan_core::gateway::messages::{DirectoryRequest, DirectoryUpdate, EntryHost};
+use hickoryspan_core::gateway::poison::{ChangeNumber, ChangedSuspicions};
 use hickoryspan_core::gateway::relays::RelayPeer;
 use hickoryspan_core::types::{MonotonicTime, TargetId};
 use tokio::net::TcpListener;
@@ -45,7 +46,6 @@
     state: Arc<GatewayState>,
     hosts: HostList,
     ready: watch::Sender<bool>,
-    report_trigger: watch::Sender<u64>,
     stopping: CancellationToken,
     // The bound address, because the settings may leave the choice of the port to the system. `None` if this entry
     // takes no part in fan-outs of others.
@@ -59,7 +59,7 @@
 impl EntryLinkHandler {
     fn set_ready(&self, ready: bool) {
         if self.ready.send_replace(ready) != ready {
-            self.report_trigger.send_modify(|count| *count += 1);
+            self.state.trigger_report();
         }
     }
 
@@ -125,6 +125,7 @@
             | DirectoryUpdate::Renewals(_)
             | DirectoryUpdate::Relays(_)
             | DirectoryUpdate::Entries(_)
+            | DirectoryUpdate::Suspicions(_)
             | DirectoryUpdate::Document(_)
             | DirectoryUpdate::Confirm(_) => return,
         }
@@ -241,6 +242,10 @@
             DirectoryUpdate::Entries(change) => {
                 self.state.decisions().entry_list.apply(from, change);
             }
+            DirectoryUpdate::Suspicions(records) => {
+                let now = self.state.now();
+                self.state.decisions().poison.merge_all(now, records);
+            }
             targets @ DirectoryUpdate::Vouched(_) => {
                 self.apply_targets(from, targets);
                 return self.next_request(from, None);
@@ -250,6 +255,11 @@
         None
     }
 
+    fn changed_suspicions(&self, known: ChangeNumber) -> ChangedSuspicions {
+        let now = self.state.now();
+        self.state.decisions().poison.changed_since(now, known)
+    }
+
     fn on_link_change(&self, from: SocketAddr, up: bool) {
         let mut decisions = self.state.decisions();
         if up {
@@ -325,7 +335,6 @@
             state: Arc::clone(&state),
             hosts: hosts.clone(),
             ready: watch::Sender::new(false),
-            report_trigger: watch::Sender::new(0),
             stopping: shutdown.drain.clone(),
             fanout_address,
             lagging: AtomicBool::new(false),
@@ -336,7 +345,7 @@
             own_address: None,
             settings: directory,
             handler: Arc::clone(&handler) as Arc<dyn LinkHandler>,
-            report_trigger: handler.report_trigger.subscribe(),
+            report_trigger: state.report_trigger.subscribe(),
         };
         let mut callers = JoinSet::new();
         callers.spawn(serve_callers(listener, Arc::clone(&state), shutdown.clone()));
@@ -413,6 +422,7 @@
             spdlog::info!("target lease expired", kv: { target: = expired.target });
             decisions.selector.remove(&expired.target);
         }
+        decisions.poison.expire(now);
         drop(guard);
         state.pool.sweep(|target| state.is_known(target));
     }
--- a/hickoryspan_gateway/src/fanout_messages.rs
+++ b/hickoryspan_gateway/src/fanout_messages.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use hickoryspan_core::gateway::poison::TargetCrash;
 use hickoryspan_core::sheet::duration_millis;
 use hickoryspan_core::types::ServiceId;
 use http::{HeaderMap, HeaderName, HeaderValue};
@@ -87,7 +88,10 @@
     pub(crate) last: bool,
     /// Shards to which nothing was sent because the sender knows no usable target; only in the last batch.
     pub(crate) unsent: Vec<usize>,
-    /// Number of targets whose connection was lost, or 0 if any target answered.
+    /// The targets whose connection was lost while they ran the request; only in the last batch.
+    #[serde(default)]
+    pub(crate) crashes: Vec<TargetCrash>,
+    /// Their number, for entries of versions that do not know `crashes`.
     pub(crate) lost: u32,
     /// The shortest queue of each shard's targets in waiting requests per slot; only in the last batch.
     pub(crate) queues: Vec<Option<f32>>,
@@ -102,6 +106,7 @@
             records: Bytes::new(),
             last: false,
             unsent: Vec::new(),
+            crashes: Vec::new(),
             lost: 0,
             queues: Vec::new(),
         }
--- a/hickoryspan_gateway/src/fanout_server.rs
+++ b/hickoryspan_gateway/src/fanout_server.rs
@@ -200,7 +200,9 @@
             self.handle_event(event);
         }
         let unsent = outcome.unsent.iter().map(|shard| shard.0).collect();
-        Ok(FanoutBatch { lost: outcome.lost, unsent, ..self.batcher.take_batch() })
+        let lost = u32::try_from(outcome.crashes.len()).unwrap_or(u32::MAX);
+        let batch = self.batcher.take_batch();
+        Ok(FanoutBatch { crashes: outcome.crashes, lost, unsent, ..batch })
     }
 
     fn handle_event(&mut self, event: RunEvent) {
--- a/hickoryspan_gateway/src/gateway_state.rs
+++ b/hickoryspan_gateway/src/gateway_state.rs
@@ -27,6 +27,7 @@
 use hickoryspan_runtime::clock::SystemClock;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha12Rng;
+use tokio::sync::watch;
 
 use crate::attempt::AttemptScope;
 use crate::fanout_links::FanoutLinks;
@@ -183,6 +184,8 @@
     pub(crate) fanout: FanoutLinks,
     /// Number of tasks of other entries since the start.
     pub(crate) tasks_served: AtomicU64,
+    /// Causes an immediate report over all directory links.
+    pub(crate) report_trigger: watch::Sender<u64>,
     decisions: Mutex<SharedDecisions>,
     log_limiter: Mutex<LogLimiter>,
 }
@@ -218,6 +221,7 @@
             settings,
             fanout,
             tasks_served: AtomicU64::new(0),
+            report_trigger: watch::Sender::new(0),
             clock: SystemClock::start(),
             pool: TargetPool::default(),
             decisions: Mutex::new(decisions),
@@ -257,6 +261,11 @@
         (usable / users.max(1)).max(1) as usize
     }
 
+    /// Sends a report over all directory links now instead of at the next interval.
+    pub(crate) fn trigger_report(&self) {
+        self.report_trigger.send_modify(|count| *count += 1);
+    }
+
     /// Returns whether this entry lags and callers are already directed to others.
     pub(crate) fn should_leave_callers(&self) -> bool {
         let now = self.now();
--- a/hickoryspan_gateway/src/hub_state.rs
+++ b/hickoryspan_gateway/src/hub_state.rs
@@ -11,6 +11,7 @@
 use hickoryspan_core::gateway::messages::{
     ConfirmNumber, DirectoryUpdate, EntryHost, TargetRenewal,
 };
+use hickoryspan_core::gateway::poison::{PoisonTable, SuspicionRecord};
 use hickoryspan_core::gateway::relays::RelayPeer;
 use hickoryspan_core::types::{FailureDomain, MonotonicTime, TargetId};
 use tokio::sync::mpsc;
@@ -65,6 +66,8 @@
     // The open entries, as last sent to all entries.
     pub(crate) listed: BTreeSet<OpenEntry>,
     pub(crate) documents: DocumentHistory,
+    // What entries reported of requests that crash targets.
+    pub(crate) poison: PoisonTable,
     pub(crate) confirm_number: ConfirmNumber,
     // Whether the directory has changed since it was last saved.
     pub(crate) unsaved: bool,
@@ -95,6 +98,28 @@
         }
     }
 
+    /// Merges what another host knows of requests that crash targets, and passes on what was new.
+    pub(crate) fn merge_suspicions(&mut self, now: MonotonicTime, records: Vec<SuspicionRecord>) {
+        let changed = self.poison.merge_all(now, records);
+        if changed.is_empty() {
+            return;
+        }
+        for record in &changed {
+            let condemned = self.poison.is_condemned(now, &record.fingerprint);
+            spdlog::info!(
+                "request suspicion merged",
+                kv: {
+                    fingerprint: = record.fingerprint,
+                    crashes: = record.crashes.len(),
+                    clearances: = record.clearances,
+                    refused: = condemned
+                }
+            );
+        }
+        self.unsaved = true;
+        self.broadcast(&DirectoryUpdate::Suspicions(changed));
+    }
+
     /// Notifies entries of changes among the entries of their failure domain.
     pub(crate) fn send_relays(&mut self, now: MonotonicTime, settings: &DirectorySettings) {
         let mut by_domain: BTreeMap<FailureDomain, Vec<RelayPeer>> = BTreeMap::new();
--- a/hickoryspan_gateway/src/run.rs
+++ b/hickoryspan_gateway/src/run.rs
@@ -11,7 +11,7 @@
 use hickoryspan_core::gateway::fanout::{FanoutMachine, FanoutStep, LaunchReason, ShardIndex};
 use hickoryspan_core::gateway::log_limit::LogPriority;
 use hickoryspan_core::gateway::outcomes::AttemptFailure;
-use hickoryspan_core::gateway::poison::{RunCounts, SuspicionChange};
+use hickoryspan_core::gateway::poison::{SuspicionChange, TargetCrash};
 use hickoryspan_core::gateway::relays::RetryGate;
 use hickoryspan_core::gateway::selection::ChosenTarget;
 use hickoryspan_core::types::{MonotonicTime, ServiceId, TargetId};
@@ -124,8 +124,8 @@
     pub(crate) unsent: Vec<ShardIndex>,
     /// The first shards without an answer, at most [`MAX_LOGGED_SHARDS`]; empty if the run was for another entry.
     pub(crate) missing: Vec<MissingShard>,
-    /// Number of targets whose connection was lost, or 0 if any target answered.
-    pub(crate) lost: u32,
+    /// The targets whose connection was lost while they ran the request.
+    pub(crate) crashes: Vec<TargetCrash>,
     /// Number of shard groups that were handed to other entries.
     pub(crate) relayed_groups: usize,
     /// Whether any target may have run the request.
@@ -158,8 +158,7 @@
     outcome: RunOutcome,
     relayed: RelayedGroups,
     sink: Option<RunSink>,
-    answered: u32,
-    lost: u32,
+    answered: bool,
     // The longest time between the launch of an attempt and its start.
     longest_start_delay: Duration,
 }
@@ -181,7 +180,7 @@
         relayed_records: Vec::new(),
         unsent: Vec::new(),
         missing: Vec::new(),
-        lost: 0,
+        crashes: Vec::new(),
         relayed_groups: relayed.count(),
         may_have_run: false,
         failure_answer: None,
@@ -201,8 +200,7 @@
         outcome,
         relayed,
         sink,
-        answered: 0,
-        lost: 0,
+        answered: false,
         longest_start_delay: Duration::ZERO,
     };
     run.run_to_end().await
@@ -258,26 +256,31 @@
         }
         let now = self.state.now();
         self.observe_lag(now);
-        let run = RunCounts { answered: self.answered, lost: self.lost };
-        let change = self.state.decisions().poison.note_run(now, self.job.fingerprint, run);
-        self.log_suspicion(change);
-        self.outcome.lost = if self.answered == 0 { self.lost } else { 0 };
+        // A run for another entry covers some of the shards only. The other entry knows whether any target answered.
+        if self.sink.is_none() {
+            self.note_crashes(now);
+        }
         self.outcome
     }
 
-    fn log_suspicion(&self, change: SuspicionChange) {
-        let lost = match change {
+    fn note_crashes(&self, now: MonotonicTime) {
+        let crashes = self.outcome.crashes.iter().cloned();
+        let fingerprint = self.job.fingerprint;
+        let change =
+            self.state.decisions().poison.note_run(now, fingerprint, self.answered, crashes);
+        let crashes = match change {
             SuspicionChange::None => return,
-            SuspicionChange::Suspected(lost) => lost,
+            SuspicionChange::Suspected(crashes) => crashes,
             SuspicionChange::Cleared => 0,
         };
+        self.state.trigger_report();
         if self.state.admits_log_line(LogPriority::Important) {
             spdlog::info!(
                 "request suspicion changed",
                 kv: {
                     request: = self.job.request_text(),
-                    fingerprint: = self.job.fingerprint,
-                    lost_connections: = lost
+                    fingerprint: = fingerprint,
+                    crashes: = crashes
                 }
             );
         }
@@ -365,7 +368,7 @@
     fn handle_batch(&mut self, shards: &[ShardIndex], batch: FanoutBatch) {
         for part in batch.parts {
             let Some(shard) = shards.get(part.shard) else { continue };
-            self.answered += 1;
+            self.answered = true;
             if self.machine.note_part(*shard) {
                 self.outcome.answers[shard.0] = Some(ShardAnswer::Relayed(part.stamp));
             }
@@ -376,7 +379,7 @@
         if !batch.last {
             return;
         }
-        self.lost += batch.lost;
+        self.outcome.crashes.extend(batch.crashes);
         let now = self.state.now();
         let mut decisions = self.state.decisions();
         for (shard, queue) in shards.iter().zip(batch.queues) {
@@ -407,6 +410,11 @@
             decisions.selector.note_overdue(now, overdue);
         }
         let is_extra = reason != LaunchReason::First && !attempts.unreached;
+        if reason != LaunchReason::First
+            && decisions.poison.is_condemned(now, &self.job.fingerprint)
+        {
+            return self.machine.note_unsent(shard, true);
+        }
         if is_extra && !self.sink.as_ref().is_none_or(|sink| sink.allows_second_attempt(now)) {
             return self.machine.note_unsent(shard, true);
         }
@@ -452,7 +460,7 @@
                 if self.rule == AnswerRule::Any || answer.status.is_success() =>
             {
                 self.outcome.may_have_run = true;
-                self.answered += 1;
+                self.answered = true;
                 if self.machine.note_part(shard) {
                     self.record_answer(shard, answer);
                 }
@@ -462,6 +470,9 @@
             }
             AttemptResult::Failure(failure, answer) => {
                 self.log_failure(&target, failure);
+                if failure == AttemptFailure::Lost {
+                    self.outcome.crashes.push(target.crash());
+                }
                 self.note_failure(shard, failure, answer);
             }
         }
@@ -503,7 +514,6 @@
         if answer.is_some() {
             self.outcome.failure_answer = answer;
         }
-        self.lost += u32::from(failure == AttemptFailure::Lost);
         self.shards[shard.0].unreached = failure == AttemptFailure::Unreachable;
         self.machine.note_failed(shard, ran);
         metrics::counter!("hickoryspan_gateway_attempt_failures_total", "reason" => failure.as_str())
--- a/hickoryspan_gateway/tests/gateway/crash_sharing.rs
+++ b/hickoryspan_gateway/tests/gateway/crash_sharing.rs
@@ -1,13 +1,13 @@
 //! Requests that crash the targets that run them, sent through several real entries on loopback.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use crate::support::{
     Deployment, ScriptedTarget, SeenRequest, TEST_TIMEOUT, TargetAction, route, to_service,
 };
-use hickoryspan_core::gateway::document::RepeatRule;
+use hickoryspan_core::gateway::document::{RepeatRule, RouteRule};
 use hickoryspan_core::gateway::relays::RelaySettings;
-use std::sync::Arc;
 
 /// Number of targets that may crash before every entry must refuse the request.
 const ALLOWED_CRASHES: usize = 3;
@@ -25,8 +25,7 @@
 impl CrashDeployment {
     async fn start() -> Self {
         let mut deployment = Deployment::start_with(ENTRIES - 1, RelaySettings::default()).await;
-        let rule = route("/", RepeatRule::AtMostOnce, to_service("records"));
-        deployment.configure(vec![rule]).await;
+        deployment.configure(routes()).await;
         let mut targets = Vec::new();
         for number in 0..TARGETS {
             let target = ScriptedTarget::start(Arc::new(|request: &SeenRequest| {
@@ -70,6 +69,10 @@
     }
 }
 
+fn routes() -> Vec<RouteRule> {
+    vec![route("/", RepeatRule::AtMostOnce, to_service("records"))]
+}
+
 fn request(path: &str) -> Vec<u8> {
     crate::support::get(path)
 }
@@ -103,3 +106,14 @@
     deployment.assert_refused_everywhere("/crash/plate").await;
     deployment.deployment.stop().await;
 }
+
+/// Guards against a restart of all processes after which the request may crash three more targets.
+#[tokio::test]
+async fn all_entries_refuse_the_request_after_a_common_restart() {
+    let mut deployment = CrashDeployment::start().await;
+    deployment.crash_allowed_targets("/crash/plate").await;
+    deployment.deployment.restart_all().await;
+    deployment.deployment.configure(routes()).await;
+    deployment.assert_refused_everywhere("/crash/plate").await;
+    deployment.deployment.stop().await;
+}
--- a/hickoryspan_gateway/tests/gateway/support.rs
+++ b/hickoryspan_gateway/tests/gateway/support.rs
@@ -191,7 +191,7 @@
     version: u64,
     stop: CancellationToken,
     tasks: JoinSet<()>,
-    _folder: tempfile::TempDir,
+    folder: tempfile::TempDir,
 }
 
 fn credential() -> SharedCredential {
@@ -225,6 +225,28 @@
     }
 }
 
+async fn start_hub(
+    daemon: &ControlDaemon,
+    folder: &Path,
+    tasks: &mut JoinSet<()>,
+    stop: &CancellationToken,
+) -> (Arc<DirectoryHub>, HostList) {
+    let listener = TcpListener::bind(ANY_PORT).await.expect("a directory port");
+    let directory = listener.local_addr().expect("the directory's address");
+    let hosts = HostList::new([directory]);
+    let hub = Arc::new(DirectoryHub::new(
+        DirectorySettings::new(credential()),
+        daemon.handle(),
+        daemon.record().clone(),
+        directory,
+        hosts.clone(),
+        folder,
+    ));
+    tasks.spawn(DirectoryServer { listener, hub: Arc::clone(&hub) }.run(stop.clone()));
+    tasks.spawn(flush_regularly(Arc::clone(&hub), stop.clone()));
+    (hub, hosts)
+}
+
 impl Deployment {
     pub async fn start() -> Self {
         Self::start_with(0, RelaySettings::default()).await
@@ -236,20 +258,9 @@
         let settings = control_settings(folder.path());
         initialize_folder(&settings.data_folder, FolderRole::First).expect("a data folder");
         let daemon = ControlDaemon::start(settings).await.expect("a control host");
-        let listener = TcpListener::bind(ANY_PORT).await.expect("a directory port");
-        let directory = listener.local_addr().expect("the directory's address");
-        let hosts = HostList::new([directory]);
-        let hub = Arc::new(DirectoryHub::new(
-            DirectorySettings::new(credential()),
-            daemon.handle(),
-            daemon.record().clone(),
-            directory,
-            hosts.clone(),
-            folder.path(),
-        ));
         let stop = CancellationToken::new();
         let mut tasks = JoinSet::new();
-        tasks.spawn(DirectoryServer { listener, hub: Arc::clone(&hub) }.run(stop.clone()));
+        let (hub, hosts) = start_hub(&daemon, folder.path(), &mut tasks, &stop).await;
         let address = free_address().await;
         let template = GatewaySettings {
             relays,
@@ -264,8 +275,6 @@
                 DirectorySettings::new(credential()),
             )
         };
-        let flush = flush_regularly(Arc::clone(&hub), stop.clone());
-        tasks.spawn(flush);
         let mut deployment = Self {
             hub,
             entry: None,
@@ -278,7 +287,7 @@
             version: 0,
             stop,
             tasks,
-            _folder: folder,
+            folder,
         };
         deployment.entry = Some(deployment.start_entry(address).await);
         for _ in 0..others {
@@ -297,6 +306,23 @@
         GatewayEntry::start(gateway, self.hosts.clone()).await.expect("an entry")
     }
 
+    /// Ends the directory and all entries at the same time, and starts them again with what the directory had saved.
+    /// The routes must be configured again.
+    pub async fn restart_all(&mut self) {
+        self.hub.save();
+        self.entry = None;
+        self.others.clear();
+        self.stop.cancel();
+        while self.tasks.join_next().await.is_some() {}
+        self.stop = CancellationToken::new();
+        let daemon = self.daemon.as_ref().expect("a control host");
+        let started = start_hub(daemon, self.folder.path(), &mut self.tasks, &self.stop).await;
+        (self.hub, self.hosts) = started;
+        for _ in 0..std::mem::take(&mut self.addresses).len() {
+            self.add_entry().await;
+        }
+    }
+
     /// Starts one more entry.
     pub async fn add_entry(&mut self) {
         let address = free_address().await;
