Name the process of a target for more than crashes

TargetCrash becomes TargetProcess and moves to the directory's types, since limits that a target names will be kept for a process too. No behaviour changes.

--- a/hickoryspan_core/src/gateway/directory.rs
+++ b/hickoryspan_core/src/gateway/directory.rs
@@ -40,6 +40,16 @@
     pub sequence: u64,
 }
 
+/// One process of a target. A target that starts again under its name is another process.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct TargetProcess {
+    /// The target.
+    pub target: TargetId,
+    /// Start time of the process, by its own clock.
+    pub started: WallTime,
+}
+
 /// The properties that a target announces.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
--- a/hickoryspan_core/src/gateway/poison.rs
+++ b/hickoryspan_core/src/gateway/poison.rs
@@ -2,13 +2,13 @@
 //! requests, so that all entries count the same crashes.
 
 use std::collections::{BTreeSet, HashMap, HashSet};
-use std::fmt;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
+use super::directory::TargetProcess;
 use crate::control::quarantine::QUARANTINE_MILLIS;
-use crate::types::{MonotonicTime, RequestFingerprint, TargetId, WallTime};
+use crate::types::{MonotonicTime, RequestFingerprint};
 
 /// Crashed targets after which a request counts as their cause and is refused.
 const CONDEMNING_CRASHES: usize = 3;
@@ -21,22 +21,6 @@
 /// Largest number of crashes kept for one request. A request over many shards may crash hundreds of targets at once.
 const MAX_KEPT_CRASHES: usize = 16;
 
-/// The end of one process of a target while it ran a request.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub struct TargetCrash {
-    /// The target.
-    pub target: TargetId,
-    /// Start time of the process that ended, by the target's clock.
-    pub started: WallTime,
-}
-
-impl fmt::Display for TargetCrash {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(formatter, "{}@{}", self.target, self.started.0)
-    }
-}
-
 /// What one process knows of a suspected request. Records of several processes merge in any order, any number of times.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -45,8 +29,8 @@
     pub fingerprint: RequestFingerprint,
     /// How often an answer has cleared the request. Crashes from before the last clearance do not count.
     pub clearances: u32,
-    /// The crashes since the last clearance.
-    pub crashes: BTreeSet<TargetCrash>,
+    /// The processes that ended while they ran the request, since the last clearance.
+    pub crashes: BTreeSet<TargetProcess>,
     /// Time since the last crash or clearance.
     pub age: Duration,
 }
@@ -78,7 +62,7 @@
 #[derive(Clone, Debug)]
 struct Suspicion {
     clearances: u32,
-    crashes: BTreeSet<TargetCrash>,
+    crashes: BTreeSet<TargetProcess>,
     expires_at: MonotonicTime,
     changed: ChangeNumber,
 }
@@ -94,7 +78,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct PoisonTable {
     suspects: HashMap<RequestFingerprint, Suspicion>,
-    crashes: HashMap<TargetCrash, CrashState>,
+    crashes: HashMap<TargetProcess, CrashState>,
     newest: ChangeNumber,
 }
 
@@ -106,7 +90,7 @@
         now: MonotonicTime,
         fingerprint: RequestFingerprint,
         answered: bool,
-        crashes: impl IntoIterator<Item = TargetCrash>,
+        crashes: impl IntoIterator<Item = TargetProcess>,
     ) -> SuspicionChange {
         if answered {
             return self.clear(now, &fingerprint);
@@ -182,7 +166,7 @@
     }
 
     /// Records that a process answered a request that was sent to it at `sent_at`, so that it did not end before.
-    pub fn note_response(&mut self, process: &TargetCrash, sent_at: MonotonicTime) {
+    pub fn note_response(&mut self, process: &TargetProcess, sent_at: MonotonicTime) {
         if let Some(state) = self.crashes.get_mut(process) {
             state.refuted |= sent_at > state.noted_at;
         }
@@ -203,7 +187,7 @@
     /// Returns the number of crashes that count against a request.
     fn count_crashes(&self, fingerprint: &RequestFingerprint) -> usize {
         let crashes = self.suspects.get(fingerprint).into_iter().flat_map(|known| &known.crashes);
-        let counts = |crash: &&TargetCrash| self.crashes.get(*crash).is_none_or(|s| !s.refuted);
+        let counts = |crash: &&TargetProcess| self.crashes.get(*crash).is_none_or(|s| !s.refuted);
         crashes.filter(counts).count()
     }
 
@@ -251,7 +235,7 @@
     }
 
     fn remove_unused_crashes(&mut self) {
-        let used: HashSet<&TargetCrash> =
+        let used: HashSet<&TargetProcess> =
             self.suspects.values().flat_map(|known| &known.crashes).collect();
         self.crashes.retain(|crash, _| used.contains(crash));
     }
--- a/hickoryspan_core/src/gateway/selection.rs
+++ b/hickoryspan_core/src/gateway/selection.rs
@@ -8,9 +8,8 @@
 use rand::RngExt;
 use rand_chacha::ChaCha12Rng;
 
-use super::directory::{TargetAnnouncement, TargetPhase};
+use super::directory::{TargetAnnouncement, TargetPhase, TargetProcess};
 use super::outcomes::{AttemptFailure, AttemptOutcome, ReportedLoad};
-use super::poison::TargetCrash;
 use crate::types::{FailureDomain, MonotonicTime, ServiceId, TargetId, WallTime};
 
 /// Settings of the target selection.
@@ -83,9 +82,9 @@
 }
 
 impl ChosenTarget {
-    /// Returns the crash that is recorded if this process ends.
-    pub fn crash(&self) -> TargetCrash {
-        TargetCrash { target: self.target.clone(), started: self.started }
+    /// Returns the process that the request is sent to.
+    pub fn process(&self) -> TargetProcess {
+        TargetProcess { target: self.target.clone(), started: self.started }
     }
 }
 
--- a/hickoryspan_core/tests/gateway_poison.rs
+++ b/hickoryspan_core/tests/gateway_poison.rs
@@ -4,8 +4,9 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
+use hickoryspan_core::gateway::directory::TargetProcess;
 use hickoryspan_core::gateway::poison::{
-    ChangeNumber, PoisonTable, SuspicionChange, SuspicionRecord, TargetCrash,
+    ChangeNumber, PoisonTable, SuspicionChange, SuspicionRecord,
 };
 use hickoryspan_core::types::{MonotonicTime, RequestFingerprint, TargetId, WallTime};
 use rand::seq::SliceRandom;
@@ -21,14 +22,14 @@
     MonotonicTime(seconds * 1_000_000)
 }
 
-fn crash(target: u32) -> TargetCrash {
-    TargetCrash {
+fn crash(target: u32) -> TargetProcess {
+    TargetProcess {
         target: TargetId::new(format!("target-{target}")).expect("a name"),
         started: WallTime(1),
     }
 }
 
-fn crashes(targets: impl IntoIterator<Item = u32>) -> Vec<TargetCrash> {
+fn crashes(targets: impl IntoIterator<Item = u32>) -> Vec<TargetProcess> {
     targets.into_iter().map(crash).collect()
 }
 
@@ -57,7 +58,7 @@
         table.note_run(at(second), FINGERPRINT, false, crashes([1, 2]));
     }
     assert!(!table.is_condemned(at(10), &FINGERPRINT));
-    let restarted = TargetCrash { started: WallTime(2), ..crash(1) };
+    let restarted = TargetProcess { started: WallTime(2), ..crash(1) };
     table.note_run(at(11), FINGERPRINT, false, [restarted]);
     assert!(table.is_condemned(at(11), &FINGERPRINT));
 }
@@ -135,7 +136,7 @@
         }
         let mut records = table.changed_since(at(200), ChangeNumber::default()).records;
         records.sort_by_key(|record| record.fingerprint);
-        let known: Vec<(RequestFingerprint, u32, BTreeSet<TargetCrash>)> =
+        let known: Vec<(RequestFingerprint, u32, BTreeSet<TargetProcess>)> =
             records.into_iter().map(|r| (r.fingerprint, r.clearances, r.crashes)).collect();
         merged.push(known);
     }
@@ -176,7 +177,7 @@
     assert!(table.is_condemned(at(2), &FINGERPRINT));
     table.note_response(&crash(0), at(2));
     assert!(!table.is_condemned(at(2), &FINGERPRINT));
-    let restarted = TargetCrash { started: WallTime(2), ..crash(0) };
+    let restarted = TargetProcess { started: WallTime(2), ..crash(0) };
     table.note_run(at(3), FINGERPRINT, false, [restarted]);
     assert!(table.is_condemned(at(3), &FINGERPRINT));
 }
--- a/hickoryspan_gateway/src/attempt.rs
+++ b/hickoryspan_gateway/src/attempt.rs
@@ -118,7 +118,7 @@
         let mut decisions = state.decisions();
         decisions.record_latency(&job.route, now.since(started_at));
         if decisions.poison.has_crashes() {
-            decisions.poison.note_response(&target.crash(), started_at);
+            decisions.poison.note_response(&target.process(), started_at);
         }
     }
     drop(guard);
--- a/hickoryspan_gateway/src/fanout_messages.rs
+++ b/hickoryspan_gateway/src/fanout_messages.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hickoryspan_core::gateway::poison::TargetCrash;
+use hickoryspan_core::gateway::directory::TargetProcess;
 use hickoryspan_core::sheet::duration_millis;
 use hickoryspan_core::types::ServiceId;
 use http::{HeaderMap, HeaderName, HeaderValue};
@@ -90,7 +90,7 @@
     pub(crate) unsent: Vec<usize>,
     /// The targets whose connection was lost while they ran the request; only in the last batch.
     #[serde(default)]
-    pub(crate) crashes: Vec<TargetCrash>,
+    pub(crate) crashes: Vec<TargetProcess>,
     /// Their number, for entries of versions that do not know `crashes`.
     pub(crate) lost: u32,
     /// The shortest queue of each shard's targets in waiting requests per slot; only in the last batch.
--- a/hickoryspan_gateway/src/run.rs
+++ b/hickoryspan_gateway/src/run.rs
@@ -8,10 +8,11 @@
 use bytes::Bytes;
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
+use hickoryspan_core::gateway::directory::TargetProcess;
 use hickoryspan_core::gateway::fanout::{FanoutMachine, FanoutStep, LaunchReason, ShardIndex};
 use hickoryspan_core::gateway::log_limit::LogPriority;
 use hickoryspan_core::gateway::outcomes::AttemptFailure;
-use hickoryspan_core::gateway::poison::{SuspicionChange, TargetCrash};
+use hickoryspan_core::gateway::poison::SuspicionChange;
 use hickoryspan_core::gateway::relays::RetryGate;
 use hickoryspan_core::gateway::selection::ChosenTarget;
 use hickoryspan_core::types::{MonotonicTime, ServiceId, TargetId};
@@ -125,7 +126,7 @@
     /// The first shards without an answer, at most [`MAX_LOGGED_SHARDS`]; empty if the run was for another entry.
     pub(crate) missing: Vec<MissingShard>,
     /// The targets whose connection was lost while they ran the request.
-    pub(crate) crashes: Vec<TargetCrash>,
+    pub(crate) crashes: Vec<TargetProcess>,
     /// Number of shard groups that were handed to other entries.
     pub(crate) relayed_groups: usize,
     /// Whether any target may have run the request.
@@ -471,7 +472,7 @@
             AttemptResult::Failure(failure, answer) => {
                 self.log_failure(&target, failure);
                 if failure == AttemptFailure::Lost {
-                    self.outcome.crashes.push(target.crash());
+                    self.outcome.crashes.push(target.process());
                 }
                 self.note_failure(shard, failure, answer);
             }
