Log the limits that targets name

Targets in need name with their responses how many requests a second they take from all entries together. The gateway read no such header, and no line or figure showed limits. It now decodes the header and logs each change that an entry hears; nothing is decided by it yet.

--- a/hickoryspan_core/src/gateway/mod.rs
+++ b/hickoryspan_core/src/gateway/mod.rs
@@ -19,3 +19,4 @@
 pub mod relays;
 pub mod routes;
 pub mod selection;
+pub mod target_limits;
--- /dev/null
+++ b/hickoryspan_core/src/gateway/target_limits.rs
@@ -0,0 +1,113 @@
+//! The request rates to which targets in need limit all entries together.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use super::directory::TargetProcess;
+use super::poison::ChangeNumber;
+use crate::types::{MonotonicTime, RequestRate};
+
+/// What one host last heard of the limit of a target.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct LimitRecord {
+    /// The process of the target.
+    pub process: TargetProcess,
+    /// Requests per second that it takes from all entries together; `None` if its limit has ended.
+    pub limit: Option<RequestRate>,
+    /// Time since a response of the target said so.
+    pub age: Duration,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct LimitState {
+    limit: Option<RequestRate>,
+    heard_at: MonotonicTime,
+    changed: ChangeNumber,
+}
+
+/// The limits of all targets that have named one.
+#[derive(Clone, Debug, Default)]
+pub struct LimitTable {
+    limits: HashMap<TargetProcess, LimitState>,
+    newest: ChangeNumber,
+}
+
+impl LimitTable {
+    /// Records the limit that a response named, or that it named none. Returns whether that is a change.
+    pub fn note_response(
+        &mut self,
+        now: MonotonicTime,
+        process: &TargetProcess,
+        limit: Option<RequestRate>,
+    ) -> bool {
+        match self.limits.get_mut(process) {
+            Some(state) if state.limit == limit => {
+                state.heard_at = now;
+                false
+            }
+            None if limit.is_none() => false,
+            Some(_) | None => {
+                self.put(process.clone(), limit, now);
+                true
+            }
+        }
+    }
+
+    fn put(&mut self, process: TargetProcess, limit: Option<RequestRate>, heard_at: MonotonicTime) {
+        self.newest.0 += 1;
+        self.limits.insert(process, LimitState { limit, heard_at, changed: self.newest });
+    }
+
+    /// Merges what another host heard, unless this one heard from the target later. Returns whether that is a change.
+    pub fn merge(&mut self, now: MonotonicTime, record: LimitRecord) -> bool {
+        let heard_at = MonotonicTime(now.0.saturating_sub(to_micros(record.age)));
+        let known = self.limits.get(&record.process);
+        if known.is_some_and(|known| known.heard_at >= heard_at) {
+            return false;
+        }
+        if known.map(|known| known.limit) == Some(record.limit) {
+            return false;
+        }
+        self.put(record.process, record.limit, heard_at);
+        true
+    }
+
+    /// Returns the limit of a target; `None` if it has none.
+    pub fn find(&self, process: &TargetProcess) -> Option<RequestRate> {
+        self.limits.get(process).and_then(|state| state.limit)
+    }
+
+    /// Returns whether any target has or had a limit.
+    pub fn is_empty(&self) -> bool {
+        self.limits.is_empty()
+    }
+
+    /// Returns the position of the last change.
+    pub fn newest(&self) -> ChangeNumber {
+        self.newest
+    }
+
+    /// Returns the records that changed after the change `known`.
+    pub fn changed_since(&self, now: MonotonicTime, known: ChangeNumber) -> Vec<LimitRecord> {
+        let changed = self.limits.iter().filter(|(_, state)| state.changed > known);
+        changed
+            .map(|(process, state)| LimitRecord {
+                process: process.clone(),
+                limit: state.limit,
+                age: now.since(state.heard_at),
+            })
+            .collect()
+    }
+
+    /// Forgets the targets for which `keep` returns false.
+    pub fn retain(&mut self, keep: impl Fn(&TargetProcess) -> bool) {
+        self.limits.retain(|process, _| keep(process));
+    }
+}
+
+fn to_micros(duration: Duration) -> u64 {
+    u64::try_from(duration.as_micros()).unwrap_or(u64::MAX)
+}
--- a/hickoryspan_core/src/types/mod.rs
+++ b/hickoryspan_core/src/types/mod.rs
@@ -14,6 +14,6 @@
 pub use key_range::KeyRange;
 pub use quantity::{
     ByteCount, ConnectionCount, CostRate, CostUnits, CoverageShare, DocumentCount, ParseValueError,
-    SlotCount,
+    RequestRate, SlotCount,
 };
 pub use time::{ClockReading, MonotonicTime, WallTime};
--- a/hickoryspan_core/src/types/quantity.rs
+++ b/hickoryspan_core/src/types/quantity.rs
@@ -111,6 +111,8 @@
     CostUnits;
     /// Cost units per second.
     CostRate;
+    /// Requests per second.
+    RequestRate;
 }
 
 /// The share of a snapshot's documents that an answer covers, from 0 to 1.
--- a/hickoryspan_gateway/src/attempt.rs
+++ b/hickoryspan_gateway/src/attempt.rs
@@ -6,9 +6,10 @@
 use bytes::Bytes;
 use hickoryspan_core::gateway::document::RouteRule;
 use hickoryspan_core::gateway::fanout::ShardIndex;
+use hickoryspan_core::gateway::log_limit::LogPriority;
 use hickoryspan_core::gateway::outcomes::{AttemptFailure, AttemptOutcome, ReportedLoad};
 use hickoryspan_core::gateway::selection::ChosenTarget;
-use hickoryspan_core::types::{MonotonicTime, RequestFingerprint, ServiceId};
+use hickoryspan_core::types::{MonotonicTime, RequestFingerprint, RequestRate, ServiceId};
 use hickoryspan_runtime::http_client::{HttpAnswer, SendError};
 use http::header::CONNECTION;
 use http::{HeaderMap, HeaderValue, Method, Request, StatusCode};
@@ -199,6 +200,7 @@
     if echoed.is_some() && echoed != job.request.as_ref() {
         return AttemptResult::Failure(AttemptFailure::Lost, None);
     }
+    note_limit(state, target, &answer);
     if let Some(load) = answer.headers.get(&names.load).and_then(parse_load) {
         let now = state.now();
         state.decisions().selector.note_load(now, &target.target, load);
@@ -223,6 +225,30 @@
     AttemptResult::Answer(answer)
 }
 
+/// Records the limit that a target names with a response, or that it no longer names one.
+fn note_limit(state: &GatewayState, target: &ChosenTarget, answer: &HttpAnswer) {
+    if answer.status == StatusCode::MISDIRECTED_REQUEST {
+        return;
+    }
+    let header = answer.headers.get(&state.settings.headers.limit);
+    let limit = header.and_then(|value| value.to_str().ok()?.trim().parse::<RequestRate>().ok());
+    if header.is_some() && limit.is_none() {
+        spdlog::debug!("limit of {}: not a rate", target.address);
+        return;
+    }
+    let now = state.now();
+    let mut decisions = state.decisions();
+    if limit.is_none() && decisions.limits.is_empty() {
+        return;
+    }
+    let changed = decisions.limits.note_response(now, &target.process(), limit);
+    drop(decisions);
+    if changed && state.admits_log_line(LogPriority::Important) {
+        let limit = limit.map_or_else(|| "none".to_owned(), |limit| limit.to_string());
+        spdlog::info!("target limit changed", kv: { target: = target.target, per_second: = limit });
+    }
+}
+
 /// Returns whether callers take this status to mean that their request did not run.
 pub(crate) fn claims_not_run(status: StatusCode) -> bool {
     matches!(
--- a/hickoryspan_gateway/src/headers.rs
+++ b/hickoryspan_gateway/src/headers.rs
@@ -26,6 +26,8 @@
     /// Load of a target: running requests, queued requests, slots, and the processing time on its host in percent of
     /// the usual time.
     pub load: HeaderName,
+    /// Requests per second that a target in need takes from all entries together, as a decimal number.
+    pub limit: HeaderName,
 }
 
 impl Default for GatewayHeaders {
@@ -39,6 +41,7 @@
             missing_parts: HeaderName::from_static("hs-missing-parts"),
             not_run: HeaderName::from_static("hs-not-run"),
             load: HeaderName::from_static("hs-load"),
+            limit: HeaderName::from_static("hs-limit"),
         }
     }
 }
