Add failing tests of targets that name a limit

Three entries and one target on loopback that takes 4 requests a second from all of them. Also: a refusal comes at once with Retry-After, most of the limit is used, and callers are served again soon after the limit has ended.

--- a/hickoryspan_gateway/tests/gateway/main.rs
+++ b/hickoryspan_gateway/tests/gateway/main.rs
@@ -6,4 +6,5 @@
 mod forwarding;
 mod planned_stop;
 mod support;
+mod target_limits;
 mod wide_fan_out;
