Keep the fixed retry budget while entries restart or leave

Cause: an entry that restarts may use 0.3 of its part of the fixed budget at once and all of it after seven seconds, although its predecessor may have spent the whole part just before; and when entries leave, the others' parts grow at once.

Change: three quarters of the fixed budget are divided by the highest number of entries in the last window; a new process gets 0.3 of its part until its first window is over. One common restart uses 0.975 of the fixed budget. The part of a caller's requests stays as it was.

--- a/hickoryspan_core/src/gateway/budget.rs
+++ b/hickoryspan_core/src/gateway/budget.rs
@@ -9,8 +9,11 @@
 /// than the window.
 const WINDOW_SLOTS: u64 = 10;
 
-/// Share of the fixed budget that is available as soon as the process starts.
-const INITIAL_FIXED_SHARE: f64 = 0.3;
+/// Part of its share of the fixed budget that a process may use during its first window.
+const NEW_PROCESS_PART: f64 = 0.3;
+/// Part of the fixed budget that is divided. The rest is for processes that restart and whose predecessors have spent
+/// their shares: with both parts, a common restart of all entries stays within the budget.
+const DIVIDED_PART: f64 = 0.75;
 
 /// Limits on the extra requests (retries and hedges) that a service may get from all entries
 /// together.
@@ -22,7 +25,8 @@
     pub ratio: f64,
     /// Further extra requests allowed in each window, over all entries.
     pub fixed: f64,
-    /// Fraction of the allowance that is used, as a margin for counts that differ between hosts.
+    /// Fraction of the allowance for caller requests that is used, as a margin for requests that the
+    /// window still covers and others no longer count.
     pub safety: f64,
 }
 
@@ -49,7 +53,7 @@
 
 impl RetryBudget {
     /// Creates a budget with an empty window. The process may have spent its share just before a
-    /// restart, so the fixed budget grows to its full size only during the first window.
+    /// restart, so it gets only a part of the fixed budget during the first window.
     pub fn new(started_at: MonotonicTime, settings: BudgetSettings) -> Self {
         Self { settings, slots: VecDeque::new(), started_at }
     }
@@ -73,8 +77,8 @@
         self.slot(now).requests += 1;
     }
 
-    /// Takes one extra request from the budget, which is shared by `entries` entries. Returns false
-    /// if the budget is exhausted.
+    /// Takes one extra request from the budget, which is shared by `entries` entries (see
+    /// [`EntryCount`]). Returns false if the budget is exhausted.
     pub fn try_take(&mut self, now: MonotonicTime, entries: u32) -> bool {
         let has_room = self.has_room(now, entries);
         if has_room {
@@ -88,10 +92,42 @@
         self.slot(now);
         let requests: u32 = self.slots.iter().map(|slot| slot.requests).sum();
         let extra: u32 = self.slots.iter().map(|slot| slot.extra).sum();
-        let age = now.since(self.started_at).as_secs_f64() / self.settings.window.as_secs_f64();
-        let earned = (INITIAL_FIXED_SHARE + age).min(1.0);
-        let fixed = self.settings.fixed * earned / f64::from(entries.max(1));
-        let allowed = (self.settings.ratio * f64::from(requests) + fixed) * self.settings.safety;
+        let is_first_window = now.since(self.started_at) < self.settings.window;
+        let part = if is_first_window { NEW_PROCESS_PART } else { 1.0 };
+        let fixed = self.settings.fixed * DIVIDED_PART * part / f64::from(entries.max(1));
+        let allowed = self.settings.ratio * f64::from(requests) * self.settings.safety + fixed;
         f64::from(extra) + 1.0 <= allowed
     }
 }
+
+/// The number of entries among which the fixed budget is divided: the highest of the last window, because an entry that
+/// is gone may have spent its share just before.
+#[derive(Clone, Debug, Default)]
+pub struct EntryCount {
+    // Counts with the time until which each was seen, in ascending order of time and descending order of count.
+    counts: VecDeque<(MonotonicTime, u32)>,
+}
+
+impl EntryCount {
+    /// Records that there are `count` entries.
+    pub fn note(&mut self, now: MonotonicTime, count: u32) {
+        // The count before was true until now.
+        if let Some((seen_at, _)) = self.counts.back_mut() {
+            *seen_at = now;
+        }
+        while self.counts.back().is_some_and(|(_, older)| *older <= count) {
+            self.counts.pop_back();
+        }
+        self.counts.push_back((now, count));
+    }
+
+    /// Returns the highest count of the last `window`, or 1 before the first count.
+    pub fn highest(&mut self, now: MonotonicTime, window: Duration) -> u32 {
+        while self.counts.len() > 1
+            && self.counts.front().is_some_and(|(seen_at, _)| now.since(*seen_at) > window)
+        {
+            self.counts.pop_front();
+        }
+        self.counts.front().map_or(1, |(_, count)| *count)
+    }
+}
--- a/hickoryspan_gateway/src/entry_daemon.rs
+++ b/hickoryspan_gateway/src/entry_daemon.rs
@@ -84,6 +84,7 @@
         if let Some(count) = highest.filter(|count| *count > 0) {
             let mut decisions = self.state.decisions();
             decisions.entries = count;
+            decisions.budget_entries.note(self.state.now(), count);
             decisions.selector.limits_mut().set_entries(count);
         }
     }
--- a/hickoryspan_gateway/src/gateway_state.rs
+++ b/hickoryspan_gateway/src/gateway_state.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use hickoryspan_core::entry::latency::{LatencyDistribution, LatencySettings};
-use hickoryspan_core::gateway::budget::RetryBudget;
+use hickoryspan_core::gateway::budget::{EntryCount, RetryBudget};
 use hickoryspan_core::gateway::directory::TargetDirectory;
 use hickoryspan_core::gateway::document::{
     DocumentVersion, RouteRule, ShardSpread, WeightedService,
@@ -59,8 +59,10 @@
     pub(crate) selector: TargetSelector,
     pub(crate) poison: PoisonTable,
     pub(crate) relays: RelaySelector,
-    /// Number of entries that share the retry budgets and the connections of the targets.
+    /// Number of entries that share the connections of the targets.
     pub(crate) entries: u32,
+    /// The number of entries that divide the retry budgets among themselves.
+    pub(crate) budget_entries: EntryCount,
     // The shard groups of the wide routes in the active document.
     groups: HashMap<Arc<str>, Arc<[ShardGroup]>>,
     budgets: HashMap<ServiceId, RetryBudget>,
@@ -211,6 +213,7 @@
             relays: RelaySelector::new(settings.relays, settings.entry.clone()),
             groups: HashMap::new(),
             entries: 1,
+            budget_entries: EntryCount::default(),
             budgets: HashMap::new(),
             latencies: HashMap::new(),
             splits: HashMap::new(),
--- a/hickoryspan_gateway/src/run.rs
+++ b/hickoryspan_gateway/src/run.rs
@@ -342,7 +342,8 @@
     /// Returns whether the retry budgets cover more than half of the shards of a group.
     fn has_resend_budget(&self, now: MonotonicTime, index: GroupIndex) -> bool {
         let mut decisions = self.state.decisions();
-        let entries = decisions.entries;
+        let window = self.state.settings.budget.window;
+        let entries = decisions.budget_entries.highest(now, window);
         let shards = self.relayed.shards_of(index);
         let has_room = |shard: &&ShardIndex| {
             decisions.budget(&self.state.settings, &self.services[shard.0]).has_room(now, entries)
@@ -404,7 +405,8 @@
         let service = self.services[shard.0].clone();
         let attempts = &mut self.shards[shard.0];
         let mut decisions = self.state.decisions();
-        let entries = decisions.entries;
+        let window = self.state.settings.budget.window;
+        let entries = decisions.budget_entries.highest(now, window);
         if reason == LaunchReason::First {
             decisions.selector.note_request(now, &service);
         }
