Begin few suspicions when many targets are lost

Cause: each request that is lost with its target begins a suspicion that goes to all hosts. When many targets end at once, thousands of requests that crash nothing are lost, and every entry would send thousands of records a second. Change: an entry begins at most 32 suspicions a second. A request that is suspected already always counts; one that was left out counts when it comes again.

--- a/hickoryspan_core/src/gateway/poison.rs
+++ b/hickoryspan_core/src/gateway/poison.rs
@@ -22,6 +22,12 @@
 /// Largest number of crashes kept for one request. A request over many shards may crash hundreds of targets at once.
 const MAX_KEPT_CRASHES: usize = 16;
 
+/// Largest number of requests that an entry begins to suspect within one second. The loss of many targets ends thousands
+/// of requests that crash nothing, and each suspicion is sent to all hosts.
+const MAX_NEW_SUSPECTS: u32 = 32;
+/// Period over which new suspects are counted.
+const NEW_SUSPECT_PERIOD: Duration = Duration::from_secs(1);
+
 /// What one process knows of a suspected request. Records of several processes merge in any order, any number of times.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -68,6 +74,9 @@
     suspects: HashMap<RequestFingerprint, Suspicion>,
     crashes: HashMap<TargetProcess, CrashState>,
     newest: ChangeNumber,
+    // Requests that this process began to suspect since `period_start`.
+    new_suspects: u32,
+    period_start: MonotonicTime,
 }
 
 impl PoisonTable {
@@ -83,19 +92,31 @@
         if answered {
             return self.clear(now, &fingerprint);
         }
-        let known = self.suspects.get(&fingerprint);
-        let record = SuspicionRecord {
-            fingerprint,
-            clearances: known.map_or(0, |suspicion| suspicion.clearances),
-            crashes: crashes.into_iter().take(MAX_KEPT_CRASHES).collect(),
-            age: Duration::ZERO,
-        };
-        if record.crashes.is_empty() || !self.merge(now, record) {
+        let crashes: BTreeSet<TargetProcess> = crashes.into_iter().take(MAX_KEPT_CRASHES).collect();
+        if crashes.is_empty() {
+            return SuspicionChange::None;
+        }
+        let clearances = self.suspects.get(&fingerprint).map(|suspicion| suspicion.clearances);
+        if clearances.is_none() && !self.admits_suspect(now) {
+            return SuspicionChange::None;
+        }
+        let clearances = clearances.unwrap_or_default();
+        let record = SuspicionRecord { fingerprint, clearances, crashes, age: Duration::ZERO };
+        if !self.merge(now, record) {
             return SuspicionChange::None;
         }
         SuspicionChange::Suspected(self.count_crashes(&fingerprint))
     }
 
+    fn admits_suspect(&mut self, now: MonotonicTime) -> bool {
+        if now.since(self.period_start) >= NEW_SUSPECT_PERIOD {
+            self.period_start = now;
+            self.new_suspects = 0;
+        }
+        self.new_suspects += 1;
+        self.new_suspects <= MAX_NEW_SUSPECTS
+    }
+
     fn clear(&mut self, now: MonotonicTime, fingerprint: &RequestFingerprint) -> SuspicionChange {
         let Some(suspicion) = self.suspects.get_mut(fingerprint) else {
             return SuspicionChange::None;
