Tell other hosts only of clear changes of a limit

Cause: a target may name a slightly different limit with each response, and every change went to all hosts at once. Change: an entry uses each limit that it hears itself, and tells the others if it differs by more than a tenth from what it told last, begins or ends. Test: small_changes_of_a_limit_are_used_and_not_told (1,000 messages before, 1 now).

--- a/hickoryspan_core/src/gateway/target_limits.rs
+++ b/hickoryspan_core/src/gateway/target_limits.rs
@@ -12,6 +12,10 @@
 /// Time for which the end of a limit is remembered, so that older reports do not bring it back.
 const END_MEMORY: Duration = Duration::from_secs(60);
 
+/// Smallest change of a limit, as a part of it, of which other hosts are told. A target may name another limit with every
+/// response.
+const MIN_TOLD_CHANGE: f64 = 0.1;
+
 /// What one host last heard of the limit of a target.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -27,6 +31,8 @@
 #[derive(Clone, Copy, Debug)]
 struct LimitState {
     limit: Option<RequestRate>,
+    // The limit of which other hosts were told last.
+    told: Option<RequestRate>,
     heard_at: MonotonicTime,
     changed: ChangeNumber,
 }
@@ -39,7 +45,7 @@
 }
 
 impl LimitTable {
-    /// Records the limit that a response named, or that it named none. Returns whether that is a change.
+    /// Records the limit that a response named, or that it named none. Returns whether other hosts must be told.
     pub fn note_response(
         &mut self,
         now: MonotonicTime,
@@ -47,7 +53,8 @@
         limit: Option<RequestRate>,
     ) -> bool {
         match self.limits.get_mut(process) {
-            Some(state) if state.limit == limit => {
+            Some(state) if !is_told_change(state.told, limit) => {
+                state.limit = limit;
                 state.heard_at = now;
                 false
             }
@@ -61,7 +68,8 @@
 
     fn put(&mut self, process: TargetProcess, limit: Option<RequestRate>, heard_at: MonotonicTime) {
         self.newest.0 += 1;
-        self.limits.insert(process, LimitState { limit, heard_at, changed: self.newest });
+        let state = LimitState { limit, told: limit, heard_at, changed: self.newest };
+        self.limits.insert(process, state);
     }
 
     /// Merges what another host heard, unless this one heard from the target later. Returns whether that is a change.
@@ -72,7 +80,8 @@
             return false;
         }
         let is_old_end = record.limit.is_none() && record.age >= END_MEMORY;
-        if known.map(|known| known.limit) == Some(record.limit) || known.is_none() && is_old_end {
+        let is_same = known.is_some_and(|known| !is_told_change(known.told, record.limit));
+        if is_same || known.is_none() && is_old_end {
             return false;
         }
         self.put(record.process, record.limit, heard_at);
@@ -136,6 +145,13 @@
     }
 }
 
+fn is_told_change(told: Option<RequestRate>, limit: Option<RequestRate>) -> bool {
+    match (told, limit) {
+        (Some(told), Some(limit)) => (limit.0 - told.0).abs() > told.0 * MIN_TOLD_CHANGE,
+        (told, limit) => told.is_some() != limit.is_some(),
+    }
+}
+
 fn to_micros(duration: Duration) -> u64 {
     u64::try_from(duration.as_micros()).unwrap_or(u64::MAX)
 }
--- a/hickoryspan_core/tests/gateway_limits.rs
+++ b/hickoryspan_core/tests/gateway_limits.rs
@@ -367,6 +367,21 @@
     records.iter().map(older).collect()
 }
 
+/// Guards against a target that names another limit with every response, so that all hosts are told all the time.
+#[test]
+fn small_changes_of_a_limit_are_used_and_not_told() {
+    let mut table = LimitTable::default();
+    let mut told = 0;
+    for response in 0..1_000_u64 {
+        let limit = RequestRate(10.0 + 0.5 * f64::from(response as u32 % 2));
+        told += usize::from(table.note_response(at(response), &process(), Some(limit)));
+        assert_eq!(table.find(&process()), Some(limit));
+    }
+    assert_eq!(told, 1);
+    assert!(table.note_response(at(1_000), &process(), Some(RequestRate(5.0))));
+    assert!(table.note_response(at(1_001), &process(), None));
+}
+
 /// Guards against a limit of zero that no response can end, because nothing is sent any more.
 #[test]
 fn a_limit_of_zero_lets_a_request_through_now_and_then() {
