--- a/hickoryspan_gateway/src/directory_links.rs
+++ b/hickoryspan_gateway/src/directory_links.rs
@@ -22,6 +22,8 @@
 pub(crate) const DIRECTORY_PATH: &str = "/v1/directory";
 /// Maximum number of messages in the queue of one link.
 const QUEUE_CAPACITY: usize = 256;
+/// Shortest interval of reports, so that many changes are sent together.
+const MIN_REPORT_INTERVAL: Duration = Duration::from_millis(20);
 /// Time without a connection after which a host is removed from the list. If it is still running, seeds and other hosts
 /// add it again.
 const FORGET_AFTER: Duration = Duration::from_secs(20);
@@ -182,6 +184,7 @@
         for request in handler.news(&mut known) {
             queue.send(request).await.context("the link ended")?;
         }
+        tokio::time::sleep(MIN_REPORT_INTERVAL).await;
         tokio::select! {
             () = tokio::time::sleep(settings.report_interval) => {}
             changed = report_trigger.changed() => changed.context("the process stops")?,
