Accept links of other hosts in one place

The accept loop stood in the directory server and in the fan-out server. FanoutLinks::is_up, which also opens a link, is now ensure_up. No behaviour changes.

--- a/hickoryspan_gateway/src/directory_server.rs
+++ b/hickoryspan_gateway/src/directory_server.rs
@@ -1,21 +1,18 @@
 //! Accepts directory links on a control host.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use anyhow::bail;
 use hickoryspan_core::gateway::messages::DirectoryRequest;
 use hickoryspan_runtime::peer_link::PeerLink;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, watch};
-use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
 
 use crate::directory_hub::DirectoryHub;
 use crate::directory_links::DIRECTORY_PATH;
+use crate::link_listener::serve_links;
 
-/// Delay after a failed accept, so that a lack of file descriptors does not cause a busy loop.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 /// Maximum number of updates in the queue of one link. The link of a slower peer is closed; the peer reconnects and gets
 /// the whole state again.
 const QUEUE_CAPACITY: usize = 1024;
@@ -31,38 +28,23 @@
 impl DirectoryServer {
     /// Runs until `stop` is cancelled, then closes all links.
     pub async fn run(self, stop: CancellationToken) {
-        let mut links = JoinSet::new();
-        loop {
-            let accepted = tokio::select! {
-                () = stop.cancelled() => break,
-                () = self.hub.await_changes() => {
-                    self.hub.send_changes();
-                    continue;
-                }
-                accepted = self.listener.accept() => accepted,
-            };
-            while links.try_join_next().is_some() {}
-            match accepted {
-                Ok((stream, _)) => {
-                    links.spawn(run_link(stream, Arc::clone(&self.hub)));
-                }
-                Err(error) => {
-                    spdlog::warn!("directory port: accept: {}", error);
-                    tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
-                }
+        let Self { listener, hub } = self;
+        let changes = async {
+            loop {
+                hub.await_changes().await;
+                hub.send_changes();
             }
+        };
+        let links =
+            serve_links(listener, stop, "directory", |stream| serve_link(stream, Arc::clone(&hub)));
+        tokio::select! {
+            () = links => {}
+            () = changes => {}
         }
-        links.shutdown().await;
     }
 }
 
-async fn run_link(stream: TcpStream, hub: Arc<DirectoryHub>) {
-    if let Err(error) = serve_link(stream, &hub).await {
-        spdlog::debug!("directory port: {:#}", error);
-    }
-}
-
-async fn serve_link(stream: TcpStream, hub: &Arc<DirectoryHub>) -> anyhow::Result<()> {
+async fn serve_link(stream: TcpStream, hub: Arc<DirectoryHub>) -> anyhow::Result<()> {
     let settings = hub.settings().clone();
     let accepted = PeerLink::accept(stream, &settings.credential).await?;
     let peer = accepted.link.peer();
--- a/hickoryspan_gateway/src/entry_daemon.rs
+++ b/hickoryspan_gateway/src/entry_daemon.rs
@@ -185,9 +185,9 @@
         decisions.relays.set_peers(from, peers);
         let addresses: Vec<SocketAddr> = decisions.relays.addresses().collect();
         drop(decisions);
-        // Requests only use links that are already up. `is_up` opens missing ones for later requests.
+        // Requests only use links that are already up. `ensure_up` opens missing ones for later requests.
         for address in addresses {
-            self.state.fanout.is_up(address);
+            self.state.fanout.ensure_up(address);
         }
     }
 
--- a/hickoryspan_gateway/src/fanout_links.rs
+++ b/hickoryspan_gateway/src/fanout_links.rs
@@ -88,7 +88,7 @@
     }
 
     /// Returns whether the link is up. If there is none, one is opened for later requests.
-    pub(crate) fn is_up(&self, address: SocketAddr) -> bool {
+    pub(crate) fn ensure_up(&self, address: SocketAddr) -> bool {
         let mut table = lock(&self.table);
         match table.links.get(&address) {
             Some(link) => link.queue.is_some(),
--- a/hickoryspan_gateway/src/fanout_server.rs
+++ b/hickoryspan_gateway/src/fanout_server.rs
@@ -26,11 +26,10 @@
 };
 use crate::forward::{ConnectionPosition, fingerprint, hedge_delay};
 use crate::gateway_state::GatewayState;
+use crate::link_listener::serve_links;
 use crate::relayed_groups::RelayedGroups;
 use crate::run::{AnswerRule, RunEvent, RunSink, run_fanout};
 
-/// Delay after a failed accept, so that a lack of file descriptors does not cause a busy loop.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 /// How much later than planned the first batch of a task may be sent. The requesting entry waits somewhat longer.
 const FIRST_BATCH_SLACK: Duration = Duration::from_millis(4);
 /// Maximum number of replies in the queue of one link.
@@ -42,30 +41,7 @@
     state: Arc<GatewayState>,
     stop: CancellationToken,
 ) {
-    let mut links = JoinSet::new();
-    loop {
-        let accepted = tokio::select! {
-            () = stop.cancelled() => break,
-            accepted = listener.accept() => accepted,
-        };
-        while links.try_join_next().is_some() {}
-        match accepted {
-            Ok((stream, _)) => {
-                links.spawn(run_link(stream, Arc::clone(&state)));
-            }
-            Err(error) => {
-                spdlog::warn!("fan-out port: accept: {}", error);
-                tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
-            }
-        }
-    }
-    links.shutdown().await;
-}
-
-async fn run_link(stream: TcpStream, state: Arc<GatewayState>) {
-    if let Err(error) = serve_link(stream, state).await {
-        spdlog::debug!("fan-out port: {:#}", error);
-    }
+    serve_links(listener, stop, "fan-out", |stream| serve_link(stream, Arc::clone(&state))).await;
 }
 
 async fn serve_link(stream: TcpStream, state: Arc<GatewayState>) -> anyhow::Result<()> {
--- a/hickoryspan_gateway/src/lib.rs
+++ b/hickoryspan_gateway/src/lib.rs
@@ -20,6 +20,7 @@
 mod headers;
 mod host_list;
 mod hub_state;
+mod link_listener;
 mod relayed_groups;
 mod run;
 mod settings;
--- /dev/null
+++ b/hickoryspan_gateway/src/link_listener.rs
@@ -0,0 +1,45 @@
+//! Accepts the links of other hosts.
+
+use std::time::Duration;
+
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::JoinSet;
+use tokio_util::sync::CancellationToken;
+
+/// Delay after a failed accept, so that a lack of file descriptors does not cause a busy loop.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
+
+/// Serves every accepted connection until `stop` is cancelled, then closes all of them. `port` names the port in the
+/// log.
+pub(crate) async fn serve_links<F>(
+    listener: TcpListener,
+    stop: CancellationToken,
+    port: &'static str,
+    serve: impl Fn(TcpStream) -> F,
+) where
+    F: Future<Output = anyhow::Result<()>> + Send + 'static,
+{
+    let mut links = JoinSet::new();
+    loop {
+        let accepted = tokio::select! {
+            () = stop.cancelled() => break,
+            accepted = listener.accept() => accepted,
+        };
+        while links.try_join_next().is_some() {}
+        match accepted {
+            Ok((stream, _)) => {
+                let served = serve(stream);
+                links.spawn(async move {
+                    if let Err(error) = served.await {
+                        spdlog::debug!("{} port: {:#}", port, error);
+                    }
+                });
+            }
+            Err(error) => {
+                spdlog::warn!("{} port: accept: {}", port, error);
+                tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
+            }
+        }
+    }
+    links.shutdown().await;
+}
--- a/hickoryspan_gateway/src/relayed_groups.rs
+++ b/hickoryspan_gateway/src/relayed_groups.rs
@@ -114,7 +114,7 @@
         for group in shard_groups {
             let Some(assigned) = state.decisions().assign_group(now, &group.key) else { continue };
             let RelayAssignment { peer, mode } = assigned;
-            if !state.fanout.is_up(peer.address) {
+            if !state.fanout.ensure_up(peer.address) {
                 continue;
             }
             let task = FanoutTask {
