--- a/hickoryspan_core/src/gateway/selection.rs
+++ b/hickoryspan_core/src/gateway/selection.rs
@@ -234,7 +234,7 @@
         &self.limits
     }
 
-    /// Returns the limits of the targets.
+    /// Returns the limits of the targets, to record what was heard of them.
     pub fn limits_mut(&mut self) -> &mut LimitGate {
         &mut self.limits
     }
@@ -262,13 +262,8 @@
         if !self.limits.is_active() {
             return;
         }
+        let limited: BTreeSet<ServiceId> = self.limited_services().into_iter().cloned().collect();
         let mut limits = std::mem::take(&mut self.limits);
-        let limited: BTreeSet<ServiceId> = limits
-            .table
-            .limited()
-            .filter_map(|process| self.find(process))
-            .map(|state| state.announcement.service.clone())
-            .collect();
         let is_known = |process: &TargetProcess| self.find(process).is_some();
         limits.retain(now, is_known, |service| limited.contains(service));
         self.limits = limits;
