Make second attempts of relayed groups only after a grant

Cause: an entry that sends a group of shards for another one made second attempts as soon as its first batch was sent. Change: the entry with the request grants second attempts when the first batch has arrived, and from then on makes none itself. A wish for a second attempt sends the first batch at once, which asks for the grant.

Test: both_entries_together_keep_to_the_most_attempts goes through the orders of both entries' steps with late and lost messages: 3 attempts with the older rule, 2 with the grant. second_attempts_begin_only_with_a_first_batch_in_time tested that rule and is replaced by second_attempts_begin_only_after_a_grant, which is stricter: no second attempt without an answer of the other entry. The log line 'first fan-out batch is late, second attempts disabled' is gone.

--- a/hickoryspan_core/src/gateway/fanout.rs
+++ b/hickoryspan_core/src/gateway/fanout.rs
@@ -60,6 +60,8 @@
     // Set if no further attempt will be made.
     exhausted: bool,
     must_retry: bool,
+    // The earliest time of the retry, if it had to be postponed.
+    retry_at: Option<MonotonicTime>,
     hedge_at: Option<MonotonicTime>,
 }
 
@@ -91,6 +93,7 @@
         progress.attempts += 1;
         progress.open += 1;
         progress.must_retry = false;
+        progress.retry_at = None;
         progress.hedge_at = (progress.attempts < max_attempts).then(|| now + hedge_after);
     }
 
@@ -125,6 +128,15 @@
         self.shards[shard.0].hedge_at = Some(now + self.settings.hedge_after);
     }
 
+    /// Postpones the next attempt on a shard, because it is not allowed yet.
+    pub fn postpone_attempt(&mut self, now: MonotonicTime, shard: ShardIndex, delay: Duration) {
+        let progress = &mut self.shards[shard.0];
+        match progress.must_retry {
+            true => progress.retry_at = Some(now + delay),
+            false => progress.hedge_at = Some(now + delay),
+        }
+    }
+
     /// Records a received part. Returns false if the shard already had one.
     pub fn note_part(&mut self, shard: ShardIndex) -> bool {
         let progress = &mut self.shards[shard.0];
@@ -177,7 +189,9 @@
         let launch = |reason| move |(index, _)| FanoutStep::Launch(ShardIndex(index), reason);
         let never_sent = |shard: &ShardProgress| shard.attempts == 0 && !shard.exhausted;
         let first = waiting().find(|(_, shard)| never_sent(shard) && !shard.must_retry);
-        let retry = || waiting().find(|(_, shard)| shard.must_retry);
+        let may_retry =
+            |shard: &ShardProgress| shard.must_retry && shard.retry_at.is_none_or(|at| at <= now);
+        let retry = || waiting().find(|(_, shard)| may_retry(shard));
         let is_due = |shard: &ShardProgress| shard.hedge_at.is_some_and(|at| at <= now);
         let hedge = || waiting().find(|(_, shard)| shard.open > 0 && is_due(shard));
         first
@@ -188,8 +202,10 @@
 
     fn next_wakeup(&self, enough: bool) -> MonotonicTime {
         let bound = if enough { self.settings.answer_by } else { self.settings.give_up_at };
-        let hedges = self.shards.iter().filter(|shard| !shard.done).filter_map(|s| s.hedge_at);
-        hedges.fold(bound, MonotonicTime::min)
+        let open = || self.shards.iter().filter(|shard| !shard.done);
+        let hedges = open().filter_map(|shard| shard.hedge_at);
+        let retries = open().filter(|shard| shard.must_retry).filter_map(|shard| shard.retry_at);
+        hedges.chain(retries).fold(bound, MonotonicTime::min)
     }
 }
 
--- a/hickoryspan_core/src/gateway/relays.rs
+++ b/hickoryspan_core/src/gateway/relays.rs
@@ -25,13 +25,17 @@
 /// Largest number of doublings of a back-off. More would only overflow.
 const MAX_DOUBLINGS: u32 = 6;
 
-/// Extra time for the first batch in [`RelayMode::Full`]. Sending to the shards again could exceed
-/// the maximum number of attempts, so this is longer than the stalls of an entry under load.
+/// Extra time for the first batch in [`RelayMode::Full`]. Sending to the shards again costs a second
+/// attempt that the other entry could make, so this is longer than the stalls of an entry under
+/// load.
 const FULL_GRACE: Duration = Duration::from_millis(120);
 /// Extra time for the first batch in [`RelayMode::Probing`]. Sending to the shards again is safe,
 /// because the other entry makes one attempt less.
 const PROBING_GRACE: Duration = Duration::from_millis(16);
 
+/// Time after the first batch for which second attempts wait for the grant.
+const GRANT_PATIENCE: Duration = Duration::from_millis(60);
+
 /// Settings for dividing a fan-out among entries.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct RelaySettings {
@@ -90,30 +94,52 @@
 /// Prevents an entry that sends for another one from sending to a second target too early.
 ///
 /// Until the requesting entry has received a first batch, it may consider this entry lost and make
-/// one attempt on each shard itself. Second attempts therefore start only with the first batch, and
-/// not at all if that batch would be sent too late, for example after a stall.
-#[derive(Clone, Copy, Debug)]
+/// one attempt on each shard itself. Second attempts therefore wait for its grant, which it sends
+/// when it has received the batch and after which it makes no attempt itself.
+#[derive(Clone, Copy, Debug, Default)]
 pub struct RetryGate {
-    deadline: MonotonicTime,
-    open: bool,
+    // When the first batch was sent, which asks for the grant.
+    asked_at: Option<MonotonicTime>,
+    granted: bool,
+}
+
+/// Whether a second attempt may be made.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RetryVerdict {
+    /// It may.
+    Allowed,
+    /// The first batch must be sent now; the grant may follow.
+    Ask,
+    /// The grant may still come.
+    Wait,
+    /// The grant has not come in time.
+    Refused,
 }
 
 impl RetryGate {
-    /// Creates a closed gate, which can be opened only until `deadline`.
-    pub fn new(deadline: MonotonicTime) -> Self {
-        Self { deadline, open: false }
+    /// Records that a batch was sent.
+    pub fn note_batch(&mut self, now: MonotonicTime) {
+        self.asked_at.get_or_insert(now);
     }
 
-    /// Opens the gate when the first batch is sent. Returns false if it is too late for that; a
-    /// gate that is open already stays open.
-    pub fn open(&mut self, now: MonotonicTime) -> bool {
-        self.open |= now <= self.deadline;
-        self.open
+    /// Records the grant of the requesting entry.
+    pub fn grant(&mut self) {
+        self.granted = true;
     }
 
-    /// Returns whether the first batch has been sent in time.
-    pub fn is_open(&self) -> bool {
-        self.open
+    /// Returns whether a second attempt may be made now.
+    pub fn verdict(&mut self, now: MonotonicTime) -> RetryVerdict {
+        if self.granted {
+            return RetryVerdict::Allowed;
+        }
+        match self.asked_at {
+            None => {
+                self.asked_at = Some(now);
+                RetryVerdict::Ask
+            }
+            Some(asked_at) if now.since(asked_at) < GRANT_PATIENCE => RetryVerdict::Wait,
+            Some(_) => RetryVerdict::Refused,
+        }
     }
 }
 
@@ -133,8 +159,7 @@
 /// the maximum number of attempts on a shard.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RelayMode {
-    /// The entry answered last time. It makes all attempts and is abandoned only when it is
-    /// certainly lost.
+    /// The entry answered last time. It makes all attempts, the second one only after a grant.
     Full,
     /// The entry timed out last time. It makes one attempt less, which is left to the entry that
     /// received the request.
--- a/hickoryspan_core/tests/gateway_relays.rs
+++ b/hickoryspan_core/tests/gateway_relays.rs
@@ -11,7 +11,8 @@
     FanoutMachine, FanoutSettings, FanoutStep, LaunchReason, ShardIndex,
 };
 use hickoryspan_core::gateway::relays::{
-    RelayAssignment, RelayMode, RelayPeer, RelaySelector, RelaySettings, RetryGate, divide_shards,
+    RelayAssignment, RelayMode, RelayPeer, RelaySelector, RelaySettings, RetryGate, RetryVerdict,
+    divide_shards,
 };
 use hickoryspan_core::types::{EntryId, MonotonicTime, ServiceId};
 
@@ -148,13 +149,93 @@
 }
 
 #[test]
-fn second_attempts_begin_only_with_a_first_batch_in_time() {
-    let mut gate = RetryGate::new(at(20));
-    assert!(!gate.is_open());
-    assert!(gate.open(at(20)));
-    assert!(gate.open(at(900)), "once open it stays open");
-    let mut late = RetryGate::new(at(20));
-    assert!(!late.open(at(21)), "an entry that was stalled must not send to second targets");
+fn second_attempts_begin_only_after_a_grant() {
+    let mut gate = RetryGate::default();
+    assert_eq!(gate.verdict(at(20)), RetryVerdict::Ask);
+    assert_eq!(gate.verdict(at(25)), RetryVerdict::Wait);
+    gate.grant();
+    assert_eq!(gate.verdict(at(26)), RetryVerdict::Allowed);
+    assert_eq!(gate.verdict(at(900)), RetryVerdict::Allowed, "a grant is not taken back");
+    let mut late = RetryGate::default();
+    late.note_batch(at(20));
+    assert_eq!(late.verdict(at(21)), RetryVerdict::Wait, "the batch has asked already");
+    assert_eq!(late.verdict(at(200)), RetryVerdict::Refused, "without a grant there is none");
+}
+
+/// When a second attempt is allowed at the entry that sends for another one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum RetryRule {
+    /// As soon as the first batch was sent.
+    WithFirstBatch,
+    /// When the requesting entry has received that batch.
+    AfterGrant,
+}
+
+/// Returns the most attempts on one shard over all orders of these steps of both entries, with messages that arrive late
+/// or never: the other entry sends, asks, and sends again if it may; the requesting one receives, or gives the other up
+/// and sends itself.
+fn most_attempts(rule: RetryRule) -> u32 {
+    let mut most = 0;
+    // Times of the relaying entry's batch and of its arrival, and when the requesting entry gives up or loses the link.
+    for (sent, arrives, gives_up) in (0..12)
+        .flat_map(|sent| (sent..14).map(move |arrives| (sent, arrives)))
+        .flat_map(|(sent, arrives)| (0..14).map(move |gives_up| (sent, arrives, gives_up)))
+    {
+        for (grant_delay, is_cancelled) in (0..4).flat_map(|delay| [(delay, true), (delay, false)])
+        {
+            let received = arrives < gives_up;
+            let own_attempt = u32::from(!received);
+            let mut gate = RetryGate::default();
+            let mut second = 0;
+            for now in 0..20 {
+                if now == sent {
+                    gate.note_batch(at(now));
+                }
+                if rule == RetryRule::AfterGrant && received && now == arrives + grant_delay {
+                    gate.grant();
+                }
+                let allowed = match rule {
+                    RetryRule::WithFirstBatch => now >= sent,
+                    RetryRule::AfterGrant => gate.verdict(at(now)) == RetryVerdict::Allowed,
+                };
+                // A cancellation may arrive with the give-up or never.
+                let is_running = !(is_cancelled && !received && now >= gives_up);
+                second |= u32::from(allowed && is_running);
+            }
+            most = most.max(1 + second + own_attempt);
+        }
+    }
+    most
+}
+
+/// Guards against three attempts on a shard when two are allowed: two by an entry whose batch is lost or late, and one by
+/// the entry that waited for it.
+#[test]
+fn both_entries_together_keep_to_the_most_attempts() {
+    assert_eq!(most_attempts(RetryRule::WithFirstBatch), 3, "the check finds the older fault");
+    assert_eq!(most_attempts(RetryRule::AfterGrant), 2);
+}
+
+/// Guards against a postponed attempt that is forgotten or is made at once.
+#[test]
+fn a_postponed_attempt_is_made_later() {
+    let mut machine = machine();
+    for shard in 0..3 {
+        machine.note_sent(at(0), ShardIndex(shard));
+    }
+    machine.note_failed(ShardIndex(1), true);
+    let retry = FanoutStep::Launch(ShardIndex(1), LaunchReason::Retry);
+    assert_eq!(machine.next_step(at(1)), retry);
+    machine.postpone_attempt(at(1), ShardIndex(1), Duration::from_millis(2));
+    assert_eq!(machine.next_step(at(1)), FanoutStep::Wait(at(3)));
+    assert_eq!(machine.next_step(at(3)), retry);
+    machine.note_sent(at(3), ShardIndex(1));
+    let hedge = FanoutStep::Launch(ShardIndex(0), LaunchReason::Hedge);
+    assert_eq!(machine.next_step(at(10)), hedge);
+    machine.postpone_attempt(at(10), ShardIndex(0), Duration::from_millis(2));
+    machine.postpone_attempt(at(10), ShardIndex(2), Duration::from_millis(2));
+    assert_eq!(machine.next_step(at(10)), FanoutStep::Wait(at(12)));
+    assert_eq!(machine.next_step(at(12)), hedge);
 }
 
 fn machine() -> FanoutMachine {
--- a/hickoryspan_gateway/src/fanout_links.rs
+++ b/hickoryspan_gateway/src/fanout_links.rs
@@ -72,6 +72,16 @@
     waiters: WaiterMap,
 }
 
+impl FanoutTaskHandle {
+    /// Leaves second attempts to the other entry.
+    pub(crate) fn grant_retries(&self) {
+        // Without the grant, the other entry makes no second attempts.
+        if self.queue.try_send(FanoutRequest::GrantRetries(self.number)).is_err() {
+            spdlog::debug!("fan-out link: a grant could not be queued");
+        }
+    }
+}
+
 impl Drop for FanoutTaskHandle {
     fn drop(&mut self) {
         let is_pending = lock(&self.waiters).remove(&self.number).is_some();
--- a/hickoryspan_gateway/src/fanout_messages.rs
+++ b/hickoryspan_gateway/src/fanout_messages.rs
@@ -63,6 +63,8 @@
     Run(Box<FanoutTask>),
     /// Cancels a task.
     Cancel(TaskNumber),
+    /// The first batch of this task has arrived. The receiver may make all attempts; the sender makes none.
+    GrantRetries(TaskNumber),
 }
 
 /// A shard that answered.
--- a/hickoryspan_gateway/src/fanout_server.rs
+++ b/hickoryspan_gateway/src/fanout_server.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{HashMap, VecDeque};
 use std::sync::atomic::Ordering;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 use anyhow::{Context, bail};
@@ -30,8 +30,6 @@
 use crate::relayed_groups::RelayedGroups;
 use crate::run::{AnswerRule, RunEvent, RunSink, run_fanout};
 
-/// How much later than planned the first batch of a task may be sent. The requesting entry waits somewhat longer.
-const FIRST_BATCH_SLACK: Duration = Duration::from_millis(4);
 /// Maximum number of replies in the queue of one link.
 const QUEUE_CAPACITY: usize = 256;
 
@@ -51,19 +49,26 @@
     }
     let (replies, outgoing) = mpsc::channel(QUEUE_CAPACITY);
     let mut jobs = JoinSet::new();
-    let mut running: HashMap<TaskNumber, AbortHandle> = HashMap::new();
+    let mut running: HashMap<TaskNumber, RunningTask> = HashMap::new();
     let receive = |request: FanoutRequest| {
         while jobs.try_join_next().is_some() {}
         match request {
             FanoutRequest::Run(task) => {
-                running.retain(|_, job| !job.is_finished());
+                running.retain(|_, task| !task.job.is_finished());
                 let number = task.number;
-                let job = jobs.spawn(run_task(Arc::clone(&state), *task, replies.clone()));
-                running.insert(number, job);
+                let retry_gate = Arc::<Mutex<RetryGate>>::default();
+                let run =
+                    run_task(Arc::clone(&state), *task, Arc::clone(&retry_gate), replies.clone());
+                running.insert(number, RunningTask { job: jobs.spawn(run), retry_gate });
             }
             FanoutRequest::Cancel(number) => {
-                if let Some(job) = running.remove(&number) {
-                    job.abort();
+                if let Some(task) = running.remove(&number) {
+                    task.job.abort();
+                }
+            }
+            FanoutRequest::GrantRetries(number) => {
+                if let Some(task) = running.get(&number) {
+                    lock(&task.retry_gate).grant();
                 }
             }
         }
@@ -74,9 +79,24 @@
     ended
 }
 
-async fn run_task(state: Arc<GatewayState>, task: FanoutTask, replies: mpsc::Sender<FanoutReply>) {
+/// A task of the other entry.
+struct RunningTask {
+    job: AbortHandle,
+    retry_gate: Arc<Mutex<RetryGate>>,
+}
+
+fn lock(retry_gate: &Mutex<RetryGate>) -> MutexGuard<'_, RetryGate> {
+    retry_gate.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+async fn run_task(
+    state: Arc<GatewayState>,
+    task: FanoutTask,
+    retry_gate: Arc<Mutex<RetryGate>>,
+    replies: mpsc::Sender<FanoutReply>,
+) {
     let number = task.number;
-    if let Err(error) = serve_task(state, task, &replies).await {
+    if let Err(error) = serve_task(state, task, retry_gate, &replies).await {
         spdlog::warn!("fan-out task failed: {:#}", error);
         let batch = FanoutBatch { last: true, ..FanoutBatch::empty(number) };
         // The link may have closed in the meantime, which also ends the task.
@@ -87,6 +107,7 @@
 async fn serve_task(
     state: Arc<GatewayState>,
     task: FanoutTask,
+    retry_gate: Arc<Mutex<RetryGate>>,
     replies: &mpsc::Sender<FanoutReply>,
 ) -> anyhow::Result<()> {
     state.tasks_served.fetch_add(1, Ordering::Relaxed);
@@ -97,9 +118,7 @@
         batch_times: VecDeque::from([now + task.first_batch_in, now + task.answer_in]),
         batcher: TaskBatcher::new(&task),
         answer_in: task.answer_in,
-        retry_gate: Arc::new(Mutex::new(RetryGate::new(
-            now + task.first_batch_in + FIRST_BATCH_SLACK,
-        ))),
+        retry_gate,
         state: Arc::clone(&state),
         replies,
     };
@@ -167,7 +186,6 @@
                 }
                 () = sleep_until(due_at) => {
                     self.batch_times.pop_front();
-                    self.open_retry_gate();
                     self.send_batch().await?;
                 }
             }
@@ -188,18 +206,8 @@
         }
     }
 
-    fn open_retry_gate(&self) {
-        let now = self.state.now();
-        let mut retry_gate = self.retry_gate.lock().unwrap_or_else(PoisonError::into_inner);
-        if !retry_gate.open(now) {
-            spdlog::info!(
-                "first fan-out batch is late, second attempts disabled",
-                kv: { task: = self.batcher.number.0 }
-            );
-        }
-    }
-
     async fn send_batch(&mut self) -> anyhow::Result<()> {
+        lock(&self.retry_gate).note_batch(self.state.now());
         let batch = self.batcher.take_batch();
         self.replies.send(FanoutReply::Batch(batch)).await.context("the link ended")
     }
--- a/hickoryspan_gateway/src/relayed_groups.rs
+++ b/hickoryspan_gateway/src/relayed_groups.rs
@@ -28,6 +28,8 @@
     shards: Vec<ShardIndex>,
     // `None` once the group has ended.
     handle: Option<FanoutTaskHandle>,
+    // Whether second attempts are left to the other entry.
+    granted: bool,
     // When the first batch must have arrived; `None` once it has, or once the deadline has passed.
     first_batch_deadline: Option<MonotonicTime>,
 }
@@ -126,7 +128,14 @@
             if handle.is_some() {
                 let shards = group.shards.clone();
                 let first_batch_deadline = Some(now + first_batch_in + mode.grace());
-                groups.push(RelayedGroup { peer, mode, shards, handle, first_batch_deadline });
+                groups.push(RelayedGroup {
+                    peer,
+                    mode,
+                    shards,
+                    handle,
+                    granted: false,
+                    first_batch_deadline,
+                });
             }
         }
         Self { state, groups, events }
@@ -195,9 +204,12 @@
         match event {
             RelayEvent::Batch(index, batch) => {
                 let group = &mut self.groups[index.0];
-                group.handle.as_ref()?;
+                let handle = group.handle.as_ref()?;
                 if batch.last {
                     group.handle = None;
+                } else if group.mode == RelayMode::Full && !group.granted {
+                    group.granted = true;
+                    handle.grant_retries();
                 }
                 if group.first_batch_deadline.take().is_some() {
                     self.state.decisions().relays.note_answer(&group.peer.entry);
--- a/hickoryspan_gateway/src/run.rs
+++ b/hickoryspan_gateway/src/run.rs
@@ -13,7 +13,7 @@
 use hickoryspan_core::gateway::log_limit::LogPriority;
 use hickoryspan_core::gateway::outcomes::AttemptFailure;
 use hickoryspan_core::gateway::poison::SuspicionChange;
-use hickoryspan_core::gateway::relays::RetryGate;
+use hickoryspan_core::gateway::relays::{RetryGate, RetryVerdict};
 use hickoryspan_core::gateway::selection::ChosenTarget;
 use hickoryspan_core::types::{MonotonicTime, ServiceId, TargetId};
 use hickoryspan_runtime::http_client::HttpAnswer;
@@ -30,6 +30,8 @@
 /// Maximum number of times that one request is sent to one shard, including sends that the target did not run. Bounds
 /// the work when a service sheds load.
 const MAX_SHARD_SENDS: usize = 5;
+/// Interval in which a run for another entry looks for the grant of second attempts.
+const GRANT_POLL_INTERVAL: Duration = Duration::from_millis(2);
 /// Smallest number of attempts of one request whose start is measured. Fewer take too little time.
 const MIN_LAG_ATTEMPTS: u32 = 8;
 /// Maximum number of missing shards that a log line names.
@@ -69,7 +71,7 @@
 pub(crate) enum RunEvent {
     /// A shard answered.
     Part(ShardIndex, HttpAnswer),
-    /// The run is about to send to a second target of a shard. The first batch must be sent before that.
+    /// The run wants to send to a second target of a shard. The first batch, which is due now, asks for the grant.
     SecondAttempt,
 }
 
@@ -81,15 +83,15 @@
 }
 
 impl RunSink {
-    /// Returns whether the run may send to a second target of a shard. Opens the gate if it is not too late for that.
-    fn allows_second_attempt(&self, now: MonotonicTime) -> bool {
+    /// Returns whether the run may send to a second target of a shard. The first time, the first batch is sent, which
+    /// asks for it.
+    fn retry_verdict(&self, now: MonotonicTime) -> RetryVerdict {
         let mut retry_gate = self.retry_gate.lock().unwrap_or_else(PoisonError::into_inner);
-        let was_open = retry_gate.is_open();
-        let is_open = retry_gate.open(now);
-        if is_open && !was_open {
+        let verdict = retry_gate.verdict(now);
+        if verdict == RetryVerdict::Ask {
             self.send(RunEvent::SecondAttempt);
         }
-        is_open
+        verdict
     }
 
     fn send(&self, event: RunEvent) {
@@ -421,8 +423,13 @@
         {
             return self.machine.note_unsent(shard, true);
         }
-        if is_extra && !self.sink.as_ref().is_none_or(|sink| sink.allows_second_attempt(now)) {
-            return self.machine.note_unsent(shard, true);
+        let sink = self.sink.as_ref().filter(|_| is_extra);
+        match sink.map_or(RetryVerdict::Allowed, |sink| sink.retry_verdict(now)) {
+            RetryVerdict::Allowed => {}
+            RetryVerdict::Ask | RetryVerdict::Wait => {
+                return self.machine.postpone_attempt(now, shard, GRANT_POLL_INTERVAL);
+            }
+            RetryVerdict::Refused => return self.machine.note_unsent(shard, true),
         }
         let can_hedge = reason != LaunchReason::Hedge
             || decisions.selector.has_alternative(now, &service, &attempts.tried);
