Look up the number of entries only for extra requests

The highest number of entries of the last window was looked up for every send, first ones included, in two places. SharedDecisions now does it where an extra request is asked for. No behaviour changes.

--- a/hickoryspan_gateway/src/gateway_state.rs
+++ b/hickoryspan_gateway/src/gateway_state.rs
@@ -110,6 +110,28 @@
         self.budgets.get_mut(service).expect("the budget exists")
     }
 
+    /// Takes one extra request from the retry budget of a service. Returns false if the budget is exhausted.
+    pub(crate) fn try_take_extra(
+        &mut self,
+        now: MonotonicTime,
+        settings: &GatewaySettings,
+        service: &ServiceId,
+    ) -> bool {
+        let entries = self.budget_entries.highest(now, settings.budget.window);
+        self.budget(settings, service).try_take(now, entries)
+    }
+
+    /// Returns whether the retry budget of a service allows one more extra request.
+    pub(crate) fn has_extra_room(
+        &mut self,
+        now: MonotonicTime,
+        settings: &GatewaySettings,
+        service: &ServiceId,
+    ) -> bool {
+        let entries = self.budget_entries.highest(now, settings.budget.window);
+        self.budget(settings, service).has_room(now, entries)
+    }
+
     fn latency(&mut self, route: &RouteRule) -> &mut LatencyDistribution {
         self.latencies.entry(route.name.clone()).or_insert_with(|| {
             LatencyDistribution::new(LatencySettings {
--- a/hickoryspan_gateway/src/run.rs
+++ b/hickoryspan_gateway/src/run.rs
@@ -344,11 +344,9 @@
     /// Returns whether the retry budgets cover more than half of the shards of a group.
     fn has_resend_budget(&self, now: MonotonicTime, index: GroupIndex) -> bool {
         let mut decisions = self.state.decisions();
-        let window = self.state.settings.budget.window;
-        let entries = decisions.budget_entries.highest(now, window);
         let shards = self.relayed.shards_of(index);
         let has_room = |shard: &&ShardIndex| {
-            decisions.budget(&self.state.settings, &self.services[shard.0]).has_room(now, entries)
+            decisions.has_extra_room(now, &self.state.settings, &self.services[shard.0])
         };
         shards.iter().filter(has_room).count() * 2 > shards.len()
     }
@@ -407,8 +405,6 @@
         let service = self.services[shard.0].clone();
         let attempts = &mut self.shards[shard.0];
         let mut decisions = self.state.decisions();
-        let window = self.state.settings.budget.window;
-        let entries = decisions.budget_entries.highest(now, window);
         if reason == LaunchReason::First {
             decisions.selector.note_request(now, &service);
         }
@@ -446,10 +442,10 @@
         let Some(chosen) = chosen else {
             return self.machine.note_unsent(shard, true);
         };
-        let budget = decisions.budget(&self.state.settings, &service);
+        let settings = &self.state.settings;
         if reason == LaunchReason::First {
-            budget.note_request(now);
-        } else if is_extra && !budget.try_take(now, entries) {
+            decisions.budget(settings, &service).note_request(now);
+        } else if is_extra && !decisions.try_take_extra(now, settings, &service) {
             decisions.selector.release(&chosen.target);
             metrics::counter!("hickoryspan_gateway_budget_refusals_total").increment(1);
             return self.machine.note_unsent(shard, false);
