Look at the targets of one service to count its demand

With a limit in force, every send of a fan-out collected the services of all limited targets to see whether its own was among them. The age of a record is subtracted with the operator that MonotonicTime has. No behaviour changes.

--- a/hickoryspan_core/src/gateway/selection.rs
+++ b/hickoryspan_core/src/gateway/selection.rs
@@ -252,7 +252,7 @@
 
     /// Counts a request for a service if any of its targets is limited.
     pub fn note_request(&mut self, now: MonotonicTime, service: &ServiceId) {
-        if self.limits.is_active() && self.limited_services().contains(service) {
+        if self.states(service).any(|state| self.is_limited(state)) {
             self.limits.note_request(now, service);
         }
     }
--- a/hickoryspan_core/src/gateway/target_limits.rs
+++ b/hickoryspan_core/src/gateway/target_limits.rs
@@ -74,7 +74,7 @@
 
     /// Merges what another host heard, unless this one heard from the target later. Returns whether that is a change.
     pub fn merge(&mut self, now: MonotonicTime, record: LimitRecord) -> bool {
-        let heard_at = MonotonicTime(now.0.saturating_sub(to_micros(record.age)));
+        let heard_at = now - record.age;
         let known = self.limits.get(&record.process);
         if known.is_some_and(|known| known.heard_at >= heard_at) {
             return false;
@@ -151,7 +151,3 @@
         (told, limit) => told.is_some() != limit.is_some(),
     }
 }
-
-fn to_micros(duration: Duration) -> u64 {
-    u64::try_from(duration.as_micros()).unwrap_or(u64::MAX)
-}
