--- a/hickoryspan_gateway/src/forward.rs
+++ b/hickoryspan_gateway/src/forward.rs
@@ -235,6 +235,10 @@
     RequestFingerprint(*hasher.finalize().as_bytes())
 }
 
+fn refuse_job(state: &GatewayState, job: &GatewayJob, reason: RefusalReason) -> GatewayResponse {
+    refuse(state, job.request_text(), reason, retry_delay(state, job))
+}
+
 async fn run_job(
     state: Arc<GatewayState>,
     routes: Arc<RouteTable>,
@@ -244,43 +248,20 @@
         RouteDestination::Shards(spread) => Some(spread.clone()),
         RouteDestination::Service(_) | RouteDestination::Split(_) => None,
     };
-    let services = match choose_services(&state, &job) {
-        Some(services) => services,
-        None => {
-            return refuse(
-                &state,
-                job.request_text(),
-                RefusalReason::NoTarget,
-                retry_delay(&state, &job),
-            );
-        }
+    let Some(services) = choose_services(&state, &job) else {
+        return refuse_job(&state, &job, RefusalReason::NoTarget);
     };
     if let Some(spread) = &spread
         && !has_enough_targets(&state, spread)
     {
-        return refuse(
-            &state,
-            job.request_text(),
-            RefusalReason::NoTarget,
-            retry_delay(&state, &job),
-        );
+        return refuse_job(&state, &job, RefusalReason::NoTarget);
     }
     let settings = fanout_settings(&state, &job, spread.as_ref());
     if exceeds_limits(&state, &job, &services, spread.as_ref(), &settings) {
-        return refuse(
-            &state,
-            job.request_text(),
-            RefusalReason::Limited,
-            retry_delay(&state, &job),
-        );
+        return refuse_job(&state, &job, RefusalReason::Limited);
     }
     if is_overloaded(&state, &job, &services, &settings) {
-        return refuse(
-            &state,
-            job.request_text(),
-            RefusalReason::Overloaded,
-            retry_delay(&state, &job),
-        );
+        return refuse_job(&state, &job, RefusalReason::Overloaded);
     }
     let rule = if spread.is_some() { AnswerRule::SuccessOnly } else { AnswerRule::Any };
     let relayed = relay_groups(&state, &job, &services, spread.as_ref(), &settings);
@@ -551,7 +532,7 @@
         (RunEnd::TimedOut, true) => RefusalReason::TimedOut,
         (_, true) => RefusalReason::MayHaveRun,
     };
-    refuse(state, job.request_text(), reason, retry_delay(state, job))
+    refuse_job(state, job, reason)
 }
 
 /// Returns the `Retry-After` of a refusal: a quarter of the time that the caller still has, so that a retry can succeed
