--- a/hickoryspan_gateway/src/fanout_links.rs
+++ b/hickoryspan_gateway/src/fanout_links.rs
@@ -42,7 +42,7 @@
 
 type WaiterMap = Arc<Mutex<HashMap<TaskNumber, TaskWaiter>>>;
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
--- a/hickoryspan_gateway/src/fanout_server.rs
+++ b/hickoryspan_gateway/src/fanout_server.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{HashMap, VecDeque};
 use std::sync::atomic::Ordering;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use anyhow::{Context, bail};
@@ -20,7 +20,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::attempt::{AttemptScope, GatewayJob};
-use crate::fanout_links::FANOUT_PATH;
+use crate::fanout_links::{FANOUT_PATH, lock};
 use crate::fanout_messages::{
     FanoutBatch, FanoutPart, FanoutReply, FanoutRequest, FanoutTask, TaskNumber, from_fields,
 };
@@ -85,10 +85,6 @@
     retry_gate: Arc<Mutex<RetryGate>>,
 }
 
-fn lock(retry_gate: &Mutex<RetryGate>) -> MutexGuard<'_, RetryGate> {
-    retry_gate.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 async fn run_task(
     state: Arc<GatewayState>,
     task: FanoutTask,
--- a/hickoryspan_gateway/src/run.rs
+++ b/hickoryspan_gateway/src/run.rs
@@ -2,7 +2,7 @@
 
 use std::fmt;
 use std::pin::Pin;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -20,7 +20,7 @@
 use tokio::sync::mpsc;
 
 use crate::attempt::{AttemptReport, AttemptResult, GatewayJob, run_attempt};
-use crate::fanout_links::GroupIndex;
+use crate::fanout_links::{GroupIndex, lock};
 use crate::fanout_messages::FanoutBatch;
 use crate::gateway_state::GatewayState;
 use crate::relayed_groups::{RelayProgress, RelayedGroups};
@@ -86,8 +86,7 @@
     /// Returns whether the run may send to a second target of a shard. The first time, the first batch is sent, which
     /// asks for it.
     fn retry_verdict(&self, now: MonotonicTime) -> RetryVerdict {
-        let mut retry_gate = self.retry_gate.lock().unwrap_or_else(PoisonError::into_inner);
-        let verdict = retry_gate.verdict(now);
+        let verdict = lock(&self.retry_gate).verdict(now);
         if verdict == RetryVerdict::Ask {
             self.send(RunEvent::SecondAttempt);
         }
--- a/hickoryspan_gateway/tests/gateway/crash_sharing.rs
+++ b/hickoryspan_gateway/tests/gateway/crash_sharing.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use crate::support::{
-    Deployment, ScriptedTarget, SeenRequest, TEST_TIMEOUT, TargetAction, route, to_service,
+    Deployment, ScriptedTarget, SeenRequest, TEST_TIMEOUT, TargetAction, get, route, to_service,
 };
 use hickoryspan_core::gateway::document::{RepeatRule, RouteRule};
 use hickoryspan_core::gateway::relays::RelaySettings;
@@ -52,7 +52,7 @@
     /// Sends the request through the entries in turn until the allowed number of targets has crashed.
     async fn crash_allowed_targets(&self, path: &str) {
         for attempt in 0..ALLOWED_CRASHES {
-            let answer = self.deployment.exchange_at(attempt % ENTRIES, &request(path)).await;
+            let answer = self.deployment.exchange_at(attempt % ENTRIES, &get(path)).await;
             assert_eq!(answer.status, 502);
         }
         assert_eq!(self.crashed(), ALLOWED_CRASHES);
@@ -61,7 +61,7 @@
 
     async fn assert_refused_everywhere(&self, path: &str) {
         for entry in 0..self.deployment.entry_count() {
-            let answer = self.deployment.exchange_at(entry, &request(path)).await;
+            let answer = self.deployment.exchange_at(entry, &get(path)).await;
             assert_eq!(answer.status, 503, "entry {entry}");
             assert!(answer.header("retry-after").is_some(), "entry {entry}");
         }
@@ -73,17 +73,13 @@
     vec![route("/", RepeatRule::AtMostOnce, to_service("records"))]
 }
 
-fn request(path: &str) -> Vec<u8> {
-    crate::support::get(path)
-}
-
 /// Guards against entries that count crashed targets alone, so that each of them lets a request crash three targets.
 #[tokio::test]
 async fn a_request_that_crashed_three_targets_through_different_entries_is_refused_by_all() {
     let deployment = CrashDeployment::start().await;
     deployment.crash_allowed_targets("/crash/plate").await;
     deployment.assert_refused_everywhere("/crash/plate").await;
-    let other = deployment.deployment.exchange_at(1, &request("/plain/plate")).await;
+    let other = deployment.deployment.exchange_at(1, &get("/plain/plate")).await;
     assert_eq!(other.status, 200);
     deployment.deployment.stop().await;
 }
@@ -96,9 +92,7 @@
     deployment.deployment.add_entry().await;
     let joined = deployment.deployment.entry_count() - 1;
     let serves = async {
-        while deployment.deployment.exchange_at(joined, &request("/plain/plate")).await.status
-            != 200
-        {
+        while deployment.deployment.exchange_at(joined, &get("/plain/plate")).await.status != 200 {
             tokio::time::sleep(Duration::from_millis(10)).await;
         }
     };
