Exchange records of both tables through one trait

PoisonTable and LimitTable each numbered their changes and merged lists of records in the same way. SharedTable has that once; ChangeNumber moves beside it. No behaviour changes; the tests only import the trait.

--- a/hickoryspan_core/src/gateway/mod.rs
+++ b/hickoryspan_core/src/gateway/mod.rs
@@ -2,7 +2,6 @@
 //! many shards (`docs/design/gateway.md`).
 
 pub mod budget;
-pub mod change_number;
 pub mod directory;
 pub mod document;
 pub mod document_change;
@@ -21,4 +20,5 @@
 pub mod relays;
 pub mod routes;
 pub mod selection;
+pub mod shared_table;
 pub mod target_limits;
--- a/hickoryspan_core/src/gateway/poison.rs
+++ b/hickoryspan_core/src/gateway/poison.rs
@@ -6,8 +6,8 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::change_number::ChangeNumber;
 use super::directory::TargetProcess;
+use super::shared_table::{ChangeNumber, SharedTable};
 use crate::control::quarantine::QUARANTINE_MILLIS;
 use crate::types::{MonotonicTime, RequestFingerprint};
 
@@ -134,41 +134,6 @@
         SuspicionChange::Cleared
     }
 
-    /// Merges what another process knows, and returns whether that was new.
-    pub fn merge(&mut self, now: MonotonicTime, record: SuspicionRecord) -> bool {
-        let Some(remaining) = SUSPICION_LIFETIME.checked_sub(record.age) else { return false };
-        let expires_at = now + remaining;
-        self.remove_if_expired(now, &record.fingerprint);
-        let known = self.suspects.get(&record.fingerprint);
-        let (mut crashes, expires_at) = match known {
-            Some(known) if known.clearances > record.clearances => return false,
-            Some(known) if known.clearances == record.clearances => {
-                (known.crashes.clone(), known.expires_at.max(expires_at))
-            }
-            Some(_) | None => (BTreeSet::new(), expires_at),
-        };
-        let is_newer = known.is_none_or(|known| known.clearances < record.clearances);
-        let mut has_new_crash = false;
-        for crash in record.crashes {
-            if crashes.len() >= MAX_KEPT_CRASHES || !crashes.insert(crash.clone()) {
-                continue;
-            }
-            has_new_crash = true;
-            self.crashes.insert(crash, CrashState { noted_at: now, refuted: false });
-        }
-        if !is_newer && !has_new_crash {
-            return false;
-        }
-        if known.is_none() {
-            self.make_room(now);
-        }
-        self.newest.0 += 1;
-        let suspicion =
-            Suspicion { clearances: record.clearances, crashes, expires_at, changed: self.newest };
-        self.suspects.insert(record.fingerprint, suspicion);
-        true
-    }
-
     /// Returns whether any crash is recorded.
     pub fn has_crashes(&self) -> bool {
         !self.crashes.is_empty()
@@ -181,11 +146,6 @@
         }
     }
 
-    /// Returns the position of the last change.
-    pub fn newest(&self) -> ChangeNumber {
-        self.newest
-    }
-
     /// Returns whether the request must be refused, because it has probably crashed several targets.
     pub fn is_condemned(&self, now: MonotonicTime, fingerprint: &RequestFingerprint) -> bool {
         let is_current = |suspicion: &Suspicion| now < suspicion.expires_at;
@@ -200,40 +160,6 @@
         crashes.filter(counts).count()
     }
 
-    /// Returns the records that changed after the change `known`.
-    pub fn changed_since(&self, now: MonotonicTime, known: ChangeNumber) -> Vec<SuspicionRecord> {
-        let changed = self
-            .suspects
-            .iter()
-            .filter(|(_, suspicion)| suspicion.changed > known && now < suspicion.expires_at);
-        let to_record = |(fingerprint, suspicion): (&RequestFingerprint, &Suspicion)| {
-            let remaining = suspicion.expires_at.since(now);
-            SuspicionRecord {
-                fingerprint: *fingerprint,
-                clearances: suspicion.clearances,
-                crashes: suspicion.crashes.clone(),
-                age: SUSPICION_LIFETIME.saturating_sub(remaining),
-            }
-        };
-        changed.map(to_record).collect()
-    }
-
-    /// Merges records and returns those that changed here, as they are now.
-    pub fn merge_all(
-        &mut self,
-        now: MonotonicTime,
-        records: impl IntoIterator<Item = SuspicionRecord>,
-    ) -> Vec<SuspicionRecord> {
-        let before = self.newest;
-        for record in records {
-            self.merge(now, record);
-        }
-        if self.newest == before {
-            return Vec::new();
-        }
-        self.changed_since(now, before)
-    }
-
     /// Removes suspicions that have expired. Must be called periodically.
     pub fn expire(&mut self, now: MonotonicTime) {
         if self.suspects.is_empty() {
@@ -273,3 +199,62 @@
         self.remove_unused_crashes();
     }
 }
+
+impl SharedTable for PoisonTable {
+    type Record = SuspicionRecord;
+
+    fn newest(&self) -> ChangeNumber {
+        self.newest
+    }
+
+    fn changed_since(&self, now: MonotonicTime, known: ChangeNumber) -> Vec<SuspicionRecord> {
+        let changed = self
+            .suspects
+            .iter()
+            .filter(|(_, suspicion)| suspicion.changed > known && now < suspicion.expires_at);
+        let to_record = |(fingerprint, suspicion): (&RequestFingerprint, &Suspicion)| {
+            let remaining = suspicion.expires_at.since(now);
+            SuspicionRecord {
+                fingerprint: *fingerprint,
+                clearances: suspicion.clearances,
+                crashes: suspicion.crashes.clone(),
+                age: SUSPICION_LIFETIME.saturating_sub(remaining),
+            }
+        };
+        changed.map(to_record).collect()
+    }
+
+    fn merge(&mut self, now: MonotonicTime, record: SuspicionRecord) -> bool {
+        let Some(remaining) = SUSPICION_LIFETIME.checked_sub(record.age) else { return false };
+        let expires_at = now + remaining;
+        self.remove_if_expired(now, &record.fingerprint);
+        let known = self.suspects.get(&record.fingerprint);
+        let (mut crashes, expires_at) = match known {
+            Some(known) if known.clearances > record.clearances => return false,
+            Some(known) if known.clearances == record.clearances => {
+                (known.crashes.clone(), known.expires_at.max(expires_at))
+            }
+            Some(_) | None => (BTreeSet::new(), expires_at),
+        };
+        let is_newer = known.is_none_or(|known| known.clearances < record.clearances);
+        let mut has_new_crash = false;
+        for crash in record.crashes {
+            if crashes.len() >= MAX_KEPT_CRASHES || !crashes.insert(crash.clone()) {
+                continue;
+            }
+            has_new_crash = true;
+            self.crashes.insert(crash, CrashState { noted_at: now, refuted: false });
+        }
+        if !is_newer && !has_new_crash {
+            return false;
+        }
+        if known.is_none() {
+            self.make_room(now);
+        }
+        self.newest.0 += 1;
+        let suspicion =
+            Suspicion { clearances: record.clearances, crashes, expires_at, changed: self.newest };
+        self.suspects.insert(record.fingerprint, suspicion);
+        true
+    }
+}
--- a/hickoryspan_core/src/gateway/target_limits.rs
+++ b/hickoryspan_core/src/gateway/target_limits.rs
@@ -5,8 +5,8 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::change_number::ChangeNumber;
 use super::directory::TargetProcess;
+use super::shared_table::{ChangeNumber, SharedTable};
 use crate::types::{MonotonicTime, RequestRate};
 
 /// Time for which the end of a limit is remembered, so that older reports do not bring it back.
@@ -72,38 +72,6 @@
         self.limits.insert(process, state);
     }
 
-    /// Merges what another host heard, unless this one heard from the target later. Returns whether that is a change.
-    pub fn merge(&mut self, now: MonotonicTime, record: LimitRecord) -> bool {
-        let heard_at = now - record.age;
-        let known = self.limits.get(&record.process);
-        if known.is_some_and(|known| known.heard_at >= heard_at) {
-            return false;
-        }
-        let is_old_end = record.limit.is_none() && record.age >= END_MEMORY;
-        let is_same = known.is_some_and(|known| !is_told_change(known.told, record.limit));
-        if is_same || known.is_none() && is_old_end {
-            return false;
-        }
-        self.put(record.process, record.limit, heard_at);
-        true
-    }
-
-    /// Merges records and returns those that changed here, as they are now.
-    pub fn merge_all(
-        &mut self,
-        now: MonotonicTime,
-        records: impl IntoIterator<Item = LimitRecord>,
-    ) -> Vec<LimitRecord> {
-        let before = self.newest;
-        for record in records {
-            self.merge(now, record);
-        }
-        if self.newest == before {
-            return Vec::new();
-        }
-        self.changed_since(now, before)
-    }
-
     /// Returns the processes that have a limit.
     pub fn limited(&self) -> impl Iterator<Item = &TargetProcess> {
         self.limits.iter().filter(|(_, state)| state.limit.is_some()).map(|(process, _)| process)
@@ -119,13 +87,23 @@
         self.limits.is_empty()
     }
 
-    /// Returns the position of the last change.
-    pub fn newest(&self) -> ChangeNumber {
+    /// Forgets limits that ended long ago and the targets for which `keep` returns false.
+    pub fn retain(&mut self, now: MonotonicTime, keep: impl Fn(&TargetProcess) -> bool) {
+        self.limits.retain(|process, state| {
+            let is_current = state.limit.is_some() || now.since(state.heard_at) < END_MEMORY;
+            is_current && keep(process)
+        });
+    }
+}
+
+impl SharedTable for LimitTable {
+    type Record = LimitRecord;
+
+    fn newest(&self) -> ChangeNumber {
         self.newest
     }
 
-    /// Returns the records that changed after the change `known`.
-    pub fn changed_since(&self, now: MonotonicTime, known: ChangeNumber) -> Vec<LimitRecord> {
+    fn changed_since(&self, now: MonotonicTime, known: ChangeNumber) -> Vec<LimitRecord> {
         let changed = self.limits.iter().filter(|(_, state)| state.changed > known);
         changed
             .map(|(process, state)| LimitRecord {
@@ -136,12 +114,20 @@
             .collect()
     }
 
-    /// Forgets limits that ended long ago and the targets for which `keep` returns false.
-    pub fn retain(&mut self, now: MonotonicTime, keep: impl Fn(&TargetProcess) -> bool) {
-        self.limits.retain(|process, state| {
-            let is_current = state.limit.is_some() || now.since(state.heard_at) < END_MEMORY;
-            is_current && keep(process)
-        });
+    /// A record counts unless this host heard from the target later.
+    fn merge(&mut self, now: MonotonicTime, record: LimitRecord) -> bool {
+        let heard_at = now - record.age;
+        let known = self.limits.get(&record.process);
+        if known.is_some_and(|known| known.heard_at >= heard_at) {
+            return false;
+        }
+        let is_old_end = record.limit.is_none() && record.age >= END_MEMORY;
+        let is_same = known.is_some_and(|known| !is_told_change(known.told, record.limit));
+        if is_same || known.is_none() && is_old_end {
+            return false;
+        }
+        self.put(record.process, record.limit, heard_at);
+        true
     }
 }
 
--- a/hickoryspan_core/tests/gateway_limits.rs
+++ b/hickoryspan_core/tests/gateway_limits.rs
@@ -5,9 +5,9 @@
 use std::ops::Range;
 use std::time::Duration;
 
-use hickoryspan_core::gateway::change_number::ChangeNumber;
 use hickoryspan_core::gateway::directory::TargetProcess;
 use hickoryspan_core::gateway::limit_gate::{DemandTotals, LimitGate, ServiceDemand};
+use hickoryspan_core::gateway::shared_table::{ChangeNumber, SharedTable};
 use hickoryspan_core::gateway::target_limits::{LimitRecord, LimitTable};
 use hickoryspan_core::types::{MonotonicTime, RequestRate, ServiceId, TargetId, WallTime};
 use rand::{RngExt, SeedableRng};
--- a/hickoryspan_core/tests/gateway_poison.rs
+++ b/hickoryspan_core/tests/gateway_poison.rs
@@ -4,9 +4,9 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use hickoryspan_core::gateway::change_number::ChangeNumber;
 use hickoryspan_core::gateway::directory::TargetProcess;
 use hickoryspan_core::gateway::poison::{PoisonTable, SuspicionChange, SuspicionRecord};
+use hickoryspan_core::gateway::shared_table::{ChangeNumber, SharedTable};
 use hickoryspan_core::types::{MonotonicTime, RequestFingerprint, TargetId, WallTime};
 use rand::seq::SliceRandom;
 use rand::{RngExt, SeedableRng};
--- a/hickoryspan_gateway/src/directory_hub.rs
+++ b/hickoryspan_gateway/src/directory_hub.rs
@@ -9,7 +9,6 @@
 
 use hickoryspan_control::ControlHandle;
 use hickoryspan_core::control::interface::ReplicaRecord;
-use hickoryspan_core::gateway::change_number::ChangeNumber;
 use hickoryspan_core::gateway::directory::{
     DirectoryChange, KnownTarget, TargetAnnouncement, TargetDeparture, TargetPhase,
 };
@@ -18,6 +17,7 @@
 use hickoryspan_core::gateway::messages::{
     ConfirmNumber, DirectoryRequest, DirectoryUpdate, TargetRenewal,
 };
+use hickoryspan_core::gateway::shared_table::{ChangeNumber, SharedTable};
 use hickoryspan_core::types::MonotonicTime;
 use hickoryspan_runtime::clock::SystemClock;
 use tokio::sync::{Notify, mpsc, watch};
--- a/hickoryspan_gateway/src/directory_links.rs
+++ b/hickoryspan_gateway/src/directory_links.rs
@@ -7,8 +7,8 @@
 use std::time::{Duration, Instant};
 
 use anyhow::{Context, bail};
-use hickoryspan_core::gateway::change_number::ChangeNumber;
 use hickoryspan_core::gateway::messages::{DirectoryRequest, DirectoryUpdate};
+use hickoryspan_core::gateway::shared_table::ChangeNumber;
 use hickoryspan_core::reconnect::{ReconnectDelay, ReconnectSettings};
 use hickoryspan_runtime::peer_link::PeerLink;
 use tokio::sync::{mpsc, watch};
--- a/hickoryspan_gateway/src/entry_daemon.rs
+++ b/hickoryspan_gateway/src/entry_daemon.rs
@@ -13,6 +13,7 @@
 use hickoryspan_core::gateway::entry_list::OpenEntry;
 use hickoryspan_core::gateway::messages::{DirectoryRequest, DirectoryUpdate, EntryHost};
 use hickoryspan_core::gateway::relays::RelayPeer;
+use hickoryspan_core::gateway::shared_table::SharedTable;
 use hickoryspan_core::types::{MonotonicTime, TargetId};
 use tokio::net::TcpListener;
 use tokio::sync::watch;
--- a/hickoryspan_gateway/src/hub_state.rs
+++ b/hickoryspan_gateway/src/hub_state.rs
@@ -14,6 +14,7 @@
 };
 use hickoryspan_core::gateway::poison::{PoisonTable, SuspicionRecord};
 use hickoryspan_core::gateway::relays::RelayPeer;
+use hickoryspan_core::gateway::shared_table::SharedTable;
 use hickoryspan_core::gateway::target_limits::{LimitRecord, LimitTable};
 use hickoryspan_core::types::{FailureDomain, MonotonicTime, TargetId};
 use tokio::sync::mpsc;
