Make room for a suspicion before its crashes are noted

Cause: when the table of suspected requests was full, room was made after the crashes of the new one had been noted, and removed their notes as unused. The crashes counted, but an answer of their targets could not refute them any more, so that an innocent request could stay refused for ten minutes. Change: room is made first. Found by reading the change again; the test a_target_that_answers_later_has_not_crashed_in_a_full_table_either failed before.

--- a/hickoryspan_core/src/gateway/poison.rs
+++ b/hickoryspan_core/src/gateway/poison.rs
@@ -228,6 +228,9 @@
         let Some(remaining) = SUSPICION_LIFETIME.checked_sub(record.age) else { return false };
         let expires_at = now + remaining;
         self.remove_if_expired(now, &record.fingerprint);
+        if !self.suspects.contains_key(&record.fingerprint) {
+            self.make_room(now);
+        }
         let known = self.suspects.get(&record.fingerprint);
         let (mut crashes, expires_at) = match known {
             Some(known) if known.clearances > record.clearances => return false,
@@ -248,9 +251,6 @@
         if !is_newer && !has_new_crash {
             return false;
         }
-        if known.is_none() {
-            self.make_room(now);
-        }
         self.newest.0 += 1;
         let suspicion =
             Suspicion { clearances: record.clearances, crashes, expires_at, changed: self.newest };
--- a/hickoryspan_core/tests/gateway_poison.rs
+++ b/hickoryspan_core/tests/gateway_poison.rs
@@ -223,3 +223,22 @@
     table.note_run(at(4), later, false, crashes(0..3));
     assert!(table.is_condemned(at(4), &later));
 }
+
+/// Guards against a request that stays refused although its targets live on, because there were many suspects.
+#[test]
+fn a_target_that_answers_later_has_not_crashed_in_a_full_table_either() {
+    let mut table = PoisonTable::default();
+    for number in 0..1_024 {
+        let record = SuspicionRecord {
+            fingerprint: numbered(number),
+            clearances: 0,
+            crashes: [crash(1_000 + number)].into(),
+            age: Duration::ZERO,
+        };
+        table.merge(at(1), record);
+    }
+    table.note_run(at(2), FINGERPRINT, false, crashes(0..3));
+    assert!(table.is_condemned(at(2), &FINGERPRINT));
+    table.note_response(&crash(0), at(3));
+    assert!(!table.is_condemned(at(3), &FINGERPRINT));
+}
