Show the lost quorum also by planned replacements alone

Cause: the vote of a host that has left as planned counts for 6 s. Change: TROUBLE=rolling replaces three core hosts, 2 s apart, and loses no disk.

--- a/review/standins/ghost_voter.rs
+++ b/review/standins/ghost_voter.rs
@@ -18,6 +18,9 @@
         return Verdict::NotRun;
     }
     thread::sleep(Duration::from_secs(5));
+    if trouble == "rolling" {
+        return replace_three(&mut platform, record, hosts);
+    }
 
     let successor = format!("core-{SUCCESSOR}");
     platform.write_settings(&successor, SUCCESSOR, true, &SEEDS, false);
@@ -65,3 +68,28 @@
         _ => Verdict::Broken,
     }
 }
+
+/// Three hosts are replaced as planned, one each two seconds, with successors that have caught up. No disk is lost.
+fn replace_three(platform: &mut Platform, record: &Record, mut hosts: Vec<SocketAddr>) -> Verdict {
+    for last in [16, 17, 18] {
+        let name = format!("core-{last}");
+        platform.write_settings(&name, last, true, &SEEDS, false);
+        platform.start(&name, true);
+        hosts.push(platform.control(last));
+    }
+    thread::sleep(CATCH_UP);
+    for last in [15, 14, 13] {
+        let name = format!("core-{last}");
+        platform.process(&name).signal("TERM");
+        record.line(format!("platform: SIGTERM {name}, which leaves for good"));
+        hosts.retain(|host| host.ip() != platform.ip(last));
+        thread::sleep(Duration::from_secs(2));
+        let ended = platform.process(&name).has_ended();
+        record.line(format!("platform: {name} has ended: {ended:?}"));
+    }
+    thread::sleep(Duration::from_secs(16));
+    match read_configuration(record, &hosts, Duration::from_secs(20)) {
+        Some(newest) if newest >= 7 => Verdict::Held,
+        _ => Verdict::Broken,
+    }
+}
