--- a/review/standins/late_stop.rs
+++ b/review/standins/late_stop.rs
@@ -19,9 +19,16 @@
             .into_iter()
             .map(|(id, last, zone)| {
                 let address = SocketAddr::new(platform.ip(last), platform.ports.searcher);
-                Searcher::start(id, "kafi81c", address, zone, 6, hosts.clone(), record, move |_| {
-                    Treatment::Work(work)
-                })
+                Searcher::start(
+                    id,
+                    "kafi81c",
+                    address,
+                    zone,
+                    6,
+                    hosts.clone(),
+                    record,
+                    move |_: &str| Treatment::Work(work),
+                )
             })
             .collect();
     if !wait_until_ready(record, &platform, &fronts) {
