End all processes of a case also when its script is interrupted

Cause: run.sh replaced itself by the stand-ins, whose processes stayed when it was ended by a signal.

--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -244,7 +244,7 @@
             .stderr(errors)
             .spawn()
             .expect("start a program of the deploy file; build it first");
-        PIDS.lock().unwrap().push(child.id());
+        note_started(child.id());
         self.child = Some(child);
     }
 
@@ -272,6 +272,17 @@
 /// Processes to end if the time limit is reached.
 static PIDS: Mutex<Vec<u32>> = Mutex::new(Vec::new());
 
+/// Records a process, also in the file that `run.sh` reads to end all processes if it is interrupted.
+fn note_started(pid: u32) {
+    PIDS.lock().unwrap().push(pid);
+    let path = std::env::var_os("PROCESS_LIST");
+    let file =
+        path.and_then(|path| fs::OpenOptions::new().create(true).append(true).open(path).ok());
+    if let Some(mut file) = file {
+        let _ = writeln!(file, "{pid}");
+    }
+}
+
 fn start_watchdog(record: Record) {
     thread::spawn(move || {
         thread::sleep(TIME_LIMIT);
