Move the vote of a control host before its planned stop ends

Callers saw: an operator's acknowledged configuration could not be read any more (503 to every read, for good) when two disks were lost 4.5 s after a planned replacement of a control host, or after three such replacements in a row without any loss.

Cause: a planned stop handed over leadership and kept the vote. The vote moved to the successor only after 6 s of silence, so for that time one loss fewer was tolerated, although no copy was missing. The same cause: 6 s are longer than the time that a successor has; the last report of a removed host added it again as a learner, and learners that are gone kept new hosts out for up to 10 s (found by a random history); the only voter left without its successor; leadership was handed to hosts that were about to stop themselves. Change: the leaving host asks the leader, which promotes a successor first, removes the leaving voter next and only then lets it stop; no successor, no wait and no lost vote. Learners that are gone make room. A new line, `replica set changed`, names voters and learners. Conclusion: the two losses that the deployment tolerates are tolerated from the moment at which the old host has stopped.

--- a/hickoryspan_control/src/control_handle.rs
+++ b/hickoryspan_control/src/control_handle.rs
@@ -38,10 +38,25 @@
         let set = machine.raft().replica_set().0;
         if !set.records().eq(self.replicas.iter()) {
             self.replicas = set.records().cloned().collect();
+            self.log_replicas();
             changed = true;
         }
         changed
     }
+
+    fn log_replicas(&self) {
+        let names = |voter: bool| {
+            let records = self.replicas.iter().filter(|record| record.voter == voter);
+            let names: Vec<String> = records
+                .map(|record| format!("{}@{}", record.replica, record.peer_address))
+                .collect();
+            if names.is_empty() { "-".to_owned() } else { names.join(" ") }
+        };
+        spdlog::info!(
+            "replica set changed",
+            kv: { voters: = names(true), learners: = names(false) }
+        );
+    }
 }
 
 /// Handle for requests to a running control replica.
--- a/hickoryspan_core/src/control/machine/leadership.rs
+++ b/hickoryspan_core/src/control/machine/leadership.rs
@@ -59,6 +59,15 @@
     Query(ReplyToken, AdminQuery),
 }
 
+/// A planned stop of this replica.
+#[derive(Debug)]
+pub(super) struct PlannedStop {
+    /// When the replica stops at the latest.
+    pub until: MonotonicTime,
+    /// When the leader is asked again for permission to stop.
+    pub ask_at: MonotonicTime,
+}
+
 #[derive(Debug)]
 pub(super) struct Leadership {
     pub term: TermNumber,
@@ -483,17 +492,40 @@
 
     pub(super) fn begin_drain(&mut self, now: MonotonicTime) {
         let until = now + self.settings.drain_timeout;
-        self.drain_until = Some(until);
-        self.raft.start_transfer(until);
+        self.drain = Some(PlannedStop { until, ask_at: now });
+    }
+
+    /// Hands over leadership and then, if the replica set follows the reports of the hosts, asks the new leader for
+    /// permission to stop.
+    pub(super) fn continue_drain(&mut self, now: MonotonicTime) {
+        let asks = self.waits_for_release();
+        let Some(drain) = &mut self.drain else { return };
+        if self.raft.is_leader() {
+            return self.raft.start_transfer(now, drain.until);
+        }
+        if asks && drain.ask_at <= now {
+            drain.ask_at = now + self.settings.raft.heartbeat;
+            self.raft.request_leave();
+        }
+    }
+
+    /// Returns whether this replica needs the leader's permission to stop and does not have it yet.
+    pub(super) fn waits_for_release(&self) -> bool {
+        self.settings.members.is_some() && !self.raft.is_leader() && !self.raft.is_released()
     }
 
-    /// Returns whether a planned stop is complete: leadership was handed over or, if this is the only voter, all
-    /// pending commands were answered, and everything is durable; or the drain timeout has passed.
+    /// Returns whether a planned stop is complete: leadership was handed over, the leader has allowed it, or, if this
+    /// is the only voter, all pending commands were answered, and everything is durable; or the drain timeout has
+    /// passed.
     pub(super) fn is_drained(&self, now: MonotonicTime) -> bool {
-        let Some(until) = self.drain_until else { return false };
-        let only_voter = self.raft.replica_set().0.voters().count() <= 1;
+        let Some(drain) = &self.drain else { return false };
+        let set = self.raft.replica_set().0;
+        let only_voter = set.voters().count() <= 1 && set.is_voter(self.raft.identity());
         let has_waiters = self.leadership.as_ref().is_some_and(|leader| !leader.waiters.is_empty());
-        let done = if only_voter { !has_waiters } else { !self.raft.is_leader() };
-        until <= now || (done && self.raft.is_idle())
+        let done = match only_voter {
+            true => !has_waiters && self.may_stop_as_only_voter(now),
+            false => !self.raft.is_leader() && !self.waits_for_release(),
+        };
+        drain.until <= now || (done && self.raft.is_idle())
     }
 }
--- a/hickoryspan_core/src/control/machine/members.rs
+++ b/hickoryspan_core/src/control/machine/members.rs
@@ -16,6 +16,10 @@
     raft: &'a RaftNode,
     now: MonotonicTime,
     commit: LogIndex,
+    // Time for which the announcement of a planned stop holds.
+    leave_lifetime: Duration,
+    // Whether the leader itself is about to stop.
+    is_draining: bool,
 }
 
 impl ReplicaProgress for LeaderProgress<'_> {
@@ -29,6 +33,18 @@
         }
         self.raft.time_since_response(replica, self.now)
     }
+
+    fn is_responsive(&self, replica: ReplicaId) -> bool {
+        self.raft.is_responsive(replica, self.now)
+    }
+
+    fn is_leaving(&self, replica: ReplicaId) -> bool {
+        if replica == self.raft.identity() {
+            return self.is_draining;
+        }
+        let since = self.raft.time_since_leave(replica, self.now);
+        since.is_some_and(|since| since <= self.leave_lifetime)
+    }
 }
 
 impl ControlMachine {
@@ -37,16 +53,41 @@
         if !self.raft.is_ready_leader() || !committed {
             return;
         }
-        let commit = self.raft.commit();
-        let progress = LeaderProgress { raft: &self.raft, now, commit };
+        let progress = self.leader_progress(now, settings);
         let identity = self.raft.identity();
         let next = self.reports.next_change(now, set, identity, settings, &progress);
+        let may_stop =
+            |replica: &ReplicaId| self.reports.may_stop(now, *replica, set, settings, &progress);
+        let requests = self.raft.leave_requests().into_iter();
+        let verdicts: Vec<(ReplicaId, bool)> =
+            requests.map(|replica| (replica, may_stop(&replica))).collect();
+        for (replica, released) in verdicts {
+            self.raft.answer_leave(replica, released);
+        }
         if let Some(next) = next {
             // A rejected proposal needs no handling: the change is derived from the reports again at the next event.
             let _ = self.raft.propose_replicas(next);
         }
     }
 
+    fn leader_progress(&self, now: MonotonicTime, settings: &MemberSettings) -> LeaderProgress<'_> {
+        LeaderProgress {
+            raft: &self.raft,
+            now,
+            commit: self.raft.commit(),
+            leave_lifetime: settings.replace_after,
+            is_draining: self.drain.is_some(),
+        }
+    }
+
+    /// Returns whether this replica, the only voter, may stop. If another host is there, it becomes a voter first.
+    pub(super) fn may_stop_as_only_voter(&self, now: MonotonicTime) -> bool {
+        let Some(settings) = &self.settings.members else { return true };
+        let progress = self.leader_progress(now, settings);
+        let set = self.raft.replica_set().0;
+        self.reports.may_stop(now, self.raft.identity(), set, settings, &progress)
+    }
+
     /// Returns whether a configuration document may be accepted. With the configured number of voters, a document that
     /// is durable on a majority survives the loss of as many disks as that number allows. A deployment with fewer
     /// hosts accepts documents after [`MAX_VOTER_WAIT`].
--- a/hickoryspan_core/src/control/machine/mod.rs
+++ b/hickoryspan_core/src/control/machine/mod.rs
@@ -21,7 +21,7 @@
 use crate::gateway::members::ReplicaReports;
 use crate::membership::ViewChange;
 use crate::types::{ClockReading, MonotonicTime, ReplicaId, RevisionNumber};
-use leadership::Leadership;
+use leadership::{Leadership, PlannedStop};
 
 /// One control replica; [`super::interface`] defines its events and actions.
 #[derive(Debug)]
@@ -34,7 +34,7 @@
     // The revision that has been sent to the links of all registered processes.
     broadcast_revision: RevisionNumber,
     leadership: Option<Leadership>,
-    drain_until: Option<MonotonicTime>,
+    drain: Option<PlannedStop>,
     stopped: bool,
     reports: ReplicaReports,
     fault: Option<Arc<str>>,
@@ -65,7 +65,7 @@
             links: BTreeMap::new(),
             broadcast_revision: RevisionNumber(0),
             leadership: None,
-            drain_until: None,
+            drain: None,
             stopped: false,
             reports: ReplicaReports::default(),
             fault: None,
@@ -112,8 +112,11 @@
         if let Some(leadership) = &self.leadership {
             wakeup = wakeup.min(leadership.sweep_at);
         }
-        if let Some(until) = self.drain_until {
-            wakeup = wakeup.min(until);
+        if let Some(drain) = &self.drain {
+            wakeup = wakeup.min(drain.until);
+            if self.waits_for_release() {
+                wakeup = wakeup.min(drain.ask_at);
+            }
         }
         Some(wakeup)
     }
@@ -169,6 +172,7 @@
         self.start_serving(now);
         self.propose_announcements(now);
         self.propose_replica_change(now.monotonic);
+        self.continue_drain(now.monotonic);
         self.compact_log();
         self.raft.flush(now.monotonic, actions);
         // If this replica is the only voter, the flush may have confirmed a heartbeat round.
@@ -292,7 +296,7 @@
         if !next.is_voter(identity) {
             // A leader does not remove itself; it hands over first. If it alone had the entry that removes it, it
             // would start no election after a restart, and its longer log would keep the others from winning one.
-            self.raft.start_transfer(now + self.settings.drain_timeout);
+            self.raft.start_transfer(now, now + self.settings.drain_timeout);
             return;
         }
         // A rejected proposal needs no handling: the change is derived from the state again at the next event.
--- a/hickoryspan_core/src/control/raft/election.rs
+++ b/hickoryspan_core/src/control/raft/election.rs
@@ -1,7 +1,7 @@
 //! Elections, pre-votes and pledges. A pledge is a promise of a replica not to take part in any commit for a
 //! fixed time; entries serve their current state while a majority of pledges is valid.
 
-use std::collections::{BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
 use super::node::{LeaderState, RaftNode, RaftRole, VoteTally};
@@ -241,6 +241,7 @@
             transfer_to: None,
             transfer_until: now,
             uncommitted_bytes: uncommitted,
+            leaving: BTreeMap::new(),
         }));
         let payload = self.term_start_payload();
         self.append_local(&payload);
--- a/hickoryspan_core/src/control/raft/mod.rs
+++ b/hickoryspan_core/src/control/raft/mod.rs
@@ -1,6 +1,7 @@
 //! Raft log replication between control replicas (`docs/design.md`, section 4, and `docs/design/replication.md`).
 
 mod election;
+mod leave;
 mod log;
 mod node;
 mod persistence;
@@ -149,6 +150,13 @@
     },
     /// Asks the receiver to start an election at once, because the leader hands over leadership.
     TimeoutNow,
+    /// Informs the leader that the sender is about to stop.
+    Leave,
+    /// Reply to `Leave`.
+    LeaveAnswer {
+        /// Whether the sender may stop: it is no voter any more, or no replica is there to take over its vote.
+        released: bool,
+    },
 }
 
 /// Range from which a random election timeout is drawn.
--- a/hickoryspan_core/src/control/raft/node.rs
+++ b/hickoryspan_core/src/control/raft/node.rs
@@ -66,6 +66,15 @@
     pub transfer_to: Option<ReplicaId>,
     pub transfer_until: MonotonicTime,
     pub uncommitted_bytes: u64,
+    /// Replicas that are about to stop.
+    pub leaving: BTreeMap<ReplicaId, LeaveRequest>,
+}
+
+/// The latest request of a replica that is about to stop.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct LeaveRequest {
+    pub received_at: MonotonicTime,
+    pub is_answered: bool,
 }
 
 /// Votes or pre-votes that a candidate has received.
@@ -118,6 +127,8 @@
     // Index that was last acknowledged to the current leader.
     pub(super) acknowledged: LogIndex,
     pub(super) election_at: MonotonicTime,
+    // Whether the leader has allowed this replica to stop.
+    pub(super) released: bool,
     pub(super) pledged_until: MonotonicTime,
     pub(super) no_pledge_before: MonotonicTime,
     pub(super) pipeline: PersistPipeline,
@@ -163,6 +174,7 @@
             verified: LogIndex(0),
             acknowledged: LogIndex(0),
             election_at: MonotonicTime(0),
+            released: false,
             pledged_until: MonotonicTime(0),
             no_pledge_before: MonotonicTime(0),
             pipeline: PersistPipeline::default(),
@@ -416,6 +428,8 @@
                 self.handle_snapshot_reply(now, from, term, index, received);
             }
             ReplicaBody::TimeoutNow => self.handle_timeout_now(now, from, term),
+            ReplicaBody::Leave => self.handle_leave(now, from),
+            ReplicaBody::LeaveAnswer { released } => self.handle_leave_reply(from, released),
         }
     }
 
