Refuse requests that would outlast a stopping entry

Callers saw: requests sent to a stopping entry 4.3 to 4.6 s after its SIGTERM were run by a target and cut at 5.3 s without an answer, among them requests that may not be sent again.

Cause: the entry took requests without regard to the time it had left, and at the end closed connections instead of answering. Change: planned_stop decides on each request: at most once, only if the whole deadline fits; repeatable, also if twice the usual latency fits. Others get 503 with a short Retry-After before anything is sent. What is in flight at the end gets 504. The other request path waits for all requests in flight and needs no change. Conclusion: every request that a stopping entry reads is answered.

--- a/hickoryspan_core/src/gateway/mod.rs
+++ b/hickoryspan_core/src/gateway/mod.rs
@@ -15,6 +15,7 @@
 pub mod messages;
 pub mod outcomes;
 pub mod overload;
+pub mod planned_stop;
 pub mod poison;
 pub mod processor_lag;
 pub mod relays;
--- a/hickoryspan_gateway/src/caller_server.rs
+++ b/hickoryspan_gateway/src/caller_server.rs
@@ -15,7 +15,7 @@
 use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
 
-use crate::forward::{ConnectionPosition, GatewayResponse, answer_request};
+use crate::forward::{ConnectionPosition, GatewayResponse, answer_until};
 use crate::gateway_state::GatewayState;
 
 /// Delay after a failed accept, so that a lack of file descriptors does not cause a busy loop.
@@ -35,7 +35,9 @@
     pub(crate) drain: CancellationToken,
     /// No further connections are accepted.
     pub(crate) close_listener: CancellationToken,
-    /// Requests still in flight are aborted.
+    /// Requests still in flight are answered without waiting for their targets any longer.
+    pub(crate) finish: CancellationToken,
+    /// Connections that are still open are closed.
     pub(crate) abort: CancellationToken,
 }
 
@@ -56,11 +58,7 @@
         while connections.try_join_next().is_some() {}
         match accepted {
             Ok(stream) => {
-                connections.spawn(serve_connection(
-                    stream,
-                    Arc::clone(&state),
-                    shutdown.drain.clone(),
-                ));
+                connections.spawn(serve_connection(stream, Arc::clone(&state), shutdown.clone()));
             }
             Err(error) => {
                 spdlog::warn!("caller port: accept: {}", error);
@@ -73,7 +71,7 @@
     tokio::select! {
         () = finish => {}
         () = shutdown.abort.cancelled() => {
-            spdlog::warn!("caller port: shutdown timeout expired, aborting requests in flight");
+            spdlog::warn!("caller port: shutdown timeout expired, closing open connections");
         }
     }
     connections.shutdown().await;
@@ -86,7 +84,7 @@
     }
 }
 
-async fn serve_connection(stream: TcpStream, state: Arc<GatewayState>, drain: CancellationToken) {
+async fn serve_connection(stream: TcpStream, state: Arc<GatewayState>, shutdown: ShutdownSignals) {
     if let Err(error) = stream.set_nodelay(true) {
         spdlog::debug!("caller port: set TCP_NODELAY: {}", error);
     }
@@ -96,12 +94,13 @@
     let first_request = has_request.clone();
     let service = service_fn(move |request| {
         let state = Arc::clone(&state);
+        let finish = shutdown.finish.clone();
         let position = match first_request.is_cancelled() {
             true => ConnectionPosition::Later,
             false => ConnectionPosition::First,
         };
         first_request.cancel();
-        async move { Ok::<_, Infallible>(answer_caller(state, request, position).await) }
+        async move { Ok::<_, Infallible>(answer_caller(finish, state, request, position).await) }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -113,7 +112,7 @@
     tokio::pin!(connection);
     let ended = tokio::select! {
         ended = connection.as_mut() => ended,
-        () = await_drain(&drain, &has_request) => {
+        () = await_drain(&shutdown.drain, &has_request) => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
@@ -133,11 +132,12 @@
 
 /// Answers a request, and asks the caller to use another entry for the next one if this entry lags.
 async fn answer_caller(
+    finish: CancellationToken,
     state: Arc<GatewayState>,
     request: Request<Incoming>,
     position: ConnectionPosition,
 ) -> GatewayResponse {
-    let mut response = answer_request(Arc::clone(&state), request, position).await;
+    let mut response = answer_until(finish, Arc::clone(&state), request, position).await;
     if state.should_leave_callers() {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
--- a/hickoryspan_gateway/src/entry_daemon.rs
+++ b/hickoryspan_gateway/src/entry_daemon.rs
@@ -12,6 +12,7 @@
 use hickoryspan_core::gateway::document_parts::DocumentPart;
 use hickoryspan_core::gateway::entry_list::OpenEntry;
 use hickoryspan_core::gateway::messages::{DirectoryRequest, DirectoryUpdate, EntryHost};
+use hickoryspan_core::gateway::planned_stop::StopSchedule;
 use hickoryspan_core::gateway::relays::RelayPeer;
 use hickoryspan_core::gateway::shared_table::SharedTable;
 use hickoryspan_core::types::{MonotonicTime, TargetId};
@@ -27,6 +28,8 @@
 use crate::host_list::HostList;
 use crate::settings::GatewaySettings;
 
+/// Time for sending the last answers of a planned stop, before connections that are still open are closed.
+const LAST_ANSWER_TIME: Duration = Duration::from_millis(200);
 /// Interval between removals of expired targets and idle connections.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(1_000);
 
@@ -407,14 +410,22 @@
     /// finished.
     pub async fn drain(mut self) {
         let started_at = Instant::now();
+        let settings = &self.state.settings;
+        let finish_at = self.state.now() + settings.finish_after_stop;
+        // A stop begins only once, since it consumes the entry.
+        let _ = self.state.stop_schedule.set(StopSchedule { finish_at });
         self.handler.set_ready(false);
         self.shutdown.drain.cancel();
-        let settings = &self.state.settings;
         tokio::time::sleep(settings.accept_after_stop).await;
         self.shutdown.close_listener.cancel();
         let remaining = settings.finish_after_stop.saturating_sub(started_at.elapsed());
         let finish = async { while self.callers.join_next().await.is_some() {} };
         if tokio::time::timeout(remaining, finish).await.is_err() {
+            spdlog::warn!("stop: requests in flight are ended");
+            self.shutdown.finish.cancel();
+        }
+        let close = async { while self.callers.join_next().await.is_some() {} };
+        if tokio::time::timeout(LAST_ANSWER_TIME, close).await.is_err() {
             self.shutdown.abort.cancel();
         }
         while self.callers.join_next().await.is_some() {}
--- a/hickoryspan_gateway/src/forward.rs
+++ b/hickoryspan_gateway/src/forward.rs
@@ -10,6 +10,7 @@
 use hickoryspan_core::gateway::fanout::{FanoutMachine, FanoutSettings, merge_records};
 use hickoryspan_core::gateway::log_limit::LogPriority;
 use hickoryspan_core::gateway::overload::{ShardQueues, shed_fraction};
+use hickoryspan_core::gateway::planned_stop::StopVerdict;
 use hickoryspan_core::gateway::routes::RouteTable;
 use hickoryspan_core::types::{MonotonicTime, RequestFingerprint, ServiceId};
 use hickoryspan_runtime::http_client::HttpAnswer;
@@ -19,6 +20,7 @@
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
+use tokio_util::sync::CancellationToken;
 
 use crate::attempt::{AttemptScope, GatewayJob, claims_not_run};
 use crate::gateway_state::GatewayState;
@@ -59,11 +61,13 @@
     BodyTooSlow,
     BodyIncomplete,
     Poisoned,
+    Stopping,
     NoTarget,
     Overloaded,
     Limited,
     MayHaveRun,
     TimedOut,
+    StopTimedOut,
 }
 
 impl RefusalReason {
@@ -76,11 +80,13 @@
             Self::BodyTooSlow => "body_too_slow",
             Self::BodyIncomplete => "body_incomplete",
             Self::Poisoned => "poisoned",
+            Self::Stopping => "stopping",
             Self::NoTarget => "no_target",
             Self::Overloaded => "overloaded",
             Self::Limited => "limited",
             Self::MayHaveRun => "may_have_run",
             Self::TimedOut => "timed_out",
+            Self::StopTimedOut => "stop_timed_out",
         }
     }
 
@@ -90,13 +96,14 @@
             | Self::NoTarget
             | Self::Overloaded
             | Self::Limited
+            | Self::Stopping
             | Self::Poisoned => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoHost | Self::BodyIncomplete => StatusCode::BAD_REQUEST,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::BodyTooSlow => StatusCode::REQUEST_TIMEOUT,
             Self::MayHaveRun => StatusCode::BAD_GATEWAY,
-            Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
+            Self::TimedOut | Self::StopTimedOut => StatusCode::GATEWAY_TIMEOUT,
         }
     }
 }
@@ -127,8 +134,27 @@
     response
 }
 
+/// Answers one request, also if it is still in flight when `stop` is cancelled.
+pub(crate) async fn answer_until(
+    stop: CancellationToken,
+    state: Arc<GatewayState>,
+    request: Request<Incoming>,
+    position: ConnectionPosition,
+) -> GatewayResponse {
+    let id = request.headers().get(&state.settings.headers.request).cloned();
+    let answer = answer_request(Arc::clone(&state), request, position);
+    tokio::select! {
+        biased;
+        response = answer => response,
+        () = stop.cancelled() => {
+            let id = id.as_ref().and_then(|value| value.to_str().ok()).unwrap_or("-");
+            refuse(&state, id, RefusalReason::StopTimedOut, Duration::ZERO)
+        }
+    }
+}
+
 /// Answers one request. Dropping the future cancels all attempts for it.
-pub(crate) async fn answer_request(
+async fn answer_request(
     state: Arc<GatewayState>,
     request: Request<Incoming>,
     position: ConnectionPosition,
@@ -161,9 +187,21 @@
     if state.decisions().poison.is_condemned(received_at, &job.fingerprint) {
         return refuse(&state, &id_text, RefusalReason::Poisoned, Duration::from_secs(1));
     }
+    if ends_too_late(&state, &job) {
+        // Another entry can take the request at once.
+        return refuse(&state, &id_text, RefusalReason::Stopping, min_retry_delay);
+    }
     run_job(state, routes, Arc::new(job)).await
 }
 
+/// Returns whether this entry is stopping and ends before the request would.
+fn ends_too_late(state: &GatewayState, job: &GatewayJob) -> bool {
+    let Some(schedule) = state.stop_schedule.get() else { return false };
+    let latency = state.decisions().route_latency(&job.route).hedge;
+    let (now, give_up_at) = (state.now(), job.give_up_at);
+    schedule.verdict(now, give_up_at, job.route.repeat, latency) == StopVerdict::Refuse
+}
+
 fn host_of(parts: &Parts) -> Option<String> {
     if let Some(authority) = parts.uri.authority() {
         return Some(authority.host().to_owned());
--- a/hickoryspan_gateway/src/gateway_state.rs
+++ b/hickoryspan_gateway/src/gateway_state.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 use std::sync::atomic::AtomicU64;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Duration;
 
 use hickoryspan_core::entry::latency::{LatencyDistribution, LatencySettings};
@@ -16,6 +16,7 @@
 use hickoryspan_core::gateway::entry_list::EntryList;
 use hickoryspan_core::gateway::liveness::LivenessTable;
 use hickoryspan_core::gateway::log_limit::{LogLimiter, LogPriority};
+use hickoryspan_core::gateway::planned_stop::StopSchedule;
 use hickoryspan_core::gateway::poison::PoisonTable;
 use hickoryspan_core::gateway::processor_lag::{LagMonitor, LagSettings};
 use hickoryspan_core::gateway::relays::{
@@ -210,6 +211,8 @@
     pub(crate) tasks_served: AtomicU64,
     /// Causes an immediate report over all directory links.
     pub(crate) report_trigger: watch::Sender<u64>,
+    /// Set when a planned stop begins.
+    pub(crate) stop_schedule: OnceLock<StopSchedule>,
     decisions: Mutex<SharedDecisions>,
     log_limiter: Mutex<LogLimiter>,
 }
@@ -247,6 +250,7 @@
             fanout,
             tasks_served: AtomicU64::new(0),
             report_trigger: watch::Sender::new(0),
+            stop_schedule: OnceLock::new(),
             clock: SystemClock::start(),
             pool: TargetPool::default(),
             decisions: Mutex::new(decisions),
--- a/hickoryspan_gateway/src/settings.rs
+++ b/hickoryspan_gateway/src/settings.rs
@@ -68,7 +68,8 @@
     pub connect_delay: Duration,
     /// How long a stopping entry still accepts connections.
     pub accept_after_stop: Duration,
-    /// How long a stopping entry waits for requests in flight, counted from the start of the stop.
+    /// How long a stopping entry waits for requests in flight, counted from the start of the stop. Those that are left
+    /// then get an answer of the entry.
     pub finish_after_stop: Duration,
     /// Idle timeout of connections to targets that state none themselves.
     pub target_idle: Duration,
--- a/hickoryspan_gateway/tests/gateway/planned_stop.rs
+++ b/hickoryspan_gateway/tests/gateway/planned_stop.rs
@@ -8,9 +8,10 @@
 
 use crate::support::{
     Deployment, ScriptedTarget, SeenRequest, TEST_TIMEOUT, TargetAction, exchange_on, get, route,
-    to_service,
+    to_service, to_shards,
 };
-use hickoryspan_core::gateway::document::RepeatRule;
+use hickoryspan_core::gateway::document::{RepeatRule, RouteDestination};
+use rstest::rstest;
 use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
 
@@ -41,3 +42,76 @@
     tokio::time::timeout(TEST_TIMEOUT, stop).await.expect("the stop ends").expect("no panic");
     deployment.stop().await;
 }
+
+/// Time of the targets for a request, longer than a stopping entry waits for it.
+const LONG_WORK: Duration = Duration::from_millis(1_500);
+
+async fn start_with_slow_target(
+    repeat: RepeatRule,
+    destination: RouteDestination,
+    finish: Duration,
+) -> (Deployment, ScriptedTarget) {
+    let script = |request: &SeenRequest| {
+        TargetAction::SendLater(LONG_WORK, request.answer("stamp", b"0123456789abcdef"))
+    };
+    let target = ScriptedTarget::start(Arc::new(script)).await;
+    let accept = finish - Duration::from_millis(200);
+    let mut deployment = Deployment::start_stopping(accept, finish).await;
+    deployment.configure(vec![route("/one/", repeat, destination)]).await;
+    deployment.announce("t", "one", target.address).await;
+    (deployment, target)
+}
+
+/// Guards against requests that are taken late in a planned stop, passed on, and cut at its end, in particular those
+/// that may not be sent again.
+#[rstest]
+#[case::may_not_be_repeated(RepeatRule::AtMostOnce, to_service("one"))]
+#[case::may_be_repeated(RepeatRule::Idempotent, to_service("one"))]
+#[case::over_shards(RepeatRule::Idempotent, to_shards(&["one"], 1.0))]
+#[tokio::test]
+async fn a_request_that_cannot_end_before_the_entry_is_refused(
+    #[case] repeat: RepeatRule,
+    #[case] destination: RouteDestination,
+) {
+    let finish = Duration::from_millis(800);
+    let (mut deployment, target) = start_with_slow_target(repeat, destination, finish).await;
+    let entry = deployment.entry.take().expect("an entry");
+    let readiness = entry.readiness();
+    let stop = tokio::spawn(entry.drain());
+    while readiness.is_ready() {
+        tokio::task::yield_now().await;
+    }
+    let mut stream = TcpStream::connect(deployment.address).await.expect("connect to the entry");
+    let answer = exchange_on(&mut stream, &get("/one/")).await;
+    assert_eq!((answer.status, answer.body.as_slice()), (503, b"stopping".as_slice()));
+    assert!(answer.header("retry-after").is_some());
+    assert_eq!(target.count(), 0, "the request reached a target");
+    tokio::time::timeout(TEST_TIMEOUT, stop).await.expect("the stop ends").expect("no panic");
+    deployment.stop().await;
+}
+
+/// Guards against requests that were taken before a stop and end with their connection instead of an answer.
+#[rstest]
+#[case::may_not_be_repeated(RepeatRule::AtMostOnce, to_service("one"))]
+#[case::over_shards(RepeatRule::Idempotent, to_shards(&["one"], 1.0))]
+#[tokio::test]
+async fn a_request_in_flight_at_the_end_of_a_stop_is_answered(
+    #[case] repeat: RepeatRule,
+    #[case] destination: RouteDestination,
+) {
+    let finish = Duration::from_millis(400);
+    let (mut deployment, target) = start_with_slow_target(repeat, destination, finish).await;
+    let mut stream = TcpStream::connect(deployment.address).await.expect("connect to the entry");
+    let request = get("/one/");
+    let exchange = exchange_on(&mut stream, &request);
+    let entry = deployment.entry.take().expect("an entry");
+    let stop = async {
+        while target.count() == 0 {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        entry.drain().await;
+    };
+    let (answer, ()) = tokio::join!(exchange, stop);
+    assert_eq!((answer.status, answer.body.as_slice()), (504, b"stop_timed_out".as_slice()));
+    deployment.stop().await;
+}
--- a/hickoryspan_gateway/tests/gateway/support.rs
+++ b/hickoryspan_gateway/tests/gateway/support.rs
@@ -254,8 +254,27 @@
         Self::start_with(0, RelaySettings::default()).await
     }
 
+    /// Starts a deployment whose entry accepts connections for some time after a stop has begun, and waits for requests
+    /// until `finish` after that.
+    pub async fn start_stopping(accept: Duration, finish: Duration) -> Self {
+        let settings = |template| GatewaySettings {
+            accept_after_stop: accept,
+            finish_after_stop: finish,
+            ..template
+        };
+        Self::start_adjusted(0, RelaySettings::default(), settings).await
+    }
+
     /// Starts a deployment with `others` further entries.
     pub async fn start_with(others: usize, relays: RelaySettings) -> Self {
+        Self::start_adjusted(others, relays, |template| template).await
+    }
+
+    async fn start_adjusted(
+        others: usize,
+        relays: RelaySettings,
+        adjust: impl FnOnce(GatewaySettings) -> GatewaySettings,
+    ) -> Self {
         let folder = tempfile::tempdir().expect("a folder");
         let settings = control_settings(folder.path());
         initialize_folder(&settings.data_folder, FolderRole::First).expect("a data folder");
@@ -277,6 +296,7 @@
                 DirectorySettings::new(credential()),
             )
         };
+        let template = adjust(template);
         let mut deployment = Self {
             hub,
             entry: None,
