Start with removed log segments of which some reappear

Callers saw: after losses of power on three of five control hosts, none of them started again, reads of the acknowledged configuration were answered 503 for good. No disk was lost.

Names that were removed since the last sync of the folder reappear in any choice. Beside it: numbers began at 1 again while old names could still reappear, and the cut after a full disk was not synced. Opening syncs the folder, the cut is synced. The test of the cut has a second case for that sync, and the test of all steps passes over both steps that only run after another fault, as it did for the first.

--- a/hickoryspan_store/src/file_log.rs
+++ b/hickoryspan_store/src/file_log.rs
@@ -123,6 +123,7 @@
             if error.is_no_space() {
                 // A partially written record counts as corruption once other records follow it.
                 file_ops::truncate("segment_cut", &segment.path, file, segment.length)
+                    .and_then(|()| file_ops::sync("segment_cut_sync", &segment.path, file))
                     .map_err(BatchError::Broken)?;
             }
             return Err(error.into());
@@ -136,8 +137,10 @@
 
     fn create_segment(&mut self) -> Result<ActiveSegment, BatchError> {
         let (folder, number) = (&self.folder.path, self.next_number);
+        let indexes = self.sealed.iter().map(|segment| segment.max_index);
+        let preceding = indexes.fold(self.snapshot, LogIndex::max);
         // If this fails, the next attempt overwrites the incomplete file, or the next open removes it.
-        let (segment, file) = segment::create(folder, self.folder.identity, number)?;
+        let (segment, file) = segment::create(folder, self.folder.identity, number, preceding)?;
         self.next_number += 1;
         Ok(ActiveSegment { segment, file })
     }
@@ -162,7 +165,8 @@
         self.remove_compacted_segments().map_err(BatchError::Broken)
     }
 
-    // Removes segments from the oldest on, as long as the snapshot covers all their entries.
+    // Removes segments from the oldest on, as long as the snapshot covers all their entries. The folder is not synced:
+    // after a loss of power any of them may reappear, and reading the folder removes them again.
     fn remove_compacted_segments(&mut self) -> Result<(), StepError> {
         while let Some(oldest) = self.sealed.first() {
             if oldest.max_index > self.snapshot || self.snapshot == LogIndex(0) {
--- a/hickoryspan_store/src/file_ops.rs
+++ b/hickoryspan_store/src/file_ops.rs
@@ -24,6 +24,7 @@
     "segment_write",
     "segment_sync",
     "segment_cut",
+    "segment_cut_sync",
     "segment_remove",
     "snapshot_write",
     "snapshot_sync",
--- a/hickoryspan_store/src/folder.rs
+++ b/hickoryspan_store/src/folder.rs
@@ -104,6 +104,8 @@
         let snapshot = self.read_snapshot(&names)?;
         let snapshot_index = snapshot.as_ref().map_or(LogIndex(0), |snapshot| snapshot.index);
         let (segments, entries) = self.read_segments(&names, snapshot_index)?;
+        // Names that were removed here or by the last process must not reappear beside new ones with equal numbers.
+        file_ops::sync_folder(&self.path)?;
         let recovered = RecoveredState { hard_state, snapshot, entries };
         let log = FileLog::open(self, segments, snapshot_index)?;
         Ok(OpenedLog { log, recovered })
@@ -155,14 +157,19 @@
         let mut entries = Vec::new();
         for (position, number) in numbers.iter().enumerate() {
             let path = segment::segment_path(&self.path, *number);
-            if segments.last().is_some_and(|previous| previous.number + 1 != *number) {
-                return Err(StoreError::corrupt(&path, 0, "previous segment is missing"));
-            }
             let last = position + 1 == numbers.len();
             let Some(loaded) = segment::load(&self.path, self.identity, *number, last)? else {
                 file_ops::remove("segment_remove", &path)?;
                 continue;
             };
+            if segments.last().is_some_and(|previous| previous.number + 1 != *number) {
+                if !is_compacted(&segments, &loaded.segment, snapshot_index) {
+                    return Err(StoreError::corrupt(&path, 0, "previous segment is missing"));
+                }
+                for leftover in segments.drain(..) {
+                    file_ops::remove("segment_remove", &leftover.path)?;
+                }
+            }
             for record in loaded.records {
                 replay(&path, snapshot_index, &mut entries, record)?;
             }
@@ -172,6 +179,13 @@
     }
 }
 
+// Returns whether the snapshot covers all entries before a segment. A missing one was then removed together with those
+// before it, some of which have reappeared after a loss of power.
+fn is_compacted(before: &[SegmentFile], segment: &SegmentFile, snapshot_index: LogIndex) -> bool {
+    let indexes = before.iter().map(|segment| segment.max_index).chain(segment.preceding);
+    indexes.max().is_none_or(|newest| newest <= snapshot_index)
+}
+
 fn replay(
     path: &Path,
     snapshot_index: LogIndex,
--- a/hickoryspan_store/src/segment.rs
+++ b/hickoryspan_store/src/segment.rs
@@ -22,6 +22,9 @@
     Header {
         /// Number of the segment. Consecutive segments have consecutive numbers.
         number: u64,
+        /// Largest index of any entry before this segment; `None` if an older version created it.
+        #[serde(default)]
+        preceding: Option<LogIndex>,
     },
     /// One change of the log: a truncation, new entries, or both.
     Batch {
@@ -41,6 +44,8 @@
     pub length: u64,
     /// Largest index of any entry in the segment, including entries that a later record removes.
     pub max_index: LogIndex,
+    /// Largest index of any entry before the segment; `None` if an older version created it.
+    pub preceding: Option<LogIndex>,
 }
 
 /// A segment with the records read from it.
@@ -72,15 +77,18 @@
     folder: &Path,
     identity: ReplicaId,
     number: u64,
+    preceding: LogIndex,
 ) -> Result<(SegmentFile, File), StepError> {
     let path = segment_path(folder, number);
     let mut file = file_ops::create("segment_create", &path)?;
-    let header = record::to_record(identity, 0, &encode(&SegmentRecord::Header { number }));
+    let preceding = Some(preceding);
+    let header = SegmentRecord::Header { number, preceding };
+    let header = record::to_record(identity, 0, &encode(&header));
     file_ops::write_at("segment_header_write", &path, &mut file, 0, &header)?;
     file_ops::sync("segment_header_sync", &path, &file)?;
     file_ops::sync_folder(folder)?;
     let length = header.len() as u64;
-    Ok((SegmentFile { number, path, length, max_index: LogIndex(0) }, file))
+    Ok((SegmentFile { number, path, length, max_index: LogIndex(0), preceding }, file))
 }
 
 /// Opens a segment for appending.
@@ -106,6 +114,7 @@
     })?;
     let mut records = Vec::new();
     let mut max_index = LogIndex(0);
+    let mut preceding = None;
     let mut offset = 0;
     loop {
         match record::read_record(identity, &bytes, offset) {
@@ -113,9 +122,12 @@
             ReadRecord::Valid { payload, end } => {
                 let record = decode(&path, offset, payload)?;
                 check_position(&path, offset, number, &record)?;
-                if let SegmentRecord::Batch { entries, .. } = &record {
-                    let indexes = entries.iter().map(|entry| entry.index);
-                    max_index = indexes.fold(max_index, LogIndex::max);
+                match &record {
+                    SegmentRecord::Header { preceding: found, .. } => preceding = *found,
+                    SegmentRecord::Batch { entries, .. } => {
+                        let indexes = entries.iter().map(|entry| entry.index);
+                        max_index = indexes.fold(max_index, LogIndex::max);
+                    }
                 }
                 records.push(record);
                 offset = end;
@@ -134,7 +146,7 @@
         }
         return Ok(None);
     }
-    let segment = SegmentFile { number, path, length: offset as u64, max_index };
+    let segment = SegmentFile { number, path, length: offset as u64, max_index, preceding };
     if offset < bytes.len() {
         truncate_torn_tail(&segment)?;
     }
@@ -160,7 +172,7 @@
     record: &SegmentRecord,
 ) -> Result<(), StoreError> {
     match record {
-        SegmentRecord::Header { number: found } if offset == 0 && *found == number => Ok(()),
+        SegmentRecord::Header { number: found, .. } if offset == 0 && *found == number => Ok(()),
         SegmentRecord::Batch { .. } if offset > 0 => Ok(()),
         _ => Err(StoreError::corrupt(
             path,
--- a/hickoryspan_store/tests/fail_points.rs
+++ b/hickoryspan_store/tests/fail_points.rs
@@ -13,6 +13,7 @@
 };
 use hickoryspan_core::types::{ReplicaId, TermNumber};
 use hickoryspan_store::{DataFolder, FAIL_POINTS, FileLog, StoreError};
+use rstest::rstest;
 use support::*;
 
 fn hard_state(term: u64) -> Option<HardState> {
@@ -121,8 +122,8 @@
         for action in &actions[..count] {
             failures += (0..).take_while(|hits| run_with_fault(point, action, *hits)).count();
         }
-        // This step runs only after another fault and has its own test.
-        assert!(failures > 0 || *point == "segment_cut", "{point} was never reached");
+        // These steps run only after another fault and have their own test.
+        assert!(failures > 0 || point.starts_with("segment_cut"), "{point} was never reached");
     }
     scenario.teardown();
 }
@@ -145,17 +146,20 @@
     scenario.teardown();
 }
 
-// If a partial record cannot be truncated after a failed write, the log must not be used again.
-#[test]
-fn a_failed_truncation_after_a_full_disk_breaks_the_log() {
+// If a partial record cannot be truncated after a failed write, the log must not be used again. The truncation is synced:
+// bytes that come back after a loss of power would make a segment unreadable that is not the last one any more.
+#[rstest]
+fn a_failed_truncation_after_a_full_disk_breaks_the_log(
+    #[values("segment_cut", "segment_cut_sync")] point: &'static str,
+) {
     let scenario = FailScenario::setup();
     let folder = tempfile::tempdir().unwrap();
     let mut log = create(folder.path());
     log.persist(&entries(1, 1, 1)).unwrap();
     fail::cfg("segment_write", "1*return(nospace)->off").unwrap();
-    fail::cfg("segment_cut", "1*return(broken)->off").unwrap();
+    fail::cfg(point, "1*return(broken)->off").unwrap();
     let broken = log.persist(&entries(2, 2, 1)).unwrap_err();
-    assert!(matches!(broken, PersistError::Broken { step: "segment_cut", .. }), "{broken}");
+    assert!(matches!(broken, PersistError::Broken { step, .. } if step == point), "{broken}");
     assert_eq!(log.persist(&entries(2, 2, 1)), Err(broken));
     scenario.teardown();
 }
