Refute a crash only over a connection that outlasted it

Callers saw: a request that crashes both targets of a service was passed on by one of two entries again and again; each time the service was down, and hundreds of other requests ended with 503 or 502.

Cause: a target's process was known by the start time it had last announced. Until the next process announces itself, its answers took back the crash of the one before, and its crash counted as the one that was known. A crash was dated to the end of its run, entries refuted crashes that they had only heard of, and invalid answers counted as crashes. Change: only an answer over a connection that is older than the loss refutes it, at the entry that noticed it. A loss on a connection opened after a known crash is a further crash. Invalid answers are `malformed` and no crash. Conclusion: every crash counts once, at all entries.

--- a/hickoryspan_core/src/gateway/outcomes.rs
+++ b/hickoryspan_core/src/gateway/outcomes.rs
@@ -26,8 +26,10 @@
     OtherTarget,
     /// The target answered with an error.
     Failed,
-    /// The connection ended, or the answer was not a valid answer to this request.
+    /// The connection ended without a complete answer.
     Lost,
+    /// The target answered, but not with a valid answer to this request.
+    Malformed,
     /// No answer arrived in time.
     Timeout,
 }
@@ -46,6 +48,7 @@
             Self::OtherTarget => "other_target",
             Self::Failed => "failed",
             Self::Lost => "lost",
+            Self::Malformed => "malformed",
             Self::Timeout => "timeout",
         }
     }
--- a/hickoryspan_core/src/gateway/poison.rs
+++ b/hickoryspan_core/src/gateway/poison.rs
@@ -9,7 +9,7 @@
 use super::directory::TargetProcess;
 use super::shared_table::{ChangeNumber, SharedTable};
 use crate::control::quarantine::QUARANTINE_MILLIS;
-use crate::types::{MonotonicTime, RequestFingerprint};
+use crate::types::{MonotonicTime, RequestFingerprint, TargetId, WallTime};
 
 /// Crashed targets after which a request counts as their cause and is refused.
 const CONDEMNING_CRASHES: usize = 3;
@@ -28,6 +28,29 @@
 /// Period over which new suspects are counted.
 const NEW_SUSPECT_PERIOD: Duration = Duration::from_secs(1);
 
+/// One end of a target's process while it ran a request. A target may start again and crash once more before it has
+/// announced its new process.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct TargetCrash {
+    /// The target.
+    pub target: TargetId,
+    /// Start time of its last announced process, by its own clock.
+    pub started: WallTime,
+    /// How often it had crashed and accepted connections again since that announcement.
+    #[serde(default)]
+    pub restarts: u32,
+}
+
+/// A crash as a run noticed it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct NoticedCrash {
+    /// The crash.
+    pub crash: TargetCrash,
+    /// When this process lost the connection; `None` if another entry lost it.
+    pub lost_at: Option<MonotonicTime>,
+}
+
 /// What one process knows of a suspected request. Records of several processes merge in any order, any number of times.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -36,8 +59,8 @@
     pub fingerprint: RequestFingerprint,
     /// How often an answer has cleared the request. Crashes from before the last clearance do not count.
     pub clearances: u32,
-    /// The processes that ended while they ran the request, since the last clearance.
-    pub crashes: BTreeSet<TargetProcess>,
+    /// The crashes of targets that ran the request, since the last clearance.
+    pub crashes: BTreeSet<TargetCrash>,
     /// Time since the last crash or clearance.
     pub age: Duration,
 }
@@ -56,15 +79,18 @@
 #[derive(Clone, Debug)]
 struct Suspicion {
     clearances: u32,
-    crashes: BTreeSet<TargetProcess>,
+    crashes: BTreeSet<TargetCrash>,
     expires_at: MonotonicTime,
     changed: ChangeNumber,
 }
 
 #[derive(Clone, Copy, Debug)]
 struct CrashState {
+    // When it was noticed here or heard of.
     noted_at: MonotonicTime,
-    // Set once the same process has answered a request that was sent to it later.
+    // Whether this process noticed it, so that `noted_at` is exact.
+    is_own: bool,
+    // Set once an answer has shown that the process did not end.
     refuted: bool,
 }
 
@@ -72,7 +98,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct PoisonTable {
     suspects: HashMap<RequestFingerprint, Suspicion>,
-    crashes: HashMap<TargetProcess, CrashState>,
+    crashes: HashMap<TargetCrash, CrashState>,
     newest: ChangeNumber,
     // Requests that this process began to suspect since `period_start`.
     new_suspects: u32,
@@ -80,19 +106,21 @@
 }
 
 impl PoisonTable {
-    /// Records the results of a whole run. `crashes` are the targets whose connection was lost while they ran the
-    /// request. A request that any target answered is not the cause. Returns what changed.
+    /// Records the results of a whole run. `crashes` are the crashes of targets that ran the request, from
+    /// [`Self::identify_crash`]. A request that any target answered is not the cause. Returns what changed.
     pub fn note_run(
         &mut self,
         now: MonotonicTime,
         fingerprint: RequestFingerprint,
         answered: bool,
-        crashes: impl IntoIterator<Item = TargetProcess>,
+        crashes: impl IntoIterator<Item = NoticedCrash>,
     ) -> SuspicionChange {
         if answered {
             return self.clear(now, &fingerprint);
         }
-        let crashes: BTreeSet<TargetProcess> = crashes.into_iter().take(MAX_KEPT_CRASHES).collect();
+        let noticed: Vec<NoticedCrash> = crashes.into_iter().take(MAX_KEPT_CRASHES).collect();
+        let crashes: BTreeSet<TargetCrash> =
+            noticed.iter().map(|noticed| noticed.crash.clone()).collect();
         if crashes.is_empty() {
             return SuspicionChange::None;
         }
@@ -102,9 +130,18 @@
         }
         let clearances = clearances.unwrap_or_default();
         let record = SuspicionRecord { fingerprint, clearances, crashes, age: Duration::ZERO };
+        let known: Vec<bool> =
+            noticed.iter().map(|noticed| self.crashes.contains_key(&noticed.crash)).collect();
         if !self.merge(now, record) {
             return SuspicionChange::None;
         }
+        for (noticed, _) in noticed.iter().zip(known).filter(|(_, known)| !known) {
+            if let (Some(lost_at), Some(state)) =
+                (noticed.lost_at, self.crashes.get_mut(&noticed.crash))
+            {
+                *state = CrashState { noted_at: lost_at, is_own: true, refuted: false };
+            }
+        }
         SuspicionChange::Suspected(self.count_crashes(&fingerprint))
     }
 
@@ -139,10 +176,42 @@
         !self.crashes.is_empty()
     }
 
-    /// Records that a process answered a request that was sent to it at `sent_at`, so that it did not end before.
-    pub fn note_response(&mut self, process: &TargetProcess, sent_at: MonotonicTime) {
-        if let Some(state) = self.crashes.get_mut(process) {
-            state.refuted |= sent_at > state.noted_at;
+    /// Identifies the crash of a target whose connection, open since `connected_at`, was lost while it ran a request. A
+    /// connection that was opened after an earlier crash shows that the target has started again since then.
+    pub fn identify_crash(
+        &self,
+        process: &TargetProcess,
+        connected_at: MonotonicTime,
+    ) -> TargetCrash {
+        let of_process = |crash: &&TargetCrash| {
+            crash.target == process.target && crash.started == process.started
+        };
+        let earlier = self.crashes.keys().filter(of_process).max_by_key(|crash| crash.restarts);
+        let restarts = earlier.map_or(0, |crash| {
+            let has_restarted = connected_at > self.crashes[crash].noted_at;
+            crash.restarts.saturating_add(u32::from(has_restarted))
+        });
+        TargetCrash { target: process.target.clone(), started: process.started, restarts }
+    }
+
+    /// Records that a target answered a request that was sent to it at `sent_at`, over a connection that was open since
+    /// `connected_at`. A connection does not outlast its process, so the process did not end in between. An answer over
+    /// a newer connection may be that of another process of the target.
+    pub fn note_response(
+        &mut self,
+        process: &TargetProcess,
+        connected_at: MonotonicTime,
+        sent_at: MonotonicTime,
+    ) {
+        for (crash, state) in &mut self.crashes {
+            let lies_between = connected_at < state.noted_at && state.noted_at < sent_at;
+            if crash.target == process.target
+                && crash.started == process.started
+                && state.is_own
+                && lies_between
+            {
+                state.refuted = true;
+            }
         }
     }
 
@@ -156,7 +225,7 @@
     /// Returns the number of crashes that count against a request.
     fn count_crashes(&self, fingerprint: &RequestFingerprint) -> usize {
         let crashes = self.suspects.get(fingerprint).into_iter().flat_map(|known| &known.crashes);
-        let counts = |crash: &&TargetProcess| self.crashes.get(*crash).is_none_or(|s| !s.refuted);
+        let counts = |crash: &&TargetCrash| self.crashes.get(*crash).is_none_or(|s| !s.refuted);
         crashes.filter(counts).count()
     }
 
@@ -170,7 +239,7 @@
     }
 
     fn remove_unused_crashes(&mut self) {
-        let used: HashSet<&TargetProcess> =
+        let used: HashSet<&TargetCrash> =
             self.suspects.values().flat_map(|known| &known.crashes).collect();
         self.crashes.retain(|crash, _| used.contains(crash));
     }
@@ -246,7 +315,9 @@
                 continue;
             }
             has_new_crash = true;
-            self.crashes.insert(crash, CrashState { noted_at: now, refuted: false });
+            // Another request may have noticed the same crash.
+            let state = CrashState { noted_at: now, is_own: false, refuted: false };
+            self.crashes.entry(crash).or_insert(state);
         }
         if !is_newer && !has_new_crash {
             return false;
--- a/hickoryspan_core/tests/gateway_poison.rs
+++ b/hickoryspan_core/tests/gateway_poison.rs
@@ -5,7 +5,9 @@
 use std::time::Duration;
 
 use hickoryspan_core::gateway::directory::TargetProcess;
-use hickoryspan_core::gateway::poison::{PoisonTable, SuspicionChange, SuspicionRecord};
+use hickoryspan_core::gateway::poison::{
+    NoticedCrash, PoisonTable, SuspicionChange, SuspicionRecord, TargetCrash,
+};
 use hickoryspan_core::gateway::shared_table::{ChangeNumber, SharedTable};
 use hickoryspan_core::types::{MonotonicTime, RequestFingerprint, TargetId, WallTime};
 use rand::seq::SliceRandom;
@@ -21,15 +23,25 @@
     MonotonicTime(seconds * 1_000_000)
 }
 
-fn crash(target: u32) -> TargetProcess {
+fn process(target: u32) -> TargetProcess {
     TargetProcess {
         target: TargetId::new(format!("target-{target}")).expect("a name"),
         started: WallTime(1),
     }
 }
 
-fn crashes(targets: impl IntoIterator<Item = u32>) -> Vec<TargetProcess> {
-    targets.into_iter().map(crash).collect()
+fn crash(target: u32) -> TargetCrash {
+    let TargetProcess { target, started } = process(target);
+    TargetCrash { target, started, restarts: 0 }
+}
+
+/// A crash that the table's own process noticed at this time.
+fn noticed(crash: TargetCrash, lost_at: MonotonicTime) -> NoticedCrash {
+    NoticedCrash { crash, lost_at: Some(lost_at) }
+}
+
+fn crashes(lost_at: MonotonicTime, targets: impl IntoIterator<Item = u32>) -> Vec<NoticedCrash> {
+    targets.into_iter().map(|target| noticed(crash(target), lost_at)).collect()
 }
 
 /// Passes all changes of one table to another.
@@ -42,9 +54,9 @@
 #[test]
 fn a_request_that_crashed_three_targets_is_refused() {
     let mut table = PoisonTable::default();
-    table.note_run(at(1), FINGERPRINT, false, crashes([1, 2]));
+    table.note_run(at(1), FINGERPRINT, false, crashes(at(1), [1, 2]));
     assert!(!table.is_condemned(at(2), &FINGERPRINT));
-    table.note_run(at(3), FINGERPRINT, false, crashes([3]));
+    table.note_run(at(3), FINGERPRINT, false, crashes(at(3), [3]));
     assert!(table.is_condemned(at(4), &FINGERPRINT));
     assert!(!table.is_condemned(at(4), &RequestFingerprint([8; 32])));
 }
@@ -54,11 +66,11 @@
 fn a_target_that_crashed_once_counts_once() {
     let mut table = PoisonTable::default();
     for second in 0..10 {
-        table.note_run(at(second), FINGERPRINT, false, crashes([1, 2]));
+        table.note_run(at(second), FINGERPRINT, false, crashes(at(second), [1, 2]));
     }
     assert!(!table.is_condemned(at(10), &FINGERPRINT));
-    let restarted = TargetProcess { started: WallTime(2), ..crash(1) };
-    table.note_run(at(11), FINGERPRINT, false, [restarted]);
+    let restarted = TargetCrash { started: WallTime(2), ..crash(1) };
+    table.note_run(at(11), FINGERPRINT, false, [noticed(restarted, at(11))]);
     assert!(table.is_condemned(at(11), &FINGERPRINT));
 }
 
@@ -66,7 +78,7 @@
 fn lost_answers_of_some_shards_condemn_no_request_that_others_answered() {
     let mut table = PoisonTable::default();
     for second in 0..20 {
-        table.note_run(at(second), FINGERPRINT, true, crashes(0..12));
+        table.note_run(at(second), FINGERPRINT, true, crashes(at(second), 0..12));
     }
     assert!(!table.is_condemned(at(20), &FINGERPRINT));
 }
@@ -74,17 +86,17 @@
 #[test]
 fn an_answer_ends_the_suspicion() {
     let mut table = PoisonTable::default();
-    table.note_run(at(1), FINGERPRINT, false, crashes([1, 2]));
+    table.note_run(at(1), FINGERPRINT, false, crashes(at(1), [1, 2]));
     let change = table.note_run(at(2), FINGERPRINT, true, []);
     assert_eq!(change, SuspicionChange::Cleared);
-    table.note_run(at(3), FINGERPRINT, false, crashes([3, 4]));
+    table.note_run(at(3), FINGERPRINT, false, crashes(at(3), [3, 4]));
     assert!(!table.is_condemned(at(4), &FINGERPRINT));
 }
 
 #[test]
 fn a_refusal_ends_after_a_while() {
     let mut table = PoisonTable::default();
-    table.note_run(at(1), FINGERPRINT, false, crashes(0..5));
+    table.note_run(at(1), FINGERPRINT, false, crashes(at(1), 0..5));
     assert!(table.is_condemned(at(1) + LIFETIME - Duration::from_secs(1), &FINGERPRINT));
     assert!(!table.is_condemned(at(1) + LIFETIME + Duration::from_secs(1), &FINGERPRINT));
 }
@@ -94,7 +106,7 @@
 fn crashes_seen_by_different_hosts_add_up() {
     let mut tables = vec![PoisonTable::default(); HOSTS];
     for (table, target) in tables.iter_mut().zip(0..3) {
-        table.note_run(at(1), FINGERPRINT, false, [crash(target)]);
+        table.note_run(at(1), FINGERPRINT, false, [noticed(crash(target), at(1))]);
     }
     let mut hub = PoisonTable::default();
     for table in &tables {
@@ -116,7 +128,12 @@
         let fingerprint = RequestFingerprint([generator.random_range(0..4); 32]);
         let answered = generator.random_bool(0.2);
         let target = generator.random_range(0..5);
-        tables[host].note_run(at(second), fingerprint, answered, [crash(target)]);
+        tables[host].note_run(
+            at(second),
+            fingerprint,
+            answered,
+            [noticed(crash(target), at(second))],
+        );
         let (from, to) = (generator.random_range(0..HOSTS), generator.random_range(0..HOSTS));
         let source = tables[from].clone();
         pass_on(at(second), &source, &mut tables[to]);
@@ -135,7 +152,7 @@
         }
         let mut records = table.changed_since(at(200), ChangeNumber::default());
         records.sort_by_key(|record| record.fingerprint);
-        let known: Vec<(RequestFingerprint, u32, BTreeSet<TargetProcess>)> =
+        let known: Vec<(RequestFingerprint, u32, BTreeSet<TargetCrash>)> =
             records.into_iter().map(|r| (r.fingerprint, r.clearances, r.crashes)).collect();
         merged.push(known);
     }
@@ -146,7 +163,7 @@
 #[test]
 fn a_known_record_is_no_change() {
     let mut table = PoisonTable::default();
-    table.note_run(at(1), FINGERPRINT, false, crashes([1, 2]));
+    table.note_run(at(1), FINGERPRINT, false, crashes(at(1), [1, 2]));
     let changed = table.changed_since(at(2), ChangeNumber::default());
     assert_eq!(changed.len(), 1);
     let newest = table.newest();
@@ -158,7 +175,7 @@
 #[test]
 fn a_restored_record_keeps_its_age() {
     let mut table = PoisonTable::default();
-    table.note_run(at(1), FINGERPRINT, false, crashes(0..3));
+    table.note_run(at(1), FINGERPRINT, false, crashes(at(1), 0..3));
     let saved = table.changed_since(at(101), ChangeNumber::default());
     let mut restarted = PoisonTable::default();
     for record in saved {
@@ -172,13 +189,13 @@
 #[test]
 fn a_target_that_answers_later_has_not_crashed() {
     let mut table = PoisonTable::default();
-    table.note_run(at(1), FINGERPRINT, false, crashes(0..3));
-    table.note_response(&crash(0), at(0));
+    table.note_run(at(1), FINGERPRINT, false, crashes(at(1), 0..3));
+    table.note_response(&process(0), at(0), at(0));
     assert!(table.is_condemned(at(2), &FINGERPRINT));
-    table.note_response(&crash(0), at(2));
+    table.note_response(&process(0), at(0), at(2));
     assert!(!table.is_condemned(at(2), &FINGERPRINT));
-    let restarted = TargetProcess { started: WallTime(2), ..crash(0) };
-    table.note_run(at(3), FINGERPRINT, false, [restarted]);
+    let restarted = TargetCrash { started: WallTime(2), ..crash(0) };
+    table.note_run(at(3), FINGERPRINT, false, [noticed(restarted, at(3))]);
     assert!(table.is_condemned(at(3), &FINGERPRINT));
 }
 
@@ -186,7 +203,7 @@
 #[test]
 fn a_condemned_request_outlasts_many_suspects() {
     let mut table = PoisonTable::default();
-    table.note_run(at(1), FINGERPRINT, false, crashes(0..3));
+    table.note_run(at(1), FINGERPRINT, false, crashes(at(1), 0..3));
     // As many as seven entries may report in 30 s.
     for number in 0..6_720_u32 {
         let record = SuspicionRecord {
@@ -212,15 +229,15 @@
 #[test]
 fn the_loss_of_many_targets_begins_few_suspicions() {
     let mut table = PoisonTable::default();
-    table.note_run(at(1), FINGERPRINT, false, crashes([1, 2]));
+    table.note_run(at(1), FINGERPRINT, false, crashes(at(1), [1, 2]));
     for number in 0..5_000 {
-        table.note_run(at(2), numbered(number), false, [crash(number % 40)]);
+        table.note_run(at(2), numbered(number), false, [noticed(crash(number % 40), at(2))]);
     }
     assert!(table.changed_since(at(2), ChangeNumber::default()).len() <= 40);
-    table.note_run(at(2), FINGERPRINT, false, [crash(3)]);
+    table.note_run(at(2), FINGERPRINT, false, [noticed(crash(3), at(2))]);
     assert!(table.is_condemned(at(2), &FINGERPRINT));
     let later = numbered(6_000);
-    table.note_run(at(4), later, false, crashes(0..3));
+    table.note_run(at(4), later, false, crashes(at(4), 0..3));
     assert!(table.is_condemned(at(4), &later));
 }
 
@@ -237,8 +254,73 @@
         };
         table.merge(at(1), record);
     }
-    table.note_run(at(2), FINGERPRINT, false, crashes(0..3));
+    table.note_run(at(2), FINGERPRINT, false, crashes(at(2), 0..3));
     assert!(table.is_condemned(at(2), &FINGERPRINT));
-    table.note_response(&crash(0), at(3));
+    table.note_response(&process(0), at(1), at(3));
     assert!(!table.is_condemned(at(3), &FINGERPRINT));
 }
+
+/// Guards against a request that is sent on again and again, because answers of a target that has started again seemed to
+/// show that it had not crashed.
+#[test]
+fn an_answer_over_a_newer_connection_refutes_no_crash() {
+    let mut table = PoisonTable::default();
+    table.note_run(at(1), FINGERPRINT, false, crashes(at(1), 0..3));
+    // The target is back, and its first announcement has not arrived.
+    table.note_response(&process(0), at(2), at(3));
+    assert!(table.is_condemned(at(3), &FINGERPRINT));
+}
+
+/// Guards against a retry that ends long after the crash: connections that were opened in between belong to the next
+/// process of the target.
+#[test]
+fn a_crash_counts_from_the_loss_of_its_connection_and_not_from_the_end_of_its_run() {
+    let mut table = PoisonTable::default();
+    table.note_run(at(5), FINGERPRINT, false, crashes(at(1), 0..3));
+    table.note_response(&process(0), at(3), at(6));
+    assert!(table.is_condemned(at(6), &FINGERPRINT));
+}
+
+/// Guards against a crash that another entry noticed and reported late: a connection to the next process is older than
+/// the report.
+#[test]
+fn an_answer_refutes_no_crash_that_another_host_noticed() {
+    let mut other = PoisonTable::default();
+    other.note_run(at(1), FINGERPRINT, false, crashes(at(1), 0..3));
+    let mut table = PoisonTable::default();
+    pass_on(at(5), &other, &mut table);
+    table.note_response(&process(0), at(3), at(6));
+    assert!(table.is_condemned(at(6), &FINGERPRINT));
+}
+
+/// Guards against targets that crash again before they have announced their new process, or that never name the time of
+/// their start: all these crashes would count as one.
+#[rstest]
+#[case::one_host_notices_all(1)]
+#[case::each_is_noticed_by_another_host(3)]
+fn a_target_that_crashes_after_each_restart_counts_each_time(#[case] hosts: usize) {
+    let mut tables = vec![PoisonTable::default(); hosts];
+    for round in 0..3_u64 {
+        let now = at(10 * round + 5);
+        let connected_at = at(10 * round + 4);
+        let table = &mut tables[round as usize % hosts];
+        assert!(!table.is_condemned(now, &FINGERPRINT), "round {round}");
+        let crash = table.identify_crash(&process(1), connected_at);
+        assert_eq!(crash.restarts, round as u32);
+        table.note_run(now, FINGERPRINT, false, [noticed(crash, now)]);
+        for from in 0..hosts {
+            let source = tables[from].clone();
+            tables.iter_mut().for_each(|table| pass_on(now, &source, table));
+        }
+    }
+    assert!(tables.iter().all(|table| table.is_condemned(at(30), &FINGERPRINT)));
+}
+
+/// Guards against several lost requests of one crash that count as several crashes.
+#[test]
+fn requests_lost_on_older_connections_belong_to_the_same_crash() {
+    let mut table = PoisonTable::default();
+    let first = table.identify_crash(&process(1), at(1));
+    table.note_run(at(5), FINGERPRINT, false, [noticed(first.clone(), at(5))]);
+    assert_eq!(table.identify_crash(&process(1), at(4)), first);
+}
--- a/hickoryspan_gateway/src/attempt.rs
+++ b/hickoryspan_gateway/src/attempt.rs
@@ -68,6 +68,8 @@
     pub(crate) target: ChosenTarget,
     /// Time between the launch of the attempt and its start, in which this process did other work.
     pub(crate) start_delay: Duration,
+    /// When the connection was established on which the request was sent; `None` if there was none.
+    pub(crate) connected_at: Option<MonotonicTime>,
     pub(crate) result: AttemptResult,
 }
 
@@ -109,7 +111,8 @@
         started_at,
         outcome: None,
     };
-    let result = exchange(&state, &job, &service, &target).await;
+    let mut connected_at = None;
+    let result = exchange(&state, &job, &service, &target, &mut connected_at).await;
     let now = state.now();
     guard.outcome = Some(match &result {
         AttemptResult::Answer(_) => AttemptOutcome::Success(now.since(started_at)),
@@ -118,12 +121,12 @@
     if let AttemptResult::Answer(_) = &result {
         let mut decisions = state.decisions();
         decisions.record_latency(&job.route, now.since(started_at));
-        if decisions.poison.has_crashes() {
-            decisions.poison.note_response(&target.process(), started_at);
+        if let Some(connected_at) = connected_at.filter(|_| decisions.poison.has_crashes()) {
+            decisions.poison.note_response(&target.process(), connected_at, started_at);
         }
     }
     drop(guard);
-    AttemptReport { shard, target, start_delay, result }
+    AttemptReport { shard, target, start_delay, connected_at, result }
 }
 
 async fn exchange(
@@ -131,11 +134,13 @@
     job: &GatewayJob,
     service: &ServiceId,
     target: &ChosenTarget,
+    connected_at: &mut Option<MonotonicTime>,
 ) -> AttemptResult {
     let share = state.connection_share(service, job.scope);
     let mut allow_reuse = true;
     loop {
-        let acquired = state.pool.acquire(&target.target, target.address, share, allow_reuse);
+        let (pool, clock) = (&state.pool, &state.clock);
+        let acquired = pool.acquire(&target.target, target.address, share, allow_reuse, clock);
         let mut pooled = match acquired.await {
             Ok(pooled) => pooled,
             Err(error) => {
@@ -143,6 +148,7 @@
                 return AttemptResult::Failure(AttemptFailure::Unreachable, None);
             }
         };
+        *connected_at = Some(pooled.connected_at);
         let request = match build_request(state, job, target) {
             Ok(request) => request,
             Err(error) => {
@@ -159,7 +165,11 @@
                 spdlog::debug!("send to {}: {}", target.address, cause);
                 return AttemptResult::Failure(AttemptFailure::Unreachable, None);
             }
-            Err(error) => {
+            Err(SendError::TooLarge(bytes)) => {
+                spdlog::debug!("answer of {}: more than {} bytes", target.address, bytes);
+                return AttemptResult::Failure(AttemptFailure::Malformed, None);
+            }
+            Err(error @ SendError::ConnectionLost(_)) => {
                 spdlog::debug!("answer of {}: {}", target.address, error);
                 return AttemptResult::Failure(AttemptFailure::Lost, None);
             }
@@ -198,7 +208,7 @@
     let echoed = answer.headers.get(&names.request);
     // This is a late answer to an earlier request, so the connection cannot be reused.
     if echoed.is_some() && echoed != job.request.as_ref() {
-        return AttemptResult::Failure(AttemptFailure::Lost, None);
+        return AttemptResult::Failure(AttemptFailure::Malformed, None);
     }
     note_limit(state, target, &answer);
     if let Some(load) = answer.headers.get(&names.load).and_then(parse_load) {
@@ -217,7 +227,7 @@
     }
     let stamped = answer.headers.contains_key(&names.stamp);
     if answer.status.is_success() && !stamped {
-        return AttemptResult::Failure(AttemptFailure::Lost, None);
+        return AttemptResult::Failure(AttemptFailure::Malformed, None);
     }
     if answer.status.is_server_error() || claims_not_run(answer.status) {
         return AttemptResult::Failure(AttemptFailure::Failed, Some(answer));
--- a/hickoryspan_gateway/src/fanout_messages.rs
+++ b/hickoryspan_gateway/src/fanout_messages.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hickoryspan_core::gateway::directory::TargetProcess;
+use hickoryspan_core::gateway::poison::TargetCrash;
 use hickoryspan_core::sheet::duration_millis;
 use hickoryspan_core::types::ServiceId;
 use http::{HeaderMap, HeaderName, HeaderValue};
@@ -90,9 +90,9 @@
     pub(crate) last: bool,
     /// Shards to which nothing was sent because the sender knows no usable target; only in the last batch.
     pub(crate) unsent: Vec<usize>,
-    /// The targets whose connection was lost while they ran the request; only in the last batch.
+    /// The crashes of targets while they ran the request; only in the last batch.
     #[serde(default)]
-    pub(crate) crashes: Vec<TargetProcess>,
+    pub(crate) crashes: Vec<TargetCrash>,
     /// Their number, for entries of versions that do not know `crashes`.
     pub(crate) lost: u32,
     /// The shortest queue of each shard's targets in waiting requests per slot; only in the last batch.
--- a/hickoryspan_gateway/src/fanout_server.rs
+++ b/hickoryspan_gateway/src/fanout_server.rs
@@ -192,7 +192,8 @@
         let unsent = outcome.unsent.iter().map(|shard| shard.0).collect();
         let lost = u32::try_from(outcome.crashes.len()).unwrap_or(u32::MAX);
         let batch = self.batcher.take_batch();
-        Ok(FanoutBatch { crashes: outcome.crashes, lost, unsent, ..batch })
+        let crashes = outcome.crashes.into_iter().map(|noticed| noticed.crash).collect();
+        Ok(FanoutBatch { crashes, lost, unsent, ..batch })
     }
 
     fn handle_event(&mut self, event: RunEvent) {
--- a/hickoryspan_gateway/src/run.rs
+++ b/hickoryspan_gateway/src/run.rs
@@ -8,11 +8,10 @@
 use bytes::Bytes;
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
-use hickoryspan_core::gateway::directory::TargetProcess;
 use hickoryspan_core::gateway::fanout::{FanoutMachine, FanoutStep, LaunchReason, ShardIndex};
 use hickoryspan_core::gateway::log_limit::LogPriority;
 use hickoryspan_core::gateway::outcomes::AttemptFailure;
-use hickoryspan_core::gateway::poison::SuspicionChange;
+use hickoryspan_core::gateway::poison::{NoticedCrash, SuspicionChange};
 use hickoryspan_core::gateway::relays::{RetryGate, RetryVerdict};
 use hickoryspan_core::gateway::selection::ChosenTarget;
 use hickoryspan_core::types::{MonotonicTime, ServiceId, TargetId};
@@ -126,8 +125,8 @@
     pub(crate) unsent: Vec<ShardIndex>,
     /// The first shards without an answer, at most [`MAX_LOGGED_SHARDS`]; empty if the run was for another entry.
     pub(crate) missing: Vec<MissingShard>,
-    /// The targets whose connection was lost while they ran the request.
-    pub(crate) crashes: Vec<TargetProcess>,
+    /// The crashes of targets while they ran the request.
+    pub(crate) crashes: Vec<NoticedCrash>,
     /// Number of shard groups that were handed to other entries.
     pub(crate) relayed_groups: usize,
     /// Whether any target may have run the request.
@@ -380,7 +379,8 @@
         if !batch.last {
             return;
         }
-        self.outcome.crashes.extend(batch.crashes);
+        let crashes = batch.crashes.into_iter();
+        self.outcome.crashes.extend(crashes.map(|crash| NoticedCrash { crash, lost_at: None }));
         let now = self.state.now();
         let mut decisions = self.state.decisions();
         for (shard, queue) in shards.iter().zip(batch.queues) {
@@ -461,7 +461,7 @@
     }
 
     fn handle_report(&mut self, report: AttemptReport) {
-        let AttemptReport { shard, target, start_delay, result } = report;
+        let AttemptReport { shard, target, start_delay, connected_at, result } = report;
         self.longest_start_delay = self.longest_start_delay.max(start_delay);
         match result {
             AttemptResult::Answer(answer)
@@ -478,14 +478,23 @@
             }
             AttemptResult::Failure(failure, answer) => {
                 self.log_failure(&target, failure);
-                if failure == AttemptFailure::Lost {
-                    self.outcome.crashes.push(target.process());
+                if let Some(connected_at) = connected_at.filter(|_| failure == AttemptFailure::Lost)
+                {
+                    self.note_crash(&target, connected_at);
                 }
                 self.note_failure(shard, failure, answer);
             }
         }
     }
 
+    fn note_crash(&mut self, target: &ChosenTarget, connected_at: MonotonicTime) {
+        let now = self.state.now();
+        let decisions = self.state.decisions();
+        let crash = decisions.poison.identify_crash(&target.process(), connected_at);
+        drop(decisions);
+        self.outcome.crashes.push(NoticedCrash { crash, lost_at: Some(now) });
+    }
+
     fn record_answer(&mut self, shard: ShardIndex, answer: HttpAnswer) {
         match &self.sink {
             Some(sink) => sink.send(RunEvent::Part(shard, answer)),
--- a/hickoryspan_gateway/src/target_pool.rs
+++ b/hickoryspan_gateway/src/target_pool.rs
@@ -6,7 +6,8 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
-use hickoryspan_core::types::TargetId;
+use hickoryspan_core::types::{MonotonicTime, TargetId};
+use hickoryspan_runtime::clock::SystemClock;
 use hickoryspan_runtime::http_client::HttpConnection;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
@@ -17,6 +18,7 @@
 
 struct IdleConnection {
     connection: HttpConnection,
+    connected_at: MonotonicTime,
     usable_until: Instant,
 }
 
@@ -35,6 +37,8 @@
     pub(crate) connection: HttpConnection,
     /// Whether the connection was used before, in which case the target may have closed it in the meantime.
     pub(crate) reused: bool,
+    /// When the connection was established. The target's process is at least as old.
+    pub(crate) connected_at: MonotonicTime,
     _permit: OwnedSemaphorePermit,
 }
 
@@ -57,15 +61,23 @@
         address: SocketAddr,
         share: usize,
         allow_reuse: bool,
+        clock: &SystemClock,
     ) -> io::Result<PooledConnection> {
         let permits = self.permits(target, address, share);
         let permit = permits.acquire_owned().await.map_err(io::Error::other)?;
-        if let Some(connection) = self.take_idle(target, allow_reuse) {
-            return Ok(PooledConnection { connection, reused: true, _permit: permit });
+        if let Some(idle) = self.take_idle(target, allow_reuse) {
+            let IdleConnection { connection, connected_at, .. } = idle;
+            return Ok(PooledConnection {
+                connection,
+                reused: true,
+                connected_at,
+                _permit: permit,
+            });
         }
         let connection = HttpConnection::open(address, CONNECT_TIMEOUT).await?;
         metrics::counter!("hickoryspan_gateway_connections_opened_total").increment(1);
-        Ok(PooledConnection { connection, reused: false, _permit: permit })
+        let connected_at = clock.reading().monotonic;
+        Ok(PooledConnection { connection, reused: false, connected_at, _permit: permit })
     }
 
     fn permits(&self, target: &TargetId, address: SocketAddr, share: usize) -> Arc<Semaphore> {
@@ -89,7 +101,7 @@
     }
 
     /// Returns the most recently used idle connection. Without `allow_reuse`, all idle connections are closed instead.
-    fn take_idle(&self, target: &TargetId, allow_reuse: bool) -> Option<HttpConnection> {
+    fn take_idle(&self, target: &TargetId, allow_reuse: bool) -> Option<IdleConnection> {
         let mut targets = self.lock();
         let connections = targets.get_mut(target)?;
         if !allow_reuse {
@@ -98,7 +110,7 @@
         let now = Instant::now();
         while let Some(idle) = connections.idle.pop() {
             if idle.usable_until > now && !idle.connection.is_closed() {
-                return Some(idle.connection);
+                return Some(idle);
             }
         }
         None
@@ -113,6 +125,7 @@
         if let Some(connections) = self.lock().get_mut(target) {
             connections.idle.push(IdleConnection {
                 connection: pooled.connection,
+                connected_at: pooled.connected_at,
                 usable_until: Instant::now() + keep_for,
             });
         }
--- a/hickoryspan_gateway/tests/gateway/crash_sharing.rs
+++ b/hickoryspan_gateway/tests/gateway/crash_sharing.rs
@@ -28,13 +28,7 @@
         deployment.configure(routes()).await;
         let mut targets = Vec::new();
         for number in 0..TARGETS {
-            let target = ScriptedTarget::start(Arc::new(|request: &SeenRequest| {
-                match request.head.contains("/crash/") {
-                    true => TargetAction::Crash,
-                    false => TargetAction::Send(request.answer("stamp", b"record")),
-                }
-            }))
-            .await;
+            let target = ScriptedTarget::start(Arc::new(crash_or_answer)).await;
             deployment.announce(&format!("target-{number}"), "records", target.address).await;
             targets.push(target);
         }
@@ -69,6 +63,13 @@
     }
 }
 
+fn crash_or_answer(request: &SeenRequest) -> TargetAction {
+    match request.head.contains("/crash/") {
+        true => TargetAction::Crash,
+        false => TargetAction::Send(request.answer("stamp", b"record")),
+    }
+}
+
 fn routes() -> Vec<RouteRule> {
     vec![route("/", RepeatRule::AtMostOnce, to_service("records"))]
 }
@@ -111,3 +112,36 @@
     deployment.assert_refused_everywhere("/crash/plate").await;
     deployment.deployment.stop().await;
 }
+
+/// Guards against a request that crashes the same targets again and again: they start again, answer other requests, and
+/// crash before they have announced their new processes.
+#[tokio::test]
+async fn a_request_that_crashes_targets_before_they_announce_their_restart_is_refused() {
+    let mut crashing = CrashDeployment::start().await;
+    // One target is left, so that each crash is one of a target that has crashed before.
+    crashing.targets.truncate(1);
+    let address = crashing.targets[0].address;
+    let deployment = &mut crashing.deployment;
+    deployment.configure(vec![route("/", RepeatRule::AtMostOnce, to_service("lone"))]).await;
+    deployment.announce("lone-target", "lone", address).await;
+    for attempt in 0..ALLOWED_CRASHES {
+        let answer = deployment.exchange_at(attempt % ENTRIES, &get("/crash/plate")).await;
+        assert_eq!(answer.status, 502, "attempt {attempt}");
+        crashing.targets.clear();
+        tokio::time::sleep(SPREAD_TIME).await;
+        crashing.targets.push(ScriptedTarget::start_at(address, Arc::new(crash_or_answer)).await);
+        for entry in 0..ENTRIES {
+            // An entry may still hold a connection to the former process.
+            let mut last = 0;
+            for _ in 0..3 {
+                last = deployment.exchange_at(entry, &get("/plain/plate")).await.status;
+            }
+            assert_eq!(last, 200, "entry {entry}");
+        }
+    }
+    for entry in 0..ENTRIES {
+        let answer = deployment.exchange_at(entry, &get("/crash/plate")).await;
+        assert_eq!((answer.status, answer.body.as_slice()), (503, b"poisoned".as_slice()));
+    }
+    crashing.deployment.stop().await;
+}
--- a/hickoryspan_gateway/tests/gateway/support.rs
+++ b/hickoryspan_gateway/tests/gateway/support.rs
@@ -89,7 +89,11 @@
 
 impl ScriptedTarget {
     pub async fn start(script: TargetScript) -> Self {
-        let listener = TcpListener::bind(ANY_PORT).await.expect("bind a target");
+        Self::start_at(ANY_PORT, script).await
+    }
+
+    pub async fn start_at(address: SocketAddr, script: TargetScript) -> Self {
+        let listener = TcpListener::bind(address).await.expect("bind a target");
         let address = listener.local_addr().expect("the target's address");
         let seen = Arc::new(Mutex::new(Vec::new()));
         let mut tasks = JoinSet::new();
