--- a/hickoryspan_core/src/gateway/directory.rs
+++ b/hickoryspan_core/src/gateway/directory.rs
@@ -95,6 +95,17 @@
     pub seen_at: MonotonicTime,
 }
 
+impl KnownTarget {
+    // A process serves one service for all its life, so this is the announcement of another writer. Targets that do not
+    // name their start cannot be told from their next process.
+    fn contradicts(&self, announcement: &TargetAnnouncement) -> bool {
+        let started = announcement.age.started;
+        started != WallTime(0)
+            && started == self.announcement.age.started
+            && announcement.service != self.announcement.service
+    }
+}
+
 /// The effect of an announcement.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum DirectoryChange {
@@ -145,6 +156,9 @@
             // The same announcement may arrive via several control hosts.
             return DirectoryChange::Stale;
         }
+        if known.contradicts(&announcement) {
+            return DirectoryChange::Stale;
+        }
         let unchanged = TargetAnnouncement {
             age: announcement.age,
             cold: announcement.cold,
--- a/hickoryspan_core/src/gateway/selection.rs
+++ b/hickoryspan_core/src/gateway/selection.rs
@@ -157,7 +157,8 @@
         let reported_latency =
             load.map_or(1.0, |load| f64::from(load.latency_percent.max(100)) / 100.0);
         // The report includes the request whose response carried it.
-        let reported = load.map_or(0, |load| (load.running + load.waiting).saturating_sub(1));
+        let reported =
+            load.map_or(0, |load| load.running.saturating_add(load.waiting).saturating_sub(1));
         let ahead = f64::from(self.in_flight.max(reported));
         let slots = f64::from(self.announcement.slots.max(1));
         let waiting = (ahead + 1.0 - slots).max(0.0) / slots;
--- a/hickoryspan_core/tests/gateway_directory.rs
+++ b/hickoryspan_core/tests/gateway_directory.rs
@@ -125,3 +125,17 @@
     assert_eq!(known.changed, AnnouncementAge { started: WallTime(10), sequence: 3 });
     assert_eq!(known.announcement.age, renewed);
 }
+
+/// Guards against an announcement of another writer that moves a target of a running process to another service.
+#[test]
+fn a_process_does_not_change_its_service() {
+    let mut directory = TargetDirectory::default();
+    directory.announce(at(1), announcement("t", 10, 1));
+    let service = ServiceId::new("other").expect("a service name");
+    let odd = TargetAnnouncement { service: service.clone(), ..announcement("t", 10, 900) };
+    assert_eq!(directory.announce(at(2), odd), DirectoryChange::Stale);
+    assert_eq!(directory.announce(at(3), announcement("t", 10, 2)), DirectoryChange::Renewed);
+    // The next process may serve another one.
+    let next = TargetAnnouncement { service, ..announcement("t", 11, 1) };
+    assert_eq!(directory.announce(at(4), next), DirectoryChange::Changed);
+}
--- a/hickoryspan_core/tests/gateway_selection.rs
+++ b/hickoryspan_core/tests/gateway_selection.rs
@@ -339,3 +339,22 @@
     }
     assert!(!selector.limits().is_active());
 }
+
+/// Guards against figures of a target beyond all reason that end the process.
+#[rstest]
+fn the_largest_figures_of_a_target_are_no_fault(#[values(0, u32::MAX)] slots: u32) {
+    let (running, waiting) = (u32::MAX, u32::MAX);
+    let load = ReportedLoad { running, waiting, slots: 0, latency_percent: u32::MAX };
+    let mut selector = pair();
+    let odd = TargetAnnouncement {
+        slots,
+        cold: Duration::from_millis(u64::MAX),
+        age: AnnouncementAge { started: WallTime(u64::MAX), sequence: u64::MAX },
+        ..announcement("one", 9001)
+    };
+    selector.put(at(1), odd);
+    selector.note_load(at(1), &target("one"), load);
+    let chosen = selector.choose(at(2), &service(), &[]).expect("a target");
+    assert_eq!(chosen.target, target("two"));
+    assert!(selector.shortest_queue(at(2), &service()).is_some());
+}
--- a/hickoryspan_gateway/src/attempt.rs
+++ b/hickoryspan_gateway/src/attempt.rs
@@ -22,6 +22,11 @@
 /// Subtracted from the deadline that a target gets, so that its answer still arrives in time.
 const ANSWER_MARGIN: Duration = Duration::from_millis(2);
 
+/// Longest idle timeout of a target that is believed. Connections are closed long before that.
+const MAX_IDLE_TIME: Duration = Duration::from_secs(3_600);
+/// Largest number of running or waiting requests, or slots, that a target is believed to have.
+const MAX_REPORTED_REQUESTS: u32 = 1_000_000;
+
 /// On whose behalf attempts are sent, which determines how many connections to a target they may use.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum AttemptScope {
@@ -281,6 +286,9 @@
     let waiting = figures.next()??;
     let slots = figures.next()??;
     let latency_percent = figures.next().flatten().unwrap_or(100);
+    if [running, waiting, slots].into_iter().any(|figure| figure > MAX_REPORTED_REQUESTS) {
+        return None;
+    }
     Some(ReportedLoad { running, waiting, slots, latency_percent })
 }
 
@@ -297,5 +305,5 @@
     let stated = headers.get("keep-alive").and_then(|value| value.to_str().ok()).and_then(|text| {
         text.split(',').find_map(|part| part.trim().strip_prefix("timeout=")?.parse().ok())
     });
-    Some(stated.map_or(default, |seconds: u64| Duration::from_secs(seconds)))
+    Some(stated.map_or(default, |seconds: u64| Duration::from_secs(seconds).min(MAX_IDLE_TIME)))
 }
--- a/hickoryspan_gateway/src/gateway_state.rs
+++ b/hickoryspan_gateway/src/gateway_state.rs
@@ -28,7 +28,7 @@
 use hickoryspan_runtime::clock::SystemClock;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha12Rng;
-use tokio::sync::watch;
+use tokio::sync::{Semaphore, watch};
 
 use crate::attempt::AttemptScope;
 use crate::fanout_links::FanoutLinks;
@@ -282,12 +282,13 @@
         let decisions = self.decisions();
         let limit = decisions.routes.as_ref().and_then(|routes| routes.connections(service));
         // A tenth is kept free, because targets still count closed connections for a while.
-        let usable = limit.unwrap_or(DEFAULT_CONNECTIONS) * 9 / 10;
+        let usable = u64::from(limit.unwrap_or(DEFAULT_CONNECTIONS)) * 9 / 10;
         let users = match scope {
             AttemptScope::Direct => decisions.entries,
             AttemptScope::Relayed => decisions.relay_users(),
         };
-        (usable / users.max(1)).max(1) as usize
+        let share = usable / u64::from(users.max(1));
+        usize::try_from(share.max(1)).unwrap_or(usize::MAX).min(Semaphore::MAX_PERMITS)
     }
 
     /// Sends a report over all directory links now instead of at the next interval.
