--- a/hickoryspan_gateway/tests/gateway/odd_answers.rs
+++ b/hickoryspan_gateway/tests/gateway/odd_answers.rs
@@ -118,8 +118,7 @@
         let answer = deployment.exchange(&get("/one/")).await;
         assert_eq!((answer.status, answer.body.as_slice()), (200, BODY));
     }
-    let seen = target.seen.lock().expect("requests");
+    let seen = target.seen.lock().expect("requests").clone();
     assert!(seen.iter().any(|request| request.header("hs-target") == Some("later")));
-    drop(seen);
     deployment.stop().await;
 }
