Check a request again right before it is sent

Cause: the target was checked when it was chosen, and nothing looked again when the connection was free. Change: one check, GatewayState::check_send, stands before the only place that sends: target gone, restarted, moved or draining, deadline, crashes, route. What is held back has not run, so another target may get it without budget. Not covered by a case: suspected crashes and deadlines while waiting, and groups for other entries (the same code). Conclusion: waiting requests meet the same conditions as new ones.

--- a/hickoryspan_core/src/gateway/mod.rs
+++ b/hickoryspan_core/src/gateway/mod.rs
@@ -21,5 +21,6 @@
 pub mod relays;
 pub mod routes;
 pub mod selection;
+pub mod send_check;
 pub mod shared_table;
 pub mod target_limits;
--- a/hickoryspan_core/src/gateway/outcomes.rs
+++ b/hickoryspan_core/src/gateway/outcomes.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use super::send_check::SendBarrier;
+
 /// The load that a target reported with a response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ReportedLoad {
@@ -18,6 +20,8 @@
 /// The reason why an attempt failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub enum AttemptFailure {
+    /// The last check before sending found a reason not to send, so nothing was sent.
+    Withheld(SendBarrier),
     /// No connection could be opened, so nothing was sent.
     Unreachable,
     /// The target rejected the request without running it, because it has no capacity.
@@ -37,12 +41,18 @@
 impl AttemptFailure {
     /// Returns whether it is certain that the target did not run the request and never will.
     pub fn is_not_run(self) -> bool {
-        matches!(self, Self::Unreachable | Self::Shed | Self::OtherTarget)
+        matches!(self, Self::Withheld(_) | Self::Unreachable | Self::Shed | Self::OtherTarget)
+    }
+
+    /// Returns whether the target has received nothing, so that the next attempt is the first one at the service.
+    pub fn is_unsent(self) -> bool {
+        matches!(self, Self::Withheld(_) | Self::Unreachable)
     }
 
     /// Returns the name used in logs and metrics.
     pub fn as_str(self) -> &'static str {
         match self {
+            Self::Withheld(barrier) => barrier.as_str(),
             Self::Unreachable => "unreachable",
             Self::Shed => "shed",
             Self::OtherTarget => "other_target",
--- a/hickoryspan_core/src/gateway/selection.rs
+++ b/hickoryspan_core/src/gateway/selection.rs
@@ -11,6 +11,7 @@
 use super::directory::{TargetAnnouncement, TargetPhase, TargetProcess};
 use super::limit_gate::LimitGate;
 use super::outcomes::{AttemptFailure, AttemptOutcome, ReportedLoad};
+use super::send_check::SendBarrier;
 use crate::types::{FailureDomain, MonotonicTime, ServiceId, TargetId, WallTime};
 
 /// Settings of the target selection.
@@ -404,6 +405,27 @@
         }
     }
 
+    /// Returns why a request must not be sent to a chosen target any more.
+    pub fn check_target(
+        &self,
+        chosen: &ChosenTarget,
+        service: &ServiceId,
+    ) -> Result<(), SendBarrier> {
+        let Some(state) = self.targets.get(&chosen.target) else { return Err(SendBarrier::Gone) };
+        let announcement = &state.announcement;
+        if announcement.age.started != chosen.started {
+            return Err(SendBarrier::Restarted);
+        }
+        if announcement.address != chosen.address || announcement.service != *service {
+            return Err(SendBarrier::Moved);
+        }
+        match announcement.phase {
+            TargetPhase::Ready => Ok(()),
+            TargetPhase::Draining => Err(SendBarrier::Draining),
+            TargetPhase::Left => Err(SendBarrier::Gone),
+        }
+    }
+
     /// Returns whether a hedge is worthwhile: another target exists that is neither ejected nor
     /// limited nor has a long queue.
     pub fn has_alternative(
@@ -470,6 +492,10 @@
                 state.overdue_until = now;
                 state.overdue_count = 0;
             }
+            // This says nothing about the target's health.
+            AttemptOutcome::Failure(AttemptFailure::Withheld(_)) => {
+                self.limits.return_permit(&state.process());
+            }
             AttemptOutcome::Failure(failure) => state.note_failure(now, &settings, failure),
         }
     }
--- /dev/null
+++ b/hickoryspan_core/src/gateway/send_check.rs
@@ -0,0 +1,49 @@
+//! The last check before a request leaves for a target. A request may have waited since the target was chosen, for a
+//! connection or a permit, and what was true then may no longer be.
+
+use std::fmt;
+
+/// Why a request is not sent to the target that was chosen for it. Nothing has been sent, so another target may run it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum SendBarrier {
+    /// The target has left, or its lease has expired.
+    Gone,
+    /// The target has started again, and what was known of it belongs to its former process.
+    Restarted,
+    /// The target has another address or serves another service.
+    Moved,
+    /// The target finishes its running work and accepts no more.
+    Draining,
+    /// The configuration sends the request to other services now.
+    Rerouted,
+    /// The request has probably crashed several targets.
+    Condemned,
+    /// The caller does not wait any longer.
+    DeadlinePassed,
+}
+
+impl SendBarrier {
+    /// Returns the name used in logs and metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Gone => "gone",
+            Self::Restarted => "restarted",
+            Self::Moved => "moved",
+            Self::Draining => "draining",
+            Self::Rerouted => "rerouted",
+            Self::Condemned => "condemned",
+            Self::DeadlinePassed => "deadline_passed",
+        }
+    }
+
+    /// Returns whether another target may get the request. Otherwise no target should.
+    pub fn allows_other_target(self) -> bool {
+        !matches!(self, Self::Rerouted | Self::Condemned | Self::DeadlinePassed)
+    }
+}
+
+impl fmt::Display for SendBarrier {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(self.as_str())
+    }
+}
--- a/hickoryspan_gateway/src/attempt.rs
+++ b/hickoryspan_gateway/src/attempt.rs
@@ -4,10 +4,11 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hickoryspan_core::gateway::document::RouteRule;
+use hickoryspan_core::gateway::document::{DocumentVersion, RouteRule};
 use hickoryspan_core::gateway::fanout::ShardIndex;
 use hickoryspan_core::gateway::log_limit::LogPriority;
 use hickoryspan_core::gateway::outcomes::{AttemptFailure, AttemptOutcome, ReportedLoad};
+use hickoryspan_core::gateway::routes::RouteTable;
 use hickoryspan_core::gateway::selection::ChosenTarget;
 use hickoryspan_core::types::{MonotonicTime, RequestFingerprint, RequestRate, ServiceId};
 use hickoryspan_runtime::http_client::{HttpAnswer, SendError};
@@ -48,11 +49,24 @@
     pub(crate) fingerprint: RequestFingerprint,
     pub(crate) position: ConnectionPosition,
     pub(crate) scope: AttemptScope,
+    /// Version of the configuration by which the route was chosen.
+    pub(crate) version: DocumentVersion,
     pub(crate) received_at: MonotonicTime,
     pub(crate) give_up_at: MonotonicTime,
 }
 
 impl GatewayJob {
+    /// Returns whether the routes in force send this request to the service. For a request of another entry, that entry
+    /// has chosen the services.
+    pub(crate) fn is_routed_to(&self, routes: &RouteTable, service: &ServiceId) -> bool {
+        if self.scope == AttemptScope::Relayed || routes.document().version == self.version {
+            return true;
+        }
+        let path = self.target_path.split('?').next().unwrap_or_default();
+        let route = routes.find(&self.route.host, path);
+        route.is_some_and(|route| route.destination.services().contains(&service))
+    }
+
     /// Returns the caller's request ID for logs, or `-` if it has none.
     pub(crate) fn request_text(&self) -> &str {
         self.request.as_ref().and_then(|value| value.to_str().ok()).unwrap_or("-")
@@ -153,6 +167,11 @@
                 return AttemptResult::Failure(AttemptFailure::Unreachable, None);
             }
         };
+        if let Err(barrier) = state.check_send(job, service, target) {
+            metrics::counter!("hickoryspan_gateway_withheld_total", "reason" => barrier.as_str())
+                .increment(1);
+            return AttemptResult::Failure(AttemptFailure::Withheld(barrier), None);
+        }
         *connected_at = Some(pooled.connected_at);
         let request = match build_request(state, job, target) {
             Ok(request) => request,
--- a/hickoryspan_gateway/src/fanout_server.rs
+++ b/hickoryspan_gateway/src/fanout_server.rs
@@ -7,7 +7,9 @@
 
 use anyhow::{Context, bail};
 use bytes::Bytes;
-use hickoryspan_core::gateway::document::{RepeatRule, RouteDestination, RouteRule, ShardSpread};
+use hickoryspan_core::gateway::document::{
+    DocumentVersion, RepeatRule, RouteDestination, RouteRule, ShardSpread,
+};
 use hickoryspan_core::gateway::fanout::{FanoutMachine, FanoutSettings, ShardIndex, merge_records};
 use hickoryspan_core::gateway::relays::RetryGate;
 use hickoryspan_core::types::{MonotonicTime, ServiceId};
@@ -250,6 +252,7 @@
         body: task.body,
         position: ConnectionPosition::Later,
         scope: AttemptScope::Relayed,
+        version: DocumentVersion::default(),
         received_at: now,
         give_up_at: now + task.give_up_in,
     })
--- a/hickoryspan_gateway/src/forward.rs
+++ b/hickoryspan_gateway/src/forward.rs
@@ -183,7 +183,8 @@
         Ok(body) => body,
         Err(reason) => return refuse(&state, &id_text, reason, min_retry_delay),
     };
-    let job = to_job(&state, parts, body, route, id, position, received_at);
+    let version = routes.document().version;
+    let job = to_job(&state, parts, body, RoutedBy { route, version }, id, position, received_at);
     if state.decisions().poison.is_condemned(received_at, &job.fingerprint) {
         return refuse(&state, &id_text, RefusalReason::Poisoned, Duration::from_secs(1));
     }
@@ -229,15 +230,22 @@
     })
 }
 
+/// The route of a request and the version of the configuration that contains it.
+struct RoutedBy {
+    route: Arc<RouteRule>,
+    version: DocumentVersion,
+}
+
 fn to_job(
     state: &GatewayState,
     parts: Parts,
     body: Bytes,
-    route: Arc<RouteRule>,
+    routed_by: RoutedBy,
     request: Option<HeaderValue>,
     position: ConnectionPosition,
     received_at: MonotonicTime,
 ) -> GatewayJob {
+    let RoutedBy { route, version } = routed_by;
     let names = &state.settings.headers;
     let deadline = parts.headers.get(&names.deadline).and_then(|value| value.to_str().ok());
     let deadline = deadline.and_then(|text| text.trim().parse::<u64>().ok());
@@ -260,6 +268,7 @@
         fingerprint,
         position,
         scope: AttemptScope::Direct,
+        version,
         received_at,
     }
 }
--- a/hickoryspan_gateway/src/gateway_state.rs
+++ b/hickoryspan_gateway/src/gateway_state.rs
@@ -23,14 +23,15 @@
     RelayAssignment, RelaySelector, ShardGroup, divide_shards,
 };
 use hickoryspan_core::gateway::routes::{RouteTable, WeightedRoundRobin};
-use hickoryspan_core::gateway::selection::TargetSelector;
+use hickoryspan_core::gateway::selection::{ChosenTarget, TargetSelector};
+use hickoryspan_core::gateway::send_check::SendBarrier;
 use hickoryspan_core::types::{MonotonicTime, ServiceId, TargetId};
 use hickoryspan_runtime::clock::SystemClock;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha12Rng;
 use tokio::sync::{Semaphore, watch};
 
-use crate::attempt::AttemptScope;
+use crate::attempt::{AttemptScope, GatewayJob};
 use crate::fanout_links::FanoutLinks;
 use crate::settings::GatewaySettings;
 use crate::target_pool::TargetPool;
@@ -296,6 +297,28 @@
         self.report_trigger.send_modify(|count| *count += 1);
     }
 
+    /// Decides whether a request may still be sent to a target. Every path passes here right before it sends.
+    pub(crate) fn check_send(
+        &self,
+        job: &GatewayJob,
+        service: &ServiceId,
+        target: &ChosenTarget,
+    ) -> Result<(), SendBarrier> {
+        let now = self.now();
+        if now >= job.give_up_at {
+            return Err(SendBarrier::DeadlinePassed);
+        }
+        let decisions = self.decisions();
+        decisions.selector.check_target(target, service)?;
+        if decisions.poison.is_condemned(now, &job.fingerprint) {
+            return Err(SendBarrier::Condemned);
+        }
+        match decisions.routes.as_ref().is_none_or(|routes| job.is_routed_to(routes, service)) {
+            true => Ok(()),
+            false => Err(SendBarrier::Rerouted),
+        }
+    }
+
     /// Returns whether this entry lags and callers are already directed to others.
     pub(crate) fn should_leave_callers(&self) -> bool {
         let now = self.now();
--- a/hickoryspan_gateway/src/run.rs
+++ b/hickoryspan_gateway/src/run.rs
@@ -14,6 +14,7 @@
 use hickoryspan_core::gateway::poison::{NoticedCrash, SuspicionChange};
 use hickoryspan_core::gateway::relays::{RetryGate, RetryVerdict};
 use hickoryspan_core::gateway::selection::ChosenTarget;
+use hickoryspan_core::gateway::send_check::SendBarrier;
 use hickoryspan_core::types::{MonotonicTime, ServiceId, TargetId};
 use hickoryspan_runtime::http_client::HttpAnswer;
 use tokio::sync::mpsc;
@@ -478,6 +479,12 @@
             }
             AttemptResult::Failure(failure, answer) => {
                 self.log_failure(&target, failure);
+                if let AttemptFailure::Withheld(SendBarrier::Restarted | SendBarrier::Moved) =
+                    failure
+                {
+                    // The same target may be chosen again, as it is now.
+                    self.shards[shard.0].tried.retain(|tried| *tried != target.target);
+                }
                 if let Some(connected_at) = connected_at.filter(|_| failure == AttemptFailure::Lost)
                 {
                     self.note_crash(&target, connected_at);
@@ -531,8 +538,13 @@
         if answer.is_some() {
             self.outcome.failure_answer = answer;
         }
-        self.shards[shard.0].unreached = failure == AttemptFailure::Unreachable;
+        self.shards[shard.0].unreached = failure.is_unsent();
         self.machine.note_failed(shard, ran);
+        if let AttemptFailure::Withheld(barrier) = failure
+            && !barrier.allows_other_target()
+        {
+            self.machine.note_unsent(shard, true);
+        }
         metrics::counter!("hickoryspan_gateway_attempt_failures_total", "reason" => failure.as_str())
             .increment(1);
     }
--- a/hickoryspan_gateway/tests/gateway/main.rs
+++ b/hickoryspan_gateway/tests/gateway/main.rs
@@ -4,6 +4,7 @@
 mod endless_answers;
 mod entry_lookups;
 mod forwarding;
+mod last_check;
 mod odd_answers;
 mod planned_stop;
 mod support;
--- a/hickoryspan_gateway/tests/gateway/support.rs
+++ b/hickoryspan_gateway/tests/gateway/support.rs
@@ -8,7 +8,9 @@
 
 use hickoryspan_control::{ControlDaemon, ControlDaemonSettings, FolderRole, initialize_folder};
 use hickoryspan_core::control::interface::ControlReply;
-use hickoryspan_core::gateway::directory::{AnnouncementAge, TargetAnnouncement, TargetPhase};
+use hickoryspan_core::gateway::directory::{
+    AnnouncementAge, TargetAnnouncement, TargetDeparture, TargetPhase,
+};
 use hickoryspan_core::gateway::document::{
     CallerLimits, ConfigurationDocument, DocumentVersion, RepeatRule, RouteDestination, RouteRule,
     ServiceRule, ShardSpread,
@@ -402,24 +404,60 @@
     /// Announces a target and waits until the entry knows it. A departure is confirmed only after the entry has applied
     /// all earlier changes, so the call then waits for the departure of a target that does not exist.
     pub async fn announce(&self, name: &str, service: &str, address: SocketAddr) {
+        self.announce_as(name, service, address, 1, TargetPhase::Ready).await;
+    }
+
+    /// Announces a target in this phase.
+    pub async fn announce_phase(
+        &self,
+        name: &str,
+        service: &str,
+        address: SocketAddr,
+        phase: TargetPhase,
+    ) {
+        self.announce_as(name, service, address, 1, phase).await;
+    }
+
+    /// Announces a process of a target that started at this time.
+    pub async fn announce_start(
+        &self,
+        name: &str,
+        service: &str,
+        address: SocketAddr,
+        started: u64,
+    ) {
+        self.announce_as(name, service, address, started, TargetPhase::Ready).await;
+    }
+
+    /// Reports that a target leaves.
+    pub async fn depart(&self, name: &str) {
+        let target = TargetId::new(name).expect("a name");
+        self.hub.depart(TargetDeparture { target, started: Some(WallTime(1)) }).await;
+    }
+
+    async fn announce_as(
+        &self,
+        name: &str,
+        service: &str,
+        address: SocketAddr,
+        started: u64,
+        phase: TargetPhase,
+    ) {
         let sequence = self.announcements.fetch_add(1, Ordering::SeqCst);
         self.hub
             .announce(TargetAnnouncement {
                 target: TargetId::new(name).expect("a name"),
-                age: AnnouncementAge { started: WallTime(1), sequence },
+                age: AnnouncementAge { started: WallTime(started), sequence },
                 service: ServiceId::new(service).expect("a service"),
                 address,
                 domain: FailureDomain::new("a").expect("a domain"),
                 slots: 2,
-                phase: TargetPhase::Ready,
+                phase,
                 cold: Duration::ZERO,
             })
             .await;
         let absent = TargetId::new("nobody").expect("a name");
-        let departure = hickoryspan_core::gateway::directory::TargetDeparture {
-            target: absent,
-            started: Some(WallTime(1)),
-        };
+        let departure = TargetDeparture { target: absent, started: Some(WallTime(1)) };
         self.hub.depart(departure).await;
     }
 
