Follow what targets say of themselves with their answers

Cause: no part of the gateway read either header. Change: target_notices keeps both by process. A leaving target gets nothing more, a closed one nothing until the latest time it named, then one, two, four, eight at a time. Selection and the last check ask it on every path, also for groups of other entries, which report leaving targets back. A service without an open target refuses at once and says when the first one opens. A pause is no sign of sickness.

--- a/hickoryspan_core/src/gateway/mod.rs
+++ b/hickoryspan_core/src/gateway/mod.rs
@@ -24,3 +24,4 @@
 pub mod send_check;
 pub mod shared_table;
 pub mod target_limits;
+pub mod target_notices;
--- a/hickoryspan_core/src/gateway/outcomes.rs
+++ b/hickoryspan_core/src/gateway/outcomes.rs
@@ -26,6 +26,8 @@
     Unreachable,
     /// The target rejected the request without running it, because it has no capacity.
     Shed,
+    /// The target rejected the request without running it and wants no more for a while.
+    Closed,
     /// The address belongs to another target; the request did not run.
     OtherTarget,
     /// The target answered with an error.
@@ -41,7 +43,10 @@
 impl AttemptFailure {
     /// Returns whether it is certain that the target did not run the request and never will.
     pub fn is_not_run(self) -> bool {
-        matches!(self, Self::Withheld(_) | Self::Unreachable | Self::Shed | Self::OtherTarget)
+        matches!(
+            self,
+            Self::Withheld(_) | Self::Unreachable | Self::Shed | Self::Closed | Self::OtherTarget
+        )
     }
 
     /// Returns whether the target has received nothing, so that the next attempt is the first one at the service.
@@ -55,6 +60,7 @@
             Self::Withheld(barrier) => barrier.as_str(),
             Self::Unreachable => "unreachable",
             Self::Shed => "shed",
+            Self::Closed => "closed",
             Self::OtherTarget => "other_target",
             Self::Failed => "failed",
             Self::Lost => "lost",
--- a/hickoryspan_core/src/gateway/selection.rs
+++ b/hickoryspan_core/src/gateway/selection.rs
@@ -12,6 +12,7 @@
 use super::limit_gate::LimitGate;
 use super::outcomes::{AttemptFailure, AttemptOutcome, ReportedLoad};
 use super::send_check::SendBarrier;
+use super::target_notices::NoticeTable;
 use crate::types::{FailureDomain, MonotonicTime, ServiceId, TargetId, WallTime};
 
 /// Settings of the target selection.
@@ -209,6 +210,7 @@
     // Shortest queues by service, as reported by other entries that send to the service.
     queues: HashMap<ServiceId, ReportedQueue>,
     limits: LimitGate,
+    notices: NoticeTable,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -228,9 +230,50 @@
             by_service: BTreeMap::new(),
             queues: HashMap::new(),
             limits: LimitGate::default(),
+            notices: NoticeTable::default(),
         }
     }
 
+    /// Returns what targets have said of themselves with their answers.
+    pub fn notices_mut(&mut self) -> &mut NoticeTable {
+        &mut self.notices
+    }
+
+    /// Forgets notices that have ended.
+    pub fn expire_notices(&mut self, now: MonotonicTime) {
+        let mut notices = std::mem::take(&mut self.notices);
+        notices.expire(now, |process| {
+            self.targets.get(&process.target).map(|state| state.announcement.age.started)
+        });
+        self.notices = notices;
+    }
+
+    /// Returns the processes of a service's targets that leave.
+    pub fn leaving(&self, now: MonotonicTime, service: &ServiceId) -> Vec<TargetProcess> {
+        let processes = self.states(service).map(TargetState::process);
+        processes.filter(|process| self.notices.is_leaving(now, process)).collect()
+    }
+
+    /// Returns when the first target of a service opens again, if all that are left want no requests for a while.
+    pub fn opens_at(&self, now: MonotonicTime, service: &ServiceId) -> Option<MonotonicTime> {
+        if self.count_open(now, service) > 0 {
+            return None;
+        }
+        let usable = self.states(service).filter(|state| state.is_usable());
+        usable.filter_map(|state| self.notices.closed_until(now, &state.process())).min()
+    }
+
+    /// Returns the number of a service's targets to which a request may be sent now, whether healthy or not.
+    pub fn count_open(&self, now: MonotonicTime, service: &ServiceId) -> usize {
+        self.states(service).filter(|state| self.is_open(now, state)).count()
+    }
+
+    fn is_open(&self, now: MonotonicTime, state: &TargetState) -> bool {
+        state.is_usable()
+            && (self.notices.is_empty()
+                || self.notices.admits(now, &state.process(), state.in_flight))
+    }
+
     /// Returns the limits of the targets.
     pub fn limits(&self) -> &LimitGate {
         &self.limits
@@ -281,9 +324,10 @@
         let share = self.limits.share(now, service);
         let mut permitted = Vec::new();
         for target in self.by_service.get(service).into_iter().flatten() {
-            let Some(state) = self.targets.get(target).filter(|state| state.is_usable()) else {
+            let Some(state) = self.targets.get(target) else { continue };
+            if !self.is_open(now, state) {
                 continue;
-            };
+            }
             let draw = self.generator.random();
             if self.limits.has_permit(now, &state.process(), share, draw) {
                 permitted.push(target.clone());
@@ -373,7 +417,7 @@
             |target: &TargetId| permitted.as_ref().is_none_or(|known| known.contains(target));
         let untried = |state: &&TargetState| {
             let target = &state.announcement.target;
-            state.is_usable() && !tried.contains(target) && is_permitted(target)
+            self.is_open(now, state) && !tried.contains(target) && is_permitted(target)
         };
         let healthy = self.states(service).filter(untried).any(|state| state.ejected_until <= now);
         let costs: Vec<(TargetId, f64)> = self
@@ -408,6 +452,7 @@
     /// Returns why a request must not be sent to a chosen target any more.
     pub fn check_target(
         &self,
+        now: MonotonicTime,
         chosen: &ChosenTarget,
         service: &ServiceId,
     ) -> Result<(), SendBarrier> {
@@ -419,6 +464,13 @@
         if announcement.address != chosen.address || announcement.service != *service {
             return Err(SendBarrier::Moved);
         }
+        let process = state.process();
+        if self.notices.is_leaving(now, &process) {
+            return Err(SendBarrier::Leaving);
+        }
+        if self.notices.closed_until(now, &process).is_some() {
+            return Err(SendBarrier::Closed);
+        }
         match announcement.phase {
             TargetPhase::Ready => Ok(()),
             TargetPhase::Draining => Err(SendBarrier::Draining),
@@ -435,7 +487,7 @@
         tried: &[TargetId],
     ) -> bool {
         self.states(service).any(|state| {
-            let untried = state.is_usable() && !tried.contains(&state.announcement.target);
+            let untried = self.is_open(now, state) && !tried.contains(&state.announcement.target);
             let free = state.queue(now, &self.settings) <= MAX_HEDGE_QUEUE;
             untried && free && state.ejected_until <= now && !self.is_limited(state)
         })
@@ -449,7 +501,7 @@
     /// without a usable target. A longer queue that another entry has recently reported takes
     /// precedence.
     pub fn shortest_queue(&self, now: MonotonicTime, service: &ServiceId) -> Option<f64> {
-        let usable = self.states(service).filter(|state| state.is_usable());
+        let usable = self.states(service).filter(|state| self.is_open(now, state));
         let own = usable.map(|state| state.queue(now, &self.settings)).reduce(f64::min)?;
         let reported = self.queues.get(service);
         let reported =
@@ -493,7 +545,7 @@
                 state.overdue_count = 0;
             }
             // This says nothing about the target's health.
-            AttemptOutcome::Failure(AttemptFailure::Withheld(_)) => {
+            AttemptOutcome::Failure(AttemptFailure::Withheld(_) | AttemptFailure::Closed) => {
                 self.limits.return_permit(&state.process());
             }
             AttemptOutcome::Failure(failure) => state.note_failure(now, &settings, failure),
--- a/hickoryspan_core/src/gateway/send_check.rs
+++ b/hickoryspan_core/src/gateway/send_check.rs
@@ -14,6 +14,10 @@
     Moved,
     /// The target finishes its running work and accepts no more.
     Draining,
+    /// The target has said in an answer that it leaves.
+    Leaving,
+    /// The target has said in an answer that it wants no requests for a while.
+    Closed,
     /// The configuration sends the request to other services now.
     Rerouted,
     /// The request has probably crashed several targets.
@@ -30,6 +34,8 @@
             Self::Restarted => "restarted",
             Self::Moved => "moved",
             Self::Draining => "draining",
+            Self::Leaving => "leaving",
+            Self::Closed => "closed",
             Self::Rerouted => "rerouted",
             Self::Condemned => "condemned",
             Self::DeadlinePassed => "deadline_passed",
--- a/hickoryspan_gateway/src/attempt.rs
+++ b/hickoryspan_gateway/src/attempt.rs
@@ -10,9 +10,10 @@
 use hickoryspan_core::gateway::outcomes::{AttemptFailure, AttemptOutcome, ReportedLoad};
 use hickoryspan_core::gateway::routes::RouteTable;
 use hickoryspan_core::gateway::selection::ChosenTarget;
+use hickoryspan_core::gateway::target_notices::read_retry_time;
 use hickoryspan_core::types::{MonotonicTime, RequestFingerprint, RequestRate, ServiceId};
 use hickoryspan_runtime::http_client::{HttpAnswer, SendError};
-use http::header::CONNECTION;
+use http::header::{CONNECTION, RETRY_AFTER};
 use http::{HeaderMap, HeaderValue, Method, Request, StatusCode};
 use http_body_util::Full;
 
@@ -140,6 +141,7 @@
     if let AttemptResult::Answer(_) = &result {
         let mut decisions = state.decisions();
         decisions.record_latency(&job.route, now.since(started_at));
+        decisions.selector.notices_mut().note_served(now, &target.process());
         if let Some(connected_at) = connected_at.filter(|_| decisions.poison.has_crashes()) {
             decisions.poison.note_response(&target.process(), connected_at, started_at);
         }
@@ -229,6 +231,7 @@
     answer: HttpAnswer,
 ) -> AttemptResult {
     let names = &state.settings.headers;
+    let is_closed = note_notices(state, target, &answer);
     let echoed = answer.headers.get(&names.request);
     // This is a late answer to an earlier request, so the connection cannot be reused.
     if echoed.is_some() && echoed != job.request.as_ref() {
@@ -247,7 +250,8 @@
         return AttemptResult::Failure(AttemptFailure::OtherTarget, None);
     }
     if not_run {
-        return AttemptResult::Failure(AttemptFailure::Shed, None);
+        let failure = if is_closed { AttemptFailure::Closed } else { AttemptFailure::Shed };
+        return AttemptResult::Failure(failure, None);
     }
     let stamped = answer.headers.contains_key(&names.stamp);
     if answer.status.is_success() && !stamped {
@@ -259,6 +263,45 @@
     AttemptResult::Answer(answer)
 }
 
+/// Records what a target says of itself with any answer, also with a late one or a failure. Returns whether it wants no
+/// requests for a while.
+fn note_notices(state: &GatewayState, target: &ChosenTarget, answer: &HttpAnswer) -> bool {
+    let names = &state.settings.headers;
+    let now = state.now();
+    let process = target.process();
+    if answer.headers.get(&names.leaving).is_some_and(|value| value.as_bytes() == b"1")
+        && state.decisions().selector.notices_mut().note_leaving(now, &process)
+    {
+        state.pool.remove(&target.target);
+        log_notice(state, target, "leaving", Duration::ZERO);
+    }
+    if answer.status != StatusCode::SERVICE_UNAVAILABLE {
+        return false;
+    }
+    let Some(value) = answer.headers.get(RETRY_AFTER) else { return false };
+    let time = match read_retry_time(value.to_str().unwrap_or_default()) {
+        Ok(time) if time.is_zero() => return false,
+        Ok(time) => time,
+        Err(error) => {
+            spdlog::debug!("retry time of {}: {}", target.address, error);
+            return false;
+        }
+    };
+    if state.decisions().selector.notices_mut().note_closed(now, &process, time) {
+        log_notice(state, target, "closed", time);
+    }
+    true
+}
+
+fn log_notice(state: &GatewayState, target: &ChosenTarget, notice: &str, time: Duration) {
+    if state.admits_log_line(LogPriority::Important) {
+        spdlog::info!(
+            "target notice",
+            kv: { target: = target.target, notice: = notice, for_ms: = time.as_millis() }
+        );
+    }
+}
+
 /// Records the limit that a target names with a response, or that it no longer names one.
 fn note_limit(state: &GatewayState, target: &ChosenTarget, answer: &HttpAnswer) {
     if answer.status == StatusCode::MISDIRECTED_REQUEST {
--- a/hickoryspan_gateway/src/entry_daemon.rs
+++ b/hickoryspan_gateway/src/entry_daemon.rs
@@ -462,6 +462,7 @@
         }
         decisions.poison.expire(now);
         decisions.selector.sweep_limits(now);
+        decisions.selector.expire_notices(now);
         drop(guard);
         state.pool.sweep(|target| state.is_known(target));
     }
--- a/hickoryspan_gateway/src/fanout_messages.rs
+++ b/hickoryspan_gateway/src/fanout_messages.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use hickoryspan_core::gateway::directory::TargetProcess;
 use hickoryspan_core::gateway::poison::TargetCrash;
 use hickoryspan_core::sheet::duration_millis;
 use hickoryspan_core::types::ServiceId;
@@ -95,6 +96,9 @@
     pub(crate) crashes: Vec<TargetCrash>,
     /// Their number, for entries of versions that do not know `crashes`.
     pub(crate) lost: u32,
+    /// The targets of these shards that leave; only in the last batch.
+    #[serde(default)]
+    pub(crate) leaving: Vec<TargetProcess>,
     /// The shortest queue of each shard's targets in waiting requests per slot; only in the last batch.
     pub(crate) queues: Vec<Option<f32>>,
 }
@@ -110,6 +114,7 @@
             unsent: Vec::new(),
             crashes: Vec::new(),
             lost: 0,
+            leaving: Vec::new(),
             queues: Vec::new(),
         }
     }
--- a/hickoryspan_gateway/src/fanout_server.rs
+++ b/hickoryspan_gateway/src/fanout_server.rs
@@ -7,6 +7,7 @@
 
 use anyhow::{Context, bail};
 use bytes::Bytes;
+use hickoryspan_core::gateway::directory::TargetProcess;
 use hickoryspan_core::gateway::document::{
     DocumentVersion, RepeatRule, RouteDestination, RouteRule, ShardSpread,
 };
@@ -128,9 +129,16 @@
     };
     batch.last = true;
     batch.queues = shortest_queues(&state, &services);
+    batch.leaving = leaving_targets(&state, &services);
     replies.send(FanoutReply::Batch(batch)).await.context("the link ended")
 }
 
+fn leaving_targets(state: &GatewayState, services: &[ServiceId]) -> Vec<TargetProcess> {
+    let now = state.now();
+    let decisions = state.decisions();
+    services.iter().flat_map(|service| decisions.selector.leaving(now, service)).collect()
+}
+
 fn shortest_queues(state: &GatewayState, services: &[ServiceId]) -> Vec<Option<f32>> {
     let now = state.now();
     let decisions = state.decisions();
--- a/hickoryspan_gateway/src/forward.rs
+++ b/hickoryspan_gateway/src/forward.rs
@@ -283,7 +283,11 @@
 }
 
 fn refuse_job(state: &GatewayState, job: &GatewayJob, reason: RefusalReason) -> GatewayResponse {
-    refuse(state, job.request_text(), reason, retry_delay(state, job))
+    let delay = match reason {
+        RefusalReason::NoTarget => reopening_delay(state, job),
+        _ => None,
+    };
+    refuse(state, job.request_text(), reason, delay.unwrap_or_else(|| retry_delay(state, job)))
 }
 
 async fn run_job(
@@ -320,7 +324,7 @@
     match outcome.end {
         RunEnd::Answered => match spread {
             Some(spread) => merge_answers(&state, &spread, outcome),
-            None => forward_answer(find_direct_answer(outcome.answers)),
+            None => forward_answer(&state, find_direct_answer(outcome.answers)),
         },
         RunEnd::Failed | RunEnd::TimedOut => failure_response(&state, &job, outcome),
     }
@@ -360,8 +364,9 @@
 
 /// Returns whether enough shards have a usable target. If not, the request is refused before anything is sent.
 fn has_enough_targets(state: &GatewayState, spread: &ShardSpread) -> bool {
+    let now = state.now();
     let decisions = state.decisions();
-    let reachable = |shard: &&ServiceId| decisions.selector.count_usable(shard) > 0;
+    let reachable = |shard: &&ServiceId| decisions.selector.count_open(now, shard) > 0;
     spread.shards.iter().filter(reachable).count() >= spread.min_parts()
 }
 
@@ -547,7 +552,7 @@
     })
 }
 
-fn forward_answer(answer: Option<HttpAnswer>) -> GatewayResponse {
+fn forward_answer(state: &GatewayState, answer: Option<HttpAnswer>) -> GatewayResponse {
     let Some(HttpAnswer { status, headers, body }) = answer else {
         // Unreachable: a run for a single shard is `Answered` only with the answer of that shard.
         let mut response = Response::new(Full::new(Bytes::new()));
@@ -558,6 +563,8 @@
     *response.status_mut() = status;
     let mut headers: HeaderMap = headers;
     remove_connection_headers(&mut headers);
+    // It concerns the entry's choice of targets; callers choose none.
+    headers.remove(&state.settings.headers.leaving);
     *response.headers_mut() = headers;
     response
 }
@@ -571,7 +578,7 @@
     if single && let Some(answer) = outcome.failure_answer {
         // Statuses which say that the request did not run are not forwarded, because the target may have run it.
         if !claims_not_run(answer.status) {
-            return forward_answer(Some(answer));
+            return forward_answer(state, Some(answer));
         }
     }
     let reason = match (outcome.end, outcome.may_have_run) {
@@ -582,6 +589,17 @@
     refuse_job(state, job, reason)
 }
 
+/// Returns when the first of the closed services of a request opens again, by what its targets said; `None` if none is
+/// closed.
+fn reopening_delay(state: &GatewayState, job: &GatewayJob) -> Option<Duration> {
+    let now = state.now();
+    let decisions = state.decisions();
+    let services = job.route.destination.services().into_iter();
+    let opens_at =
+        services.filter_map(|service| decisions.selector.opens_at(now, service)).min()?;
+    Some(opens_at.since(now))
+}
+
 /// Returns the `Retry-After` of a refusal: a quarter of the time that the caller still has, so that a retry can succeed
 /// before its deadline, and so that retries are spread over time.
 fn retry_delay(state: &GatewayState, job: &GatewayJob) -> Duration {
--- a/hickoryspan_gateway/src/gateway_state.rs
+++ b/hickoryspan_gateway/src/gateway_state.rs
@@ -309,7 +309,7 @@
             return Err(SendBarrier::DeadlinePassed);
         }
         let decisions = self.decisions();
-        decisions.selector.check_target(target, service)?;
+        decisions.selector.check_target(now, target, service)?;
         if decisions.poison.is_condemned(now, &job.fingerprint) {
             return Err(SendBarrier::Condemned);
         }
--- a/hickoryspan_gateway/src/headers.rs
+++ b/hickoryspan_gateway/src/headers.rs
@@ -28,6 +28,8 @@
     pub load: HeaderName,
     /// Requests per second that a target in need takes from all entries together, as a decimal number.
     pub limit: HeaderName,
+    /// With the value 1 in responses of targets: the target leaves.
+    pub leaving: HeaderName,
 }
 
 impl Default for GatewayHeaders {
@@ -42,6 +44,7 @@
             not_run: HeaderName::from_static("hs-not-run"),
             load: HeaderName::from_static("hs-load"),
             limit: HeaderName::from_static("hs-limit"),
+            leaving: HeaderName::from_static("hs-leaving"),
         }
     }
 }
--- a/hickoryspan_gateway/src/run.rs
+++ b/hickoryspan_gateway/src/run.rs
@@ -387,6 +387,9 @@
         for (shard, queue) in shards.iter().zip(batch.queues) {
             decisions.selector.note_queue(now, &self.services[shard.0], queue.map(f64::from));
         }
+        for process in &batch.leaving {
+            decisions.selector.notices_mut().note_leaving(now, process);
+        }
         drop(decisions);
         for shard in batch.unsent.iter().filter_map(|index| shards.get(*index)) {
             self.shards[shard.0].unreached = true;
--- a/hickoryspan_gateway/tests/gateway/main.rs
+++ b/hickoryspan_gateway/tests/gateway/main.rs
@@ -9,4 +9,5 @@
 mod planned_stop;
 mod support;
 mod target_limits;
+mod target_notices;
 mod wide_fan_out;
