Make no second attempts when the targets of a request die together

Callers saw: the first request that crashes each target that runs it took 39 of the 40 targets of the index with it, and nobody was served for four seconds.

Cause: each shard retried its lost part on its other target before three crashes were counted, which happened at the end of the run. Change: loss_witness: three targets lost in two failure domains and no answer of any shard means that the request makes no second attempts and is reported at once. A second attempt after a loss waits up to 40 ms for other losses while no shard has answered.

--- a/hickoryspan_core/src/gateway/mod.rs
+++ b/hickoryspan_core/src/gateway/mod.rs
@@ -11,6 +11,7 @@
 pub mod limit_gate;
 pub mod liveness;
 pub mod log_limit;
+pub mod loss_witness;
 pub mod members;
 pub mod messages;
 pub mod outcomes;
--- a/hickoryspan_core/src/gateway/selection.rs
+++ b/hickoryspan_core/src/gateway/selection.rs
@@ -248,6 +248,11 @@
         self.notices = notices;
     }
 
+    /// Returns the failure domain of a target, if it is known.
+    pub fn domain_of(&self, target: &TargetId) -> Option<&FailureDomain> {
+        self.targets.get(target).map(|state| &state.announcement.domain)
+    }
+
     /// Returns the processes of a service's targets that leave.
     pub fn leaving(&self, now: MonotonicTime, service: &ServiceId) -> Vec<TargetProcess> {
         let processes = self.states(service).map(TargetState::process);
--- a/hickoryspan_gateway/src/run.rs
+++ b/hickoryspan_gateway/src/run.rs
@@ -10,6 +10,7 @@
 use futures::stream::FuturesUnordered;
 use hickoryspan_core::gateway::fanout::{FanoutMachine, FanoutStep, LaunchReason, ShardIndex};
 use hickoryspan_core::gateway::log_limit::LogPriority;
+use hickoryspan_core::gateway::loss_witness::{LossVerdict, LossWitness};
 use hickoryspan_core::gateway::outcomes::AttemptFailure;
 use hickoryspan_core::gateway::poison::{NoticedCrash, SuspicionChange};
 use hickoryspan_core::gateway::relays::{RetryGate, RetryVerdict};
@@ -161,6 +162,9 @@
     relayed: RelayedGroups,
     sink: Option<RunSink>,
     answered: bool,
+    witness: LossWitness,
+    // Whether the suspicion of this request was noted before its end.
+    suspected: bool,
     // The longest time between the launch of an attempt and its start.
     longest_start_delay: Duration,
 }
@@ -176,6 +180,7 @@
     sink: Option<RunSink>,
 ) -> RunOutcome {
     let shards = services.iter().map(|_| ShardAttempts::default()).collect();
+    let witness = LossWitness::new(services.len());
     let outcome = RunOutcome {
         end: RunEnd::Failed,
         answers: services.iter().map(|_| None).collect(),
@@ -203,6 +208,8 @@
         relayed,
         sink,
         answered: false,
+        witness,
+        suspected: false,
         longest_start_delay: Duration::ZERO,
     };
     run.run_to_end().await
@@ -370,6 +377,7 @@
         for part in batch.parts {
             let Some(shard) = shards.get(part.shard) else { continue };
             self.answered = true;
+            self.witness.note_answer();
             if self.machine.note_part(*shard) {
                 self.outcome.answers[shard.0] = Some(ShardAnswer::Relayed(part.stamp));
             }
@@ -406,6 +414,18 @@
     fn launch(&mut self, shard: ShardIndex, reason: LaunchReason) {
         let now = self.state.now();
         let service = self.services[shard.0].clone();
+        if reason != LaunchReason::First {
+            match self.witness.verdict(now) {
+                LossVerdict::Retry => {}
+                LossVerdict::Wait(delay) => {
+                    return self.machine.postpone_attempt(now, shard, delay);
+                }
+                LossVerdict::Suspect => {
+                    self.suspect(now);
+                    return self.machine.note_unsent(shard, true);
+                }
+            }
+        }
         let attempts = &mut self.shards[shard.0];
         let mut decisions = self.state.decisions();
         if reason == LaunchReason::First {
@@ -473,6 +493,7 @@
             {
                 self.outcome.may_have_run = true;
                 self.answered = true;
+                self.witness.note_answer();
                 if self.machine.note_part(shard) {
                     self.record_answer(shard, answer);
                 }
@@ -497,11 +518,23 @@
         }
     }
 
+    /// Makes the suspicion known before the request ends, so that no entry sends it on meanwhile.
+    fn suspect(&mut self, now: MonotonicTime) {
+        // Only the entry that has the whole request knows whether any target answered.
+        if self.sink.is_none() && !std::mem::replace(&mut self.suspected, true) {
+            self.note_crashes(now);
+        }
+    }
+
     fn note_crash(&mut self, target: &ChosenTarget, connected_at: MonotonicTime) {
         let now = self.state.now();
         let decisions = self.state.decisions();
         let crash = decisions.poison.identify_crash(&target.process(), connected_at);
+        let domain = decisions.selector.domain_of(&target.target).cloned();
         drop(decisions);
+        if let Some(domain) = domain {
+            self.witness.note_loss(now, target.target.clone(), domain);
+        }
         self.outcome.crashes.push(NoticedCrash { crash, lost_at: Some(now) });
     }
 
