Accept no configuration by fewer hosts than may not be lost

Cause: after a wait of 5 s a leader accepted documents with any number of voters. Change: after the wait more than half of the wanted voters are needed. Conclusion: what is acknowledged survives the losses that are allowed.

--- a/hickoryspan_core/src/control/machine/members.rs
+++ b/hickoryspan_core/src/control/machine/members.rs
@@ -89,12 +89,14 @@
     }
 
     /// Returns whether a configuration document may be accepted. With the configured number of voters, a document that
-    /// is durable on a majority survives the loss of as many disks as that number allows. A deployment with fewer
-    /// hosts accepts documents after [`MAX_VOTER_WAIT`].
+    /// is durable on a majority survives the loss of as many disks as that number allows. If some hosts are missing,
+    /// documents are accepted after [`MAX_VOTER_WAIT`], but never by fewer hosts than a majority of that number: the
+    /// missing ones are then not more than may be lost. A host that starts alone could be the only one to lose its disk.
     pub(super) fn has_enough_voters(&self, now: MonotonicTime) -> bool {
         let Some(settings) = self.settings.members else { return true };
         let voters = self.raft.replica_set().0.voters().count();
         let Some(leadership) = &self.leadership else { return false };
-        voters >= settings.voters || now.since(leadership.began_at) >= MAX_VOTER_WAIT
+        let has_waited = now.since(leadership.began_at) >= MAX_VOTER_WAIT;
+        voters >= settings.voters || (has_waited && voters > settings.voters / 2)
     }
 }
--- a/hickoryspan_core/tests/control_planned_stop.rs
+++ b/hickoryspan_core/tests/control_planned_stop.rs
@@ -38,17 +38,36 @@
 
 impl Deployment {
     fn start(seed: u64, voters: usize) -> Self {
-        let members =
-            MemberSettings { voters, replace_after: REPLACE_AFTER, ..MemberSettings::default() };
-        let cluster =
-            Cluster::new(seed, voters as u64, |settings| settings.members = Some(members));
-        let mut deployment = Self { cluster, next_version: 0, next_host: voters as u64 + 1 };
+        let mut deployment = Self::first_start(seed, voters, voters as u64);
         deployment.run(Duration::from_secs(2));
         deployment.send_document();
         assert_eq!(deployment.voters().len(), voters);
         deployment
     }
 
+    /// Starts some of the hosts of a deployment for the first time, with the founder among them.
+    fn first_start(seed: u64, voters: usize, hosts: u64) -> Self {
+        let members =
+            MemberSettings { voters, replace_after: REPLACE_AFTER, ..MemberSettings::default() };
+        let cluster = Cluster::new(seed, hosts, |settings| settings.members = Some(members));
+        Self { cluster, next_version: 0, next_host: hosts + 1 }
+    }
+
+    /// Sends a document to one host for some time. Returns whether it was acknowledged.
+    fn offer_document(&mut self, host: ReplicaId, duration: Duration) -> bool {
+        let end = self.cluster.now + duration.as_micros() as u64;
+        while self.cluster.now < end {
+            let token = ReplyToken(self.cluster.token());
+            let document = Arc::new(document(self.next_version + 1));
+            self.cluster.handle(host, ControlEvent::ReplaceDocument(token, document));
+            self.run(Duration::from_millis(200));
+            if let Some(ControlReply::DocumentDecided(_)) = self.cluster.reply(token) {
+                return true;
+            }
+        }
+        false
+    }
+
     fn run(&mut self, duration: Duration) {
         let end = self.cluster.now + duration.as_micros() as u64;
         while self.cluster.now < end {
@@ -92,13 +111,7 @@
     /// Sends documents until one is acknowledged.
     fn send_document(&mut self) {
         self.next_version += 1;
-        let document = Arc::new(ConfigurationDocument {
-            version: DocumentVersion(self.next_version),
-            routes: Vec::new(),
-            services: Vec::new(),
-            limits: CallerLimits::default(),
-            source: format!("version {}", self.next_version).into(),
-        });
+        let document = Arc::new(document(self.next_version));
         for _ in 0..100 {
             let token = ReplyToken(self.cluster.token());
             if let Some(leader) = self.cluster.leader() {
@@ -142,6 +155,43 @@
     }
 }
 
+fn document(version: u64) -> ConfigurationDocument {
+    ConfigurationDocument {
+        version: DocumentVersion(version),
+        routes: Vec::new(),
+        services: Vec::new(),
+        limits: CallerLimits::default(),
+        source: format!("version {version}").into(),
+    }
+}
+
+/// Guards against a configuration that one host acknowledges alone at the first start, because it is cut off from the
+/// others, and loses with its disk.
+#[rstest]
+fn a_host_that_starts_alone_acknowledges_nothing(#[values(81, 82, 83)] seed: u64) {
+    let mut deployment = Deployment::first_start(seed, 5, 5);
+    for other in (2..=5).map(replica) {
+        deployment.cluster.block(replica(1), other);
+        deployment.cluster.block(other, replica(1));
+    }
+    assert!(!deployment.offer_document(replica(1), Duration::from_secs(30)));
+    deployment.cluster.heal();
+    deployment.send_document();
+    assert_eq!(deployment.voters().len(), 5);
+    deployment.lose_two_disks();
+    deployment.check_document();
+}
+
+/// Guards against a first start that waits for ever for hosts that may be lost.
+#[test]
+fn a_first_start_without_two_hosts_acknowledges_after_a_while() {
+    let mut deployment = Deployment::first_start(84, 5, 3);
+    deployment.run(Duration::from_secs(1));
+    assert!(deployment.offer_document(replica(1), Duration::from_secs(20)));
+    let mut alone = Deployment::first_start(85, 5, 2);
+    assert!(!alone.offer_document(replica(1), Duration::from_secs(20)));
+}
+
 /// Guards against a configuration that is lost with two disks soon after a planned replacement, because the host that
 /// has left still counted as a voter.
 #[rstest]
