Move refusals and the reading of answers into modules of their own

Change: refusal (answers of the entry itself) and target_answer (what an answer means and says of its target); code moved, the limits of Retry-After are durations. Measured: the gateway's tests pass; no change of behaviour intended.

--- a/hickoryspan_gateway/src/caller_server.rs
+++ b/hickoryspan_gateway/src/caller_server.rs
@@ -15,8 +15,9 @@
 use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
 
-use crate::forward::{ConnectionPosition, GatewayResponse, answer_until};
+use crate::forward::{ConnectionPosition, answer_until};
 use crate::gateway_state::GatewayState;
+use crate::refusal::GatewayResponse;
 
 /// Delay after a failed accept, so that a lack of file descriptors does not cause a busy loop.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
--- a/hickoryspan_gateway/src/forward.rs
+++ b/hickoryspan_gateway/src/forward.rs
@@ -15,18 +15,20 @@
 use hickoryspan_core::types::{MonotonicTime, RequestFingerprint, ServiceId};
 use hickoryspan_runtime::http_client::HttpAnswer;
 use hickoryspan_runtime::http_server::{self, BodyError, HttpLimits};
-use http::header::{CONTENT_LENGTH, CONTENT_TYPE, HOST, RETRY_AFTER};
+use http::header::{CONTENT_LENGTH, CONTENT_TYPE, HOST};
 use http::request::Parts;
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use tokio_util::sync::CancellationToken;
 
-use crate::attempt::{AttemptScope, GatewayJob, claims_not_run};
+use crate::attempt::{AttemptScope, GatewayJob};
 use crate::gateway_state::GatewayState;
 use crate::headers::remove_connection_headers;
+use crate::refusal::{GatewayResponse, MIN_RETRY_DELAY, RefusalReason, refuse, refuse_job};
 use crate::relayed_groups::RelayedGroups;
 use crate::run::{AnswerRule, RunEnd, RunOutcome, ShardAnswer, run_fanout};
+use crate::target_answer::claims_not_run;
 
 /// Subtracted from a caller's deadline so that the response still arrives in time.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(8);
@@ -35,15 +37,9 @@
 /// Longest hedge delay, as a share of the time for an answer. Below one half, because the hedge takes as long again as
 /// the first attempt.
 const MAX_HEDGE_SHARE: f64 = 0.45;
-/// Longest `Retry-After` of a refusal, in milliseconds.
-const MAX_RETRY_MILLIS: u64 = 1_000;
-/// Shortest `Retry-After` of a refusal, in milliseconds.
-const MIN_RETRY_MILLIS: u64 = 60;
 /// Content type of merged shard answers.
 const RECORDS_TYPE: &str = "application/octet-stream";
 
-pub(crate) type GatewayResponse = Response<Full<Bytes>>;
-
 /// Position of a request on its connection. The caller's time for the first request includes opening the connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum ConnectionPosition {
@@ -51,89 +47,6 @@
     Later,
 }
 
-/// Why the entry answers a request itself instead of forwarding a target's answer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum RefusalReason {
-    NoConfiguration,
-    NoHost,
-    NoRoute,
-    BodyTooLarge,
-    BodyTooSlow,
-    BodyIncomplete,
-    Poisoned,
-    Stopping,
-    NoTarget,
-    Overloaded,
-    Limited,
-    MayHaveRun,
-    TimedOut,
-    StopTimedOut,
-}
-
-impl RefusalReason {
-    fn as_str(self) -> &'static str {
-        match self {
-            Self::NoConfiguration => "no_configuration",
-            Self::NoHost => "no_host",
-            Self::NoRoute => "no_route",
-            Self::BodyTooLarge => "body_too_large",
-            Self::BodyTooSlow => "body_too_slow",
-            Self::BodyIncomplete => "body_incomplete",
-            Self::Poisoned => "poisoned",
-            Self::Stopping => "stopping",
-            Self::NoTarget => "no_target",
-            Self::Overloaded => "overloaded",
-            Self::Limited => "limited",
-            Self::MayHaveRun => "may_have_run",
-            Self::TimedOut => "timed_out",
-            Self::StopTimedOut => "stop_timed_out",
-        }
-    }
-
-    fn status(self) -> StatusCode {
-        match self {
-            Self::NoConfiguration
-            | Self::NoTarget
-            | Self::Overloaded
-            | Self::Limited
-            | Self::Stopping
-            | Self::Poisoned => StatusCode::SERVICE_UNAVAILABLE,
-            Self::NoHost | Self::BodyIncomplete => StatusCode::BAD_REQUEST,
-            Self::NoRoute => StatusCode::NOT_FOUND,
-            Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
-            Self::BodyTooSlow => StatusCode::REQUEST_TIMEOUT,
-            Self::MayHaveRun => StatusCode::BAD_GATEWAY,
-            Self::TimedOut | Self::StopTimedOut => StatusCode::GATEWAY_TIMEOUT,
-        }
-    }
-}
-
-fn refuse(
-    state: &GatewayState,
-    request: &str,
-    reason: RefusalReason,
-    retry_after: Duration,
-) -> GatewayResponse {
-    if state.admits_log_line(LogPriority::Important) {
-        spdlog::info!(
-            "request refused",
-            kv: { request: = request, reason: = reason.as_str(), status: = reason.status().as_u16() }
-        );
-    }
-    metrics::counter!("hickoryspan_gateway_refusals_total", "reason" => reason.as_str())
-        .increment(1);
-    let mut response = Response::new(Full::new(Bytes::from_static(reason.as_str().as_bytes())));
-    *response.status_mut() = reason.status();
-    let headers = response.headers_mut();
-    headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/plain"));
-    if reason.status() == StatusCode::SERVICE_UNAVAILABLE
-        && let Ok(seconds) = HeaderValue::from_str(&format!("{:.3}", retry_after.as_secs_f64()))
-    {
-        headers.insert(RETRY_AFTER, seconds);
-    }
-    response
-}
-
 /// Answers one request, also if it is still in flight when `stop` is cancelled.
 pub(crate) async fn answer_until(
     stop: CancellationToken,
@@ -163,7 +76,6 @@
     let (parts, body) = request.into_parts();
     let id = parts.headers.get(&state.settings.headers.request).cloned();
     let id_text = id.as_ref().and_then(|value| value.to_str().ok()).unwrap_or("-").to_owned();
-    let min_retry_delay = Duration::from_millis(MIN_RETRY_MILLIS);
     let Some(routes) = state.decisions().routes.clone() else {
         return refuse(
             &state,
@@ -173,15 +85,15 @@
         );
     };
     let Some(host) = host_of(&parts) else {
-        return refuse(&state, &id_text, RefusalReason::NoHost, min_retry_delay);
+        return refuse(&state, &id_text, RefusalReason::NoHost, MIN_RETRY_DELAY);
     };
     let Some(route) = routes.find(&host, parts.uri.path()).cloned() else {
-        return refuse(&state, &id_text, RefusalReason::NoRoute, min_retry_delay);
+        return refuse(&state, &id_text, RefusalReason::NoRoute, MIN_RETRY_DELAY);
     };
     let limits = routes.document().limits;
     let body = match read_body(&parts, body, &limits, route.timeout).await {
         Ok(body) => body,
-        Err(reason) => return refuse(&state, &id_text, reason, min_retry_delay),
+        Err(reason) => return refuse(&state, &id_text, reason, MIN_RETRY_DELAY),
     };
     let version = routes.document().version;
     let job = to_job(&state, parts, body, RoutedBy { route, version }, id, position, received_at);
@@ -190,7 +102,7 @@
     }
     if ends_too_late(&state, &job) {
         // Another entry can take the request at once.
-        return refuse(&state, &id_text, RefusalReason::Stopping, min_retry_delay);
+        return refuse(&state, &id_text, RefusalReason::Stopping, MIN_RETRY_DELAY);
     }
     run_job(state, routes, Arc::new(job)).await
 }
@@ -282,14 +194,6 @@
     RequestFingerprint(*hasher.finalize().as_bytes())
 }
 
-fn refuse_job(state: &GatewayState, job: &GatewayJob, reason: RefusalReason) -> GatewayResponse {
-    let delay = match reason {
-        RefusalReason::NoTarget => reopening_delay(state, job),
-        _ => None,
-    };
-    refuse(state, job.request_text(), reason, delay.unwrap_or_else(|| retry_delay(state, job)))
-}
-
 async fn run_job(
     state: Arc<GatewayState>,
     routes: Arc<RouteTable>,
@@ -588,22 +492,3 @@
     };
     refuse_job(state, job, reason)
 }
-
-/// Returns when the first of the closed services of a request opens again, by what its targets said; `None` if none is
-/// closed.
-fn reopening_delay(state: &GatewayState, job: &GatewayJob) -> Option<Duration> {
-    let now = state.now();
-    let decisions = state.decisions();
-    let services = job.route.destination.services().into_iter();
-    let opens_at =
-        services.filter_map(|service| decisions.selector.opens_at(now, service)).min()?;
-    Some(opens_at.since(now))
-}
-
-/// Returns the `Retry-After` of a refusal: a quarter of the time that the caller still has, so that a retry can succeed
-/// before its deadline, and so that retries are spread over time.
-fn retry_delay(state: &GatewayState, job: &GatewayJob) -> Duration {
-    let remaining = job.give_up_at.since(state.now());
-    let millis = u64::try_from(remaining.as_millis() / 4).unwrap_or(MAX_RETRY_MILLIS);
-    Duration::from_millis(millis.clamp(MIN_RETRY_MILLIS, MAX_RETRY_MILLIS))
-}
--- a/hickoryspan_gateway/src/lib.rs
+++ b/hickoryspan_gateway/src/lib.rs
@@ -21,9 +21,11 @@
 mod host_list;
 mod hub_state;
 mod link_listener;
+mod refusal;
 mod relayed_groups;
 mod run;
 mod settings;
+mod target_answer;
 mod target_pool;
 
 pub use directory_hub::{AnnounceVerdict, DirectoryHub};
--- /dev/null
+++ b/hickoryspan_gateway/src/refusal.rs
@@ -0,0 +1,134 @@
+//! Answers that the entry gives itself, instead of forwarding one of a target.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use hickoryspan_core::gateway::log_limit::LogPriority;
+use http::header::{CONTENT_TYPE, RETRY_AFTER};
+use http::{HeaderValue, Response, StatusCode};
+use http_body_util::Full;
+
+use crate::attempt::GatewayJob;
+use crate::gateway_state::GatewayState;
+
+/// Longest `Retry-After` of a refusal.
+const MAX_RETRY_DELAY: Duration = Duration::from_secs(1);
+/// Shortest `Retry-After` of a refusal.
+pub(crate) const MIN_RETRY_DELAY: Duration = Duration::from_millis(60);
+
+pub(crate) type GatewayResponse = Response<Full<Bytes>>;
+
+/// Why the entry answers a request itself instead of forwarding a target's answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum RefusalReason {
+    NoConfiguration,
+    NoHost,
+    NoRoute,
+    BodyTooLarge,
+    BodyTooSlow,
+    BodyIncomplete,
+    Poisoned,
+    Stopping,
+    NoTarget,
+    Overloaded,
+    Limited,
+    MayHaveRun,
+    TimedOut,
+    StopTimedOut,
+}
+
+impl RefusalReason {
+    fn as_str(self) -> &'static str {
+        match self {
+            Self::NoConfiguration => "no_configuration",
+            Self::NoHost => "no_host",
+            Self::NoRoute => "no_route",
+            Self::BodyTooLarge => "body_too_large",
+            Self::BodyTooSlow => "body_too_slow",
+            Self::BodyIncomplete => "body_incomplete",
+            Self::Poisoned => "poisoned",
+            Self::Stopping => "stopping",
+            Self::NoTarget => "no_target",
+            Self::Overloaded => "overloaded",
+            Self::Limited => "limited",
+            Self::MayHaveRun => "may_have_run",
+            Self::TimedOut => "timed_out",
+            Self::StopTimedOut => "stop_timed_out",
+        }
+    }
+
+    fn status(self) -> StatusCode {
+        match self {
+            Self::NoConfiguration
+            | Self::NoTarget
+            | Self::Overloaded
+            | Self::Limited
+            | Self::Stopping
+            | Self::Poisoned => StatusCode::SERVICE_UNAVAILABLE,
+            Self::NoHost | Self::BodyIncomplete => StatusCode::BAD_REQUEST,
+            Self::NoRoute => StatusCode::NOT_FOUND,
+            Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::BodyTooSlow => StatusCode::REQUEST_TIMEOUT,
+            Self::MayHaveRun => StatusCode::BAD_GATEWAY,
+            Self::TimedOut | Self::StopTimedOut => StatusCode::GATEWAY_TIMEOUT,
+        }
+    }
+}
+
+/// Answers a request with the reason why no answer of a target is forwarded.
+pub(crate) fn refuse(
+    state: &GatewayState,
+    request: &str,
+    reason: RefusalReason,
+    retry_after: Duration,
+) -> GatewayResponse {
+    if state.admits_log_line(LogPriority::Important) {
+        spdlog::info!(
+            "request refused",
+            kv: { request: = request, reason: = reason.as_str(), status: = reason.status().as_u16() }
+        );
+    }
+    metrics::counter!("hickoryspan_gateway_refusals_total", "reason" => reason.as_str())
+        .increment(1);
+    let mut response = Response::new(Full::new(Bytes::from_static(reason.as_str().as_bytes())));
+    *response.status_mut() = reason.status();
+    let headers = response.headers_mut();
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/plain"));
+    if reason.status() == StatusCode::SERVICE_UNAVAILABLE
+        && let Ok(seconds) = HeaderValue::from_str(&format!("{:.3}", retry_after.as_secs_f64()))
+    {
+        headers.insert(RETRY_AFTER, seconds);
+    }
+    response
+}
+
+/// Refuses a request whose route is known.
+pub(crate) fn refuse_job(
+    state: &GatewayState,
+    job: &GatewayJob,
+    reason: RefusalReason,
+) -> GatewayResponse {
+    let delay = match reason {
+        RefusalReason::NoTarget => reopening_delay(state, job),
+        _ => None,
+    };
+    refuse(state, job.request_text(), reason, delay.unwrap_or_else(|| retry_delay(state, job)))
+}
+
+/// Returns when the first of the closed services of a request opens again, by what its targets said; `None` if none is
+/// closed.
+fn reopening_delay(state: &GatewayState, job: &GatewayJob) -> Option<Duration> {
+    let now = state.now();
+    let decisions = state.decisions();
+    let services = job.route.destination.services().into_iter();
+    let opens_at =
+        services.filter_map(|service| decisions.selector.opens_at(now, service)).min()?;
+    Some(opens_at.since(now))
+}
+
+/// Returns the `Retry-After` of a refusal: a quarter of the time that the caller still has, so that a retry can succeed
+/// before its deadline, and so that retries are spread over time.
+fn retry_delay(state: &GatewayState, job: &GatewayJob) -> Duration {
+    let remaining = job.give_up_at.since(state.now());
+    (remaining / 4).clamp(MIN_RETRY_DELAY, MAX_RETRY_DELAY)
+}
