Keep the groups of a fan-out by their list of shards

Callers saw: nothing yet; found by reading in the review. After a change to fewer shards all requests of a wide route could end without an answer at one entry.

Cause: the groups were kept by the name of the route. A request whose body arrived during the change filled them from the former list, and the indexes did not fit the new one (a panic in the task). Change: GroupCache keeps the groups with their list of shards. Measured: the new case of wide_fan_out panicked on the code before (index 10 of 6), passes after. Conclusion: excluded by construction.

--- a/hickoryspan_core/src/gateway/relays.rs
+++ b/hickoryspan_core/src/gateway/relays.rs
@@ -91,6 +91,43 @@
     order.chunks(size).map(to_group).collect()
 }
 
+/// The groups of the wide routes. Groups belong to a list of shards: a request from before a change of the configuration
+/// has another list than one from after it.
+#[derive(Clone, Debug, Default)]
+pub struct GroupCache {
+    groups: HashMap<Arc<str>, CachedGroups>,
+}
+
+#[derive(Clone, Debug)]
+struct CachedGroups {
+    shards: Arc<[ServiceId]>,
+    groups: Arc<[ShardGroup]>,
+}
+
+impl GroupCache {
+    /// Returns the groups of these shards of a route; empty if the route has too few to be divided.
+    pub fn groups(
+        &mut self,
+        settings: &RelaySettings,
+        route: &Arc<str>,
+        shards: &Arc<[ServiceId]>,
+    ) -> Arc<[ShardGroup]> {
+        let cached = self.groups.get(route);
+        if let Some(cached) = cached.filter(|cached| Arc::ptr_eq(&cached.shards, shards)) {
+            return Arc::clone(&cached.groups);
+        }
+        let groups: Arc<[ShardGroup]> = divide_shards(settings, shards).into();
+        let cached = CachedGroups { shards: Arc::clone(shards), groups: Arc::clone(&groups) };
+        self.groups.insert(Arc::clone(route), cached);
+        groups
+    }
+
+    /// Forgets the groups of all routes.
+    pub fn clear(&mut self) {
+        self.groups.clear();
+    }
+}
+
 /// Prevents an entry that sends for another one from sending to a second target too early.
 ///
 /// Until the requesting entry has received a first batch, it may consider this entry lost and make
--- a/hickoryspan_core/tests/gateway_relays.rs
+++ b/hickoryspan_core/tests/gateway_relays.rs
@@ -5,14 +5,15 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use hickoryspan_core::gateway::fanout::{
     FanoutMachine, FanoutSettings, FanoutStep, LaunchReason, ShardIndex,
 };
 use hickoryspan_core::gateway::relays::{
-    RelayAssignment, RelayMode, RelayPeer, RelaySelector, RelaySettings, RetryGate, RetryVerdict,
-    divide_shards,
+    GroupCache, RelayAssignment, RelayMode, RelayPeer, RelaySelector, RelaySettings, RetryGate,
+    RetryVerdict, divide_shards,
 };
 use hickoryspan_core::types::{EntryId, MonotonicTime, ServiceId};
 
@@ -279,3 +280,19 @@
     machine.note_abandoned(ShardIndex(2));
     assert_eq!(machine.next_step(at(5)), FanoutStep::Answer);
 }
+
+/// Guards against groups of former shards after a change of the configuration, whose indexes do not fit the new ones.
+#[test]
+fn cached_groups_belong_to_their_list_of_shards() {
+    let settings = RelaySettings { min_shards: 4, group_shards: 3, ..RelaySettings::default() };
+    let route: Arc<str> = "all".into();
+    let (former, current): (Arc<[ServiceId]>, Arc<[ServiceId]>) =
+        (shards(12).into(), shards(6).into());
+    let mut cache = GroupCache::default();
+    for list in [&former, &current, &former, &current, &current] {
+        let groups = cache.groups(&settings, &route, list);
+        let count: usize = groups.iter().map(|group| group.shards.len()).sum();
+        assert_eq!(count, list.len());
+        assert!(groups.iter().flat_map(|group| &group.shards).all(|shard| shard.0 < list.len()));
+    }
+}
--- a/hickoryspan_gateway/src/gateway_state.rs
+++ b/hickoryspan_gateway/src/gateway_state.rs
@@ -19,9 +19,7 @@
 use hickoryspan_core::gateway::planned_stop::StopSchedule;
 use hickoryspan_core::gateway::poison::PoisonTable;
 use hickoryspan_core::gateway::processor_lag::{LagMonitor, LagSettings};
-use hickoryspan_core::gateway::relays::{
-    RelayAssignment, RelaySelector, ShardGroup, divide_shards,
-};
+use hickoryspan_core::gateway::relays::{GroupCache, RelayAssignment, RelaySelector, ShardGroup};
 use hickoryspan_core::gateway::routes::{RouteTable, WeightedRoundRobin};
 use hickoryspan_core::gateway::selection::{ChosenTarget, TargetSelector};
 use hickoryspan_core::gateway::send_check::SendBarrier;
@@ -66,7 +64,7 @@
     /// The number of entries that divide the retry budgets among themselves.
     pub(crate) budget_entries: EntryCount,
     // The shard groups of the wide routes in the active document.
-    groups: HashMap<Arc<str>, Arc<[ShardGroup]>>,
+    groups: GroupCache,
     budgets: HashMap<ServiceId, RetryBudget>,
     latencies: HashMap<Arc<str>, LatencyDistribution>,
     splits: HashMap<Arc<str>, WeightedRoundRobin>,
@@ -160,8 +158,7 @@
         spread: &ShardSpread,
     ) -> Arc<[ShardGroup]> {
         let settings = *self.relays.settings();
-        let divide = || divide_shards(&settings, &spread.shards).into();
-        Arc::clone(self.groups.entry(route.clone()).or_insert_with(divide))
+        self.groups.groups(&settings, route, &spread.shards)
     }
 
     /// Returns the entry to which this group is sent, or `None` if this entry sends to the shards itself.
@@ -237,7 +234,7 @@
             selector,
             poison: PoisonTable::default(),
             relays: RelaySelector::new(settings.relays, settings.entry.clone()),
-            groups: HashMap::new(),
+            groups: GroupCache::default(),
             entries: 1,
             budget_entries: EntryCount::default(),
             budgets: HashMap::new(),
--- a/hickoryspan_gateway/tests/gateway/wide_fan_out.rs
+++ b/hickoryspan_gateway/tests/gateway/wide_fan_out.rs
@@ -4,10 +4,13 @@
 use std::time::Duration;
 
 use crate::support::{
-    Deployment, ScriptedTarget, SeenRequest, TargetAction, get, route, to_shards,
+    Deployment, ScriptedTarget, SeenRequest, TargetAction, exchange_on, get, route, to_service,
+    to_shards,
 };
 use hickoryspan_core::gateway::document::RepeatRule;
 use hickoryspan_core::gateway::relays::RelaySettings;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
 
 const SHARDS: usize = 12;
 const RECORD: usize = 16;
@@ -107,3 +110,34 @@
     assert_eq!(stamps(&answer), all_stamps());
     wide.deployment.stop().await;
 }
+
+/// Guards against requests that end without an answer after a change to fewer shards: a request whose body arrives during the
+/// change still divides the former shards, and the groups that it leaves behind must not be used for the new ones.
+#[tokio::test]
+async fn a_request_from_before_a_change_leaves_no_groups_of_former_shards() {
+    let mut wide = WideDeployment::start(4, None).await;
+    let mut stream =
+        TcpStream::connect(wide.deployment.address).await.expect("connect to the entry");
+    let head = "POST /all/late HTTP/1.1\r\nhost: search.example\r\nhs-request-id: r-1\r\n\
+        hs-deadline-ms: 6000\r\ncontent-length: 4\r\n\r\nbo";
+    stream.write_all(head.as_bytes()).await.expect("send a part of the request");
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    let fewer: Vec<String> = (0..SHARDS / 2).map(|shard| format!("shard-{shard}")).collect();
+    let fewer: Vec<&str> = fewer.iter().map(String::as_str).collect();
+    let routes = vec![
+        route("/all/", RepeatRule::Idempotent, to_shards(&fewer, 0.5)),
+        route("/probe/", RepeatRule::Idempotent, to_service("shard-0")),
+    ];
+    wide.deployment.configure(routes).await;
+    // The entry has the change as soon as it knows the new route.
+    while wide.deployment.exchange(&get("/probe/")).await.status == 404 {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    let late = exchange_on(&mut stream, b"dy").await;
+    assert_eq!(late.status, 200);
+    for _ in 0..4 {
+        let answer = wide.deployment.exchange(&get("/all/next")).await;
+        assert_eq!((answer.status, answer.header("hs-missing-parts")), (200, Some("0")));
+    }
+    wide.deployment.stop().await;
+}
