Look for notices of targets only where there are any

Cause: each answer built the identity of its process and read the clock for headers that are almost never there, and each group for another entry looked up every target of its shards. Change: as with limits, nothing is looked up while no target has given notice. Reading the time of a rejection is a function of its own. No change of behaviour.

--- a/hickoryspan_core/src/gateway/selection.rs
+++ b/hickoryspan_core/src/gateway/selection.rs
@@ -253,8 +253,18 @@
         self.targets.get(target).map(|state| &state.announcement.domain)
     }
 
+    /// Records that a target served a request.
+    pub fn note_served(&mut self, now: MonotonicTime, target: &ChosenTarget) {
+        if !self.notices.is_empty() {
+            self.notices.note_served(now, &target.process());
+        }
+    }
+
     /// Returns the processes of a service's targets that leave.
     pub fn leaving(&self, now: MonotonicTime, service: &ServiceId) -> Vec<TargetProcess> {
+        if self.notices.is_empty() {
+            return Vec::new();
+        }
         let processes = self.states(service).map(TargetState::process);
         processes.filter(|process| self.notices.is_leaving(now, process)).collect()
     }
@@ -469,13 +479,7 @@
         if announcement.address != chosen.address || announcement.service != *service {
             return Err(SendBarrier::Moved);
         }
-        let process = state.process();
-        if self.notices.is_leaving(now, &process) {
-            return Err(SendBarrier::Leaving);
-        }
-        if self.notices.closed_until(now, &process).is_some() {
-            return Err(SendBarrier::Closed);
-        }
+        self.check_notices(now, state)?;
         match announcement.phase {
             TargetPhase::Ready => Ok(()),
             TargetPhase::Draining => Err(SendBarrier::Draining),
@@ -483,6 +487,20 @@
         }
     }
 
+    fn check_notices(&self, now: MonotonicTime, state: &TargetState) -> Result<(), SendBarrier> {
+        if self.notices.is_empty() {
+            return Ok(());
+        }
+        let process = state.process();
+        if self.notices.is_leaving(now, &process) {
+            return Err(SendBarrier::Leaving);
+        }
+        match self.notices.closed_until(now, &process) {
+            Some(_) => Err(SendBarrier::Closed),
+            None => Ok(()),
+        }
+    }
+
     /// Returns whether a hedge is worthwhile: another target exists that is neither ejected nor
     /// limited nor has a long queue.
     pub fn has_alternative(
--- a/hickoryspan_gateway/src/attempt.rs
+++ b/hickoryspan_gateway/src/attempt.rs
@@ -133,7 +133,7 @@
     if let AttemptResult::Answer(_) = &result {
         let mut decisions = state.decisions();
         decisions.record_latency(&job.route, now.since(started_at));
-        decisions.selector.notices_mut().note_served(now, &target.process());
+        decisions.selector.note_served(now, &target);
         if let Some(connected_at) = connected_at.filter(|_| decisions.poison.has_crashes()) {
             decisions.poison.note_response(&target.process(), connected_at, started_at);
         }
--- a/hickoryspan_gateway/src/target_answer.rs
+++ b/hickoryspan_gateway/src/target_answer.rs
@@ -64,31 +64,35 @@
 /// Records what a target says of itself with any answer, also with a late one or a failure. Returns whether it wants no
 /// requests for a while.
 fn note_notices(state: &GatewayState, target: &ChosenTarget, answer: &HttpAnswer) -> bool {
-    let names = &state.settings.headers;
+    let leaving = answer.headers.get(&state.settings.headers.leaving);
+    if leaving.is_some_and(|value| value.as_bytes() == b"1") {
+        let now = state.now();
+        if state.decisions().selector.notices_mut().note_leaving(now, &target.process()) {
+            state.pool.remove(&target.target);
+            log_notice(state, target, "leaving", Duration::ZERO);
+        }
+    }
+    let Some(time) = closed_time(target, answer) else { return false };
     let now = state.now();
-    let process = target.process();
-    if answer.headers.get(&names.leaving).is_some_and(|value| value.as_bytes() == b"1")
-        && state.decisions().selector.notices_mut().note_leaving(now, &process)
-    {
-        state.pool.remove(&target.target);
-        log_notice(state, target, "leaving", Duration::ZERO);
+    if state.decisions().selector.notices_mut().note_closed(now, &target.process(), time) {
+        log_notice(state, target, "closed", time);
     }
+    true
+}
+
+/// Returns for how long the target wants no requests, if it says so.
+fn closed_time(target: &ChosenTarget, answer: &HttpAnswer) -> Option<Duration> {
     if answer.status != StatusCode::SERVICE_UNAVAILABLE {
-        return false;
+        return None;
     }
-    let Some(value) = answer.headers.get(RETRY_AFTER) else { return false };
-    let time = match read_retry_time(value.to_str().unwrap_or_default()) {
-        Ok(time) if time.is_zero() => return false,
-        Ok(time) => time,
+    let value = answer.headers.get(RETRY_AFTER)?;
+    match read_retry_time(value.to_str().unwrap_or_default()) {
+        Ok(time) => Some(time).filter(|time| !time.is_zero()),
         Err(error) => {
             spdlog::debug!("retry time of {}: {}", target.address, error);
-            return false;
+            None
         }
-    };
-    if state.decisions().selector.notices_mut().note_closed(now, &process, time) {
-        log_notice(state, target, "closed", time);
     }
-    true
 }
 
 fn log_notice(state: &GatewayState, target: &ChosenTarget, notice: &str, time: Duration) {
