Call what exists for leaving replicas, answered runs and joined tasks

Cause: read again, the change kept whether a shard had answered in two places, asked twice how long ago a replica announced its stop, and joined the same tasks in three loops. SendBarrier had a Display that nothing used, and the tests' deployment three wrappers around one announcement. Change: LossWitness alone knows of answers, start_transfer calls time_since_leave, a stop joins by one function; the rest is gone. No change of behaviour. Conclusion: one place each.

--- a/hickoryspan_core/src/control/raft/transfer.rs
+++ b/hickoryspan_core/src/control/raft/transfer.rs
@@ -129,22 +129,22 @@
     /// Starts to hand over leadership to the voter that answered most recently. Proposals are rejected meanwhile. If
     /// no other replica has become the leader at `until`, this one continues as the leader.
     pub fn start_transfer(&mut self, now: MonotonicTime, until: MonotonicTime) {
-        let set = self.replicas.current().1.clone();
-        let recent = self.settings.election_min;
-        let Some(leader) = self.leader_state_mut() else { return };
-        if leader.transfer_to.is_some() {
+        let Some(leader) = self.leader_state().filter(|leader| leader.transfer_to.is_none()) else {
             return;
-        }
+        };
         // A replica that is about to stop would have to hand over again.
-        let is_leaving = |replica: &ReplicaId| {
-            let request = leader.leaving.get(replica);
-            request.is_some_and(|request| now.since(request.received_at) < recent)
+        let is_leaving = |replica: ReplicaId| {
+            let since = self.time_since_leave(replica, now);
+            since.is_some_and(|since| since < self.settings.election_min)
         };
+        let set = self.replicas.current().1;
         let voters = leader.peers.iter().filter(|(replica, _)| set.is_voter(**replica));
         let best = voters.max_by_key(|(replica, peer)| {
-            (!is_leaving(replica), peer.last_response_at, peer.matched)
+            (!is_leaving(**replica), peer.last_response_at, peer.matched)
         });
-        leader.transfer_to = best.map(|(replica, _)| *replica);
+        let best = best.map(|(replica, _)| *replica);
+        let Some(leader) = self.leader_state_mut() else { return };
+        leader.transfer_to = best;
         leader.transfer_until = until;
     }
 
--- a/hickoryspan_core/src/gateway/loss_witness.rs
+++ b/hickoryspan_core/src/gateway/loss_witness.rs
@@ -62,6 +62,11 @@
         self.answered = true;
     }
 
+    /// Returns whether any shard has answered.
+    pub fn has_answer(&self) -> bool {
+        self.answered
+    }
+
     /// Decides on a second attempt.
     pub fn verdict(&self, now: MonotonicTime) -> LossVerdict {
         let Some(first_loss) = self.first_loss else { return LossVerdict::Retry };
--- a/hickoryspan_core/src/gateway/send_check.rs
+++ b/hickoryspan_core/src/gateway/send_check.rs
@@ -1,8 +1,6 @@
 //! The last check before a request leaves for a target. A request may have waited since the target was chosen, for a
 //! connection or a permit, and what was true then may no longer be.
 
-use std::fmt;
-
 /// Why a request is not sent to the target that was chosen for it. Nothing has been sent, so another target may run it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub enum SendBarrier {
@@ -47,9 +45,3 @@
         !matches!(self, Self::Rerouted | Self::Condemned | Self::DeadlinePassed)
     }
 }
-
-impl fmt::Display for SendBarrier {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        formatter.write_str(self.as_str())
-    }
-}
--- a/hickoryspan_gateway/src/entry_daemon.rs
+++ b/hickoryspan_gateway/src/entry_daemon.rs
@@ -419,22 +419,25 @@
         tokio::time::sleep(settings.accept_after_stop).await;
         self.shutdown.close_listener.cancel();
         let remaining = settings.finish_after_stop.saturating_sub(started_at.elapsed());
-        let finish = async { while self.callers.join_next().await.is_some() {} };
-        if tokio::time::timeout(remaining, finish).await.is_err() {
+        if tokio::time::timeout(remaining, join_all(&mut self.callers)).await.is_err() {
             spdlog::warn!("stop: requests in flight are ended");
             self.shutdown.finish.cancel();
         }
-        let close = async { while self.callers.join_next().await.is_some() {} };
-        if tokio::time::timeout(LAST_ANSWER_TIME, close).await.is_err() {
+        if tokio::time::timeout(LAST_ANSWER_TIME, join_all(&mut self.callers)).await.is_err() {
             self.shutdown.abort.cancel();
         }
-        while self.callers.join_next().await.is_some() {}
+        join_all(&mut self.callers).await;
         self.state.fanout.shut_down().await;
         self.stop.cancel();
-        while self.tasks.join_next().await.is_some() {}
+        join_all(&mut self.tasks).await;
     }
 }
 
+/// Waits until all tasks have ended. It may be called again after it was cancelled.
+async fn join_all(tasks: &mut JoinSet<()>) {
+    while tasks.join_next().await.is_some() {}
+}
+
 async fn bind_fanouts(settings: &GatewaySettings) -> anyhow::Result<Option<TcpListener>> {
     let Some(address) = settings.fanout_address else { return Ok(None) };
     let listener = TcpListener::bind(address).await;
--- a/hickoryspan_gateway/src/run.rs
+++ b/hickoryspan_gateway/src/run.rs
@@ -161,7 +161,6 @@
     outcome: RunOutcome,
     relayed: RelayedGroups,
     sink: Option<RunSink>,
-    answered: bool,
     witness: LossWitness,
     // Whether the suspicion of this request was noted before its end.
     suspected: bool,
@@ -207,7 +206,6 @@
         outcome,
         relayed,
         sink,
-        answered: false,
         witness,
         suspected: false,
         longest_start_delay: Duration::ZERO,
@@ -275,8 +273,12 @@
     fn note_crashes(&self, now: MonotonicTime) {
         let crashes = self.outcome.crashes.iter().cloned();
         let fingerprint = self.job.fingerprint;
-        let change =
-            self.state.decisions().poison.note_run(now, fingerprint, self.answered, crashes);
+        let change = self.state.decisions().poison.note_run(
+            now,
+            fingerprint,
+            self.witness.has_answer(),
+            crashes,
+        );
         let crashes = match change {
             SuspicionChange::None => return,
             SuspicionChange::Suspected(crashes) => crashes,
@@ -376,7 +378,6 @@
     fn handle_batch(&mut self, shards: &[ShardIndex], batch: FanoutBatch) {
         for part in batch.parts {
             let Some(shard) = shards.get(part.shard) else { continue };
-            self.answered = true;
             self.witness.note_answer();
             if self.machine.note_part(*shard) {
                 self.outcome.answers[shard.0] = Some(ShardAnswer::Relayed(part.stamp));
@@ -492,7 +493,6 @@
                 if self.rule == AnswerRule::Any || answer.status.is_success() =>
             {
                 self.outcome.may_have_run = true;
-                self.answered = true;
                 self.witness.note_answer();
                 if self.machine.note_part(shard) {
                     self.record_answer(shard, answer);
--- a/hickoryspan_gateway/tests/gateway/last_check.rs
+++ b/hickoryspan_gateway/tests/gateway/last_check.rs
@@ -53,11 +53,11 @@
 async fn apply(change: Change, deployment: &mut Deployment, target: &ScriptedTarget) {
     match change {
         Change::Draining => {
-            deployment.announce_phase("t", "one", target.address, TargetPhase::Draining).await;
+            deployment.announce_as("t", "one", target.address, 1, TargetPhase::Draining).await;
         }
         Change::Departed => deployment.depart("t").await,
         Change::Restarted => {
-            deployment.announce_start("t", "one", target.address, 2).await;
+            deployment.announce_as("t", "one", target.address, 2, TargetPhase::Ready).await;
         }
         Change::Moved => deployment.announce("t", "one", "127.0.0.1:1".parse().expect("it")).await,
         Change::Rerouted => {
--- a/hickoryspan_gateway/tests/gateway/support.rs
+++ b/hickoryspan_gateway/tests/gateway/support.rs
@@ -407,35 +407,14 @@
         self.announce_as(name, service, address, 1, TargetPhase::Ready).await;
     }
 
-    /// Announces a target in this phase.
-    pub async fn announce_phase(
-        &self,
-        name: &str,
-        service: &str,
-        address: SocketAddr,
-        phase: TargetPhase,
-    ) {
-        self.announce_as(name, service, address, 1, phase).await;
-    }
-
-    /// Announces a process of a target that started at this time.
-    pub async fn announce_start(
-        &self,
-        name: &str,
-        service: &str,
-        address: SocketAddr,
-        started: u64,
-    ) {
-        self.announce_as(name, service, address, started, TargetPhase::Ready).await;
-    }
-
     /// Reports that a target leaves.
     pub async fn depart(&self, name: &str) {
         let target = TargetId::new(name).expect("a name");
         self.hub.depart(TargetDeparture { target, started: Some(WallTime(1)) }).await;
     }
 
-    async fn announce_as(
+    /// Announces a process of a target that started at this time, as [`Self::announce`] does.
+    pub async fn announce_as(
         &self,
         name: &str,
         service: &str,
