Log how a caller's connection ends before its answer was sent

Evidence: two tests on loopback, a caller that leaves and an answer that the end of a stop cuts; both are traced by the new lines. No decision changes.

--- a/hickoryspan_gateway/src/caller_server.rs
+++ b/hickoryspan_gateway/src/caller_server.rs
@@ -15,6 +15,7 @@
 use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
 
+use crate::caller_connection::CallerConnection;
 use crate::forward::{ConnectionPosition, answer_until};
 use crate::gateway_state::GatewayState;
 use crate::refusal::GatewayResponse;
@@ -93,15 +94,20 @@
     let limits = routes.map_or_else(CallerLimits::default, |routes| routes.document().limits);
     let has_request = CancellationToken::new();
     let first_request = has_request.clone();
+    let caller = Arc::new(CallerConnection::open(Arc::clone(&state)));
+    let exchanges = Arc::clone(&caller);
     let service = service_fn(move |request| {
         let state = Arc::clone(&state);
         let finish = shutdown.finish.clone();
+        let caller = Arc::clone(&exchanges);
         let position = match first_request.is_cancelled() {
             true => ConnectionPosition::Later,
             false => ConnectionPosition::First,
         };
         first_request.cancel();
-        async move { Ok::<_, Infallible>(answer_caller(finish, state, request, position).await) }
+        async move {
+            Ok::<_, Infallible>(answer_caller(finish, state, &caller, request, position).await)
+        }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -118,9 +124,7 @@
             connection.await
         }
     };
-    if let Err(error) = ended {
-        spdlog::debug!("caller port: {}", error);
-    }
+    caller.finish(ended);
 }
 
 /// Waits until the connection may be closed for a shutdown. A connection that was accepted during the shutdown is closed
@@ -135,10 +139,13 @@
 async fn answer_caller(
     finish: CancellationToken,
     state: Arc<GatewayState>,
+    caller: &CallerConnection,
     request: Request<Incoming>,
     position: ConnectionPosition,
 ) -> GatewayResponse {
+    caller.note_request(request.headers().get(&state.settings.headers.request).cloned());
     let mut response = answer_until(finish, Arc::clone(&state), request, position).await;
+    caller.note_answer();
     if state.should_leave_callers() {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
--- a/hickoryspan_gateway/src/entry_daemon.rs
+++ b/hickoryspan_gateway/src/entry_daemon.rs
@@ -414,23 +414,41 @@
         let finish_at = self.state.now() + settings.finish_after_stop;
         // A stop begins only once, since it consumes the entry.
         let _ = self.state.stop_schedule.set(StopSchedule { finish_at });
+        self.log_stop_phase("begins", started_at);
         self.handler.set_ready(false);
         self.shutdown.drain.cancel();
         tokio::time::sleep(settings.accept_after_stop).await;
         self.shutdown.close_listener.cancel();
+        self.log_stop_phase("accepts no more connections", started_at);
         let remaining = settings.finish_after_stop.saturating_sub(started_at.elapsed());
         if tokio::time::timeout(remaining, join_all(&mut self.callers)).await.is_err() {
-            spdlog::warn!("stop: requests in flight are ended");
+            self.log_stop_phase("requests in flight are ended", started_at);
             self.shutdown.finish.cancel();
         }
         if tokio::time::timeout(LAST_ANSWER_TIME, join_all(&mut self.callers)).await.is_err() {
+            self.log_stop_phase("open connections are closed", started_at);
             self.shutdown.abort.cancel();
         }
         join_all(&mut self.callers).await;
+        self.log_stop_phase("no caller is left", started_at);
         self.state.fanout.shut_down().await;
         self.stop.cancel();
         join_all(&mut self.tasks).await;
     }
+
+    /// Logs how many callers a phase of the stop meets.
+    fn log_stop_phase(&self, phase: &'static str, started_at: Instant) {
+        let counts = &self.state.caller_counts;
+        spdlog::info!(
+            "stop phase",
+            kv: {
+                phase: = phase,
+                connections: = counts.connections(),
+                requests: = counts.requests(),
+                after_ms: = started_at.elapsed().as_millis()
+            }
+        );
+    }
 }
 
 /// Waits until all tasks have ended. It may be called again after it was cancelled.
--- a/hickoryspan_gateway/src/gateway_state.rs
+++ b/hickoryspan_gateway/src/gateway_state.rs
@@ -30,6 +30,7 @@
 use tokio::sync::{Semaphore, watch};
 
 use crate::attempt::{AttemptScope, GatewayJob};
+use crate::caller_connection::CallerCounts;
 use crate::fanout_links::FanoutLinks;
 use crate::settings::GatewaySettings;
 use crate::target_pool::TargetPool;
@@ -205,6 +206,7 @@
     pub(crate) clock: SystemClock,
     pub(crate) pool: TargetPool,
     pub(crate) fanout: FanoutLinks,
+    pub(crate) caller_counts: CallerCounts,
     /// Number of tasks of other entries since the start.
     pub(crate) tasks_served: AtomicU64,
     /// Causes an immediate report over all directory links.
@@ -246,6 +248,7 @@
         Self {
             settings,
             fanout,
+            caller_counts: CallerCounts::default(),
             tasks_served: AtomicU64::new(0),
             report_trigger: watch::Sender::new(0),
             stop_schedule: OnceLock::new(),
--- a/hickoryspan_gateway/src/lib.rs
+++ b/hickoryspan_gateway/src/lib.rs
@@ -5,6 +5,7 @@
 #![warn(missing_docs)]
 
 mod attempt;
+mod caller_connection;
 mod caller_server;
 mod directory_cache;
 mod directory_hub;
--- a/hickoryspan_gateway/tests/gateway/main.rs
+++ b/hickoryspan_gateway/tests/gateway/main.rs
@@ -1,6 +1,7 @@
 //! Tests with real entries, a real control host and scripted targets on loopback.
 
 mod crash_sharing;
+mod cut_requests;
 mod endless_answers;
 mod entry_lookups;
 mod forwarding;
--- a/hickoryspan_gateway/tests/gateway/support.rs
+++ b/hickoryspan_gateway/tests/gateway/support.rs
@@ -271,6 +271,21 @@
         Self::start_adjusted(0, RelaySettings::default(), settings).await
     }
 
+    /// Starts a deployment as [`Self::start_stopping`] does, whose entry accepts answers of up to this size.
+    pub async fn start_stopping_with_answers(
+        accept: Duration,
+        finish: Duration,
+        answer_bytes: usize,
+    ) -> Self {
+        let settings = |template| GatewaySettings {
+            accept_after_stop: accept,
+            finish_after_stop: finish,
+            answer_bytes,
+            ..template
+        };
+        Self::start_adjusted(0, RelaySettings::default(), settings).await
+    }
+
     /// Starts a deployment with `others` further entries.
     pub async fn start_with(others: usize, relays: RelaySettings) -> Self {
         Self::start_adjusted(others, relays, |template| template).await
