Keep idle connections open while a stopping entry still accepts callers

Cause: the stop closed every idle connection at once, although the entry goes on accepting new ones for seconds. Change: during a stop every answer says 'Connection: close', and idle connections are closed when the entry stops accepting. Evidence: a_request_on_a_kept_connection_during_a_stop_is_answered failed before (the connection was closed) and holds now. The callers have looked up other entries by the time of the close, so that hardly any request is on its way then.

--- a/hickoryspan_gateway/src/caller_server.rs
+++ b/hickoryspan_gateway/src/caller_server.rs
@@ -33,9 +33,9 @@
 /// The phases of a graceful shutdown, in this order.
 #[derive(Clone, Default)]
 pub(crate) struct ShutdownSignals {
-    /// Connections close after the request in flight.
+    /// Connections close after their next answer, which says so.
     pub(crate) drain: CancellationToken,
-    /// No further connections are accepted.
+    /// No further connections are accepted, and idle ones are closed.
     pub(crate) close_listener: CancellationToken,
     /// Requests still in flight are answered without waiting for their targets any longer.
     pub(crate) finish: CancellationToken,
@@ -50,17 +50,17 @@
     shutdown: ShutdownSignals,
 ) {
     let mut connections = JoinSet::new();
-    let mut listener = Some(listener);
+    let serve = |stream| serve_connection(stream, Arc::clone(&state), shutdown.clone());
     loop {
         let accepted = tokio::select! {
             () = shutdown.abort.cancelled() => break,
             () = shutdown.close_listener.cancelled() => break,
-            accepted = accept(listener.as_ref()) => accepted,
+            accepted = listener.accept() => accepted,
         };
         while connections.try_join_next().is_some() {}
         match accepted {
-            Ok(stream) => {
-                connections.spawn(serve_connection(stream, Arc::clone(&state), shutdown.clone()));
+            Ok((stream, _)) => {
+                connections.spawn(serve(stream));
             }
             Err(error) => {
                 spdlog::warn!("caller port: accept: {}", error);
@@ -68,7 +68,7 @@
             }
         }
     }
-    listener.take();
+    drop(listener);
     let finish = async { while connections.join_next().await.is_some() {} };
     tokio::select! {
         () = finish => {}
@@ -79,13 +79,6 @@
     connections.shutdown().await;
 }
 
-async fn accept(listener: Option<&TcpListener>) -> std::io::Result<TcpStream> {
-    match listener {
-        Some(listener) => listener.accept().await.map(|(stream, _)| stream),
-        None => std::future::pending().await,
-    }
-}
-
 async fn serve_connection(stream: TcpStream, state: Arc<GatewayState>, shutdown: ShutdownSignals) {
     if let Err(error) = stream.set_nodelay(true) {
         spdlog::debug!("caller port: set TCP_NODELAY: {}", error);
@@ -96,9 +89,10 @@
     let first_request = has_request.clone();
     let caller = Arc::new(CallerConnection::open(Arc::clone(&state)));
     let exchanges = Arc::clone(&caller);
+    let service_shutdown = shutdown.clone();
     let service = service_fn(move |request| {
         let state = Arc::clone(&state);
-        let finish = shutdown.finish.clone();
+        let shutdown = service_shutdown.clone();
         let caller = Arc::clone(&exchanges);
         let position = match first_request.is_cancelled() {
             true => ConnectionPosition::Later,
@@ -106,7 +100,7 @@
         };
         first_request.cancel();
         async move {
-            Ok::<_, Infallible>(answer_caller(finish, state, &caller, request, position).await)
+            Ok::<_, Infallible>(answer_caller(shutdown, state, &caller, request, position).await)
         }
     });
     let connection = http1::Builder::new()
@@ -119,7 +113,7 @@
     tokio::pin!(connection);
     let ended = tokio::select! {
         ended = connection.as_mut() => ended,
-        () = await_drain(&shutdown.drain, &has_request) => {
+        () = await_close(&shutdown.close_listener, &has_request) => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
@@ -127,26 +121,27 @@
     caller.finish(ended);
 }
 
-/// Waits until the connection may be closed for a shutdown. A connection that was accepted during the shutdown is closed
-/// only after its first request, which would otherwise end without an answer.
-async fn await_drain(drain: &CancellationToken, has_request: &CancellationToken) {
-    drain.cancelled().await;
+/// Waits until the connection may be closed for a shutdown. An idle connection is not closed before that, because a
+/// request may be on its way on it. A connection that was accepted last is closed only after its first request, which
+/// would otherwise end without an answer.
+async fn await_close(close: &CancellationToken, has_request: &CancellationToken) {
+    close.cancelled().await;
     // A caller that sends nothing within this time is not waited for.
     let _ = tokio::time::timeout(FIRST_REQUEST_TIME, has_request.cancelled()).await;
 }
 
-/// Answers a request, and asks the caller to use another entry for the next one if this entry lags.
+/// Answers a request, and asks the caller to use another entry for the next one if this entry lags or stops.
 async fn answer_caller(
-    finish: CancellationToken,
+    shutdown: ShutdownSignals,
     state: Arc<GatewayState>,
     caller: &CallerConnection,
     request: Request<Incoming>,
     position: ConnectionPosition,
 ) -> GatewayResponse {
     caller.note_request(request.headers().get(&state.settings.headers.request).cloned());
-    let mut response = answer_until(finish, Arc::clone(&state), request, position).await;
+    let mut response = answer_until(shutdown.finish, Arc::clone(&state), request, position).await;
     caller.note_answer();
-    if state.should_leave_callers() {
+    if shutdown.drain.is_cancelled() || state.should_leave_callers() {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
     response
--- a/hickoryspan_gateway/tests/gateway/planned_stop.rs
+++ b/hickoryspan_gateway/tests/gateway/planned_stop.rs
@@ -43,6 +43,34 @@
     deployment.stop().await;
 }
 
+async fn start_with_quick_target(accept: Duration) -> (Deployment, ScriptedTarget) {
+    let script = |request: &SeenRequest| TargetAction::Send(request.answer("stamp", b"whole"));
+    let target = ScriptedTarget::start(Arc::new(script)).await;
+    let mut deployment = Deployment::start_stopping(accept, TEST_TIMEOUT).await;
+    deployment.configure(vec![route("/one/", RepeatRule::Idempotent, to_service("one"))]).await;
+    deployment.announce("t", "one", target.address).await;
+    (deployment, target)
+}
+
+/// Guards against a stop that closes idle connections on which a request is on its way.
+#[tokio::test]
+async fn a_request_on_a_kept_connection_during_a_stop_is_answered() {
+    let (mut deployment, _target) = start_with_quick_target(Duration::from_secs(2)).await;
+    let mut stream = TcpStream::connect(deployment.address).await.expect("connect to the entry");
+    assert_eq!(exchange_on(&mut stream, &get("/one/")).await.header("connection"), None);
+    let entry = deployment.entry.take().expect("an entry");
+    let readiness = entry.readiness();
+    let stop = tokio::spawn(entry.drain());
+    while readiness.is_ready() {
+        tokio::task::yield_now().await;
+    }
+    tokio::time::sleep(Duration::from_millis(20)).await;
+    let answer = exchange_on(&mut stream, &get("/one/")).await;
+    assert_eq!((answer.status, answer.header("connection")), (200, Some("close")));
+    tokio::time::timeout(TEST_TIMEOUT, stop).await.expect("the stop ends").expect("no panic");
+    deployment.stop().await;
+}
+
 /// Time of the targets for a request, longer than a stopping entry waits for it.
 const LONG_WORK: Duration = Duration::from_millis(1_500);
 
