--- a/hickoryspan_gateway/tests/gateway/planned_stop.rs
+++ b/hickoryspan_gateway/tests/gateway/planned_stop.rs
@@ -3,6 +3,7 @@
 //! Pattern: rolling restart. Callers keep the address of a stopping entry for some seconds and go on opening connections
 //! to it, which the entry accepts until its last moments.
 
+use std::io::Write;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -71,6 +72,37 @@
     deployment.stop().await;
 }
 
+/// As many connections as the system lets wait.
+const WAITING_CONNECTIONS: usize = 128;
+
+/// Guards against a stop that resets the connections that it has not accepted yet, with the requests on them.
+#[tokio::test]
+async fn requests_on_connections_that_wait_to_be_accepted_are_answered() {
+    let accept = Duration::from_millis(50);
+    let (mut deployment, _target) = start_with_quick_target(accept).await;
+    let entry = deployment.entry.take().expect("an entry");
+    let readiness = entry.readiness();
+    let stop = tokio::spawn(entry.drain());
+    while readiness.is_ready() {
+        tokio::task::yield_now().await;
+    }
+    // Blocking calls, so that the entry has accepted none of these connections when its time for that is over.
+    std::thread::sleep(accept * 2);
+    let connect = || {
+        let mut stream = std::net::TcpStream::connect(deployment.address).expect("connect");
+        stream.write_all(&get("/one/")).expect("send a request");
+        stream.set_nonblocking(true).expect("a stream for the runtime");
+        TcpStream::from_std(stream).expect("a stream of the runtime")
+    };
+    let mut streams: Vec<TcpStream> = (0..WAITING_CONNECTIONS).map(|_| connect()).collect();
+    for stream in &mut streams {
+        let answer = exchange_on(stream, b"").await;
+        assert_eq!((answer.status, answer.body.as_slice()), (200, b"whole".as_slice()));
+    }
+    tokio::time::timeout(TEST_TIMEOUT, stop).await.expect("the stop ends").expect("no panic");
+    deployment.stop().await;
+}
+
 /// Time of the targets for a request, longer than a stopping entry waits for it.
 const LONG_WORK: Duration = Duration::from_millis(1_500);
 
