Let the other side close a link before its connection is closed

Callers saw: parts of a wide request could be missing although their entry had sent them, when that entry closes the link.

Cause: the side that closes a link ended its connection at once. With unread bytes of the peer, the system then resets the connection and discards what the peer has not received yet, and a peer that sends at that moment fails before it reads the rest. Change: after its close message, this side reads until the other side has closed, for 500 ms at most. Why it works: the other side closes only after it has read the close message, and with it all messages before.

--- a/hickoryspan_runtime/src/peer_link.rs
+++ b/hickoryspan_runtime/src/peer_link.rs
@@ -34,6 +34,9 @@
 /// Maximum number of outgoing bytes that are buffered for a slow peer. The link is closed if there are more.
 const MAX_WRITE_BYTES: usize = 2 * MAX_FRAME_BYTES;
 
+/// How long a link that this side closes waits for the other side to close it too.
+const CLOSE_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// Frame size in bytes above which decoding takes noticeably long, so that the receiver yields to other tasks after it.
 const LARGE_FRAME_BYTES: usize = 4 * 1024;
 
@@ -145,12 +148,18 @@
         incoming: impl FnMut(R) -> bool,
     ) -> anyhow::Result<()> {
         let peer = self.peer;
-        let (sink, stream) = self.socket.split();
+        let (sink, mut stream) = self.socket.split();
         // Messages of unknown kinds are rare, so a short queue of replies is enough.
         let (replies, reply_queue) = mpsc::channel(UNSUPPORTED_QUEUE_CAPACITY);
         let result = tokio::select! {
-            result = send_frames(sink, outgoing, reply_queue) => result,
-            result = receive_frames(stream, replies, incoming) => result,
+            result = receive_frames(&mut stream, replies, incoming) => result,
+            result = send_frames(sink, outgoing, reply_queue) => match result {
+                Ok(()) => {
+                    await_close(&mut stream).await;
+                    Ok(())
+                }
+                Err(error) => Err(error),
+            }
         };
         result.with_context(|| format!("peer link: {peer}"))
     }
@@ -174,8 +183,17 @@
     sink.close().await.context("close")
 }
 
+/// Reads until the peer has closed the link too. Closing a socket with unread bytes resets the connection, and the peer
+/// then loses what it has not read yet.
+async fn await_close(stream: &mut LinkStream) {
+    let closed = async { while let Some(Ok(_)) = stream.next().await {} };
+    if tokio::time::timeout(CLOSE_TIMEOUT, closed).await.is_err() {
+        spdlog::debug!("peer link: the peer has not closed the link in time");
+    }
+}
+
 async fn receive_frames<R: DeserializeOwned>(
-    mut stream: LinkStream,
+    stream: &mut LinkStream,
     replies: mpsc::Sender<Vec<u8>>,
     mut incoming: impl FnMut(R) -> bool,
 ) -> anyhow::Result<()> {
--- a/hickoryspan_runtime/tests/peer_link.rs
+++ b/hickoryspan_runtime/tests/peer_link.rs
@@ -66,3 +66,47 @@
     let (received, ()) = tokio::join!(server, client);
     assert_eq!(received, vec![EntryMessage::Release]);
 }
+
+/// Guards against last messages that are lost when a link is closed: closing a connection with unread bytes of the peer
+/// resets it, which discards what the peer has not received yet.
+#[tokio::test]
+async fn the_last_messages_before_a_close_arrive_although_the_peer_is_sending() {
+    const MESSAGES: usize = 100;
+    const MESSAGE_BYTES: usize = 64 * 1024;
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let secret = credential("the-right-credential");
+    let closing = async {
+        let (stream, _) = listener.accept().await.unwrap();
+        let accepted = PeerLink::accept(stream, &secret).await.unwrap();
+        let (sender, outgoing) = mpsc::channel(MESSAGES);
+        for _ in 0..MESSAGES {
+            sender.send(LargeMessage::Text("x".repeat(MESSAGE_BYTES))).await.unwrap();
+        }
+        drop(sender);
+        accepted.link.run(outgoing, |_: EntryMessage| true).await.unwrap();
+    };
+    let receiving = async {
+        let link = PeerLink::connect(address, "/v1/entry", [], &secret).await.unwrap();
+        let (sender, outgoing) = mpsc::channel(1);
+        let flood = async { while sender.send(EntryMessage::Release).await.is_ok() {} };
+        let mut received = 0;
+        let run = link.run(outgoing, |_: LargeMessage| {
+            received += 1;
+            true
+        });
+        tokio::select! {
+            ended = run => ended.unwrap(),
+            () = flood => {}
+        }
+        received
+    };
+    let ((), received) = tokio::join!(closing, receiving);
+    assert_eq!(received, MESSAGES);
+}
+
+#[derive(Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum LargeMessage {
+    Text(String),
+}
