Finish the groups of other entries before a planned stop ends

Callers saw: requests over many shards failed with 502 or missed parts although their own entry went on running, because another entry, which sent groups of shards for it, reached the end of its stop.

Cause: a stopping entry waited for its own callers only. Then it closed all fan-out links and ended the tasks on them, wherever they were, also with up to 0.7 s of its time left: batches that were made but not yet sent were dropped too. Before a first batch the shards were sent to again, from the retry budget; after it nothing could be sent again. Two entries that stopped at the same time cut each other's requests. Change: the fan-out server follows the same phases of the stop as the caller server. A link closes after the last batch of its last task. What is left at the end of the stop ends with a last batch of the parts that it has, which says (`cut`) that the other shards may get one more attempt if no second ones were granted. `drain` waits for both servers, its schedule is unchanged. Why it works: only running tasks hold the queue of replies open then, so the link closes after the queue is empty and the last task has ended.

--- a/hickoryspan_gateway/src/directory_server.rs
+++ b/hickoryspan_gateway/src/directory_server.rs
@@ -35,8 +35,9 @@
                 hub.send_changes();
             }
         };
-        let links =
-            serve_links(listener, stop, "directory", |stream| serve_link(stream, Arc::clone(&hub)));
+        let links = serve_links(listener, stop.clone(), stop, "directory", |stream| {
+            serve_link(stream, Arc::clone(&hub))
+        });
         tokio::select! {
             () = links => {}
             () = changes => {}
--- a/hickoryspan_gateway/src/entry_daemon.rs
+++ b/hickoryspan_gateway/src/entry_daemon.rs
@@ -342,7 +342,8 @@
     handler: Arc<EntryLinkHandler>,
     shutdown: ShutdownSignals,
     stop: CancellationToken,
-    callers: JoinSet<()>,
+    // Serve callers and the fan-outs of other entries.
+    servers: JoinSet<()>,
     tasks: JoinSet<()>,
 }
 
@@ -377,15 +378,15 @@
             handler: Arc::clone(&handler) as Arc<dyn LinkHandler>,
             report_trigger: state.report_trigger.subscribe(),
         };
-        let mut callers = JoinSet::new();
-        callers.spawn(serve_callers(listener, Arc::clone(&state), shutdown.clone()));
+        let mut servers = JoinSet::new();
+        servers.spawn(serve_callers(listener, Arc::clone(&state), shutdown.clone()));
         let mut tasks = JoinSet::new();
         tasks.spawn(links.run(stop.clone()));
         tasks.spawn(sweep(Arc::clone(&state), stop.clone()));
         if let Some(listener) = fanouts {
-            tasks.spawn(serve_fanouts(listener, Arc::clone(&state), stop.clone()));
+            servers.spawn(serve_fanouts(listener, Arc::clone(&state), shutdown.clone()));
         }
-        Ok(Self { state, handler, shutdown, stop, callers, tasks })
+        Ok(Self { state, handler, shutdown, stop, servers, tasks })
     }
 
     /// Returns a view of whether callers should be sent to this entry.
@@ -407,7 +408,7 @@
     }
 
     /// Stops the entry without failing requests: callers are sent to other entries, then requests in flight are
-    /// finished.
+    /// finished, also those that other entries handed over.
     pub async fn drain(mut self) {
         let started_at = Instant::now();
         let settings = &self.state.settings;
@@ -419,14 +420,14 @@
         tokio::time::sleep(settings.accept_after_stop).await;
         self.shutdown.close_listener.cancel();
         let remaining = settings.finish_after_stop.saturating_sub(started_at.elapsed());
-        if tokio::time::timeout(remaining, join_all(&mut self.callers)).await.is_err() {
+        if tokio::time::timeout(remaining, join_all(&mut self.servers)).await.is_err() {
             spdlog::warn!("stop: requests in flight are ended");
             self.shutdown.finish.cancel();
         }
-        if tokio::time::timeout(LAST_ANSWER_TIME, join_all(&mut self.callers)).await.is_err() {
+        if tokio::time::timeout(LAST_ANSWER_TIME, join_all(&mut self.servers)).await.is_err() {
             self.shutdown.abort.cancel();
         }
-        join_all(&mut self.callers).await;
+        join_all(&mut self.servers).await;
         self.state.fanout.shut_down().await;
         self.stop.cancel();
         join_all(&mut self.tasks).await;
--- a/hickoryspan_gateway/src/fanout_messages.rs
+++ b/hickoryspan_gateway/src/fanout_messages.rs
@@ -89,6 +89,10 @@
     pub(crate) records: Bytes,
     /// Whether this is the last batch. Shards that have not answered by then will not answer.
     pub(crate) last: bool,
+    /// Whether the sender has ended the task because it stops itself; only in the last batch. Unless second attempts were
+    /// granted, it has sent to each shard at most once, so that the receiver may send to those without an answer.
+    #[serde(default)]
+    pub(crate) cut: bool,
     /// Shards to which nothing was sent because the sender knows no usable target; only in the last batch.
     pub(crate) unsent: Vec<usize>,
     /// The crashes of targets while they ran the request; only in the last batch.
@@ -111,6 +115,7 @@
             parts: Vec::new(),
             records: Bytes::new(),
             last: false,
+            cut: false,
             unsent: Vec::new(),
             crashes: Vec::new(),
             lost: 0,
--- a/hickoryspan_gateway/src/fanout_server.rs
+++ b/hickoryspan_gateway/src/fanout_server.rs
@@ -23,6 +23,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::attempt::{AttemptScope, GatewayJob};
+use crate::caller_server::ShutdownSignals;
 use crate::fanout_links::{FANOUT_PATH, lock};
 use crate::fanout_messages::{
     FanoutBatch, FanoutPart, FanoutReply, FanoutRequest, FanoutTask, TaskNumber, from_fields,
@@ -36,66 +37,125 @@
 /// Maximum number of replies in the queue of one link.
 const QUEUE_CAPACITY: usize = 256;
 
-/// Serves fan-out links until `stop` is cancelled, then closes all links.
+/// Serves fan-out links until `abort` is cancelled, or until `close_listener` is cancelled and no task is in flight.
 pub(crate) async fn serve_fanouts(
     listener: TcpListener,
     state: Arc<GatewayState>,
-    stop: CancellationToken,
+    shutdown: ShutdownSignals,
 ) {
-    serve_links(listener, stop, "fan-out", |stream| serve_link(stream, Arc::clone(&state))).await;
+    let (stop, abort) = (shutdown.close_listener.clone(), shutdown.abort.clone());
+    let serve = |stream| serve_link(stream, Arc::clone(&state), shutdown.clone());
+    serve_links(listener, stop, abort, "fan-out", serve).await;
 }
 
-async fn serve_link(stream: TcpStream, state: Arc<GatewayState>) -> anyhow::Result<()> {
-    let accepted = PeerLink::accept(stream, &state.settings.directory.credential).await?;
+async fn serve_link(
+    stream: TcpStream,
+    state: Arc<GatewayState>,
+    shutdown: ShutdownSignals,
+) -> anyhow::Result<()> {
+    let accept = PeerLink::accept(stream, &state.settings.directory.credential);
+    let Some(accepted) = shutdown.close_listener.run_until_cancelled(accept).await else {
+        return Ok(());
+    };
+    let accepted = accepted?;
     if accepted.path != FANOUT_PATH {
         bail!("{}: unknown path {:?}", accepted.link.peer(), accepted.path);
     }
     let (replies, outgoing) = mpsc::channel(QUEUE_CAPACITY);
-    let mut jobs = JoinSet::new();
-    let mut running: HashMap<TaskNumber, RunningTask> = HashMap::new();
-    let receive = |request: FanoutRequest| {
-        while jobs.try_join_next().is_some() {}
+    let mut tasks = LinkTasks::new(state, shutdown.finish, replies.downgrade());
+    let run = accepted.link.run(outgoing, |request| tasks.receive(request));
+    let ended = run_until_idle(run, &shutdown.close_listener, replies).await;
+    tasks.jobs.shutdown().await;
+    ended
+}
+
+/// Runs a link. Once `close` is cancelled, the link is closed after the last batch of the last task, because only the
+/// tasks hold `replies` open then.
+async fn run_until_idle(
+    run: impl Future<Output = anyhow::Result<()>>,
+    close: &CancellationToken,
+    replies: mpsc::Sender<FanoutReply>,
+) -> anyhow::Result<()> {
+    tokio::pin!(run);
+    tokio::select! {
+        ended = run.as_mut() => return ended,
+        () = close.cancelled() => {}
+    }
+    drop(replies);
+    run.await
+}
+
+/// The tasks of one link.
+struct LinkTasks {
+    state: Arc<GatewayState>,
+    finish: CancellationToken,
+    replies: mpsc::WeakSender<FanoutReply>,
+    jobs: JoinSet<()>,
+    running: HashMap<TaskNumber, RunningTask>,
+}
+
+/// A task of the other entry.
+struct RunningTask {
+    job: AbortHandle,
+    retry_gate: Arc<Mutex<RetryGate>>,
+}
+
+impl LinkTasks {
+    fn new(
+        state: Arc<GatewayState>,
+        finish: CancellationToken,
+        replies: mpsc::WeakSender<FanoutReply>,
+    ) -> Self {
+        Self { state, finish, replies, jobs: JoinSet::new(), running: HashMap::new() }
+    }
+
+    /// Handles a message. Returns true, since none ends the link.
+    fn receive(&mut self, request: FanoutRequest) -> bool {
+        while self.jobs.try_join_next().is_some() {}
         match request {
-            FanoutRequest::Run(task) => {
-                running.retain(|_, task| !task.job.is_finished());
-                let number = task.number;
-                let retry_gate = Arc::<Mutex<RetryGate>>::default();
-                let run =
-                    run_task(Arc::clone(&state), *task, Arc::clone(&retry_gate), replies.clone());
-                running.insert(number, RunningTask { job: jobs.spawn(run), retry_gate });
-            }
+            FanoutRequest::Run(task) => self.start(*task),
             FanoutRequest::Cancel(number) => {
-                if let Some(task) = running.remove(&number) {
+                if let Some(task) = self.running.remove(&number) {
                     task.job.abort();
                 }
             }
             FanoutRequest::GrantRetries(number) => {
-                if let Some(task) = running.get(&number) {
+                if let Some(task) = self.running.get(&number) {
                     lock(&task.retry_gate).grant();
                 }
             }
         }
         true
-    };
-    let ended = accepted.link.run(outgoing, receive).await;
-    jobs.shutdown().await;
-    ended
+    }
+
+    fn start(&mut self, task: FanoutTask) {
+        self.running.retain(|_, task| !task.job.is_finished());
+        // The link is about to close after the last reply, which tells the other entry that this task was not begun.
+        let Some(replies) = self.replies.upgrade() else { return };
+        let number = task.number;
+        let retry_gate = Arc::<Mutex<RetryGate>>::default();
+        let control =
+            TaskControl { retry_gate: Arc::clone(&retry_gate), finish: self.finish.clone() };
+        let run = run_task(Arc::clone(&self.state), task, control, replies);
+        self.running.insert(number, RunningTask { job: self.jobs.spawn(run), retry_gate });
+    }
 }
 
-/// A task of the other entry.
-struct RunningTask {
-    job: AbortHandle,
+/// What influences a task while it runs.
+struct TaskControl {
     retry_gate: Arc<Mutex<RetryGate>>,
+    // Cancelled when this entry ends, and with it the task.
+    finish: CancellationToken,
 }
 
 async fn run_task(
     state: Arc<GatewayState>,
     task: FanoutTask,
-    retry_gate: Arc<Mutex<RetryGate>>,
+    control: TaskControl,
     replies: mpsc::Sender<FanoutReply>,
 ) {
     let number = task.number;
-    if let Err(error) = serve_task(state, task, retry_gate, &replies).await {
+    if let Err(error) = serve_task(state, task, control, &replies).await {
         spdlog::warn!("fan-out task failed: {:#}", error);
         let batch = FanoutBatch { last: true, ..FanoutBatch::empty(number) };
         // The link may have closed in the meantime, which also ends the task.
@@ -106,7 +166,7 @@
 async fn serve_task(
     state: Arc<GatewayState>,
     task: FanoutTask,
-    retry_gate: Arc<Mutex<RetryGate>>,
+    control: TaskControl,
     replies: &mpsc::Sender<FanoutReply>,
 ) -> anyhow::Result<()> {
     state.tasks_served.fetch_add(1, Ordering::Relaxed);
@@ -117,7 +177,7 @@
         batch_times: VecDeque::from([now + task.first_batch_in, now + task.answer_in]),
         batcher: TaskBatcher::new(&task),
         answer_in: task.answer_in,
-        retry_gate,
+        control,
         state: Arc::clone(&state),
         replies,
     };
@@ -151,7 +211,7 @@
     state: Arc<GatewayState>,
     batcher: TaskBatcher,
     answer_in: Duration,
-    retry_gate: Arc<Mutex<RetryGate>>,
+    control: TaskControl,
     // Times at which batches are sent. After the last one, each part is sent at once.
     batch_times: VecDeque<MonotonicTime>,
     replies: &'a mpsc::Sender<FanoutReply>,
@@ -174,7 +234,11 @@
             machine,
             AnswerRule::SuccessOnly,
             RelayedGroups::empty(Arc::clone(&self.state)),
-            Some(RunSink { events, retry_gate: Arc::clone(&self.retry_gate) }),
+            Some(RunSink {
+                events,
+                retry_gate: Arc::clone(&self.control.retry_gate),
+                finish: self.control.finish.clone(),
+            }),
         );
         tokio::pin!(run);
         let outcome = loop {
@@ -203,7 +267,8 @@
         let lost = u32::try_from(outcome.crashes.len()).unwrap_or(u32::MAX);
         let batch = self.batcher.take_batch();
         let crashes = outcome.crashes.into_iter().map(|noticed| noticed.crash).collect();
-        Ok(FanoutBatch { crashes, lost, unsent, ..batch })
+        let cut = self.control.finish.is_cancelled();
+        Ok(FanoutBatch { cut, crashes, lost, unsent, ..batch })
     }
 
     fn handle_event(&mut self, event: RunEvent) {
@@ -214,7 +279,7 @@
     }
 
     async fn send_batch(&mut self) -> anyhow::Result<()> {
-        lock(&self.retry_gate).note_batch(self.state.now());
+        lock(&self.control.retry_gate).note_batch(self.state.now());
         let batch = self.batcher.take_batch();
         self.replies.send(FanoutReply::Batch(batch)).await.context("the link ended")
     }
--- a/hickoryspan_gateway/src/link_listener.rs
+++ b/hickoryspan_gateway/src/link_listener.rs
@@ -9,11 +9,12 @@
 /// Delay after a failed accept, so that a lack of file descriptors does not cause a busy loop.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
-/// Serves every accepted connection until `stop` is cancelled, then closes all of them. `port` names the port in the
-/// log.
+/// Serves every accepted connection. Once `stop` is cancelled no further ones are accepted, and once `abort` is cancelled
+/// those that have not ended by themselves are closed. `port` names the port in the log.
 pub(crate) async fn serve_links<F>(
     listener: TcpListener,
     stop: CancellationToken,
+    abort: CancellationToken,
     port: &'static str,
     serve: impl Fn(TcpStream) -> F,
 ) where
@@ -41,5 +42,11 @@
             }
         }
     }
+    drop(listener);
+    let ended = async { while links.join_next().await.is_some() {} };
+    tokio::select! {
+        () = ended => {}
+        () = abort.cancelled() => {}
+    }
     links.shutdown().await;
 }
--- a/hickoryspan_gateway/src/relayed_groups.rs
+++ b/hickoryspan_gateway/src/relayed_groups.rs
@@ -37,7 +37,13 @@
 /// What a request receives from another entry.
 pub(crate) enum RelayProgress {
     /// Parts arrived. If the batch is the last one, the other shards of the group will not answer.
-    Parts(Vec<ShardIndex>, FanoutBatch),
+    Parts {
+        /// The shards of the group.
+        shards: Vec<ShardIndex>,
+        batch: FanoutBatch,
+        /// Whether one more attempt on each shard without an answer is allowed after the last batch.
+        may_resend: bool,
+    },
     /// The other entry sent no batch in time. One more attempt on each shard is allowed.
     NoBatch(Vec<ShardIndex>),
     /// The link was lost after the first batch or after its deadline. The other entry may already have made all attempts
@@ -205,6 +211,7 @@
             RelayEvent::Batch(index, batch) => {
                 let group = &mut self.groups[index.0];
                 let handle = group.handle.as_ref()?;
+                let may_resend = batch.cut && !group.granted;
                 if batch.last {
                     group.handle = None;
                 } else if group.mode == RelayMode::Full && !group.granted {
@@ -214,7 +221,7 @@
                 if group.first_batch_deadline.take().is_some() {
                     self.state.decisions().relays.note_answer(&group.peer.entry);
                 }
-                Some(RelayProgress::Parts(group.shards.clone(), batch))
+                Some(RelayProgress::Parts { shards: group.shards.clone(), batch, may_resend })
             }
             RelayEvent::Lost(index) => {
                 let group = &mut self.groups[index.0];
--- a/hickoryspan_gateway/src/run.rs
+++ b/hickoryspan_gateway/src/run.rs
@@ -19,6 +19,7 @@
 use hickoryspan_core::types::{MonotonicTime, ServiceId, TargetId};
 use hickoryspan_runtime::http_client::HttpAnswer;
 use tokio::sync::mpsc;
+use tokio_util::sync::CancellationToken;
 
 use crate::attempt::{AttemptReport, AttemptResult, GatewayJob, run_attempt};
 use crate::fanout_links::{GroupIndex, lock};
@@ -81,6 +82,8 @@
 pub(crate) struct RunSink {
     pub(crate) events: mpsc::UnboundedSender<RunEvent>,
     pub(crate) retry_gate: Arc<Mutex<RetryGate>>,
+    /// Cancelled when this entry ends. The run then ends with the answers that it has.
+    pub(crate) finish: CancellationToken,
 }
 
 impl RunSink {
@@ -213,6 +216,14 @@
     run.run_to_end().await
 }
 
+/// Waits until this entry ends, if the run is for another entry. A run for a caller is ended by the one who answers.
+async fn await_finish(sink: Option<&RunSink>) {
+    match sink {
+        Some(sink) => sink.finish.cancelled().await,
+        None => std::future::pending().await,
+    }
+}
+
 impl FanoutRun {
     async fn run_to_end(mut self) -> RunOutcome {
         for shard in self.relayed.shards() {
@@ -245,6 +256,10 @@
                                 self.apply_progress(progress);
                             }
                         }
+                        () = await_finish(self.sink.as_ref()) => {
+                            self.outcome.end = RunEnd::TimedOut;
+                            break;
+                        }
                         () = tokio::time::sleep_until(until.into()) => {
                             self.relayed.await_received_batches(self.state.now()).await;
                             self.end_timed_out_groups().await;
@@ -361,7 +376,9 @@
 
     fn apply_progress(&mut self, progress: RelayProgress) {
         match progress {
-            RelayProgress::Parts(shards, batch) => self.handle_batch(&shards, batch),
+            RelayProgress::Parts { shards, batch, may_resend } => {
+                self.handle_batch(&shards, batch, may_resend);
+            }
             RelayProgress::NoBatch(shards) => {
                 for shard in shards {
                     self.machine.note_failed(shard, true);
@@ -375,7 +392,7 @@
         }
     }
 
-    fn handle_batch(&mut self, shards: &[ShardIndex], batch: FanoutBatch) {
+    fn handle_batch(&mut self, shards: &[ShardIndex], batch: FanoutBatch, may_resend: bool) {
         for part in batch.parts {
             let Some(shard) = shards.get(part.shard) else { continue };
             self.witness.note_answer();
@@ -406,8 +423,12 @@
         }
         let is_unsent = |index: usize| batch.unsent.contains(&index);
         for (index, shard) in shards.iter().enumerate() {
-            if self.outcome.answers[shard.0].is_none() && !is_unsent(index) {
-                self.machine.note_abandoned(*shard);
+            if self.outcome.answers[shard.0].is_some() || is_unsent(index) {
+                continue;
+            }
+            match may_resend {
+                true => self.machine.note_failed(*shard, true),
+                false => self.machine.note_abandoned(*shard),
             }
         }
     }
--- a/hickoryspan_gateway/tests/gateway/main.rs
+++ b/hickoryspan_gateway/tests/gateway/main.rs
@@ -3,6 +3,7 @@
 mod crash_sharing;
 mod endless_answers;
 mod entry_lookups;
+mod fan_out_stops;
 mod forwarding;
 mod last_check;
 mod odd_answers;
--- a/hickoryspan_gateway/tests/gateway/support.rs
+++ b/hickoryspan_gateway/tests/gateway/support.rs
@@ -72,6 +72,8 @@
     Send(Vec<u8>),
     /// Sends these bytes after a delay and keeps the connection open.
     SendLater(Duration, Vec<u8>),
+    /// Sends these bytes once the token is cancelled and keeps the connection open.
+    SendWhen(CancellationToken, Vec<u8>),
     /// Sends these bytes and closes the connection.
     SendAndClose(Vec<u8>),
     /// Sends the first bytes and then the second ones again and again, until the connection is closed.
@@ -140,6 +142,13 @@
                 tokio::time::sleep(delay).await;
                 stream.write_all(&bytes).await
             }
+            TargetAction::SendWhen(token, bytes) => {
+                tokio::select! {
+                    () = token.cancelled() => stream.write_all(&bytes).await,
+                    // The entry has cancelled the request.
+                    _ = stream.read_u8() => return,
+                }
+            }
             TargetAction::SendForever(first, repeated) => {
                 endless.fetch_add(1, Ordering::SeqCst);
                 let mut sent = stream.write_all(&first).await;
@@ -202,7 +211,8 @@
     folder: tempfile::TempDir,
 }
 
-fn credential() -> SharedCredential {
+/// The credential that all processes of the tests share.
+pub fn credential() -> SharedCredential {
     SharedCredential::new("a-credential-for-tests").expect("a credential")
 }
 
@@ -276,7 +286,8 @@
         Self::start_adjusted(others, relays, |template| template).await
     }
 
-    async fn start_adjusted(
+    /// Starts a deployment with `others` further entries, whose settings `adjust` changes.
+    pub async fn start_adjusted(
         others: usize,
         relays: RelaySettings,
         adjust: impl FnOnce(GatewaySettings) -> GatewaySettings,
@@ -366,10 +377,14 @@
 
     /// Submits routes and waits until the entry is ready with them.
     pub async fn configure(&mut self, routes: Vec<RouteRule>) {
+        self.configure_with(TARGET_CONNECTIONS, routes).await;
+    }
+
+    /// Does the same as [`Self::configure`] with targets that accept this number of connections.
+    pub async fn configure_with(&mut self, connections: u32, routes: Vec<RouteRule>) {
         self.version += 1;
         let names: Vec<ServiceId> =
             routes.iter().flat_map(|route| route.destination.services()).cloned().collect();
-        let connections = TARGET_CONNECTIONS;
         let services = names.into_iter().map(|service| ServiceRule { service, connections });
         let document = Arc::new(ConfigurationDocument {
             version: DocumentVersion(self.version),
@@ -454,13 +469,14 @@
 
     /// Waits until the first entry has fan-out links to `count` other entries.
     pub async fn await_links(&self, count: usize) {
-        let entry = self.entry.as_ref().expect("an entry");
-        let linked = async {
-            while entry.fanout_counts().links_up < count {
-                tokio::time::sleep(Duration::from_millis(5)).await;
-            }
-        };
-        tokio::time::timeout(TEST_TIMEOUT, linked).await.expect("fan-out links are up");
+        await_links_of(self.entry.as_ref().expect("an entry"), count).await;
+    }
+
+    /// Waits until each entry has fan-out links to all others.
+    pub async fn await_all_links(&self) {
+        for entry in self.entry.iter().chain(&self.others) {
+            await_links_of(entry, self.others.len()).await;
+        }
     }
 
     pub async fn stop(mut self) {
@@ -472,6 +488,15 @@
     }
 }
 
+async fn await_links_of(entry: &GatewayEntry, count: usize) {
+    let linked = async {
+        while entry.fanout_counts().links_up < count {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    tokio::time::timeout(TEST_TIMEOUT, linked).await.expect("fan-out links are up");
+}
+
 /// A response that a caller received.
 #[derive(Debug)]
 pub struct CallerAnswer {
