End a run at the end of a planned stop with what it has

Callers saw 504 for a request over shards whose answer already had enough parts when the stopping entry reached its end; and the line of a request that ended there named neither its target nor its attempts. Cause: the end of a stop dropped the run and answered in its place, so that the run could neither use its parts nor record its outcome. Change: a run ends by itself when the stop ends, with its parts if they suffice, else with the failure that a target gave, else with 504. 'request outcome' has the end 'Stopped'. Only what comes before a run, mostly reading the body, is still ended from outside. Evidence: a_fan_out_with_enough_parts_at_the_end_of_a_stop_is_answered_with_them failed before (504 stop_timed_out) and holds.

--- a/hickoryspan_core/src/gateway/fanout.rs
+++ b/hickoryspan_core/src/gateway/fanout.rs
@@ -85,6 +85,11 @@
         self.done
     }
 
+    /// Returns whether the parts received so far suffice for an answer.
+    pub fn has_enough(&self) -> bool {
+        self.done >= self.settings.min_parts
+    }
+
     /// Records that an attempt was sent.
     pub fn note_sent(&mut self, now: MonotonicTime, shard: ShardIndex) {
         let hedge_after = self.settings.hedge_after;
@@ -171,7 +176,7 @@
         if self.done == self.shards.len() {
             return FanoutStep::Answer;
         }
-        let enough = self.done >= self.settings.min_parts;
+        let enough = self.has_enough();
         if enough && (reachable == self.done || now >= self.settings.answer_by) {
             return FanoutStep::Answer;
         }
--- a/hickoryspan_gateway/src/entry_daemon.rs
+++ b/hickoryspan_gateway/src/entry_daemon.rs
@@ -360,7 +360,8 @@
         };
         let directory = settings.directory.clone();
         let state = Arc::new(GatewayState::new(settings, rand::random()));
-        let shutdown = ShutdownSignals::default();
+        let shutdown =
+            ShutdownSignals { finish: state.finish.clone(), ..ShutdownSignals::default() };
         let stop = CancellationToken::new();
         let handler = Arc::new(EntryLinkHandler {
             state: Arc::clone(&state),
--- a/hickoryspan_gateway/src/fanout_server.rs
+++ b/hickoryspan_gateway/src/fanout_server.rs
@@ -234,11 +234,7 @@
             machine,
             AnswerRule::SuccessOnly,
             RelayedGroups::empty(Arc::clone(&self.state)),
-            Some(RunSink {
-                events,
-                retry_gate: Arc::clone(&self.control.retry_gate),
-                finish: self.control.finish.clone(),
-            }),
+            Some(RunSink { events, retry_gate: Arc::clone(&self.control.retry_gate) }),
         );
         tokio::pin!(run);
         let outcome = loop {
--- a/hickoryspan_gateway/src/forward.rs
+++ b/hickoryspan_gateway/src/forward.rs
@@ -47,7 +47,8 @@
     Later,
 }
 
-/// Answers one request, also if it is still in flight when `stop` is cancelled.
+/// Answers one request. A run for it ends by itself when `stop` is cancelled; what happens before it, mostly reading the
+/// body, is ended here.
 pub(crate) async fn answer_until(
     stop: CancellationToken,
     state: Arc<GatewayState>,
@@ -230,7 +231,9 @@
             Some(spread) => merge_answers(&state, &spread, outcome),
             None => forward_answer(&state, find_direct_answer(outcome.answers)),
         },
-        RunEnd::Failed | RunEnd::TimedOut => failure_response(&state, &job, outcome),
+        RunEnd::Failed | RunEnd::TimedOut | RunEnd::Stopped => {
+            failure_response(&state, &job, outcome)
+        }
     }
 }
 
@@ -382,7 +385,7 @@
     let complete = missing == 0 && outcome.end == RunEnd::Answered;
     let priority = match outcome.end {
         RunEnd::Answered => LogPriority::Ordinary,
-        RunEnd::Failed | RunEnd::TimedOut => LogPriority::Important,
+        RunEnd::Failed | RunEnd::TimedOut | RunEnd::Stopped => LogPriority::Important,
     };
     if (complete && elapsed <= job.route.objective) || !state.admits_log_line(priority) {
         return;
@@ -488,6 +491,7 @@
     let reason = match (outcome.end, outcome.may_have_run) {
         (_, false) => RefusalReason::NoTarget,
         (RunEnd::TimedOut, true) => RefusalReason::TimedOut,
+        (RunEnd::Stopped, true) => RefusalReason::StopTimedOut,
         (_, true) => RefusalReason::MayHaveRun,
     };
     refuse_job(state, job, reason)
--- a/hickoryspan_gateway/src/gateway_state.rs
+++ b/hickoryspan_gateway/src/gateway_state.rs
@@ -28,6 +28,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha12Rng;
 use tokio::sync::{Semaphore, watch};
+use tokio_util::sync::CancellationToken;
 
 use crate::attempt::{AttemptScope, GatewayJob};
 use crate::caller_connection::CallerCounts;
@@ -213,6 +214,8 @@
     pub(crate) report_trigger: watch::Sender<u64>,
     /// Set when a planned stop begins.
     pub(crate) stop_schedule: OnceLock<StopSchedule>,
+    /// Cancelled at the end of a planned stop. Requests in flight then end with what they have.
+    pub(crate) finish: CancellationToken,
     decisions: Mutex<SharedDecisions>,
     log_limiter: Mutex<LogLimiter>,
 }
@@ -252,6 +255,7 @@
             tasks_served: AtomicU64::new(0),
             report_trigger: watch::Sender::new(0),
             stop_schedule: OnceLock::new(),
+            finish: CancellationToken::new(),
             clock: SystemClock::start(),
             pool: TargetPool::default(),
             decisions: Mutex::new(decisions),
--- a/hickoryspan_gateway/src/run.rs
+++ b/hickoryspan_gateway/src/run.rs
@@ -19,7 +19,6 @@
 use hickoryspan_core::types::{MonotonicTime, ServiceId, TargetId};
 use hickoryspan_runtime::http_client::HttpAnswer;
 use tokio::sync::mpsc;
-use tokio_util::sync::CancellationToken;
 
 use crate::attempt::{AttemptReport, AttemptResult, GatewayJob, run_attempt};
 use crate::fanout_links::{GroupIndex, lock};
@@ -59,6 +58,8 @@
     Failed,
     /// The deadline passed.
     TimedOut,
+    /// This entry reached the end of its planned stop.
+    Stopped,
 }
 
 /// The answer of one shard.
@@ -82,8 +83,6 @@
 pub(crate) struct RunSink {
     pub(crate) events: mpsc::UnboundedSender<RunEvent>,
     pub(crate) retry_gate: Arc<Mutex<RetryGate>>,
-    /// Cancelled when this entry ends. The run then ends with the answers that it has.
-    pub(crate) finish: CancellationToken,
 }
 
 impl RunSink {
@@ -216,20 +215,15 @@
     run.run_to_end().await
 }
 
-/// Waits until this entry ends, if the run is for another entry. A run for a caller is ended by the one who answers.
-async fn await_finish(sink: Option<&RunSink>) {
-    match sink {
-        Some(sink) => sink.finish.cancelled().await,
-        None => std::future::pending().await,
-    }
-}
-
 impl FanoutRun {
     async fn run_to_end(mut self) -> RunOutcome {
         for shard in self.relayed.shards() {
             self.outcome.may_have_run = true;
             self.machine.note_relayed(shard);
         }
+        let state = Arc::clone(&self.state);
+        let finish = state.finish.cancelled();
+        tokio::pin!(finish);
         loop {
             let now = self.state.now();
             match self.machine.next_step(now) {
@@ -256,8 +250,11 @@
                                 self.apply_progress(progress);
                             }
                         }
-                        () = await_finish(self.sink.as_ref()) => {
-                            self.outcome.end = RunEnd::TimedOut;
+                        () = finish.as_mut() => {
+                            self.outcome.end = match self.machine.has_enough() {
+                                true => RunEnd::Answered,
+                                false => RunEnd::Stopped,
+                            };
                             break;
                         }
                         () = tokio::time::sleep_until(until.into()) => {
--- a/hickoryspan_gateway/tests/gateway/planned_stop.rs
+++ b/hickoryspan_gateway/tests/gateway/planned_stop.rs
@@ -175,3 +175,30 @@
     assert_eq!((answer.status, answer.body.as_slice()), (504, b"stop_timed_out".as_slice()));
     deployment.stop().await;
 }
+
+/// Guards against a stop that throws away the parts that a fan-out has received.
+#[tokio::test]
+async fn a_fan_out_with_enough_parts_at_the_end_of_a_stop_is_answered_with_them() {
+    let quick =
+        |request: &SeenRequest| TargetAction::Send(request.answer("quick", b"0123456789abcdef"));
+    let quick = ScriptedTarget::start(Arc::new(quick)).await;
+    let finish = Duration::from_millis(400);
+    let to_both = to_shards(&["one", "two"], 0.5);
+    let (mut deployment, slow) =
+        start_with_slow_target(RepeatRule::Idempotent, to_both, finish).await;
+    deployment.announce("q", "two", quick.address).await;
+    let mut stream = TcpStream::connect(deployment.address).await.expect("connect to the entry");
+    let request = get("/one/");
+    let exchange = exchange_on(&mut stream, &request);
+    let entry = deployment.entry.take().expect("an entry");
+    let stop = async {
+        while slow.count() == 0 || quick.count() == 0 {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        entry.drain().await;
+    };
+    let (answer, ()) = tokio::join!(exchange, stop);
+    assert_eq!((answer.status, answer.body.as_slice()), (200, b"0123456789abcdef".as_slice()));
+    assert_eq!(answer.header("hs-part-stamps"), Some("quick"));
+    deployment.stop().await;
+}
