Try a hedge again that the retry budget refused

Callers of requests with much time waited until their deadline, or until the end of their entry's stop, for a target that ran the request and never answered, although another target could have answered. Cause: a hedge that the retry budget refused was never tried again. Change: the refused hedge is due again after the hedge delay, as long as a target asked then could still answer in time. The budget itself is unchanged. The test fails before, as the decision did not exist.

--- a/hickoryspan_core/src/gateway/fanout.rs
+++ b/hickoryspan_core/src/gateway/fanout.rs
@@ -133,6 +133,14 @@
         self.shards[shard.0].hedge_at = Some(now + self.settings.hedge_after);
     }
 
+    /// Records that the retry budget refuses the hedge of a shard. It is tried again while a target asked then could still
+    /// answer in time, because its first target may never answer.
+    pub fn note_hedge_refused(&mut self, now: MonotonicTime, shard: ShardIndex) {
+        let next = now + self.settings.hedge_after;
+        let in_time = next + self.settings.hedge_after <= self.settings.answer_by;
+        self.shards[shard.0].hedge_at = in_time.then_some(next);
+    }
+
     /// Postpones the next attempt on a shard, because it is not allowed yet.
     pub fn postpone_attempt(&mut self, now: MonotonicTime, shard: ShardIndex, delay: Duration) {
         let progress = &mut self.shards[shard.0];
--- a/hickoryspan_core/tests/gateway_gather.rs
+++ b/hickoryspan_core/tests/gateway_gather.rs
@@ -70,6 +70,24 @@
     assert_eq!(launch_all(&mut machine, at(20)), [(ShardIndex(0), LaunchReason::Hedge)]);
 }
 
+/// Guards against requests that wait for a silent target until their deadline because the retry budget was used up for a
+/// moment.
+#[test]
+fn a_hedge_that_the_budget_refuses_is_tried_again_while_it_can_be_in_time() {
+    let mut machine = FanoutMachine::new(settings(1, 1));
+    launch_all(&mut machine, at(0));
+    for now in [10, 20, 30, 40] {
+        let hedge = FanoutStep::Launch(ShardIndex(0), LaunchReason::Hedge);
+        assert_eq!(machine.next_step(at(now)), hedge);
+        machine.note_hedge_refused(at(now), ShardIndex(0));
+        assert_eq!(machine.next_step(at(now)), FanoutStep::Wait(at(now + 10)));
+    }
+    assert_eq!(machine.next_step(at(50)), FanoutStep::Launch(ShardIndex(0), LaunchReason::Hedge));
+    machine.note_hedge_refused(at(50), ShardIndex(0));
+    // A target that is asked at 60 could not answer before the answer is due at 60.
+    assert_eq!(machine.next_step(at(60)), FanoutStep::Wait(at(800)));
+}
+
 #[test]
 fn an_incomplete_answer_is_sent_at_the_answer_time_and_not_before() {
     let mut machine = FanoutMachine::new(settings(20, 18));
--- a/hickoryspan_gateway/src/run.rs
+++ b/hickoryspan_gateway/src/run.rs
@@ -490,7 +490,10 @@
         } else if is_extra && !decisions.try_take_extra(now, settings, &service) {
             decisions.selector.release(&chosen.target);
             metrics::counter!("hickoryspan_gateway_budget_refusals_total").increment(1);
-            return self.machine.note_unsent(shard, false);
+            return match reason {
+                LaunchReason::Hedge => self.machine.note_hedge_refused(now, shard),
+                _ => self.machine.note_unsent(shard, false),
+            };
         }
         drop(decisions);
         attempts.tried.push(chosen.target.clone());
