Refuse groups of shards that may outlast a stopping entry

Callers saw: requests over many shards missed parts or were sent to targets twice, because their entry went on handing groups to one that was stopping.

Cause: a stopping entry took every group, however little time it had left. Others hear of the stop from a control host only; an entry without links to control hosts keeps its last list for good. Change: a stopping entry takes a group only if the deadline of the group ends before it does. It answers others at once with all shards unsent, and counts them (`hickoryspan_gateway_fanout_refusals_total`). Why it works: for unsent shards the entry with the request sends itself, without retry budget and without counting an attempt. A refusal costs one round trip, so the bound can be the whole deadline instead of the usual latency.

--- a/hickoryspan_core/src/gateway/planned_stop.rs
+++ b/hickoryspan_core/src/gateway/planned_stop.rs
@@ -25,6 +25,11 @@
 }
 
 impl StopSchedule {
+    /// Returns whether work that ends at `end` at the latest certainly ends before the entry does.
+    pub fn covers(&self, end: MonotonicTime) -> bool {
+        end <= self.finish_at
+    }
+
     /// Decides on a request that ends at `give_up_at` at the latest and usually takes `usual_latency`. A request that
     /// may run at most once is taken only if it certainly ends before the entry does: its caller could not send it
     /// again.
@@ -36,10 +41,10 @@
         usual_latency: Duration,
     ) -> StopVerdict {
         let fits = match repeat {
-            RepeatRule::AtMostOnce => give_up_at <= self.finish_at,
+            RepeatRule::AtMostOnce => self.covers(give_up_at),
             RepeatRule::Idempotent => {
                 let usual_end = now + usual_latency * LATENCY_FACTOR;
-                usual_end.min(give_up_at) <= self.finish_at
+                self.covers(usual_end.min(give_up_at))
             }
         };
         if fits { StopVerdict::Take } else { StopVerdict::Refuse }
--- a/hickoryspan_core/tests/gateway_planned_stop.rs
+++ b/hickoryspan_core/tests/gateway_planned_stop.rs
@@ -32,3 +32,12 @@
     let latency = Duration::from_millis(latency);
     assert_eq!(schedule.verdict(at(now), at(now + deadline), repeat, latency), expected);
 }
+
+/// Guards against groups of shards that a stopping entry begins for another one and cannot end.
+#[rstest]
+#[case::ends_before_the_entry(5_200, true)]
+#[case::ends_with_the_entry(5_300, true)]
+#[case::may_outlast_the_entry(5_301, false)]
+fn only_work_that_certainly_ends_in_time_is_covered(#[case] end: u64, #[case] expected: bool) {
+    assert_eq!(StopSchedule { finish_at: at(5_300) }.covers(at(end)), expected);
+}
--- a/hickoryspan_gateway/src/fanout_messages.rs
+++ b/hickoryspan_gateway/src/fanout_messages.rs
@@ -123,6 +123,12 @@
             queues: Vec::new(),
         }
     }
+
+    /// Creates the only batch of a task of which nothing is sent.
+    pub(crate) fn refusal(task: &FanoutTask) -> Self {
+        let unsent = (0..task.shards.len()).collect();
+        Self { last: true, unsent, ..Self::empty(task.number) }
+    }
 }
 
 /// A message from the entry that sends to the targets.
--- a/hickoryspan_gateway/src/fanout_server.rs
+++ b/hickoryspan_gateway/src/fanout_server.rs
@@ -172,6 +172,11 @@
     state.tasks_served.fetch_add(1, Ordering::Relaxed);
     metrics::counter!("hickoryspan_gateway_fanout_tasks_total").increment(1);
     let now = state.now();
+    if outlasts_stop(&state, now + task.give_up_in) {
+        metrics::counter!("hickoryspan_gateway_fanout_refusals_total").increment(1);
+        let refusal = FanoutReply::Batch(FanoutBatch::refusal(&task));
+        return replies.send(refusal).await.context("the link ended");
+    }
     let services: Arc<[ServiceId]> = task.shards.as_slice().into();
     let mut run = TaskRun {
         batch_times: VecDeque::from([now + task.first_batch_in, now + task.answer_in]),
@@ -193,6 +198,11 @@
     replies.send(FanoutReply::Batch(batch)).await.context("the link ended")
 }
 
+/// Returns whether this entry is stopping and may end before a task that ends at `give_up_at` at the latest.
+fn outlasts_stop(state: &GatewayState, give_up_at: MonotonicTime) -> bool {
+    state.stop_schedule.get().is_some_and(|schedule| !schedule.covers(give_up_at))
+}
+
 fn leaving_targets(state: &GatewayState, services: &[ServiceId]) -> Vec<TargetProcess> {
     let now = state.now();
     let decisions = state.decisions();
--- a/hickoryspan_gateway/tests/gateway/fan_out_stops.rs
+++ b/hickoryspan_gateway/tests/gateway/fan_out_stops.rs
@@ -271,3 +271,33 @@
     }
     gated.deployment.stop().await;
 }
+
+/// Guards against groups that a stopping entry takes and then cuts: an entry without a link to a control host does not
+/// learn of the stop and goes on handing groups over.
+#[tokio::test]
+async fn a_stopping_entry_begins_no_group_that_may_outlast_it() {
+    let settings = GatedSettings {
+        accept: Duration::from_millis(800),
+        // Less than the deadline of the request, so that no group certainly ends before.
+        finish: Duration::from_millis(1_000),
+        ..GatedSettings::default()
+    };
+    let mut gated = GatedDeployment::start(OTHERS, settings).await;
+    gated.deployment.lose_directory().await;
+    let entries = std::mem::take(&mut gated.deployment.others);
+    let request = get("/all/one");
+    let stop = async {
+        let stops = PlannedStops::begin(entries).await;
+        gated.await_arrivals("/all/one").await;
+        stops.end().await;
+        gated.open("/all/one", 0..SHARDS);
+    };
+    let exchange = async {
+        tokio::time::sleep(LONG_AFTER_STOP).await;
+        gated.deployment.exchange(&request).await
+    };
+    let (answer, ()) = tokio::join!(exchange, stop);
+    assert_whole(&answer);
+    assert_eq!(gated.arrivals("/all/one"), [1; SHARDS], "arrivals at each target");
+    gated.deployment.stop().await;
+}
--- a/hickoryspan_gateway/tests/gateway/support.rs
+++ b/hickoryspan_gateway/tests/gateway/support.rs
@@ -363,6 +363,12 @@
         }
     }
 
+    /// Ends the directory, so that the entries keep what they know, and waits until they have noticed.
+    pub async fn lose_directory(&mut self) {
+        self.stop.cancel();
+        while self.tasks.join_next().await.is_some() {}
+    }
+
     /// Starts one more entry.
     pub async fn add_entry(&mut self) {
         let address = free_address().await;
