Do not count a group that a closing entry has not begun

Callers saw: a request over many shards failed with 502 although no target had got it: the group was on its way when the other entry closed the link at the end of its stop.

Cause: every end of a link counted as an attempt on all shards of the groups on it, because a lost entry may have sent to them. Change: a link that the other entry has closed (`NotBegun`) is told apart from one that was lost (`Lost`). The entry with the request sends to the shards itself, without retry budget, and other requests avoid the closing entry as after a timeout.

--- a/hickoryspan_gateway/src/fanout_links.rs
+++ b/hickoryspan_gateway/src/fanout_links.rs
@@ -31,8 +31,11 @@
 pub(crate) enum RelayEvent {
     /// A batch of parts arrived.
     Batch(GroupIndex, FanoutBatch),
-    /// The link was closed before the last batch.
+    /// The link was lost before the last batch.
     Lost(GroupIndex),
+    /// The other entry closed the link after the last batch of all tasks that it had begun, and this one was not among
+    /// them.
+    NotBegun(GroupIndex),
 }
 
 struct TaskWaiter {
@@ -163,10 +166,10 @@
     }
 }
 
-fn fail_waiters(waiters: &WaiterMap) {
+fn fail_waiters(waiters: &WaiterMap, event: impl Fn(GroupIndex) -> RelayEvent) {
     for (_, waiter) in lock(waiters).drain() {
         // The request may have ended in the meantime.
-        let _ = waiter.events.send(RelayEvent::Lost(waiter.group));
+        let _ = waiter.events.send(event(waiter.group));
     }
 }
 
@@ -179,7 +182,8 @@
 
 impl LinkTask {
     async fn run(self) {
-        if let Err(error) = self.serve().await {
+        let ended = self.serve().await;
+        if let Err(error) = &ended {
             spdlog::debug!("fan-out link: {}: {:#}", self.address, error);
         }
         let mut table = lock(&self.table);
@@ -188,9 +192,14 @@
             table.links.remove(&self.address);
         }
         drop(table);
-        fail_waiters(&self.waiters);
+        match ended {
+            Ok(()) => fail_waiters(&self.waiters, RelayEvent::NotBegun),
+            Err(_) => fail_waiters(&self.waiters, RelayEvent::Lost),
+        }
     }
 
+    /// Serves the link until it ends. Succeeds if one side has closed it: this side when no task waits, the other one
+    /// after the last batch of the last task that it has begun.
     async fn serve(&self) -> anyhow::Result<()> {
         let connect = PeerLink::connect(self.address, FANOUT_PATH, [], &self.credential);
         let link = tokio::time::timeout(CONNECT_TIMEOUT, connect).await??;
--- a/hickoryspan_gateway/src/relayed_groups.rs
+++ b/hickoryspan_gateway/src/relayed_groups.rs
@@ -46,6 +46,8 @@
     },
     /// The other entry sent no batch in time. One more attempt on each shard is allowed.
     NoBatch(Vec<ShardIndex>),
+    /// The other entry has sent to none of the shards.
+    NotBegun(Vec<ShardIndex>),
     /// The link was lost after the first batch or after its deadline. The other entry may already have made all attempts
     /// that are allowed on these shards.
     LostAfterBatch(Vec<ShardIndex>),
@@ -223,6 +225,14 @@
                 }
                 Some(RelayProgress::Parts { shards: group.shards.clone(), batch, may_resend })
             }
+            RelayEvent::NotBegun(index) => {
+                let group = &mut self.groups[index.0];
+                group.handle.take()?;
+                group.first_batch_deadline = None;
+                // It is about to end, so other requests use another entry at once.
+                self.state.decisions().relays.note_timeout(now, &group.peer.entry);
+                Some(RelayProgress::NotBegun(group.shards.clone()))
+            }
             RelayEvent::Lost(index) => {
                 let group = &mut self.groups[index.0];
                 group.handle.take()?;
--- a/hickoryspan_gateway/src/run.rs
+++ b/hickoryspan_gateway/src/run.rs
@@ -384,6 +384,11 @@
                     self.machine.note_failed(shard, true);
                 }
             }
+            RelayProgress::NotBegun(shards) => {
+                for shard in shards {
+                    self.note_not_begun(shard);
+                }
+            }
             RelayProgress::LostAfterBatch(shards) => {
                 for shard in shards {
                     self.machine.note_abandoned(shard);
@@ -392,6 +397,12 @@
         }
     }
 
+    /// Records that another entry has not sent to a shard, so that this entry sends to it without retry budget.
+    fn note_not_begun(&mut self, shard: ShardIndex) {
+        self.shards[shard.0].unreached = true;
+        self.machine.note_failed(shard, false);
+    }
+
     fn handle_batch(&mut self, shards: &[ShardIndex], batch: FanoutBatch, may_resend: bool) {
         for part in batch.parts {
             let Some(shard) = shards.get(part.shard) else { continue };
@@ -418,8 +429,7 @@
         }
         drop(decisions);
         for shard in batch.unsent.iter().filter_map(|index| shards.get(*index)) {
-            self.shards[shard.0].unreached = true;
-            self.machine.note_failed(*shard, false);
+            self.note_not_begun(*shard);
         }
         let is_unsent = |index: usize| batch.unsent.contains(&index);
         for (index, shard) in shards.iter().enumerate() {
--- a/hickoryspan_gateway/tests/gateway/fan_out_stops.rs
+++ b/hickoryspan_gateway/tests/gateway/fan_out_stops.rs
@@ -7,6 +7,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use crate::scripted_peer::{PeerReaction, ScriptedPeer};
 use crate::support::{
     CallerAnswer, Deployment, ScriptedTarget, SeenRequest, TEST_TIMEOUT, TargetAction, get, route,
     to_shards,
@@ -301,3 +302,23 @@
     assert_eq!(gated.arrivals("/all/one"), [1; SHARDS], "arrivals at each target");
     gated.deployment.stop().await;
 }
+
+/// Guards against parts that are missing because a group counts as sent that the other entry has not begun: it has closed
+/// the link after its last group, while the task was on its way.
+#[tokio::test]
+async fn a_group_that_a_closing_entry_has_not_begun_is_sent_without_a_second_attempt() {
+    let settings = GatedSettings { max_attempts: 1, ..GatedSettings::default() };
+    let gated = GatedDeployment::start(0, settings).await;
+    let peer = ScriptedPeer::start(&gated.deployment, PeerReaction::Close).await;
+    gated.deployment.await_links(1).await;
+    let mut requests = 0;
+    // Each group is handed to the peer in about half of all cases.
+    while peer.messages() == 0 {
+        let path = format!("/all/{requests}");
+        gated.open(&path, 0..SHARDS);
+        assert_whole(&gated.deployment.exchange(&get(&path)).await);
+        assert_eq!(gated.arrivals(&path), [1; SHARDS], "arrivals of {path} at each target");
+        requests += 1;
+    }
+    gated.deployment.stop().await;
+}
--- a/hickoryspan_gateway/tests/gateway/main.rs
+++ b/hickoryspan_gateway/tests/gateway/main.rs
@@ -8,6 +8,7 @@
 mod last_check;
 mod odd_answers;
 mod planned_stop;
+mod scripted_peer;
 mod support;
 mod target_limits;
 mod target_notices;
--- a/hickoryspan_gateway/tests/gateway/support.rs
+++ b/hickoryspan_gateway/tests/gateway/support.rs
@@ -376,6 +376,11 @@
         self.others.push(entry);
     }
 
+    /// Returns the known control hosts.
+    pub fn hosts(&self) -> &HostList {
+        &self.hosts
+    }
+
     /// Returns the number of entries that were started.
     pub fn entry_count(&self) -> usize {
         self.addresses.len()
