Test fan-outs while entries stop, crash or freeze

Cause: no test stopped, ended or froze an entry that had groups of others, and none stopped several entries. Change: tests of the gateway for callers of other entries during three staggered stops, with and without control hosts; for entries that crash and accept links again at once, or freeze; for the number of attempts after a lost link; and for a stop while another entry neither reads nor closes its link.

--- a/hickoryspan_gateway/tests/gateway/fan_out_stops.rs
+++ b/hickoryspan_gateway/tests/gateway/fan_out_stops.rs
@@ -322,3 +322,112 @@
     }
     gated.deployment.stop().await;
 }
+
+/// Guards against requests without a whole answer, and against shards that get more requests than allowed, after an entry
+/// that takes groups has crashed (and restarted at once) or has been frozen or cut off silently.
+#[rstest]
+#[case::crashes(PeerReaction::Drop)]
+#[case::is_frozen_or_cut_off(PeerReaction::Freeze)]
+#[tokio::test]
+async fn groups_of_a_lost_entry_are_sent_once_more(#[case] reaction: PeerReaction) {
+    let objective = Duration::from_millis(600);
+    let gated =
+        GatedDeployment::start(0, GatedSettings { objective, ..GatedSettings::default() }).await;
+    let peer = ScriptedPeer::start(&gated.deployment, reaction).await;
+    gated.deployment.await_links(1).await;
+    let mut requests = 0;
+    // Each group is handed to the peer in about half of all cases.
+    while peer.messages() == 0 {
+        let path = format!("/all/{requests}");
+        gated.open(&path, 0..SHARDS);
+        assert_whole(&gated.deployment.exchange(&get(&path)).await);
+        assert_eq!(gated.arrivals(&path), [1; SHARDS], "arrivals of {path} at each target");
+        requests += 1;
+    }
+    gated.deployment.stop().await;
+}
+
+/// Calls one entry again and again until `done` is cancelled, and returns the paths. Every answer must be whole.
+async fn call_until(
+    gated: &GatedDeployment,
+    entry: usize,
+    done: &CancellationToken,
+) -> Vec<String> {
+    let mut paths = Vec::new();
+    while !done.is_cancelled() {
+        let path = format!("/all/{entry}-{}", paths.len());
+        assert_whole(&gated.deployment.exchange_at(entry, &get(&path)).await);
+        paths.push(path);
+    }
+    paths
+}
+
+/// Guards against missing parts and superfluous requests to targets while entries stop one after another: callers of the
+/// others must not notice it, also if no control host tells the others of the stops.
+#[rstest]
+#[case::with_a_control_host(true)]
+#[case::without_a_control_host(false)]
+#[tokio::test]
+async fn callers_of_other_entries_get_whole_answers_while_entries_stop(#[case] linked: bool) {
+    let settings = GatedSettings {
+        objective: Duration::from_millis(900),
+        accept: Duration::from_millis(300),
+        work: Some(Duration::from_millis(150)),
+        ..GatedSettings::default()
+    };
+    let mut gated = GatedDeployment::start(OTHERS + 2, settings).await;
+    if !linked {
+        gated.deployment.lose_directory().await;
+    }
+    let stopped: Vec<GatewayEntry> = gated.deployment.others.drain(..3).collect();
+    let done = CancellationToken::new();
+    let callers = [0, 4, 5, 6].map(|entry| call_until(&gated, entry, &done));
+    let stops = async {
+        let mut stops = JoinSet::new();
+        for entry in stopped {
+            tokio::time::sleep(Duration::from_millis(100)).await;
+            stops.spawn(entry.drain());
+        }
+        PlannedStops(stops).end().await;
+        done.cancel();
+    };
+    let (paths, ()) = tokio::join!(join_all(callers), stops);
+    for path in paths.iter().flatten() {
+        assert_eq!(gated.arrivals(path), [1; SHARDS], "arrivals of {path} at each target");
+    }
+    gated.deployment.stop().await;
+}
+
+/// Guards against more attempts than allowed: a lost entry may have sent to the shards of its groups, unlike one that has
+/// closed the link.
+#[tokio::test]
+async fn a_group_on_a_lost_link_counts_as_an_attempt() {
+    let settings = GatedSettings { max_attempts: 1, ..GatedSettings::default() };
+    let gated = GatedDeployment::start(0, settings).await;
+    let peer = ScriptedPeer::start(&gated.deployment, PeerReaction::Drop).await;
+    gated.deployment.await_links(1).await;
+    let mut requests = 0;
+    // Each group is handed to the peer in about half of all cases.
+    while peer.messages() == 0 {
+        let path = format!("/all/{requests}");
+        gated.open(&path, 0..SHARDS);
+        let answer = gated.deployment.exchange(&get(&path)).await;
+        let expected = if peer.messages() == 0 { 200 } else { 502 };
+        assert_eq!(answer.status, expected);
+        requests += 1;
+    }
+    gated.deployment.stop().await;
+}
+
+/// Guards against a stop that waits for an entry that is frozen or cut off and therefore never closes its link.
+#[tokio::test]
+async fn a_silent_link_does_not_delay_a_stop() {
+    let mut gated = GatedDeployment::start(0, GatedSettings::default()).await;
+    let peer = ScriptedPeer::start(&gated.deployment, PeerReaction::Freeze).await;
+    // It is neither read nor closed.
+    let _link = peer.connect().await;
+    let entry = gated.deployment.entry.take().expect("an entry");
+    // The entry would wait for requests and groups in flight for a much longer time.
+    tokio::time::timeout(TEST_TIMEOUT, entry.drain()).await.expect("the stop ends");
+    gated.deployment.stop().await;
+}
--- a/hickoryspan_gateway/tests/gateway/scripted_peer.rs
+++ b/hickoryspan_gateway/tests/gateway/scripted_peer.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 
-use crate::support::{Deployment, credential};
+use crate::support::{Deployment, TEST_TIMEOUT, credential};
 use hickoryspan_core::gateway::messages::{DirectoryRequest, DirectoryUpdate, EntryHost};
 use hickoryspan_core::types::{EntryId, FailureDomain};
 use hickoryspan_gateway::{DirectoryLinks, DirectorySettings, KnownChanges, LinkHandler};
@@ -20,11 +20,16 @@
 pub enum PeerReaction {
     /// It closes the link, as a stopping entry does that has not begun the task.
     Close,
+    /// It drops the connection, as a process that ends suddenly.
+    Drop,
+    /// It answers nothing and keeps the link open, as a process that is stopped or cut off.
+    Freeze,
 }
 
 /// A running peer. Dropping it closes its links.
 pub struct ScriptedPeer {
     messages: Arc<AtomicUsize>,
+    others: watch::Receiver<Vec<SocketAddr>>,
     _tasks: JoinSet<()>,
 }
 
@@ -33,17 +38,28 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind the peer");
         let address = listener.local_addr().expect("the peer's address");
         let messages = Arc::new(AtomicUsize::new(0));
+        let (other_sender, others) = watch::channel(Vec::new());
         let links = DirectoryLinks {
             hosts: deployment.hosts().clone(),
             own_address: None,
             settings: DirectorySettings::new(credential()),
-            handler: Arc::new(PeerHandler { address }),
+            handler: Arc::new(PeerHandler { address, others: other_sender }),
             report_trigger: watch::Sender::new(0).subscribe(),
         };
         let mut tasks = JoinSet::new();
         tasks.spawn(links.run(CancellationToken::new()));
         tasks.spawn(serve(listener, reaction, Arc::clone(&messages)));
-        Self { messages, _tasks: tasks }
+        Self { messages, others, _tasks: tasks }
+    }
+
+    /// Opens a link to another entry, waiting until one is known.
+    pub async fn connect(&self) -> PeerLink {
+        let mut others = self.others.clone();
+        let known = others.wait_for(|others| !others.is_empty());
+        let known = tokio::time::timeout(TEST_TIMEOUT, known).await.expect("another entry");
+        let address = known.expect("a running peer")[0];
+        let link = PeerLink::connect(address, "/v1/fan-out", [], &credential()).await;
+        link.expect("a link to the entry")
     }
 
     /// Returns the number of messages so far.
@@ -68,6 +84,8 @@
         messages.fetch_add(1, Ordering::SeqCst);
         match reaction {
             PeerReaction::Close => sender = None,
+            PeerReaction::Drop => return false,
+            PeerReaction::Freeze => {}
         }
         true
     };
@@ -77,6 +95,8 @@
 
 struct PeerHandler {
     address: SocketAddr,
+    // Addresses at which the other entries take groups.
+    others: watch::Sender<Vec<SocketAddr>>,
 }
 
 impl LinkHandler for PeerHandler {
@@ -95,7 +115,11 @@
         Vec::new()
     }
 
-    fn apply(&self, _from: SocketAddr, _update: DirectoryUpdate) -> Option<DirectoryRequest> {
+    fn apply(&self, _from: SocketAddr, update: DirectoryUpdate) -> Option<DirectoryRequest> {
+        if let DirectoryUpdate::Relays(peers) = update {
+            let others = peers.into_iter().map(|peer| peer.address);
+            self.others.send_replace(others.filter(|other| *other != self.address).collect());
+        }
         None
     }
 
