Answer orders that reach a drained entry at once

Callers saw: an order that reaches an entry after its drain was complete, while the process still serves open connections, ended with its connection and without an answer. Cause: a refused order first asks control whether an earlier request of its key ran. A drained entry has released its ordinal and handles no messages of control and no timers any more, so the lookup never ended. Evidence: the new test failed before: `left: None, right: Some((Unknown, Some(Draining)))`. Change: a drained entry asks control no longer. It returns what it knows of the order itself, else `unknown` with `draining` and other addresses, as an entry without a session does. Conclusion: the answer no longer depends on events that a drained entry ignores.

--- a/hickoryspan_core/src/entry/machine/refusals.rs
+++ b/hickoryspan_core/src/entry/machine/refusals.rs
@@ -91,8 +91,10 @@
         actions: &mut Vec<EntryAction>,
     ) {
         let OrderContent { key, fingerprint } = order;
-        let is_connected = matches!(self.session.lease_status(now.monotonic), LeaseStatus::Held(_));
-        if !is_connected && self.orders.local_state(&key).is_none() {
+        let has_lease = matches!(self.session.lease_status(now.monotonic), LeaseStatus::Held(_));
+        // Answers of control are no longer handled once the drain is complete.
+        let can_ask = has_lease && !self.drain.is_stopped();
+        if !can_ask && self.orders.local_state(&key).is_none() {
             // An earlier request may have run through another entry, and control cannot be asked.
             response.outcome = RequestOutcome::Unknown;
             return self.finish(now, &active, token, response, actions);
--- a/hickoryspan_core/tests/entry_drain.rs
+++ b/hickoryspan_core/tests/entry_drain.rs
@@ -189,6 +189,18 @@
     assert!(is_stopped(&harness));
 }
 
+/// Guards against orders that end without an answer because a drained entry waits for control, whose answers it ignores.
+#[test]
+fn an_order_after_the_drain_is_answered_at_once() {
+    let mut harness = EntryHarness::ready(1);
+    harness.event(EntryEvent::Drain);
+    accept_drain(&mut harness);
+    harness.advance(millis(16_000));
+    assert!(is_stopped(&harness));
+    let late = harness.order("late");
+    assert_eq!(harness.outcome_of(late), unknown(ResponseReason::Draining));
+}
+
 /// Guards against refusing requests before the entry's own last address answer has expired.
 #[test]
 fn requests_are_served_until_own_answers_expire() {
