Answer requests that are on their way when an HTTP server stops

Callers saw: look-ups, readiness checks, calls of operators and targets, and requests to hickoryspan-entry were reset without an answer at a planned stop if they were sent just before it: on a new connection that waited in the queue of the system or was accepted and not read yet, and on an open connection between two requests. Cause: at the stop the server closed its listener, and with it the queue, and the library's graceful shutdown drops a connection whose protocol it has not read yet and closes one without a request, whether or not a request waits in the socket. Evidence: three cases failed before, `Connection reset by peer` (queue, just accepted) and `ConnectionLost("connection closed before message completed")` (open connection). Change: the server takes the connections from the queue before it closes the listener. For 500 ms after the stop each connection may bring another request, whose answer ends an HTTP/1.1 connection with `connection: close`. Only then are connections without a request closed. The drain time bounds all of it. Connections have a module of their own. Conclusion: a request sent before its caller could see the stop is read and answered. One that is sent on an idle connection later than 500 ms after the stop can still meet the close, as with any HTTP/1.1 server.

--- a/hickoryspan_runtime/src/http_server.rs
+++ b/hickoryspan_runtime/src/http_server.rs
@@ -1,6 +1,5 @@
 //! An HTTP/1.1 and HTTP/2 server with limits on size, time and concurrency. A stop lets requests in flight finish.
 
-use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::Arc;
@@ -11,23 +10,15 @@
 use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
-use hyper::service::service_fn;
-use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
-use hyper_util::server::conn::auto;
-use hyper_util::server::graceful::GracefulShutdown;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
 
-use crate::write_timeout::WriteTimeoutStream;
+use crate::server_connection::ServerConnection;
 
 /// Delay after a failed accept, so that a lack of file descriptors does not cause a busy loop.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
-/// Maximum number of header lines in an HTTP/1.1 request.
-const MAX_HEADERS: usize = 64;
-/// Smallest connection buffer in bytes that the HTTP library accepts.
-const MIN_BUFFER_BYTES: usize = 8192;
 
 /// Limits of a server, which are settings of the process that owns it.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -91,29 +82,20 @@
         self.listener.local_addr().context("read the bound address")
     }
 
-    /// Serves until `stop` is cancelled, then accepts no more connections and finishes the requests in flight. Those
-    /// that exceed the drain time are aborted.
+    /// Serves until `stop` is cancelled, then accepts no more connections and finishes the requests in flight and those
+    /// that are already on their way. Those that exceed the drain time are aborted.
     pub async fn serve(self, handler: Arc<dyn HttpHandler>, stop: CancellationToken) {
-        let graceful = GracefulShutdown::new();
         let permits = Arc::new(Semaphore::new(self.limits.connections));
+        let settings = ServerConnection { limits: self.limits.clone(), handler, stop };
         let mut connections = JoinSet::new();
-        while let Some((stream, permit)) = self.accept(&permits, &stop).await {
-            let peer = stream.peer_addr();
-            let Ok(peer) = peer else { continue };
-            let watcher = graceful.watcher();
-            let task =
-                serve_connection(stream, peer, self.limits.clone(), Arc::clone(&handler), watcher);
-            connections.spawn(async move {
-                task.await;
-                drop(permit);
-            });
+        while let Some((stream, permit)) = self.accept(&permits, &settings.stop).await {
+            settings.spawn(stream, permit, &mut connections);
             while connections.try_join_next().is_some() {}
         }
-        drop(self.listener);
-        let drain = async {
-            graceful.shutdown().await;
-            while connections.join_next().await.is_some() {}
-        };
+        for (stream, permit) in accept_queued(self.listener, &permits) {
+            settings.spawn(stream, permit, &mut connections);
+        }
+        let drain = async { while connections.join_next().await.is_some() {} };
         if tokio::time::timeout(self.limits.drain_time, drain).await.is_err() {
             spdlog::warn!("HTTP server: requests in flight exceeded the drain time");
             connections.shutdown().await;
@@ -145,56 +127,26 @@
     }
 }
 
-async fn serve_connection(
-    stream: TcpStream,
-    peer: SocketAddr,
-    limits: HttpLimits,
-    handler: Arc<dyn HttpHandler>,
-    watcher: hyper_util::server::graceful::Watcher,
-) {
-    // Without TCP_NODELAY, small responses could wait for the acknowledgement of earlier ones.
-    if let Err(error) = stream.set_nodelay(true) {
-        spdlog::debug!("HTTP server: {}: set TCP_NODELAY: {}", peer, error);
-    }
-    let mut builder = auto::Builder::new(TokioExecutor::new());
-    builder
-        .http1()
-        .timer(TokioTimer::new())
-        .header_read_timeout(limits.read_time)
-        .max_headers(MAX_HEADERS)
-        .max_buf_size(limits.header_bytes.max(MIN_BUFFER_BYTES));
-    builder
-        .http2()
-        .timer(TokioTimer::new())
-        .max_concurrent_streams(limits.streams)
-        .max_header_list_size(u32::try_from(limits.header_bytes).unwrap_or(u32::MAX))
-        .keep_alive_interval(limits.read_time)
-        .keep_alive_timeout(limits.read_time);
-    let first_request = CancellationToken::new();
-    let arrived = first_request.clone();
-    let service = service_fn(move |request| {
-        arrived.cancel();
-        let handler = Arc::clone(&handler);
-        async move { Ok::<_, Infallible>(handler.handle(request, peer).await) }
-    });
-    let stream = WriteTimeoutStream::new(stream, limits.read_time);
-    let connection = builder.serve_connection(TokioIo::new(stream), service);
-    // The library's header timeout starts only once the protocol version is known.
-    let first_request_timeout = async {
-        tokio::select! {
-            () = first_request.cancelled() => std::future::pending().await,
-            () = tokio::time::sleep(limits.read_time) => {}
+/// Accepts the connections that wait in the queue of the system, which resets them when the listener is closed.
+fn accept_queued(
+    listener: TcpListener,
+    permits: &Arc<Semaphore>,
+) -> Vec<(TcpStream, OwnedSemaphorePermit)> {
+    // The runtime may not know yet that connections wait, so the system is asked directly.
+    let listener = match listener.into_std() {
+        Ok(listener) => listener,
+        Err(error) => {
+            spdlog::warn!("HTTP server: accept the last connections: {}", error);
+            return Vec::new();
         }
     };
-    tokio::select! {
-        ended = watcher.watch(connection.into_owned()) => {
-            if let Err(error) = ended {
-                spdlog::debug!("HTTP server: {}: {}", peer, error);
-            }
-        }
-        () = first_request_timeout =>
-            spdlog::debug!("HTTP server: {}: no request within the read time", peer),
-    }
+    let next = || {
+        let permit = Arc::clone(permits).try_acquire_owned().ok()?;
+        let (stream, _) = listener.accept().ok()?;
+        stream.set_nonblocking(true).ok()?;
+        Some((TcpStream::from_std(stream).ok()?, permit))
+    };
+    std::iter::from_fn(next).collect()
 }
 
 /// A failure to read a request body.
--- a/hickoryspan_runtime/src/lib.rs
+++ b/hickoryspan_runtime/src/lib.rs
@@ -12,5 +12,6 @@
 mod metrics_recorder;
 pub mod peer_link;
 pub mod process;
+mod server_connection;
 pub mod settings;
 mod write_timeout;
--- /dev/null
+++ b/hickoryspan_runtime/src/server_connection.rs
@@ -0,0 +1,134 @@
+//! One connection of the HTTP server. A stop closes it only after the requests that were already on their way.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::pin::pin;
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::header::{CONNECTION, HeaderValue};
+use http::{Request, Response, Version};
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use hyper_util::server::conn::auto;
+use tokio::net::TcpStream;
+use tokio::sync::OwnedSemaphorePermit;
+use tokio::task::JoinSet;
+use tokio_util::sync::CancellationToken;
+
+use crate::http_server::{HttpHandler, HttpLimits, ResponseBody};
+use crate::write_timeout::WriteTimeoutStream;
+
+/// Maximum number of header lines in an HTTP/1.1 request.
+const MAX_HEADERS: usize = 64;
+/// Smallest connection buffer in bytes that the HTTP library accepts.
+const MIN_BUFFER_BYTES: usize = 8192;
+/// How long a connection without a request stays open after a stop. It covers the way of a request that was sent before
+/// the client could know of the stop.
+const LAST_REQUEST_TIME: Duration = Duration::from_millis(500);
+
+/// What all connections of a server have in common.
+#[derive(Clone)]
+pub(crate) struct ServerConnection {
+    pub(crate) limits: HttpLimits,
+    pub(crate) handler: Arc<dyn HttpHandler>,
+    /// Cancelled when the server stops.
+    pub(crate) stop: CancellationToken,
+}
+
+impl ServerConnection {
+    /// Serves a connection in a task of its own, which holds the permit until the connection ends.
+    pub(crate) fn spawn(
+        &self,
+        stream: TcpStream,
+        permit: OwnedSemaphorePermit,
+        tasks: &mut JoinSet<()>,
+    ) {
+        let Ok(peer) = stream.peer_addr() else { return };
+        let connection = self.clone();
+        tasks.spawn(async move {
+            connection.serve(stream, peer).await;
+            drop(permit);
+        });
+    }
+
+    async fn serve(self, stream: TcpStream, peer: SocketAddr) {
+        // Without TCP_NODELAY, small responses could wait for the acknowledgement of earlier ones.
+        if let Err(error) = stream.set_nodelay(true) {
+            spdlog::debug!("HTTP server: {}: set TCP_NODELAY: {}", peer, error);
+        }
+        let read_time = self.limits.read_time;
+        let stop = self.stop.clone();
+        let builder = self.to_builder();
+        let first_request = CancellationToken::new();
+        let arrived = first_request.clone();
+        let service = service_fn(move |request| {
+            arrived.cancel();
+            let connection = self.clone();
+            async move { Ok::<_, Infallible>(connection.answer(request, peer).await) }
+        });
+        let stream = TokioIo::new(WriteTimeoutStream::new(stream, read_time));
+        let mut connection = pin!(builder.serve_connection(stream, service));
+        let served = async {
+            tokio::select! {
+                // Requests that have arrived are read before the connection is closed.
+                biased;
+                ended = connection.as_mut() => return ended,
+                () = await_close(&stop) => connection.as_mut().graceful_shutdown(),
+            }
+            connection.await
+        };
+        // The library's header timeout starts only once the protocol version is known.
+        let first_request_timeout = async {
+            tokio::select! {
+                () = first_request.cancelled() => std::future::pending().await,
+                () = tokio::time::sleep(read_time) => {}
+            }
+        };
+        tokio::select! {
+            ended = served => {
+                if let Err(error) = ended {
+                    spdlog::debug!("HTTP server: {}: {}", peer, error);
+                }
+            }
+            () = first_request_timeout =>
+                spdlog::debug!("HTTP server: {}: no request within the read time", peer),
+        }
+    }
+
+    fn to_builder(&self) -> auto::Builder<TokioExecutor> {
+        let limits = &self.limits;
+        let mut builder = auto::Builder::new(TokioExecutor::new());
+        builder
+            .http1()
+            .timer(TokioTimer::new())
+            .header_read_timeout(limits.read_time)
+            .max_headers(MAX_HEADERS)
+            .max_buf_size(limits.header_bytes.max(MIN_BUFFER_BYTES));
+        builder
+            .http2()
+            .timer(TokioTimer::new())
+            .max_concurrent_streams(limits.streams)
+            .max_header_list_size(u32::try_from(limits.header_bytes).unwrap_or(u32::MAX))
+            .keep_alive_interval(limits.read_time)
+            .keep_alive_timeout(limits.read_time);
+        builder
+    }
+
+    /// Answers a request. After a stop, the answer is the last one of an HTTP/1.1 connection.
+    async fn answer(&self, request: Request<Incoming>, peer: SocketAddr) -> Response<ResponseBody> {
+        let is_http2 = request.version() == Version::HTTP_2;
+        let mut response = self.handler.handle(request, peer).await;
+        if self.stop.is_cancelled() && !is_http2 {
+            response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+        }
+        response
+    }
+}
+
+/// Waits until a connection without a request may be closed for a stop.
+async fn await_close(stop: &CancellationToken) {
+    stop.cancelled().await;
+    tokio::time::sleep(LAST_REQUEST_TIME).await;
+}
--- a/hickoryspan_runtime/tests/http.rs
+++ b/hickoryspan_runtime/tests/http.rs
@@ -175,3 +175,43 @@
     stop.cancel();
     task.await.unwrap();
 }
+
+/// Returns all that is received until the connection ends.
+async fn read_raw(stream: &mut TcpStream) -> String {
+    let mut received = Vec::new();
+    let end = tokio::time::timeout(TIMEOUT, stream.read_to_end(&mut received)).await.unwrap();
+    end.unwrap_or_else(|error| panic!("{error} after {received:?}"));
+    String::from_utf8(received).unwrap()
+}
+
+// Guards against a stop that resets a connection whose first request it has not read yet.
+#[rstest]
+#[case::waits_in_the_queue_of_the_system(0)]
+#[case::was_accepted(100)]
+#[tokio::test]
+async fn a_stop_answers_the_first_request_on_a_new_connection(#[case] turns_before: usize) {
+    let (address, _handler, stop, task) = start(HttpLimits::default()).await;
+    let mut stream = std::net::TcpStream::connect(address).unwrap();
+    for _ in 0..turns_before {
+        tokio::task::yield_now().await;
+    }
+    // The server shares this thread, so it runs again only after the request was sent and the stop has come.
+    std::io::Write::write_all(&mut stream, b"GET / HTTP/1.1\r\nhost: test\r\n\r\n").unwrap();
+    stop.cancel();
+    stream.set_nonblocking(true).unwrap();
+    let answer = read_raw(&mut TcpStream::from_std(stream).unwrap()).await;
+    assert!(answer.starts_with("HTTP/1.1 200 OK"), "{answer}");
+    task.await.unwrap();
+}
+
+// Guards against a stop that closes a connection while the next request on it is already on its way.
+#[tokio::test]
+async fn a_stop_answers_a_request_that_was_sent_on_an_open_connection() {
+    let (address, _handler, stop, task) = start(HttpLimits::default()).await;
+    let mut connection = HttpConnection::open(address, TIMEOUT).await.unwrap();
+    connection.send(request("/", ""), MAX_RESPONSE_BYTES).await.unwrap();
+    stop.cancel();
+    let answer = connection.send(request("/", "abc"), MAX_RESPONSE_BYTES).await.unwrap();
+    assert_eq!((answer.status, &answer.body[..]), (StatusCode::OK, b"3".as_slice()));
+    task.await.unwrap();
+}
