Answer requests that exceed the drain time of an HTTP server

Callers saw: a call that was read and still in work when the drain time of a stopping process ended lost its connection and got no answer. Cause: the server ended the tasks of the remaining connections. Evidence: the new test failed before: `ConnectionLost("connection closed before message completed")`. Change: at the end of the drain time the server drops the handlers of the remaining requests and answers them with 503 and the remark that the request may have taken effect, as an undecided command is answered. Connections have 200 ms to send these answers and are closed after that. Measured: not measured. Conclusion: only a peer that does not read its answer is still cut off.

--- a/hickoryspan_runtime/src/http_server.rs
+++ b/hickoryspan_runtime/src/http_server.rs
@@ -19,6 +19,8 @@
 
 /// Delay after a failed accept, so that a lack of file descriptors does not cause a busy loop.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
+/// Time to send the last answers after the drain time.
+const LAST_ANSWER_TIME: Duration = Duration::from_millis(200);
 
 /// Limits of a server, which are settings of the process that owns it.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -34,7 +36,7 @@
     /// Timeout for the headers and, separately, for the body of a request. A connection also fails if its response
     /// makes no progress for this long.
     pub read_time: Duration,
-    /// Time that requests in flight have to finish after a stop.
+    /// Time that requests in flight have to finish after a stop. Those that need longer are answered with status 503.
     pub drain_time: Duration,
 }
 
@@ -56,7 +58,7 @@
 /// The future that [`HttpHandler::handle`] returns.
 pub type ResponseFuture<'a> = Pin<Box<dyn Future<Output = Response<ResponseBody>> + Send + 'a>>;
 
-/// Handles requests. The server drops the future of a request if the client disconnects.
+/// Handles requests. The server drops the future of a request if the client disconnects or the drain time ends.
 pub trait HttpHandler: Send + Sync {
     /// Handles one request from `peer` and returns its response.
     fn handle(&self, request: Request<Incoming>, peer: SocketAddr) -> ResponseFuture<'_>;
@@ -83,10 +85,12 @@
     }
 
     /// Serves until `stop` is cancelled, then accepts no more connections and finishes the requests in flight and those
-    /// that are already on their way. Those that exceed the drain time are aborted.
+    /// that are already on their way. Those that exceed the drain time are answered with status 503.
     pub async fn serve(self, handler: Arc<dyn HttpHandler>, stop: CancellationToken) {
         let permits = Arc::new(Semaphore::new(self.limits.connections));
-        let settings = ServerConnection { limits: self.limits.clone(), handler, stop };
+        let finish = CancellationToken::new();
+        let settings =
+            ServerConnection { limits: self.limits.clone(), handler, stop, finish: finish.clone() };
         let mut connections = JoinSet::new();
         while let Some((stream, permit)) = self.accept(&permits, &settings.stop).await {
             settings.spawn(stream, permit, &mut connections);
@@ -95,11 +99,13 @@
         for (stream, permit) in accept_queued(self.listener, &permits) {
             settings.spawn(stream, permit, &mut connections);
         }
-        let drain = async { while connections.join_next().await.is_some() {} };
-        if tokio::time::timeout(self.limits.drain_time, drain).await.is_err() {
+        if tokio::time::timeout(self.limits.drain_time, join_all(&mut connections)).await.is_err() {
             spdlog::warn!("HTTP server: requests in flight exceeded the drain time");
-            connections.shutdown().await;
+            finish.cancel();
+            // An error means that a peer does not read its answer; dropping the tasks closes its connection.
+            let _ = tokio::time::timeout(LAST_ANSWER_TIME, join_all(&mut connections)).await;
         }
+        connections.shutdown().await;
     }
 
     async fn accept(
@@ -127,6 +133,11 @@
     }
 }
 
+/// Waits until all tasks have ended. Cancel safe.
+async fn join_all(tasks: &mut JoinSet<()>) {
+    while tasks.join_next().await.is_some() {}
+}
+
 /// Accepts the connections that wait in the queue of the system, which resets them when the listener is closed.
 fn accept_queued(
     listener: TcpListener,
--- a/hickoryspan_runtime/src/server_connection.rs
+++ b/hickoryspan_runtime/src/server_connection.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use http::header::{CONNECTION, HeaderValue};
-use http::{Request, Response, Version};
+use http::{Request, Response, StatusCode, Version};
 use hyper::body::Incoming;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
@@ -17,7 +17,7 @@
 use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
 
-use crate::http_server::{HttpHandler, HttpLimits, ResponseBody};
+use crate::http_server::{HttpHandler, HttpLimits, ResponseBody, text_response};
 use crate::write_timeout::WriteTimeoutStream;
 
 /// Maximum number of header lines in an HTTP/1.1 request.
@@ -35,6 +35,8 @@
     pub(crate) handler: Arc<dyn HttpHandler>,
     /// Cancelled when the server stops.
     pub(crate) stop: CancellationToken,
+    /// Cancelled when requests in flight are no longer waited for.
+    pub(crate) finish: CancellationToken,
 }
 
 impl ServerConnection {
@@ -59,7 +61,7 @@
             spdlog::debug!("HTTP server: {}: set TCP_NODELAY: {}", peer, error);
         }
         let read_time = self.limits.read_time;
-        let stop = self.stop.clone();
+        let (stop, finish) = (self.stop.clone(), self.finish.clone());
         let builder = self.to_builder();
         let first_request = CancellationToken::new();
         let arrived = first_request.clone();
@@ -75,7 +77,7 @@
                 // Requests that have arrived are read before the connection is closed.
                 biased;
                 ended = connection.as_mut() => return ended,
-                () = await_close(&stop) => connection.as_mut().graceful_shutdown(),
+                () = await_close(&stop, &finish) => connection.as_mut().graceful_shutdown(),
             }
             connection.await
         };
@@ -119,7 +121,11 @@
     /// Answers a request. After a stop, the answer is the last one of an HTTP/1.1 connection.
     async fn answer(&self, request: Request<Incoming>, peer: SocketAddr) -> Response<ResponseBody> {
         let is_http2 = request.version() == Version::HTTP_2;
-        let mut response = self.handler.handle(request, peer).await;
+        let mut response = tokio::select! {
+            biased;
+            response = self.handler.handle(request, peer) => response,
+            () = self.finish.cancelled() => interrupted(),
+        };
         if self.stop.is_cancelled() && !is_http2 {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
@@ -128,7 +134,14 @@
 }
 
 /// Waits until a connection without a request may be closed for a stop.
-async fn await_close(stop: &CancellationToken) {
+async fn await_close(stop: &CancellationToken, finish: &CancellationToken) {
     stop.cancelled().await;
-    tokio::time::sleep(LAST_REQUEST_TIME).await;
+    // A request that comes after `finish` would be answered with a refusal only.
+    let _ = tokio::time::timeout(LAST_REQUEST_TIME, finish.cancelled()).await;
+}
+
+/// Returns the answer to a request that the server stops to work on. Parts of it may have taken effect.
+fn interrupted() -> Response<ResponseBody> {
+    let text = "the server stopped before the request was completed; it may have taken effect";
+    text_response(StatusCode::SERVICE_UNAVAILABLE, text)
 }
--- a/hickoryspan_runtime/tests/http.rs
+++ b/hickoryspan_runtime/tests/http.rs
@@ -215,3 +215,19 @@
     assert_eq!((answer.status, &answer.body[..]), (StatusCode::OK, b"3".as_slice()));
     task.await.unwrap();
 }
+
+// Guards against requests that end with their connection when the drain time is over.
+#[tokio::test]
+async fn the_end_of_the_drain_time_answers_the_requests_in_flight() {
+    let limits = HttpLimits { drain_time: Duration::from_millis(50), ..Default::default() };
+    let (address, handler, stop, task) = start(limits).await;
+    let mut connection = HttpConnection::open(address, TIMEOUT).await.unwrap();
+    let send = connection.send(request("/slow", "abc"), MAX_RESPONSE_BYTES);
+    let stop_during = async {
+        handler.arrived.notified().await;
+        stop.cancel();
+    };
+    let (answer, ()) = tokio::join!(send, stop_during);
+    assert_eq!(answer.unwrap().status, StatusCode::SERVICE_UNAVAILABLE);
+    task.await.unwrap();
+}
