--- a/hickoryspan_runtime/tests/http.rs
+++ b/hickoryspan_runtime/tests/http.rs
@@ -231,3 +231,18 @@
     assert_eq!(answer.unwrap().status, StatusCode::SERVICE_UNAVAILABLE);
     task.await.unwrap();
 }
+
+// Guards against refusals that are lost because the connection is reset while the caller still sends its request.
+#[tokio::test]
+async fn a_refusal_reaches_a_caller_that_still_sends_the_body() {
+    let limits = HttpLimits { body_bytes: 16, ..Default::default() };
+    let (address, _handler, stop, task) = start(limits).await;
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    let head = format!("POST / HTTP/1.1\r\nhost: test\r\ncontent-length: {LARGE_BYTES}\r\n\r\n");
+    stream.write_all(head.as_bytes()).await.unwrap();
+    stream.write_all(&vec![b'x'; LARGE_BYTES]).await.unwrap();
+    let answer = read_raw(&mut stream).await;
+    assert!(answer.starts_with("HTTP/1.1 413 "), "{answer}");
+    stop.cancel();
+    task.await.unwrap();
+}
