Answer calls while a stopping replica waits for its disk

Callers saw: calls of operators, targets and look-ups at a control host that stops while its disk does not complete a write got no answer, and lost their connection when the process was killed at the end of the grace period. Cause: at its stop the actor joined the persistence thread in a task. The platform's control program has one thread, so nothing else ran until the disk had answered. Change: the actor hands the thread over when it ends, and the stop joins it on a thread for blocking work. Measured: not measured. Conclusion: the actor ends at once, which answers the calls in flight with 503, and the servers go on while the disk is waited for. The process itself still ends only after the disk has answered, as before.

--- a/hickoryspan_control/src/actor.rs
+++ b/hickoryspan_control/src/actor.rs
@@ -135,18 +135,18 @@
     }
 }
 
-/// Stops the actor after closing its links and joining its persistence thread.
+/// Stops the actor after closing its links, and returns its persistence thread.
 struct ShutDown;
 
 impl Handler<ShutDown> for ControlActor {
-    type Return = ();
+    type Return = PersistenceThread;
 
-    async fn handle(&mut self, _message: ShutDown, context: &mut Context<Self>) {
+    async fn handle(&mut self, _message: ShutDown, context: &mut Context<Self>) -> Self::Return {
         self.replica_links.close().await;
         self.entry_links.clear();
         self.replies.clear();
-        self.persistence.join();
         context.stop_self();
+        self.persistence.take()
     }
 }
 
@@ -220,7 +220,10 @@
 
     /// Stops the actor and waits until its links are closed and its persistence thread has ended.
     pub(crate) async fn shut_down(&self) {
-        let _ = self.address.send(ShutDown).await;
+        // An error means that the actor has ended, which joined the thread.
+        if let Ok(persistence) = self.address.send(ShutDown).await {
+            persistence.close().await;
+        }
     }
 }
 
--- a/hickoryspan_control/src/persistence.rs
+++ b/hickoryspan_control/src/persistence.rs
@@ -41,8 +41,20 @@
         let _ = batches.send(PendingBatch { sequence, batch });
     }
 
-    /// Finishes the queued batches and joins the thread.
-    pub(crate) fn join(&mut self) {
+    /// Returns the thread. Batches that are persisted through `self` later are dropped.
+    pub(crate) fn take(&mut self) -> Self {
+        Self { batches: self.batches.take(), thread: self.thread.take() }
+    }
+
+    /// Finishes the queued batches and joins the thread. The disk may be slow, so the tasks of this runtime must go on
+    /// meanwhile.
+    pub(crate) async fn close(mut self) {
+        if let Err(error) = tokio::task::spawn_blocking(move || self.join()).await {
+            spdlog::error!("join persistence thread: {}", error);
+        }
+    }
+
+    fn join(&mut self) {
         self.batches = None;
         if let Some(thread) = self.thread.take()
             && thread.join().is_err()
