Answer requests that the end of an entry interrupts

Callers saw: after a second stop signal, or when the controller of an entry failed, requests in flight lost their connection; an answer that was still sent called a request that had reached a target `not_run`. Cause: the program ended the task of the callers' server, and a lost reply was taken for a request that the entry had refused. Evidence: the new test failed before with `ConnectionLost("connection closed before message completed")`. That the program itself takes this path was not run. Change: the program ends the controller first, and callers whose request was handed to it get 504, `interrupted` and the outcome `unknown`, for at most 1 s; a third signal ends that. `EntryHandle::stop` still cuts, as its test requires and simulated losses need. Measured: not measured. Conclusion: the callers' server outlives what it waits for, so it can answer.

--- a/hickoryspan_entry/src/daemon.rs
+++ b/hickoryspan_entry/src/daemon.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
+use std::time::Duration;
 
 use anyhow::Context;
 use hickoryspan_core::entry::interface::EntryIdentity;
@@ -29,6 +30,8 @@
 
 /// Capacity of the controller's mailbox in messages. Senders wait while it is full.
 const MAILBOX_CAPACITY: usize = 16 * 1024;
+/// Time limit for the answers to interrupted requests.
+const INTERRUPT_TIME: Duration = Duration::from_secs(1);
 
 /// Entry daemon, started with [`EntryDaemon::start`].
 #[derive(Clone, Copy, Debug)]
@@ -197,7 +200,21 @@
         join(&self.entry, "admin", self.tasks.admin).await;
     }
 
-    /// Shuts down immediately, interrupting requests in flight, and joins all tasks.
+    /// Shuts down without waiting for the requests in flight, which are answered with an unknown
+    /// outcome, and joins all tasks.
+    pub async fn interrupt(self) {
+        self.stop.controller.cancel();
+        self.stop.callers.cancel();
+        self.stop.admin.cancel();
+        join(&self.entry, "controller", self.tasks.controller).await;
+        let callers = join(&self.entry, "callers", self.tasks.callers);
+        if tokio::time::timeout(INTERRUPT_TIME, callers).await.is_err() {
+            spdlog::warn!("entry {}: closing the connections of callers", self.entry);
+        }
+        join(&self.entry, "admin", self.tasks.admin).await;
+    }
+
+    /// Shuts down immediately, cutting requests in flight, and joins all tasks.
     pub async fn stop(self) {
         self.stop.controller.cancel();
         self.tasks.callers.abort();
--- a/hickoryspan_entry/src/errors.rs
+++ b/hickoryspan_entry/src/errors.rs
@@ -1,12 +1,15 @@
-//! Typed errors for requests that are rejected before anything is sent to a target.
+//! Typed errors for requests that are rejected before anything is sent to a target, or that the end of the entry
+//! interrupts.
 
 use std::borrow::Cow;
 
+use hickoryspan_core::messages::RequestOutcome;
 use hickoryspan_core::types::{EntryId, RequestId};
 use hickoryspan_runtime::http_server::{BodyError, ResponseBody, json_response};
 use http::{HeaderName, HeaderValue, Response, StatusCode};
 use serde::Serialize;
 
+use crate::answers::outcome_name;
 use crate::entry_metrics::record_refusal;
 
 /// Kinds of request errors. Their names are part of the API and must not change.
@@ -27,6 +30,8 @@
     DeadlinePassed,
     TooManyRequests,
     Stopping,
+    /// The entry ended while the request was in work, so that its outcome is unknown.
+    Interrupted,
 }
 
 impl CallerErrorKind {
@@ -49,6 +54,14 @@
             Self::DeadlinePassed => (StatusCode::GATEWAY_TIMEOUT, "deadline_passed"),
             Self::TooManyRequests => (StatusCode::SERVICE_UNAVAILABLE, "too_many_requests"),
             Self::Stopping => (StatusCode::SERVICE_UNAVAILABLE, "stopping"),
+            Self::Interrupted => (StatusCode::GATEWAY_TIMEOUT, "interrupted"),
+        }
+    }
+
+    fn outcome(self) -> RequestOutcome {
+        match self {
+            Self::Interrupted => RequestOutcome::Unknown,
+            _ => RequestOutcome::NotRun,
         }
     }
 }
@@ -78,8 +91,7 @@
     }
 }
 
-/// Body of an error response. The outcome has the same name as in other answers to requests that
-/// did not run.
+/// Body of an error response. The outcome has the same name as in other answers.
 #[derive(Serialize)]
 #[serde(rename_all = "snake_case")]
 struct ErrorBody<'a> {
@@ -101,7 +113,7 @@
         let (status, name) = self.kind.describe();
         record_refusal(name);
         let body = ErrorBody {
-            outcome: "not_run",
+            outcome: outcome_name(self.kind.outcome()),
             error: self.kind,
             detail: &self.detail,
             entry,
--- a/hickoryspan_entry/src/filters/run.rs
+++ b/hickoryspan_entry/src/filters/run.rs
@@ -59,6 +59,11 @@
     CallerError::new(CallerErrorKind::Stopping, "the entry stops")
 }
 
+/// Returns the error for a request that was in work when the controller ended. It may have been sent to a target.
+fn interrupted() -> CallerError {
+    CallerError::new(CallerErrorKind::Interrupted, "the entry stopped before the answer")
+}
+
 impl RunFilter {
     async fn run(&self, exchange: &mut CallerExchange) -> FilterResult {
         let call = exchange.call.take().ok_or_else(stopping)?;
@@ -76,7 +81,7 @@
                 let guard =
                     DisconnectGuard { token: Some(token), disconnects: &self.handle.disconnects };
                 drop(self.handle.controller.send(call).detach().await.map_err(|_| stopping())?);
-                let reply = reply_receiver.await.map_err(|_| stopping())?;
+                let reply = reply_receiver.await.map_err(|_| interrupted())?;
                 guard.disarm();
                 let context = AnswerContext { entry: &self.handle.entry, request_id };
                 Ok(ControlFlow::Break(build_answer(&reply, kind, context)))
--- a/hickoryspan_entry/src/main.rs
+++ b/hickoryspan_entry/src/main.rs
@@ -21,18 +21,27 @@
     let handle = EntryDaemon::start(program.daemon).await?;
     tokio::select! {
         () = signals.next() => {}
-        () = handle.ended() => anyhow::bail!("the controller failed"),
+        () = handle.ended() => {
+            handle.interrupt().await;
+            anyhow::bail!("the controller failed");
+        }
     }
-    spdlog::info!("graceful shutdown started; a second signal stops the process immediately");
+    spdlog::info!("graceful shutdown started; a second signal interrupts requests in flight");
     handle.begin_drain().await;
     let is_drained = tokio::select! {
         () = handle.drained() => true,
         () = signals.next() => false,
-        () = handle.ended() => anyhow::bail!("drain: the controller failed"),
+        () = handle.ended() => {
+            handle.interrupt().await;
+            anyhow::bail!("drain: the controller failed");
+        }
     };
     if !is_drained {
-        spdlog::warn!("second signal received; stopping immediately");
-        handle.stop().await;
+        spdlog::warn!("second signal received; requests in flight are interrupted");
+        tokio::select! {
+            () = handle.interrupt() => {}
+            () = signals.next() => spdlog::warn!("third signal received; stopping immediately"),
+        }
         return Ok(());
     }
     tokio::select! {
--- a/hickoryspan_entry/tests/drain.rs
+++ b/hickoryspan_entry/tests/drain.rs
@@ -1,4 +1,4 @@
-//! Guards against a graceful shutdown that interrupts a request, refuses callers to which the
+//! Guards against a shutdown that leaves a request without an answer, refuses callers to which the
 //! entry's address is still advertised, or does not release the ordinal.
 
 #![allow(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
@@ -149,3 +149,25 @@
     assert!(HttpConnection::open(address, TEST_TIMEOUT).await.is_err());
     control.stop().await;
 }
+
+// Guards against a second stop signal or a failed controller that cuts requests or calls a sent order `not_run`.
+#[tokio::test]
+async fn requests_in_flight_are_answered_as_unknown_when_the_controller_ends() {
+    let history = GatedTarget::start("history", "").await;
+    let press = GatedTarget::start("press", "").await;
+    let targets = [history.record.clone(), press.record.clone()];
+    let control = FakeControl::start(view(targets, 2 * TEST_TIMEOUT)).await;
+    let entry = start_entry_with(&control, drain_test_settings).await;
+    wait_ready(&entry, []).await;
+    let address = entry.caller_address();
+    let searching = tokio::spawn(async move { search(address, "1").await });
+    let ordering = tokio::spawn(async move { order(address, &order_headers("o1")).await });
+    history.wait_received().await;
+    press.wait_received().await;
+    tokio::time::timeout(TEST_TIMEOUT, entry.interrupt()).await.unwrap();
+    for answer in [searching.await.unwrap(), ordering.await.unwrap()] {
+        assert_eq!((answer.status, answer.outcome()), (504, "unknown"), "{}", answer.body);
+        assert_eq!(answer.body["error"], "interrupted");
+    }
+    control.stop().await;
+}
