--- a/hickoryspan_core/tests/control_planned_stop.rs
+++ b/hickoryspan_core/tests/control_planned_stop.rs
@@ -11,9 +11,7 @@
 
 use control_support::*;
 use hickoryspan_core::control::interface::*;
-use hickoryspan_core::gateway::document::{
-    CallerLimits, ConfigurationDocument, DocumentOutcome, DocumentVersion,
-};
+use hickoryspan_core::gateway::document::{DocumentOutcome, DocumentVersion};
 use hickoryspan_core::gateway::members::MemberSettings;
 use hickoryspan_core::types::ReplicaId;
 use rand::RngExt;
@@ -155,16 +153,6 @@
     }
 }
 
-fn document(version: u64) -> ConfigurationDocument {
-    ConfigurationDocument {
-        version: DocumentVersion(version),
-        routes: Vec::new(),
-        services: Vec::new(),
-        limits: CallerLimits::default(),
-        source: format!("version {version}").into(),
-    }
-}
-
 /// Guards against a configuration that one host acknowledges alone at the first start, because it is cut off from the
 /// others, and loses with its disk.
 #[rstest]
--- a/hickoryspan_core/tests/control_support/mod.rs
+++ b/hickoryspan_core/tests/control_support/mod.rs
@@ -12,6 +12,7 @@
 use hickoryspan_core::control::machine::ControlMachine;
 use hickoryspan_core::control::raft::ReplicaMessage;
 use hickoryspan_core::control::settings::ControlSettings;
+use hickoryspan_core::gateway::document::{CallerLimits, ConfigurationDocument, DocumentVersion};
 use hickoryspan_core::membership::{PartitionRecord, TargetRecord};
 use hickoryspan_core::messages::*;
 use hickoryspan_core::sheet::{CallerSpec, SheetDocument, TenantSheet};
@@ -27,10 +28,28 @@
 pub struct Disk {
     pub state: RecoveredState,
     pub full: bool,
+    /// Whether a full disk may still take the first steps of a batch.
+    pub partial: bool,
     pub broken: bool,
 }
 
 impl Disk {
+    /// Takes the first steps of a batch in the order of the store, and refuses the next one.
+    fn persist_steps(&mut self, batch: &PersistBatch, steps: usize) {
+        let snapshot = batch.snapshot.clone();
+        let truncate_from = batch.truncate_from;
+        let mut parts = Vec::new();
+        if snapshot.is_some() {
+            parts.push(PersistBatch { truncate_from, ..PersistBatch::default() });
+            parts.push(PersistBatch { snapshot, ..PersistBatch::default() });
+        }
+        let entries = batch.entries.clone();
+        parts.push(PersistBatch { truncate_from, entries, ..PersistBatch::default() });
+        for part in parts.iter().take(steps) {
+            self.persist(part);
+        }
+    }
+
     fn persist(&mut self, batch: &PersistBatch) {
         let state = &mut self.state;
         if let Some(snapshot) = &batch.snapshot {
@@ -317,6 +336,9 @@
                     let cause = "injected".into();
                     ControlEvent::PersistFailed(PersistError::Broken { step: "sync", file, cause })
                 } else if node.disk.full {
+                    if node.disk.partial {
+                        node.disk.persist_steps(&batch, self.rng.random_range(0..4));
+                    }
                     ControlEvent::PersistFailed(PersistError::NoSpace { step: "write", file })
                 } else {
                     node.disk.persist(&batch);
@@ -496,6 +518,16 @@
     }
 }
 
+pub fn document(version: u64) -> ConfigurationDocument {
+    ConfigurationDocument {
+        version: DocumentVersion(version),
+        routes: Vec::new(),
+        services: Vec::new(),
+        limits: CallerLimits::default(),
+        source: format!("version {version}").into(),
+    }
+}
+
 pub fn command(operator: &str, id: &str, action: AdminAction) -> AdminCommand {
     let (operator, command) = (operator.parse().unwrap(), id.parse().unwrap());
     AdminCommand { operator, command, action }
