Sync the last segment before what it holds counts as recovered

Operators would see: a control host that ended between the write and the sync of a batch (killed, or its disk refused the sync for lack of space) and started again acknowledges entries that a loss of power then takes. Cause: opening the folder read the last segment from the file cache and did not sync it, but the replica counts all that is recovered as durable. Change: the open syncs the last segment. Sealed segments were synced with their last batch. Measured: one sync more per start. Conclusion: what a start reports as recovered is durable.

--- a/hickoryspan_store/src/file_log.rs
+++ b/hickoryspan_store/src/file_log.rs
@@ -65,7 +65,12 @@
     ) -> Result<Self, StoreError> {
         let next_number = segments.last().map_or(1, |segment| segment.number + 1);
         let active = match segments.pop() {
-            Some(segment) => Some(ActiveSegment { file: segment::reopen(&segment)?, segment }),
+            Some(segment) => {
+                let file = segment::reopen(&segment)?;
+                // The last process may have ended between a write and its sync. What is recovered counts as durable.
+                file_ops::sync("segment_sync", &segment.path, &file)?;
+                Some(ActiveSegment { file, segment })
+            }
             None => None,
         };
         let mut log =
--- a/hickoryspan_store/src/file_ops.rs
+++ b/hickoryspan_store/src/file_ops.rs
@@ -1,7 +1,8 @@
 //! File operations as named steps, each with a fail point of the same name.
 //!
 //! The value that a fail point returns selects the error: `nospace` for a full disk, `broken` for any other
-//! error, and `torn N` for a write that fails after its first N bytes.
+//! error, and `torn N` for a write that fails after its first N bytes. [`DISK_FAIL_POINT`] belongs to all steps; there
+//! `nospace N` refuses what follows the first N bytes of a write.
 
 use std::fs::{self, File, OpenOptions};
 use std::io::{self, Seek, SeekFrom, Write};
@@ -35,6 +36,9 @@
     "hardstate_rename",
 ];
 
+/// Fail point of the whole disk, which each step reaches after its own.
+pub const DISK_FAIL_POINT: &str = "disk";
+
 /// Step names for the atomic replacement of a small file.
 pub struct ReplaceSteps {
     pub write: &'static str,
@@ -46,13 +50,16 @@
 #[allow(dead_code)]
 fn injected_error(action: Option<String>) -> io::Error {
     match action.as_deref() {
-        Some("nospace") => io::Error::new(io::ErrorKind::StorageFull, "injected"),
+        Some(action) if action.starts_with("nospace") => {
+            io::Error::new(io::ErrorKind::StorageFull, "injected")
+        }
         _ => io::Error::other("injected"),
     }
 }
 
 fn check_fail_point(step: &'static str) -> io::Result<()> {
     fail::fail_point!(step, |action| Err(injected_error(action)));
+    fail::fail_point!(DISK_FAIL_POINT, |action| Err(injected_error(action)));
     // Avoids a warning about an unused argument in builds without fail points.
     let _ = step;
     Ok(())
@@ -65,15 +72,20 @@
 }
 
 fn torn_write(step: &'static str) -> Option<TornWrite> {
-    fail::fail_point!(step, |action| {
-        let count = action.as_deref().and_then(|action| action.strip_prefix("torn "));
-        let bytes = count.and_then(|count| count.parse().ok()).unwrap_or(0);
-        Some(TornWrite { bytes, cause: injected_error(action) })
-    });
+    fail::fail_point!(step, |action| Some(to_torn_write(action)));
+    fail::fail_point!(DISK_FAIL_POINT, |action| Some(to_torn_write(action)));
     let _ = step;
     None
 }
 
+// Only fail points call this function.
+#[allow(dead_code)]
+fn to_torn_write(action: Option<String>) -> TornWrite {
+    let words = action.as_deref().and_then(|action| action.split_once(' '));
+    let bytes = words.and_then(|(_, count)| count.parse().ok()).unwrap_or(0);
+    TornWrite { bytes, cause: injected_error(action) }
+}
+
 fn with_step<T>(step: &'static str, file: &Path, result: io::Result<T>) -> Result<T, StepError> {
     result.map_err(|cause| StepError { step, file: file.to_owned(), cause })
 }
--- a/hickoryspan_store/src/lib.rs
+++ b/hickoryspan_store/src/lib.rs
@@ -13,5 +13,5 @@
 
 pub use error::StoreError;
 pub use file_log::FileLog;
-pub use file_ops::FAIL_POINTS;
+pub use file_ops::{DISK_FAIL_POINT, FAIL_POINTS};
 pub use folder::{DataFolder, OpenedLog};
--- a/hickoryspan_store/tests/fail_points.rs
+++ b/hickoryspan_store/tests/fail_points.rs
@@ -176,3 +176,20 @@
     assert_eq!(log.persist(&entries(1, 1, 1)), Err(broken));
     scenario.teardown();
 }
+
+/// Guards against acknowledged entries that are lost with the power, because a restart reads what its predecessor has
+/// written and not synced, and counts it as durable.
+#[test]
+fn a_log_opens_only_once_what_it_recovers_is_synced() {
+    let scenario = FailScenario::setup();
+    let folder = tempfile::tempdir().unwrap();
+    let mut log = create(folder.path());
+    log.persist(&entries(1, 1, 1)).unwrap();
+    fail::cfg("segment_sync", "return(broken)").unwrap();
+    log.persist(&entries(2, 2, 1)).unwrap_err();
+    drop(log);
+    open(folder.path()).map(|opened| opened.recovered).unwrap_err();
+    fail::remove("segment_sync");
+    assert_eq!(open(folder.path()).unwrap().recovered.entries, entries(1, 2, 1).entries);
+    scenario.teardown();
+}
--- a/hickoryspan_store/tests/support/mod.rs
+++ b/hickoryspan_store/tests/support/mod.rs
@@ -3,6 +3,8 @@
 // Each test file uses only some of the helpers. The lint allows `unwrap` in test functions but not in their helpers.
 #![allow(dead_code, clippy::unwrap_used)]
 
+pub mod disk_model;
+
 use std::path::Path;
 use std::sync::Arc;
 
@@ -72,6 +74,15 @@
         states
     }
 
+    /// Returns the indexes and terms, without the payloads.
+    pub fn describe(&self) -> String {
+        let snapshot = self.0.snapshot.as_ref().map(|snapshot| (snapshot.index.0, snapshot.term.0));
+        let entries = self.0.entries.iter().map(|entry| (entry.index.0, entry.term.0));
+        let hard = self.0.hard_state;
+        let entries: Vec<_> = entries.collect();
+        format!("{:?}, snapshot {snapshot:?}, entries {entries:?}", (hard.term.0, hard.voted_for))
+    }
+
     pub fn apply(&mut self, batch: &PersistBatch) {
         *self = self.possible_states(batch).pop().unwrap();
     }
