--- a/hickoryspan_store/src/folder.rs
+++ b/hickoryspan_store/src/folder.rs
@@ -98,6 +98,9 @@
     /// Recovers the stored state and returns it with the log for appending. A torn record at the end of the last
     /// segment is truncated; any other fault is returned as an error with file and offset.
     pub fn into_log(self) -> Result<OpenedLog, StoreError> {
+        // The last process may have ended between a rename and the sync of the folder. What the new name replaces is removed
+        // below, and must not be gone before the new name is durable.
+        file_ops::sync_folder(&self.path)?;
         let names = list_names(&self.path)?;
         remove_temporary_files(&self.path, &names)?;
         let hard_state = self.read_hard_state()?;
--- a/hickoryspan_store/tests/fail_points.rs
+++ b/hickoryspan_store/tests/fail_points.rs
@@ -193,3 +193,24 @@
     assert_eq!(open(folder.path()).unwrap().recovered.entries, entries(1, 2, 1).entries);
     scenario.teardown();
 }
+
+/// Guards against a replica that ends at every start, because a restart has removed the older snapshot before the name of
+/// the newer one was durable, and the power was lost then.
+#[test]
+fn no_snapshot_is_removed_before_its_successor_is_durable() {
+    let scenario = FailScenario::setup();
+    let folder = tempfile::tempdir().unwrap();
+    let mut log = create(folder.path());
+    log.persist(&entries(1, 6, 1)).unwrap();
+    let batch = |index| PersistBatch { snapshot: Some(snapshot(index, 1)), ..Default::default() };
+    log.persist(&batch(2)).unwrap();
+    fail::cfg("folder_sync", "return(broken)").unwrap();
+    log.persist(&batch(4)).unwrap_err();
+    drop(log);
+    open(folder.path()).map(|opened| opened.recovered).unwrap_err();
+    assert_eq!(list(folder.path(), "snapshot-").len(), 2, "a snapshot was removed too early");
+    fail::remove("folder_sync");
+    assert_eq!(open(folder.path()).unwrap().recovered.snapshot, Some(snapshot(4, 1)));
+    assert_eq!(list(folder.path(), "snapshot-").len(), 1);
+    scenario.teardown();
+}
