Write the founder's role before its folder counts as complete

Operators would see: no configuration is ever accepted, while all processes run: every control host waits for a leader. Cause: the folder's format file, which makes it complete, was written before the marker of the first replica. If the founder's disk was full between the two, or the process ended there, the next start found a complete folder without the marker and became an additional replica for ever. Change: the role is written first. A creation that was interrupted keeps its role on the platform, which names the founder at the very first start only; an operator who chooses another role removes the marker. Measured: not measured. Conclusion: a folder is complete with its role or is created again.

--- a/hickoryspan_control/src/folder_setup.rs
+++ b/hickoryspan_control/src/folder_setup.rs
@@ -4,7 +4,8 @@
 //! because two deployments would then accept contradicting sheets.
 
 use std::fmt;
-use std::fs::File;
+use std::fs::{self, File};
+use std::io;
 use std::path::Path;
 use std::str::FromStr;
 
@@ -46,20 +47,33 @@
 }
 
 /// Creates the data folder with a random replica identity. Fails if the folder is already initialized.
+///
+/// The role is written before the folder counts as initialized, so that an interrupted creation can be repeated.
 pub fn initialize_folder(path: &Path, role: FolderRole) -> anyhow::Result<ReplicaId> {
-    let folder = DataFolder::create(path, ReplicaId(rand::random()))
+    let write_role = |path: &Path| write_role(path, role);
+    let folder = DataFolder::create_with(path, ReplicaId(rand::random()), write_role)
         .with_context(|| format!("initialize data folder: {}", path.display()))?;
-    if role == FolderRole::First {
-        let marker = path.join(FIRST_REPLICA_MARKER);
-        let create = || {
-            File::create(&marker)?.sync_all()?;
-            File::open(path)?.sync_all()
-        };
-        create().with_context(|| format!("initialize data folder: {}", marker.display()))?;
-    }
     Ok(folder.identity())
 }
 
+fn write_role(path: &Path, role: FolderRole) -> io::Result<()> {
+    let marker = path.join(FIRST_REPLICA_MARKER);
+    match role {
+        FolderRole::First => File::create(&marker)?.sync_all()?,
+        // An interrupted creation with the other role may have left it.
+        FolderRole::Additional if marker.exists() => fs::remove_file(&marker)?,
+        FolderRole::Additional => return Ok(()),
+    }
+    File::open(path)?.sync_all()
+}
+
+/// Returns the role for which a data folder was being created when that was interrupted, unless the role is not known. A
+/// replica that was to be the first one has not run then, so no deployment has begun.
+pub fn interrupted_role(path: &Path) -> Option<FolderRole> {
+    let is_first = !has_folder(path) && path.join(FIRST_REPLICA_MARKER).exists();
+    is_first.then_some(FolderRole::First)
+}
+
 /// Returns whether the path contains an initialized data folder.
 pub fn has_folder(path: &Path) -> bool {
     DataFolder::exists(path)
--- a/hickoryspan_control/src/lib.rs
+++ b/hickoryspan_control/src/lib.rs
@@ -18,6 +18,6 @@
 pub use admin_json::{CommandRequest, HistoryPage, QuarantinePage, TargetPage};
 pub use control_handle::{ControlHandle, ControlView};
 pub use daemon::ControlDaemon;
-pub use folder_setup::{FolderRole, has_folder, initialize_folder};
+pub use folder_setup::{FolderRole, has_folder, initialize_folder, interrupted_role};
 pub use http_routes::ROUTES;
 pub use settings::{ControlDaemonSettings, ControlOptions};
--- a/hickoryspan_store/src/folder.rs
+++ b/hickoryspan_store/src/folder.rs
@@ -51,12 +51,23 @@
     /// `FORMAT` is written last, so that an interrupted creation can be repeated. Returns [`StoreError::Exists`]
     /// if the folder is complete or contains data.
     pub fn create(path: impl AsRef<Path>, identity: ReplicaId) -> Result<Self, StoreError> {
+        Self::create_with(path, identity, |_| Ok(()))
+    }
+
+    /// Like [`Self::create`], and first calls `prepare` for further files of the owner. They are complete once `FORMAT`
+    /// exists.
+    pub fn create_with(
+        path: impl AsRef<Path>,
+        identity: ReplicaId,
+        prepare: impl FnOnce(&Path) -> std::io::Result<()>,
+    ) -> Result<Self, StoreError> {
         let path = path.as_ref();
         fs::create_dir_all(path).map_err(|cause| step_error("folder_create", path, cause))?;
         let lock = lock_folder(path)?;
         if path.join(FORMAT_NAME).exists() || contains_data(path)? {
             return Err(StoreError::Exists(path.to_owned()));
         }
+        prepare(path).map_err(|cause| step_error("folder_prepare", path, cause))?;
         let text = record::to_record(ReplicaId(0), 0, identity.to_string().as_bytes());
         file_ops::replace(&IDENTITY_STEPS, path, IDENTITY_NAME, &text)?;
         file_ops::replace(&FORMAT_STEPS, path, FORMAT_NAME, FORMAT_TEXT.as_bytes())?;
