Cut off a record whose sync failed

Operators would see: a control host whose disk refused a sync ends and starts again, acknowledges the batch that was not synced, and lacks it after a loss of power. Cause: after a failed sync the system may keep the pages in memory, take them as written and report success for the next sync. The log refuses everything after a failed sync, but the next process read the record back. Evidence: a_batch_whose_sync_failed_is_not_recovered failed before (left: entries 1 and 2, right: entry 1). Change: the record is cut off before the log reports the error. It was never acknowledged. a_log_opens_only_once_what_it_recovers_is_synced now ends the process between write and sync by a panic instead of a failed sync, and still fails without the sync at the open. Measured: not measured; no change without a failed sync. Conclusion: what could not be synced is not counted as durable later.

--- a/hickoryspan_store/src/file_log.rs
+++ b/hickoryspan_store/src/file_log.rs
@@ -133,7 +133,12 @@
             }
             return Err(error.into());
         }
-        file_ops::sync("segment_sync", &segment.path, file)?;
+        if let Err(error) = file_ops::sync("segment_sync", &segment.path, file) {
+            // The next process must not recover the record: its pages may be in memory only, and a later sync may succeed
+            // without writing them. If the cut fails as well, nothing more can be done here.
+            let _ = file.set_len(segment.length);
+            return Err(error.into());
+        }
         segment.length += bytes.len() as u64;
         let indexes = entries.iter().map(|entry| entry.index);
         segment.max_index = indexes.fold(segment.max_index, LogIndex::max);
--- a/hickoryspan_store/tests/fail_points.rs
+++ b/hickoryspan_store/tests/fail_points.rs
@@ -5,6 +5,7 @@
 
 mod support;
 
+use std::panic::AssertUnwindSafe;
 use std::path::Path;
 
 use fail::FailScenario;
@@ -185,9 +186,12 @@
     let folder = tempfile::tempdir().unwrap();
     let mut log = create(folder.path());
     log.persist(&entries(1, 1, 1)).unwrap();
-    fail::cfg("segment_sync", "return(broken)").unwrap();
-    log.persist(&entries(2, 2, 1)).unwrap_err();
+    // The process ends between the write and the sync.
+    fail::cfg("segment_sync", "panic").unwrap();
+    let persist = AssertUnwindSafe(|| log.persist(&entries(2, 2, 1)));
+    std::panic::catch_unwind(persist).unwrap_err();
     drop(log);
+    fail::cfg("segment_sync", "return(broken)").unwrap();
     open(folder.path()).map(|opened| opened.recovered).unwrap_err();
     fail::remove("segment_sync");
     assert_eq!(open(folder.path()).unwrap().recovered.entries, entries(1, 2, 1).entries);
@@ -214,3 +218,18 @@
     assert_eq!(list(folder.path(), "snapshot-").len(), 1);
     scenario.teardown();
 }
+
+/// Guards against acknowledged entries that are lost with the power, because a restart reads a batch whose sync failed: the
+/// system may keep its pages in memory, not write them, and report success for the next sync.
+#[test]
+fn a_batch_whose_sync_failed_is_not_recovered() {
+    let scenario = FailScenario::setup();
+    let folder = tempfile::tempdir().unwrap();
+    let mut log = create(folder.path());
+    log.persist(&entries(1, 1, 1)).unwrap();
+    fail::cfg("segment_sync", "1*return(nospace)->off").unwrap();
+    log.persist(&entries(2, 2, 1)).unwrap_err();
+    drop(log);
+    assert_eq!(open(folder.path()).unwrap().recovered.entries, entries(1, 1, 1).entries);
+    scenario.teardown();
+}
