--- a/hickoryspan_store/tests/fail_points.rs
+++ b/hickoryspan_store/tests/fail_points.rs
@@ -5,6 +5,7 @@
 
 mod support;
 
+use std::panic::AssertUnwindSafe;
 use std::path::Path;
 
 use fail::FailScenario;
@@ -176,3 +177,59 @@
     assert_eq!(log.persist(&entries(1, 1, 1)), Err(broken));
     scenario.teardown();
 }
+
+/// Guards against acknowledged entries that are lost with the power, because a restart reads what its predecessor has
+/// written and not synced, and counts it as durable.
+#[test]
+fn a_log_opens_only_once_what_it_recovers_is_synced() {
+    let scenario = FailScenario::setup();
+    let folder = tempfile::tempdir().unwrap();
+    let mut log = create(folder.path());
+    log.persist(&entries(1, 1, 1)).unwrap();
+    // The process ends between the write and the sync.
+    fail::cfg("segment_sync", "panic").unwrap();
+    let persist = AssertUnwindSafe(|| log.persist(&entries(2, 2, 1)));
+    std::panic::catch_unwind(persist).unwrap_err();
+    drop(log);
+    fail::cfg("segment_sync", "return(broken)").unwrap();
+    open(folder.path()).map(|opened| opened.recovered).unwrap_err();
+    fail::remove("segment_sync");
+    assert_eq!(open(folder.path()).unwrap().recovered.entries, entries(1, 2, 1).entries);
+    scenario.teardown();
+}
+
+/// Guards against a replica that ends at every start, because a restart has removed the older snapshot before the name of
+/// the newer one was durable, and the power was lost then.
+#[test]
+fn no_snapshot_is_removed_before_its_successor_is_durable() {
+    let scenario = FailScenario::setup();
+    let folder = tempfile::tempdir().unwrap();
+    let mut log = create(folder.path());
+    log.persist(&entries(1, 6, 1)).unwrap();
+    let batch = |index| PersistBatch { snapshot: Some(snapshot(index, 1)), ..Default::default() };
+    log.persist(&batch(2)).unwrap();
+    fail::cfg("folder_sync", "return(broken)").unwrap();
+    log.persist(&batch(4)).unwrap_err();
+    drop(log);
+    open(folder.path()).map(|opened| opened.recovered).unwrap_err();
+    assert_eq!(list(folder.path(), "snapshot-").len(), 2, "a snapshot was removed too early");
+    fail::remove("folder_sync");
+    assert_eq!(open(folder.path()).unwrap().recovered.snapshot, Some(snapshot(4, 1)));
+    assert_eq!(list(folder.path(), "snapshot-").len(), 1);
+    scenario.teardown();
+}
+
+/// Guards against acknowledged entries that are lost with the power, because a restart reads a batch whose sync failed: the
+/// system may keep its pages in memory, not write them, and report success for the next sync.
+#[test]
+fn a_batch_whose_sync_failed_is_not_recovered() {
+    let scenario = FailScenario::setup();
+    let folder = tempfile::tempdir().unwrap();
+    let mut log = create(folder.path());
+    log.persist(&entries(1, 1, 1)).unwrap();
+    fail::cfg("segment_sync", "1*return(nospace)->off").unwrap();
+    log.persist(&entries(2, 2, 1)).unwrap_err();
+    drop(log);
+    assert_eq!(open(folder.path()).unwrap().recovered.entries, entries(1, 1, 1).entries);
+    scenario.teardown();
+}
