Wait for no hedge beside a postponed retry

Callers would see an entry busy for up to 60 ms: a run whose attempt failed and whose retry is postponed (for a suspected crash or a grant) woke up again and again for a hedge that was due and could not be launched; with three attempts the hedge was launched and postponed without end, on the only thread of the process. The refused hedge made the first more likely; the second is older. Cause: the time of a hedge counted although no attempt was open or a retry was already wanted. Change: next_hedge is empty in both cases, for the launch and for the time to wake up. Evidence: both tests, written by the reviewer, failed before (a wait until a time that had passed; the same launch ten times).

--- a/hickoryspan_core/src/gateway/fanout.rs
+++ b/hickoryspan_core/src/gateway/fanout.rs
@@ -205,8 +205,8 @@
         let may_retry =
             |shard: &ShardProgress| shard.must_retry && shard.retry_at.is_none_or(|at| at <= now);
         let retry = || waiting().find(|(_, shard)| may_retry(shard));
-        let is_due = |shard: &ShardProgress| shard.hedge_at.is_some_and(|at| at <= now);
-        let hedge = || waiting().find(|(_, shard)| shard.open > 0 && is_due(shard));
+        let is_due = |shard: &ShardProgress| shard.next_hedge().is_some_and(|at| at <= now);
+        let hedge = || waiting().find(|(_, shard)| is_due(shard));
         first
             .map(launch(LaunchReason::First))
             .or_else(|| retry().map(launch(LaunchReason::Retry)))
@@ -216,7 +216,7 @@
     fn next_wakeup(&self, enough: bool) -> MonotonicTime {
         let bound = if enough { self.settings.answer_by } else { self.settings.give_up_at };
         let open = || self.shards.iter().filter(|shard| !shard.done);
-        let hedges = open().filter_map(|shard| shard.hedge_at);
+        let hedges = open().filter_map(ShardProgress::next_hedge);
         let retries = open().filter(|shard| shard.must_retry).filter_map(|shard| shard.retry_at);
         hedges.chain(retries).fold(bound, MonotonicTime::min)
     }
@@ -226,6 +226,12 @@
     fn can_deliver(&self) -> bool {
         self.done || self.open > 0 || !self.exhausted
     }
+
+    /// Returns the time of the next hedge. There is none without an open attempt, nor beside a retry, which asks another
+    /// target anyway.
+    fn next_hedge(&self) -> Option<MonotonicTime> {
+        self.hedge_at.filter(|_| self.open > 0 && !self.must_retry)
+    }
 }
 
 /// Size of one record in bytes.
--- a/hickoryspan_core/tests/gateway_gather.rs
+++ b/hickoryspan_core/tests/gateway_gather.rs
@@ -200,3 +200,42 @@
     let expected: Vec<u8> = expected.iter().flat_map(|byte| record(*byte)).collect();
     assert_eq!(merged, expected);
 }
+
+/// Guards against a request that wakes up again and again, because a hedge that came due while a retry is postponed
+/// cannot be launched and still counts as the next thing to do.
+#[test]
+fn a_postponed_retry_is_not_kept_awake_by_a_refused_hedge() {
+    let mut machine = FanoutMachine::new(settings(1, 1));
+    launch_all(&mut machine, at(0));
+    assert_eq!(machine.next_step(at(10)), FanoutStep::Launch(ShardIndex(0), LaunchReason::Hedge));
+    machine.note_hedge_refused(at(10), ShardIndex(0));
+    machine.note_failed(ShardIndex(0), true);
+    assert_eq!(machine.next_step(at(15)), FanoutStep::Launch(ShardIndex(0), LaunchReason::Retry));
+    machine.postpone_attempt(at(15), ShardIndex(0), Duration::from_millis(40));
+    let FanoutStep::Wait(until) = machine.next_step(at(25)) else { panic!("a step at 25") };
+    assert!(until > at(25), "waits until {until:?}, which has passed");
+}
+
+/// Guards against a request that blocks its thread: a due hedge beside a postponed retry is launched and postponed without
+/// end.
+#[test]
+fn a_postponed_retry_does_not_launch_a_due_hedge_without_end() {
+    let settings = FanoutSettings { max_attempts: 3, ..settings(1, 1) };
+    let mut machine = FanoutMachine::new(settings);
+    launch_all(&mut machine, at(0));
+    launch_all(&mut machine, at(10));
+    machine.note_failed(ShardIndex(0), true);
+    for _ in 0..10 {
+        match machine.next_step(at(20)) {
+            FanoutStep::Launch(shard, _) => {
+                machine.postpone_attempt(at(20), shard, Duration::from_millis(40));
+            }
+            FanoutStep::Wait(until) => {
+                assert!(until > at(20), "waits until {until:?}, which has passed");
+                return;
+            }
+            step => panic!("{step:?}"),
+        }
+    }
+    panic!("the hedge is launched again and again at the same time");
+}
