Ask the system for the connections that wait when a port is closed

Callers saw a reset on a connection that was established in the very moment in which a stopping entry closed its port. Change: both servers take the waiting connections through AcceptQueue, in place of two ways to do so.

--- a/hickoryspan_gateway/src/caller_server.rs
+++ b/hickoryspan_gateway/src/caller_server.rs
@@ -4,8 +4,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use futures::FutureExt;
 use hickoryspan_core::gateway::document::CallerLimits;
+use hickoryspan_runtime::accept_queue::AcceptQueue;
 use http::header::CONNECTION;
 use http::{HeaderValue, Request};
 use hyper::body::Incoming;
@@ -69,11 +69,9 @@
             }
         }
     }
-    // Closing the port resets the connections that wait to be accepted, whose callers may have sent a request already.
-    while let Some(Ok((stream, _))) = listener.accept().now_or_never() {
+    for stream in AcceptQueue::close(listener) {
         connections.spawn(serve(stream));
     }
-    drop(listener);
     let finish = async { while connections.join_next().await.is_some() {} };
     tokio::select! {
         () = finish => {}
--- a/hickoryspan_gateway/tests/gateway/planned_stop.rs
+++ b/hickoryspan_gateway/tests/gateway/planned_stop.rs
@@ -202,3 +202,37 @@
     assert_eq!(answer.header("hs-part-stamps"), Some("quick"));
     deployment.stop().await;
 }
+
+fn connect_and_send(address: std::net::SocketAddr) -> std::net::TcpStream {
+    let mut stream = std::net::TcpStream::connect(address).expect("connect");
+    stream.write_all(&get("/one/")).expect("send a request");
+    stream.set_nonblocking(true).expect("a stream for the runtime");
+    stream
+}
+
+/// Guards against a stop that resets the connections that the system has established and of which the runtime does not
+/// know yet.
+#[tokio::test]
+async fn a_connection_that_comes_in_the_turn_of_the_close_is_answered() {
+    let accept = Duration::from_millis(50);
+    let (mut deployment, _target) = start_with_quick_target(accept).await;
+    let address = deployment.address;
+    // Clears the readiness of the port.
+    let mut first = TcpStream::connect(address).await.expect("connect to the entry");
+    exchange_on(&mut first, &get("/one/")).await;
+    let entry = deployment.entry.take().expect("an entry");
+    let readiness = entry.readiness();
+    let stop = tokio::spawn(entry.drain());
+    while readiness.is_ready() {
+        tokio::task::yield_now().await;
+    }
+    // Both timers end in the same turn, and this future is polled before the stop.
+    let timer = tokio::time::sleep(accept);
+    let block = async { std::thread::sleep(accept * 2) };
+    tokio::join!(biased; timer, block);
+    let mut stream = TcpStream::from_std(connect_and_send(address)).expect("a stream");
+    let answer = exchange_on(&mut stream, b"").await;
+    assert_eq!((answer.status, answer.body.as_slice()), (200, b"whole".as_slice()));
+    tokio::time::timeout(TEST_TIMEOUT, stop).await.expect("the stop ends").expect("no panic");
+    deployment.stop().await;
+}
--- a/hickoryspan_runtime/src/http_server.rs
+++ b/hickoryspan_runtime/src/http_server.rs
@@ -15,6 +15,7 @@
 use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
 
+use crate::accept_queue::AcceptQueue;
 use crate::server_connection::ServerConnection;
 
 /// Delay after a failed accept, so that a lack of file descriptors does not cause a busy loop.
@@ -96,9 +97,13 @@
             settings.spawn(stream, permit, &mut connections);
             while connections.try_join_next().is_some() {}
         }
-        for (stream, permit) in accept_queued(self.listener, &permits) {
+        let mut queue = AcceptQueue::close(self.listener);
+        while let Ok(permit) = Arc::clone(&permits).try_acquire_owned()
+            && let Some(stream) = queue.next()
+        {
             settings.spawn(stream, permit, &mut connections);
         }
+        drop(queue);
         if tokio::time::timeout(self.limits.drain_time, join_all(&mut connections)).await.is_err() {
             spdlog::warn!("HTTP server: requests in flight exceeded the drain time");
             finish.cancel();
@@ -138,28 +143,6 @@
     while tasks.join_next().await.is_some() {}
 }
 
-/// Accepts the connections that wait in the queue of the system, which resets them when the listener is closed.
-fn accept_queued(
-    listener: TcpListener,
-    permits: &Arc<Semaphore>,
-) -> Vec<(TcpStream, OwnedSemaphorePermit)> {
-    // The runtime may not know yet that connections wait, so the system is asked directly.
-    let listener = match listener.into_std() {
-        Ok(listener) => listener,
-        Err(error) => {
-            spdlog::warn!("HTTP server: accept the last connections: {}", error);
-            return Vec::new();
-        }
-    };
-    let next = || {
-        let permit = Arc::clone(permits).try_acquire_owned().ok()?;
-        let (stream, _) = listener.accept().ok()?;
-        stream.set_nonblocking(true).ok()?;
-        Some((TcpStream::from_std(stream).ok()?, permit))
-    };
-    std::iter::from_fn(next).collect()
-}
-
 /// A failure to read a request body.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum BodyError {
--- a/hickoryspan_runtime/src/lib.rs
+++ b/hickoryspan_runtime/src/lib.rs
@@ -3,6 +3,7 @@
 
 #![warn(missing_docs)]
 
+pub mod accept_queue;
 pub mod clock;
 pub mod credential;
 pub mod http_client;
