Read the rest of a refused request also on the port of callers

Callers saw a broken pipe in place of a refusal that an entry gives before it has read the body (no route, too large, no configuration, the end of a stop). Cause: the connection was closed with unread bytes, for which the system sends a reset; the other servers already read the rest. Change: connections of callers use the same stream. Writes to a caller that does not read for the idle time now fail too.

--- a/hickoryspan_gateway/src/caller_server.rs
+++ b/hickoryspan_gateway/src/caller_server.rs
@@ -6,6 +6,7 @@
 
 use hickoryspan_core::gateway::document::CallerLimits;
 use hickoryspan_runtime::accept_queue::AcceptQueue;
+use hickoryspan_runtime::write_timeout::WriteTimeoutStream;
 use http::header::CONNECTION;
 use http::{HeaderValue, Request};
 use hyper::body::Incoming;
@@ -88,6 +89,7 @@
     }
     let routes = state.decisions().routes.clone();
     let limits = routes.map_or_else(CallerLimits::default, |routes| routes.document().limits);
+    let stream = WriteTimeoutStream::new(stream, limits.idle_time);
     let has_request = CancellationToken::new();
     let first_request = has_request.clone();
     let caller = Arc::new(CallerConnection::open(Arc::clone(&state)));
--- a/hickoryspan_gateway/tests/gateway/planned_stop.rs
+++ b/hickoryspan_gateway/tests/gateway/planned_stop.rs
@@ -236,3 +236,22 @@
     tokio::time::timeout(TEST_TIMEOUT, stop).await.expect("the stop ends").expect("no panic");
     deployment.stop().await;
 }
+
+/// Guards against refusals that are lost because the connection is reset while the caller still sends its body.
+#[tokio::test]
+async fn a_refusal_reaches_a_caller_that_still_sends_its_body() {
+    let (deployment, _target) = start_with_quick_target(Duration::from_millis(50)).await;
+    let mut stream = TcpStream::connect(deployment.address).await.expect("connect to the entry");
+    let bytes = 8 * 1024 * 1024;
+    let head = format!(
+        "POST /unknown/ HTTP/1.1\r\nhost: search.example\r\nhs-request-id: r-1\r\ncontent-length: {bytes}\r\n\r\n"
+    );
+    use tokio::io::AsyncWriteExt;
+    stream.write_all(head.as_bytes()).await.expect("send the head");
+    stream.write_all(&vec![b'x'; bytes]).await.expect("send the body");
+    let mut answer = Vec::new();
+    let read = stream.read_to_end(&mut answer);
+    tokio::time::timeout(TEST_TIMEOUT, read).await.expect("an end in time").expect("no reset");
+    assert!(answer.starts_with(b"HTTP/1.1 404 "), "{:?}", String::from_utf8_lossy(&answer));
+    deployment.stop().await;
+}
--- a/hickoryspan_runtime/src/lib.rs
+++ b/hickoryspan_runtime/src/lib.rs
@@ -15,4 +15,4 @@
 pub mod process;
 mod server_connection;
 pub mod settings;
-mod write_timeout;
+pub mod write_timeout;
--- a/hickoryspan_runtime/src/write_timeout.rs
+++ b/hickoryspan_runtime/src/write_timeout.rs
@@ -17,7 +17,7 @@
 /// Fails the writes to a peer that has stopped reading, so that its connection does not occupy a connection slot and
 /// the memory of a response forever. At the end, what the peer is still sending is read and discarded for as long, because
 /// the system resets a connection that is closed with unread bytes, and the peer may then lose the last response.
-pub(crate) struct WriteTimeoutStream {
+pub struct WriteTimeoutStream {
     inner: TcpStream,
     timeout: Duration,
     /// Runs while a write is pending.
@@ -47,7 +47,7 @@
 
 impl WriteTimeoutStream {
     /// Wraps a stream whose writes fail if they are pending for longer than `timeout`.
-    pub(crate) fn new(inner: TcpStream, timeout: Duration) -> Self {
+    pub fn new(inner: TcpStream, timeout: Duration) -> Self {
         Self { inner, timeout, timer: None, closing: None }
     }
 
