Let a stopping target refuse requests that are on their way

Callers saw: with the stand-in target, an order that reached a target in the moment of its planned stop was answered `unknown` although it had not run. Cause: the target closed connections without a request at once, also if the next request was already sent, and the entry then has to count it as lost. Evidence: the new test failed before, three of three runs: `ConnectionLost("connection closed before message completed")`. Change: connections stay open for 500 ms after the stop, in which new requests are answered `draining`, as a drain over HTTP does. Measured: not measured. Conclusion: `draining` says that nothing ran, so the entry can send the request to another target.

--- a/hickoryspan_target/src/listener.rs
+++ b/hickoryspan_target/src/listener.rs
@@ -17,6 +17,8 @@
 
 /// Delay after a failed accept or bind. It prevents a busy loop while resources are exhausted.
 const RETRY_DELAY: Duration = Duration::from_millis(50);
+/// How long a stopping target keeps connections open to refuse requests that were sent before the stop was known.
+const LAST_REQUEST_TIME: Duration = Duration::from_millis(500);
 
 /// Cancellation tokens for the two ways to stop a target.
 #[derive(Clone, Debug, Default)]
@@ -163,9 +165,13 @@
         .header_read_timeout(None)
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
+    let close = async {
+        stop.graceful.cancelled().await;
+        tokio::time::sleep(LAST_REQUEST_TIME).await;
+    };
     let result = tokio::select! {
         result = connection.as_mut() => result,
-        () = stop.graceful.cancelled() => {
+        () = close => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
--- a/hickoryspan_target/tests/target.rs
+++ b/hickoryspan_target/tests/target.rs
@@ -317,3 +317,15 @@
     assert!("3=s1=ff-00=12".parse::<PartitionText>().is_err());
     assert!("3=s1=00-ff".parse::<PartitionText>().is_err());
 }
+
+// Guards against a stop that closes a connection while a request is on its way, so that its order counts as lost.
+#[tokio::test]
+async fn a_stop_refuses_a_request_that_is_on_its_way() {
+    let target = start(TargetSettings::default()).await;
+    let mut connection = connect(target.address()).await;
+    let first = connection.send(query("a1"), 1024 * 1024).await.unwrap();
+    assert_eq!(status(&first), (200, "done".to_owned()));
+    let sent = connection.send(query("a2"), 1024 * 1024);
+    let (refused, ()) = tokio::join!(sent, target.stop());
+    assert_eq!(status(&refused.unwrap()), (503, "draining".to_owned()));
+}
