Log the requests and connections that a stop ends

Cause: a request whose work a stop ended left no line, and the warning about the drain time named requests although connections without one count too. Change: the server logs each request that it interrupts, how many connections exceed the drain time, and how many are still open when it closes them; their peers may have their answer and not have closed yet. Conclusion: lines of a stop tell interrupted and answered requests apart.

--- a/hickoryspan_runtime/src/http_server.rs
+++ b/hickoryspan_runtime/src/http_server.rs
@@ -100,10 +100,11 @@
             settings.spawn(stream, permit, &mut connections);
         }
         if tokio::time::timeout(self.limits.drain_time, join_all(&mut connections)).await.is_err() {
-            spdlog::warn!("HTTP server: requests in flight exceeded the drain time");
+            spdlog::warn!("HTTP server: {} connections exceeded the drain time", connections.len());
             finish.cancel();
-            // An error means that a peer does not read its answer; dropping the tasks closes its connection.
-            let _ = tokio::time::timeout(LAST_ANSWER_TIME, join_all(&mut connections)).await;
+            if tokio::time::timeout(LAST_ANSWER_TIME, join_all(&mut connections)).await.is_err() {
+                spdlog::warn!("HTTP server: closing {} open connections", connections.len());
+            }
         }
         connections.shutdown().await;
     }
--- a/hickoryspan_runtime/src/server_connection.rs
+++ b/hickoryspan_runtime/src/server_connection.rs
@@ -124,7 +124,10 @@
         let mut response = tokio::select! {
             biased;
             response = self.handler.handle(request, peer) => response,
-            () = self.finish.cancelled() => interrupted(),
+            () = self.finish.cancelled() => {
+                spdlog::warn!("HTTP server: {}: request interrupted by the stop", peer);
+                interrupted()
+            }
         };
         if self.stop.is_cancelled() && !is_http2 {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
