--- a/hickoryspan_gateway/src/fanout_server.rs
+++ b/hickoryspan_gateway/src/fanout_server.rs
@@ -32,7 +32,8 @@
 use crate::gateway_state::GatewayState;
 use crate::link_listener::serve_links;
 use crate::relayed_groups::RelayedGroups;
-use crate::run::{AnswerRule, RunEvent, RunSink, run_fanout};
+use crate::run::run_fanout;
+use crate::run_outcome::{AnswerRule, RunEvent, RunSink};
 
 /// Maximum number of replies in the queue of one link.
 const QUEUE_CAPACITY: usize = 256;
--- a/hickoryspan_gateway/src/forward.rs
+++ b/hickoryspan_gateway/src/forward.rs
@@ -27,7 +27,8 @@
 use crate::headers::remove_connection_headers;
 use crate::refusal::{GatewayResponse, MIN_RETRY_DELAY, RefusalReason, refuse, refuse_job};
 use crate::relayed_groups::RelayedGroups;
-use crate::run::{AnswerRule, RunEnd, RunOutcome, ShardAnswer, run_fanout};
+use crate::run::run_fanout;
+use crate::run_outcome::{AnswerRule, RunEnd, RunOutcome, ShardAnswer};
 use crate::target_answer::claims_not_run;
 
 /// Subtracted from a caller's deadline so that the response still arrives in time.
--- a/hickoryspan_gateway/src/lib.rs
+++ b/hickoryspan_gateway/src/lib.rs
@@ -25,6 +25,7 @@
 mod refusal;
 mod relayed_groups;
 mod run;
+mod run_outcome;
 mod settings;
 mod target_answer;
 mod target_pool;
