Act on the rest of the review of the stops

A hedge that is due again notes its target as overdue once for each attempt, as before: it says nothing new about the target. The task of another entry's group asks the state for the end of the stop, in place of a token of its own.

--- a/hickoryspan_gateway/src/caller_server.rs
+++ b/hickoryspan_gateway/src/caller_server.rs
@@ -117,6 +117,8 @@
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
     let ended = tokio::select! {
+        // A request that has arrived is read before the connection is closed.
+        biased;
         ended = connection.as_mut() => ended,
         () = await_close(&shutdown.close_listener, &has_request) => {
             connection.as_mut().graceful_shutdown();
--- a/hickoryspan_gateway/src/fanout_server.rs
+++ b/hickoryspan_gateway/src/fanout_server.rs
@@ -63,7 +63,7 @@
         bail!("{}: unknown path {:?}", accepted.link.peer(), accepted.path);
     }
     let (replies, outgoing) = mpsc::channel(QUEUE_CAPACITY);
-    let mut tasks = LinkTasks::new(state, shutdown.finish, replies.downgrade());
+    let mut tasks = LinkTasks::new(state, replies.downgrade());
     let run = accepted.link.run(outgoing, |request| tasks.receive(request));
     let ended = run_until_idle(run, &shutdown.close_listener, replies).await;
     tasks.jobs.shutdown().await;
@@ -89,7 +89,6 @@
 /// The tasks of one link.
 struct LinkTasks {
     state: Arc<GatewayState>,
-    finish: CancellationToken,
     replies: mpsc::WeakSender<FanoutReply>,
     jobs: JoinSet<()>,
     running: HashMap<TaskNumber, RunningTask>,
@@ -102,12 +101,8 @@
 }
 
 impl LinkTasks {
-    fn new(
-        state: Arc<GatewayState>,
-        finish: CancellationToken,
-        replies: mpsc::WeakSender<FanoutReply>,
-    ) -> Self {
-        Self { state, finish, replies, jobs: JoinSet::new(), running: HashMap::new() }
+    fn new(state: Arc<GatewayState>, replies: mpsc::WeakSender<FanoutReply>) -> Self {
+        Self { state, replies, jobs: JoinSet::new(), running: HashMap::new() }
     }
 
     /// Handles a message. Returns true, since none ends the link.
@@ -135,28 +130,19 @@
         let Some(replies) = self.replies.upgrade() else { return };
         let number = task.number;
         let retry_gate = Arc::<Mutex<RetryGate>>::default();
-        let control =
-            TaskControl { retry_gate: Arc::clone(&retry_gate), finish: self.finish.clone() };
-        let run = run_task(Arc::clone(&self.state), task, control, replies);
+        let run = run_task(Arc::clone(&self.state), task, Arc::clone(&retry_gate), replies);
         self.running.insert(number, RunningTask { job: self.jobs.spawn(run), retry_gate });
     }
 }
 
-/// What influences a task while it runs.
-struct TaskControl {
-    retry_gate: Arc<Mutex<RetryGate>>,
-    // Cancelled when this entry ends, and with it the task.
-    finish: CancellationToken,
-}
-
 async fn run_task(
     state: Arc<GatewayState>,
     task: FanoutTask,
-    control: TaskControl,
+    retry_gate: Arc<Mutex<RetryGate>>,
     replies: mpsc::Sender<FanoutReply>,
 ) {
     let number = task.number;
-    if let Err(error) = serve_task(state, task, control, &replies).await {
+    if let Err(error) = serve_task(state, task, retry_gate, &replies).await {
         spdlog::warn!("fan-out task failed: {:#}", error);
         let batch = FanoutBatch { last: true, ..FanoutBatch::empty(number) };
         // The link may have closed in the meantime, which also ends the task.
@@ -167,7 +153,7 @@
 async fn serve_task(
     state: Arc<GatewayState>,
     task: FanoutTask,
-    control: TaskControl,
+    retry_gate: Arc<Mutex<RetryGate>>,
     replies: &mpsc::Sender<FanoutReply>,
 ) -> anyhow::Result<()> {
     state.tasks_served.fetch_add(1, Ordering::Relaxed);
@@ -183,7 +169,7 @@
         batch_times: VecDeque::from([now + task.first_batch_in, now + task.answer_in]),
         batcher: TaskBatcher::new(&task),
         answer_in: task.answer_in,
-        control,
+        retry_gate,
         state: Arc::clone(&state),
         replies,
     };
@@ -222,7 +208,7 @@
     state: Arc<GatewayState>,
     batcher: TaskBatcher,
     answer_in: Duration,
-    control: TaskControl,
+    retry_gate: Arc<Mutex<RetryGate>>,
     // Times at which batches are sent. After the last one, each part is sent at once.
     batch_times: VecDeque<MonotonicTime>,
     replies: &'a mpsc::Sender<FanoutReply>,
@@ -245,7 +231,7 @@
             machine,
             AnswerRule::SuccessOnly,
             RelayedGroups::empty(Arc::clone(&self.state)),
-            Some(RunSink { events, retry_gate: Arc::clone(&self.control.retry_gate) }),
+            Some(RunSink { events, retry_gate: Arc::clone(&self.retry_gate) }),
         );
         tokio::pin!(run);
         let outcome = loop {
@@ -274,7 +260,7 @@
         let lost = u32::try_from(outcome.crashes.len()).unwrap_or(u32::MAX);
         let batch = self.batcher.take_batch();
         let crashes = outcome.crashes.into_iter().map(|noticed| noticed.crash).collect();
-        let cut = self.control.finish.is_cancelled();
+        let cut = self.state.finish.is_cancelled();
         Ok(FanoutBatch { cut, crashes, lost, unsent, ..batch })
     }
 
@@ -286,7 +272,7 @@
     }
 
     async fn send_batch(&mut self) -> anyhow::Result<()> {
-        lock(&self.control.retry_gate).note_batch(self.state.now());
+        lock(&self.retry_gate).note_batch(self.state.now());
         let batch = self.batcher.take_batch();
         self.replies.send(FanoutReply::Batch(batch)).await.context("the link ended")
     }
--- a/hickoryspan_gateway/src/run.rs
+++ b/hickoryspan_gateway/src/run.rs
@@ -47,6 +47,8 @@
     // received nothing.
     unreached: bool,
     sends: usize,
+    // Number of sends when the last target was noted as overdue.
+    overdue_sends: usize,
 }
 
 struct FanoutRun {
@@ -344,9 +346,12 @@
         if reason == LaunchReason::First {
             decisions.selector.note_request(now, &service);
         }
+        // A hedge that is due again says nothing new about the target.
         if reason == LaunchReason::Hedge
+            && attempts.overdue_sends < attempts.sends
             && let Some(overdue) = attempts.tried.last()
         {
+            attempts.overdue_sends = attempts.sends;
             decisions.selector.note_overdue(now, overdue);
         }
         let is_extra = reason != LaunchReason::First && !attempts.unreached;
--- a/hickoryspan_runtime/src/http_server.rs
+++ b/hickoryspan_runtime/src/http_server.rs
@@ -37,7 +37,7 @@
     /// Timeout for the headers and, separately, for the body of a request. A connection also fails if its response
     /// makes no progress for this long.
     pub read_time: Duration,
-    /// Time that requests in flight have to finish after a stop. Those that need longer are answered with status 503.
+    /// Time that requests in flight have to finish after a stop. Those that need longer are answered with status 504.
     pub drain_time: Duration,
 }
 
@@ -86,7 +86,7 @@
     }
 
     /// Serves until `stop` is cancelled, then accepts no more connections and finishes the requests in flight and those
-    /// that are already on their way. Those that exceed the drain time are answered with status 503.
+    /// that are already on their way. Those that exceed the drain time are answered with status 504.
     pub async fn serve(self, handler: Arc<dyn HttpHandler>, stop: CancellationToken) {
         let permits = Arc::new(Semaphore::new(self.limits.connections));
         let finish = CancellationToken::new();
--- a/hickoryspan_runtime/src/server_connection.rs
+++ b/hickoryspan_runtime/src/server_connection.rs
@@ -89,6 +89,7 @@
             }
         };
         tokio::select! {
+            biased;
             ended = served => {
                 if let Err(error) = ended {
                     spdlog::debug!("HTTP server: {}: {}", peer, error);
@@ -146,5 +147,5 @@
 /// Returns the answer to a request that the server stops to work on. Parts of it may have taken effect.
 fn interrupted() -> Response<ResponseBody> {
     let text = "the server stopped before the request was completed; it may have taken effect";
-    text_response(StatusCode::SERVICE_UNAVAILABLE, text)
+    text_response(StatusCode::GATEWAY_TIMEOUT, text)
 }
