Assert that a start needs no space

Change: full_disk_histories lets a start fail only while the disk refuses any step, not while it refuses writes.

--- a/hickoryspan_store/tests/full_disk_histories.rs
+++ b/hickoryspan_store/tests/full_disk_histories.rs
@@ -165,8 +165,9 @@
         let opened = match open(self.folder.path()) {
             Ok(opened) => opened,
             Err(error) => {
-                let has_room = self.disk.lock().unwrap().room == Room::Enough;
-                assert!(!has_room, "{}: {error}", self.name);
+                // A start needs no space.
+                let room = self.disk.lock().unwrap().room;
+                assert_eq!(room, Room::Refusing, "{}: {error}", self.name);
                 self.set_room(Room::Enough);
                 open(self.folder.path()).unwrap_or_else(|error| panic!("{}: {error}", self.name))
             }
