Leave callers time to read an answer when no idle time is configured

Callers would see answers cut as soon as the connection's buffers are full if a configuration states an idle time of zero. Cause: took the idle time for writes as it stands (found by reading the change again). Change: at least 5 s, and the time for a head if that is longer, as for reads. Evidence: an_answer_is_whole_although_callers_have_no_idle_time failed before (an answer of 16 MiB ended early) and holds.

--- a/hickoryspan_gateway/src/caller_server.rs
+++ b/hickoryspan_gateway/src/caller_server.rs
@@ -27,6 +27,8 @@
 /// How long a stopping entry waits for the first request on a connection. Shorter than the time between the end of
 /// accepting and the end of the process.
 const FIRST_REQUEST_TIME: Duration = Duration::from_millis(500);
+/// Shortest time that a caller has to read the next part of an answer, whatever idle time is configured.
+const MIN_WRITE_TIME: Duration = Duration::from_secs(5);
 /// Maximum number of header fields in a request.
 const MAX_HEADERS: usize = 100;
 /// Smallest buffer that the HTTP library accepts, in bytes.
@@ -89,7 +91,8 @@
     }
     let routes = state.decisions().routes.clone();
     let limits = routes.map_or_else(CallerLimits::default, |routes| routes.document().limits);
-    let stream = WriteTimeoutStream::new(stream, limits.idle_time);
+    let idle_time = limits.idle_time.max(limits.header_time);
+    let stream = WriteTimeoutStream::new(stream, idle_time.max(MIN_WRITE_TIME));
     let has_request = CancellationToken::new();
     let first_request = has_request.clone();
     let caller = Arc::new(CallerConnection::open(Arc::clone(&state)));
@@ -111,7 +114,7 @@
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         // The timeout of the library also applies to idle connections between requests.
-        .header_read_timeout(limits.idle_time.max(limits.header_time))
+        .header_read_timeout(idle_time)
         .max_headers(MAX_HEADERS)
         .max_buf_size(limits.header_bytes.max(MIN_BUFFER_BYTES))
         .serve_connection(TokioIo::new(stream), service);
--- a/hickoryspan_gateway/tests/gateway/cut_requests.rs
+++ b/hickoryspan_gateway/tests/gateway/cut_requests.rs
@@ -8,7 +8,7 @@
 use crate::support::{
     Deployment, ScriptedTarget, SeenRequest, TEST_TIMEOUT, TargetAction, get, route, to_service,
 };
-use hickoryspan_core::gateway::document::RepeatRule;
+use hickoryspan_core::gateway::document::{CallerLimits, RepeatRule};
 use hickoryspan_runtime::metrics_page::MetricsPage;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
@@ -78,3 +78,23 @@
     drop(stream);
     deployment.stop().await;
 }
+
+/// Guards against answers that are cut because a configuration leaves callers no idle time.
+#[tokio::test]
+async fn an_answer_is_whole_although_callers_have_no_idle_time() {
+    let body = vec![b'x'; 16 * 1024 * 1024];
+    let script = move |request: &SeenRequest| TargetAction::Send(request.answer("stamp", &body));
+    let target = ScriptedTarget::start(Arc::new(script)).await;
+    let mut deployment = Deployment::start_stopping_with_answers(
+        Duration::from_millis(50),
+        TEST_TIMEOUT,
+        32 * 1024 * 1024,
+    )
+    .await;
+    deployment.limits = CallerLimits { idle_time: Duration::ZERO, ..CallerLimits::default() };
+    deployment.configure(vec![route("/one/", RepeatRule::Idempotent, to_service("one"))]).await;
+    deployment.announce("t", "one", target.address).await;
+    let answer = deployment.exchange(&get("/one/")).await;
+    assert_eq!((answer.status, answer.body.len()), (200, 16 * 1024 * 1024));
+    deployment.stop().await;
+}
--- a/hickoryspan_gateway/tests/gateway/support.rs
+++ b/hickoryspan_gateway/tests/gateway/support.rs
@@ -198,6 +198,8 @@
     /// Further entries, which take part in wide fan-outs.
     pub others: Vec<GatewayEntry>,
     pub address: SocketAddr,
+    /// Limits for callers in the next configuration.
+    pub limits: CallerLimits,
     // Caller addresses of all entries, in the order of their start.
     addresses: Vec<SocketAddr>,
     template: GatewaySettings,
@@ -334,6 +336,7 @@
             entry: None,
             others: Vec::new(),
             address,
+            limits: CallerLimits::default(),
             addresses: Vec::new(),
             template,
             hosts,
@@ -416,7 +419,7 @@
             version: DocumentVersion(self.version),
             routes: routes.into_iter().map(Arc::new).collect(),
             services: services.collect(),
-            limits: CallerLimits::default(),
+            limits: self.limits,
             source: format!("version {}", self.version).into(),
         });
         let handle = self.daemon.as_ref().expect("a control host").handle();
