Leave the tests of fan-outs in stops more than a moment before a second arrival is allowed

Seen: 4 failures in 8 runs of these tests (four copies at a time, load 29 on 8 cores), and one in a run of the whole file beside the soak: some targets got a request twice. Cause: a group whose first batch is over 120 ms late may be sent again, by design; the tests left 150 ms to that time, or none, and a busy machine stalls a process for longer. Change: an objective of 6 s, and 150 ms between the answers, so that every group ends over a second before. The checks are the same.

--- a/hickoryspan_gateway/tests/gateway/fan_out_stops.rs
+++ b/hickoryspan_gateway/tests/gateway/fan_out_stops.rs
@@ -29,6 +29,12 @@
 /// Much longer than a stop takes that waits for nothing.
 const LONG_AFTER_STOP: Duration = Duration::from_millis(400);
 
+/// An objective that leaves more than a second between the end of a group and the time at which its first batch counts as
+/// late, after which a second arrival is allowed. A busy machine stalls a process for hundreds of milliseconds.
+const LONG_OBJECTIVE: Duration = Duration::from_secs(6);
+/// Time between the answers to the requests of two entries, in which the first of them ends.
+const BETWEEN_REQUESTS: Duration = Duration::from_millis(150);
+
 /// What decides when the targets answer.
 type Gates = Arc<Mutex<HashMap<GateKey, CancellationToken>>>;
 
@@ -220,7 +226,8 @@
 /// first ended the groups that the callers of the others waited for.
 #[tokio::test]
 async fn entries_that_stop_at_the_same_time_answer_all_their_callers() {
-    let mut gated = GatedDeployment::start(OTHERS, GatedSettings::default()).await;
+    let settings = GatedSettings { objective: LONG_OBJECTIVE, ..GatedSettings::default() };
+    let mut gated = GatedDeployment::start(OTHERS, settings).await;
     let paths: Vec<String> = (0..=OTHERS).map(|entry| format!("/all/{entry}")).collect();
     let mut entries = std::mem::take(&mut gated.deployment.others);
     entries.extend(gated.deployment.entry.take());
@@ -235,7 +242,7 @@
         let stops = PlannedStops::begin(entries).await;
         for path in &paths {
             gated.open(path, 0..SHARDS);
-            tokio::time::sleep(LONG_AFTER_STOP).await;
+            tokio::time::sleep(BETWEEN_REQUESTS).await;
         }
         stops.end().await;
     };
@@ -370,7 +377,7 @@
 #[tokio::test]
 async fn callers_of_other_entries_get_whole_answers_while_entries_stop(#[case] linked: bool) {
     let settings = GatedSettings {
-        objective: Duration::from_millis(900),
+        objective: LONG_OBJECTIVE,
         accept: Duration::from_millis(300),
         work: Some(Duration::from_millis(150)),
         ..GatedSettings::default()
