Keep the end of a stop and the wait for tasks in one place each

The token that ends requests at the end of a stop was held by ShutdownSignals and by GatewayState; only the latter keeps it, and answer_until_finish reads it there. join_all stood in two files and as a loop in two more; it moves to hickoryspan_runtime::tasks. Two tests of fan-outs in stops share their loop, with the same assertions.

--- a/hickoryspan_gateway/src/caller_server.rs
+++ b/hickoryspan_gateway/src/caller_server.rs
@@ -6,6 +6,7 @@
 
 use hickoryspan_core::gateway::document::CallerLimits;
 use hickoryspan_runtime::accept_queue::AcceptQueue;
+use hickoryspan_runtime::tasks::join_all;
 use hickoryspan_runtime::write_timeout::WriteTimeoutStream;
 use http::header::CONNECTION;
 use http::{HeaderValue, Request};
@@ -18,7 +19,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::caller_connection::CallerConnection;
-use crate::forward::{ConnectionPosition, answer_until};
+use crate::forward::{ConnectionPosition, answer_until_finish};
 use crate::gateway_state::GatewayState;
 use crate::refusal::GatewayResponse;
 
@@ -34,15 +35,14 @@
 /// Smallest buffer that the HTTP library accepts, in bytes.
 const MIN_BUFFER_BYTES: usize = 8192;
 
-/// The phases of a graceful shutdown, in this order.
+/// The phases of a graceful shutdown, in this order. Between the last two, [`GatewayState::finish`] ends the requests in
+/// flight.
 #[derive(Clone, Default)]
 pub(crate) struct ShutdownSignals {
     /// Connections close after their next answer, which says so.
     pub(crate) drain: CancellationToken,
     /// No further connections are accepted, and idle ones are closed.
     pub(crate) close_listener: CancellationToken,
-    /// Requests still in flight are answered without waiting for their targets any longer.
-    pub(crate) finish: CancellationToken,
     /// Connections that are still open are closed.
     pub(crate) abort: CancellationToken,
 }
@@ -75,9 +75,8 @@
     for stream in AcceptQueue::close(listener) {
         connections.spawn(serve(stream));
     }
-    let finish = async { while connections.join_next().await.is_some() {} };
     tokio::select! {
-        () = finish => {}
+        () = join_all(&mut connections) => {}
         () = shutdown.abort.cancelled() => {
             spdlog::warn!("caller port: shutdown timeout expired, closing open connections");
         }
@@ -149,7 +148,7 @@
     position: ConnectionPosition,
 ) -> GatewayResponse {
     caller.note_request(request.headers().get(&state.settings.headers.request).cloned());
-    let mut response = answer_until(shutdown.finish, Arc::clone(&state), request, position).await;
+    let mut response = answer_until_finish(Arc::clone(&state), request, position).await;
     caller.note_answer();
     if shutdown.drain.is_cancelled() || state.should_leave_callers() {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
--- a/hickoryspan_gateway/src/entry_daemon.rs
+++ b/hickoryspan_gateway/src/entry_daemon.rs
@@ -16,6 +16,7 @@
 use hickoryspan_core::gateway::relays::RelayPeer;
 use hickoryspan_core::gateway::shared_table::SharedTable;
 use hickoryspan_core::types::{MonotonicTime, TargetId};
+use hickoryspan_runtime::tasks::join_all;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::task::JoinSet;
@@ -360,8 +361,7 @@
         };
         let directory = settings.directory.clone();
         let state = Arc::new(GatewayState::new(settings, rand::random()));
-        let shutdown =
-            ShutdownSignals { finish: state.finish.clone(), ..ShutdownSignals::default() };
+        let shutdown = ShutdownSignals::default();
         let stop = CancellationToken::new();
         let handler = Arc::new(EntryLinkHandler {
             state: Arc::clone(&state),
@@ -425,7 +425,7 @@
         let remaining = settings.finish_after_stop.saturating_sub(started_at.elapsed());
         if tokio::time::timeout(remaining, join_all(&mut self.servers)).await.is_err() {
             self.log_stop_phase("requests in flight are ended", started_at);
-            self.shutdown.finish.cancel();
+            self.state.finish.cancel();
         }
         if tokio::time::timeout(LAST_ANSWER_TIME, join_all(&mut self.servers)).await.is_err() {
             self.log_stop_phase("open connections are closed", started_at);
@@ -453,11 +453,6 @@
     }
 }
 
-/// Waits until all tasks have ended. It may be called again after it was cancelled.
-async fn join_all(tasks: &mut JoinSet<()>) {
-    while tasks.join_next().await.is_some() {}
-}
-
 async fn bind_fanouts(settings: &GatewaySettings) -> anyhow::Result<Option<TcpListener>> {
     let Some(address) = settings.fanout_address else { return Ok(None) };
     let listener = TcpListener::bind(address).await;
--- a/hickoryspan_gateway/src/forward.rs
+++ b/hickoryspan_gateway/src/forward.rs
@@ -20,7 +20,6 @@
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
-use tokio_util::sync::CancellationToken;
 
 use crate::attempt::{AttemptScope, GatewayJob};
 use crate::gateway_state::GatewayState;
@@ -48,10 +47,9 @@
     Later,
 }
 
-/// Answers one request. A run for it ends by itself when `stop` is cancelled; what happens before it, mostly reading the
+/// Answers one request. A run for it ends by itself at the end of a planned stop; what happens before it, mostly reading the
 /// body, is ended here.
-pub(crate) async fn answer_until(
-    stop: CancellationToken,
+pub(crate) async fn answer_until_finish(
     state: Arc<GatewayState>,
     request: Request<Incoming>,
     position: ConnectionPosition,
@@ -61,7 +59,7 @@
     tokio::select! {
         biased;
         response = answer => response,
-        () = stop.cancelled() => {
+        () = state.finish.cancelled() => {
             let id = id.as_ref().and_then(|value| value.to_str().ok()).unwrap_or("-");
             refuse(&state, id, RefusalReason::StopTimedOut, Duration::ZERO)
         }
--- a/hickoryspan_gateway/src/link_listener.rs
+++ b/hickoryspan_gateway/src/link_listener.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use hickoryspan_runtime::tasks::join_all;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
@@ -43,9 +44,8 @@
         }
     }
     drop(listener);
-    let ended = async { while links.join_next().await.is_some() {} };
     tokio::select! {
-        () = ended => {}
+        () = join_all(&mut links) => {}
         () = abort.cancelled() => {}
     }
     links.shutdown().await;
--- a/hickoryspan_gateway/tests/gateway/fan_out_stops.rs
+++ b/hickoryspan_gateway/tests/gateway/fan_out_stops.rs
@@ -310,14 +310,8 @@
     gated.deployment.stop().await;
 }
 
-/// Guards against parts that are missing because a group counts as sent that the other entry has not begun: it has closed
-/// the link after its last group, while the task was on its way.
-#[tokio::test]
-async fn a_group_that_a_closing_entry_has_not_begun_is_sent_without_a_second_attempt() {
-    let settings = GatedSettings { max_attempts: 1, ..GatedSettings::default() };
-    let gated = GatedDeployment::start(0, settings).await;
-    let peer = ScriptedPeer::start(&gated.deployment, PeerReaction::Close).await;
-    gated.deployment.await_links(1).await;
+/// Sends requests until the peer has got a group of one. Each must be answered whole, with one arrival at each target.
+async fn expect_whole_until_handed_over(gated: &GatedDeployment, peer: &ScriptedPeer) {
     let mut requests = 0;
     // Each group is handed to the peer in about half of all cases.
     while peer.messages() == 0 {
@@ -327,6 +321,17 @@
         assert_eq!(gated.arrivals(&path), [1; SHARDS], "arrivals of {path} at each target");
         requests += 1;
     }
+}
+
+/// Guards against parts that are missing because a group counts as sent that the other entry has not begun: it has closed
+/// the link after its last group, while the task was on its way.
+#[tokio::test]
+async fn a_group_that_a_closing_entry_has_not_begun_is_sent_without_a_second_attempt() {
+    let settings = GatedSettings { max_attempts: 1, ..GatedSettings::default() };
+    let gated = GatedDeployment::start(0, settings).await;
+    let peer = ScriptedPeer::start(&gated.deployment, PeerReaction::Close).await;
+    gated.deployment.await_links(1).await;
+    expect_whole_until_handed_over(&gated, &peer).await;
     gated.deployment.stop().await;
 }
 
@@ -342,15 +347,7 @@
         GatedDeployment::start(0, GatedSettings { objective, ..GatedSettings::default() }).await;
     let peer = ScriptedPeer::start(&gated.deployment, reaction).await;
     gated.deployment.await_links(1).await;
-    let mut requests = 0;
-    // Each group is handed to the peer in about half of all cases.
-    while peer.messages() == 0 {
-        let path = format!("/all/{requests}");
-        gated.open(&path, 0..SHARDS);
-        assert_whole(&gated.deployment.exchange(&get(&path)).await);
-        assert_eq!(gated.arrivals(&path), [1; SHARDS], "arrivals of {path} at each target");
-        requests += 1;
-    }
+    expect_whole_until_handed_over(&gated, &peer).await;
     gated.deployment.stop().await;
 }
 
--- a/hickoryspan_runtime/src/http_server.rs
+++ b/hickoryspan_runtime/src/http_server.rs
@@ -17,6 +17,7 @@
 
 use crate::accept_queue::AcceptQueue;
 use crate::server_connection::ServerConnection;
+use crate::tasks::join_all;
 
 /// Delay after a failed accept, so that a lack of file descriptors does not cause a busy loop.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
@@ -139,11 +140,6 @@
     }
 }
 
-/// Waits until all tasks have ended. Cancel safe.
-async fn join_all(tasks: &mut JoinSet<()>) {
-    while tasks.join_next().await.is_some() {}
-}
-
 /// A failure to read a request body.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum BodyError {
--- a/hickoryspan_runtime/src/lib.rs
+++ b/hickoryspan_runtime/src/lib.rs
@@ -15,4 +15,5 @@
 pub mod process;
 mod server_connection;
 pub mod settings;
+pub mod tasks;
 pub mod write_timeout;
