Send a beat instead of a report that has not changed

Cause: each entry has a link to each of five control hosts, and both ends repeat their whole report every 400 ms: name, addresses, failure domain in one direction, all control hosts in the other. Almost none of them differs from the one before. Change: a report that equals the last one on its link is replaced by a message without content. Both ends state the version of the messages that they understand, so that a host of the earlier release gets full reports. The interval, the time after which a link is replaced and everything that reacts to a report stay as they were.

--- a/hickoryspan_core/src/gateway/messages.rs
+++ b/hickoryspan_core/src/gateway/messages.rs
@@ -17,6 +17,19 @@
 use crate::control::interface::ReplicaRecord;
 use crate::types::{EntryId, FailureDomain, TargetId};
 
+/// Which messages a process understands. Each end of a link reports its own version, and gets none of a
+/// later one, so that a rolling upgrade needs no order of hosts.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct LinkVersion(pub u16);
+
+impl LinkVersion {
+    /// The first version that knows beats.
+    pub const BEATS: Self = Self(1);
+    /// The version of this release.
+    pub const CURRENT: Self = Self::BEATS;
+}
+
 /// An entry host and the addresses at which it can be reached.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -34,6 +47,9 @@
     /// Whether it has too little processor time, so that callers should prefer other entries.
     #[serde(default)]
     pub lagging: bool,
+    /// Version of the messages that it understands.
+    #[serde(default)]
+    pub link_version: LinkVersion,
 }
 
 /// The renewal of an announcement without any other change.
@@ -57,6 +73,8 @@
 pub enum DirectoryRequest {
     /// An entry reports itself, immediately after connecting and then at regular intervals.
     Entry(EntryHost),
+    /// The last report of the entry on this link still holds. Sent only to control hosts that understand it.
+    Unchanged,
     /// A control host reports itself, immediately after connecting and then at regular intervals.
     Control(ReplicaRecord),
     /// All messages before the confirmation request with this number have been applied.
@@ -105,7 +123,12 @@
         entries: u32,
         /// Version of the document in force at the sender, if there is one.
         document: Option<DocumentVersion>,
+        /// Version of the messages that the sender understands.
+        #[serde(default)]
+        link_version: LinkVersion,
     },
+    /// The last [`Self::Hosts`] on this link still holds. Sent only to entries that understand it.
+    Unchanged,
     /// What the sender knows of requests that crash targets: everything on a new link, then what changes.
     Suspicions(Vec<SuspicionRecord>),
     /// The limits of targets: all on a new link, then what changes.
--- a/hickoryspan_core/tests/gateway_lag.rs
+++ b/hickoryspan_core/tests/gateway_lag.rs
@@ -9,7 +9,7 @@
 use hickoryspan_core::gateway::entry_list::{
     EntryList, EntryListChange, OpenEntry, listed_entries,
 };
-use hickoryspan_core::gateway::messages::EntryHost;
+use hickoryspan_core::gateway::messages::{EntryHost, LinkVersion};
 use hickoryspan_core::gateway::processor_lag::{LagMonitor, LagSettings};
 use hickoryspan_core::types::{EntryId, FailureDomain, MonotonicTime};
 
@@ -42,6 +42,7 @@
         fanout_address: None,
         open,
         lagging,
+        link_version: LinkVersion::default(),
     }
 }
 
--- a/hickoryspan_gateway/src/directory_hub.rs
+++ b/hickoryspan_gateway/src/directory_hub.rs
@@ -9,13 +9,14 @@
 
 use hickoryspan_control::ControlHandle;
 use hickoryspan_core::control::interface::ReplicaRecord;
+use hickoryspan_core::gateway::beats::ReportHistory;
 use hickoryspan_core::gateway::directory::{
     DirectoryChange, KnownTarget, TargetAnnouncement, TargetDeparture, TargetPhase,
 };
 use hickoryspan_core::gateway::document::ConfigurationDocument;
 use hickoryspan_core::gateway::entry_list::{EntryListChange, OpenEntry};
 use hickoryspan_core::gateway::messages::{
-    ConfirmNumber, DirectoryRequest, DirectoryUpdate, TargetRenewal,
+    ConfirmNumber, DirectoryRequest, DirectoryUpdate, LinkVersion, TargetRenewal,
 };
 use hickoryspan_core::gateway::shared_table::{ChangeNumber, SharedTable};
 use hickoryspan_core::types::MonotonicTime;
@@ -163,6 +164,7 @@
             peer: LinkPeer::Unknown,
             entry: None,
             relays: Vec::new(),
+            hosts_sent: ReportHistory::default(),
             last_received_at: now,
             demands: ReportedDemands::default(),
             confirmed: ConfirmNumber(0),
@@ -187,6 +189,7 @@
                 link.entry = Some(entry);
                 self.send_full_state(&mut state, number, LinkPeer::Entry, now);
             }
+            DirectoryRequest::Unchanged => {}
             DirectoryRequest::Control(record) => {
                 self.send_full_state(&mut state, number, LinkPeer::Control, now);
                 drop(state);
@@ -231,6 +234,9 @@
         // The state sent below includes all earlier changes, so the link counts as having confirmed them.
         link.confirmed = state.confirm_number;
         let hosts = self.hosts_update(state, now);
+        if let Some(link) = state.links.get_mut(&number) {
+            link.hosts_sent.next(&hosts, LinkVersion::default());
+        }
         let departures = state.directory.departures().collect();
         // Entries must learn at once which targets drain or left; other announcements are sent on request.
         let is_sent = |known: &&KnownTarget| {
@@ -271,6 +277,7 @@
             controls,
             entries: u32::try_from(entries).unwrap_or(u32::MAX),
             document: state.documents.version(),
+            link_version: LinkVersion::CURRENT,
         }
     }
 
@@ -438,7 +445,7 @@
         }
         spdlog::info!("document activated", kv: { version: = version });
         let hosts = self.hosts_update(&state, self.now());
-        state.send_where(&hosts, |peer| peer == LinkPeer::Entry);
+        state.send_hosts(&hosts);
     }
 
     /// Sends the collected renewals, changes and host addresses, and removes targets whose lease has expired. Must be
@@ -457,7 +464,7 @@
             state.send_where(&update, |peer| peer == LinkPeer::Entry);
         }
         let hosts = self.hosts_update(&state, now);
-        state.broadcast(&hosts);
+        state.send_hosts(&hosts);
         state.send_relays(now, &self.settings);
         state.send_entry_changes(now, &self.settings);
         state.poison.expire(now);
@@ -525,6 +532,7 @@
             | DirectoryUpdate::Vouched(_)
             | DirectoryUpdate::Relays(_)
             | DirectoryUpdate::Entries(_)
+            | DirectoryUpdate::Unchanged
             | DirectoryUpdate::Silent(_) => {}
         }
         None
--- a/hickoryspan_gateway/src/directory_links.rs
+++ b/hickoryspan_gateway/src/directory_links.rs
@@ -7,7 +7,8 @@
 use std::time::{Duration, Instant};
 
 use anyhow::{Context, bail};
-use hickoryspan_core::gateway::messages::{DirectoryRequest, DirectoryUpdate};
+use hickoryspan_core::gateway::beats::{ReportBeat, ReportHistory};
+use hickoryspan_core::gateway::messages::{DirectoryRequest, DirectoryUpdate, LinkVersion};
 use hickoryspan_core::gateway::shared_table::ChangeNumber;
 use hickoryspan_core::reconnect::{ReconnectDelay, ReconnectSettings};
 use hickoryspan_runtime::peer_link::PeerLink;
@@ -41,6 +42,10 @@
 pub trait LinkHandler: Send + Sync {
     /// Returns the report that is sent when a link is up, and periodically after that.
     fn report(&self) -> DirectoryRequest;
+    /// Returns the version of the messages that the host at the other end understands, as far as it is known.
+    fn link_version(&self, _host: SocketAddr) -> LinkVersion {
+        LinkVersion::default()
+    }
     /// Returns what else the host at the other end does not know yet, and advances `known` accordingly.
     fn news(&self, known: &mut KnownChanges) -> Vec<DirectoryRequest>;
     /// Applies an update of the control host at `from`. A returned request is sent back to that host.
@@ -159,7 +164,8 @@
         let idle = async move {
             while let Ok(Ok(())) = tokio::time::timeout(limit, last_received.changed()).await {}
         };
-        let reports = send_reports(&self.settings, &*self.handler, &mut self.report_trigger, queue);
+        let reports = ReportTask { address, settings: &self.settings, handler: &*self.handler };
+        let reports = reports.run(&mut self.report_trigger, queue);
         let up =
             LinkStateGuard::new(Arc::clone(&self.handler), address, Arc::clone(&self.links_up));
         let ended = tokio::select! {
@@ -172,22 +178,36 @@
     }
 }
 
-async fn send_reports(
-    settings: &DirectorySettings,
-    handler: &dyn LinkHandler,
-    report_trigger: &mut watch::Receiver<u64>,
-    queue: mpsc::Sender<DirectoryRequest>,
-) -> anyhow::Result<()> {
-    let mut known = KnownChanges::default();
-    loop {
-        queue.send(handler.report()).await.context("the link ended")?;
-        for request in handler.news(&mut known) {
-            queue.send(request).await.context("the link ended")?;
-        }
-        tokio::time::sleep(MIN_REPORT_INTERVAL).await;
-        tokio::select! {
-            () = tokio::time::sleep(settings.report_interval) => {}
-            changed = report_trigger.changed() => changed.context("the process stops")?,
+/// Sends the reports of this process over one link.
+struct ReportTask<'a> {
+    address: SocketAddr,
+    settings: &'a DirectorySettings,
+    handler: &'a dyn LinkHandler,
+}
+
+impl ReportTask<'_> {
+    async fn run(
+        self,
+        report_trigger: &mut watch::Receiver<u64>,
+        queue: mpsc::Sender<DirectoryRequest>,
+    ) -> anyhow::Result<()> {
+        let mut known = KnownChanges::default();
+        let mut history = ReportHistory::default();
+        loop {
+            let report = self.handler.report();
+            let report = match history.next(&report, self.handler.link_version(self.address)) {
+                ReportBeat::Full(report) => report,
+                ReportBeat::Unchanged => DirectoryRequest::Unchanged,
+            };
+            queue.send(report).await.context("the link ended")?;
+            for request in self.handler.news(&mut known) {
+                queue.send(request).await.context("the link ended")?;
+            }
+            tokio::time::sleep(MIN_REPORT_INTERVAL).await;
+            tokio::select! {
+                () = tokio::time::sleep(self.settings.report_interval) => {}
+                changed = report_trigger.changed() => changed.context("the process stops")?,
+            }
         }
     }
 }
--- a/hickoryspan_gateway/src/entry_daemon.rs
+++ b/hickoryspan_gateway/src/entry_daemon.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 use anyhow::Context;
@@ -11,7 +11,9 @@
 use hickoryspan_core::gateway::document::DocumentVersion;
 use hickoryspan_core::gateway::document_parts::DocumentPart;
 use hickoryspan_core::gateway::entry_list::OpenEntry;
-use hickoryspan_core::gateway::messages::{DirectoryRequest, DirectoryUpdate, EntryHost};
+use hickoryspan_core::gateway::messages::{
+    DirectoryRequest, DirectoryUpdate, EntryHost, LinkVersion,
+};
 use hickoryspan_core::gateway::planned_stop::StopSchedule;
 use hickoryspan_core::gateway::relays::RelayPeer;
 use hickoryspan_core::gateway::shared_table::SharedTable;
@@ -56,8 +58,17 @@
     fanout_address: Option<SocketAddr>,
     // Whether the last report said that this entry lags.
     lagging: AtomicBool,
-    // The number of entries that each linked control host reports.
-    entry_counts: Mutex<BTreeMap<SocketAddr, u32>>,
+    host_reports: Mutex<BTreeMap<SocketAddr, HostReport>>,
+}
+
+/// The last report of a linked control host.
+#[derive(Clone, Copy)]
+struct HostReport {
+    /// Number of entries that are connected to it.
+    entries: u32,
+    /// Version of its active document.
+    document: Option<DocumentVersion>,
+    link_version: LinkVersion,
 }
 
 impl EntryLinkHandler {
@@ -76,14 +87,23 @@
         lagging
     }
 
-    fn update_entry_count(&self, from: SocketAddr, count: Option<u32>) {
-        let mut entry_counts = self.entry_counts.lock().unwrap_or_else(PoisonError::into_inner);
-        match count {
-            Some(count) => entry_counts.insert(from, count),
-            None => entry_counts.remove(&from),
+    fn lock_reports(&self) -> MutexGuard<'_, BTreeMap<SocketAddr, HostReport>> {
+        self.host_reports.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns the last report of a host; `None` if it has sent none on its current link.
+    fn report_of(&self, host: SocketAddr) -> Option<HostReport> {
+        self.lock_reports().get(&host).copied()
+    }
+
+    fn set_report(&self, from: SocketAddr, report: Option<HostReport>) {
+        let mut reports = self.lock_reports();
+        match report {
+            Some(report) => reports.insert(from, report),
+            None => reports.remove(&from),
         };
-        let highest = entry_counts.values().copied().max();
-        drop(entry_counts);
+        let highest = reports.values().map(|report| report.entries).max();
+        drop(reports);
         // A host that has just started reports too few entries, so the highest count is used. Without any link the last
         // count is kept.
         if let Some(count) = highest.filter(|count| *count > 0) {
@@ -129,6 +149,7 @@
                 }
             }
             DirectoryUpdate::Hosts { .. }
+            | DirectoryUpdate::Unchanged
             | DirectoryUpdate::Renewals(_)
             | DirectoryUpdate::Relays(_)
             | DirectoryUpdate::Entries(_)
@@ -235,14 +256,23 @@
             fanout_address: self.fanout_address,
             open: *self.ready.borrow(),
             lagging: self.is_lagging(),
+            link_version: LinkVersion::CURRENT,
         })
     }
 
+    fn link_version(&self, host: SocketAddr) -> LinkVersion {
+        self.report_of(host).map(|report| report.link_version).unwrap_or_default()
+    }
+
     fn apply(&self, from: SocketAddr, update: DirectoryUpdate) -> Option<DirectoryRequest> {
         match update {
-            DirectoryUpdate::Hosts { controls, entries, document } => {
+            DirectoryUpdate::Hosts { controls, entries, document, link_version } => {
                 self.hosts.add(controls);
-                self.update_entry_count(from, Some(entries));
+                self.set_report(from, Some(HostReport { entries, document, link_version }));
+                return self.next_request(from, document);
+            }
+            DirectoryUpdate::Unchanged => {
+                let document = self.report_of(from).and_then(|report| report.document);
                 return self.next_request(from, document);
             }
             DirectoryUpdate::Document(part) => self.apply_document(from, &part),
@@ -303,7 +333,7 @@
         decisions.document_fetch.note_end(from);
         decisions.document_parts.forget(from);
         drop(decisions);
-        self.update_entry_count(from, None);
+        self.set_report(from, None);
     }
 }
 
@@ -370,7 +400,7 @@
             stopping: shutdown.drain.clone(),
             fanout_address,
             lagging: AtomicBool::new(false),
-            entry_counts: Mutex::default(),
+            host_reports: Mutex::default(),
         });
         let links = DirectoryLinks {
             hosts,
--- a/hickoryspan_gateway/src/hub_state.rs
+++ b/hickoryspan_gateway/src/hub_state.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use hickoryspan_core::gateway::beats::{ReportBeat, ReportHistory};
 use hickoryspan_core::gateway::directory::{
     KnownTarget, TargetAnnouncement, TargetDeparture, TargetDirectory,
 };
@@ -43,6 +44,7 @@
     pub(crate) entry: Option<EntryHost>,
     // The entries of its failure domain, as last sent to this entry.
     pub(crate) relays: Vec<RelayPeer>,
+    pub(crate) hosts_sent: ReportHistory<DirectoryUpdate>,
     pub(crate) last_received_at: MonotonicTime,
     pub(crate) demands: ReportedDemands,
     pub(crate) confirmed: ConfirmNumber,
@@ -103,6 +105,22 @@
             .retain(|_, link| !receives(link.peer) || link.queue.try_send(update.clone()).is_ok());
     }
 
+    /// Sends the known hosts and the version in force to every entry and control host, or a beat where they have not
+    /// changed. A link whose queue is full is closed.
+    pub(crate) fn send_hosts(&mut self, hosts: &DirectoryUpdate) {
+        self.links.retain(|_, link| {
+            if link.peer == LinkPeer::Unknown {
+                return true;
+            }
+            let version = link.entry.as_ref().map(|entry| entry.link_version).unwrap_or_default();
+            let update = match link.hosts_sent.next(hosts, version) {
+                ReportBeat::Full(hosts) => hosts,
+                ReportBeat::Unchanged => DirectoryUpdate::Unchanged,
+            };
+            link.queue.try_send(update).is_ok()
+        });
+    }
+
     /// Sends an update over one link, which is closed if its queue is full.
     pub(crate) fn send_to(&mut self, number: LinkNumber, update: DirectoryUpdate) {
         let Some(link) = self.links.get(&number) else { return };
--- a/hickoryspan_gateway/tests/gateway/scripted_peer.rs
+++ b/hickoryspan_gateway/tests/gateway/scripted_peer.rs
@@ -5,7 +5,9 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 
 use crate::support::{Deployment, TEST_TIMEOUT, credential};
-use hickoryspan_core::gateway::messages::{DirectoryRequest, DirectoryUpdate, EntryHost};
+use hickoryspan_core::gateway::messages::{
+    DirectoryRequest, DirectoryUpdate, EntryHost, LinkVersion,
+};
 use hickoryspan_core::types::{EntryId, FailureDomain};
 use hickoryspan_gateway::{DirectoryLinks, DirectorySettings, KnownChanges, LinkHandler};
 use hickoryspan_runtime::peer_link::PeerLink;
@@ -108,6 +110,7 @@
             fanout_address: Some(self.address),
             open: true,
             lagging: false,
+            link_version: LinkVersion::default(),
         })
     }
 
