Send the groups of a wide fan-out from where their targets are

Cause: the entry with a request divided its shards among entries of its own failure domain only. On the large site each shard has its targets in two of six failure domains, so two thirds of the parts, of up to a thousand bytes each, crossed a border one by one, and each target was asked by twelve entries, most of which kept no connection to it. With fewer than four other entries in a failure domain nothing was divided at all. Change: groups consist of shards that have a target in one failure domain and are sent by an entry there. An entry takes those of its own failure domain and covers the rest with as few others as possible. The borders between groups depend only on where targets are, so all entries hand a shard to the same few. Entries learn each other's addresses for groups with the list of open entries, in changes, instead of whole lists of their own failure domain; entries of the earlier release still get those. Links are opened only to the entries that usually send a group. The smallest number of other entries is gone. The scripted peer of the tests kept its trigger for reports too short, so that its link ended all the time.

--- a/hickoryspan_core/src/gateway/entry_list.rs
+++ b/hickoryspan_core/src/gateway/entry_list.rs
@@ -10,6 +10,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::messages::EntryHost;
+use super::relays::RelayPeer;
 use crate::types::FailureDomain;
 
 /// An entry that accepts callers.
@@ -20,6 +21,10 @@
     pub caller_address: SocketAddr,
     /// Failure domain of the entry.
     pub domain: FailureDomain,
+    /// Name and address of the entry for parts of wide fan-outs, if it accepts them and the sender's
+    /// release reports it.
+    #[serde(default)]
+    pub relay: Option<RelayPeer>,
 }
 
 /// Returns the entries to which callers are directed: the open ones that do not lag, or all open ones
@@ -28,10 +33,7 @@
     let open: Vec<&EntryHost> = hosts.into_iter().filter(|host| host.open).collect();
     let steady = open.iter().filter(|host| !host.lagging).count();
     let all = steady * 2 < open.len();
-    open.into_iter()
-        .filter(|host| all || !host.lagging)
-        .map(|host| OpenEntry { caller_address: host.caller_address, domain: host.domain.clone() })
-        .collect()
+    open.into_iter().filter(|host| all || !host.lagging).map(EntryHost::to_open_entry).collect()
 }
 
 /// How the open entries known to a control host have changed since its last report on a link.
@@ -66,7 +68,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct EntryList {
     reported: BTreeMap<SocketAddr, BTreeSet<OpenEntry>>,
-    last_known: BTreeSet<OpenEntry>,
+    // By the address at which callers connect.
+    last_known: BTreeMap<SocketAddr, OpenEntry>,
 }
 
 impl EntryList {
@@ -77,25 +80,41 @@
             reported.remove(entry);
         }
         reported.extend(change.opened);
-        self.last_known = self.reported.values().flatten().cloned().collect();
+        self.merge();
+    }
+
+    fn merge(&mut self) {
+        self.last_known.clear();
+        for entry in self.reported.values().flatten() {
+            let known =
+                self.last_known.entry(entry.caller_address).or_insert_with(|| entry.clone());
+            // Control hosts of an earlier release do not report how an entry takes parts of fan-outs.
+            if known.relay.is_none() {
+                known.relay.clone_from(&entry.relay);
+            }
+        }
     }
 
     /// Forgets the reports of a control host whose link was lost.
     pub fn remove_host(&mut self, from: SocketAddr) {
         self.reported.remove(&from);
         if !self.reported.is_empty() {
-            self.last_known = self.reported.values().flatten().cloned().collect();
+            self.merge();
         }
     }
 
     /// Returns whether callers are directed to other entries instead of the one at this address.
     pub fn prefers_others(&self, caller_address: SocketAddr) -> bool {
-        let is_listed = self.last_known.iter().any(|entry| entry.caller_address == caller_address);
-        !is_listed && !self.last_known.is_empty()
+        !self.last_known.contains_key(&caller_address) && !self.last_known.is_empty()
+    }
+
+    /// Returns the open entries that accept parts of wide fan-outs, with their failure domains.
+    pub fn relays(&self) -> impl Iterator<Item = (&FailureDomain, &RelayPeer)> {
+        self.entries().filter_map(|entry| Some((&entry.domain, entry.relay.as_ref()?)))
     }
 
     /// Returns the open entries.
     pub fn entries(&self) -> impl Iterator<Item = &OpenEntry> {
-        self.last_known.iter()
+        self.last_known.values()
     }
 }
--- a/hickoryspan_core/src/gateway/messages.rs
+++ b/hickoryspan_core/src/gateway/messages.rs
@@ -9,7 +9,7 @@
 use super::directory::{AnnouncementAge, TargetAnnouncement, TargetDeparture};
 use super::document::DocumentVersion;
 use super::document_parts::DocumentPart;
-use super::entry_list::EntryListChange;
+use super::entry_list::{EntryListChange, OpenEntry};
 use super::limit_gate::{DemandTotals, ServiceDemand};
 use super::poison::SuspicionRecord;
 use super::relays::RelayPeer;
@@ -24,7 +24,8 @@
 pub struct LinkVersion(pub u16);
 
 impl LinkVersion {
-    /// The first version that knows beats.
+    /// The first version that knows beats, and takes the entries for wide fan-outs from the list of
+    /// open entries.
     pub const BEATS: Self = Self(1);
     /// The version of this release.
     pub const CURRENT: Self = Self::BEATS;
@@ -52,6 +53,15 @@
     pub link_version: LinkVersion,
 }
 
+impl EntryHost {
+    /// Returns what other entries and callers need to know of this one.
+    pub fn to_open_entry(&self) -> OpenEntry {
+        let relay =
+            self.fanout_address.map(|address| RelayPeer { entry: self.entry.clone(), address });
+        OpenEntry { caller_address: self.caller_address, domain: self.domain.clone(), relay }
+    }
+}
+
 /// The renewal of an announcement without any other change.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -111,7 +121,8 @@
     /// Targets whose lease expired at the sender, with the age of the newest announcement that it
     /// knows of each.
     Silent(Vec<TargetRenewal>),
-    /// The open entries of the receiver's failure domain that accept parts of wide fan-outs.
+    /// The open entries of the receiver's failure domain that accept parts of wide fan-outs. Sent only to entries of
+    /// the earlier release; others learn them with [`Self::Entries`].
     Relays(Vec<RelayPeer>),
     /// Changes among the open entries of all failure domains, for callers that look up entries.
     Entries(EntryListChange),
--- a/hickoryspan_core/src/gateway/mod.rs
+++ b/hickoryspan_core/src/gateway/mod.rs
@@ -9,6 +9,7 @@
 pub mod document_parts;
 pub mod entry_list;
 pub mod fanout;
+pub mod fanout_groups;
 pub mod limit_gate;
 pub mod liveness;
 pub mod log_limit;
--- a/hickoryspan_core/src/gateway/relays.rs
+++ b/hickoryspan_core/src/gateway/relays.rs
@@ -1,10 +1,10 @@
 //! Selects the entries that send parts of a wide fan-out, so that one request is not limited by the
 //! processor of a single entry.
 //!
-//! The shards of a route are divided into groups of neighbouring shards. For each group, every
-//! entry ranks the entries of its own failure domain in the same way, so that only a few entries
-//! keep connections to the same targets. No entry is indispensable: if one fails, the next ones in
-//! the ranking take over, and a group without a usable entry is sent by the entry that received the
+//! The shards of a route are divided into groups (`fanout_groups`). For each group, every entry ranks
+//! the entries of the group's failure domain in the same way, so that only a few entries keep
+//! connections to the same targets. No entry is indispensable: if one fails, the next ones in the
+//! ranking take over, and a group without a usable entry is sent by the entry that received the
 //! request. See `docs/design/gateway.md`.
 
 use std::collections::hash_map::DefaultHasher;
@@ -16,8 +16,8 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::fanout::ShardIndex;
-use crate::types::{EntryId, MonotonicTime, ServiceId};
+use super::fanout_groups::GroupKey;
+use crate::types::{EntryId, FailureDomain, MonotonicTime};
 
 /// Number of ranked entries that are considered. If none of them is usable, the entry that received
 /// the request sends the group itself.
@@ -46,8 +46,9 @@
     pub group_shards: usize,
     /// Number of top-ranked entries over which the requests of each group are spread.
     pub choices: usize,
-    /// Smallest number of other entries in the failure domain for which a route is divided.
-    pub min_peers: usize,
+    /// Smallest number of shards for which an entry of another failure domain is asked. Fewer parts
+    /// are smaller than the messages to that entry.
+    pub min_remote_shards: usize,
     /// How long an entry is not used after a timeout. The time doubles with each further timeout.
     pub backoff: Duration,
 }
@@ -58,76 +59,12 @@
             min_shards: 48,
             group_shards: 10,
             choices: 2,
-            min_peers: 4,
+            min_remote_shards: 5,
             backoff: Duration::from_millis(300),
         }
     }
 }
 
-/// Neighbouring shards that are assigned to one entry.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct ShardGroup {
-    /// Key by which the entries are ranked for the group. It is the same for all routes over the
-    /// same shards.
-    pub key: ServiceId,
-    /// Indexes of the shards in the route's list.
-    pub shards: Vec<ShardIndex>,
-}
-
-/// Divides the shards of a route, in the order of their names, into groups of nearly equal size.
-/// Returns no groups if the route has too few shards.
-pub fn divide_shards(settings: &RelaySettings, shards: &[ServiceId]) -> Vec<ShardGroup> {
-    if shards.len() < settings.min_shards {
-        return Vec::new();
-    }
-    let mut order: Vec<usize> = (0..shards.len()).collect();
-    order.sort_by_key(|index| &shards[*index]);
-    let count = shards.len().div_ceil(settings.group_shards.max(1));
-    let size = shards.len().div_ceil(count);
-    let to_group = |members: &[usize]| ShardGroup {
-        key: shards[members[0]].clone(),
-        shards: members.iter().copied().map(ShardIndex).collect(),
-    };
-    order.chunks(size).map(to_group).collect()
-}
-
-/// The groups of the wide routes. Groups belong to a list of shards: a request from before a change of the configuration
-/// has another list than one from after it.
-#[derive(Clone, Debug, Default)]
-pub struct GroupCache {
-    groups: HashMap<Arc<str>, CachedGroups>,
-}
-
-#[derive(Clone, Debug)]
-struct CachedGroups {
-    shards: Arc<[ServiceId]>,
-    groups: Arc<[ShardGroup]>,
-}
-
-impl GroupCache {
-    /// Returns the groups of these shards of a route; empty if the route has too few to be divided.
-    pub fn groups(
-        &mut self,
-        settings: &RelaySettings,
-        route: &Arc<str>,
-        shards: &Arc<[ServiceId]>,
-    ) -> Arc<[ShardGroup]> {
-        let cached = self.groups.get(route);
-        if let Some(cached) = cached.filter(|cached| Arc::ptr_eq(&cached.shards, shards)) {
-            return Arc::clone(&cached.groups);
-        }
-        let groups: Arc<[ShardGroup]> = divide_shards(settings, shards).into();
-        let cached = CachedGroups { shards: Arc::clone(shards), groups: Arc::clone(&groups) };
-        self.groups.insert(Arc::clone(route), cached);
-        groups
-    }
-
-    /// Forgets the groups of all routes.
-    pub fn clear(&mut self) {
-        self.groups.clear();
-    }
-}
-
 /// Prevents an entry that sends for another one from sending to a second target too early.
 ///
 /// Until the requesting entry has received a first batch, it may consider this entry lost and make
@@ -181,7 +118,7 @@
 }
 
 /// An entry that accepts parts of fan-outs.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub struct RelayPeer {
     /// Name of the entry.
@@ -237,24 +174,25 @@
     count: u32,
 }
 
-/// The entries of one failure domain, as seen by one of them.
+/// The entries that accept parts of fan-outs, as seen by one of them.
 #[derive(Clone, Debug)]
 pub struct RelaySelector {
     settings: RelaySettings,
     local_entry: EntryId,
-    by_host: BTreeMap<SocketAddr, Vec<RelayPeer>>,
-    peers: BTreeMap<EntryId, SocketAddr>,
-    ranks: HashMap<ServiceId, Arc<[EntryId]>>,
+    domain: FailureDomain,
+    // Other entries by their failure domain.
+    peers: BTreeMap<FailureDomain, BTreeMap<EntryId, SocketAddr>>,
+    ranks: HashMap<GroupKey, Arc<[EntryId]>>,
     backoffs: HashMap<EntryId, RelayBackoff>,
 }
 
 impl RelaySelector {
-    /// Creates a selector that knows only its own entry.
-    pub fn new(settings: RelaySettings, local_entry: EntryId) -> Self {
+    /// Creates a selector that knows only its own entry, which is in `domain`.
+    pub fn new(settings: RelaySettings, local_entry: EntryId, domain: FailureDomain) -> Self {
         Self {
             settings,
             local_entry,
-            by_host: BTreeMap::new(),
+            domain,
             peers: BTreeMap::new(),
             ranks: HashMap::new(),
             backoffs: HashMap::new(),
@@ -266,32 +204,34 @@
         &self.settings
     }
 
-    /// Sets the open entries of this failure domain as reported by one control host. An entry is
-    /// used while at least one host reports it.
-    pub fn set_peers(&mut self, host: SocketAddr, peers: Vec<RelayPeer>) {
-        self.by_host.insert(host, peers);
-        self.merge_peers();
-    }
-
-    /// Removes the report of a control host whose link has ended. The report of the last host is
-    /// kept.
-    pub fn remove_host(&mut self, host: SocketAddr) {
-        if self.by_host.len() > 1 {
-            self.by_host.remove(&host);
-            self.merge_peers();
+    /// Sets the entries that accept parts of fan-outs. Returns whether they have changed.
+    pub fn set_peers<'a>(
+        &mut self,
+        entries: impl IntoIterator<Item = (&'a FailureDomain, &'a RelayPeer)>,
+    ) -> bool {
+        let mut peers: BTreeMap<FailureDomain, BTreeMap<EntryId, SocketAddr>> = BTreeMap::new();
+        for (domain, peer) in entries {
+            if peer.entry != self.local_entry {
+                let in_domain = peers.entry(domain.clone()).or_default();
+                in_domain.insert(peer.entry.clone(), peer.address);
+            }
         }
+        if peers == self.peers {
+            return false;
+        }
+        let former = std::mem::replace(&mut self.peers, peers);
+        let is_same = |domain: &FailureDomain| former.get(domain) == self.peers.get(domain);
+        self.ranks.retain(|key, _| is_same(&key.domain));
+        let peers = &self.peers;
+        let is_known =
+            |entry: &EntryId| peers.values().any(|in_domain| in_domain.contains_key(entry));
+        self.backoffs.retain(|entry, _| is_known(entry));
+        true
     }
 
-    fn merge_peers(&mut self) {
-        let named = self.by_host.values().flatten().filter(|peer| peer.entry != self.local_entry);
-        let peers: BTreeMap<EntryId, SocketAddr> =
-            named.map(|peer| (peer.entry.clone(), peer.address)).collect();
-        if peers != self.peers {
-            self.peers = peers;
-            self.ranks.clear();
-            let peers = &self.peers;
-            self.backoffs.retain(|entry, _| peers.contains_key(entry));
-        }
+    /// Returns whether another entry of a failure domain accepts parts of fan-outs.
+    pub fn has_entries(&self, domain: &FailureDomain) -> bool {
+        self.peers.contains_key(domain)
     }
 
     /// Returns the entry that sends this group, or `None` if this entry should send it itself.
@@ -299,12 +239,9 @@
     pub fn assign(
         &mut self,
         now: MonotonicTime,
-        key: &ServiceId,
+        key: &GroupKey,
         draw: f64,
     ) -> Option<RelayAssignment> {
-        if self.peers.len() < self.settings.min_peers {
-            return None;
-        }
         let rank = self.rank(key);
         let choices = self.settings.choices.clamp(1, MAX_RANK);
         let first = ((draw * choices as f64) as usize).min(choices - 1);
@@ -312,7 +249,7 @@
         let usable =
             order.filter_map(|index| rank.get(index)).find(|entry| !self.is_backed_off(now, entry));
         let entry = usable.filter(|entry| **entry != self.local_entry)?.clone();
-        let address = *self.peers.get(&entry)?;
+        let address = *self.peers.get(&key.domain)?.get(&entry)?;
         let mode = match self.backoffs.contains_key(&entry) {
             true => RelayMode::Probing,
             false => RelayMode::Full,
@@ -320,16 +257,26 @@
         Some(RelayAssignment { peer: RelayPeer { entry, address }, mode })
     }
 
-    fn rank(&mut self, key: &ServiceId) -> Arc<[EntryId]> {
+    /// Returns the addresses of the entries that usually send this group.
+    pub fn usual_addresses(&mut self, key: &GroupKey) -> Vec<SocketAddr> {
+        let rank = self.rank(key);
+        let Some(peers) = self.peers.get(&key.domain) else { return Vec::new() };
+        let usual = rank.iter().take(self.settings.choices.max(1));
+        usual.filter_map(|entry| peers.get(entry).copied()).collect()
+    }
+
+    fn rank(&mut self, key: &GroupKey) -> Arc<[EntryId]> {
         if let Some(rank) = self.ranks.get(key) {
             return Arc::clone(rank);
         }
-        let mut entries: Vec<&EntryId> = self.peers.keys().chain([&self.local_entry]).collect();
+        let local = (key.domain == self.domain).then_some(&self.local_entry);
+        let peers = self.peers.get(&key.domain).into_iter().flat_map(BTreeMap::keys);
+        let mut entries: Vec<&EntryId> = peers.chain(local).collect();
         entries.sort_by_cached_key(|entry| {
             // This hasher gives the same order in every process, unlike the randomly seeded hashers
             // of hash maps.
             let mut hasher = DefaultHasher::new();
-            (key.as_str(), entry.as_str()).hash(&mut hasher);
+            (key.domain.as_str(), key.position, entry.as_str()).hash(&mut hasher);
             hasher.finish()
         });
         let rank: Arc<[EntryId]> = entries.into_iter().take(MAX_RANK).cloned().collect();
@@ -341,16 +288,6 @@
         self.backoffs.get(entry).is_some_and(|backoff| backoff.until > now)
     }
 
-    /// Returns the addresses at which the other entries accept parts of fan-outs.
-    pub fn addresses(&self) -> impl Iterator<Item = SocketAddr> + '_ {
-        self.peers.values().copied()
-    }
-
-    /// Returns the number of known entries in the failure domain, including this one.
-    pub fn count(&self) -> usize {
-        self.peers.len() + 1
-    }
-
     /// Records that an entry answered, which ends its back-off.
     pub fn note_answer(&mut self, entry: &EntryId) {
         self.backoffs.remove(entry);
--- a/hickoryspan_core/src/gateway/selection.rs
+++ b/hickoryspan_core/src/gateway/selection.rs
@@ -400,6 +400,12 @@
         self.states(service).filter(|state| state.is_usable()).count()
     }
 
+    /// Returns the failure domains of a service's targets that accept new work.
+    pub fn usable_domains(&self, service: &ServiceId) -> BTreeSet<&FailureDomain> {
+        let usable = self.states(service).filter(|state| state.is_usable());
+        usable.map(|state| &state.announcement.domain).collect()
+    }
+
     fn states(&self, service: &ServiceId) -> impl Iterator<Item = &TargetState> {
         let targets = self.by_service.get(service).into_iter().flatten();
         targets.filter_map(|target| self.targets.get(target))
--- a/hickoryspan_core/tests/gateway_entry_list.rs
+++ b/hickoryspan_core/tests/gateway_entry_list.rs
@@ -17,6 +17,7 @@
     OpenEntry {
         caller_address: SocketAddr::from(([10, 1, 0, host], 8_000)),
         domain: FailureDomain::new("oficina").expect("a valid name"),
+        relay: None,
     }
 }
 
--- a/hickoryspan_core/tests/gateway_lag.rs
+++ b/hickoryspan_core/tests/gateway_lag.rs
@@ -120,6 +120,7 @@
     let entry = |number| OpenEntry {
         caller_address: address(number),
         domain: FailureDomain::new("oficina").expect("a valid name"),
+        relay: None,
     };
     let control = SocketAddr::from(([10, 0, 0, 1], 7_000));
     let mut list = EntryList::default();
--- a/hickoryspan_core/tests/gateway_relays.rs
+++ b/hickoryspan_core/tests/gateway_relays.rs
@@ -3,19 +3,22 @@
 //! processor of a single entry, and against a third attempt on a shard whose first two were made by
 //! an entry that was considered lost.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
+use hickoryspan_core::gateway::entry_list::{EntryList, EntryListChange, OpenEntry};
 use hickoryspan_core::gateway::fanout::{
     FanoutMachine, FanoutSettings, FanoutStep, LaunchReason, ShardIndex,
 };
+use hickoryspan_core::gateway::fanout_groups::{
+    GroupCache, GroupKey, ShardGroup, TargetPlaces, divide_shards,
+};
 use hickoryspan_core::gateway::relays::{
-    GroupCache, RelayAssignment, RelayMode, RelayPeer, RelaySelector, RelaySettings, RetryGate,
-    RetryVerdict, divide_shards,
+    RelayAssignment, RelayMode, RelayPeer, RelaySelector, RelaySettings, RetryGate, RetryVerdict,
 };
-use hickoryspan_core::types::{EntryId, MonotonicTime, ServiceId};
+use hickoryspan_core::types::{EntryId, FailureDomain, MonotonicTime, ServiceId};
 
 const SHARDS: usize = 90;
 /// Number of entries in one failure domain. An entry hands groups only to entries of its own
@@ -43,16 +46,47 @@
     (0..count).map(|n| ServiceId::new(format!("shard-{n:03}")).expect("a service name")).collect()
 }
 
-fn selector(own: u8) -> RelaySelector {
-    let mut selector = RelaySelector::new(RelaySettings::default(), entry(own));
-    selector.set_peers(host(200), peers(0..ENTRIES));
+fn own_domain() -> FailureDomain {
+    FailureDomain::new("a").expect("a name")
+}
+
+fn key(position: usize) -> GroupKey {
+    GroupKey { domain: own_domain(), position }
+}
+
+fn selector_with(own: u8, others: impl IntoIterator<Item = u8>) -> RelaySelector {
+    let mut selector = RelaySelector::new(RelaySettings::default(), entry(own), own_domain());
+    let domain = own_domain();
+    let peers = peers(others);
+    selector.set_peers(peers.iter().map(|peer| (&domain, peer)));
     selector
 }
 
+fn selector(own: u8) -> RelaySelector {
+    selector_with(own, 0..ENTRIES)
+}
+
+/// All targets are in the failure domain of the entries.
+struct OnePlace(FailureDomain);
+
+impl TargetPlaces for OnePlace {
+    fn domains_of(&self, _shard: &ServiceId) -> BTreeSet<&FailureDomain> {
+        BTreeSet::from([&self.0])
+    }
+
+    fn has_entries(&self, _domain: &FailureDomain) -> bool {
+        true
+    }
+}
+
+fn divide(settings: &RelaySettings, list: &[ServiceId]) -> Vec<ShardGroup> {
+    divide_shards(settings, &entry(0), &own_domain(), list, &OnePlace(own_domain()))
+}
+
 #[test]
 fn every_shard_is_in_one_group_of_bounded_size() {
     let settings = RelaySettings::default();
-    let groups = divide_shards(&settings, &shards(SHARDS));
+    let groups = divide(&settings, &shards(SHARDS));
     assert!(groups.iter().all(|group| group.shards.len() <= settings.group_shards));
     let mut all: Vec<ShardIndex> = groups.into_iter().flat_map(|group| group.shards).collect();
     all.sort_unstable();
@@ -61,7 +95,7 @@
 
 #[test]
 fn a_narrow_route_is_not_divided() {
-    assert!(divide_shards(&RelaySettings::default(), &shards(30)).is_empty());
+    assert!(divide(&RelaySettings::default(), &shards(30)).is_empty());
 }
 
 #[test]
@@ -69,16 +103,20 @@
     let settings = RelaySettings::default();
     let forward = shards(SHARDS);
     let backward: Vec<ServiceId> = forward.iter().rev().cloned().collect();
-    let keys = |list: &[ServiceId]| {
-        divide_shards(&settings, list).into_iter().map(|group| group.key).collect::<Vec<_>>()
+    let names = |list: &[ServiceId]| {
+        let name_of = |shard: &ShardIndex| list[shard.0].clone();
+        let groups = divide(&settings, list).into_iter();
+        groups
+            .map(|group| (group.key, group.shards.iter().map(name_of).collect::<Vec<_>>()))
+            .collect::<Vec<_>>()
     };
-    assert_eq!(keys(&forward), keys(&backward));
+    assert_eq!(names(&forward), names(&backward));
 }
 
 #[test]
 fn all_entries_assign_a_group_to_the_same_few_entries() {
-    let groups = divide_shards(&RelaySettings::default(), &shards(SHARDS));
-    let mut used: BTreeMap<ServiceId, Vec<EntryId>> = BTreeMap::new();
+    let groups = divide(&RelaySettings::default(), &shards(SHARDS));
+    let mut used: BTreeMap<GroupKey, Vec<EntryId>> = BTreeMap::new();
     for own in 0..ENTRIES {
         let mut selector = selector(own);
         for group in &groups {
@@ -98,7 +136,7 @@
 
 #[test]
 fn an_entry_that_timed_out_is_replaced_by_the_next_one_for_a_while() {
-    let key = shards(1).remove(0);
+    let key = key(0);
     let own = (0..ENTRIES).find(|own| selector(*own).assign(at(0), &key, 0.0).is_some());
     let mut selector = selector(own.expect("an entry that is not the first one"));
     let first = selector.assign(at(0), &key, 0.0).expect("an assignment");
@@ -127,26 +165,51 @@
 }
 
 #[test]
-fn without_enough_other_entries_this_entry_sends_all_groups() {
-    let mut selector = RelaySelector::new(RelaySettings::default(), entry(0));
-    selector.set_peers(host(200), peers(0..4));
-    assert_eq!(selector.assign(at(0), &shards(1)[0], 0.0), None);
+fn without_other_entries_this_entry_sends_all_groups() {
+    let mut selector = selector_with(0, 0..1);
+    assert_eq!(selector.assign(at(0), &key(0), 0.0), None);
 }
 
+/// Guards against a small deployment with many shards, in which the entry with a request sends to all of them itself.
 #[test]
-fn an_entry_is_a_peer_while_any_control_host_lists_it() {
-    let mut selector = RelaySelector::new(RelaySettings::default(), entry(0));
-    selector.set_peers(host(200), peers(0..ENTRIES));
-    selector.set_peers(host(201), peers(0..2));
-    assert_eq!(selector.count(), usize::from(ENTRIES));
-    selector.remove_host(host(200));
-    assert_eq!(selector.count(), 2);
-    selector.remove_host(host(201));
-    assert_eq!(
-        selector.count(),
-        2,
-        "an entry without a control link keeps the peers that it knows"
-    );
+fn three_entries_share_the_groups() {
+    let mut selector = selector_with(0, 0..3);
+    let groups = divide(&RelaySettings::default(), &shards(SHARDS));
+    let mut assign =
+        |group: &ShardGroup| selector.assign(at(0), &group.key, 0.0).map(|found| found.peer.entry);
+    let used: BTreeSet<Option<EntryId>> = groups.iter().map(&mut assign).collect();
+    assert_eq!(used.len(), 3, "{used:?}");
+}
+
+/// Guards against entries that are forgotten with one control host, and against back-offs that outlive their entry.
+#[test]
+fn an_entry_is_a_peer_while_it_is_in_the_list_of_open_entries() {
+    let domain = own_domain();
+    let open = |number| OpenEntry {
+        caller_address: host(number),
+        domain: domain.clone(),
+        relay: Some(RelayPeer { entry: entry(number), address: host(number) }),
+    };
+    let opened = |numbers: std::ops::Range<u8>| EntryListChange {
+        opened: numbers.map(open).collect(),
+        closed: Vec::new(),
+    };
+    let mut list = EntryList::default();
+    list.apply(host(200), opened(0..ENTRIES));
+    list.apply(host(201), opened(0..2));
+    let mut selector = RelaySelector::new(RelaySettings::default(), entry(0), own_domain());
+    assert!(selector.set_peers(list.relays()));
+    let assigned = |selector: &mut RelaySelector| -> BTreeSet<EntryId> {
+        let keys = (0..40).map(key);
+        keys.filter_map(|key| Some(selector.assign(at(0), &key, 0.0)?.peer.entry)).collect()
+    };
+    assert!(assigned(&mut selector).len() > 2);
+    list.remove_host(host(200));
+    assert!(selector.set_peers(list.relays()));
+    assert_eq!(assigned(&mut selector), BTreeSet::from([entry(1)]));
+    list.remove_host(host(201));
+    assert!(!selector.set_peers(list.relays()), "without a control link the known peers are kept");
+    assert_eq!(assigned(&mut selector), BTreeSet::from([entry(1)]));
 }
 
 #[test]
@@ -285,12 +348,11 @@
 #[test]
 fn cached_groups_belong_to_their_list_of_shards() {
     let settings = RelaySettings { min_shards: 4, group_shards: 3, ..RelaySettings::default() };
-    let route: Arc<str> = "all".into();
     let (former, current): (Arc<[ServiceId]>, Arc<[ServiceId]>) =
         (shards(12).into(), shards(6).into());
     let mut cache = GroupCache::default();
     for list in [&former, &current, &former, &current, &current] {
-        let groups = cache.groups(&settings, &route, list);
+        let groups = cache.groups(list, |list| divide(&settings, list));
         let count: usize = groups.iter().map(|group| group.shards.len()).sum();
         assert_eq!(count, list.len());
         assert!(groups.iter().flat_map(|group| &group.shards).all(|shard| shard.0 < list.len()));
--- a/hickoryspan_gateway/src/entry_daemon.rs
+++ b/hickoryspan_gateway/src/entry_daemon.rs
@@ -10,12 +10,11 @@
 use hickoryspan_core::gateway::directory::{DirectoryChange, TargetAnnouncement, TargetPhase};
 use hickoryspan_core::gateway::document::DocumentVersion;
 use hickoryspan_core::gateway::document_parts::DocumentPart;
-use hickoryspan_core::gateway::entry_list::OpenEntry;
+use hickoryspan_core::gateway::entry_list::{EntryListChange, OpenEntry};
 use hickoryspan_core::gateway::messages::{
     DirectoryRequest, DirectoryUpdate, EntryHost, LinkVersion,
 };
 use hickoryspan_core::gateway::planned_stop::StopSchedule;
-use hickoryspan_core::gateway::relays::RelayPeer;
 use hickoryspan_core::gateway::shared_table::SharedTable;
 use hickoryspan_core::types::{MonotonicTime, TargetId};
 use hickoryspan_runtime::tasks::join_all;
@@ -164,6 +163,7 @@
         if decisions.selector.count() > directory.count() {
             decisions.selector.retain(|target| directory.find(target).is_some());
         }
+        decisions.groups.clear();
     }
 
     fn apply_announcement(
@@ -206,14 +206,13 @@
         (!unknown.is_empty()).then_some(DirectoryRequest::FetchTargets(unknown))
     }
 
-    fn apply_relays(&self, from: SocketAddr, peers: Vec<RelayPeer>) {
+    fn apply_entries(&self, from: SocketAddr, change: EntryListChange) {
         let mut decisions = self.state.decisions();
-        decisions.relays.set_peers(from, peers);
-        let addresses: Vec<SocketAddr> = decisions.relays.addresses().collect();
+        decisions.entry_list.apply(from, change);
+        let has_changed = decisions.update_relays();
         drop(decisions);
-        // Requests only use links that are already up. `ensure_up` opens missing ones for later requests.
-        for address in addresses {
-            self.state.fanout.ensure_up(address);
+        if has_changed {
+            self.state.open_fanout_links();
         }
     }
 
@@ -277,10 +276,9 @@
             }
             DirectoryUpdate::Document(part) => self.apply_document(from, &part),
             DirectoryUpdate::Confirm(_) => {}
-            DirectoryUpdate::Relays(peers) => self.apply_relays(from, peers),
-            DirectoryUpdate::Entries(change) => {
-                self.state.decisions().entry_list.apply(from, change);
-            }
+            DirectoryUpdate::Entries(change) => self.apply_entries(from, change),
+            // The list of open entries says the same.
+            DirectoryUpdate::Relays(_) => {}
             DirectoryUpdate::Suspicions(records) => {
                 let now = self.state.now();
                 self.state.decisions().poison.merge_all(now, records);
@@ -296,7 +294,13 @@
                 self.apply_targets(from, targets);
                 return self.next_request(from, None);
             }
-            targets => self.apply_targets(from, targets),
+            targets => {
+                self.apply_targets(from, targets);
+                // After a start, the links are opened as soon as it is known where the targets are.
+                if self.state.fanout.count_up() == 0 {
+                    self.state.open_fanout_links();
+                }
+            }
         }
         None
     }
@@ -327,8 +331,8 @@
             return;
         }
         decisions.liveness.remove_host(from);
-        decisions.relays.remove_host(from);
         decisions.entry_list.remove_host(from);
+        decisions.update_relays();
         decisions.selector.limits_mut().remove_host(from);
         decisions.document_fetch.note_end(from);
         decisions.document_parts.forget(from);
@@ -353,7 +357,8 @@
         let decisions = self.state.decisions();
         let others = decisions.entry_list.entries();
         let others = others.filter(|entry| entry.caller_address != own_address).cloned();
-        let own = OpenEntry { caller_address: own_address, domain: settings.domain.clone() };
+        let own =
+            OpenEntry { caller_address: own_address, domain: settings.domain.clone(), relay: None };
         others.chain(is_listed.then_some(own)).collect()
     }
 }
@@ -363,6 +368,8 @@
 pub struct FanoutCounts {
     /// Number of established links to other entries.
     pub links_up: usize,
+    /// Number of entries that usually send groups for this one and to which no link is established.
+    pub links_missing: usize,
     /// Number of tasks of other entries since the start.
     pub tasks_served: u64,
 }
@@ -432,8 +439,13 @@
 
     /// Returns the counts of this entry's work for the fan-outs of other entries.
     pub fn fanout_counts(&self) -> FanoutCounts {
+        let usual = self.state.usual_relays();
         FanoutCounts {
             links_up: self.state.fanout.count_up(),
+            links_missing: usual
+                .into_iter()
+                .filter(|relay| !self.state.fanout.is_up(*relay))
+                .count(),
             tasks_served: self.state.tasks_served.load(Ordering::Relaxed),
         }
     }
@@ -507,11 +519,13 @@
         for expired in decisions.directory.expire(now, lease) {
             spdlog::info!("target lease expired", kv: { target: = expired.target });
             decisions.selector.remove(&expired.target);
+            decisions.groups.clear();
         }
         decisions.poison.expire(now);
         decisions.selector.sweep_limits(now);
         decisions.selector.expire_notices(now);
         drop(guard);
+        state.open_fanout_links();
         state.pool.sweep(|target| state.is_known(target));
     }
 }
--- a/hickoryspan_gateway/src/fanout_links.rs
+++ b/hickoryspan_gateway/src/fanout_links.rs
@@ -125,6 +125,11 @@
         table.links.insert(address, OpenLink { queue: None, waiters });
     }
 
+    /// Returns whether the link is up.
+    pub(crate) fn is_up(&self, address: SocketAddr) -> bool {
+        lock(&self.table).links.get(&address).is_some_and(|link| link.queue.is_some())
+    }
+
     /// Returns the number of links that are up.
     pub(crate) fn count_up(&self) -> usize {
         lock(&self.table).links.values().filter(|link| link.queue.is_some()).count()
--- a/hickoryspan_gateway/src/forward.rs
+++ b/hickoryspan_gateway/src/forward.rs
@@ -212,7 +212,7 @@
         return refuse_job(&state, &job, RefusalReason::NoTarget);
     }
     let settings = fanout_settings(&state, &job, spread.as_ref());
-    if exceeds_limits(&state, &job, &services, spread.as_ref(), &settings) {
+    if exceeds_limits(&state, &services, spread.as_ref(), &settings) {
         return refuse_job(&state, &job, RefusalReason::Limited);
     }
     if is_overloaded(&state, &job, &services, &settings) {
@@ -244,7 +244,7 @@
     spread: Option<&ShardSpread>,
     settings: &FanoutSettings,
 ) -> RelayedGroups {
-    let shard_groups = spread.map(|spread| state.decisions().shard_groups(&job.route.name, spread));
+    let shard_groups = spread.map(|spread| state.decisions().shard_groups(&state.settings, spread));
     match (shard_groups, spread) {
         (Some(shard_groups), Some(spread)) if !shard_groups.is_empty() => RelayedGroups::start(
             Arc::clone(state),
@@ -280,7 +280,6 @@
 /// anything is sent. Shards that other entries send to are left to these.
 fn exceeds_limits(
     state: &GatewayState,
-    job: &GatewayJob,
     services: &[ServiceId],
     spread: Option<&ShardSpread>,
     settings: &FanoutSettings,
@@ -291,7 +290,7 @@
         return false;
     }
     let is_divided =
-        spread.is_some_and(|spread| !decisions.shard_groups(&job.route.name, spread).is_empty());
+        spread.is_some_and(|spread| !decisions.shard_groups(&state.settings, spread).is_empty());
     let selector = &mut decisions.selector;
     let closed = |service: &&ServiceId| {
         selector.count_usable(service) > 0 && !selector.has_permitted_target(now, service)
--- a/hickoryspan_gateway/src/gateway_state.rs
+++ b/hickoryspan_gateway/src/gateway_state.rs
@@ -1,6 +1,7 @@
 //! State that all requests of one entry share.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
+use std::net::SocketAddr;
 use std::sync::atomic::AtomicU64;
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Duration;
@@ -9,21 +10,24 @@
 use hickoryspan_core::gateway::budget::{EntryCount, RetryBudget};
 use hickoryspan_core::gateway::directory::TargetDirectory;
 use hickoryspan_core::gateway::document::{
-    DocumentVersion, RouteRule, ShardSpread, WeightedService,
+    DocumentVersion, RouteDestination, RouteRule, ShardSpread, WeightedService,
 };
 use hickoryspan_core::gateway::document_change::{DocumentChange, DocumentFetch};
 use hickoryspan_core::gateway::document_parts::PartAssembly;
 use hickoryspan_core::gateway::entry_list::EntryList;
+use hickoryspan_core::gateway::fanout_groups::{
+    GroupCache, GroupKey, ShardGroup, TargetPlaces, divide_shards,
+};
 use hickoryspan_core::gateway::liveness::LivenessTable;
 use hickoryspan_core::gateway::log_limit::{LogLimiter, LogPriority};
 use hickoryspan_core::gateway::planned_stop::StopSchedule;
 use hickoryspan_core::gateway::poison::PoisonTable;
 use hickoryspan_core::gateway::processor_lag::{LagMonitor, LagSettings};
-use hickoryspan_core::gateway::relays::{GroupCache, RelayAssignment, RelaySelector, ShardGroup};
+use hickoryspan_core::gateway::relays::{RelayAssignment, RelaySelector};
 use hickoryspan_core::gateway::routes::{RouteTable, WeightedRoundRobin};
 use hickoryspan_core::gateway::selection::{ChosenTarget, TargetSelector};
 use hickoryspan_core::gateway::send_check::SendBarrier;
-use hickoryspan_core::types::{MonotonicTime, ServiceId, TargetId};
+use hickoryspan_core::types::{FailureDomain, MonotonicTime, ServiceId, TargetId};
 use hickoryspan_runtime::clock::SystemClock;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha12Rng;
@@ -65,14 +69,30 @@
     pub(crate) entries: u32,
     /// The number of entries that divide the retry budgets among themselves.
     pub(crate) budget_entries: EntryCount,
-    // The shard groups of the wide routes in the active document.
-    groups: GroupCache,
+    /// The shard groups of the wide routes in the active document, as the known targets and entries divide them.
+    pub(crate) groups: GroupCache,
     budgets: HashMap<ServiceId, RetryBudget>,
     latencies: HashMap<Arc<str>, LatencyDistribution>,
     splits: HashMap<Arc<str>, WeightedRoundRobin>,
     generator: ChaCha12Rng,
 }
 
+/// Where targets and entries are, as this entry knows it.
+struct KnownPlaces<'a> {
+    selector: &'a TargetSelector,
+    relays: &'a RelaySelector,
+}
+
+impl TargetPlaces for KnownPlaces<'_> {
+    fn domains_of(&self, shard: &ServiceId) -> BTreeSet<&FailureDomain> {
+        self.selector.usable_domains(shard)
+    }
+
+    fn has_entries(&self, domain: &FailureDomain) -> bool {
+        self.relays.has_entries(domain)
+    }
+}
+
 /// Quantiles of a route's latency.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct RouteLatency {
@@ -156,27 +176,41 @@
     /// Returns the shard groups of a route; empty if the route has too few shards to be divided.
     pub(crate) fn shard_groups(
         &mut self,
-        route: &Arc<str>,
+        settings: &GatewaySettings,
         spread: &ShardSpread,
     ) -> Arc<[ShardGroup]> {
-        let settings = *self.relays.settings();
-        self.groups.groups(&settings, route, &spread.shards)
+        let Self { groups, selector, relays, .. } = self;
+        let places = KnownPlaces { selector, relays };
+        groups.groups(&spread.shards, |shards| {
+            let GatewaySettings { relays, entry, domain, .. } = settings;
+            divide_shards(relays, entry, domain, shards, &places)
+        })
+    }
+
+    /// Takes the entries that accept parts of wide fan-outs from the list of open entries. Returns whether they have
+    /// changed.
+    pub(crate) fn update_relays(&mut self) -> bool {
+        let has_changed = self.relays.set_peers(self.entry_list.relays());
+        if has_changed {
+            self.groups.clear();
+        }
+        has_changed
     }
 
     /// Returns the entry to which this group is sent, or `None` if this entry sends to the shards itself.
     pub(crate) fn assign_group(
         &mut self,
         now: MonotonicTime,
-        key: &ServiceId,
+        key: &GroupKey,
     ) -> Option<RelayAssignment> {
         let draw = self.draw();
         self.relays.assign(now, key, draw)
     }
 
-    /// Returns the number of entries that usually send to the same target on behalf of others.
-    fn relay_users(&self) -> u32 {
-        let in_domain = self.relays.count() as u32;
-        let domains = self.entries.div_ceil(in_domain);
+    /// Returns the number of entries that usually send to the same target of a service on behalf of others: those of the
+    /// groups in each failure domain that has targets of it.
+    fn relay_users(&self, service: &ServiceId) -> u32 {
+        let domains = self.selector.usable_domains(service).len().max(1) as u32;
         let choices = self.relays.settings().choices as u32;
         // Doubled, because entries that know different peers rank them differently for a while.
         (domains * choices * 2).min(self.entries)
@@ -238,7 +272,11 @@
             lag: LagMonitor::new(LagSettings::default()),
             selector,
             poison: PoisonTable::default(),
-            relays: RelaySelector::new(settings.relays, settings.entry.clone()),
+            relays: RelaySelector::new(
+                settings.relays,
+                settings.entry.clone(),
+                settings.domain.clone(),
+            ),
             groups: GroupCache::default(),
             entries: 1,
             budget_entries: EntryCount::default(),
@@ -290,12 +328,39 @@
         let usable = u64::from(limit.unwrap_or(DEFAULT_CONNECTIONS)) * 9 / 10;
         let users = match scope {
             AttemptScope::Direct => decisions.entries,
-            AttemptScope::Relayed => decisions.relay_users(),
+            AttemptScope::Relayed => decisions.relay_users(service),
         };
         let share = usable / u64::from(users.max(1));
         usize::try_from(share.max(1)).unwrap_or(usize::MAX).min(Semaphore::MAX_PERMITS)
     }
 
+    /// Opens the links to the entries that usually send the groups of the wide routes. A request only uses links that are
+    /// up, and an entry has too few requests to open them by requests alone.
+    pub(crate) fn open_fanout_links(&self) {
+        for address in self.usual_relays() {
+            self.fanout.ensure_up(address);
+        }
+    }
+
+    /// Returns the addresses of the entries that usually send the groups of the wide routes.
+    pub(crate) fn usual_relays(&self) -> BTreeSet<SocketAddr> {
+        let mut guard = self.decisions();
+        let Some(routes) = guard.routes.clone() else { return BTreeSet::new() };
+        let mut lists = BTreeSet::new();
+        let mut addresses = BTreeSet::new();
+        for route in &routes.document().routes {
+            let RouteDestination::Shards(spread) = &route.destination else { continue };
+            // Many routes share a list of shards.
+            if !lists.insert(spread.shards.as_ptr()) {
+                continue;
+            }
+            for group in &*guard.shard_groups(&self.settings, spread) {
+                addresses.extend(guard.relays.usual_addresses(&group.key));
+            }
+        }
+        addresses
+    }
+
     /// Sends a report over all directory links now instead of at the next interval.
     pub(crate) fn trigger_report(&self) {
         self.report_trigger.send_modify(|count| *count += 1);
--- a/hickoryspan_gateway/src/hub_state.rs
+++ b/hickoryspan_gateway/src/hub_state.rs
@@ -11,7 +11,7 @@
 use hickoryspan_core::gateway::entry_list::{EntryListChange, OpenEntry, listed_entries};
 use hickoryspan_core::gateway::limit_gate::{DEMAND_LIFETIME, DemandTotals, ServiceDemand};
 use hickoryspan_core::gateway::messages::{
-    ConfirmNumber, DirectoryUpdate, EntryHost, TargetRenewal,
+    ConfirmNumber, DirectoryUpdate, EntryHost, LinkVersion, TargetRenewal,
 };
 use hickoryspan_core::gateway::poison::{PoisonTable, SuspicionRecord};
 use hickoryspan_core::gateway::relays::RelayPeer;
@@ -42,7 +42,7 @@
     pub(crate) queue: mpsc::Sender<DirectoryUpdate>,
     pub(crate) peer: LinkPeer,
     pub(crate) entry: Option<EntryHost>,
-    // The entries of its failure domain, as last sent to this entry.
+    // The entries of its failure domain, as last sent to this entry if it is of the earlier release.
     pub(crate) relays: Vec<RelayPeer>,
     pub(crate) hosts_sent: ReportHistory<DirectoryUpdate>,
     pub(crate) last_received_at: MonotonicTime,
@@ -180,8 +180,12 @@
         }
     }
 
-    /// Notifies entries of changes among the entries of their failure domain.
+    /// Notifies entries of the earlier release of changes among the entries of their failure domain.
     pub(crate) fn send_relays(&mut self, now: MonotonicTime, settings: &DirectorySettings) {
+        let is_earlier = |host: &EntryHost| host.link_version < LinkVersion::BEATS;
+        if !self.links.values().filter_map(|link| link.entry.as_ref()).any(is_earlier) {
+            return;
+        }
         let mut by_domain: BTreeMap<FailureDomain, Vec<RelayPeer>> = BTreeMap::new();
         for host in self.entries(now, settings).into_iter().filter(|host| host.open) {
             if let Some(address) = host.fanout_address {
@@ -190,7 +194,9 @@
             }
         }
         self.links.retain(|_, link| {
-            let Some(entry) = &link.entry else { return true };
+            let Some(entry) = link.entry.as_ref().filter(|host| is_earlier(host)) else {
+                return true;
+            };
             let relays = by_domain.get(&entry.domain).cloned().unwrap_or_default();
             if link.relays == relays {
                 return true;
--- a/hickoryspan_gateway/tests/gateway/fan_out_stops.rs
+++ b/hickoryspan_gateway/tests/gateway/fan_out_stops.rs
@@ -98,12 +98,7 @@
 
 impl GatedDeployment {
     async fn start(others: usize, settings: GatedSettings) -> Self {
-        let relays = RelaySettings {
-            min_shards: 4,
-            group_shards: 3,
-            min_peers: 1,
-            ..RelaySettings::default()
-        };
+        let relays = RelaySettings { min_shards: 4, group_shards: 3, ..RelaySettings::default() };
         let adjust = |template| GatewaySettings {
             accept_after_stop: settings.accept,
             finish_after_stop: settings.finish,
--- a/hickoryspan_gateway/tests/gateway/main.rs
+++ b/hickoryspan_gateway/tests/gateway/main.rs
@@ -5,6 +5,7 @@
 mod endless_answers;
 mod entry_lookups;
 mod fan_out_stops;
+mod far_targets;
 mod forwarding;
 mod last_check;
 mod odd_answers;
--- a/hickoryspan_gateway/tests/gateway/scripted_peer.rs
+++ b/hickoryspan_gateway/tests/gateway/scripted_peer.rs
@@ -32,6 +32,8 @@
 pub struct ScriptedPeer {
     messages: Arc<AtomicUsize>,
     others: watch::Receiver<Vec<SocketAddr>>,
+    // A link whose trigger is gone ends at once.
+    _report_trigger: watch::Sender<u64>,
     _tasks: JoinSet<()>,
 }
 
@@ -41,17 +43,18 @@
         let address = listener.local_addr().expect("the peer's address");
         let messages = Arc::new(AtomicUsize::new(0));
         let (other_sender, others) = watch::channel(Vec::new());
+        let trigger = watch::Sender::new(0);
         let links = DirectoryLinks {
             hosts: deployment.hosts().clone(),
             own_address: None,
             settings: DirectorySettings::new(credential()),
             handler: Arc::new(PeerHandler { address, others: other_sender }),
-            report_trigger: watch::Sender::new(0).subscribe(),
+            report_trigger: trigger.subscribe(),
         };
         let mut tasks = JoinSet::new();
         tasks.spawn(links.run(CancellationToken::new()));
         tasks.spawn(serve(listener, reaction, Arc::clone(&messages)));
-        Self { messages, others, _tasks: tasks }
+        Self { messages, others, _report_trigger: trigger, _tasks: tasks }
     }
 
     /// Opens a link to another entry, waiting until one is known.
--- a/hickoryspan_gateway/tests/gateway/support.rs
+++ b/hickoryspan_gateway/tests/gateway/support.rs
@@ -36,6 +36,9 @@
 /// Connections that each scripted target accepts, as configured for its service.
 pub const TARGET_CONNECTIONS: u32 = 2;
 
+/// Failure domain of all targets, and of entries unless a test says otherwise.
+const TARGET_DOMAIN: &str = "a";
+
 /// Function that determines how a scripted target reacts to a request.
 pub type TargetScript = Arc<dyn Fn(&SeenRequest) -> TargetAction + Send + Sync>;
 
@@ -326,7 +329,7 @@
             ..GatewaySettings::new(
                 EntryId::new("entry").expect("a name"),
                 address,
-                FailureDomain::new("a").expect("a domain"),
+                FailureDomain::new(TARGET_DOMAIN).expect("a domain"),
                 DirectorySettings::new(credential()),
             )
         };
@@ -387,6 +390,14 @@
         while self.tasks.join_next().await.is_some() {}
     }
 
+    /// Starts further entries in the failure domain of the targets, in which the first entry may not be.
+    pub async fn add_entries_near_targets(&mut self, count: usize) {
+        self.template.domain = FailureDomain::new(TARGET_DOMAIN).expect("a domain");
+        for _ in 0..count {
+            self.add_entry().await;
+        }
+    }
+
     /// Starts one more entry.
     pub async fn add_entry(&mut self) {
         let address = free_address().await;
@@ -473,7 +484,7 @@
                 age: AnnouncementAge { started: WallTime(started), sequence },
                 service: ServiceId::new(service).expect("a service"),
                 address,
-                domain: FailureDomain::new("a").expect("a domain"),
+                domain: FailureDomain::new(TARGET_DOMAIN).expect("a domain"),
                 slots: 2,
                 phase,
                 cold: Duration::ZERO,
@@ -496,12 +507,12 @@
         exchange_on(&mut stream.expect("connect to the entry"), request).await
     }
 
-    /// Waits until the first entry has fan-out links to `count` other entries.
+    /// Waits until the first entry knows `count` others and has fan-out links to all that usually send groups for it.
     pub async fn await_links(&self, count: usize) {
         await_links_of(self.entry.as_ref().expect("an entry"), count).await;
     }
 
-    /// Waits until each entry has fan-out links to all others.
+    /// Waits until each entry knows all others and has fan-out links to all that usually send groups for it.
     pub async fn await_all_links(&self) {
         for entry in self.entry.iter().chain(&self.others) {
             await_links_of(entry, self.others.len()).await;
@@ -519,7 +530,13 @@
 
 async fn await_links_of(entry: &GatewayEntry, count: usize) {
     let linked = async {
-        while entry.fanout_counts().links_up < count {
+        loop {
+            let known = entry.entry_list().open_entries().len();
+            let counts = entry.fanout_counts();
+            let is_linked = counts.links_missing == 0 && (count == 0 || counts.links_up > 0);
+            if known > count && is_linked {
+                return;
+            }
             tokio::time::sleep(Duration::from_millis(5)).await;
         }
     };
--- a/hickoryspan_gateway/tests/gateway/wide_fan_out.rs
+++ b/hickoryspan_gateway/tests/gateway/wide_fan_out.rs
@@ -16,7 +16,7 @@
 const RECORD: usize = 16;
 
 fn relay_settings() -> RelaySettings {
-    RelaySettings { min_shards: 4, group_shards: 3, min_peers: 1, ..RelaySettings::default() }
+    RelaySettings { min_shards: 4, group_shards: 3, ..RelaySettings::default() }
 }
 
 /// A deployment with one target for each shard. Shard N answers with one record that consists of the byte N.
