Report to control hosts only what an entry noticed itself

Cause: an entry that heard of a suspected request or a limit from one control host took it for news and sent it to all of them. Change: the tables tell apart what this process noticed and what it heard. Entries report the former. Control hosts pass on everything as before, so that every host gets each record from where it was noticed and from the other control hosts. Ruled out: telling entries only of requests with two crashes or more. A target that crashes twice before it has announced its restart would count once (crash_sharing::a_request_that_crashes_targets_before_they_announce_ their_restart_is_refused fails).

--- a/hickoryspan_core/src/gateway/poison.rs
+++ b/hickoryspan_core/src/gateway/poison.rs
@@ -92,6 +92,20 @@
     crashes: BTreeSet<TargetCrash>,
     expires_at: MonotonicTime,
     changed: ChangeNumber,
+    // The last change that this process noticed itself; zero if there is none.
+    own_changed: ChangeNumber,
+}
+
+impl Suspicion {
+    fn to_record(&self, now: MonotonicTime, fingerprint: RequestFingerprint) -> SuspicionRecord {
+        let remaining = self.expires_at.since(now);
+        SuspicionRecord {
+            fingerprint,
+            clearances: self.clearances,
+            crashes: self.crashes.clone(),
+            age: SUSPICION_LIFETIME.saturating_sub(remaining),
+        }
+    }
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -170,6 +184,7 @@
             crashes: BTreeSet::new(),
             expires_at: now + SUSPICION_LIFETIME,
             changed: self.newest,
+            own_changed: self.newest,
         };
         SuspicionChange::Cleared
     }
@@ -271,20 +286,11 @@
     }
 
     fn changed_since(&self, now: MonotonicTime, known: ChangeNumber) -> Vec<SuspicionRecord> {
-        let changed = self
-            .suspects
-            .iter()
-            .filter(|(_, suspicion)| suspicion.changed > known && now < suspicion.expires_at);
-        let to_record = |(fingerprint, suspicion): (&RequestFingerprint, &Suspicion)| {
-            let remaining = suspicion.expires_at.since(now);
-            SuspicionRecord {
-                fingerprint: *fingerprint,
-                clearances: suspicion.clearances,
-                crashes: suspicion.crashes.clone(),
-                age: SUSPICION_LIFETIME.saturating_sub(remaining),
-            }
-        };
-        changed.map(to_record).collect()
+        self.records(now, |suspicion| suspicion.changed > known)
+    }
+
+    fn own_changed_since(&self, now: MonotonicTime, known: ChangeNumber) -> Vec<SuspicionRecord> {
+        self.records(now, |suspicion| suspicion.own_changed > known)
     }
 
     fn merge(&mut self, now: MonotonicTime, record: SuspicionRecord) -> bool {
@@ -293,6 +299,16 @@
 }
 
 impl PoisonTable {
+    fn records(
+        &self,
+        now: MonotonicTime,
+        is_wanted: impl Fn(&Suspicion) -> bool,
+    ) -> Vec<SuspicionRecord> {
+        let current = self.suspects.iter().filter(|(_, suspicion)| now < suspicion.expires_at);
+        let wanted = current.filter(|(_, suspicion)| is_wanted(suspicion));
+        wanted.map(|(fingerprint, suspicion)| suspicion.to_record(now, *fingerprint)).collect()
+    }
+
     /// Merges a record. `lost_at` says when this process noticed which of its crashes.
     fn merge_noticed(
         &mut self,
@@ -331,8 +347,15 @@
             return false;
         }
         self.newest.0 += 1;
-        let suspicion =
-            Suspicion { clearances: record.clearances, crashes, expires_at, changed: self.newest };
+        let heard = known.map(|known| known.own_changed).unwrap_or_default();
+        let own_changed = if lost_at.is_empty() { heard } else { self.newest };
+        let suspicion = Suspicion {
+            clearances: record.clearances,
+            crashes,
+            expires_at,
+            changed: self.newest,
+            own_changed,
+        };
         self.suspects.insert(record.fingerprint, suspicion);
         true
     }
--- a/hickoryspan_core/src/gateway/shared_table.rs
+++ b/hickoryspan_core/src/gateway/shared_table.rs
@@ -17,6 +17,11 @@
     /// Returns the records that changed after the change `known`.
     fn changed_since(&self, now: MonotonicTime, known: ChangeNumber) -> Vec<Self::Record>;
 
+    /// Returns the records that this process itself changed after the change `known`. An entry tells control hosts
+    /// only these: what it heard from one of them comes to the others from where it was noticed, and hundreds of
+    /// entries would send it back to all.
+    fn own_changed_since(&self, now: MonotonicTime, known: ChangeNumber) -> Vec<Self::Record>;
+
     /// Merges what another host knows, and returns whether that changed the table.
     fn merge(&mut self, now: MonotonicTime, record: Self::Record) -> bool;
 
--- a/hickoryspan_core/src/gateway/target_limits.rs
+++ b/hickoryspan_core/src/gateway/target_limits.rs
@@ -35,6 +35,8 @@
     told: Option<RequestRate>,
     heard_at: MonotonicTime,
     changed: ChangeNumber,
+    // Whether this process heard it from the target itself.
+    is_own: bool,
 }
 
 /// The limits of all targets that have named one.
@@ -60,18 +62,38 @@
             }
             None if limit.is_none() => false,
             Some(_) | None => {
-                self.put(process.clone(), limit, now);
+                self.put(process.clone(), limit, now, true);
                 true
             }
         }
     }
 
-    fn put(&mut self, process: TargetProcess, limit: Option<RequestRate>, heard_at: MonotonicTime) {
+    fn put(
+        &mut self,
+        process: TargetProcess,
+        limit: Option<RequestRate>,
+        heard_at: MonotonicTime,
+        is_own: bool,
+    ) {
         self.newest.0 += 1;
-        let state = LimitState { limit, told: limit, heard_at, changed: self.newest };
+        let state = LimitState { limit, told: limit, heard_at, changed: self.newest, is_own };
         self.limits.insert(process, state);
     }
 
+    fn records(
+        &self,
+        now: MonotonicTime,
+        is_wanted: impl Fn(&LimitState) -> bool,
+    ) -> Vec<LimitRecord> {
+        let wanted = self.limits.iter().filter(|(_, state)| is_wanted(state));
+        let to_record = |(process, state): (&TargetProcess, &LimitState)| LimitRecord {
+            process: process.clone(),
+            limit: state.limit,
+            age: now.since(state.heard_at),
+        };
+        wanted.map(to_record).collect()
+    }
+
     /// Returns the processes that have a limit.
     pub fn limited(&self) -> impl Iterator<Item = &TargetProcess> {
         self.limits.iter().filter(|(_, state)| state.limit.is_some()).map(|(process, _)| process)
@@ -104,14 +126,11 @@
     }
 
     fn changed_since(&self, now: MonotonicTime, known: ChangeNumber) -> Vec<LimitRecord> {
-        let changed = self.limits.iter().filter(|(_, state)| state.changed > known);
-        changed
-            .map(|(process, state)| LimitRecord {
-                process: process.clone(),
-                limit: state.limit,
-                age: now.since(state.heard_at),
-            })
-            .collect()
+        self.records(now, |state| state.changed > known)
+    }
+
+    fn own_changed_since(&self, now: MonotonicTime, known: ChangeNumber) -> Vec<LimitRecord> {
+        self.records(now, |state| state.is_own && state.changed > known)
     }
 
     /// A record counts unless this host heard from the target later.
@@ -126,7 +145,7 @@
         if is_same || known.is_none() && is_old_end {
             return false;
         }
-        self.put(record.process, record.limit, heard_at);
+        self.put(record.process, record.limit, heard_at, false);
         true
     }
 }
--- a/hickoryspan_core/tests/gateway_poison.rs
+++ b/hickoryspan_core/tests/gateway_poison.rs
@@ -324,3 +324,33 @@
     table.note_run(at(5), FINGERPRINT, false, [noticed(first.clone(), at(5))]);
     assert_eq!(table.identify_crash(&process(1), at(4)), first);
 }
+
+/// Pattern: 195 entries and five control hosts, of which each tells all entries what one of them has noticed. Guards
+/// against entries that send it back to all control hosts, which was a tenth of the bytes on the large site while targets
+/// were lost.
+#[test]
+fn an_entry_tells_only_what_it_noticed_itself() {
+    let fingerprint = |byte| RequestFingerprint([byte; 32]);
+    let mut noticing = PoisonTable::default();
+    let mut hearing = PoisonTable::default();
+    noticing.note_run(at(0), fingerprint(1), false, crashes(at(0), [1]));
+    let known = ChangeNumber::default();
+    let told = noticing.own_changed_since(at(1), known);
+    assert_eq!(told.len(), 1);
+    hearing.merge_all(at(1), told);
+    assert_eq!(hearing.own_changed_since(at(2), known), Vec::new());
+    assert_eq!(hearing.changed_since(at(2), known).len(), 1, "a control host passes it on");
+
+    // What is heard must not hide what was noticed before and has not been told yet.
+    hearing.note_run(at(3), fingerprint(2), false, crashes(at(3), [2]));
+    noticing.note_run(at(3), fingerprint(2), false, crashes(at(3), [3]));
+    hearing.merge_all(at(4), noticing.own_changed_since(at(4), known));
+    let told = hearing.own_changed_since(at(5), known);
+    assert_eq!(told.len(), 1);
+    assert_eq!(told[0].crashes.len(), 2);
+
+    // An answer is noticed here too.
+    let newest = hearing.newest();
+    hearing.note_run(at(6), fingerprint(1), true, []);
+    assert_eq!(hearing.own_changed_since(at(7), newest).len(), 1);
+}
--- a/hickoryspan_gateway/src/entry_daemon.rs
+++ b/hickoryspan_gateway/src/entry_daemon.rs
@@ -308,8 +308,8 @@
     fn news(&self, known: &mut KnownChanges) -> Vec<DirectoryRequest> {
         let now = self.state.now();
         let decisions = self.state.decisions();
-        let suspicions = decisions.poison.changed_since(now, known.suspicions);
-        let limits = decisions.selector.limits().table.changed_since(now, known.limits);
+        let suspicions = decisions.poison.own_changed_since(now, known.suspicions);
+        let limits = decisions.selector.limits().table.own_changed_since(now, known.limits);
         let demands =
             decisions.selector.limits().demands(now, decisions.selector.limited_services());
         *known = KnownChanges {
