Leave records out of a batch that cannot be in the merged answer

Cause: each batch of a group carried up to as many records as the whole answer may have, although the records of earlier batches already exclude most of those of later ones. Change: an entry that sends a group remembers the greatest records that it has sent and adds only those that can still be among them.

--- a/hickoryspan_core/src/gateway/fanout.rs
+++ b/hickoryspan_core/src/gateway/fanout.rs
@@ -250,3 +250,22 @@
     records.truncate(limit);
     records.concat()
 }
+
+/// Returns those of `records`, which are in descending order, that can be among the `limit` greatest
+/// beside the records in `sent`, which are in descending order too. The others would be left out of
+/// the merged answer anyway.
+pub fn records_above<'a>(records: &'a [u8], sent: &[u8], limit: usize) -> &'a [u8] {
+    let mut ahead = sent.chunks_exact(RECORD_BYTES).peekable();
+    let mut passed = 0;
+    let mut count = 0;
+    for record in records.chunks_exact(RECORD_BYTES) {
+        while ahead.next_if(|sent| *sent > record).is_some() {
+            passed += 1;
+        }
+        if passed + count >= limit {
+            break;
+        }
+        count += 1;
+    }
+    &records[..count * RECORD_BYTES]
+}
--- a/hickoryspan_core/tests/gateway_gather.rs
+++ b/hickoryspan_core/tests/gateway_gather.rs
@@ -5,9 +5,11 @@
 
 use hickoryspan_core::gateway::fanout::{
     FanoutMachine, FanoutSettings, FanoutStep, LaunchReason, RECORD_BYTES, ShardIndex,
-    merge_records,
+    merge_records, records_above,
 };
 use hickoryspan_core::types::MonotonicTime;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha12Rng;
 use rstest::rstest;
 
 const HEDGE_AFTER: Duration = Duration::from_millis(10);
@@ -239,3 +241,39 @@
     }
     panic!("the hedge is launched again and again at the same time");
 }
+
+/// Pattern: a group of shards that answers in several batches. Guards against bytes between failure domains for records
+/// that cannot be in the merged answer, and against batches whose merged records differ from those of all parts.
+#[test]
+fn batches_without_superfluous_records_merge_to_the_same_answer() {
+    let mut generator = ChaCha12Rng::seed_from_u64(41);
+    for limit in [1, 3, 50] {
+        for _ in 0..50 {
+            let mut draw = |length: usize| -> Vec<u8> {
+                (0..length * RECORD_BYTES).map(|_| generator.random_range(0..3)).collect()
+            };
+            let parts: Vec<Vec<u8>> = (0..9).map(|length| draw(length * 4)).collect();
+            let expected = merge_records(parts.iter().map(Vec::as_slice), limit);
+            let mut sent = Vec::new();
+            let mut batches = Vec::new();
+            for batch in parts.chunks(3) {
+                let greatest = merge_records(batch.iter().map(Vec::as_slice), limit);
+                let records = records_above(&greatest, &sent, limit).to_vec();
+                sent = merge_records([records.as_slice(), &sent], limit);
+                batches.push(records);
+            }
+            let merged = merge_records(batches.iter().map(Vec::as_slice), limit);
+            assert_eq!(merged, expected);
+        }
+    }
+}
+
+#[test]
+fn a_record_below_those_that_were_sent_is_left_out() {
+    let of = |bytes: &[u8]| -> Vec<u8> { bytes.iter().flat_map(|b| [*b; RECORD_BYTES]).collect() };
+    let sent = of(&[9, 8, 7]);
+    assert_eq!(records_above(&of(&[6, 5]), &sent, 3), []);
+    assert_eq!(records_above(&of(&[8, 7, 1]), &sent, 3), of(&[8]));
+    assert_eq!(records_above(&of(&[6, 5]), &sent, 4), of(&[6]));
+    assert_eq!(records_above(&of(&[6, 5]), &[], 1), of(&[6]));
+}
--- a/hickoryspan_gateway/src/fanout_server.rs
+++ b/hickoryspan_gateway/src/fanout_server.rs
@@ -11,7 +11,9 @@
 use hickoryspan_core::gateway::document::{
     DocumentVersion, RepeatRule, RouteDestination, RouteRule, ShardSpread,
 };
-use hickoryspan_core::gateway::fanout::{FanoutMachine, FanoutSettings, ShardIndex, merge_records};
+use hickoryspan_core::gateway::fanout::{
+    FanoutMachine, FanoutSettings, ShardIndex, merge_records, records_above,
+};
 use hickoryspan_core::gateway::relays::RetryGate;
 use hickoryspan_core::types::{MonotonicTime, ServiceId};
 use hickoryspan_runtime::http_client::HttpAnswer;
@@ -347,6 +349,8 @@
     result_limit: usize,
     parts: Vec<FanoutPart>,
     bodies: Vec<Bytes>,
+    // The greatest records of all parts sent so far.
+    sent: Vec<u8>,
 }
 
 impl TaskBatcher {
@@ -356,6 +360,7 @@
             result_limit: task.result_limit,
             parts: Vec::new(),
             bodies: Vec::new(),
+            sent: Vec::new(),
         }
     }
 
@@ -369,7 +374,10 @@
 
     fn take_batch(&mut self) -> FanoutBatch {
         let bodies = std::mem::take(&mut self.bodies);
-        let records = merge_records(bodies.iter().map(|body| &**body), self.result_limit);
+        let greatest = merge_records(bodies.iter().map(|body| &**body), self.result_limit);
+        let records = records_above(&greatest, &self.sent, self.result_limit);
+        self.sent = merge_records([records, &self.sent], self.result_limit);
+        let records = records.to_vec();
         FanoutBatch {
             parts: std::mem::take(&mut self.parts),
             records: records.into(),
