Encode updates of a control host once for all links

Cause: after a common restart 195 entries link to each control host within a few hundred milliseconds. Change: an update is encoded once and its bytes are shared by all links. What a new link is told is encoded once until something in it changes. Links count what they send by kind of message (hickoryspan_link_bytes_sent_total), and read into 8 KB instead of 128 KB.

--- a/hickoryspan_gateway/src/directory_hub.rs
+++ b/hickoryspan_gateway/src/directory_hub.rs
@@ -1,7 +1,6 @@
 //! The target directory of one control host, and the links over which it is shared with entries and other control
 //! hosts.
 
-use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -11,16 +10,17 @@
 use hickoryspan_core::control::interface::ReplicaRecord;
 use hickoryspan_core::gateway::beats::ReportHistory;
 use hickoryspan_core::gateway::directory::{
-    DirectoryChange, KnownTarget, TargetAnnouncement, TargetDeparture, TargetPhase,
+    DirectoryChange, TargetAnnouncement, TargetDeparture, TargetPhase,
 };
 use hickoryspan_core::gateway::document::ConfigurationDocument;
-use hickoryspan_core::gateway::entry_list::{EntryListChange, OpenEntry};
+use hickoryspan_core::gateway::entry_list::OpenEntry;
 use hickoryspan_core::gateway::messages::{
     ConfirmNumber, DirectoryRequest, DirectoryUpdate, LinkVersion, TargetRenewal,
 };
 use hickoryspan_core::gateway::shared_table::{ChangeNumber, SharedTable};
 use hickoryspan_core::types::MonotonicTime;
 use hickoryspan_runtime::clock::SystemClock;
+use hickoryspan_wire::EncodedFrame;
 use tokio::sync::{Notify, mpsc, watch};
 
 use crate::directory_cache::{CachedDirectory, DirectoryCache};
@@ -151,10 +151,7 @@
         SocketAddr::new(record.peer_address.ip(), self.directory_address.port())
     }
 
-    pub(crate) fn open_link(
-        self: &Arc<Self>,
-        queue: mpsc::Sender<DirectoryUpdate>,
-    ) -> HubLinkGuard {
+    pub(crate) fn open_link(self: &Arc<Self>, queue: mpsc::Sender<EncodedFrame>) -> HubLinkGuard {
         let now = self.now();
         let mut state = self.lock();
         let number = LinkNumber(state.next_link);
@@ -202,12 +199,12 @@
             }
             DirectoryRequest::FetchDocument { held } => {
                 for part in state.documents.change_since(held) {
-                    state.send_to(number, DirectoryUpdate::Document(part));
+                    state.send_to(number, &DirectoryUpdate::Document(part));
                 }
             }
             DirectoryRequest::FetchTargets(targets) => {
                 let announcements = state.announcements_of(&targets);
-                state.send_to(number, DirectoryUpdate::Targets(announcements));
+                state.send_to(number, &DirectoryUpdate::Targets(announcements));
             }
             DirectoryRequest::Suspicions(records) => state.merge_suspicions(now, records),
             DirectoryRequest::Limits(records) => state.merge_limits(now, records),
@@ -237,33 +234,18 @@
         if let Some(link) = state.links.get_mut(&number) {
             link.hosts_sent.next(&hosts, LinkVersion::default());
         }
-        let departures = state.directory.departures().collect();
-        // Entries must learn at once which targets drain or left; other announcements are sent on request.
-        let is_sent = |known: &&KnownTarget| {
-            peer == LinkPeer::Control || known.announcement.phase != TargetPhase::Ready
-        };
-        let announcements = state.directory.targets().filter(is_sent);
-        let announcements = announcements.map(|known| known.announcement.clone()).collect();
-        for update in [
-            hosts,
-            DirectoryUpdate::Departures(departures),
-            DirectoryUpdate::Targets(announcements),
-        ] {
-            state.send_to(number, update);
-        }
-        let suspicions = state.poison.changed_since(now, ChangeNumber::default());
-        if !suspicions.is_empty() {
-            state.send_to(number, DirectoryUpdate::Suspicions(suspicions));
-        }
-        let limits = state.limits.changed_since(now, ChangeNumber::default());
-        if !limits.is_empty() {
-            state.send_to(number, DirectoryUpdate::Limits(limits));
-        }
-        if peer == LinkPeer::Entry {
-            let changes = state.last_changes();
-            state.send_to(number, DirectoryUpdate::Vouched(changes));
-            let entries = EntryListChange::between(&BTreeSet::new(), &state.listed);
-            state.send_to(number, DirectoryUpdate::Entries(entries));
+        state.send_to(number, &hosts);
+        match peer {
+            LinkPeer::Entry => {
+                for frame in &*state.welcome_frames(now) {
+                    state.send_frame(number, frame.clone());
+                }
+            }
+            LinkPeer::Control | LinkPeer::Unknown => {
+                for update in state.known_state(now, peer) {
+                    state.send_to(number, &update);
+                }
+            }
         }
     }
 
--- a/hickoryspan_gateway/src/directory_server.rs
+++ b/hickoryspan_gateway/src/directory_server.rs
@@ -65,7 +65,7 @@
         while let Ok(Ok(())) = tokio::time::timeout(limit, last_received.changed()).await {}
     };
     tokio::select! {
-        ended = accepted.link.run(outgoing, receive) => ended,
+        ended = accepted.link.run_encoded(outgoing, receive) => ended,
         () = idle => bail!("{peer}: nothing received for {limit:?}"),
     }
 }
--- a/hickoryspan_gateway/src/hub_state.rs
+++ b/hickoryspan_gateway/src/hub_state.rs
@@ -2,11 +2,12 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use hickoryspan_core::gateway::beats::{ReportBeat, ReportHistory};
 use hickoryspan_core::gateway::directory::{
-    KnownTarget, TargetAnnouncement, TargetDeparture, TargetDirectory,
+    KnownTarget, TargetAnnouncement, TargetDeparture, TargetDirectory, TargetPhase,
 };
 use hickoryspan_core::gateway::entry_list::{EntryListChange, OpenEntry, listed_entries};
 use hickoryspan_core::gateway::limit_gate::{DEMAND_LIFETIME, DemandTotals, ServiceDemand};
@@ -15,9 +16,10 @@
 };
 use hickoryspan_core::gateway::poison::{PoisonTable, SuspicionRecord};
 use hickoryspan_core::gateway::relays::RelayPeer;
-use hickoryspan_core::gateway::shared_table::SharedTable;
+use hickoryspan_core::gateway::shared_table::{ChangeNumber, SharedTable};
 use hickoryspan_core::gateway::target_limits::{LimitRecord, LimitTable};
 use hickoryspan_core::types::{FailureDomain, MonotonicTime, TargetId};
+use hickoryspan_wire::{EncodedFrame, encode_frame};
 use tokio::sync::mpsc;
 
 use crate::document_history::DocumentHistory;
@@ -39,7 +41,7 @@
 }
 
 pub(crate) struct HubLink {
-    pub(crate) queue: mpsc::Sender<DirectoryUpdate>,
+    pub(crate) queue: mpsc::Sender<EncodedFrame>,
     pub(crate) peer: LinkPeer,
     pub(crate) entry: Option<EntryHost>,
     // The entries of its failure domain, as last sent to this entry if it is of the earlier release.
@@ -69,6 +71,9 @@
 
 #[derive(Default)]
 pub(crate) struct HubState {
+    // What a new link of an entry is told, until something in it changes. After a common restart all entries open their
+    // links within moments.
+    pub(crate) welcome: Option<Arc<[EncodedFrame]>>,
     pub(crate) changes: ChangeBatch,
     pub(crate) directory: TargetDirectory,
     pub(crate) links: BTreeMap<LinkNumber, HubLink>,
@@ -101,30 +106,42 @@
         update: &DirectoryUpdate,
         receives: impl Fn(LinkPeer) -> bool,
     ) {
+        // Whatever changes is sent to all links, and links that open later must get it with the welcome.
+        self.welcome = None;
+        let Some(frame) = encode(update) else { return };
         self.links
-            .retain(|_, link| !receives(link.peer) || link.queue.try_send(update.clone()).is_ok());
+            .retain(|_, link| !receives(link.peer) || link.queue.try_send(frame.clone()).is_ok());
     }
 
     /// Sends the known hosts and the version in force to every entry and control host, or a beat where they have not
     /// changed. A link whose queue is full is closed.
     pub(crate) fn send_hosts(&mut self, hosts: &DirectoryUpdate) {
+        let Some(unchanged) = encode(&DirectoryUpdate::Unchanged) else { return };
+        let Some(changed) = encode(hosts) else { return };
         self.links.retain(|_, link| {
             if link.peer == LinkPeer::Unknown {
                 return true;
             }
             let version = link.entry.as_ref().map(|entry| entry.link_version).unwrap_or_default();
-            let update = match link.hosts_sent.next(hosts, version) {
-                ReportBeat::Full(hosts) => hosts,
-                ReportBeat::Unchanged => DirectoryUpdate::Unchanged,
+            let frame = match link.hosts_sent.next(hosts, version) {
+                ReportBeat::Full(_) => changed.clone(),
+                ReportBeat::Unchanged => unchanged.clone(),
             };
-            link.queue.try_send(update).is_ok()
+            link.queue.try_send(frame).is_ok()
         });
     }
 
     /// Sends an update over one link, which is closed if its queue is full.
-    pub(crate) fn send_to(&mut self, number: LinkNumber, update: DirectoryUpdate) {
+    pub(crate) fn send_to(&mut self, number: LinkNumber, update: &DirectoryUpdate) {
+        if let Some(frame) = encode(update) {
+            self.send_frame(number, frame);
+        }
+    }
+
+    /// Does the same as [`Self::send_to`] with an encoded update.
+    pub(crate) fn send_frame(&mut self, number: LinkNumber, frame: EncodedFrame) {
         let Some(link) = self.links.get(&number) else { return };
-        if link.queue.try_send(update).is_err() {
+        if link.queue.try_send(frame).is_err() {
             self.links.remove(&number);
         }
     }
@@ -202,7 +219,8 @@
                 return true;
             }
             link.relays.clone_from(&relays);
-            link.queue.try_send(DirectoryUpdate::Relays(relays)).is_ok()
+            let frame = encode(&DirectoryUpdate::Relays(relays));
+            frame.is_none_or(|frame| link.queue.try_send(frame).is_ok())
         });
     }
 
@@ -227,6 +245,45 @@
         listed_entries(self.entries(now, settings))
     }
 
+    /// Returns what a new link of an entry is told, encoded once for all links that open before something changes.
+    pub(crate) fn welcome_frames(&mut self, now: MonotonicTime) -> Arc<[EncodedFrame]> {
+        if let Some(frames) = &self.welcome {
+            return Arc::clone(frames);
+        }
+        let updates = self.known_state(now, LinkPeer::Entry);
+        let frames: Arc<[EncodedFrame]> = updates.iter().filter_map(encode).collect();
+        self.welcome = Some(Arc::clone(&frames));
+        frames
+    }
+
+    /// Returns what a peer must know when it opens a link, apart from the known hosts.
+    pub(crate) fn known_state(&self, now: MonotonicTime, peer: LinkPeer) -> Vec<DirectoryUpdate> {
+        // Entries must learn at once which targets drain or left; other announcements are sent on request.
+        let is_sent = |known: &&KnownTarget| {
+            peer == LinkPeer::Control || known.announcement.phase != TargetPhase::Ready
+        };
+        let announcements = self.directory.targets().filter(is_sent);
+        let announcements = announcements.map(|known| known.announcement.clone()).collect();
+        let mut updates = vec![
+            DirectoryUpdate::Departures(self.directory.departures().collect()),
+            DirectoryUpdate::Targets(announcements),
+        ];
+        let suspicions = self.poison.changed_since(now, ChangeNumber::default());
+        if !suspicions.is_empty() {
+            updates.push(DirectoryUpdate::Suspicions(suspicions));
+        }
+        let limits = self.limits.changed_since(now, ChangeNumber::default());
+        if !limits.is_empty() {
+            updates.push(DirectoryUpdate::Limits(limits));
+        }
+        if peer == LinkPeer::Entry {
+            updates.push(DirectoryUpdate::Vouched(self.last_changes()));
+            let entries = EntryListChange::between(&BTreeSet::new(), &self.listed);
+            updates.push(DirectoryUpdate::Entries(entries));
+        }
+        updates
+    }
+
     /// Returns all known targets with the age of their last change.
     pub(crate) fn last_changes(&self) -> Vec<TargetRenewal> {
         self.directory.targets().map(last_change_of).collect()
@@ -253,6 +310,17 @@
     }
 }
 
+/// Encodes an update. A failure would be a fault of this program; the update is left out then.
+pub(crate) fn encode(update: &DirectoryUpdate) -> Option<EncodedFrame> {
+    match encode_frame(update) {
+        Ok(frame) => Some(frame),
+        Err(error) => {
+            spdlog::error!("directory update: {}", error);
+            None
+        }
+    }
+}
+
 /// Returns a target with the age of its last change.
 pub(crate) fn last_change_of(known: &KnownTarget) -> TargetRenewal {
     TargetRenewal { target: known.announcement.target.clone(), age: known.changed }
--- a/hickoryspan_runtime/src/peer_link.rs
+++ b/hickoryspan_runtime/src/peer_link.rs
@@ -9,7 +9,7 @@
 use futures::stream::{SplitSink, SplitStream};
 use futures::{SinkExt, StreamExt};
 use hickoryspan_wire::{
-    InboundFrame, MAX_FRAME_BYTES, decode_message, encode_message, encode_unsupported,
+    EncodedFrame, InboundFrame, MAX_FRAME_BYTES, decode_message, encode_frame, encode_unsupported,
 };
 use http::HeaderMap;
 use http::header::AUTHORIZATION;
@@ -34,6 +34,9 @@
 /// Maximum number of outgoing bytes that are buffered for a slow peer. The link is closed if there are more.
 const MAX_WRITE_BYTES: usize = 2 * MAX_FRAME_BYTES;
 
+/// Size of the buffer into which each link reads. An entry has links to many others, and most messages are small.
+const READ_BUFFER_BYTES: usize = 8 * 1024;
+
 /// How long a link that this side closes waits for the other side to close it too.
 const CLOSE_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -66,6 +69,7 @@
     WebSocketConfig::default()
         .max_message_size(Some(MAX_FRAME_BYTES))
         .max_frame_size(Some(MAX_FRAME_BYTES))
+        .read_buffer_size(READ_BUFFER_BYTES)
         .write_buffer_size(0)
         .max_write_buffer_size(MAX_WRITE_BYTES)
 }
@@ -146,6 +150,24 @@
         self,
         outgoing: mpsc::Receiver<S>,
         incoming: impl FnMut(R) -> bool,
+    ) -> anyhow::Result<()> {
+        self.run_with(outgoing, |message| encode_frame(&message).context("encode"), incoming).await
+    }
+
+    /// Does the same as [`Self::run`] with messages that are encoded already, as those that go over many links.
+    pub async fn run_encoded<R: DeserializeOwned>(
+        self,
+        outgoing: mpsc::Receiver<EncodedFrame>,
+        incoming: impl FnMut(R) -> bool,
+    ) -> anyhow::Result<()> {
+        self.run_with(outgoing, Ok, incoming).await
+    }
+
+    async fn run_with<S, R: DeserializeOwned>(
+        self,
+        outgoing: mpsc::Receiver<S>,
+        encode: impl Fn(S) -> anyhow::Result<EncodedFrame>,
+        incoming: impl FnMut(R) -> bool,
     ) -> anyhow::Result<()> {
         let peer = self.peer;
         let (sink, mut stream) = self.socket.split();
@@ -153,7 +175,7 @@
         let (replies, reply_queue) = mpsc::channel(UNSUPPORTED_QUEUE_CAPACITY);
         let result = tokio::select! {
             result = receive_frames(&mut stream, replies, incoming) => result,
-            result = send_frames(sink, outgoing, reply_queue) => match result {
+            result = send_frames(sink, outgoing, encode, reply_queue) => match result {
                 Ok(()) => {
                     await_close(&mut stream).await;
                     Ok(())
@@ -165,24 +187,38 @@
     }
 }
 
-async fn send_frames<S: Serialize>(
+async fn send_frames<S>(
     mut sink: LinkSink,
     mut outgoing: mpsc::Receiver<S>,
+    encode: impl Fn(S) -> anyhow::Result<EncodedFrame>,
     mut replies: mpsc::Receiver<Vec<u8>>,
 ) -> anyhow::Result<()> {
     loop {
         let bytes = tokio::select! {
-            Some(bytes) = replies.recv() => bytes,
+            Some(bytes) = replies.recv() => Bytes::from(bytes),
             message = outgoing.recv() => match message {
-                Some(message) => encode_message(&message).context("encode")?,
+                Some(message) => {
+                    let frame = encode(message)?;
+                    count_sent(&frame);
+                    frame.bytes
+                }
                 None => break,
             },
         };
-        sink.send(Message::Binary(Bytes::from(bytes))).await.context("send")?;
+        sink.send(Message::Binary(bytes)).await.context("send")?;
     }
     sink.close().await.context("close")
 }
 
+/// Counts messages and bytes by kind, which shows what the links of a deployment carry. Each message is counted by its
+/// sender only.
+fn count_sent(frame: &EncodedFrame) {
+    let kind = frame.kind.to_string();
+    metrics::counter!("hickoryspan_link_messages_sent_total", "kind" => kind.clone()).increment(1);
+    metrics::counter!("hickoryspan_link_bytes_sent_total", "kind" => kind)
+        .increment(frame.bytes.len() as u64);
+}
+
 /// Reads until the peer has closed the link too. Closing a socket with unread bytes resets the connection, and the peer
 /// then loses what it has not read yet.
 async fn await_close(stream: &mut LinkStream) {
--- a/hickoryspan_wire/src/lib.rs
+++ b/hickoryspan_wire/src/lib.rs
@@ -8,6 +8,7 @@
 
 use std::sync::Arc;
 
+use bytes::Bytes;
 use ciborium::Value;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -58,17 +59,34 @@
     TooOld(u16),
 }
 
+/// An encoded message with its kind.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EncodedFrame {
+    /// Kind of the message.
+    pub kind: Arc<str>,
+    /// The frame. Copies share it, so that one frame can be sent over many links.
+    pub bytes: Bytes,
+}
+
 /// Encodes a message as one frame. The message must be an enum, whose variant becomes the kind.
 pub fn encode_message(message: &impl Serialize) -> Result<Vec<u8>, FrameError> {
+    encode_frame(message).map(|frame| frame.bytes.into())
+}
+
+/// Does the same as [`encode_message`] and returns the kind of the message as well.
+pub fn encode_frame(message: &impl Serialize) -> Result<EncodedFrame, FrameError> {
     let value = Value::serialized(message).map_err(|error| encode_error(&error))?;
-    match value {
-        Value::Text(kind) => encode_envelope(kind.into(), Value::Null),
+    let (kind, body) = match value {
+        Value::Text(kind) => (kind, Value::Null),
         Value::Map(mut fields) if fields.len() == 1 => match fields.pop() {
-            Some((Value::Text(kind), body)) => encode_envelope(kind.into(), body),
-            _ => Err(FrameError::Encode("message kind is not text".into())),
+            Some((Value::Text(kind), body)) => (kind, body),
+            _ => return Err(FrameError::Encode("message kind is not text".into())),
         },
-        _ => Err(FrameError::Encode("message is not an enum".into())),
-    }
+        _ => return Err(FrameError::Encode("message is not an enum".into())),
+    };
+    let kind: Arc<str> = kind.into();
+    let bytes = encode_envelope(Arc::clone(&kind), body)?.into();
+    Ok(EncodedFrame { kind, bytes })
 }
 
 /// Encodes the reply to a frame whose `kind` is unknown.
