Keep early requests until an entry that starts knows what it needs

Cause: after a common loss of power callers come back to addresses that they know, and entries without a document refused them at once. Change: an entry that has just started keeps requests until it has the document and the targets, for half of the caller's deadline at most. It then refuses with a Retry-After that leaves time for another try. Whatever is known not to be servable is refused at once as before. Ruled out: less time until the refusal does not help, since the second try comes too early as well.

--- a/hickoryspan_core/src/gateway/liveness.rs
+++ b/hickoryspan_core/src/gateway/liveness.rs
@@ -36,6 +36,11 @@
         self.undescribed.retain(|target, _| by_host.values().any(|alive| alive.contains(target)));
     }
 
+    /// Returns whether the announcements of all live targets are known here.
+    pub fn is_described(&self) -> bool {
+        self.undescribed.is_empty()
+    }
+
     /// Returns whether any control host is connected.
     pub fn is_linked(&self) -> bool {
         !self.by_host.is_empty()
--- a/hickoryspan_gateway/src/entry_daemon.rs
+++ b/hickoryspan_gateway/src/entry_daemon.rs
@@ -58,6 +58,8 @@
     // Whether the last report said that this entry lags.
     lagging: AtomicBool,
     host_reports: Mutex<BTreeMap<SocketAddr, HostReport>>,
+    // Whether a control host has listed the live targets since the start.
+    has_target_list: AtomicBool,
 }
 
 /// The last report of a linked control host.
@@ -216,6 +218,63 @@
         }
     }
 
+    fn apply_update(&self, from: SocketAddr, update: DirectoryUpdate) -> Option<DirectoryRequest> {
+        match update {
+            DirectoryUpdate::Hosts { controls, entries, document, link_version } => {
+                self.hosts.add(controls);
+                self.set_report(from, Some(HostReport { entries, document, link_version }));
+                return self.next_request(from, document);
+            }
+            DirectoryUpdate::Unchanged => {
+                let document = self.report_of(from).and_then(|report| report.document);
+                return self.next_request(from, document);
+            }
+            DirectoryUpdate::Document(part) => self.apply_document(from, &part),
+            DirectoryUpdate::Confirm(_) => {}
+            DirectoryUpdate::Entries(change) => self.apply_entries(from, change),
+            // The list of open entries says the same.
+            DirectoryUpdate::Relays(_) => {}
+            DirectoryUpdate::Suspicions(records) => {
+                let now = self.state.now();
+                self.state.decisions().poison.merge_all(now, records);
+            }
+            DirectoryUpdate::Limits(records) => {
+                let now = self.state.now();
+                self.state.decisions().selector.limits_mut().table.merge_all(now, records);
+            }
+            DirectoryUpdate::Demands(totals) => {
+                self.state.decisions().selector.limits_mut().set_totals(from, totals);
+            }
+            targets @ DirectoryUpdate::Vouched(_) => {
+                self.has_target_list.store(true, Ordering::Relaxed);
+                self.apply_targets(from, targets);
+                return self.next_request(from, None);
+            }
+            targets => {
+                self.apply_targets(from, targets);
+                // After a start, the links are opened as soon as it is known where the targets are.
+                if self.state.fanout.count_up() == 0 {
+                    self.state.open_fanout_links();
+                }
+            }
+        }
+        None
+    }
+
+    /// Records whether this entry has learned what it needs to serve its first requests.
+    fn note_start_progress(&self) {
+        let decisions = self.state.decisions();
+        let has_list = self.has_target_list.load(Ordering::Relaxed);
+        let knows_targets = has_list && decisions.liveness.is_described();
+        let is_informed = decisions.routes.is_some() && knows_targets;
+        drop(decisions);
+        if is_informed {
+            let since_start = self.state.now().since(MonotonicTime(0));
+            spdlog::info!("ready for requests", kv: { after_ms: = since_start.as_millis() });
+            self.state.informed.send_replace(true);
+        }
+    }
+
     fn apply_document(&self, from: SocketAddr, part: &DocumentPart) {
         let now = self.state.now();
         let mut decisions = self.state.decisions();
@@ -264,45 +323,11 @@
     }
 
     fn apply(&self, from: SocketAddr, update: DirectoryUpdate) -> Option<DirectoryRequest> {
-        match update {
-            DirectoryUpdate::Hosts { controls, entries, document, link_version } => {
-                self.hosts.add(controls);
-                self.set_report(from, Some(HostReport { entries, document, link_version }));
-                return self.next_request(from, document);
-            }
-            DirectoryUpdate::Unchanged => {
-                let document = self.report_of(from).and_then(|report| report.document);
-                return self.next_request(from, document);
-            }
-            DirectoryUpdate::Document(part) => self.apply_document(from, &part),
-            DirectoryUpdate::Confirm(_) => {}
-            DirectoryUpdate::Entries(change) => self.apply_entries(from, change),
-            // The list of open entries says the same.
-            DirectoryUpdate::Relays(_) => {}
-            DirectoryUpdate::Suspicions(records) => {
-                let now = self.state.now();
-                self.state.decisions().poison.merge_all(now, records);
-            }
-            DirectoryUpdate::Limits(records) => {
-                let now = self.state.now();
-                self.state.decisions().selector.limits_mut().table.merge_all(now, records);
-            }
-            DirectoryUpdate::Demands(totals) => {
-                self.state.decisions().selector.limits_mut().set_totals(from, totals);
-            }
-            targets @ DirectoryUpdate::Vouched(_) => {
-                self.apply_targets(from, targets);
-                return self.next_request(from, None);
-            }
-            targets => {
-                self.apply_targets(from, targets);
-                // After a start, the links are opened as soon as it is known where the targets are.
-                if self.state.fanout.count_up() == 0 {
-                    self.state.open_fanout_links();
-                }
-            }
+        let request = self.apply_update(from, update);
+        if !*self.state.informed.borrow() {
+            self.note_start_progress();
         }
-        None
+        request
     }
 
     fn news(&self, known: &mut KnownChanges) -> Vec<DirectoryRequest> {
@@ -408,6 +433,7 @@
             fanout_address,
             lagging: AtomicBool::new(false),
             host_reports: Mutex::default(),
+            has_target_list: AtomicBool::new(false),
         });
         let links = DirectoryLinks {
             hosts,
--- a/hickoryspan_gateway/src/forward.rs
+++ b/hickoryspan_gateway/src/forward.rs
@@ -32,6 +32,11 @@
 
 /// Subtracted from a caller's deadline so that the response still arrives in time.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(8);
+/// Deadline of requests that state none, while the configuration is not known.
+const DEFAULT_DEADLINE: Duration = Duration::from_millis(600);
+/// Share of a caller's deadline for which an entry that has just started keeps a request until it can serve it. The rest
+/// is left for another try elsewhere.
+const START_PATIENCE: f64 = 0.5;
 /// Shortest delay before a hedge.
 const MIN_HEDGE_DELAY: Duration = Duration::from_millis(4);
 /// Longest hedge delay, as a share of the time for an answer. Below one half, because the hedge takes as long again as
@@ -76,13 +81,12 @@
     let (parts, body) = request.into_parts();
     let id = parts.headers.get(&state.settings.headers.request).cloned();
     let id_text = id.as_ref().and_then(|value| value.to_str().ok()).unwrap_or("-").to_owned();
+    let deadline = deadline_of(&state, &parts.headers).unwrap_or(DEFAULT_DEADLINE);
+    state.await_informed(deadline.mul_f64(START_PATIENCE)).await;
     let Some(routes) = state.decisions().routes.clone() else {
-        return refuse(
-            &state,
-            &id_text,
-            RefusalReason::NoConfiguration,
-            Duration::from_millis(300),
-        );
+        let left = deadline.saturating_sub(state.now().since(received_at));
+        let retry_after = left.mul_f64(START_PATIENCE / 2.0).max(MIN_RETRY_DELAY);
+        return refuse(&state, &id_text, RefusalReason::NoConfiguration, retry_after);
     };
     let Some(host) = host_of(&parts) else {
         return refuse(&state, &id_text, RefusalReason::NoHost, MIN_RETRY_DELAY);
@@ -142,6 +146,12 @@
     })
 }
 
+/// Returns how long the caller waits, if it says so.
+fn deadline_of(state: &GatewayState, headers: &HeaderMap) -> Option<Duration> {
+    let text = headers.get(&state.settings.headers.deadline)?.to_str().ok()?;
+    text.trim().parse().ok().map(Duration::from_millis)
+}
+
 /// The route of a request and the version of the configuration that contains it.
 struct RoutedBy {
     route: Arc<RouteRule>,
@@ -158,11 +168,8 @@
     received_at: MonotonicTime,
 ) -> GatewayJob {
     let RoutedBy { route, version } = routed_by;
-    let names = &state.settings.headers;
-    let deadline = parts.headers.get(&names.deadline).and_then(|value| value.to_str().ok());
-    let deadline = deadline.and_then(|text| text.trim().parse::<u64>().ok());
-    let timeout = deadline.map_or(route.timeout, |millis| {
-        Duration::from_millis(millis).saturating_sub(RESPONSE_MARGIN).min(route.timeout)
+    let timeout = deadline_of(state, &parts.headers).map_or(route.timeout, |deadline| {
+        deadline.saturating_sub(RESPONSE_MARGIN).min(route.timeout)
     });
     let target_path =
         parts.uri.path_and_query().map_or_else(|| "/".to_owned(), |path| path.to_string());
--- a/hickoryspan_gateway/src/gateway_state.rs
+++ b/hickoryspan_gateway/src/gateway_state.rs
@@ -244,6 +244,9 @@
     pub(crate) caller_counts: CallerCounts,
     /// Number of tasks of other entries since the start.
     pub(crate) tasks_served: AtomicU64,
+    /// Whether this entry has learned, since its start, what it needs to serve requests: a document, and the targets that
+    /// a control host reports.
+    pub(crate) informed: watch::Sender<bool>,
     /// Causes an immediate report over all directory links.
     pub(crate) report_trigger: watch::Sender<u64>,
     /// Set when a planned stop begins.
@@ -291,6 +294,7 @@
             fanout,
             caller_counts: CallerCounts::default(),
             tasks_served: AtomicU64::new(0),
+            informed: watch::Sender::new(false),
             report_trigger: watch::Sender::new(0),
             stop_schedule: OnceLock::new(),
             finish: CancellationToken::new(),
@@ -361,6 +365,17 @@
         addresses
     }
 
+    /// Waits until this entry knows what it needs to serve requests, but no longer than `patience`.
+    pub(crate) async fn await_informed(&self, patience: Duration) {
+        if *self.informed.borrow() {
+            return;
+        }
+        let mut informed = self.informed.subscribe();
+        let wait = informed.wait_for(|informed| *informed);
+        // Without the document, the request is refused after this time.
+        let _ = tokio::time::timeout(patience, wait).await;
+    }
+
     /// Sends a report over all directory links now instead of at the next interval.
     pub(crate) fn trigger_report(&self) {
         self.report_trigger.send_modify(|count| *count += 1);
