Compress the lists that control hosts send to entries

Field names, failure domains and addresses are most of their bytes. Change: a control host sends a frame of 300 bytes or more compressed, if that makes it smaller and the entry's release understands it. It is compressed once for all links. Ruled out: compression of a whole link, which would find more in small messages but needs a window for each of 200 links on every control host.

--- a/hickoryspan_core/src/gateway/messages.rs
+++ b/hickoryspan_core/src/gateway/messages.rs
@@ -24,8 +24,8 @@
 pub struct LinkVersion(pub u16);
 
 impl LinkVersion {
-    /// The first version that knows beats, and takes the entries for wide fan-outs from the list of
-    /// open entries.
+    /// The first version that knows beats and compressed frames, and takes the entries for wide
+    /// fan-outs from the list of open entries.
     pub const BEATS: Self = Self(1);
     /// The version of this release.
     pub const CURRENT: Self = Self::BEATS;
--- a/hickoryspan_gateway/src/directory_hub.rs
+++ b/hickoryspan_gateway/src/directory_hub.rs
@@ -238,7 +238,7 @@
         match peer {
             LinkPeer::Entry => {
                 for frame in &*state.welcome_frames(now) {
-                    state.send_frame(number, frame.clone());
+                    state.send_frame(number, frame);
                 }
             }
             LinkPeer::Control | LinkPeer::Unknown => {
--- a/hickoryspan_gateway/src/hub_state.rs
+++ b/hickoryspan_gateway/src/hub_state.rs
@@ -28,6 +28,9 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct LinkNumber(pub(crate) u64);
 
+/// Smallest size in bytes of a frame that is compressed.
+const MIN_PACKED_BYTES: usize = 300;
+
 /// How long a change is delayed so that it is sent together with others.
 pub(crate) const BATCH_DELAY: Duration = Duration::from_millis(20);
 
@@ -59,6 +62,43 @@
     pub(crate) reported_at: MonotonicTime,
 }
 
+/// An encoded update, which is shared by all links that it is sent over.
+#[derive(Clone)]
+pub(crate) struct UpdateFrame {
+    plain: EncodedFrame,
+    // Compressed, for links whose peer understands that; `None` if it would not be smaller.
+    packed: Option<EncodedFrame>,
+}
+
+impl UpdateFrame {
+    /// Encodes an update. A failure would be a fault of this program; the update is left out then.
+    pub(crate) fn new(update: &DirectoryUpdate) -> Option<Self> {
+        let encoded = encode_frame(update).and_then(|plain| {
+            let is_long = plain.bytes.len() >= MIN_PACKED_BYTES;
+            let packed = is_long.then(|| plain.to_packed()).transpose()?;
+            let is_smaller = |frame: &EncodedFrame| frame.bytes.len() < plain.bytes.len();
+            Ok(Self { packed: packed.filter(is_smaller), plain })
+        });
+        encoded.inspect_err(|error| spdlog::error!("directory update: {}", error)).ok()
+    }
+
+    fn for_version(&self, version: LinkVersion) -> EncodedFrame {
+        let packed = self.packed.as_ref().filter(|_| version >= LinkVersion::BEATS);
+        packed.unwrap_or(&self.plain).clone()
+    }
+}
+
+impl HubLink {
+    fn version(&self) -> LinkVersion {
+        self.entry.as_ref().map(|entry| entry.link_version).unwrap_or_default()
+    }
+
+    /// Returns whether the update could be queued.
+    fn push(&self, frame: &UpdateFrame) -> bool {
+        self.queue.try_send(frame.for_version(self.version())).is_ok()
+    }
+}
+
 /// Changes that are sent together. Hundreds of targets may leave within a second. If each departure were sent
 /// separately, every entry would be woken twice for it: by the change and by the request to confirm it.
 #[derive(Default)]
@@ -73,7 +113,7 @@
 pub(crate) struct HubState {
     // What a new link of an entry is told, until something in it changes. After a common restart all entries open their
     // links within moments.
-    pub(crate) welcome: Option<Arc<[EncodedFrame]>>,
+    pub(crate) welcome: Option<Arc<[UpdateFrame]>>,
     pub(crate) changes: ChangeBatch,
     pub(crate) directory: TargetDirectory,
     pub(crate) links: BTreeMap<LinkNumber, HubLink>,
@@ -108,40 +148,37 @@
     ) {
         // Whatever changes is sent to all links, and links that open later must get it with the welcome.
         self.welcome = None;
-        let Some(frame) = encode(update) else { return };
-        self.links
-            .retain(|_, link| !receives(link.peer) || link.queue.try_send(frame.clone()).is_ok());
+        let Some(frame) = UpdateFrame::new(update) else { return };
+        self.links.retain(|_, link| !receives(link.peer) || link.push(&frame));
     }
 
     /// Sends the known hosts and the version in force to every entry and control host, or a beat where they have not
     /// changed. A link whose queue is full is closed.
     pub(crate) fn send_hosts(&mut self, hosts: &DirectoryUpdate) {
-        let Some(unchanged) = encode(&DirectoryUpdate::Unchanged) else { return };
-        let Some(changed) = encode(hosts) else { return };
+        let Some(unchanged) = UpdateFrame::new(&DirectoryUpdate::Unchanged) else { return };
+        let Some(changed) = UpdateFrame::new(hosts) else { return };
         self.links.retain(|_, link| {
             if link.peer == LinkPeer::Unknown {
                 return true;
             }
-            let version = link.entry.as_ref().map(|entry| entry.link_version).unwrap_or_default();
-            let frame = match link.hosts_sent.next(hosts, version) {
-                ReportBeat::Full(_) => changed.clone(),
-                ReportBeat::Unchanged => unchanged.clone(),
-            };
-            link.queue.try_send(frame).is_ok()
+            let version = link.version();
+            match link.hosts_sent.next(hosts, version) {
+                ReportBeat::Full(_) => link.push(&changed),
+                ReportBeat::Unchanged => link.push(&unchanged),
+            }
         });
     }
 
     /// Sends an update over one link, which is closed if its queue is full.
     pub(crate) fn send_to(&mut self, number: LinkNumber, update: &DirectoryUpdate) {
-        if let Some(frame) = encode(update) {
-            self.send_frame(number, frame);
+        if let Some(frame) = UpdateFrame::new(update) {
+            self.send_frame(number, &frame);
         }
     }
 
     /// Does the same as [`Self::send_to`] with an encoded update.
-    pub(crate) fn send_frame(&mut self, number: LinkNumber, frame: EncodedFrame) {
-        let Some(link) = self.links.get(&number) else { return };
-        if link.queue.try_send(frame).is_err() {
+    pub(crate) fn send_frame(&mut self, number: LinkNumber, frame: &UpdateFrame) {
+        if self.links.get(&number).is_some_and(|link| !link.push(frame)) {
             self.links.remove(&number);
         }
     }
@@ -219,8 +256,8 @@
                 return true;
             }
             link.relays.clone_from(&relays);
-            let frame = encode(&DirectoryUpdate::Relays(relays));
-            frame.is_none_or(|frame| link.queue.try_send(frame).is_ok())
+            let frame = UpdateFrame::new(&DirectoryUpdate::Relays(relays));
+            frame.is_none_or(|frame| link.push(&frame))
         });
     }
 
@@ -246,12 +283,12 @@
     }
 
     /// Returns what a new link of an entry is told, encoded once for all links that open before something changes.
-    pub(crate) fn welcome_frames(&mut self, now: MonotonicTime) -> Arc<[EncodedFrame]> {
+    pub(crate) fn welcome_frames(&mut self, now: MonotonicTime) -> Arc<[UpdateFrame]> {
         if let Some(frames) = &self.welcome {
             return Arc::clone(frames);
         }
         let updates = self.known_state(now, LinkPeer::Entry);
-        let frames: Arc<[EncodedFrame]> = updates.iter().filter_map(encode).collect();
+        let frames: Arc<[UpdateFrame]> = updates.iter().filter_map(UpdateFrame::new).collect();
         self.welcome = Some(Arc::clone(&frames));
         frames
     }
@@ -310,17 +347,6 @@
     }
 }
 
-/// Encodes an update. A failure would be a fault of this program; the update is left out then.
-pub(crate) fn encode(update: &DirectoryUpdate) -> Option<EncodedFrame> {
-    match encode_frame(update) {
-        Ok(frame) => Some(frame),
-        Err(error) => {
-            spdlog::error!("directory update: {}", error);
-            None
-        }
-    }
-}
-
 /// Returns a target with the age of its last change.
 pub(crate) fn last_change_of(known: &KnownTarget) -> TargetRenewal {
     TargetRenewal { target: known.announcement.target.clone(), age: known.changed }
--- a/hickoryspan_wire/src/lib.rs
+++ b/hickoryspan_wire/src/lib.rs
@@ -6,6 +6,8 @@
 
 #![warn(missing_docs)]
 
+mod packing;
+
 use std::sync::Arc;
 
 use bytes::Bytes;
@@ -21,6 +23,8 @@
 pub const MAX_FRAME_BYTES: usize = 64 * 1024 * 1024;
 /// Kind of the frame that reports an unknown message kind to its sender.
 const UNSUPPORTED_KIND: &str = "unsupported";
+/// Kind of a frame whose body is another frame, compressed.
+const PACKED_KIND: &str = "packed";
 
 #[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -89,6 +93,15 @@
     Ok(EncodedFrame { kind, bytes })
 }
 
+impl EncodedFrame {
+    /// Returns the same message in a compressed frame. Only releases that know such frames may get it.
+    pub fn to_packed(&self) -> Result<Self, FrameError> {
+        let body = Value::Bytes(packing::compress(&self.bytes)?);
+        let bytes = encode_envelope(PACKED_KIND.into(), body)?.into();
+        Ok(Self { kind: Arc::clone(&self.kind), bytes })
+    }
+}
+
 /// Encodes the reply to a frame whose `kind` is unknown.
 pub fn encode_unsupported(kind: &str) -> Result<Vec<u8>, FrameError> {
     encode_envelope(UNSUPPORTED_KIND.into(), Value::Text(kind.to_owned()))
@@ -99,8 +112,10 @@
     if bytes.len() > MAX_FRAME_BYTES {
         return Err(FrameError::TooLarge(bytes.len()));
     }
-    let envelope: FrameEnvelope = ciborium::from_reader(bytes)
-        .map_err(|error| FrameError::Decode(error.to_string().into()))?;
+    let mut envelope = decode_envelope(bytes)?;
+    if let (PACKED_KIND, Some(packed)) = (&*envelope.kind, envelope.body.as_bytes()) {
+        envelope = decode_envelope(&packing::restore(packed)?)?;
+    }
     if envelope.version < OLDEST_FRAME_VERSION {
         return Err(FrameError::TooOld(envelope.version));
     }
@@ -119,6 +134,10 @@
     }
 }
 
+fn decode_envelope(bytes: &[u8]) -> Result<FrameEnvelope, FrameError> {
+    ciborium::from_reader(bytes).map_err(|error| FrameError::Decode(error.to_string().into()))
+}
+
 fn encode_envelope(kind: Arc<str>, body: Value) -> Result<Vec<u8>, FrameError> {
     let envelope = FrameEnvelope { version: FRAME_VERSION, kind, body };
     let mut bytes = Vec::new();
