--- a/hickoryspan_core/src/gateway/messages.rs
+++ b/hickoryspan_core/src/gateway/messages.rs
@@ -24,11 +24,11 @@
 pub struct LinkVersion(pub u16);
 
 impl LinkVersion {
-    /// The first version that knows beats and compressed frames, and takes the entries for wide
+    /// The first version that knows heartbeats and compressed frames, and takes the entries for wide
     /// fan-outs from the list of open entries.
-    pub const BEATS: Self = Self(1);
+    pub const HEARTBEATS: Self = Self(1);
     /// The version of this release.
-    pub const CURRENT: Self = Self::BEATS;
+    pub const CURRENT: Self = Self::HEARTBEATS;
 }
 
 /// An entry host and the addresses at which it can be reached.
--- a/hickoryspan_core/src/gateway/mod.rs
+++ b/hickoryspan_core/src/gateway/mod.rs
@@ -1,7 +1,6 @@
 //! Decision logic of the gateway, which forwards HTTP requests by route and merges the records of
 //! many shards (`docs/design/gateway.md`).
 
-pub mod beats;
 pub mod budget;
 pub mod directory;
 pub mod document;
@@ -22,6 +21,7 @@
 pub mod poison;
 pub mod processor_lag;
 pub mod relays;
+pub mod report_history;
 pub mod routes;
 pub mod selection;
 pub mod send_check;
--- a/hickoryspan_core/src/gateway/beats.rs
+++ b/hickoryspan_core/src/gateway/report_history.rs
@@ -1,4 +1,4 @@
-//! Replaces a report that has not changed by a beat, which only shows that its sender is alive.
+//! Replaces a report that has not changed by a heartbeat, which only shows that its sender is alive.
 //!
 //! Every entry has a link to every control host, and both ends report at an interval that is a
 //! fraction of the time after which a silent link is replaced. With hundreds of entries, reports
@@ -9,11 +9,11 @@
 
 /// What is sent when a report is due.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum ReportBeat<R> {
+pub enum ReportMessage<R> {
     /// The report, because the peer does not have it.
     Full(R),
     /// Nothing has changed since the last report on this link.
-    Unchanged,
+    Heartbeat,
 }
 
 /// The last report that was sent over one link.
@@ -29,13 +29,13 @@
 }
 
 impl<R: Clone + PartialEq> ReportHistory<R> {
-    /// Returns what is sent for this report. A peer of an earlier release does not know beats, and
+    /// Returns what is sent for this report. A peer of an earlier release does not know heartbeats, and
     /// considers the link alive only while it gets reports.
-    pub fn next(&mut self, report: &R, version: LinkVersion) -> ReportBeat<R> {
-        if version >= LinkVersion::BEATS && self.last.as_ref() == Some(report) {
-            return ReportBeat::Unchanged;
+    pub fn next(&mut self, report: &R, version: LinkVersion) -> ReportMessage<R> {
+        if version >= LinkVersion::HEARTBEATS && self.last.as_ref() == Some(report) {
+            return ReportMessage::Heartbeat;
         }
         self.last = Some(report.clone());
-        ReportBeat::Full(report.clone())
+        ReportMessage::Full(report.clone())
     }
 }
--- a/hickoryspan_gateway/src/directory_hub.rs
+++ b/hickoryspan_gateway/src/directory_hub.rs
@@ -8,7 +8,6 @@
 
 use hickoryspan_control::ControlHandle;
 use hickoryspan_core::control::interface::ReplicaRecord;
-use hickoryspan_core::gateway::beats::ReportHistory;
 use hickoryspan_core::gateway::directory::{
     DirectoryChange, TargetAnnouncement, TargetDeparture, TargetPhase,
 };
@@ -17,6 +16,7 @@
 use hickoryspan_core::gateway::messages::{
     ConfirmNumber, DirectoryRequest, DirectoryUpdate, LinkVersion, TargetRenewal,
 };
+use hickoryspan_core::gateway::report_history::ReportHistory;
 use hickoryspan_core::gateway::shared_table::{ChangeNumber, SharedTable};
 use hickoryspan_core::types::MonotonicTime;
 use hickoryspan_runtime::clock::SystemClock;
@@ -237,7 +237,7 @@
         state.send_to(number, &hosts);
         match peer {
             LinkPeer::Entry => {
-                for frame in &*state.welcome_frames(now) {
+                for frame in &*state.initial_frames(now) {
                     state.send_frame(number, frame);
                 }
             }
--- a/hickoryspan_gateway/src/directory_links.rs
+++ b/hickoryspan_gateway/src/directory_links.rs
@@ -7,8 +7,8 @@
 use std::time::{Duration, Instant};
 
 use anyhow::{Context, bail};
-use hickoryspan_core::gateway::beats::{ReportBeat, ReportHistory};
 use hickoryspan_core::gateway::messages::{DirectoryRequest, DirectoryUpdate, LinkVersion};
+use hickoryspan_core::gateway::report_history::{ReportHistory, ReportMessage};
 use hickoryspan_core::gateway::shared_table::ChangeNumber;
 use hickoryspan_core::reconnect::{ReconnectDelay, ReconnectSettings};
 use hickoryspan_runtime::peer_link::PeerLink;
@@ -196,8 +196,8 @@
         loop {
             let report = self.handler.report();
             let report = match history.next(&report, self.handler.link_version(self.address)) {
-                ReportBeat::Full(report) => report,
-                ReportBeat::Unchanged => DirectoryRequest::Unchanged,
+                ReportMessage::Full(report) => report,
+                ReportMessage::Heartbeat => DirectoryRequest::Unchanged,
             };
             queue.send(report).await.context("the link ended")?;
             for request in self.handler.news(&mut known) {
--- a/hickoryspan_gateway/src/hub_state.rs
+++ b/hickoryspan_gateway/src/hub_state.rs
@@ -5,7 +5,6 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use hickoryspan_core::gateway::beats::{ReportBeat, ReportHistory};
 use hickoryspan_core::gateway::directory::{
     KnownTarget, TargetAnnouncement, TargetDeparture, TargetDirectory, TargetPhase,
 };
@@ -16,6 +15,7 @@
 };
 use hickoryspan_core::gateway::poison::{PoisonTable, SuspicionRecord};
 use hickoryspan_core::gateway::relays::RelayPeer;
+use hickoryspan_core::gateway::report_history::{ReportHistory, ReportMessage};
 use hickoryspan_core::gateway::shared_table::{ChangeNumber, SharedTable};
 use hickoryspan_core::gateway::target_limits::{LimitRecord, LimitTable};
 use hickoryspan_core::types::{FailureDomain, MonotonicTime, TargetId};
@@ -83,7 +83,7 @@
     }
 
     fn for_version(&self, version: LinkVersion) -> EncodedFrame {
-        let packed = self.packed.as_ref().filter(|_| version >= LinkVersion::BEATS);
+        let packed = self.packed.as_ref().filter(|_| version >= LinkVersion::HEARTBEATS);
         packed.unwrap_or(&self.plain).clone()
     }
 }
@@ -113,7 +113,7 @@
 pub(crate) struct HubState {
     // What a new link of an entry is told, until something in it changes. After a common restart all entries open their
     // links within moments.
-    pub(crate) welcome: Option<Arc<[UpdateFrame]>>,
+    pub(crate) initial: Option<Arc<[UpdateFrame]>>,
     pub(crate) changes: ChangeBatch,
     pub(crate) directory: TargetDirectory,
     pub(crate) links: BTreeMap<LinkNumber, HubLink>,
@@ -146,13 +146,13 @@
         update: &DirectoryUpdate,
         receives: impl Fn(LinkPeer) -> bool,
     ) {
-        // Whatever changes is sent to all links, and links that open later must get it with the welcome.
-        self.welcome = None;
+        // Whatever changes is sent to all links, and links that open later must get it with the initial state.
+        self.initial = None;
         let Some(frame) = UpdateFrame::new(update) else { return };
         self.links.retain(|_, link| !receives(link.peer) || link.push(&frame));
     }
 
-    /// Sends the known hosts and the version in force to every entry and control host, or a beat where they have not
+    /// Sends the known hosts and the version in force to every entry and control host, or a heartbeat where they have not
     /// changed. A link whose queue is full is closed.
     pub(crate) fn send_hosts(&mut self, hosts: &DirectoryUpdate) {
         let Some(unchanged) = UpdateFrame::new(&DirectoryUpdate::Unchanged) else { return };
@@ -163,8 +163,8 @@
             }
             let version = link.version();
             match link.hosts_sent.next(hosts, version) {
-                ReportBeat::Full(_) => link.push(&changed),
-                ReportBeat::Unchanged => link.push(&unchanged),
+                ReportMessage::Full(_) => link.push(&changed),
+                ReportMessage::Heartbeat => link.push(&unchanged),
             }
         });
     }
@@ -236,7 +236,7 @@
 
     /// Notifies entries of the earlier release of changes among the entries of their failure domain.
     pub(crate) fn send_relays(&mut self, now: MonotonicTime, settings: &DirectorySettings) {
-        let is_earlier = |host: &EntryHost| host.link_version < LinkVersion::BEATS;
+        let is_earlier = |host: &EntryHost| host.link_version < LinkVersion::HEARTBEATS;
         if !self.links.values().filter_map(|link| link.entry.as_ref()).any(is_earlier) {
             return;
         }
@@ -283,13 +283,13 @@
     }
 
     /// Returns what a new link of an entry is told, encoded once for all links that open before something changes.
-    pub(crate) fn welcome_frames(&mut self, now: MonotonicTime) -> Arc<[UpdateFrame]> {
-        if let Some(frames) = &self.welcome {
+    pub(crate) fn initial_frames(&mut self, now: MonotonicTime) -> Arc<[UpdateFrame]> {
+        if let Some(frames) = &self.initial {
             return Arc::clone(frames);
         }
         let updates = self.known_state(now, LinkPeer::Entry);
         let frames: Arc<[UpdateFrame]> = updates.iter().filter_map(UpdateFrame::new).collect();
-        self.welcome = Some(Arc::clone(&frames));
+        self.initial = Some(Arc::clone(&frames));
         frames
     }
 
--- a/hickoryspan_wire/tests/report_bytes.rs
+++ b/hickoryspan_wire/tests/report_bytes.rs
@@ -4,11 +4,11 @@
 
 use std::net::SocketAddr;
 
-use hickoryspan_core::gateway::beats::{ReportBeat, ReportHistory};
 use hickoryspan_core::gateway::document::DocumentVersion;
 use hickoryspan_core::gateway::messages::{
     DirectoryRequest, DirectoryUpdate, EntryHost, LinkVersion,
 };
+use hickoryspan_core::gateway::report_history::{ReportHistory, ReportMessage};
 use hickoryspan_core::types::{EntryId, FailureDomain};
 use hickoryspan_wire::encode_message;
 use rstest::rstest;
@@ -66,12 +66,12 @@
         version: LinkVersion,
     ) -> usize {
         let request = match self.requests.next(request, version) {
-            ReportBeat::Full(request) => request,
-            ReportBeat::Unchanged => DirectoryRequest::Unchanged,
+            ReportMessage::Full(request) => request,
+            ReportMessage::Heartbeat => DirectoryRequest::Unchanged,
         };
         let update = match self.updates.next(update, version) {
-            ReportBeat::Full(update) => update,
-            ReportBeat::Unchanged => DirectoryUpdate::Unchanged,
+            ReportMessage::Full(update) => update,
+            ReportMessage::Heartbeat => DirectoryUpdate::Unchanged,
         };
         size_of(&request) + size_of(&update)
     }
@@ -104,10 +104,10 @@
     let report = entry_report(true);
     for _ in 0..3 {
         let next = history.next(&report, LinkVersion::default());
-        assert_eq!(next, ReportBeat::Full(report.clone()));
+        assert_eq!(next, ReportMessage::Full(report.clone()));
     }
     // It is upgraded: from now on it has the last report.
-    assert_eq!(history.next(&report, LinkVersion::CURRENT), ReportBeat::Unchanged);
+    assert_eq!(history.next(&report, LinkVersion::CURRENT), ReportMessage::Heartbeat);
 }
 
 #[rstest]
@@ -116,7 +116,7 @@
 fn a_change_is_reported_at_once(#[case] before: DirectoryRequest, #[case] after: DirectoryRequest) {
     let mut history = ReportHistory::default();
     history.next(&before, LinkVersion::CURRENT);
-    assert_eq!(history.next(&before, LinkVersion::CURRENT), ReportBeat::Unchanged);
-    assert_eq!(history.next(&after, LinkVersion::CURRENT), ReportBeat::Full(after.clone()));
-    assert_eq!(history.next(&after, LinkVersion::CURRENT), ReportBeat::Unchanged);
+    assert_eq!(history.next(&before, LinkVersion::CURRENT), ReportMessage::Heartbeat);
+    assert_eq!(history.next(&after, LinkVersion::CURRENT), ReportMessage::Full(after.clone()));
+    assert_eq!(history.next(&after, LinkVersion::CURRENT), ReportMessage::Heartbeat);
 }
