--- a/hickoryspan_wire/tests/report_bytes.rs
+++ b/hickoryspan_wire/tests/report_bytes.rs
@@ -27,9 +27,9 @@
 
 fn entry_report(open: bool) -> DirectoryRequest {
     DirectoryRequest::Entry(EntryHost {
-        entry: EntryId::new("front-armenia-planta-17").expect("a name"),
+        entry: EntryId::new("entry-northern-hall-017").expect("a name"),
         caller_address: ([10, 1, 0, 17], 8_104).into(),
-        domain: FailureDomain::new("armenia-planta").expect("a name"),
+        domain: FailureDomain::new("northern-halls").expect("a name"),
         fanout_address: Some(([10, 1, 0, 17], 7_383).into()),
         open,
         lagging: false,
