--- a/hickoryspan_control/src/control_handle.rs
+++ b/hickoryspan_control/src/control_handle.rs
@@ -4,7 +4,7 @@
 
 use hickoryspan_core::control::interface::{AdminQuery, ControlEvent, ControlReply, ReplicaRecord};
 use hickoryspan_core::control::machine::ControlMachine;
-use hickoryspan_core::gateway::document::ConfigurationDocument;
+use hickoryspan_core::gateway::documents::document::ConfigurationDocument;
 use tokio::sync::watch;
 
 use crate::actor::ControlInbox;
--- a/hickoryspan_control/src/settings.rs
+++ b/hickoryspan_control/src/settings.rs
@@ -6,7 +6,7 @@
 
 use gumdrop::Options;
 use hickoryspan_core::control::raft::RaftSettings;
-use hickoryspan_core::gateway::members::MemberSettings;
+use hickoryspan_core::gateway::membership::members::MemberSettings;
 use hickoryspan_runtime::credential::SharedCredential;
 use hickoryspan_runtime::http_server::HttpLimits;
 use hickoryspan_runtime::process::{LogSettings, ProgramArguments, SettingsRequest};
--- a/hickoryspan_core/src/control/commands.rs
+++ b/hickoryspan_core/src/control/commands.rs
@@ -7,7 +7,7 @@
 
 use super::interface::{AdminCommand, AdminOutcome};
 use super::raft::ReplicaSet;
-use crate::gateway::document::{ConfigurationDocument, DocumentOutcome};
+use crate::gateway::documents::document::{ConfigurationDocument, DocumentOutcome};
 use crate::membership::{CrashEvidence, TargetRecord};
 use crate::messages::{ClaimKey, ClaimVerdict, EntryRegistration, OrderOutcome};
 use crate::types::{
--- a/hickoryspan_core/src/control/interface.rs
+++ b/hickoryspan_core/src/control/interface.rs
@@ -11,7 +11,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::gateway::document::{ConfigurationDocument, DocumentOutcome};
+use crate::gateway::documents::document::{ConfigurationDocument, DocumentOutcome};
 use crate::membership::{EntryRecord, QuarantineRecord, TargetRecord};
 use crate::messages::{ControlMessage, EntryMessage};
 use crate::sheet::{SheetDocument, duration_millis};
--- a/hickoryspan_core/src/control/machine/members.rs
+++ b/hickoryspan_core/src/control/machine/members.rs
@@ -5,7 +5,7 @@
 use super::ControlMachine;
 use crate::control::interface::LogIndex;
 use crate::control::raft::RaftNode;
-use crate::gateway::members::{MemberSettings, ReplicaProgress};
+use crate::gateway::membership::members::{MemberSettings, ReplicaProgress};
 use crate::types::{MonotonicTime, ReplicaId};
 
 /// Time for which a new leader rejects configuration documents until the configured number of voters is reached.
--- a/hickoryspan_core/src/control/machine/mod.rs
+++ b/hickoryspan_core/src/control/machine/mod.rs
@@ -18,7 +18,7 @@
 use super::raft::RaftNode;
 use super::settings::ControlSettings;
 use super::state::ReplicatedState;
-use crate::gateway::members::ReplicaReports;
+use crate::gateway::membership::members::ReplicaReports;
 use crate::membership::ViewChange;
 use crate::types::{ClockReading, MonotonicTime, ReplicaId, RevisionNumber};
 use leadership::{Leadership, PlannedStop};
--- a/hickoryspan_core/src/control/machine/operators.rs
+++ b/hickoryspan_core/src/control/machine/operators.rs
@@ -9,7 +9,7 @@
     AdminCommand, AdminQuery, ControlAction, ControlReply, EntryStatus, QuarantineStatus,
     ReplyToken, StatusReport,
 };
-use crate::gateway::document::ConfigurationDocument;
+use crate::gateway::documents::document::ConfigurationDocument;
 use crate::types::{ClockReading, RevisionNumber};
 
 /// Maximum number of audit records in one reply.
--- a/hickoryspan_core/src/control/settings.rs
+++ b/hickoryspan_core/src/control/settings.rs
@@ -5,7 +5,7 @@
 
 use super::interface::ReplicaRecord;
 use super::raft::RaftSettings;
-use crate::gateway::members::MemberSettings;
+use crate::gateway::membership::members::MemberSettings;
 use crate::types::ReplicaId;
 
 /// Settings of one control replica.
--- a/hickoryspan_core/src/control/state.rs
+++ b/hickoryspan_core/src/control/state.rs
@@ -14,7 +14,9 @@
 use super::raft::ReplicaSet;
 use super::registry::{MemberRegistry, ViewEditor, find_entry};
 use super::sheets::{AcceptedSheet, SheetHistory};
-use crate::gateway::document::{ConfigurationDocument, DocumentOutcome, decide_document};
+use crate::gateway::documents::document::{
+    ConfigurationDocument, DocumentOutcome, decide_document,
+};
 use crate::membership::{MembershipView, ViewChange};
 use crate::messages::{ClaimKey, ClaimVerdict};
 use crate::sheet::SheetDocument;
--- a/hickoryspan_core/src/gateway/limit_gate.rs
+++ b/hickoryspan_core/src/gateway/admission/limit_gate.rs
@@ -9,8 +9,8 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::directory::TargetProcess;
 use super::target_limits::LimitTable;
+use crate::gateway::targets::directory::TargetProcess;
 use crate::types::{MonotonicTime, RequestRate, ServiceId};
 
 /// Time after which a request counts half in the measured demand.
--- /dev/null
+++ b/hickoryspan_core/src/gateway/admission/mod.rs
@@ -0,0 +1,6 @@
+//! Which requests are admitted: limits of targets, retry budgets and overload.
+
+pub mod budget;
+pub mod limit_gate;
+pub mod overload;
+pub mod target_limits;
--- a/hickoryspan_core/src/gateway/target_limits.rs
+++ b/hickoryspan_core/src/gateway/admission/target_limits.rs
@@ -5,8 +5,8 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::directory::TargetProcess;
-use super::shared_table::{ChangeNumber, SharedTable};
+use crate::gateway::membership::shared_table::{ChangeNumber, SharedTable};
+use crate::gateway::targets::directory::TargetProcess;
 use crate::types::{MonotonicTime, RequestRate};
 
 /// Time for which the end of a limit is remembered, so that older reports do not bring it back.
--- a/hickoryspan_core/src/gateway/entry_list.rs
+++ b/hickoryspan_core/src/gateway/membership/entry_list.rs
@@ -10,7 +10,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::messages::EntryHost;
-use super::relays::RelayPeer;
+use crate::gateway::fanouts::relays::RelayPeer;
 use crate::types::FailureDomain;
 
 /// An entry that accepts callers.
--- a/hickoryspan_core/src/gateway/messages.rs
+++ b/hickoryspan_core/src/gateway/membership/messages.rs
@@ -6,15 +6,15 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::directory::{AnnouncementAge, TargetAnnouncement, TargetDeparture};
-use super::document::DocumentVersion;
-use super::document_parts::DocumentPart;
 use super::entry_list::{EntryListChange, OpenEntry};
-use super::limit_gate::{DemandTotals, ServiceDemand};
-use super::poison::SuspicionRecord;
-use super::relays::RelayPeer;
-use super::target_limits::LimitRecord;
 use crate::control::interface::ReplicaRecord;
+use crate::gateway::admission::limit_gate::{DemandTotals, ServiceDemand};
+use crate::gateway::admission::target_limits::LimitRecord;
+use crate::gateway::documents::document::DocumentVersion;
+use crate::gateway::documents::document_parts::DocumentPart;
+use crate::gateway::fanouts::relays::RelayPeer;
+use crate::gateway::targets::directory::{AnnouncementAge, TargetAnnouncement, TargetDeparture};
+use crate::gateway::targets::poison::SuspicionRecord;
 use crate::types::{EntryId, FailureDomain, TargetId};
 
 /// Which messages a process understands. Each end of a link reports its own version, and gets none of a
--- a/hickoryspan_core/src/gateway/planned_stop.rs
+++ b/hickoryspan_core/src/gateway/planned_stop.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::document::RepeatRule;
+use super::documents::document::RepeatRule;
 use crate::types::MonotonicTime;
 
 /// Factor on the usual latency of a route that must fit into the remaining time. Few requests take longer.
--- a/hickoryspan_core/src/gateway/directory.rs
+++ b/hickoryspan_core/src/gateway/targets/directory.rs
@@ -8,7 +8,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::messages::TargetRenewal;
+use crate::gateway::membership::messages::TargetRenewal;
 use crate::sheet::duration_millis;
 use crate::types::{FailureDomain, MonotonicTime, ServiceId, TargetId, WallTime};
 
--- a/hickoryspan_core/src/gateway/poison.rs
+++ b/hickoryspan_core/src/gateway/targets/poison.rs
@@ -8,8 +8,8 @@
 use serde::{Deserialize, Serialize};
 
 use super::directory::TargetProcess;
-use super::shared_table::{ChangeNumber, SharedTable};
 use crate::control::quarantine::QUARANTINE_MILLIS;
+use crate::gateway::membership::shared_table::{ChangeNumber, SharedTable};
 use crate::types::{MonotonicTime, RequestFingerprint, TargetId, WallTime};
 
 /// Crashed targets after which a request counts as their cause and is refused.
--- a/hickoryspan_core/src/gateway/selection.rs
+++ b/hickoryspan_core/src/gateway/targets/selection.rs
@@ -9,10 +9,10 @@
 use rand_chacha::ChaCha12Rng;
 
 use super::directory::{TargetAnnouncement, TargetPhase, TargetProcess};
-use super::limit_gate::LimitGate;
 use super::outcomes::{AttemptFailure, AttemptOutcome, ReportedLoad};
 use super::send_check::SendBarrier;
 use super::target_notices::NoticeTable;
+use crate::gateway::admission::limit_gate::LimitGate;
 use crate::types::{FailureDomain, MonotonicTime, ServiceId, TargetId, WallTime};
 
 /// Settings of the target selection.
--- a/hickoryspan_core/tests/control_planned_stop.rs
+++ b/hickoryspan_core/tests/control_planned_stop.rs
@@ -11,8 +11,8 @@
 
 use control_support::*;
 use hickoryspan_core::control::interface::*;
-use hickoryspan_core::gateway::document::{DocumentOutcome, DocumentVersion};
-use hickoryspan_core::gateway::members::MemberSettings;
+use hickoryspan_core::gateway::documents::document::{DocumentOutcome, DocumentVersion};
+use hickoryspan_core::gateway::membership::members::MemberSettings;
 use hickoryspan_core::types::ReplicaId;
 use rand::RngExt;
 use rand::seq::IteratorRandom;
--- a/hickoryspan_core/tests/control_support/mod.rs
+++ b/hickoryspan_core/tests/control_support/mod.rs
@@ -12,7 +12,9 @@
 use hickoryspan_core::control::machine::ControlMachine;
 use hickoryspan_core::control::raft::ReplicaMessage;
 use hickoryspan_core::control::settings::ControlSettings;
-use hickoryspan_core::gateway::document::{CallerLimits, ConfigurationDocument, DocumentVersion};
+use hickoryspan_core::gateway::documents::document::{
+    CallerLimits, ConfigurationDocument, DocumentVersion,
+};
 use hickoryspan_core::membership::{PartitionRecord, TargetRecord};
 use hickoryspan_core::messages::*;
 use hickoryspan_core::sheet::{CallerSpec, SheetDocument, TenantSheet};
--- a/hickoryspan_core/tests/gateway_budget.rs
+++ b/hickoryspan_core/tests/gateway_budget.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use hickoryspan_core::gateway::budget::{BudgetSettings, EntryCount, RetryBudget};
+use hickoryspan_core::gateway::admission::budget::{BudgetSettings, EntryCount, RetryBudget};
 use hickoryspan_core::types::MonotonicTime;
 use rstest::rstest;
 
--- a/hickoryspan_core/tests/gateway_directory.rs
+++ b/hickoryspan_core/tests/gateway_directory.rs
@@ -3,11 +3,11 @@
 
 use std::time::Duration;
 
-use hickoryspan_core::gateway::directory::{
+use hickoryspan_core::gateway::membership::messages::TargetRenewal;
+use hickoryspan_core::gateway::targets::directory::{
     AnnouncementAge, DirectoryChange, TargetAnnouncement, TargetDeparture, TargetDirectory,
     TargetPhase,
 };
-use hickoryspan_core::gateway::messages::TargetRenewal;
 use hickoryspan_core::types::{FailureDomain, MonotonicTime, ServiceId, TargetId, WallTime};
 
 const LEASE: Duration = Duration::from_secs(6);
--- a/hickoryspan_core/tests/gateway_document.rs
+++ b/hickoryspan_core/tests/gateway_document.rs
@@ -4,12 +4,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use hickoryspan_core::gateway::document::{
+use hickoryspan_core::gateway::documents::document::{
     CallerLimits, ConfigurationDocument, DocumentOutcome, DocumentVersion, InvalidDocument,
     RepeatRule, RouteDestination, RouteRule, ServiceRule, ShardSpread, WeightedService,
     decide_document,
 };
-use hickoryspan_core::gateway::routes::{RouteTable, WeightedRoundRobin};
+use hickoryspan_core::gateway::documents::routes::{RouteTable, WeightedRoundRobin};
 use hickoryspan_core::types::ServiceId;
 use rstest::rstest;
 
--- a/hickoryspan_core/tests/gateway_entry_list.rs
+++ b/hickoryspan_core/tests/gateway_entry_list.rs
@@ -6,7 +6,7 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
-use hickoryspan_core::gateway::entry_list::{EntryList, EntryListChange, OpenEntry};
+use hickoryspan_core::gateway::membership::entry_list::{EntryList, EntryListChange, OpenEntry};
 use hickoryspan_core::types::FailureDomain;
 
 fn control(host: u8) -> SocketAddr {
--- a/hickoryspan_core/tests/gateway_fanout_groups.rs
+++ b/hickoryspan_core/tests/gateway_fanout_groups.rs
@@ -4,9 +4,11 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use hickoryspan_core::gateway::fanout::ShardIndex;
-use hickoryspan_core::gateway::fanout_groups::{GroupKey, ShardGroup, TargetPlaces, divide_shards};
-use hickoryspan_core::gateway::relays::RelaySettings;
+use hickoryspan_core::gateway::fanouts::fanout::ShardIndex;
+use hickoryspan_core::gateway::fanouts::fanout_groups::{
+    GroupKey, ShardGroup, TargetPlaces, divide_shards,
+};
+use hickoryspan_core::gateway::fanouts::relays::RelaySettings;
 use hickoryspan_core::types::{EntryId, FailureDomain, ServiceId};
 use rstest::rstest;
 
--- a/hickoryspan_core/tests/gateway_gather.rs
+++ b/hickoryspan_core/tests/gateway_gather.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 
-use hickoryspan_core::gateway::fanout::{
+use hickoryspan_core::gateway::fanouts::fanout::{
     FanoutMachine, FanoutSettings, FanoutStep, LaunchReason, RECORD_BYTES, ShardIndex,
     merge_records, records_above,
 };
--- a/hickoryspan_core/tests/gateway_lag.rs
+++ b/hickoryspan_core/tests/gateway_lag.rs
@@ -6,10 +6,10 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use hickoryspan_core::gateway::entry_list::{
+use hickoryspan_core::gateway::membership::entry_list::{
     EntryList, EntryListChange, OpenEntry, listed_entries,
 };
-use hickoryspan_core::gateway::messages::{EntryHost, LinkVersion};
+use hickoryspan_core::gateway::membership::messages::{EntryHost, LinkVersion};
 use hickoryspan_core::gateway::processor_lag::{LagMonitor, LagSettings};
 use hickoryspan_core::types::{EntryId, FailureDomain, MonotonicTime};
 
--- a/hickoryspan_core/tests/gateway_limits.rs
+++ b/hickoryspan_core/tests/gateway_limits.rs
@@ -5,10 +5,10 @@
 use std::ops::Range;
 use std::time::Duration;
 
-use hickoryspan_core::gateway::directory::TargetProcess;
-use hickoryspan_core::gateway::limit_gate::{DemandTotals, LimitGate, ServiceDemand};
-use hickoryspan_core::gateway::shared_table::{ChangeNumber, SharedTable};
-use hickoryspan_core::gateway::target_limits::{LimitRecord, LimitTable};
+use hickoryspan_core::gateway::admission::limit_gate::{DemandTotals, LimitGate, ServiceDemand};
+use hickoryspan_core::gateway::admission::target_limits::{LimitRecord, LimitTable};
+use hickoryspan_core::gateway::membership::shared_table::{ChangeNumber, SharedTable};
+use hickoryspan_core::gateway::targets::directory::TargetProcess;
 use hickoryspan_core::types::{MonotonicTime, RequestRate, ServiceId, TargetId, WallTime};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha12Rng;
--- a/hickoryspan_core/tests/gateway_loss_witness.rs
+++ b/hickoryspan_core/tests/gateway_loss_witness.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use hickoryspan_core::gateway::loss_witness::{LossVerdict, LossWitness};
+use hickoryspan_core::gateway::targets::loss_witness::{LossVerdict, LossWitness};
 use hickoryspan_core::types::{FailureDomain, MonotonicTime, TargetId};
 use rstest::rstest;
 
--- a/hickoryspan_core/tests/gateway_members.rs
+++ b/hickoryspan_core/tests/gateway_members.rs
@@ -6,7 +6,9 @@
 
 use hickoryspan_core::control::interface::ReplicaRecord;
 use hickoryspan_core::control::raft::ReplicaSet;
-use hickoryspan_core::gateway::members::{MemberSettings, ReplicaProgress, ReplicaReports};
+use hickoryspan_core::gateway::membership::members::{
+    MemberSettings, ReplicaProgress, ReplicaReports,
+};
 use hickoryspan_core::types::{MonotonicTime, ReplicaId};
 
 const LEADER: ReplicaId = ReplicaId(1);
--- a/hickoryspan_core/tests/gateway_notices.rs
+++ b/hickoryspan_core/tests/gateway_notices.rs
@@ -3,13 +3,13 @@
 
 use std::time::Duration;
 
-use hickoryspan_core::gateway::directory::{
+use hickoryspan_core::gateway::targets::directory::{
     AnnouncementAge, TargetAnnouncement, TargetPhase, TargetProcess,
 };
-use hickoryspan_core::gateway::outcomes::{AttemptFailure, AttemptOutcome};
-use hickoryspan_core::gateway::selection::{SelectionSettings, TargetSelector};
-use hickoryspan_core::gateway::send_check::SendBarrier;
-use hickoryspan_core::gateway::target_notices::{MAX_CLOSED_TIME, read_retry_time};
+use hickoryspan_core::gateway::targets::outcomes::{AttemptFailure, AttemptOutcome};
+use hickoryspan_core::gateway::targets::selection::{SelectionSettings, TargetSelector};
+use hickoryspan_core::gateway::targets::send_check::SendBarrier;
+use hickoryspan_core::gateway::targets::target_notices::{MAX_CLOSED_TIME, read_retry_time};
 use hickoryspan_core::types::{FailureDomain, MonotonicTime, ServiceId, TargetId, WallTime};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha12Rng;
--- a/hickoryspan_core/tests/gateway_planned_stop.rs
+++ b/hickoryspan_core/tests/gateway_planned_stop.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use hickoryspan_core::gateway::document::RepeatRule;
+use hickoryspan_core::gateway::documents::document::RepeatRule;
 use hickoryspan_core::gateway::planned_stop::{StopSchedule, StopVerdict};
 use hickoryspan_core::types::MonotonicTime;
 use rstest::rstest;
--- a/hickoryspan_core/tests/gateway_poison.rs
+++ b/hickoryspan_core/tests/gateway_poison.rs
@@ -4,11 +4,11 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use hickoryspan_core::gateway::directory::TargetProcess;
-use hickoryspan_core::gateway::poison::{
+use hickoryspan_core::gateway::membership::shared_table::{ChangeNumber, SharedTable};
+use hickoryspan_core::gateway::targets::directory::TargetProcess;
+use hickoryspan_core::gateway::targets::poison::{
     NoticedCrash, PoisonTable, SuspicionChange, SuspicionRecord, TargetCrash,
 };
-use hickoryspan_core::gateway::shared_table::{ChangeNumber, SharedTable};
 use hickoryspan_core::types::{MonotonicTime, RequestFingerprint, TargetId, WallTime};
 use rand::seq::SliceRandom;
 use rand::{RngExt, SeedableRng};
--- a/hickoryspan_core/tests/gateway_relays.rs
+++ b/hickoryspan_core/tests/gateway_relays.rs
@@ -8,16 +8,16 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use hickoryspan_core::gateway::entry_list::{EntryList, EntryListChange, OpenEntry};
-use hickoryspan_core::gateway::fanout::{
+use hickoryspan_core::gateway::fanouts::fanout::{
     FanoutMachine, FanoutSettings, FanoutStep, LaunchReason, ShardIndex,
 };
-use hickoryspan_core::gateway::fanout_groups::{
+use hickoryspan_core::gateway::fanouts::fanout_groups::{
     GroupCache, GroupKey, ShardGroup, TargetPlaces, divide_shards,
 };
-use hickoryspan_core::gateway::relays::{
+use hickoryspan_core::gateway::fanouts::relays::{
     RelayAssignment, RelayMode, RelayPeer, RelaySelector, RelaySettings, RetryGate, RetryVerdict,
 };
+use hickoryspan_core::gateway::membership::entry_list::{EntryList, EntryListChange, OpenEntry};
 use hickoryspan_core::types::{EntryId, FailureDomain, MonotonicTime, ServiceId};
 
 const SHARDS: usize = 90;
--- a/hickoryspan_core/tests/gateway_selection.rs
+++ b/hickoryspan_core/tests/gateway_selection.rs
@@ -3,12 +3,12 @@
 
 use std::time::Duration;
 
-use hickoryspan_core::gateway::directory::{
+use hickoryspan_core::gateway::admission::overload::{ShardQueues, shed_fraction};
+use hickoryspan_core::gateway::targets::directory::{
     AnnouncementAge, TargetAnnouncement, TargetPhase, TargetProcess,
 };
-use hickoryspan_core::gateway::outcomes::{AttemptFailure, AttemptOutcome, ReportedLoad};
-use hickoryspan_core::gateway::overload::{ShardQueues, shed_fraction};
-use hickoryspan_core::gateway::selection::{SelectionSettings, TargetSelector};
+use hickoryspan_core::gateway::targets::outcomes::{AttemptFailure, AttemptOutcome, ReportedLoad};
+use hickoryspan_core::gateway::targets::selection::{SelectionSettings, TargetSelector};
 use hickoryspan_core::types::{
     FailureDomain, MonotonicTime, RequestRate, ServiceId, TargetId, WallTime,
 };
--- a/hickoryspan_core/tests/gateway_spread.rs
+++ b/hickoryspan_core/tests/gateway_spread.rs
@@ -7,13 +7,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use hickoryspan_core::gateway::document::{
+use hickoryspan_core::gateway::documents::document::{
     CallerLimits, ConfigurationDocument, DocumentVersion, RepeatRule, RouteDestination, RouteRule,
     ServiceRule, ShardSpread,
 };
-use hickoryspan_core::gateway::document_change::{DocumentChange, DocumentFetch};
-use hickoryspan_core::gateway::document_parts::{PartAssembly, encode_parts};
-use hickoryspan_core::gateway::liveness::LivenessTable;
+use hickoryspan_core::gateway::documents::document_change::{DocumentChange, DocumentFetch};
+use hickoryspan_core::gateway::documents::document_parts::{PartAssembly, encode_parts};
+use hickoryspan_core::gateway::targets::liveness::LivenessTable;
 use hickoryspan_core::types::{MonotonicTime, ServiceId, TargetId};
 
 const ROUTES: u64 = 350;
--- a/hickoryspan_gateway/src/attempt.rs
+++ b/hickoryspan_gateway/src/attempt.rs
@@ -4,11 +4,11 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hickoryspan_core::gateway::document::{DocumentVersion, RouteRule};
-use hickoryspan_core::gateway::fanout::ShardIndex;
-use hickoryspan_core::gateway::outcomes::{AttemptFailure, AttemptOutcome};
-use hickoryspan_core::gateway::routes::RouteTable;
-use hickoryspan_core::gateway::selection::ChosenTarget;
+use hickoryspan_core::gateway::documents::document::{DocumentVersion, RouteRule};
+use hickoryspan_core::gateway::documents::routes::RouteTable;
+use hickoryspan_core::gateway::fanouts::fanout::ShardIndex;
+use hickoryspan_core::gateway::targets::outcomes::{AttemptFailure, AttemptOutcome};
+use hickoryspan_core::gateway::targets::selection::ChosenTarget;
 use hickoryspan_core::types::{MonotonicTime, RequestFingerprint, ServiceId};
 use hickoryspan_runtime::http_client::{HttpAnswer, SendError};
 use http::{HeaderMap, HeaderValue, Method, Request};
--- a/hickoryspan_gateway/src/caller_server.rs
+++ b/hickoryspan_gateway/src/caller_server.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use hickoryspan_core::gateway::document::CallerLimits;
+use hickoryspan_core::gateway::documents::document::CallerLimits;
 use hickoryspan_runtime::accept_queue::AcceptQueue;
 use hickoryspan_runtime::tasks::join_all;
 use hickoryspan_runtime::write_timeout::WriteTimeoutStream;
--- a/hickoryspan_gateway/src/directory_cache.rs
+++ b/hickoryspan_gateway/src/directory_cache.rs
@@ -7,8 +7,8 @@
 use std::path::{Path, PathBuf};
 
 use anyhow::Context;
-use hickoryspan_core::gateway::directory::{TargetAnnouncement, TargetDeparture};
-use hickoryspan_core::gateway::poison::SuspicionRecord;
+use hickoryspan_core::gateway::targets::directory::{TargetAnnouncement, TargetDeparture};
+use hickoryspan_core::gateway::targets::poison::SuspicionRecord;
 use serde::{Deserialize, Serialize};
 
 /// File name in the folder.
--- a/hickoryspan_gateway/src/directory_hub.rs
+++ b/hickoryspan_gateway/src/directory_hub.rs
@@ -8,16 +8,16 @@
 
 use hickoryspan_control::ControlHandle;
 use hickoryspan_core::control::interface::ReplicaRecord;
-use hickoryspan_core::gateway::directory::{
-    DirectoryChange, TargetAnnouncement, TargetDeparture, TargetPhase,
-};
-use hickoryspan_core::gateway::document::ConfigurationDocument;
-use hickoryspan_core::gateway::entry_list::OpenEntry;
-use hickoryspan_core::gateway::messages::{
+use hickoryspan_core::gateway::documents::document::ConfigurationDocument;
+use hickoryspan_core::gateway::membership::entry_list::OpenEntry;
+use hickoryspan_core::gateway::membership::messages::{
     ConfirmNumber, DirectoryRequest, DirectoryUpdate, LinkVersion, TargetRenewal,
 };
-use hickoryspan_core::gateway::report_history::ReportHistory;
-use hickoryspan_core::gateway::shared_table::{ChangeNumber, SharedTable};
+use hickoryspan_core::gateway::membership::report_history::ReportHistory;
+use hickoryspan_core::gateway::membership::shared_table::{ChangeNumber, SharedTable};
+use hickoryspan_core::gateway::targets::directory::{
+    DirectoryChange, TargetAnnouncement, TargetDeparture, TargetPhase,
+};
 use hickoryspan_core::types::MonotonicTime;
 use hickoryspan_runtime::clock::SystemClock;
 use hickoryspan_wire::EncodedFrame;
--- a/hickoryspan_gateway/src/directory_links.rs
+++ b/hickoryspan_gateway/src/directory_links.rs
@@ -7,9 +7,11 @@
 use std::time::{Duration, Instant};
 
 use anyhow::{Context, bail};
-use hickoryspan_core::gateway::messages::{DirectoryRequest, DirectoryUpdate, LinkVersion};
-use hickoryspan_core::gateway::report_history::{ReportHistory, ReportMessage};
-use hickoryspan_core::gateway::shared_table::ChangeNumber;
+use hickoryspan_core::gateway::membership::messages::{
+    DirectoryRequest, DirectoryUpdate, LinkVersion,
+};
+use hickoryspan_core::gateway::membership::report_history::{ReportHistory, ReportMessage};
+use hickoryspan_core::gateway::membership::shared_table::ChangeNumber;
 use hickoryspan_core::reconnect::{ReconnectDelay, ReconnectSettings};
 use hickoryspan_runtime::peer_link::PeerLink;
 use tokio::sync::{mpsc, watch};
--- a/hickoryspan_gateway/src/directory_server.rs
+++ b/hickoryspan_gateway/src/directory_server.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use anyhow::bail;
-use hickoryspan_core::gateway::messages::DirectoryRequest;
+use hickoryspan_core::gateway::membership::messages::DirectoryRequest;
 use hickoryspan_runtime::peer_link::PeerLink;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, watch};
--- a/hickoryspan_gateway/src/document_history.rs
+++ b/hickoryspan_gateway/src/document_history.rs
@@ -3,9 +3,9 @@
 use std::collections::VecDeque;
 use std::sync::Arc;
 
-use hickoryspan_core::gateway::document::{ConfigurationDocument, DocumentVersion};
-use hickoryspan_core::gateway::document_change::DocumentChange;
-use hickoryspan_core::gateway::document_parts::{DocumentPart, encode_parts};
+use hickoryspan_core::gateway::documents::document::{ConfigurationDocument, DocumentVersion};
+use hickoryspan_core::gateway::documents::document_change::DocumentChange;
+use hickoryspan_core::gateway::documents::document_parts::{DocumentPart, encode_parts};
 
 /// Number of documents kept, so that an entry receives only the changes since the one it has.
 const MAX_DOCUMENTS: usize = 16;
--- a/hickoryspan_gateway/src/entry_daemon.rs
+++ b/hickoryspan_gateway/src/entry_daemon.rs
@@ -7,15 +7,17 @@
 use std::time::{Duration, Instant};
 
 use anyhow::Context;
-use hickoryspan_core::gateway::directory::{DirectoryChange, TargetAnnouncement, TargetPhase};
-use hickoryspan_core::gateway::document::DocumentVersion;
-use hickoryspan_core::gateway::document_parts::DocumentPart;
-use hickoryspan_core::gateway::entry_list::{EntryListChange, OpenEntry};
-use hickoryspan_core::gateway::messages::{
+use hickoryspan_core::gateway::documents::document::DocumentVersion;
+use hickoryspan_core::gateway::documents::document_parts::DocumentPart;
+use hickoryspan_core::gateway::membership::entry_list::{EntryListChange, OpenEntry};
+use hickoryspan_core::gateway::membership::messages::{
     DirectoryRequest, DirectoryUpdate, EntryHost, LinkVersion,
 };
+use hickoryspan_core::gateway::membership::shared_table::SharedTable;
 use hickoryspan_core::gateway::planned_stop::StopSchedule;
-use hickoryspan_core::gateway::shared_table::SharedTable;
+use hickoryspan_core::gateway::targets::directory::{
+    DirectoryChange, TargetAnnouncement, TargetPhase,
+};
 use hickoryspan_core::types::{MonotonicTime, TargetId};
 use hickoryspan_runtime::tasks::join_all;
 use tokio::net::TcpListener;
--- a/hickoryspan_gateway/src/fanout_messages.rs
+++ b/hickoryspan_gateway/src/fanout_messages.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hickoryspan_core::gateway::directory::TargetProcess;
-use hickoryspan_core::gateway::poison::TargetCrash;
+use hickoryspan_core::gateway::targets::directory::TargetProcess;
+use hickoryspan_core::gateway::targets::poison::TargetCrash;
 use hickoryspan_core::sheet::duration_millis;
 use hickoryspan_core::types::ServiceId;
 use http::{HeaderMap, HeaderName, HeaderValue};
--- a/hickoryspan_gateway/src/fanout_server.rs
+++ b/hickoryspan_gateway/src/fanout_server.rs
@@ -7,14 +7,14 @@
 
 use anyhow::{Context, bail};
 use bytes::Bytes;
-use hickoryspan_core::gateway::directory::TargetProcess;
-use hickoryspan_core::gateway::document::{
+use hickoryspan_core::gateway::documents::document::{
     DocumentVersion, RepeatRule, RouteDestination, RouteRule, ShardSpread,
 };
-use hickoryspan_core::gateway::fanout::{
+use hickoryspan_core::gateway::fanouts::fanout::{
     FanoutMachine, FanoutSettings, ShardIndex, merge_records, records_above,
 };
-use hickoryspan_core::gateway::relays::RetryGate;
+use hickoryspan_core::gateway::fanouts::relays::RetryGate;
+use hickoryspan_core::gateway::targets::directory::TargetProcess;
 use hickoryspan_core::types::{MonotonicTime, ServiceId};
 use hickoryspan_runtime::http_client::HttpAnswer;
 use hickoryspan_runtime::peer_link::PeerLink;
--- a/hickoryspan_gateway/src/forward.rs
+++ b/hickoryspan_gateway/src/forward.rs
@@ -4,14 +4,14 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hickoryspan_core::gateway::document::{
+use hickoryspan_core::gateway::admission::overload::{ShardQueues, shed_fraction};
+use hickoryspan_core::gateway::documents::document::{
     CallerLimits, DocumentVersion, RepeatRule, RouteDestination, RouteRule, ShardSpread,
 };
-use hickoryspan_core::gateway::fanout::{FanoutMachine, FanoutSettings, merge_records};
+use hickoryspan_core::gateway::documents::routes::RouteTable;
+use hickoryspan_core::gateway::fanouts::fanout::{FanoutMachine, FanoutSettings, merge_records};
 use hickoryspan_core::gateway::log_limit::LogPriority;
-use hickoryspan_core::gateway::overload::{ShardQueues, shed_fraction};
 use hickoryspan_core::gateway::planned_stop::StopVerdict;
-use hickoryspan_core::gateway::routes::RouteTable;
 use hickoryspan_core::types::{MonotonicTime, RequestFingerprint, ServiceId};
 use hickoryspan_runtime::http_client::HttpAnswer;
 use hickoryspan_runtime::http_server::{self, BodyError, HttpLimits};
--- a/hickoryspan_gateway/src/gateway_state.rs
+++ b/hickoryspan_gateway/src/gateway_state.rs
@@ -7,26 +7,26 @@
 use std::time::Duration;
 
 use hickoryspan_core::entry::latency::{LatencyDistribution, LatencySettings};
-use hickoryspan_core::gateway::budget::{EntryCount, RetryBudget};
-use hickoryspan_core::gateway::directory::TargetDirectory;
-use hickoryspan_core::gateway::document::{
+use hickoryspan_core::gateway::admission::budget::{EntryCount, RetryBudget};
+use hickoryspan_core::gateway::documents::document::{
     DocumentVersion, RouteDestination, RouteRule, ShardSpread, WeightedService,
 };
-use hickoryspan_core::gateway::document_change::{DocumentChange, DocumentFetch};
-use hickoryspan_core::gateway::document_parts::PartAssembly;
-use hickoryspan_core::gateway::entry_list::EntryList;
-use hickoryspan_core::gateway::fanout_groups::{
+use hickoryspan_core::gateway::documents::document_change::{DocumentChange, DocumentFetch};
+use hickoryspan_core::gateway::documents::document_parts::PartAssembly;
+use hickoryspan_core::gateway::documents::routes::{RouteTable, WeightedRoundRobin};
+use hickoryspan_core::gateway::fanouts::fanout_groups::{
     GroupCache, GroupKey, ShardGroup, TargetPlaces, divide_shards,
 };
-use hickoryspan_core::gateway::liveness::LivenessTable;
+use hickoryspan_core::gateway::fanouts::relays::{RelayAssignment, RelaySelector};
 use hickoryspan_core::gateway::log_limit::{LogLimiter, LogPriority};
+use hickoryspan_core::gateway::membership::entry_list::EntryList;
 use hickoryspan_core::gateway::planned_stop::StopSchedule;
-use hickoryspan_core::gateway::poison::PoisonTable;
 use hickoryspan_core::gateway::processor_lag::{LagMonitor, LagSettings};
-use hickoryspan_core::gateway::relays::{RelayAssignment, RelaySelector};
-use hickoryspan_core::gateway::routes::{RouteTable, WeightedRoundRobin};
-use hickoryspan_core::gateway::selection::{ChosenTarget, TargetSelector};
-use hickoryspan_core::gateway::send_check::SendBarrier;
+use hickoryspan_core::gateway::targets::directory::TargetDirectory;
+use hickoryspan_core::gateway::targets::liveness::LivenessTable;
+use hickoryspan_core::gateway::targets::poison::PoisonTable;
+use hickoryspan_core::gateway::targets::selection::{ChosenTarget, TargetSelector};
+use hickoryspan_core::gateway::targets::send_check::SendBarrier;
 use hickoryspan_core::types::{FailureDomain, MonotonicTime, ServiceId, TargetId};
 use hickoryspan_runtime::clock::SystemClock;
 use rand::{RngExt, SeedableRng};
--- a/hickoryspan_gateway/src/hub_state.rs
+++ b/hickoryspan_gateway/src/hub_state.rs
@@ -5,19 +5,23 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use hickoryspan_core::gateway::directory::{
-    KnownTarget, TargetAnnouncement, TargetDeparture, TargetDirectory, TargetPhase,
+use hickoryspan_core::gateway::admission::limit_gate::{
+    DEMAND_LIFETIME, DemandTotals, ServiceDemand,
+};
+use hickoryspan_core::gateway::admission::target_limits::{LimitRecord, LimitTable};
+use hickoryspan_core::gateway::fanouts::relays::RelayPeer;
+use hickoryspan_core::gateway::membership::entry_list::{
+    EntryListChange, OpenEntry, listed_entries,
 };
-use hickoryspan_core::gateway::entry_list::{EntryListChange, OpenEntry, listed_entries};
-use hickoryspan_core::gateway::limit_gate::{DEMAND_LIFETIME, DemandTotals, ServiceDemand};
-use hickoryspan_core::gateway::messages::{
+use hickoryspan_core::gateway::membership::messages::{
     ConfirmNumber, DirectoryUpdate, EntryHost, LinkVersion, TargetRenewal,
 };
-use hickoryspan_core::gateway::poison::{PoisonTable, SuspicionRecord};
-use hickoryspan_core::gateway::relays::RelayPeer;
-use hickoryspan_core::gateway::report_history::{ReportHistory, ReportMessage};
-use hickoryspan_core::gateway::shared_table::{ChangeNumber, SharedTable};
-use hickoryspan_core::gateway::target_limits::{LimitRecord, LimitTable};
+use hickoryspan_core::gateway::membership::report_history::{ReportHistory, ReportMessage};
+use hickoryspan_core::gateway::membership::shared_table::{ChangeNumber, SharedTable};
+use hickoryspan_core::gateway::targets::directory::{
+    KnownTarget, TargetAnnouncement, TargetDeparture, TargetDirectory, TargetPhase,
+};
+use hickoryspan_core::gateway::targets::poison::{PoisonTable, SuspicionRecord};
 use hickoryspan_core::types::{FailureDomain, MonotonicTime, TargetId};
 use hickoryspan_wire::{EncodedFrame, encode_frame};
 use tokio::sync::mpsc;
--- a/hickoryspan_gateway/src/relayed_groups.rs
+++ b/hickoryspan_gateway/src/relayed_groups.rs
@@ -3,9 +3,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use hickoryspan_core::gateway::fanout::{FanoutSettings, ShardIndex};
-use hickoryspan_core::gateway::fanout_groups::ShardGroup;
-use hickoryspan_core::gateway::relays::{RelayAssignment, RelayMode, RelayPeer};
+use hickoryspan_core::gateway::fanouts::fanout::{FanoutSettings, ShardIndex};
+use hickoryspan_core::gateway::fanouts::fanout_groups::ShardGroup;
+use hickoryspan_core::gateway::fanouts::relays::{RelayAssignment, RelayMode, RelayPeer};
 use hickoryspan_core::types::{MonotonicTime, ServiceId};
 use tokio::sync::mpsc;
 
--- a/hickoryspan_gateway/src/run.rs
+++ b/hickoryspan_gateway/src/run.rs
@@ -6,14 +6,16 @@
 
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
-use hickoryspan_core::gateway::fanout::{FanoutMachine, FanoutStep, LaunchReason, ShardIndex};
+use hickoryspan_core::gateway::fanouts::fanout::{
+    FanoutMachine, FanoutStep, LaunchReason, ShardIndex,
+};
+use hickoryspan_core::gateway::fanouts::relays::RetryVerdict;
 use hickoryspan_core::gateway::log_limit::LogPriority;
-use hickoryspan_core::gateway::loss_witness::{LossVerdict, LossWitness};
-use hickoryspan_core::gateway::outcomes::AttemptFailure;
-use hickoryspan_core::gateway::poison::{NoticedCrash, SuspicionChange};
-use hickoryspan_core::gateway::relays::RetryVerdict;
-use hickoryspan_core::gateway::selection::ChosenTarget;
-use hickoryspan_core::gateway::send_check::SendBarrier;
+use hickoryspan_core::gateway::targets::loss_witness::{LossVerdict, LossWitness};
+use hickoryspan_core::gateway::targets::outcomes::AttemptFailure;
+use hickoryspan_core::gateway::targets::poison::{NoticedCrash, SuspicionChange};
+use hickoryspan_core::gateway::targets::selection::ChosenTarget;
+use hickoryspan_core::gateway::targets::send_check::SendBarrier;
 use hickoryspan_core::types::{MonotonicTime, ServiceId, TargetId};
 use hickoryspan_runtime::http_client::HttpAnswer;
 
--- a/hickoryspan_gateway/src/run_outcome.rs
+++ b/hickoryspan_gateway/src/run_outcome.rs
@@ -4,10 +4,10 @@
 use std::sync::{Arc, Mutex};
 
 use bytes::Bytes;
-use hickoryspan_core::gateway::fanout::ShardIndex;
-use hickoryspan_core::gateway::outcomes::AttemptFailure;
-use hickoryspan_core::gateway::poison::NoticedCrash;
-use hickoryspan_core::gateway::relays::{RetryGate, RetryVerdict};
+use hickoryspan_core::gateway::fanouts::fanout::ShardIndex;
+use hickoryspan_core::gateway::fanouts::relays::{RetryGate, RetryVerdict};
+use hickoryspan_core::gateway::targets::outcomes::AttemptFailure;
+use hickoryspan_core::gateway::targets::poison::NoticedCrash;
 use hickoryspan_core::types::{MonotonicTime, ServiceId, TargetId};
 use hickoryspan_runtime::http_client::HttpAnswer;
 use tokio::sync::mpsc;
--- a/hickoryspan_gateway/src/settings.rs
+++ b/hickoryspan_gateway/src/settings.rs
@@ -3,9 +3,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use hickoryspan_core::gateway::budget::BudgetSettings;
-use hickoryspan_core::gateway::relays::RelaySettings;
-use hickoryspan_core::gateway::selection::SelectionSettings;
+use hickoryspan_core::gateway::admission::budget::BudgetSettings;
+use hickoryspan_core::gateway::fanouts::relays::RelaySettings;
+use hickoryspan_core::gateway::targets::selection::SelectionSettings;
 use hickoryspan_core::types::{EntryId, FailureDomain};
 use hickoryspan_runtime::credential::SharedCredential;
 
--- a/hickoryspan_gateway/src/target_answer.rs
+++ b/hickoryspan_gateway/src/target_answer.rs
@@ -3,9 +3,9 @@
 use std::time::Duration;
 
 use hickoryspan_core::gateway::log_limit::LogPriority;
-use hickoryspan_core::gateway::outcomes::{AttemptFailure, ReportedLoad};
-use hickoryspan_core::gateway::selection::ChosenTarget;
-use hickoryspan_core::gateway::target_notices::read_retry_time;
+use hickoryspan_core::gateway::targets::outcomes::{AttemptFailure, ReportedLoad};
+use hickoryspan_core::gateway::targets::selection::ChosenTarget;
+use hickoryspan_core::gateway::targets::target_notices::read_retry_time;
 use hickoryspan_core::types::RequestRate;
 use hickoryspan_runtime::http_client::HttpAnswer;
 use http::header::{CONNECTION, RETRY_AFTER};
--- a/hickoryspan_gateway/tests/gateway/common_start.rs
+++ b/hickoryspan_gateway/tests/gateway/common_start.rs
@@ -9,12 +9,12 @@
 use crate::support::{
     Deployment, ScriptedTarget, SeenRequest, TEST_TIMEOUT, TargetAction, get, route, to_service,
 };
-use hickoryspan_core::gateway::document::RepeatRule;
+use hickoryspan_core::gateway::documents::document::RepeatRule;
 
 /// Deadline of the request that is refused. Half of it is much longer than a refusal at once takes.
 const DEADLINE: Duration = Duration::from_millis(2_000);
 
-fn routes() -> Vec<hickoryspan_core::gateway::document::RouteRule> {
+fn routes() -> Vec<hickoryspan_core::gateway::documents::document::RouteRule> {
     vec![route("/one/", RepeatRule::Idempotent, to_service("service"))]
 }
 
--- a/hickoryspan_gateway/tests/gateway/crash_sharing.rs
+++ b/hickoryspan_gateway/tests/gateway/crash_sharing.rs
@@ -6,8 +6,8 @@
 use crate::support::{
     Deployment, ScriptedTarget, SeenRequest, TEST_TIMEOUT, TargetAction, get, route, to_service,
 };
-use hickoryspan_core::gateway::document::{RepeatRule, RouteRule};
-use hickoryspan_core::gateway::relays::RelaySettings;
+use hickoryspan_core::gateway::documents::document::{RepeatRule, RouteRule};
+use hickoryspan_core::gateway::fanouts::relays::RelaySettings;
 
 /// Number of targets that may crash before every entry must refuse the request.
 const ALLOWED_CRASHES: usize = 3;
--- a/hickoryspan_gateway/tests/gateway/cut_requests.rs
+++ b/hickoryspan_gateway/tests/gateway/cut_requests.rs
@@ -8,7 +8,7 @@
 use crate::support::{
     Deployment, ScriptedTarget, SeenRequest, TEST_TIMEOUT, TargetAction, get, route, to_service,
 };
-use hickoryspan_core::gateway::document::{CallerLimits, RepeatRule};
+use hickoryspan_core::gateway::documents::document::{CallerLimits, RepeatRule};
 use hickoryspan_runtime::metrics_page::MetricsPage;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
--- a/hickoryspan_gateway/tests/gateway/endless_answers.rs
+++ b/hickoryspan_gateway/tests/gateway/endless_answers.rs
@@ -9,7 +9,7 @@
     Deployment, ScriptedTarget, SeenRequest, TEST_TIMEOUT, TargetAction, TargetScript, get, route,
     to_service, to_shards,
 };
-use hickoryspan_core::gateway::document::RepeatRule;
+use hickoryspan_core::gateway::documents::document::RepeatRule;
 use rstest::rstest;
 
 /// Size of each write of an endless answer.
--- a/hickoryspan_gateway/tests/gateway/entry_lookups.rs
+++ b/hickoryspan_gateway/tests/gateway/entry_lookups.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use crate::support::{Deployment, TEST_TIMEOUT, route, to_service};
-use hickoryspan_core::gateway::document::RepeatRule;
-use hickoryspan_core::gateway::relays::RelaySettings;
+use hickoryspan_core::gateway::documents::document::RepeatRule;
+use hickoryspan_core::gateway::fanouts::relays::RelaySettings;
 use hickoryspan_gateway::GatewayEntry;
 
 fn listed(entry: &GatewayEntry) -> BTreeSet<SocketAddr> {
--- a/hickoryspan_gateway/tests/gateway/fan_out_stops.rs
+++ b/hickoryspan_gateway/tests/gateway/fan_out_stops.rs
@@ -13,8 +13,8 @@
     to_shards,
 };
 use futures::future::join_all;
-use hickoryspan_core::gateway::document::{RepeatRule, RouteRule};
-use hickoryspan_core::gateway::relays::RelaySettings;
+use hickoryspan_core::gateway::documents::document::{RepeatRule, RouteRule};
+use hickoryspan_core::gateway::fanouts::relays::RelaySettings;
 use hickoryspan_gateway::{GatewayEntry, GatewaySettings};
 use rstest::rstest;
 use tokio::task::JoinSet;
--- a/hickoryspan_gateway/tests/gateway/far_targets.rs
+++ b/hickoryspan_gateway/tests/gateway/far_targets.rs
@@ -11,8 +11,8 @@
 use crate::support::{
     CallerAnswer, Deployment, ScriptedTarget, SeenRequest, TargetAction, get, route, to_shards,
 };
-use hickoryspan_core::gateway::document::{RepeatRule, RouteRule};
-use hickoryspan_core::gateway::relays::RelaySettings;
+use hickoryspan_core::gateway::documents::document::{RepeatRule, RouteRule};
+use hickoryspan_core::gateway::fanouts::relays::RelaySettings;
 use hickoryspan_core::types::FailureDomain;
 use hickoryspan_gateway::GatewaySettings;
 use rstest::rstest;
--- a/hickoryspan_gateway/tests/gateway/forwarding.rs
+++ b/hickoryspan_gateway/tests/gateway/forwarding.rs
@@ -7,7 +7,7 @@
     Deployment, ScriptedTarget, SeenRequest, TEST_TIMEOUT, TargetAction, get, route, to_service,
     to_shards,
 };
-use hickoryspan_core::gateway::document::RepeatRule;
+use hickoryspan_core::gateway::documents::document::RepeatRule;
 
 const RECORD: usize = 16;
 
--- a/hickoryspan_gateway/tests/gateway/last_check.rs
+++ b/hickoryspan_gateway/tests/gateway/last_check.rs
@@ -8,8 +8,8 @@
     CallerAnswer, Deployment, ScriptedTarget, SeenRequest, TargetAction, TargetScript, exchange_on,
     get, route, to_service, to_shards,
 };
-use hickoryspan_core::gateway::directory::TargetPhase;
-use hickoryspan_core::gateway::document::{RepeatRule, RouteDestination};
+use hickoryspan_core::gateway::documents::document::{RepeatRule, RouteDestination};
+use hickoryspan_core::gateway::targets::directory::TargetPhase;
 use rstest::rstest;
 use tokio::net::TcpStream;
 use tokio::task::JoinSet;
--- a/hickoryspan_gateway/tests/gateway/odd_answers.rs
+++ b/hickoryspan_gateway/tests/gateway/odd_answers.rs
@@ -8,8 +8,10 @@
     Deployment, ScriptedTarget, SeenRequest, TargetAction, TargetScript, get, route, to_service,
     to_shards,
 };
-use hickoryspan_core::gateway::directory::{AnnouncementAge, TargetAnnouncement, TargetPhase};
-use hickoryspan_core::gateway::document::{RepeatRule, RouteDestination};
+use hickoryspan_core::gateway::documents::document::{RepeatRule, RouteDestination};
+use hickoryspan_core::gateway::targets::directory::{
+    AnnouncementAge, TargetAnnouncement, TargetPhase,
+};
 use hickoryspan_core::types::{FailureDomain, ServiceId, TargetId, WallTime};
 use rstest::rstest;
 
--- a/hickoryspan_gateway/tests/gateway/planned_stop.rs
+++ b/hickoryspan_gateway/tests/gateway/planned_stop.rs
@@ -11,7 +11,7 @@
     Deployment, ScriptedTarget, SeenRequest, TEST_TIMEOUT, TargetAction, exchange_on, get, route,
     to_service, to_shards,
 };
-use hickoryspan_core::gateway::document::{RepeatRule, RouteDestination};
+use hickoryspan_core::gateway::documents::document::{RepeatRule, RouteDestination};
 use rstest::rstest;
 use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
--- a/hickoryspan_gateway/tests/gateway/scripted_peer.rs
+++ b/hickoryspan_gateway/tests/gateway/scripted_peer.rs
@@ -5,7 +5,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 
 use crate::support::{Deployment, TEST_TIMEOUT, credential};
-use hickoryspan_core::gateway::messages::{
+use hickoryspan_core::gateway::membership::messages::{
     DirectoryRequest, DirectoryUpdate, EntryHost, LinkVersion,
 };
 use hickoryspan_core::types::{EntryId, FailureDomain};
--- a/hickoryspan_gateway/tests/gateway/support.rs
+++ b/hickoryspan_gateway/tests/gateway/support.rs
@@ -8,14 +8,14 @@
 
 use hickoryspan_control::{ControlDaemon, ControlDaemonSettings, FolderRole, initialize_folder};
 use hickoryspan_core::control::interface::ControlReply;
-use hickoryspan_core::gateway::directory::{
-    AnnouncementAge, TargetAnnouncement, TargetDeparture, TargetPhase,
-};
-use hickoryspan_core::gateway::document::{
+use hickoryspan_core::gateway::documents::document::{
     CallerLimits, ConfigurationDocument, DocumentVersion, RepeatRule, RouteDestination, RouteRule,
     ServiceRule, ShardSpread,
 };
-use hickoryspan_core::gateway::relays::RelaySettings;
+use hickoryspan_core::gateway::fanouts::relays::RelaySettings;
+use hickoryspan_core::gateway::targets::directory::{
+    AnnouncementAge, TargetAnnouncement, TargetDeparture, TargetPhase,
+};
 use hickoryspan_core::types::{EntryId, FailureDomain, ServiceId, TargetId, WallTime};
 use hickoryspan_gateway::{
     DirectoryHub, DirectoryServer, DirectorySettings, GatewayEntry, GatewaySettings, HostList,
--- a/hickoryspan_gateway/tests/gateway/target_limits.rs
+++ b/hickoryspan_gateway/tests/gateway/target_limits.rs
@@ -7,8 +7,8 @@
 use crate::support::{
     CallerAnswer, Deployment, ScriptedTarget, SeenRequest, TargetAction, get, route, to_service,
 };
-use hickoryspan_core::gateway::document::RepeatRule;
-use hickoryspan_core::gateway::relays::RelaySettings;
+use hickoryspan_core::gateway::documents::document::RepeatRule;
+use hickoryspan_core::gateway::fanouts::relays::RelaySettings;
 
 const ENTRIES: usize = 3;
 /// Requests per second that the target names.
--- a/hickoryspan_gateway/tests/gateway/target_notices.rs
+++ b/hickoryspan_gateway/tests/gateway/target_notices.rs
@@ -7,7 +7,7 @@
     Deployment, ScriptedTarget, SeenRequest, TargetAction, TargetScript, get, route, to_service,
     to_shards,
 };
-use hickoryspan_core::gateway::document::{RepeatRule, RouteDestination};
+use hickoryspan_core::gateway::documents::document::{RepeatRule, RouteDestination};
 use rstest::rstest;
 
 const BODY: &[u8] = b"0123456789abcdef";
--- a/hickoryspan_gateway/tests/gateway/wide_fan_out.rs
+++ b/hickoryspan_gateway/tests/gateway/wide_fan_out.rs
@@ -7,8 +7,8 @@
     Deployment, ScriptedTarget, SeenRequest, TargetAction, exchange_on, get, route, to_service,
     to_shards,
 };
-use hickoryspan_core::gateway::document::RepeatRule;
-use hickoryspan_core::gateway::relays::RelaySettings;
+use hickoryspan_core::gateway::documents::document::RepeatRule;
+use hickoryspan_core::gateway::fanouts::relays::RelaySettings;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 
--- a/hickoryspan_wire/tests/frames.rs
+++ b/hickoryspan_wire/tests/frames.rs
@@ -1,7 +1,7 @@
 //! Tests that messages survive encoding and that two adjacent releases can exchange frames.
 
-use hickoryspan_core::gateway::directory::AnnouncementAge;
-use hickoryspan_core::gateway::messages::{DirectoryUpdate, TargetRenewal};
+use hickoryspan_core::gateway::membership::messages::{DirectoryUpdate, TargetRenewal};
+use hickoryspan_core::gateway::targets::directory::AnnouncementAge;
 use hickoryspan_core::messages::{ControlMessage, EntryMessage};
 use hickoryspan_core::types::{QueryToken, RevisionNumber, StateDigest, TargetId, WallTime};
 use hickoryspan_wire::{
--- a/hickoryspan_wire/tests/report_bytes.rs
+++ b/hickoryspan_wire/tests/report_bytes.rs
@@ -4,11 +4,11 @@
 
 use std::net::SocketAddr;
 
-use hickoryspan_core::gateway::document::DocumentVersion;
-use hickoryspan_core::gateway::messages::{
+use hickoryspan_core::gateway::documents::document::DocumentVersion;
+use hickoryspan_core::gateway::membership::messages::{
     DirectoryRequest, DirectoryUpdate, EntryHost, LinkVersion,
 };
-use hickoryspan_core::gateway::report_history::{ReportHistory, ReportMessage};
+use hickoryspan_core::gateway::membership::report_history::{ReportHistory, ReportMessage};
 use hickoryspan_core::types::{EntryId, FailureDomain};
 use hickoryspan_wire::encode_message;
 use rstest::rstest;
