Recognize callers by the keys of client accounts

Cause: a document with accounts was served as if it had none: unknown keys were accepted, and keys were passed on to targets. Change: documents carry accounts with digests of their keys, priority and quota, and services the rate that a cold target tolerates. A request with an unknown key gets 401 unless its route is public; targets learn the account in place of the key; a request that waits is not sent after its key is revoked. Quotas and cold rates are decoded and not enforced yet. Conclusion: the interfaces for accounts, quotas and cold targets stand.

--- a/hickoryspan_core/src/gateway/documents/document.rs
+++ b/hickoryspan_core/src/gateway/documents/document.rs
@@ -8,8 +8,9 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::accounts::{ClientAccount, InvalidAccounts, check_accounts};
 use crate::sheet::duration_millis;
-use crate::types::{ParseValueError, ServiceId};
+use crate::types::{ParseValueError, RequestRate, ServiceId};
 
 /// Version number of a configuration document. Higher versions replace lower ones.
 #[derive(
@@ -122,6 +123,9 @@
     pub destination: RouteDestination,
     /// Largest number of targets, for each shard, that one attempt of a caller may reach.
     pub max_attempts: u32,
+    /// Whether requests need no key, if the document names accounts.
+    #[serde(default)]
+    pub public: bool,
 }
 
 /// A service.
@@ -132,6 +136,10 @@
     pub service: ServiceId,
     /// Number of connections that each of its targets accepts from all callers together.
     pub connections: u32,
+    /// Requests per second that each of its targets tolerates from all entries together while it is cold; `None` if any
+    /// number.
+    #[serde(default)]
+    pub cold_rate: Option<RequestRate>,
 }
 
 /// Limits on what callers may send.
@@ -173,6 +181,9 @@
     pub services: Vec<ServiceRule>,
     /// Limits on what callers may send.
     pub limits: CallerLimits,
+    /// The client accounts; `None` if requests need no key.
+    #[serde(default)]
+    pub accounts: Option<Vec<ClientAccount>>,
     /// The submitted text, which reads return unchanged.
     pub source: Arc<str>,
 }
@@ -207,6 +218,9 @@
     /// A list of shards is empty.
     #[error("route {0}: the list of shards is empty")]
     EmptyShards(Arc<str>),
+    /// The accounts contradict each other.
+    #[error(transparent)]
+    Accounts(#[from] InvalidAccounts),
 }
 
 impl ConfigurationDocument {
@@ -224,6 +238,7 @@
                 });
             }
         }
+        check_accounts(self.accounts.as_deref().unwrap_or_default())?;
         Ok(())
     }
 }
--- a/hickoryspan_core/src/gateway/documents/document_change.rs
+++ b/hickoryspan_core/src/gateway/documents/document_change.rs
@@ -12,10 +12,11 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::accounts::ClientAccount;
 use super::document::{
     CallerLimits, ConfigurationDocument, DocumentVersion, RouteDestination, RouteRule, ServiceRule,
 };
-use crate::types::{MonotonicTime, ServiceId};
+use crate::types::{AccountId, MonotonicTime, ServiceId};
 
 /// Time after which a document is requested from another host if the first one has not sent it.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(500);
@@ -84,6 +85,38 @@
     }
 }
 
+/// The difference between the accounts of two documents.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct AccountChange {
+    /// New or changed accounts.
+    pub accounts: Vec<ClientAccount>,
+    /// Removed accounts.
+    pub dropped: Vec<AccountId>,
+}
+
+impl AccountChange {
+    fn between(base: &[ClientAccount], next: &[ClientAccount]) -> Self {
+        let by_name = |accounts: &'_ [ClientAccount]| -> HashMap<AccountId, usize> {
+            let names = accounts.iter().map(|account| account.account.clone());
+            names.enumerate().map(|(index, name)| (name, index)).collect()
+        };
+        let (old, new) = (by_name(base), by_name(next));
+        let is_new = |account: &&ClientAccount| {
+            old.get(&account.account).is_none_or(|index| base[*index] != **account)
+        };
+        let dropped = old.keys().filter(|name| !new.contains_key(*name)).cloned().collect();
+        Self { accounts: next.iter().filter(is_new).cloned().collect(), dropped }
+    }
+
+    fn apply(&self, base: &[ClientAccount]) -> Vec<ClientAccount> {
+        let names = self.accounts.iter().map(|account| &account.account);
+        let names: HashSet<&AccountId> = names.chain(&self.dropped).collect();
+        let kept = base.iter().filter(|account| !names.contains(&account.account));
+        kept.chain(&self.accounts).cloned().collect()
+    }
+}
+
 /// The difference between two documents, without the submitted text.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -104,6 +137,9 @@
     pub dropped_services: Vec<ServiceId>,
     /// Limits on what callers may send.
     pub limits: CallerLimits,
+    /// The difference of the accounts; `None` if the resulting document names none.
+    #[serde(default)]
+    pub accounts: Option<AccountChange>,
 }
 
 fn routes_by_key(document: &ConfigurationDocument) -> HashMap<RouteKey, &Arc<RouteRule>> {
@@ -126,6 +162,7 @@
             services: Vec::new(),
             dropped_services: Vec::new(),
             limits,
+            accounts: None,
         }
     }
 
@@ -138,6 +175,7 @@
         let is_changed =
             |route: &&Arc<RouteRule>| old_routes.get(&RouteKey::of(route)) != Some(route);
         let is_new = |rule: &&ServiceRule| old_services.get(&rule.service) != Some(rule);
+        let old_accounts = base.and_then(|base| base.accounts.as_deref()).unwrap_or_default();
         let mut lists = ListTable::default();
         let routes = next.routes.iter().filter(is_changed);
         let routes = routes.map(|route| lists.split(route)).collect();
@@ -151,6 +189,10 @@
             dropped_routes: dropped_routes.cloned().collect(),
             services: next.services.iter().filter(is_new).cloned().collect(),
             dropped_services: dropped_services.map(|name| (*name).clone()).collect(),
+            accounts: next
+                .accounts
+                .as_deref()
+                .map(|next| AccountChange::between(old_accounts, next)),
             ..Self::empty(next.version, next.limits)
         }
     }
@@ -170,6 +212,7 @@
         let names: HashSet<&ServiceId> = names.chain(&self.dropped_services).collect();
         let old_routes = base.into_iter().flat_map(|base| &base.routes);
         let old_services = base.into_iter().flat_map(|base| &base.services);
+        let old_accounts = base.and_then(|base| base.accounts.as_deref()).unwrap_or_default();
         let kept_routes = old_routes.filter(|route| !keys.contains(&RouteKey::of(route)));
         let kept_services = old_services.filter(|rule| !names.contains(&rule.service));
         Some(ConfigurationDocument {
@@ -177,6 +220,7 @@
             routes: kept_routes.chain(&changed).cloned().collect(),
             services: kept_services.chain(&self.services).cloned().collect(),
             limits: self.limits,
+            accounts: self.accounts.as_ref().map(|change| change.apply(old_accounts)),
             source: Arc::from(""),
         })
     }
--- a/hickoryspan_core/src/gateway/documents/document_parts.rs
+++ b/hickoryspan_core/src/gateway/documents/document_parts.rs
@@ -13,10 +13,12 @@
 use serde::{Deserialize, Deserializer, Serialize, Serializer};
 
 use super::document::DocumentVersion;
-use super::document_change::DocumentChange;
+use super::document_change::{AccountChange, DocumentChange};
 
 /// Number of routes in one part.
 const PART_ROUTES: usize = 64;
+/// Number of accounts in one part.
+const PART_ACCOUNTS: usize = 256;
 
 /// Encoded CBOR that is sent as it is.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -82,13 +84,18 @@
 /// Splits a change into parts and encodes them.
 pub fn encode_parts(change: &DocumentChange) -> Result<Vec<DocumentPart>, PartError> {
     let version = change.version;
-    let count = change.routes.len().div_ceil(PART_ROUTES).max(1);
+    let accounts = change.accounts.as_ref().map_or(0, |change| change.accounts.len());
+    let count = change.routes.len().div_ceil(PART_ROUTES);
+    let count = count.max(accounts.div_ceil(PART_ACCOUNTS)).max(1);
     let to_part = |index: usize| {
         let routes = change.routes.iter().skip(index * PART_ROUTES).take(PART_ROUTES);
         let routes = routes.cloned().collect();
+        let accounts = change.accounts.as_ref().map(|change| part_accounts(change, index));
         let content = match index {
-            0 => DocumentChange { routes, ..change.clone() },
-            _ => DocumentChange { routes, ..DocumentChange::empty(version, change.limits) },
+            0 => DocumentChange { routes, accounts, ..change.clone() },
+            _ => {
+                DocumentChange { routes, accounts, ..DocumentChange::empty(version, change.limits) }
+            }
         };
         let mut bytes = Vec::new();
         ciborium::into_writer(&content, &mut bytes)
@@ -98,6 +105,12 @@
     (0..count).map(to_part).collect()
 }
 
+fn part_accounts(change: &AccountChange, index: usize) -> AccountChange {
+    let accounts = change.accounts.iter().skip(index * PART_ACCOUNTS).take(PART_ACCOUNTS);
+    let dropped = if index == 0 { change.dropped.clone() } else { Vec::new() };
+    AccountChange { accounts: accounts.cloned().collect(), dropped }
+}
+
 #[derive(Clone, Debug)]
 struct PartialChange {
     change: DocumentChange,
@@ -127,6 +140,11 @@
                 if started.next == part.index && started.change.version == version =>
             {
                 started.change.routes.extend(content.routes);
+                if let (Some(accounts), Some(more)) =
+                    (started.change.accounts.as_mut(), content.accounts)
+                {
+                    accounts.accounts.extend(more.accounts);
+                }
                 started.next += 1;
                 started
             }
--- a/hickoryspan_core/src/gateway/documents/routes.rs
+++ b/hickoryspan_core/src/gateway/documents/routes.rs
@@ -3,8 +3,9 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
+use super::accounts::{AccountTable, ClientAccount, KeyDigest};
 use super::document::{ConfigurationDocument, RouteRule, WeightedService};
-use crate::types::ServiceId;
+use crate::types::{RequestRate, ServiceId};
 
 /// Lookup table for the routes of one document.
 #[derive(Debug)]
@@ -13,6 +14,9 @@
     // Route indexes by host name in lower case, longest path prefix first.
     by_host: HashMap<String, Vec<usize>>,
     connections: HashMap<ServiceId, u32>,
+    cold_rates: HashMap<ServiceId, RequestRate>,
+    // `None` if requests need no key.
+    accounts: Option<AccountTable>,
 }
 
 impl RouteTable {
@@ -28,7 +32,13 @@
         }
         let rules = document.services.iter();
         let connections = rules.map(|rule| (rule.service.clone(), rule.connections)).collect();
-        Self { document, by_host, connections }
+        let cold_rates = document
+            .services
+            .iter()
+            .filter_map(|rule| Some((rule.service.clone(), rule.cold_rate?)));
+        let cold_rates = cold_rates.collect();
+        let accounts = document.accounts.as_deref().map(AccountTable::new);
+        Self { document, by_host, connections, cold_rates, accounts }
     }
 
     /// Returns the document.
@@ -43,6 +53,21 @@
         routes.into_iter().find(|route| path.starts_with(&*route.path_prefix))
     }
 
+    /// Returns whether requests need a key of an account, except on public routes.
+    pub fn requires_keys(&self) -> bool {
+        self.accounts.is_some()
+    }
+
+    /// Returns the account that holds a key.
+    pub fn find_account(&self, key: &KeyDigest) -> Option<&Arc<ClientAccount>> {
+        self.accounts.as_ref()?.find(key)
+    }
+
+    /// Returns how many requests per second a cold target of a service tolerates; `None` if any number.
+    pub fn cold_rate(&self, service: &ServiceId) -> Option<RequestRate> {
+        self.cold_rates.get(service).copied()
+    }
+
     /// Returns the number of connections that each target of a service accepts, or `None` if the
     /// document does not contain the service.
     pub fn connections(&self, service: &ServiceId) -> Option<u32> {
--- a/hickoryspan_core/src/gateway/targets/send_check.rs
+++ b/hickoryspan_core/src/gateway/targets/send_check.rs
@@ -18,6 +18,8 @@
     Closed,
     /// The configuration sends the request to other services now.
     Rerouted,
+    /// The configuration no longer contains the key of the request.
+    Revoked,
     /// The request has probably crashed several targets.
     Condemned,
     /// The caller does not wait any longer.
@@ -35,6 +37,7 @@
             Self::Leaving => "leaving",
             Self::Closed => "closed",
             Self::Rerouted => "rerouted",
+            Self::Revoked => "revoked",
             Self::Condemned => "condemned",
             Self::DeadlinePassed => "deadline_passed",
         }
@@ -42,6 +45,6 @@
 
     /// Returns whether another target may get the request. Otherwise no target should.
     pub fn allows_other_target(self) -> bool {
-        !matches!(self, Self::Rerouted | Self::Condemned | Self::DeadlinePassed)
+        !matches!(self, Self::Rerouted | Self::Revoked | Self::Condemned | Self::DeadlinePassed)
     }
 }
--- a/hickoryspan_core/src/types/identifier.rs
+++ b/hickoryspan_core/src/types/identifier.rs
@@ -120,6 +120,8 @@
     EntryId;
     /// A tenant: a firm with its own services, searches and callers.
     TenantId;
+    /// A client account: a customer whose callers send requests with its keys.
+    AccountId;
     /// A caller: a process or group of processes that sends requests and has its own rate limit.
     CallerId;
     /// A class of requests with its own deadline, priority and coverage policy.
--- a/hickoryspan_core/src/types/mod.rs
+++ b/hickoryspan_core/src/types/mod.rs
@@ -6,7 +6,7 @@
 mod time;
 
 pub use identifier::{
-    AttemptId, CallerId, ClassId, CommandId, ConnectionId, EntryId, FailureDomain,
+    AccountId, AttemptId, CallerId, ClassId, CommandId, ConnectionId, EntryId, FailureDomain,
     IncarnationNumber, OperatorId, OrdinalNumber, QueryToken, ReplicaId, RequestFingerprint,
     RequestId, RevisionNumber, SearchId, ServiceId, ShardId, SheetNumber, SnapshotVersion,
     StateDigest, TargetId, TenantId, TermNumber,
--- a/hickoryspan_core/tests/control_support/mod.rs
+++ b/hickoryspan_core/tests/control_support/mod.rs
@@ -526,6 +526,7 @@
         routes: Vec::new(),
         services: Vec::new(),
         limits: CallerLimits::default(),
+        accounts: None,
         source: format!("version {version}").into(),
     }
 }
--- a/hickoryspan_core/tests/gateway_document.rs
+++ b/hickoryspan_core/tests/gateway_document.rs
@@ -28,6 +28,7 @@
         priority: 1,
         destination,
         max_attempts: 2,
+        public: false,
     }
 }
 
@@ -36,8 +37,11 @@
     ConfigurationDocument {
         version: DocumentVersion(version),
         routes: routes.into_iter().map(Arc::new).collect(),
-        services: names.map(|name| ServiceRule { service: service(name), connections: 26 }).into(),
+        services: names
+            .map(|name| ServiceRule { service: service(name), connections: 26, cold_rate: None })
+            .into(),
         limits: CallerLimits::default(),
+        accounts: None,
         source: format!("document {version}").into(),
     }
 }
--- a/hickoryspan_core/tests/gateway_spread.rs
+++ b/hickoryspan_core/tests/gateway_spread.rs
@@ -45,6 +45,7 @@
         priority: 1,
         destination: RouteDestination::Service(service(destination)),
         max_attempts: 2,
+        public: false,
     }
 }
 
@@ -52,8 +53,11 @@
     ConfigurationDocument {
         version: DocumentVersion(version),
         routes: (0..ROUTES).map(|number| route(number, number % 4).into()).collect(),
-        services: (0..4).map(|n| ServiceRule { service: service(n), connections: 26 }).collect(),
+        services: (0..4)
+            .map(|n| ServiceRule { service: service(n), connections: 26, cold_rate: None })
+            .collect(),
         limits: CallerLimits::default(),
+        accounts: None,
         source: format!("the text of version {version}").into(),
     }
 }
--- a/hickoryspan_gateway/src/attempt.rs
+++ b/hickoryspan_gateway/src/attempt.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use hickoryspan_core::gateway::documents::accounts::{ClientAccount, KeyDigest};
 use hickoryspan_core::gateway::documents::document::{DocumentVersion, RouteRule};
 use hickoryspan_core::gateway::documents::routes::RouteTable;
 use hickoryspan_core::gateway::fanouts::fanout::ShardIndex;
@@ -30,6 +31,13 @@
     Relayed,
 }
 
+/// The account of a caller and the key by which it was recognized.
+#[derive(Clone, Debug)]
+pub(crate) struct CallerIdentity {
+    pub(crate) account: Arc<ClientAccount>,
+    pub(crate) key: KeyDigest,
+}
+
 /// A caller's request with its whole body.
 pub(crate) struct GatewayJob {
     pub(crate) route: Arc<RouteRule>,
@@ -42,6 +50,8 @@
     pub(crate) fingerprint: RequestFingerprint,
     pub(crate) position: ConnectionPosition,
     pub(crate) scope: AttemptScope,
+    /// The account of the caller, if it sent a key that is known.
+    pub(crate) identity: Option<CallerIdentity>,
     /// Version of the configuration by which the route was chosen.
     pub(crate) version: DocumentVersion,
     pub(crate) received_at: MonotonicTime,
@@ -60,6 +70,22 @@
         route.is_some_and(|route| route.destination.services().contains(&service))
     }
 
+    /// Returns the priority of the request; 0 is the most urgent. That of the account goes before that of the route.
+    pub(crate) fn priority(&self) -> u32 {
+        let account = self.identity.as_ref().and_then(|identity| identity.account.priority);
+        account.unwrap_or(self.route.priority)
+    }
+
+    /// Returns whether the caller's key is still held by its account.
+    pub(crate) fn is_authorized(&self, routes: &RouteTable) -> bool {
+        let Some(identity) = &self.identity else { return true };
+        if self.route.public || routes.document().version == self.version {
+            return true;
+        }
+        let holder = routes.find_account(&identity.key);
+        holder.is_some_and(|holder| holder.account == identity.account.account)
+    }
+
     /// Returns the caller's request ID for logs, or `-` if it has none.
     pub(crate) fn request_text(&self) -> &str {
         self.request.as_ref().and_then(|value| value.to_str().ok()).unwrap_or("-")
--- a/hickoryspan_gateway/src/fanout_server.rs
+++ b/hickoryspan_gateway/src/fanout_server.rs
@@ -309,6 +309,7 @@
             minimum_share: 0.0,
         }),
         max_attempts: task.max_attempts,
+        public: false,
     };
     Ok(GatewayJob {
         fingerprint: fingerprint(&route.host, method.as_str(), &task.target_path, &task.body),
@@ -320,6 +321,8 @@
         body: task.body,
         position: ConnectionPosition::Later,
         scope: AttemptScope::Relayed,
+        // The entry that has the request has recognized the caller.
+        identity: None,
         version: DocumentVersion::default(),
         received_at: now,
         give_up_at: now + task.give_up_in,
--- a/hickoryspan_gateway/src/forward.rs
+++ b/hickoryspan_gateway/src/forward.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use hickoryspan_core::gateway::admission::overload::{ShardQueues, shed_fraction};
+use hickoryspan_core::gateway::documents::accounts::KeyDigest;
 use hickoryspan_core::gateway::documents::document::{
     CallerLimits, DocumentVersion, RepeatRule, RouteDestination, RouteRule, ShardSpread,
 };
@@ -21,7 +22,7 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 
-use crate::attempt::{AttemptScope, GatewayJob};
+use crate::attempt::{AttemptScope, CallerIdentity, GatewayJob};
 use crate::gateway_state::GatewayState;
 use crate::headers::remove_connection_headers;
 use crate::refusal::{GatewayResponse, MIN_RETRY_DELAY, RefusalReason, refuse, refuse_job};
@@ -78,7 +79,7 @@
     position: ConnectionPosition,
 ) -> GatewayResponse {
     let received_at = state.now();
-    let (parts, body) = request.into_parts();
+    let (mut parts, body) = request.into_parts();
     let id = parts.headers.get(&state.settings.headers.request).cloned();
     let id_text = id.as_ref().and_then(|value| value.to_str().ok()).unwrap_or("-").to_owned();
     let deadline = deadline_of(&state, &parts.headers).unwrap_or(DEFAULT_DEADLINE);
@@ -94,6 +95,10 @@
     let Some(route) = routes.find(&host, parts.uri.path()).cloned() else {
         return refuse(&state, &id_text, RefusalReason::NoRoute, MIN_RETRY_DELAY);
     };
+    let identity = match identify_caller(&state, &routes, &route, &mut parts.headers) {
+        Ok(identity) => identity,
+        Err(reason) => return refuse(&state, &id_text, reason, MIN_RETRY_DELAY),
+    };
     let limits = routes.document().limits;
     let body = match read_body(&parts, body, &limits, route.timeout).await {
         Ok(body) => body,
@@ -101,6 +106,7 @@
     };
     let version = routes.document().version;
     let job = to_job(&state, parts, body, RoutedBy { route, version }, id, position, received_at);
+    let job = GatewayJob { identity, ..job };
     if state.decisions().poison.is_condemned(received_at, &job.fingerprint) {
         return refuse(&state, &id_text, RefusalReason::Poisoned, Duration::from_secs(1));
     }
@@ -126,6 +132,40 @@
     parts.headers.get(HOST)?.to_str().ok().map(str::to_owned)
 }
 
+/// Finds the account of the caller's key. If the document names accounts, the key is removed from the headers and replaced
+/// by the name of the account, so that it goes no further.
+fn identify_caller(
+    state: &GatewayState,
+    routes: &RouteTable,
+    route: &RouteRule,
+    headers: &mut HeaderMap,
+) -> Result<Option<CallerIdentity>, RefusalReason> {
+    if !routes.requires_keys() {
+        return Ok(None);
+    }
+    let names = &state.settings.headers;
+    let mut keys = headers.get_all(&names.key).iter();
+    let key = keys.next().map(|key| KeyDigest::of(key.as_bytes()));
+    // Of several keys, none is known to be meant.
+    let key = key.filter(|_| keys.next().is_none());
+    let identity = key.and_then(|key| {
+        let account = Arc::clone(routes.find_account(&key)?);
+        Some(CallerIdentity { account, key })
+    });
+    headers.remove(&names.key);
+    headers.remove(&names.account);
+    if let Some(identity) = &identity {
+        let name = HeaderValue::from_str(identity.account.account.as_str());
+        // Names of accounts contain only characters that headers may contain.
+        let name = name.map_err(|_| RefusalReason::UnknownKey)?;
+        headers.insert(names.account.clone(), name);
+    }
+    if identity.is_none() && !route.public {
+        return Err(RefusalReason::UnknownKey);
+    }
+    Ok(identity)
+}
+
 async fn read_body(
     parts: &Parts,
     body: Incoming,
@@ -187,6 +227,7 @@
         fingerprint,
         position,
         scope: AttemptScope::Direct,
+        identity: None,
         version,
         received_at,
     }
@@ -324,7 +365,7 @@
     let queue = |service| decisions.selector.shortest_queue(now, service);
     let queues = ShardQueues::new(services.iter().filter_map(queue));
     let queue = queues.limiting_queue(settings.min_parts);
-    let fraction = shed_fraction(queue, job.route.priority);
+    let fraction = shed_fraction(queue, job.priority());
     let shed = fraction > 0.0 && decisions.draw() < fraction;
     drop(decisions);
     if shed && state.admits_log_line(LogPriority::Important) {
--- a/hickoryspan_gateway/src/gateway_state.rs
+++ b/hickoryspan_gateway/src/gateway_state.rs
@@ -397,6 +397,9 @@
         if decisions.poison.is_condemned(now, &job.fingerprint) {
             return Err(SendBarrier::Condemned);
         }
+        if decisions.routes.as_ref().is_some_and(|routes| !job.is_authorized(routes)) {
+            return Err(SendBarrier::Revoked);
+        }
         match decisions.routes.as_ref().is_none_or(|routes| job.is_routed_to(routes, service)) {
             true => Ok(()),
             false => Err(SendBarrier::Rerouted),
--- a/hickoryspan_gateway/src/headers.rs
+++ b/hickoryspan_gateway/src/headers.rs
@@ -23,6 +23,10 @@
     pub missing_parts: HeaderName,
     /// Present if a target did not run a request.
     pub not_run: HeaderName,
+    /// Key of the caller's account. It never leaves the entry that the caller is connected to.
+    pub key: HeaderName,
+    /// Name of the account that holds the key, as targets learn it.
+    pub account: HeaderName,
     /// Load of a target: running requests, queued requests, slots, and the processing time on its host in percent of
     /// the usual time.
     pub load: HeaderName,
@@ -42,6 +46,8 @@
             part_stamps: HeaderName::from_static("hs-part-stamps"),
             missing_parts: HeaderName::from_static("hs-missing-parts"),
             not_run: HeaderName::from_static("hs-not-run"),
+            key: HeaderName::from_static("hs-key"),
+            account: HeaderName::from_static("hs-account"),
             load: HeaderName::from_static("hs-load"),
             limit: HeaderName::from_static("hs-limit"),
             leaving: HeaderName::from_static("hs-leaving"),
--- a/hickoryspan_gateway/tests/gateway/support.rs
+++ b/hickoryspan_gateway/tests/gateway/support.rs
@@ -425,12 +425,14 @@
         self.version += 1;
         let names: Vec<ServiceId> =
             routes.iter().flat_map(|route| route.destination.services()).cloned().collect();
-        let services = names.into_iter().map(|service| ServiceRule { service, connections });
+        let services =
+            names.into_iter().map(|service| ServiceRule { service, connections, cold_rate: None });
         let document = Arc::new(ConfigurationDocument {
             version: DocumentVersion(self.version),
             routes: routes.into_iter().map(Arc::new).collect(),
             services: services.collect(),
             limits: self.limits,
+            accounts: None,
             source: format!("version {}", self.version).into(),
         });
         let handle = self.daemon.as_ref().expect("a control host").handle();
@@ -584,6 +586,7 @@
         priority: 1,
         destination,
         max_attempts: 2,
+        public: false,
     }
 }
 
