Rank entries and groups by a named hash

Cause: entries rank each other by the hasher of the standard library, whose algorithm may change with the compiler, and releases that run side by side must agree on the order.

--- a/hickoryspan_core/src/gateway/fanouts/fanout_groups.rs
+++ b/hickoryspan_core/src/gateway/fanouts/fanout_groups.rs
@@ -7,13 +7,12 @@
 //! groups of a failure domain are the same for all entries, so that only few entries keep
 //! connections to the same targets. See `docs/design/gateway.md`.
 
-use std::collections::hash_map::DefaultHasher;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
-use std::hash::{Hash, Hasher};
 use std::sync::Arc;
 
 use super::fanout::ShardIndex;
 use super::relays::RelaySettings;
+use crate::gateway::stable_rank::StableRank;
 use crate::types::{EntryId, FailureDomain, ServiceId};
 
 /// Identifies a group among all groups of a deployment. The entries of the failure domain are ranked
@@ -180,11 +179,8 @@
     }
 }
 
-/// Hashes names to the same number in every process, unlike the randomly seeded hashers of hash maps.
 fn rank_of(entry: &EntryId, domain: &FailureDomain) -> u64 {
-    let mut hasher = DefaultHasher::new();
-    (entry.as_str(), domain.as_str()).hash(&mut hasher);
-    hasher.finish()
+    StableRank::new().text(entry.as_str()).text(domain.as_str()).finish()
 }
 
 /// The groups of the wide routes. Groups belong to a list of shards, which many routes may share: a
--- a/hickoryspan_core/src/gateway/fanouts/relays.rs
+++ b/hickoryspan_core/src/gateway/fanouts/relays.rs
@@ -7,9 +7,7 @@
 //! ranking take over, and a group without a usable entry is sent by the entry that received the
 //! request. See `docs/design/gateway.md`.
 
-use std::collections::hash_map::DefaultHasher;
 use std::collections::{BTreeMap, HashMap};
-use std::hash::{Hash, Hasher};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -17,6 +15,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::fanout_groups::GroupKey;
+use crate::gateway::stable_rank::StableRank;
 use crate::types::{EntryId, FailureDomain, MonotonicTime};
 
 /// Number of ranked entries that are considered. If none of them is usable, the entry that received
@@ -273,11 +272,8 @@
         let peers = self.peers.get(&key.domain).into_iter().flat_map(BTreeMap::keys);
         let mut entries: Vec<&EntryId> = peers.chain(local).collect();
         entries.sort_by_cached_key(|entry| {
-            // This hasher gives the same order in every process, unlike the randomly seeded hashers
-            // of hash maps.
-            let mut hasher = DefaultHasher::new();
-            (key.domain.as_str(), key.position, entry.as_str()).hash(&mut hasher);
-            hasher.finish()
+            let rank = StableRank::new().text(key.domain.as_str()).number(key.position as u64);
+            rank.text(entry.as_str()).finish()
         });
         let rank: Arc<[EntryId]> = entries.into_iter().take(MAX_RANK).cloned().collect();
         self.ranks.insert(key.clone(), Arc::clone(&rank));
--- a/hickoryspan_core/src/gateway/mod.rs
+++ b/hickoryspan_core/src/gateway/mod.rs
@@ -8,4 +8,5 @@
 pub mod membership;
 pub mod planned_stop;
 pub mod processor_lag;
+pub mod stable_rank;
 pub mod targets;
