--- a/hickoryspan_core/tests/control_support/mod.rs
+++ b/hickoryspan_core/tests/control_support/mod.rs
@@ -12,7 +12,9 @@
 use hickoryspan_core::control::machine::ControlMachine;
 use hickoryspan_core::control::raft::ReplicaMessage;
 use hickoryspan_core::control::settings::ControlSettings;
-use hickoryspan_core::gateway::document::{CallerLimits, ConfigurationDocument, DocumentVersion};
+use hickoryspan_core::gateway::documents::document::{
+    CallerLimits, ConfigurationDocument, DocumentVersion,
+};
 use hickoryspan_core::membership::{PartitionRecord, TargetRecord};
 use hickoryspan_core::messages::*;
 use hickoryspan_core::sheet::{CallerSpec, SheetDocument, TenantSheet};
@@ -524,6 +526,7 @@
         routes: Vec::new(),
         services: Vec::new(),
         limits: CallerLimits::default(),
+        accounts: None,
         source: format!("version {version}").into(),
     }
 }
--- a/hickoryspan_core/tests/gateway_document.rs
+++ b/hickoryspan_core/tests/gateway_document.rs
@@ -4,12 +4,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use hickoryspan_core::gateway::document::{
+use hickoryspan_core::gateway::documents::document::{
     CallerLimits, ConfigurationDocument, DocumentOutcome, DocumentVersion, InvalidDocument,
     RepeatRule, RouteDestination, RouteRule, ServiceRule, ShardSpread, WeightedService,
     decide_document,
 };
-use hickoryspan_core::gateway::routes::{RouteTable, WeightedRoundRobin};
+use hickoryspan_core::gateway::documents::routes::{RouteTable, WeightedRoundRobin};
 use hickoryspan_core::types::ServiceId;
 use rstest::rstest;
 
@@ -28,6 +28,7 @@
         priority: 1,
         destination,
         max_attempts: 2,
+        public: false,
     }
 }
 
@@ -36,8 +37,11 @@
     ConfigurationDocument {
         version: DocumentVersion(version),
         routes: routes.into_iter().map(Arc::new).collect(),
-        services: names.map(|name| ServiceRule { service: service(name), connections: 26 }).into(),
+        services: names
+            .map(|name| ServiceRule { service: service(name), connections: 26, cold_rate: None })
+            .into(),
         limits: CallerLimits::default(),
+        accounts: None,
         source: format!("document {version}").into(),
     }
 }
--- a/hickoryspan_gateway/src/fanout_server.rs
+++ b/hickoryspan_gateway/src/fanout_server.rs
@@ -7,14 +7,14 @@
 
 use anyhow::{Context, bail};
 use bytes::Bytes;
-use hickoryspan_core::gateway::directory::TargetProcess;
-use hickoryspan_core::gateway::document::{
+use hickoryspan_core::gateway::documents::document::{
     DocumentVersion, RepeatRule, RouteDestination, RouteRule, ShardSpread,
 };
-use hickoryspan_core::gateway::fanout::{
+use hickoryspan_core::gateway::fanouts::fanout::{
     FanoutMachine, FanoutSettings, ShardIndex, merge_records, records_above,
 };
-use hickoryspan_core::gateway::relays::RetryGate;
+use hickoryspan_core::gateway::fanouts::relays::RetryGate;
+use hickoryspan_core::gateway::targets::directory::TargetProcess;
 use hickoryspan_core::types::{MonotonicTime, ServiceId};
 use hickoryspan_runtime::http_client::HttpAnswer;
 use hickoryspan_runtime::peer_link::PeerLink;
@@ -309,6 +309,7 @@
             minimum_share: 0.0,
         }),
         max_attempts: task.max_attempts,
+        public: false,
     };
     Ok(GatewayJob {
         fingerprint: fingerprint(&route.host, method.as_str(), &task.target_path, &task.body),
@@ -320,6 +321,8 @@
         body: task.body,
         position: ConnectionPosition::Later,
         scope: AttemptScope::Relayed,
+        // The entry that has the request has recognized the caller.
+        identity: None,
         version: DocumentVersion::default(),
         received_at: now,
         give_up_at: now + task.give_up_in,
