Enforce quotas of accounts over all entries together

Cause: documents carry quotas of accounts and no entry refused anything. Change: control hosts count the requests that entries report and list the accounts that are near their limit; entries ask one control host for permits for these, and admit others at once. Without a usable control host an entry uses its share of the limit in each window. A request beyond the quota gets 429 with Retry-After before any work. Conclusion: wired from the request to the control host and back.

--- /dev/null
+++ b/hickoryspan_core/src/gateway/admission/quota.rs
@@ -0,0 +1,189 @@
+//! What entries and control hosts know of quotas, and what they tell each other (`docs/design/quotas.md`).
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::gateway::documents::accounts::AccountQuota;
+use crate::types::AccountId;
+
+/// Part of the margin that widens the burst. Callers send at random times, and a burst of few requests would refuse
+/// some of them below the rate.
+const BURST_PART: f64 = 1.0 / 3.0;
+/// Part of the margin for requests that are admitted before a hot account is known to be tight.
+const NOTICE_PART: f64 = 1.0 / 3.0;
+/// Multiple of its rate that a hot account may send.
+const PEAK: f64 = 5.0;
+/// Time in seconds from an admission to the time when all entries know its effect, with regular reports.
+const REGULAR_NOTICE: f64 = 0.6;
+/// The same with prompt reports.
+const PROMPT_NOTICE: f64 = 0.25;
+/// Least number of requests that an entry admits before the control hosts know of them, so that requests that come
+/// together by chance need no permits.
+const LEAST_FREE: f64 = 2.0;
+/// Time after which control hosts know of an admitted request.
+pub const NOTICE_TIME: Duration = Duration::from_millis(250);
+/// Part of the bound that entries may use which get no permits, all together.
+const UNHEARD_PART: f64 = 0.75;
+
+/// How quotas are counted.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct QuotaSettings {
+    /// Length of the window in which the bound holds.
+    pub window: Duration,
+    /// Tolerated excess, as a part of what the rate and the burst allow in a window.
+    pub overshoot: f64,
+    /// Further tolerated requests in each window.
+    pub slack: f64,
+}
+
+impl Default for QuotaSettings {
+    fn default() -> Self {
+        Self { window: Duration::from_secs(5), overshoot: 0.1, slack: 20.0 }
+    }
+}
+
+/// The figures that follow from a quota.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct QuotaBounds {
+    /// Requests per second.
+    pub rate: f64,
+    /// Largest number of requests in a window.
+    pub most: f64,
+    /// Difference between the largest number and what the rate and the burst allow.
+    pub margin: f64,
+    /// Requests that may come at once after a pause.
+    pub capacity: f64,
+    /// Level below which requests need permits.
+    pub tight_below: f64,
+    /// Whether entries report admitted requests without waiting for their regular report.
+    pub is_prompt: bool,
+}
+
+impl QuotaBounds {
+    /// Computes the figures of a quota.
+    pub fn new(settings: &QuotaSettings, quota: &AccountQuota) -> Self {
+        let rate = quota.rate.0;
+        let allowed = rate * settings.window.as_secs_f64() + quota.burst;
+        let margin = allowed * settings.overshoot + settings.slack;
+        let capacity = (quota.burst + margin * BURST_PART).max(1.0);
+        let covered = margin * NOTICE_PART;
+        let exposure = |notice: f64| PEAK * rate * notice - covered;
+        let is_prompt = exposure(REGULAR_NOTICE) > 1.0;
+        let notice = if is_prompt { PROMPT_NOTICE } else { REGULAR_NOTICE };
+        let tight_below = exposure(notice).min(capacity / 2.0).max(1.0);
+        Self { rate, most: allowed + margin, margin, capacity, tight_below, is_prompt }
+    }
+
+    /// Returns the number of requests that one of several entries admits without permits before the control hosts know
+    /// of them, while an account is calm.
+    pub fn free_share(&self, entries: u32) -> f64 {
+        let free = self.capacity / 2.0 + self.margin * NOTICE_PART;
+        (free / f64::from(entries.max(1))).max(LEAST_FREE)
+    }
+
+    /// Returns the number of requests that one of several entries may run in a window without permits.
+    pub fn unheard_share(&self, entries: u32) -> f64 {
+        self.most * UNHEARD_PART / f64::from(entries.max(1))
+    }
+}
+
+/// A process of an entry, which counts its requests from zero.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct ProcessNumber(pub u64);
+
+/// Number of a request for permits, which its answer repeats.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct PermitNumber(pub u64);
+
+/// How many requests of an account a process of an entry has admitted since its start.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct AccountCount {
+    /// The account.
+    pub account: AccountId,
+    /// Admitted requests, without those that had a permit of the receiver.
+    pub admitted: u64,
+    /// Requests that were admitted and not sent to a target, and permits of the receiver that were not used.
+    pub returned: u64,
+}
+
+/// The requests that a process of an entry has admitted. The first report on a link has all accounts that the process has
+/// counted, later ones those that changed.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct QuotaCounts {
+    /// The process.
+    pub process: ProcessNumber,
+    /// Time since the start of the process.
+    pub age: Duration,
+    /// The accounts.
+    pub counts: Vec<AccountCount>,
+}
+
+/// An entry needs permits for requests of an account.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct PermitRequest {
+    /// Number of this request on its link.
+    pub number: PermitNumber,
+    /// The account.
+    pub account: AccountId,
+    /// Number of permits that the entry is likely to use soon.
+    pub wanted: u32,
+}
+
+/// The answer to a request for permits.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct PermitAnswer {
+    /// Number of the request.
+    pub number: PermitNumber,
+    /// The account.
+    pub account: AccountId,
+    /// Number of requests that the entry may run. None if the account is at its limit.
+    pub permits: u32,
+    /// When the caller may try again, if there are no permits.
+    pub retry_after: Duration,
+    /// Number of requests that all entries together may still run at once, for the log.
+    pub level: f64,
+}
+
+/// Whether a control host counts the requests of accounts.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum CountingState {
+    /// It knows no leader, so other hosts may count without it.
+    #[default]
+    Isolated,
+    /// It has started less than a window ago.
+    Fresh,
+    /// It has counted for at least a window.
+    Complete,
+}
+
+/// What has changed in a control host's count since the last such message on a link.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct QuotaChange {
+    /// Whether the host counts.
+    pub counting: CountingState,
+    /// Accounts whose requests need permits from now on.
+    pub tightened: Vec<AccountId>,
+    /// Accounts whose requests no longer do.
+    pub calmed: Vec<AccountId>,
+}
+
+/// Returns the rank of a control host for an account. Entries of all releases must compute the same.
+pub fn host_rank(account: &AccountId, host: SocketAddr) -> u64 {
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(account.as_str().as_bytes());
+    hasher.update(b"\n");
+    hasher.update(host.to_string().as_bytes());
+    let mut rank = [0; 8];
+    rank.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
+    u64::from_be_bytes(rank)
+}
--- a/hickoryspan_core/src/gateway/membership/messages.rs
+++ b/hickoryspan_core/src/gateway/membership/messages.rs
@@ -9,6 +9,7 @@
 use super::entry_list::{EntryListChange, OpenEntry};
 use crate::control::interface::ReplicaRecord;
 use crate::gateway::admission::limit_gate::{DemandTotals, ServiceDemand};
+use crate::gateway::admission::quota::{PermitAnswer, PermitRequest, QuotaChange, QuotaCounts};
 use crate::gateway::admission::target_limits::LimitRecord;
 use crate::gateway::documents::document::DocumentVersion;
 use crate::gateway::documents::document_parts::DocumentPart;
@@ -27,8 +28,10 @@
     /// The first version that knows heartbeats and compressed frames, and takes the entries for wide
     /// fan-outs from the list of open entries.
     pub const HEARTBEATS: Self = Self(1);
+    /// The first version that counts the requests of accounts with a quota.
+    pub const QUOTAS: Self = Self(2);
     /// The version of this release.
-    pub const CURRENT: Self = Self::HEARTBEATS;
+    pub const CURRENT: Self = Self::QUOTAS;
 }
 
 /// An entry host and the addresses at which it can be reached.
@@ -102,6 +105,11 @@
     Limits(Vec<LimitRecord>),
     /// An entry's own demand for the services that have limited targets, at regular intervals.
     Demands(Vec<ServiceDemand>),
+    /// The requests of accounts with a quota that an entry has admitted, as far as they changed since the last such
+    /// message. Sent only to control hosts that understand it, as is [`Self::AskPermits`].
+    QuotaCounts(QuotaCounts),
+    /// An entry needs permits for requests of an account. Answered with [`DirectoryUpdate::Permits`].
+    AskPermits(PermitRequest),
 }
 
 /// A message from a control host over a link.
@@ -146,6 +154,10 @@
     Limits(Vec<LimitRecord>),
     /// The demand of all entries for the services that have limited targets, at regular intervals.
     Demands(DemandTotals),
+    /// What changed in the sender's count of the requests of accounts. Sent only to entries that understand it.
+    Quotas(QuotaChange),
+    /// The answer to [`DirectoryRequest::AskPermits`].
+    Permits(PermitAnswer),
     /// A part of the document in force, as a change to the version that the receiver has.
     Document(Arc<DocumentPart>),
     /// Requests a confirmation once all earlier messages have been applied.
--- a/hickoryspan_gateway/src/directory_hub.rs
+++ b/hickoryspan_gateway/src/directory_hub.rs
@@ -52,8 +52,8 @@
     clock.reading().monotonic + settings.target_lease
 }
 
-fn restore(cache: &DirectoryCache, now: MonotonicTime, lease: Duration) -> HubState {
-    let mut state = HubState::default();
+fn restore(cache: &DirectoryCache, now: MonotonicTime, settings: &DirectorySettings) -> HubState {
+    let mut state = HubState::new(now, settings);
     let cached = match cache.load() {
         Ok(Some(cached)) => cached,
         Ok(None) => return state,
@@ -62,7 +62,7 @@
             return state;
         }
     };
-    let announced_at = now - lease.saturating_sub(RESTORED_LEASE);
+    let announced_at = now - settings.target_lease.saturating_sub(RESTORED_LEASE);
     spdlog::info!("targets restored", kv: { count: = cached.targets.len() });
     for departure in &cached.departures {
         state.directory.depart(now, departure);
@@ -119,7 +119,7 @@
     ) -> Self {
         let cache = DirectoryCache::new(folder);
         let clock = SystemClock::start();
-        let state = restore(&cache, offset_now(&clock, &settings), settings.target_lease);
+        let state = restore(&cache, offset_now(&clock, &settings), &settings);
         Self {
             settings,
             clock,
@@ -211,6 +211,8 @@
             DirectoryRequest::Demands(demands) => {
                 link.demands = ReportedDemands { demands, reported_at: now };
             }
+            DirectoryRequest::QuotaCounts(counts) => state.count_requests(now, counts),
+            DirectoryRequest::AskPermits(request) => state.answer_permits(now, number, &request),
         }
     }
 
@@ -240,6 +242,7 @@
                 for frame in &*state.initial_frames(now) {
                     state.send_frame(number, frame);
                 }
+                state.send_quotas(number);
             }
             LinkPeer::Control | LinkPeer::Unknown => {
                 for update in state.known_state(now, peer) {
@@ -422,9 +425,12 @@
     pub fn set_document(&self, document: Arc<ConfigurationDocument>) {
         let mut state = self.lock();
         let version = document.version;
+        let accounts = Arc::clone(&document);
         if !state.documents.push(document) {
             return;
         }
+        let accounts = accounts.accounts.as_deref().unwrap_or_default();
+        state.quotas.set_accounts(self.now(), accounts);
         spdlog::info!("document activated", kv: { version: = version });
         let hosts = self.hosts_update(&state, self.now());
         state.send_hosts(&hosts);
@@ -452,6 +458,7 @@
         state.poison.expire(now);
         state.forget_limits(now);
         state.send_demands(now);
+        state.update_quotas(now, self.has_leader(), &self.settings);
         let expired = state.directory.expire(now, self.settings.target_lease);
         if expired.is_empty() {
             return;
@@ -511,6 +518,8 @@
             DirectoryUpdate::Document(_)
             | DirectoryUpdate::Confirm(_)
             | DirectoryUpdate::Demands(_)
+            | DirectoryUpdate::Quotas(_)
+            | DirectoryUpdate::Permits(_)
             | DirectoryUpdate::Vouched(_)
             | DirectoryUpdate::Relays(_)
             | DirectoryUpdate::Entries(_)
@@ -521,9 +530,11 @@
     }
 
     // The other control hosts receive the changes over the links that they open to this host.
-    fn news(&self, _known: &mut KnownChanges) -> Vec<DirectoryRequest> {
+    fn news(&self, _host: SocketAddr, _known: &mut KnownChanges) -> Vec<DirectoryRequest> {
         Vec::new()
     }
 
-    fn on_link_change(&self, _from: SocketAddr, _up: bool) {}
+    fn on_link_up(&self, _from: SocketAddr, _queue: &mpsc::Sender<DirectoryRequest>) {}
+
+    fn on_link_down(&self, _from: SocketAddr) {}
 }
--- a/hickoryspan_gateway/src/directory_links.rs
+++ b/hickoryspan_gateway/src/directory_links.rs
@@ -38,6 +38,8 @@
     pub suspicions: ChangeNumber,
     /// Last change of the targets' limits.
     pub limits: ChangeNumber,
+    /// Last change of the counted requests of accounts.
+    pub quotas: ChangeNumber,
 }
 
 /// Supplies the reports that are sent over directory links, and handles the updates that arrive.
@@ -49,11 +51,13 @@
         LinkVersion::default()
     }
     /// Returns what else the host at the other end does not know yet, and advances `known` accordingly.
-    fn news(&self, known: &mut KnownChanges) -> Vec<DirectoryRequest>;
+    fn news(&self, host: SocketAddr, known: &mut KnownChanges) -> Vec<DirectoryRequest>;
     /// Applies an update of the control host at `from`. A returned request is sent back to that host.
     fn apply(&self, from: SocketAddr, update: DirectoryUpdate) -> Option<DirectoryRequest>;
-    /// Called when the link to `from` is established (`up`) or lost.
-    fn on_link_change(&self, from: SocketAddr, up: bool);
+    /// Called when the link to `from` is established. Messages in `queue` are sent over it.
+    fn on_link_up(&self, from: SocketAddr, queue: &mpsc::Sender<DirectoryRequest>);
+    /// Called when the link to `from` is lost.
+    fn on_link_down(&self, from: SocketAddr);
 }
 
 /// Maintains a link to every host of a list.
@@ -166,10 +170,14 @@
         let idle = async move {
             while let Ok(Ok(())) = tokio::time::timeout(limit, last_received.changed()).await {}
         };
+        let up = LinkStateGuard::new(
+            Arc::clone(&self.handler),
+            address,
+            &queue,
+            Arc::clone(&self.links_up),
+        );
         let reports = ReportTask { address, settings: &self.settings, handler: &*self.handler };
         let reports = reports.run(&mut self.report_trigger, queue);
-        let up =
-            LinkStateGuard::new(Arc::clone(&self.handler), address, Arc::clone(&self.links_up));
         let ended = tokio::select! {
             ended = link.run(outgoing, receive) => ended,
             ended = reports => ended,
@@ -202,7 +210,7 @@
                 ReportMessage::Heartbeat => DirectoryRequest::Unchanged,
             };
             queue.send(report).await.context("the link ended")?;
-            for request in self.handler.news(&mut known) {
+            for request in self.handler.news(self.address, &mut known) {
                 queue.send(request).await.context("the link ended")?;
             }
             tokio::time::sleep(MIN_REPORT_INTERVAL).await;
@@ -221,10 +229,15 @@
 }
 
 impl LinkStateGuard {
-    fn new(handler: Arc<dyn LinkHandler>, address: SocketAddr, links_up: Arc<AtomicUsize>) -> Self {
+    fn new(
+        handler: Arc<dyn LinkHandler>,
+        address: SocketAddr,
+        queue: &mpsc::Sender<DirectoryRequest>,
+        links_up: Arc<AtomicUsize>,
+    ) -> Self {
         spdlog::info!("directory link up", kv: { peer: = address });
         links_up.fetch_add(1, Ordering::Relaxed);
-        handler.on_link_change(address, true);
+        handler.on_link_up(address, queue);
         Self { handler, address, links_up }
     }
 }
@@ -233,6 +246,6 @@
     fn drop(&mut self) {
         spdlog::info!("directory link down", kv: { peer: = self.address });
         self.links_up.fetch_sub(1, Ordering::Relaxed);
-        self.handler.on_link_change(self.address, false);
+        self.handler.on_link_down(self.address);
     }
 }
--- a/hickoryspan_gateway/src/entry_daemon.rs
+++ b/hickoryspan_gateway/src/entry_daemon.rs
@@ -21,7 +21,7 @@
 use hickoryspan_core::types::{MonotonicTime, TargetId};
 use hickoryspan_runtime::tasks::join_all;
 use tokio::net::TcpListener;
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
 use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
 
@@ -113,6 +113,7 @@
             let mut decisions = self.state.decisions();
             decisions.entries = count;
             decisions.budget_entries.note(self.state.now(), count);
+            decisions.quotas.set_entries(count);
             decisions.selector.limits_mut().set_entries(count);
         }
     }
@@ -159,6 +160,8 @@
             | DirectoryUpdate::Suspicions(_)
             | DirectoryUpdate::Limits(_)
             | DirectoryUpdate::Demands(_)
+            | DirectoryUpdate::Quotas(_)
+            | DirectoryUpdate::Permits(_)
             | DirectoryUpdate::Document(_)
             | DirectoryUpdate::Confirm(_) => return,
         }
@@ -247,6 +250,12 @@
             DirectoryUpdate::Demands(totals) => {
                 self.state.decisions().selector.limits_mut().set_totals(from, totals);
             }
+            DirectoryUpdate::Quotas(change) => self.state.decisions().quotas.apply(from, change),
+            DirectoryUpdate::Permits(answer) => {
+                let now = self.state.now();
+                self.state.decisions().quotas.add_permits(now, from, &answer);
+                self.state.permits.complete(answer);
+            }
             targets @ DirectoryUpdate::Vouched(_) => {
                 self.has_target_list.store(true, Ordering::Relaxed);
                 self.apply_targets(from, targets);
@@ -332,35 +341,43 @@
         request
     }
 
-    fn news(&self, known: &mut KnownChanges) -> Vec<DirectoryRequest> {
+    fn news(&self, host: SocketAddr, known: &mut KnownChanges) -> Vec<DirectoryRequest> {
         let now = self.state.now();
-        let decisions = self.state.decisions();
+        let counts_quotas = self.link_version(host) >= LinkVersion::QUOTAS;
+        let mut decisions = self.state.decisions();
         let suspicions = decisions.poison.own_changed_since(now, known.suspicions);
         let limits = decisions.selector.limits().table.own_changed_since(now, known.limits);
         let demands =
             decisions.selector.limits().demands(now, decisions.selector.limited_services());
-        *known = KnownChanges {
-            suspicions: decisions.poison.newest(),
-            limits: decisions.selector.limits().table.newest(),
-        };
+        let mut quotas = None;
+        if counts_quotas {
+            quotas = decisions.quotas.counts_since(now, host, known.quotas);
+            known.quotas = decisions.quotas.newest();
+        }
+        known.suspicions = decisions.poison.newest();
+        known.limits = decisions.selector.limits().table.newest();
         drop(decisions);
         let suspicions =
             (!suspicions.is_empty()).then_some(DirectoryRequest::Suspicions(suspicions));
         let limits = (!limits.is_empty()).then_some(DirectoryRequest::Limits(limits));
         let demands = (!demands.is_empty()).then_some(DirectoryRequest::Demands(demands));
-        [suspicions, limits, demands].into_iter().flatten().collect()
+        let quotas = quotas.map(DirectoryRequest::QuotaCounts);
+        [suspicions, limits, demands, quotas].into_iter().flatten().collect()
+    }
+
+    fn on_link_up(&self, from: SocketAddr, queue: &mpsc::Sender<DirectoryRequest>) {
+        self.state.decisions().liveness.add_host(from);
+        self.state.permits.add(from, queue.clone());
     }
 
-    fn on_link_change(&self, from: SocketAddr, up: bool) {
+    fn on_link_down(&self, from: SocketAddr) {
+        self.state.permits.remove(from);
         let mut decisions = self.state.decisions();
-        if up {
-            decisions.liveness.add_host(from);
-            return;
-        }
         decisions.liveness.remove_host(from);
         decisions.entry_list.remove_host(from);
         decisions.update_relays();
         decisions.selector.limits_mut().remove_host(from);
+        decisions.quotas.remove_host(from);
         decisions.document_fetch.note_end(from);
         decisions.document_parts.forget(from);
         drop(decisions);
@@ -552,6 +569,7 @@
         decisions.poison.expire(now);
         decisions.selector.sweep_limits(now);
         decisions.selector.expire_notices(now);
+        decisions.quotas.expire(now);
         drop(guard);
         state.open_fanout_links();
         state.pool.sweep(|target| state.is_known(target));
--- a/hickoryspan_gateway/src/forward.rs
+++ b/hickoryspan_gateway/src/forward.rs
@@ -25,6 +25,7 @@
 use crate::attempt::{AttemptScope, CallerIdentity, GatewayJob};
 use crate::gateway_state::GatewayState;
 use crate::headers::remove_connection_headers;
+use crate::quota_permits::{admit, give_back};
 use crate::refusal::{GatewayResponse, MIN_RETRY_DELAY, RefusalReason, refuse, refuse_job};
 use crate::relayed_groups::RelayedGroups;
 use crate::run::run_fanout;
@@ -114,6 +115,9 @@
         // Another entry can take the request at once.
         return refuse(&state, &id_text, RefusalReason::Stopping, MIN_RETRY_DELAY);
     }
+    if let Err(retry_after) = admit(&state, &job).await {
+        return refuse(&state, &id_text, RefusalReason::QuotaExceeded, retry_after);
+    }
     run_job(state, routes, Arc::new(job)).await
 }
 
@@ -252,19 +256,19 @@
         RouteDestination::Service(_) | RouteDestination::Split(_) => None,
     };
     let Some(services) = choose_services(&state, &job) else {
-        return refuse_job(&state, &job, RefusalReason::NoTarget);
+        return refuse_unsent(&state, &job, RefusalReason::NoTarget);
     };
     if let Some(spread) = &spread
         && !has_enough_targets(&state, spread)
     {
-        return refuse_job(&state, &job, RefusalReason::NoTarget);
+        return refuse_unsent(&state, &job, RefusalReason::NoTarget);
     }
     let settings = fanout_settings(&state, &job, spread.as_ref());
     if exceeds_limits(&state, &services, spread.as_ref(), &settings) {
-        return refuse_job(&state, &job, RefusalReason::Limited);
+        return refuse_unsent(&state, &job, RefusalReason::Limited);
     }
     if is_overloaded(&state, &job, &services, &settings) {
-        return refuse_job(&state, &job, RefusalReason::Overloaded);
+        return refuse_unsent(&state, &job, RefusalReason::Overloaded);
     }
     let rule = if spread.is_some() { AnswerRule::SuccessOnly } else { AnswerRule::Any };
     let relayed = relay_groups(&state, &job, &services, spread.as_ref(), &settings);
@@ -284,6 +288,12 @@
     }
 }
 
+/// Refuses a request that no target got. It does not count towards the quota of its account.
+fn refuse_unsent(state: &GatewayState, job: &GatewayJob, reason: RefusalReason) -> GatewayResponse {
+    give_back(state, job);
+    refuse_job(state, job, reason)
+}
+
 /// Hands groups of shards to other entries if the fan-out is wide enough.
 fn relay_groups(
     state: &Arc<GatewayState>,
@@ -535,7 +545,7 @@
         }
     }
     let reason = match (outcome.end, outcome.may_have_run) {
-        (_, false) => RefusalReason::NoTarget,
+        (_, false) => return refuse_unsent(state, job, RefusalReason::NoTarget),
         (RunEnd::TimedOut, true) => RefusalReason::TimedOut,
         (RunEnd::Stopped, true) => RefusalReason::StopTimedOut,
         (_, true) => RefusalReason::MayHaveRun,
--- a/hickoryspan_gateway/src/gateway_state.rs
+++ b/hickoryspan_gateway/src/gateway_state.rs
@@ -8,6 +8,7 @@
 
 use hickoryspan_core::entry::latency::{LatencyDistribution, LatencySettings};
 use hickoryspan_core::gateway::admission::budget::{EntryCount, RetryBudget};
+use hickoryspan_core::gateway::admission::quota_gate::QuotaGate;
 use hickoryspan_core::gateway::documents::document::{
     DocumentVersion, RouteDestination, RouteRule, ShardSpread, WeightedService,
 };
@@ -37,6 +38,7 @@
 use crate::attempt::{AttemptScope, GatewayJob};
 use crate::caller_connection::CallerCounts;
 use crate::fanout_links::FanoutLinks;
+use crate::quota_permits::PermitLinks;
 use crate::settings::GatewaySettings;
 use crate::target_pool::TargetPool;
 
@@ -69,6 +71,8 @@
     pub(crate) entries: u32,
     /// The number of entries that divide the retry budgets among themselves.
     pub(crate) budget_entries: EntryCount,
+    /// Which requests of accounts with a quota are admitted.
+    pub(crate) quotas: QuotaGate,
     /// The shard groups of the wide routes in the active document, as the known targets and entries divide them.
     pub(crate) groups: GroupCache,
     budgets: HashMap<ServiceId, RetryBudget>,
@@ -241,6 +245,7 @@
     pub(crate) clock: SystemClock,
     pub(crate) pool: TargetPool,
     pub(crate) fanout: FanoutLinks,
+    pub(crate) permits: PermitLinks,
     pub(crate) caller_counts: CallerCounts,
     /// Number of tasks of other entries since the start.
     pub(crate) tasks_served: AtomicU64,
@@ -265,6 +270,11 @@
             settings.domain.clone(),
             ChaCha12Rng::seed_from_u64(generator.random()),
         );
+        let quotas = QuotaGate::new(
+            MonotonicTime(0),
+            settings.directory.quotas,
+            ChaCha12Rng::seed_from_u64(generator.random()),
+        );
         let decisions = SharedDecisions {
             routes: None,
             document_fetch: DocumentFetch::default(),
@@ -283,6 +293,7 @@
             groups: GroupCache::default(),
             entries: 1,
             budget_entries: EntryCount::default(),
+            quotas,
             budgets: HashMap::new(),
             latencies: HashMap::new(),
             splits: HashMap::new(),
@@ -292,6 +303,7 @@
         Self {
             settings,
             fanout,
+            permits: PermitLinks::default(),
             caller_counts: CallerCounts::default(),
             tasks_served: AtomicU64::new(0),
             informed: watch::Sender::new(false),
--- a/hickoryspan_gateway/src/hub_state.rs
+++ b/hickoryspan_gateway/src/hub_state.rs
@@ -8,6 +8,8 @@
 use hickoryspan_core::gateway::admission::limit_gate::{
     DEMAND_LIFETIME, DemandTotals, ServiceDemand,
 };
+use hickoryspan_core::gateway::admission::quota::{PermitRequest, QuotaCounts};
+use hickoryspan_core::gateway::admission::quota_ledger::QuotaLedger;
 use hickoryspan_core::gateway::admission::target_limits::{LimitRecord, LimitTable};
 use hickoryspan_core::gateway::fanouts::relays::RelayPeer;
 use hickoryspan_core::gateway::membership::entry_list::{
@@ -24,6 +26,8 @@
 use hickoryspan_core::gateway::targets::poison::{PoisonTable, SuspicionRecord};
 use hickoryspan_core::types::{FailureDomain, MonotonicTime, TargetId};
 use hickoryspan_wire::{EncodedFrame, encode_frame};
+use rand::SeedableRng;
+use rand_chacha::ChaCha12Rng;
 use tokio::sync::mpsc;
 
 use crate::document_history::DocumentHistory;
@@ -113,7 +117,6 @@
     pub(crate) due_at: Option<Instant>,
 }
 
-#[derive(Default)]
 pub(crate) struct HubState {
     // What a new link of an entry is told, until something in it changes. After a common restart all entries open their
     // links within moments.
@@ -132,12 +135,35 @@
     pub(crate) poison: PoisonTable,
     // What entries heard of the limits of targets.
     pub(crate) limits: LimitTable,
+    // How many requests of accounts with a quota the entries have admitted.
+    pub(crate) quotas: QuotaLedger,
     pub(crate) confirm_number: ConfirmNumber,
     // Whether the directory has changed since it was last saved.
     pub(crate) unsaved: bool,
 }
 
 impl HubState {
+    /// Creates the state of a host that starts now and knows nothing.
+    pub(crate) fn new(now: MonotonicTime, settings: &DirectorySettings) -> Self {
+        let generator = ChaCha12Rng::seed_from_u64(rand::random());
+        Self {
+            initial: None,
+            changes: ChangeBatch::default(),
+            directory: TargetDirectory::default(),
+            links: BTreeMap::new(),
+            next_link: 0,
+            renewals: Vec::new(),
+            peer_changes: Vec::new(),
+            listed: BTreeSet::new(),
+            documents: DocumentHistory::default(),
+            poison: PoisonTable::default(),
+            limits: LimitTable::default(),
+            quotas: QuotaLedger::new(now, settings.quotas, generator),
+            confirm_number: ConfirmNumber::default(),
+            unsaved: false,
+        }
+    }
+
     /// Sends an update to every entry and control host.
     pub(crate) fn broadcast(&mut self, update: &DirectoryUpdate) {
         self.send_where(update, |peer| peer != LinkPeer::Unknown);
@@ -238,6 +264,58 @@
         }
     }
 
+    /// Counts what an entry has admitted. Entries learn at once which accounts became tight.
+    pub(crate) fn count_requests(&mut self, now: MonotonicTime, counts: QuotaCounts) {
+        self.quotas.note_counts(now, counts);
+        if self.quotas.has_tightened() {
+            self.send_quota_change(now);
+        }
+    }
+
+    /// Answers an entry that needs permits for requests of an account.
+    pub(crate) fn answer_permits(
+        &mut self,
+        now: MonotonicTime,
+        number: LinkNumber,
+        request: &PermitRequest,
+    ) {
+        let answer = self.quotas.grant(now, request);
+        self.send_to(number, &DirectoryUpdate::Permits(answer));
+    }
+
+    /// Sends what this host counts over a link that an entry has just opened.
+    pub(crate) fn send_quotas(&mut self, number: LinkNumber) {
+        let understands = |link: &HubLink| link.version() >= LinkVersion::QUOTAS;
+        if self.quotas.is_active() && self.links.get(&number).is_some_and(understands) {
+            self.send_to(number, &DirectoryUpdate::Quotas(self.quotas.told()));
+        }
+    }
+
+    /// Notes which entries and leader this host knows, and sends what that and the time change in its count.
+    pub(crate) fn update_quotas(
+        &mut self,
+        now: MonotonicTime,
+        has_leader: bool,
+        settings: &DirectorySettings,
+    ) {
+        let entries = u32::try_from(self.entries(now, settings).len()).unwrap_or(u32::MAX);
+        self.quotas.note_hosts(now, entries, has_leader);
+        self.quotas.expire(now);
+        self.send_quota_change(now);
+    }
+
+    fn send_quota_change(&mut self, now: MonotonicTime) {
+        if !self.quotas.is_active() {
+            return;
+        }
+        let Some(change) = self.quotas.take_change(now) else { return };
+        let Some(frame) = UpdateFrame::new(&DirectoryUpdate::Quotas(change)) else { return };
+        self.links.retain(|_, link| {
+            let receives = link.peer == LinkPeer::Entry && link.version() >= LinkVersion::QUOTAS;
+            !receives || link.push(&frame)
+        });
+    }
+
     /// Notifies entries of the earlier release of changes among the entries of their failure domain.
     pub(crate) fn send_relays(&mut self, now: MonotonicTime, settings: &DirectorySettings) {
         let is_earlier = |host: &EntryHost| host.link_version < LinkVersion::HEARTBEATS;
--- a/hickoryspan_gateway/src/lib.rs
+++ b/hickoryspan_gateway/src/lib.rs
@@ -22,6 +22,7 @@
 mod host_list;
 mod hub_state;
 mod link_listener;
+mod quota_permits;
 mod refusal;
 mod relayed_groups;
 mod run;
--- a/hickoryspan_gateway/src/refusal.rs
+++ b/hickoryspan_gateway/src/refusal.rs
@@ -25,6 +25,7 @@
     NoHost,
     NoRoute,
     UnknownKey,
+    QuotaExceeded,
     BodyTooLarge,
     BodyTooSlow,
     BodyIncomplete,
@@ -45,6 +46,7 @@
             Self::NoHost => "no_host",
             Self::NoRoute => "no_route",
             Self::UnknownKey => "unknown_key",
+            Self::QuotaExceeded => "quota_exceeded",
             Self::BodyTooLarge => "body_too_large",
             Self::BodyTooSlow => "body_too_slow",
             Self::BodyIncomplete => "body_incomplete",
@@ -70,6 +72,7 @@
             Self::NoHost | Self::BodyIncomplete => StatusCode::BAD_REQUEST,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
+            Self::QuotaExceeded => StatusCode::TOO_MANY_REQUESTS,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::BodyTooSlow => StatusCode::REQUEST_TIMEOUT,
             Self::MayHaveRun => StatusCode::BAD_GATEWAY,
@@ -97,7 +100,9 @@
     *response.status_mut() = reason.status();
     let headers = response.headers_mut();
     headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/plain"));
-    if reason.status() == StatusCode::SERVICE_UNAVAILABLE
+    let is_retryable =
+        matches!(reason.status(), StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS);
+    if is_retryable
         && let Ok(seconds) = HeaderValue::from_str(&format!("{:.3}", retry_after.as_secs_f64()))
     {
         headers.insert(RETRY_AFTER, seconds);
--- a/hickoryspan_gateway/src/settings.rs
+++ b/hickoryspan_gateway/src/settings.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use hickoryspan_core::gateway::admission::budget::BudgetSettings;
+use hickoryspan_core::gateway::admission::quota::QuotaSettings;
 use hickoryspan_core::gateway::fanouts::relays::RelaySettings;
 use hickoryspan_core::gateway::targets::selection::SelectionSettings;
 use hickoryspan_core::types::{EntryId, FailureDomain};
@@ -22,6 +23,8 @@
     pub target_lease: Duration,
     /// How long a control host waits for entries to confirm that a target drains or leaves.
     pub confirm_timeout: Duration,
+    /// How quotas of accounts are counted, on entries and on control hosts.
+    pub quotas: QuotaSettings,
     /// The credential that all processes share.
     pub credential: SharedCredential,
 }
@@ -34,6 +37,7 @@
             receive_timeout: Duration::from_millis(1_500),
             target_lease: Duration::from_secs(6),
             confirm_timeout: Duration::from_millis(700),
+            quotas: QuotaSettings::default(),
             credential,
         }
     }
--- a/hickoryspan_gateway/tests/gateway/main.rs
+++ b/hickoryspan_gateway/tests/gateway/main.rs
@@ -11,6 +11,7 @@
 mod last_check;
 mod odd_answers;
 mod planned_stop;
+mod quotas;
 mod scripted_peer;
 mod support;
 mod target_limits;
--- a/hickoryspan_gateway/tests/gateway/scripted_peer.rs
+++ b/hickoryspan_gateway/tests/gateway/scripted_peer.rs
@@ -117,7 +117,7 @@
         })
     }
 
-    fn news(&self, _known: &mut KnownChanges) -> Vec<DirectoryRequest> {
+    fn news(&self, _host: SocketAddr, _known: &mut KnownChanges) -> Vec<DirectoryRequest> {
         Vec::new()
     }
 
@@ -129,5 +129,7 @@
         None
     }
 
-    fn on_link_change(&self, _from: SocketAddr, _up: bool) {}
+    fn on_link_up(&self, _from: SocketAddr, _queue: &mpsc::Sender<DirectoryRequest>) {}
+
+    fn on_link_down(&self, _from: SocketAddr) {}
 }
