Test client accounts, and mend what the tests found

A caller could have the entry's account header removed by naming it in Connection. A request that waited when accounts were introduced was sent with its key, and one without a key was sent after its route was no longer public; on a public route the account of a revoked key was still told to the target. An entry that sent a group for another one passed on a key that the other one had not removed. A 401 had no WWW-Authenticate. Conclusion: keys stay on the entry that the caller is connected to. A group that waits at another entry is not judged again before its deadline.

--- a/hickoryspan_core/src/gateway/documents/document.rs
+++ b/hickoryspan_core/src/gateway/documents/document.rs
@@ -170,7 +170,7 @@
 }
 
 /// A complete configuration.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub struct ConfigurationDocument {
     /// Version of the document.
@@ -188,6 +188,20 @@
     pub source: Arc<str>,
 }
 
+impl fmt::Debug for ConfigurationDocument {
+    /// Leaves out the source, which contains the keys of accounts.
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter
+            .debug_struct("ConfigurationDocument")
+            .field("version", &self.version)
+            .field("routes", &self.routes)
+            .field("services", &self.services)
+            .field("limits", &self.limits)
+            .field("accounts", &self.accounts)
+            .finish_non_exhaustive()
+    }
+}
+
 /// The reason why a document is invalid.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum InvalidDocument {
--- a/hickoryspan_gateway/src/attempt.rs
+++ b/hickoryspan_gateway/src/attempt.rs
@@ -36,6 +36,8 @@
 pub(crate) struct CallerIdentity {
     pub(crate) account: Arc<ClientAccount>,
     pub(crate) key: KeyDigest,
+    /// Name of the account as targets get it.
+    pub(crate) name: HeaderValue,
 }
 
 /// A caller's request with its whole body.
@@ -52,6 +54,9 @@
     pub(crate) scope: AttemptScope,
     /// The account of the caller, if it sent a key that is known.
     pub(crate) identity: Option<CallerIdentity>,
+    /// Whether the configuration by which the request was accepted names accounts. Otherwise its headers are as the caller
+    /// sent them and may contain a key.
+    pub(crate) keys_checked: bool,
     /// Version of the configuration by which the route was chosen.
     pub(crate) version: DocumentVersion,
     pub(crate) received_at: MonotonicTime,
@@ -65,25 +70,35 @@
         if self.scope == AttemptScope::Relayed || routes.document().version == self.version {
             return true;
         }
-        let path = self.target_path.split('?').next().unwrap_or_default();
-        let route = routes.find(&self.route.host, path);
+        let route = self.find_route(routes);
         route.is_some_and(|route| route.destination.services().contains(&service))
     }
 
+    fn find_route<'a>(&self, routes: &'a RouteTable) -> Option<&'a Arc<RouteRule>> {
+        let path = self.target_path.split('?').next().unwrap_or_default();
+        routes.find(&self.route.host, path)
+    }
+
     /// Returns the priority of the request; 0 is the most urgent. That of the account goes before that of the route.
     pub(crate) fn priority(&self) -> u32 {
         let account = self.identity.as_ref().and_then(|identity| identity.account.priority);
         account.unwrap_or(self.route.priority)
     }
 
-    /// Returns whether the caller's key is still held by its account.
+    /// Returns whether the accounts in force allow this request as it was accepted. For a request of another entry, that
+    /// entry has recognized the caller.
     pub(crate) fn is_authorized(&self, routes: &RouteTable) -> bool {
-        let Some(identity) = &self.identity else { return true };
-        if self.route.public || routes.document().version == self.version {
+        let is_current = routes.document().version == self.version;
+        if is_current || self.scope == AttemptScope::Relayed || !routes.requires_keys() {
             return true;
         }
-        let holder = routes.find_account(&identity.key);
-        holder.is_some_and(|holder| holder.account == identity.account.account)
+        match &self.identity {
+            // Also on a public route, since the target is told the account.
+            Some(identity) => routes
+                .find_account(&identity.key)
+                .is_some_and(|holder| holder.account == identity.account.account),
+            None => self.keys_checked && self.find_route(routes).is_some_and(|route| route.public),
+        }
     }
 
     /// Returns the caller's request ID for logs, or `-` if it has none.
--- a/hickoryspan_gateway/src/fanout_server.rs
+++ b/hickoryspan_gateway/src/fanout_server.rs
@@ -292,7 +292,13 @@
     task: FanoutTask,
     now: MonotonicTime,
 ) -> anyhow::Result<GatewayJob> {
-    let headers = from_fields(task.headers)?;
+    let mut headers = from_fields(task.headers)?;
+    let requires_keys =
+        state.decisions().routes.as_ref().is_some_and(|routes| routes.requires_keys());
+    if requires_keys {
+        // An entry of an earlier release, or with an earlier configuration, passes on what its caller sent.
+        headers.remove(&state.settings.headers.key);
+    }
     let method = Method::from_bytes(task.method.as_bytes())?;
     let host = headers.get(http::header::HOST).and_then(|value| value.to_str().ok());
     let route = RouteRule {
@@ -323,6 +329,7 @@
         scope: AttemptScope::Relayed,
         // The entry that has the request has recognized the caller.
         identity: None,
+        keys_checked: requires_keys,
         version: DocumentVersion::default(),
         received_at: now,
         give_up_at: now + task.give_up_in,
--- a/hickoryspan_gateway/src/forward.rs
+++ b/hickoryspan_gateway/src/forward.rs
@@ -104,9 +104,13 @@
         Ok(body) => body,
         Err(reason) => return refuse(&state, &id_text, reason, MIN_RETRY_DELAY),
     };
-    let version = routes.document().version;
-    let job = to_job(&state, parts, body, RoutedBy { route, version }, id, position, received_at);
-    let job = GatewayJob { identity, ..job };
+    let accepted_by = AcceptedBy {
+        route,
+        identity,
+        keys_checked: routes.requires_keys(),
+        version: routes.document().version,
+    };
+    let job = to_job(&state, parts, body, accepted_by, id, position, received_at);
     if state.decisions().poison.is_condemned(received_at, &job.fingerprint) {
         return refuse(&state, &id_text, RefusalReason::Poisoned, Duration::from_secs(1));
     }
@@ -132,8 +136,8 @@
     parts.headers.get(HOST)?.to_str().ok().map(str::to_owned)
 }
 
-/// Finds the account of the caller's key. If the document names accounts, the key is removed from the headers and replaced
-/// by the name of the account, so that it goes no further.
+/// Finds the account of the caller's key. If the document names accounts, the key is removed from the headers, so that it
+/// goes no further, and so is an account that the caller names itself.
 fn identify_caller(
     state: &GatewayState,
     routes: &RouteTable,
@@ -150,16 +154,12 @@
     let key = key.filter(|_| keys.next().is_none());
     let identity = key.and_then(|key| {
         let account = Arc::clone(routes.find_account(&key)?);
-        Some(CallerIdentity { account, key })
+        // Names of accounts contain only characters that headers may contain.
+        let name = HeaderValue::from_str(account.account.as_str()).ok()?;
+        Some(CallerIdentity { account, key, name })
     });
     headers.remove(&names.key);
     headers.remove(&names.account);
-    if let Some(identity) = &identity {
-        let name = HeaderValue::from_str(identity.account.account.as_str());
-        // Names of accounts contain only characters that headers may contain.
-        let name = name.map_err(|_| RefusalReason::UnknownKey)?;
-        headers.insert(names.account.clone(), name);
-    }
     if identity.is_none() && !route.public {
         return Err(RefusalReason::UnknownKey);
     }
@@ -192,9 +192,11 @@
     text.trim().parse().ok().map(Duration::from_millis)
 }
 
-/// The route of a request and the version of the configuration that contains it.
-struct RoutedBy {
+/// The parts of the configuration by which a request was accepted.
+struct AcceptedBy {
     route: Arc<RouteRule>,
+    identity: Option<CallerIdentity>,
+    keys_checked: bool,
     version: DocumentVersion,
 }
 
@@ -202,12 +204,12 @@
     state: &GatewayState,
     parts: Parts,
     body: Bytes,
-    routed_by: RoutedBy,
+    accepted_by: AcceptedBy,
     request: Option<HeaderValue>,
     position: ConnectionPosition,
     received_at: MonotonicTime,
 ) -> GatewayJob {
-    let RoutedBy { route, version } = routed_by;
+    let AcceptedBy { route, identity, keys_checked, version } = accepted_by;
     let timeout = deadline_of(state, &parts.headers).map_or(route.timeout, |deadline| {
         deadline.saturating_sub(RESPONSE_MARGIN).min(route.timeout)
     });
@@ -216,6 +218,10 @@
     let fingerprint = fingerprint(&route.host, parts.method.as_str(), &target_path, &body);
     let mut headers = parts.headers;
     remove_connection_headers(&mut headers);
+    // Only now, because a caller may name this header in `Connection` to have it removed.
+    if let Some(identity) = &identity {
+        headers.insert(state.settings.headers.account.clone(), identity.name.clone());
+    }
     GatewayJob {
         give_up_at: received_at + timeout,
         route,
@@ -227,7 +233,8 @@
         fingerprint,
         position,
         scope: AttemptScope::Direct,
-        identity: None,
+        identity,
+        keys_checked,
         version,
         received_at,
     }
--- a/hickoryspan_gateway/src/refusal.rs
+++ b/hickoryspan_gateway/src/refusal.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use hickoryspan_core::gateway::log_limit::LogPriority;
-use http::header::{CONTENT_TYPE, RETRY_AFTER};
+use http::header::{CONTENT_TYPE, RETRY_AFTER, WWW_AUTHENTICATE};
 use http::{HeaderValue, Response, StatusCode};
 use http_body_util::Full;
 
@@ -16,6 +16,9 @@
 /// Shortest `Retry-After` of a refusal.
 pub(crate) const MIN_RETRY_DELAY: Duration = Duration::from_millis(60);
 
+/// Challenge of a 401, which RFC 9110 requires. No registered scheme describes a key in a header of its own.
+const KEY_CHALLENGE: &str = "ApiKey";
+
 pub(crate) type GatewayResponse = Response<Full<Bytes>>;
 
 /// Why the entry answers a request itself instead of forwarding a target's answer.
@@ -86,9 +89,15 @@
     retry_after: Duration,
 ) -> GatewayResponse {
     if state.admits_log_line(LogPriority::Important) {
+        let version = state.decisions().version();
         spdlog::info!(
             "request refused",
-            kv: { request: = request, reason: = reason.as_str(), status: = reason.status().as_u16() }
+            kv: {
+                request: = request,
+                reason: = reason.as_str(),
+                status: = reason.status().as_u16(),
+                version: = version.map_or_else(|| "-".to_owned(), |version| version.to_string())
+            }
         );
     }
     metrics::counter!("hickoryspan_gateway_refusals_total", "reason" => reason.as_str())
@@ -102,6 +111,9 @@
     {
         headers.insert(RETRY_AFTER, seconds);
     }
+    if reason.status() == StatusCode::UNAUTHORIZED {
+        headers.insert(WWW_AUTHENTICATE, HeaderValue::from_static(KEY_CHALLENGE));
+    }
     response
 }
 
--- a/hickoryspan_gateway/tests/gateway/main.rs
+++ b/hickoryspan_gateway/tests/gateway/main.rs
@@ -1,5 +1,6 @@
 //! Tests with real entries, a real control host and scripted targets on loopback.
 
+mod accounts;
 mod common_start;
 mod crash_sharing;
 mod cut_requests;
--- a/hickoryspan_gateway/tests/gateway/support.rs
+++ b/hickoryspan_gateway/tests/gateway/support.rs
@@ -8,6 +8,7 @@
 
 use hickoryspan_control::{ControlDaemon, ControlDaemonSettings, FolderRole, initialize_folder};
 use hickoryspan_core::control::interface::ControlReply;
+use hickoryspan_core::gateway::documents::accounts::ClientAccount;
 use hickoryspan_core::gateway::documents::document::{
     CallerLimits, ConfigurationDocument, DocumentVersion, RepeatRule, RouteDestination, RouteRule,
     ServiceRule, ShardSpread,
@@ -203,6 +204,8 @@
     pub address: SocketAddr,
     /// Limits for callers in the next configuration.
     pub limits: CallerLimits,
+    /// Accounts in the next configuration.
+    pub accounts: Option<Vec<ClientAccount>>,
     // Caller addresses of all entries, in the order of their start.
     addresses: Vec<SocketAddr>,
     template: GatewaySettings,
@@ -340,6 +343,7 @@
             others: Vec::new(),
             address,
             limits: CallerLimits::default(),
+            accounts: None,
             addresses: Vec::new(),
             template,
             hosts,
@@ -432,7 +436,7 @@
             routes: routes.into_iter().map(Arc::new).collect(),
             services: services.collect(),
             limits: self.limits,
-            accounts: None,
+            accounts: self.accounts.clone(),
             source: format!("version {}", self.version).into(),
         });
         let handle = self.daemon.as_ref().expect("a control host").handle();
