Evacuate failure domains by order of an operator

Cause: control hosts answered /Evacuation.Start and /Evacuation.Finish with 404, and entries had no state that keeps requests away from the targets of a failure domain. Change: an order is a command of the replicated log, acknowledged when it is durable. Control hosts push the evacuated domains with their revision to entries, first of all on a new link and at each change, once their replica has caught up with a leader. An entry takes over newer revisions only, holds its first requests until it knows them, and leaves out the targets when it chooses, hedges, groups shards, and right before it sends. A service without another target is refused at once (evacuated, 503). hickoryspan-ctl status, a gauge and log lines list the domains.

--- a/hickoryspan_control/src/control_handle.rs
+++ b/hickoryspan_control/src/control_handle.rs
@@ -5,6 +5,7 @@
 use hickoryspan_core::control::interface::{AdminQuery, ControlEvent, ControlReply, ReplicaRecord};
 use hickoryspan_core::control::machine::ControlMachine;
 use hickoryspan_core::gateway::documents::document::ConfigurationDocument;
+use hickoryspan_core::gateway::targets::evacuations::{EvacuationOrder, EvacuationState};
 use tokio::sync::watch;
 
 use crate::actor::ControlInbox;
@@ -18,6 +19,8 @@
     pub leader: Option<ReplicaRecord>,
     /// All replicas of the set.
     pub replicas: Vec<ReplicaRecord>,
+    /// The evacuated failure domains; `None` until this replica has caught up with a leader.
+    pub evacuations: Option<EvacuationState>,
 }
 
 impl ControlView {
@@ -30,6 +33,11 @@
             self.document = document.cloned();
             changed = true;
         }
+        let evacuations = machine.state().evacuations();
+        if machine.raft().has_caught_up() && self.evacuations.as_ref() != Some(evacuations) {
+            self.evacuations = Some(evacuations.clone());
+            changed = true;
+        }
         let leader = machine.raft().leader_record();
         if leader != self.leader.as_ref() {
             self.leader = leader.cloned();
@@ -81,6 +89,12 @@
         self.inbox.ask(|token| ControlEvent::Query(token, AdminQuery::Document)).await
     }
 
+    /// Orders to start or finish the evacuation of a failure domain. The reply is `Evacuated`, `NotLeader` or
+    /// `Unavailable`. Returns `None` as [`Self::replace_document`] does.
+    pub async fn evacuate(&self, order: EvacuationOrder) -> Option<ControlReply> {
+        self.inbox.ask(|token| ControlEvent::Evacuate(token, order)).await
+    }
+
     /// Passes on the report of a control host. It is dropped if too many events are waiting.
     pub fn note_replica(&self, record: ReplicaRecord) {
         self.inbox.try_deliver(ControlEvent::ReplicaSeen(Box::new(record)));
--- a/hickoryspan_control/src/http_routes.rs
+++ b/hickoryspan_control/src/http_routes.rs
@@ -238,6 +238,7 @@
             text_response(StatusCode::NOT_FOUND, "no configuration document was accepted")
         }
         ControlReply::DocumentDecided(outcome) => json_response(StatusCode::OK, &outcome),
+        ControlReply::Evacuated(state) => json_response(StatusCode::OK, &state),
         ControlReply::NotLeader(Some(leader)) => redirect(&leader, path),
         ControlReply::NotLeader(None) => unavailable(Duration::from_secs(1)),
         ControlReply::Unavailable { retry_after } => unavailable(retry_after),
--- a/hickoryspan_core/src/control/commands.rs
+++ b/hickoryspan_core/src/control/commands.rs
@@ -8,6 +8,7 @@
 use super::interface::{AdminCommand, AdminOutcome};
 use super::raft::ReplicaSet;
 use crate::gateway::documents::document::{ConfigurationDocument, DocumentOutcome};
+use crate::gateway::targets::evacuations::{EvacuationOrder, EvacuationState};
 use crate::membership::{CrashEvidence, TargetRecord};
 use crate::messages::{ClaimKey, ClaimVerdict, EntryRegistration, OrderOutcome};
 use crate::types::{
@@ -112,6 +113,8 @@
     Admin(AdminCommand),
     /// Submits a configuration document.
     ReplaceDocument(Arc<ConfigurationDocument>),
+    /// Starts or finishes the evacuation of a failure domain.
+    Evacuate(EvacuationOrder),
 }
 
 /// Result of an applied command, for the client that waits for it.
@@ -133,6 +136,8 @@
     Decided(AdminOutcome),
     /// Outcome of submitting a configuration document.
     DocumentDecided(DocumentOutcome),
+    /// The evacuated failure domains after an order.
+    Evacuated(EvacuationState),
 }
 
 /// Decoded payload of a log entry.
--- a/hickoryspan_core/src/control/interface.rs
+++ b/hickoryspan_core/src/control/interface.rs
@@ -12,6 +12,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::gateway::documents::document::{ConfigurationDocument, DocumentOutcome};
+use crate::gateway::targets::evacuations::{EvacuationOrder, EvacuationState};
 use crate::membership::{EntryRecord, QuarantineRecord, TargetRecord};
 use crate::messages::{ControlMessage, EntryMessage};
 use crate::sheet::{SheetDocument, duration_millis};
@@ -311,6 +312,9 @@
     /// Time for which an entry that is missing from this report may still be serving, in milliseconds.
     #[serde(with = "duration_millis")]
     pub entry_lease: Duration,
+    /// Failure domains to whose targets the gateway sends nothing, by order of an operator.
+    #[serde(default)]
+    pub evacuations: EvacuationState,
 }
 
 /// Quarantine of one request.
@@ -352,6 +356,8 @@
     Document(Option<Arc<ConfigurationDocument>>),
     /// Outcome of submitting a configuration document.
     DocumentDecided(DocumentOutcome),
+    /// The evacuated failure domains after an order.
+    Evacuated(EvacuationState),
     /// This replica is not the leader; contains the record of the leader if it is known.
     NotLeader(Option<ReplicaRecord>),
     /// The replica is overloaded or not ready, or it lost leadership before a quorum answered. A command may or may
@@ -387,6 +393,8 @@
     Query(ReplyToken, AdminQuery),
     /// A client submits a configuration document.
     ReplaceDocument(ReplyToken, Arc<ConfigurationDocument>),
+    /// An operator orders to start or finish the evacuation of a failure domain.
+    Evacuate(ReplyToken, EvacuationOrder),
     /// A control host reports itself.
     ReplicaSeen(Box<ReplicaRecord>),
     /// A planned stop begins; a leader hands over leadership.
--- a/hickoryspan_core/src/control/machine/leadership.rs
+++ b/hickoryspan_core/src/control/machine/leadership.rs
@@ -42,7 +42,8 @@
     Announcements(Vec<AnnouncedTarget>),
     Withdrawal(ReplyToken),
     Admin(ReplyToken),
-    Document(ReplyToken),
+    /// An order about documents or evacuations.
+    Order(ReplyToken),
     Registration(LinkId),
     Release(LinkId),
     Claim(LinkId, QueryToken),
@@ -284,7 +285,7 @@
             }
             CommandWaiter::Withdrawal(token)
             | CommandWaiter::Admin(token)
-            | CommandWaiter::Document(token) => {
+            | CommandWaiter::Order(token) => {
                 self.reply_unavailable(token, actions);
             }
             CommandWaiter::Claim(link, token) => {
@@ -336,10 +337,13 @@
             (CommandWaiter::Admin(token), CommandOutcome::Decided(outcome)) => {
                 actions.push(ControlAction::Reply(token, ControlReply::Admin(outcome)));
             }
-            (CommandWaiter::Document(token), CommandOutcome::DocumentDecided(outcome)) => {
+            (CommandWaiter::Order(token), CommandOutcome::DocumentDecided(outcome)) => {
                 let reply = ControlReply::DocumentDecided(outcome);
                 actions.push(ControlAction::Reply(token, reply));
             }
+            (CommandWaiter::Order(token), CommandOutcome::Evacuated(state)) => {
+                actions.push(ControlAction::Reply(token, ControlReply::Evacuated(state)));
+            }
             (CommandWaiter::Registration(link), CommandOutcome::Registered(result)) => {
                 self.answer_registration(now.monotonic, link, result, actions);
             }
--- a/hickoryspan_core/src/control/machine/mod.rs
+++ b/hickoryspan_core/src/control/machine/mod.rs
@@ -158,6 +158,9 @@
             ControlEvent::ReplaceDocument(token, document) => {
                 self.handle_document(now, token, document, actions);
             }
+            ControlEvent::Evacuate(token, order) => {
+                self.handle_evacuation(now, token, order, actions);
+            }
             ControlEvent::ReplicaSeen(record) => self.reports.note(now.monotonic, *record),
             ControlEvent::Drain => self.begin_drain(now.monotonic),
         }
--- a/hickoryspan_core/src/control/machine/operators.rs
+++ b/hickoryspan_core/src/control/machine/operators.rs
@@ -10,6 +10,7 @@
     ReplyToken, StatusReport,
 };
 use crate::gateway::documents::document::ConfigurationDocument;
+use crate::gateway::targets::evacuations::EvacuationOrder;
 use crate::types::{ClockReading, RevisionNumber};
 
 /// Maximum number of audit records in one reply.
@@ -42,9 +43,32 @@
         if !self.can_serve(token, actions) {
             return;
         }
-        let body = CommandBody::ReplaceDocument(document);
+        self.propose_order(now, token, CommandBody::ReplaceDocument(document), actions);
+    }
+
+    pub(super) fn handle_evacuation(
+        &mut self,
+        now: ClockReading,
+        token: ReplyToken,
+        order: EvacuationOrder,
+        actions: &mut Vec<ControlAction>,
+    ) {
+        if !self.can_serve(token, actions) {
+            return;
+        }
+        self.propose_order(now, token, CommandBody::Evacuate(order), actions);
+    }
+
+    /// Proposes an order of which the acknowledgement must survive the loss of disks.
+    fn propose_order(
+        &mut self,
+        now: ClockReading,
+        token: ReplyToken,
+        body: CommandBody,
+        actions: &mut Vec<ControlAction>,
+    ) {
         let enough_voters = self.has_enough_voters(now.monotonic);
-        if !enough_voters || self.propose_for(now, body, CommandWaiter::Document(token)).is_err() {
+        if !enough_voters || self.propose_for(now, body, CommandWaiter::Order(token)).is_err() {
             self.reply_unavailable(token, actions);
         }
     }
@@ -116,6 +140,7 @@
             targets: view.targets.len() as u64,
             claims: self.state.claims().len(),
             entry_lease: super::leadership::entry_lease(&self.settings),
+            evacuations: self.state.evacuations().clone(),
         }
     }
 }
--- a/hickoryspan_core/src/control/raft/node.rs
+++ b/hickoryspan_core/src/control/raft/node.rs
@@ -118,6 +118,8 @@
     pub(super) snapshot: Option<SnapshotRecord>,
     pub(super) commit: LogIndex,
     pub(super) applied: LogIndex,
+    // Highest commit index that a leader has named since the start.
+    pub(super) named_commit: Option<LogIndex>,
     pub(super) leader: Option<ReplicaId>,
     pub(super) last_leader_contact: Option<MonotonicTime>,
     // Highest heartbeat round received from the current leader.
@@ -168,6 +170,7 @@
             snapshot,
             commit: base.index,
             applied: base.index,
+            named_commit: None,
             leader: None,
             last_leader_contact: None,
             leader_round: RoundNumber::default(),
@@ -271,6 +274,14 @@
         self.applied
     }
 
+    /// Returns whether everything is applied that was acknowledged before the leader's last message. A leader starts its
+    /// term with an entry of its own, after which it knows what was committed in earlier terms.
+    pub fn has_caught_up(&self) -> bool {
+        let commit = if self.is_leader() { Some(self.commit) } else { self.named_commit };
+        let is_applied = commit.is_some_and(|commit| self.applied >= commit);
+        is_applied && self.log.term_at(self.applied) == Some(self.term())
+    }
+
     /// Returns whether the last batch failed because the disk is full.
     pub fn is_disk_full(&self) -> bool {
         self.pipeline.is_disk_full()
--- a/hickoryspan_core/src/control/raft/replication.rs
+++ b/hickoryspan_core/src/control/raft/replication.rs
@@ -171,6 +171,7 @@
             return;
         }
         self.leader_round = self.leader_round.max(round);
+        self.named_commit = self.named_commit.max(Some(commit));
         if self.pipeline.is_disk_full() {
             return;
         }
--- a/hickoryspan_core/src/control/state.rs
+++ b/hickoryspan_core/src/control/state.rs
@@ -17,6 +17,7 @@
 use crate::gateway::documents::document::{
     ConfigurationDocument, DocumentOutcome, decide_document,
 };
+use crate::gateway::targets::evacuations::{EvacuationOrder, EvacuationState};
 use crate::membership::{MembershipView, ViewChange};
 use crate::messages::{ClaimKey, ClaimVerdict};
 use crate::sheet::SheetDocument;
@@ -40,6 +41,7 @@
     // and a new leader continues.
     replicas: BTreeMap<ReplicaId, ReplicaRecord>,
     document: Option<Arc<ConfigurationDocument>>,
+    evacuations: EvacuationState,
 }
 
 /// Result and view changes of an applied command.
@@ -99,6 +101,16 @@
         self.document.as_ref()
     }
 
+    /// Returns the evacuated failure domains.
+    pub fn evacuations(&self) -> &EvacuationState {
+        &self.evacuations
+    }
+
+    fn evacuate(&mut self, order: EvacuationOrder) -> EvacuationState {
+        self.evacuations.apply(order);
+        self.evacuations.clone()
+    }
+
     fn replace_document(&mut self, next: Arc<ConfigurationDocument>) -> DocumentOutcome {
         let outcome = decide_document(self.document.as_deref(), &next);
         if outcome == DocumentOutcome::Accepted {
@@ -181,6 +193,9 @@
             CommandBody::ReplaceDocument(document) => {
                 return CommandOutcome::DocumentDecided(self.replace_document(document));
             }
+            CommandBody::Evacuate(order) => {
+                return CommandOutcome::Evacuated(self.evacuate(order));
+            }
         }
         CommandOutcome::Done
     }
--- a/hickoryspan_core/src/gateway/membership/messages.rs
+++ b/hickoryspan_core/src/gateway/membership/messages.rs
@@ -14,6 +14,7 @@
 use crate::gateway::documents::document_parts::DocumentPart;
 use crate::gateway::fanouts::relays::RelayPeer;
 use crate::gateway::targets::directory::{AnnouncementAge, TargetAnnouncement, TargetDeparture};
+use crate::gateway::targets::evacuations::EvacuationState;
 use crate::gateway::targets::poison::SuspicionRecord;
 use crate::types::{EntryId, FailureDomain, TargetId};
 
@@ -27,8 +28,10 @@
     /// The first version that knows heartbeats and compressed frames, and takes the entries for wide
     /// fan-outs from the list of open entries.
     pub const HEARTBEATS: Self = Self(1);
+    /// The first version that knows [`DirectoryUpdate::Evacuations`].
+    pub const EVACUATIONS: Self = Self(2);
     /// The version of this release.
-    pub const CURRENT: Self = Self::HEARTBEATS;
+    pub const CURRENT: Self = Self::EVACUATIONS;
 }
 
 /// An entry host and the addresses at which it can be reached.
@@ -146,6 +149,8 @@
     Limits(Vec<LimitRecord>),
     /// The demand of all entries for the services that have limited targets, at regular intervals.
     Demands(DemandTotals),
+    /// The evacuated failure domains: on a new link, then at each change. Sent only to entries that understand it.
+    Evacuations(EvacuationState),
     /// A part of the document in force, as a change to the version that the receiver has.
     Document(Arc<DocumentPart>),
     /// Requests a confirmation once all earlier messages have been applied.
--- a/hickoryspan_core/src/gateway/targets/selection.rs
+++ b/hickoryspan_core/src/gateway/targets/selection.rs
@@ -9,6 +9,7 @@
 use rand_chacha::ChaCha12Rng;
 
 use super::directory::{TargetAnnouncement, TargetPhase, TargetProcess};
+use super::evacuations::EvacuationState;
 use super::outcomes::{AttemptFailure, AttemptOutcome, ReportedLoad};
 use super::send_check::SendBarrier;
 use super::target_notices::NoticeTable;
@@ -147,7 +148,7 @@
         TargetProcess { target: target.clone(), started: age.started }
     }
 
-    fn is_usable(&self) -> bool {
+    fn is_ready(&self) -> bool {
         self.announcement.phase == TargetPhase::Ready
     }
 
@@ -211,6 +212,7 @@
     queues: HashMap<ServiceId, ReportedQueue>,
     limits: LimitGate,
     notices: NoticeTable,
+    evacuations: EvacuationState,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -231,9 +233,30 @@
             queues: HashMap::new(),
             limits: LimitGate::default(),
             notices: NoticeTable::default(),
+            evacuations: EvacuationState::default(),
         }
     }
 
+    /// Takes over the evacuated failure domains unless a newer state is known. Returns whether it did.
+    pub fn set_evacuations(&mut self, state: &EvacuationState) -> bool {
+        self.evacuations.advance(state)
+    }
+
+    /// Returns the evacuated failure domains.
+    pub fn evacuations(&self) -> &EvacuationState {
+        &self.evacuations
+    }
+
+    /// Returns whether a service gets no requests only because the failure domains of its targets are evacuated.
+    pub fn is_evacuated(&self, service: &ServiceId) -> bool {
+        let has_ready = self.states(service).any(TargetState::is_ready);
+        has_ready && self.count_usable(service) == 0
+    }
+
+    fn is_usable(&self, state: &TargetState) -> bool {
+        state.is_ready() && !self.evacuations.covers(&state.announcement.domain)
+    }
+
     /// Returns what targets have said of themselves with their answers.
     pub fn notices_mut(&mut self) -> &mut NoticeTable {
         &mut self.notices
@@ -274,7 +297,7 @@
         if self.count_open(now, service) > 0 {
             return None;
         }
-        let usable = self.states(service).filter(|state| state.is_usable());
+        let usable = self.states(service).filter(|state| self.is_usable(state));
         usable.filter_map(|state| self.notices.closed_until(now, &state.process())).min()
     }
 
@@ -284,7 +307,7 @@
     }
 
     fn is_open(&self, now: MonotonicTime, state: &TargetState) -> bool {
-        state.is_usable()
+        self.is_usable(state)
             && (self.notices.is_empty()
                 || self.notices.admits(now, &state.process(), state.in_flight))
     }
@@ -397,12 +420,12 @@
 
     /// Returns the number of a service's targets that accept new work, whether healthy or not.
     pub fn count_usable(&self, service: &ServiceId) -> usize {
-        self.states(service).filter(|state| state.is_usable()).count()
+        self.states(service).filter(|state| self.is_usable(state)).count()
     }
 
     /// Returns the failure domains of a service's targets that accept new work.
     pub fn usable_domains(&self, service: &ServiceId) -> BTreeSet<&FailureDomain> {
-        let usable = self.states(service).filter(|state| state.is_usable());
+        let usable = self.states(service).filter(|state| self.is_usable(state));
         usable.map(|state| &state.announcement.domain).collect()
     }
 
@@ -485,6 +508,9 @@
         if announcement.address != chosen.address || announcement.service != *service {
             return Err(SendBarrier::Moved);
         }
+        if self.evacuations.covers(&announcement.domain) {
+            return Err(SendBarrier::Evacuated);
+        }
         self.check_notices(now, state)?;
         match announcement.phase {
             TargetPhase::Ready => Ok(()),
--- a/hickoryspan_core/src/gateway/targets/send_check.rs
+++ b/hickoryspan_core/src/gateway/targets/send_check.rs
@@ -16,6 +16,8 @@
     Leaving,
     /// The target has said in an answer that it wants no requests for a while.
     Closed,
+    /// The target's failure domain is evacuated.
+    Evacuated,
     /// The configuration sends the request to other services now.
     Rerouted,
     /// The configuration no longer contains the key of the request.
@@ -36,6 +38,7 @@
             Self::Draining => "draining",
             Self::Leaving => "leaving",
             Self::Closed => "closed",
+            Self::Evacuated => "evacuated",
             Self::Rerouted => "rerouted",
             Self::Revoked => "revoked",
             Self::Condemned => "condemned",
--- a/hickoryspan_ctl/src/member_commands.rs
+++ b/hickoryspan_ctl/src/member_commands.rs
@@ -50,6 +50,7 @@
             ["sheet revision".to_owned(), report.sheet_revision.to_string()],
             ["targets".to_owned(), report.targets.to_string()],
             ["claims".to_owned(), report.claims.to_string()],
+            ["evacuated".to_owned(), report.evacuations.to_string()],
         ],
     );
     let role = |replica: ReplicaId, voter: bool| match voter {
--- a/hickoryspan_gateway/src/directory_hub.rs
+++ b/hickoryspan_gateway/src/directory_hub.rs
@@ -18,6 +18,7 @@
 use hickoryspan_core::gateway::targets::directory::{
     DirectoryChange, TargetAnnouncement, TargetDeparture, TargetPhase,
 };
+use hickoryspan_core::gateway::targets::evacuations::EvacuationState;
 use hickoryspan_core::types::MonotonicTime;
 use hickoryspan_runtime::clock::SystemClock;
 use hickoryspan_wire::EncodedFrame;
@@ -235,6 +236,8 @@
             link.hosts_sent.next(&hosts, LinkVersion::default());
         }
         state.send_to(number, &hosts);
+        // Sent before the rest, so that an entry never serves with the rest alone.
+        state.send_evacuations_to(number);
         match peer {
             LinkPeer::Entry => {
                 for frame in &*state.initial_frames(now) {
@@ -430,6 +433,26 @@
         state.send_hosts(&hosts);
     }
 
+    /// Takes over the evacuated failure domains that this host's replica has applied, and sends them to all entries.
+    pub fn set_evacuations(&self, evacuations: &EvacuationState) {
+        let mut state = self.lock();
+        let has_changed = match &mut state.evacuations {
+            Some(known) => known.advance(evacuations),
+            None => {
+                state.evacuations = Some(evacuations.clone());
+                true
+            }
+        };
+        if !has_changed {
+            return;
+        }
+        spdlog::info!(
+            "evacuations applied",
+            kv: { revision: = evacuations.revision, domains: = evacuations }
+        );
+        state.send_evacuations(evacuations);
+    }
+
     /// Sends the collected renewals, changes and host addresses, and removes targets whose lease has expired. Must be
     /// called periodically.
     pub fn flush(&self) {
@@ -506,11 +529,12 @@
             DirectoryUpdate::Hosts { controls, .. } => self.hosts.add(controls),
             DirectoryUpdate::Suspicions(records) => self.lock().merge_suspicions(now, records),
             DirectoryUpdate::Limits(records) => self.lock().merge_limits(now, records),
-            // Documents come from the replicated log, confirmations concern only entries, and every control host tracks
+            // Documents and evacuations come from the replicated log, confirmations concern only entries, and every control host tracks
             // the leases of the targets itself.
             DirectoryUpdate::Document(_)
             | DirectoryUpdate::Confirm(_)
             | DirectoryUpdate::Demands(_)
+            | DirectoryUpdate::Evacuations(_)
             | DirectoryUpdate::Vouched(_)
             | DirectoryUpdate::Relays(_)
             | DirectoryUpdate::Entries(_)
--- a/hickoryspan_gateway/src/entry_daemon.rs
+++ b/hickoryspan_gateway/src/entry_daemon.rs
@@ -18,6 +18,7 @@
 use hickoryspan_core::gateway::targets::directory::{
     DirectoryChange, TargetAnnouncement, TargetPhase,
 };
+use hickoryspan_core::gateway::targets::evacuations::EvacuationState;
 use hickoryspan_core::types::{MonotonicTime, TargetId};
 use hickoryspan_runtime::tasks::join_all;
 use tokio::net::TcpListener;
@@ -62,6 +63,8 @@
     host_reports: Mutex<BTreeMap<SocketAddr, HostReport>>,
     // Whether a control host has listed the live targets since the start.
     has_target_list: AtomicBool,
+    // Whether a control host has named the evacuated failure domains since the start.
+    has_evacuations: AtomicBool,
 }
 
 /// The last report of a linked control host.
@@ -159,6 +162,7 @@
             | DirectoryUpdate::Suspicions(_)
             | DirectoryUpdate::Limits(_)
             | DirectoryUpdate::Demands(_)
+            | DirectoryUpdate::Evacuations(_)
             | DirectoryUpdate::Document(_)
             | DirectoryUpdate::Confirm(_) => return,
         }
@@ -220,6 +224,25 @@
         }
     }
 
+    fn apply_evacuations(&self, from: SocketAddr, evacuations: &EvacuationState) {
+        self.has_evacuations.store(true, Ordering::Relaxed);
+        let has_changed = self.state.decisions().set_evacuations(evacuations);
+        if !has_changed {
+            return;
+        }
+        spdlog::info!(
+            "evacuations in force",
+            kv: { revision: = evacuations.revision, domains: = evacuations, from: = from }
+        );
+        self.state.open_fanout_links();
+    }
+
+    /// Returns whether a control host has named the evacuated failure domains, if any linked host can.
+    fn knows_evacuations(&self) -> bool {
+        let is_later = |report: &HostReport| report.link_version >= LinkVersion::EVACUATIONS;
+        self.has_evacuations.load(Ordering::Relaxed) || !self.lock_reports().values().any(is_later)
+    }
+
     fn apply_update(&self, from: SocketAddr, update: DirectoryUpdate) -> Option<DirectoryRequest> {
         match update {
             DirectoryUpdate::Hosts { controls, entries, document, link_version } => {
@@ -234,6 +257,7 @@
             DirectoryUpdate::Document(part) => self.apply_document(from, &part),
             DirectoryUpdate::Confirm(_) => {}
             DirectoryUpdate::Entries(change) => self.apply_entries(from, change),
+            DirectoryUpdate::Evacuations(evacuations) => self.apply_evacuations(from, &evacuations),
             // The list of open entries says the same.
             DirectoryUpdate::Relays(_) => {}
             DirectoryUpdate::Suspicions(records) => {
@@ -270,7 +294,7 @@
         let knows_targets = has_list && decisions.liveness.is_described();
         let is_informed = decisions.routes.is_some() && knows_targets;
         drop(decisions);
-        if is_informed {
+        if is_informed && self.knows_evacuations() {
             let since_start = self.state.now().since(MonotonicTime(0));
             spdlog::info!("ready for requests", kv: { after_ms: = since_start.as_millis() });
             self.state.informed.send_replace(true);
@@ -436,6 +460,7 @@
             lagging: AtomicBool::new(false),
             host_reports: Mutex::default(),
             has_target_list: AtomicBool::new(false),
+            has_evacuations: AtomicBool::new(false),
         });
         let links = DirectoryLinks {
             hosts,
--- a/hickoryspan_gateway/src/forward.rs
+++ b/hickoryspan_gateway/src/forward.rs
@@ -25,7 +25,9 @@
 use crate::attempt::{AttemptScope, CallerIdentity, GatewayJob};
 use crate::gateway_state::GatewayState;
 use crate::headers::remove_connection_headers;
-use crate::refusal::{GatewayResponse, MIN_RETRY_DELAY, RefusalReason, refuse, refuse_job};
+use crate::refusal::{
+    GatewayResponse, MIN_RETRY_DELAY, RefusalReason, refuse, refuse_job, refuse_without_target,
+};
 use crate::relayed_groups::RelayedGroups;
 use crate::run::run_fanout;
 use crate::run_outcome::{AnswerRule, RunEnd, RunOutcome, ShardAnswer};
@@ -252,12 +254,12 @@
         RouteDestination::Service(_) | RouteDestination::Split(_) => None,
     };
     let Some(services) = choose_services(&state, &job) else {
-        return refuse_job(&state, &job, RefusalReason::NoTarget);
+        return refuse_without_target(&state, &job);
     };
     if let Some(spread) = &spread
         && !has_enough_targets(&state, spread)
     {
-        return refuse_job(&state, &job, RefusalReason::NoTarget);
+        return refuse_without_target(&state, &job);
     }
     let settings = fanout_settings(&state, &job, spread.as_ref());
     if exceeds_limits(&state, &services, spread.as_ref(), &settings) {
@@ -535,7 +537,7 @@
         }
     }
     let reason = match (outcome.end, outcome.may_have_run) {
-        (_, false) => RefusalReason::NoTarget,
+        (_, false) => return refuse_without_target(state, job),
         (RunEnd::TimedOut, true) => RefusalReason::TimedOut,
         (RunEnd::Stopped, true) => RefusalReason::StopTimedOut,
         (_, true) => RefusalReason::MayHaveRun,
--- a/hickoryspan_gateway/src/gateway_state.rs
+++ b/hickoryspan_gateway/src/gateway_state.rs
@@ -23,6 +23,7 @@
 use hickoryspan_core::gateway::planned_stop::StopSchedule;
 use hickoryspan_core::gateway::processor_lag::{LagMonitor, LagSettings};
 use hickoryspan_core::gateway::targets::directory::TargetDirectory;
+use hickoryspan_core::gateway::targets::evacuations::EvacuationState;
 use hickoryspan_core::gateway::targets::liveness::LivenessTable;
 use hickoryspan_core::gateway::targets::poison::PoisonTable;
 use hickoryspan_core::gateway::targets::selection::{ChosenTarget, TargetSelector};
@@ -119,6 +120,22 @@
         true
     }
 
+    /// Takes over the evacuated failure domains unless a newer state is known. Returns whether it did.
+    pub(crate) fn set_evacuations(&mut self, evacuations: &EvacuationState) -> bool {
+        let earlier = self.selector.evacuations().domains.clone();
+        if !self.selector.set_evacuations(evacuations) {
+            return false;
+        }
+        // Groups are made where targets are used.
+        self.groups.clear();
+        for domain in earlier.union(&evacuations.domains) {
+            let value = if evacuations.covers(domain) { 1.0 } else { 0.0 };
+            metrics::gauge!("hickoryspan_gateway_domain_evacuated", "domain" => domain.to_string())
+                .set(value);
+        }
+        true
+    }
+
     pub(crate) fn budget(
         &mut self,
         settings: &GatewaySettings,
--- a/hickoryspan_gateway/src/hub_state.rs
+++ b/hickoryspan_gateway/src/hub_state.rs
@@ -21,6 +21,7 @@
 use hickoryspan_core::gateway::targets::directory::{
     KnownTarget, TargetAnnouncement, TargetDeparture, TargetDirectory, TargetPhase,
 };
+use hickoryspan_core::gateway::targets::evacuations::EvacuationState;
 use hickoryspan_core::gateway::targets::poison::{PoisonTable, SuspicionRecord};
 use hickoryspan_core::types::{FailureDomain, MonotonicTime, TargetId};
 use hickoryspan_wire::{EncodedFrame, encode_frame};
@@ -97,6 +98,10 @@
         self.entry.as_ref().map(|entry| entry.link_version).unwrap_or_default()
     }
 
+    fn knows_evacuations(&self) -> bool {
+        self.version() >= LinkVersion::EVACUATIONS
+    }
+
     /// Returns whether the update could be queued.
     fn push(&self, frame: &UpdateFrame) -> bool {
         self.queue.try_send(frame.for_version(self.version())).is_ok()
@@ -132,6 +137,8 @@
     pub(crate) poison: PoisonTable,
     // What entries heard of the limits of targets.
     pub(crate) limits: LimitTable,
+    // The evacuated failure domains; `None` until this host's replica knows them.
+    pub(crate) evacuations: Option<EvacuationState>,
     pub(crate) confirm_number: ConfirmNumber,
     // Whether the directory has changed since it was last saved.
     pub(crate) unsaved: bool,
@@ -173,6 +180,21 @@
         });
     }
 
+    /// Sends the evacuated failure domains to the entries that understand it.
+    pub(crate) fn send_evacuations(&mut self, evacuations: &EvacuationState) {
+        let update = DirectoryUpdate::Evacuations(evacuations.clone());
+        let Some(frame) = UpdateFrame::new(&update) else { return };
+        self.links.retain(|_, link| !link.knows_evacuations() || link.push(&frame));
+    }
+
+    /// Sends the evacuated failure domains over one link, if its peer is an entry that understands it.
+    pub(crate) fn send_evacuations_to(&mut self, number: LinkNumber) {
+        let is_understood = self.links.get(&number).is_some_and(HubLink::knows_evacuations);
+        if is_understood && let Some(evacuations) = self.evacuations.clone() {
+            self.send_to(number, &DirectoryUpdate::Evacuations(evacuations));
+        }
+    }
+
     /// Sends an update over one link, which is closed if its queue is full.
     pub(crate) fn send_to(&mut self, number: LinkNumber, update: &DirectoryUpdate) {
         if let Some(frame) = UpdateFrame::new(update) {
--- a/hickoryspan_gateway/src/refusal.rs
+++ b/hickoryspan_gateway/src/refusal.rs
@@ -31,6 +31,7 @@
     Poisoned,
     Stopping,
     NoTarget,
+    Evacuated,
     Overloaded,
     Limited,
     MayHaveRun,
@@ -51,6 +52,7 @@
             Self::Poisoned => "poisoned",
             Self::Stopping => "stopping",
             Self::NoTarget => "no_target",
+            Self::Evacuated => "evacuated",
             Self::Overloaded => "overloaded",
             Self::Limited => "limited",
             Self::MayHaveRun => "may_have_run",
@@ -63,6 +65,7 @@
         match self {
             Self::NoConfiguration
             | Self::NoTarget
+            | Self::Evacuated
             | Self::Overloaded
             | Self::Limited
             | Self::Stopping
@@ -105,6 +108,16 @@
     response
 }
 
+/// Refuses a request for which there is no target, or too few.
+pub(crate) fn refuse_without_target(state: &GatewayState, job: &GatewayJob) -> GatewayResponse {
+    let decisions = state.decisions();
+    let mut services = job.route.destination.services().into_iter();
+    let is_evacuated = services.any(|service| decisions.selector.is_evacuated(service));
+    drop(decisions);
+    let reason = if is_evacuated { RefusalReason::Evacuated } else { RefusalReason::NoTarget };
+    refuse_job(state, job, reason)
+}
+
 /// Refuses a request whose route is known.
 pub(crate) fn refuse_job(
     state: &GatewayState,
--- a/hickoryspan_gateway/tests/gateway/last_check.rs
+++ b/hickoryspan_gateway/tests/gateway/last_check.rs
@@ -27,6 +27,7 @@
     Restarted,
     Moved,
     Rerouted,
+    Evacuated,
     /// The answer to the first request says that the target leaves.
     Leaving,
     /// The answer to the first request asks for a pause.
@@ -64,11 +65,12 @@
             let rule = route("/one/", RepeatRule::Idempotent, to_service("other"));
             deployment.configure(vec![rule]).await;
         }
+        Change::Evacuated => deployment.evacuate().await,
         Change::Leaving | Change::Closed | Change::None => {}
     }
 }
 
-/// Guards against requests that reach a target long after it began to drain, left, moved or was taken off their route,
+/// Guards against requests that reach a target long after it began to drain, left, moved, was evacuated or taken off their route,
 /// because they were waiting for a connection.
 #[rstest]
 #[tokio::test]
@@ -79,6 +81,7 @@
         Change::Restarted,
         Change::Moved,
         Change::Rerouted,
+        Change::Evacuated,
         Change::Leaving,
         Change::Closed,
         Change::None
--- a/hickoryspan_gateway/tests/gateway/support.rs
+++ b/hickoryspan_gateway/tests/gateway/support.rs
@@ -16,6 +16,9 @@
 use hickoryspan_core::gateway::targets::directory::{
     AnnouncementAge, TargetAnnouncement, TargetDeparture, TargetPhase,
 };
+use hickoryspan_core::gateway::targets::evacuations::{
+    EvacuationAction, EvacuationOrder, EvacuationState,
+};
 use hickoryspan_core::types::{EntryId, FailureDomain, ServiceId, TargetId, WallTime};
 use hickoryspan_gateway::{
     DirectoryHub, DirectoryServer, DirectorySettings, GatewayEntry, GatewaySettings, HostList,
@@ -265,6 +268,7 @@
         hosts.clone(),
         folder,
     ));
+    hub.set_evacuations(&EvacuationState::default());
     tasks.spawn(DirectoryServer { listener, hub: Arc::clone(&hub) }.run(stop.clone()));
     tasks.spawn(flush_regularly(Arc::clone(&hub), stop.clone()));
     (hub, hosts)
@@ -470,6 +474,15 @@
         self.hub.depart(TargetDeparture { target, started: Some(WallTime(1)) }).await;
     }
 
+    /// Evacuates the failure domain of the targets, and waits until the entries know it.
+    pub async fn evacuate(&self) {
+        let domain = FailureDomain::new(TARGET_DOMAIN).expect("a domain");
+        let mut evacuations = EvacuationState::default();
+        evacuations.apply(EvacuationOrder { domain, action: EvacuationAction::Start });
+        self.hub.set_evacuations(&evacuations);
+        self.depart("nobody").await;
+    }
+
     /// Announces a process of a target that started at this time, as [`Self::announce`] does.
     pub async fn announce_as(
         &self,
