--- a/hickoryspan_gateway/src/refusal.rs
+++ b/hickoryspan_gateway/src/refusal.rs
@@ -10,6 +10,7 @@
 
 use crate::attempt::GatewayJob;
 use crate::gateway_state::GatewayState;
+use crate::quota_permits::give_back;
 
 /// Longest `Retry-After` of a refusal.
 const MAX_RETRY_DELAY: Duration = Duration::from_secs(1);
@@ -35,6 +36,7 @@
     Poisoned,
     Stopping,
     NoTarget,
+    Evacuated,
     Overloaded,
     Limited,
     MayHaveRun,
@@ -56,6 +58,7 @@
             Self::Poisoned => "poisoned",
             Self::Stopping => "stopping",
             Self::NoTarget => "no_target",
+            Self::Evacuated => "evacuated",
             Self::Overloaded => "overloaded",
             Self::Limited => "limited",
             Self::MayHaveRun => "may_have_run",
@@ -68,6 +71,7 @@
         match self {
             Self::NoConfiguration
             | Self::NoTarget
+            | Self::Evacuated
             | Self::Overloaded
             | Self::Limited
             | Self::Stopping
@@ -122,6 +126,17 @@
     response
 }
 
+/// Refuses a request for which there is no target, or too few. It does not count towards the quota of its account.
+pub(crate) fn refuse_without_target(state: &GatewayState, job: &GatewayJob) -> GatewayResponse {
+    give_back(state, job);
+    let decisions = state.decisions();
+    let mut services = job.route.destination.services().into_iter();
+    let is_evacuated = services.any(|service| decisions.selector.is_evacuated(service));
+    drop(decisions);
+    let reason = if is_evacuated { RefusalReason::Evacuated } else { RefusalReason::NoTarget };
+    refuse_job(state, job, reason)
+}
+
 /// Refuses a request whose route is known.
 pub(crate) fn refuse_job(
     state: &GatewayState,
