Keep to the rate that cold targets tolerate

Cause: cold targets only cost 1.8 times as much in the choice, so all entries together could send them any number of requests. Control hosts did not announce a target that became cold again, and passed announcements on with the cold time of their arrival. Change: for services that state a rate, the few entries that rank highest for a target send to it while it is cold, each with a bucket of one permit; two disjoint sets of them fit into the bound, so it also holds for entries that are cut off. Requests without a fresh permit are withheld at the last check. A target that becomes cold again counts as changed. Conclusion: the bound is kept at the price of unused rate where entries are far more than requests.

--- a/hickoryspan_core/src/gateway/admission/limit_gate.rs
+++ b/hickoryspan_core/src/gateway/admission/limit_gate.rs
@@ -103,12 +103,35 @@
     0.5_f64.powf(elapsed.as_secs_f64() / DEMAND_HALF_LIFE.as_secs_f64())
 }
 
+/// Permits that are earned at a rate and kept up to a capacity.
 #[derive(Clone, Copy, Debug)]
-struct PermitBucket {
+pub(super) struct PermitBucket {
     permits: f64,
     refilled_at: MonotonicTime,
 }
 
+impl PermitBucket {
+    /// Creates a bucket with one permit.
+    pub(super) fn full(now: MonotonicTime) -> Self {
+        Self { permits: 1.0, refilled_at: now }
+    }
+
+    /// Adds what was earned since the last time, at this rate in permits per second.
+    pub(super) fn refill(&mut self, now: MonotonicTime, rate: f64, capacity: f64) {
+        let earned = rate * now.since(self.refilled_at).as_secs_f64();
+        self.permits = (self.permits + earned).min(capacity);
+        self.refilled_at = now;
+    }
+
+    pub(super) fn has_permit(&self) -> bool {
+        self.permits >= 1.0
+    }
+
+    pub(super) fn take(&mut self) {
+        self.permits -= 1.0;
+    }
+}
+
 #[derive(Clone, Debug)]
 struct HostTotals {
     reporters: u32,
@@ -210,16 +233,14 @@
         let capacity = (rate * BURST_SECONDS).max(1.0);
         let fresh = PermitBucket { permits: draw, refilled_at: now };
         let bucket = self.buckets.entry(process.clone()).or_insert(fresh);
-        let earned = rate * now.since(bucket.refilled_at).as_secs_f64();
-        bucket.permits = (bucket.permits + earned).min(capacity);
-        bucket.refilled_at = now;
-        bucket.permits >= 1.0
+        bucket.refill(now, rate, capacity);
+        bucket.has_permit()
     }
 
     /// Uses up a permit for a request to a target.
     pub fn take_permit(&mut self, process: &TargetProcess) {
         if let Some(bucket) = self.buckets.get_mut(process) {
-            bucket.permits -= 1.0;
+            bucket.take();
         }
     }
 
--- a/hickoryspan_core/src/gateway/documents/routes.rs
+++ b/hickoryspan_core/src/gateway/documents/routes.rs
@@ -63,6 +63,11 @@
         self.accounts.as_ref()?.find(key)
     }
 
+    /// Returns how many requests per second cold targets of services tolerate, for those that state it.
+    pub fn cold_rates(&self) -> &HashMap<ServiceId, RequestRate> {
+        &self.cold_rates
+    }
+
     /// Returns how many requests per second a cold target of a service tolerates; `None` if any number.
     pub fn cold_rate(&self, service: &ServiceId) -> Option<RequestRate> {
         self.cold_rates.get(service).copied()
--- a/hickoryspan_core/src/gateway/targets/directory.rs
+++ b/hickoryspan_core/src/gateway/targets/directory.rs
@@ -12,6 +12,8 @@
 use crate::sheet::duration_millis;
 use crate::types::{FailureDomain, MonotonicTime, ServiceId, TargetId, WallTime};
 
+/// Smallest rise of the remaining cold time that counts as a change. Announcements may be delayed on their way.
+const COLD_TOLERANCE: Duration = Duration::from_millis(300);
 /// How long a departed target is remembered, so that a delayed announcement does not bring it back.
 const TOMBSTONE_LIFETIME: Duration = Duration::from_secs(120);
 
@@ -93,9 +95,27 @@
     pub changed: AnnouncementAge,
     /// When the newest announcement was received here.
     pub seen_at: MonotonicTime,
+    /// Until when the target is slow after its start.
+    pub cold_until: MonotonicTime,
 }
 
 impl KnownTarget {
+    fn new(now: MonotonicTime, announcement: TargetAnnouncement, changed: AnnouncementAge) -> Self {
+        let cold_until = now + announcement.cold;
+        Self { announcement, changed, seen_at: now, cold_until }
+    }
+
+    /// Returns the announcement with the cold time that is left now.
+    pub fn announcement_at(&self, now: MonotonicTime) -> TargetAnnouncement {
+        let cold = self.cold_until.since(now);
+        TargetAnnouncement { cold, ..self.announcement.clone() }
+    }
+
+    /// Returns whether the target is cold for clearly longer than it said before.
+    fn has_become_cold(&self, now: MonotonicTime, announcement: &TargetAnnouncement) -> bool {
+        now + announcement.cold > self.cold_until.max(now) + COLD_TOLERANCE
+    }
+
     // A process serves one service for all its life, so this is the announcement of another writer. Targets that do not
     // name their start cannot be told from their next process.
     fn contradicts(&self, announcement: &TargetAnnouncement) -> bool {
@@ -165,8 +185,8 @@
             ..known.announcement.clone()
         } == announcement
             && known.announcement.age.started == announcement.age.started;
-        if unchanged {
-            *known = KnownTarget { announcement, changed: known.changed, seen_at: now };
+        if unchanged && !known.has_become_cold(now, &announcement) {
+            *known = KnownTarget::new(now, announcement, known.changed);
             return DirectoryChange::Renewed;
         }
         self.insert(now, announcement);
@@ -202,7 +222,7 @@
         });
         let target = announcement.target.clone();
         let changed = announcement.age;
-        self.targets.insert(target, KnownTarget { announcement, changed, seen_at: now });
+        self.targets.insert(target, KnownTarget::new(now, announcement, changed));
     }
 
     /// Removes a target and records its departure, so that delayed announcements are ignored.
@@ -253,7 +273,7 @@
     pub fn restore(&mut self, seen_at: MonotonicTime, announcement: TargetAnnouncement) {
         let target = announcement.target.clone();
         let changed = announcement.age;
-        self.targets.entry(target).or_insert(KnownTarget { announcement, changed, seen_at });
+        self.targets.entry(target).or_insert(KnownTarget::new(seen_at, announcement, changed));
     }
 
     /// Returns the known targets.
--- a/hickoryspan_core/src/gateway/targets/selection.rs
+++ b/hickoryspan_core/src/gateway/targets/selection.rs
@@ -13,8 +13,9 @@
 use super::outcomes::{AttemptFailure, AttemptOutcome, ReportedLoad};
 use super::send_check::SendBarrier;
 use super::target_notices::NoticeTable;
+use crate::gateway::admission::cold_targets::{ColdGate, ColdTarget};
 use crate::gateway::admission::limit_gate::LimitGate;
-use crate::types::{FailureDomain, MonotonicTime, ServiceId, TargetId, WallTime};
+use crate::types::{FailureDomain, MonotonicTime, RequestRate, ServiceId, TargetId, WallTime};
 
 /// Settings of the target selection.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -83,6 +84,8 @@
     pub address: SocketAddr,
     /// Start time of its process, by its own clock.
     pub started: WallTime,
+    /// When a permit for a cold target was taken; `None` if the target needed none.
+    pub cold_permit_at: Option<MonotonicTime>,
 }
 
 impl ChosenTarget {
@@ -213,6 +216,7 @@
     limits: LimitGate,
     notices: NoticeTable,
     evacuations: EvacuationState,
+    cold: ColdGate,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -234,6 +238,7 @@
             limits: LimitGate::default(),
             notices: NoticeTable::default(),
             evacuations: EvacuationState::default(),
+            cold: ColdGate::default(),
         }
     }
 
@@ -322,6 +327,34 @@
         &mut self.limits
     }
 
+    /// Replaces the gate of cold targets, which lets nothing through to begin with.
+    pub fn set_cold_gate(&mut self, gate: ColdGate) {
+        self.cold = gate;
+    }
+
+    /// Returns the gate of cold targets.
+    pub fn cold_mut(&mut self) -> &mut ColdGate {
+        &mut self.cold
+    }
+
+    /// Returns whether limits of targets, or of cold ones, may hold back requests.
+    pub fn has_limits(&self) -> bool {
+        self.limits.is_active() || self.cold.is_active()
+    }
+
+    /// Returns the targets that are cold and whose service states how many requests they tolerate.
+    pub fn cold_targets(&self, now: MonotonicTime) -> impl Iterator<Item = &TargetId> {
+        let states =
+            self.targets.values().filter(move |state| self.cold_rate(now, state).is_some());
+        states.map(|state| &state.announcement.target)
+    }
+
+    /// Returns how many requests a target tolerates while it is cold; `None` if any number.
+    fn cold_rate(&self, now: MonotonicTime, state: &TargetState) -> Option<RequestRate> {
+        let is_cold = self.cold.is_active() && state.cold_until > now;
+        is_cold.then(|| self.cold.rate(&state.announcement.service)).flatten()
+    }
+
     /// Returns the services that have a limited target.
     pub fn limited_services(&self) -> BTreeSet<&ServiceId> {
         let states = self.limits.table.limited().filter_map(|process| self.find(process));
@@ -342,6 +375,9 @@
 
     /// Forgets the limits of targets that are gone and the demand for services without a limited target.
     pub fn sweep_limits(&mut self, now: MonotonicTime) {
+        let mut cold = std::mem::take(&mut self.cold);
+        cold.retain(|process| self.find(process).is_some());
+        self.cold = cold;
         if !self.limits.is_active() {
             return;
         }
@@ -354,7 +390,7 @@
 
     /// Returns whether a request may be sent to any usable target of a service now.
     pub fn has_permitted_target(&mut self, now: MonotonicTime, service: &ServiceId) -> bool {
-        !self.limits.is_active() || !self.permitted(now, service).is_empty()
+        !self.has_limits() || !self.permitted(now, service).is_empty()
     }
 
     /// Returns the usable targets of a service to which a request may be sent now.
@@ -367,7 +403,13 @@
                 continue;
             }
             let draw = self.generator.random();
-            if self.limits.has_permit(now, &state.process(), share, draw) {
+            let process = state.process();
+            let cold_rate = self.cold_rate(now, state);
+            let has_cold_permit = cold_rate.is_none_or(|rate| {
+                let domain = &state.announcement.domain;
+                self.cold.has_permit(now, &ColdTarget { process: process.clone(), domain, rate })
+            });
+            if has_cold_permit && self.limits.has_permit(now, &process, share, draw) {
                 permitted.push(target.clone());
             }
         }
@@ -443,11 +485,21 @@
         tried: &[TargetId],
     ) -> Option<ChosenTarget> {
         let chosen = self.find_best(now, service, tried)?;
+        let is_cold =
+            self.targets.get(&chosen).is_some_and(|state| self.cold_rate(now, state).is_some());
         let state = self.targets.get_mut(&chosen)?;
         state.in_flight += 1;
-        self.limits.take_permit(&state.process());
-        let TargetAnnouncement { address, age, .. } = &state.announcement;
-        Some(ChosenTarget { target: chosen, address: *address, started: age.started })
+        let process = state.process();
+        self.limits.take_permit(&process);
+        if is_cold {
+            self.cold.take_permit(&process);
+        }
+        Some(ChosenTarget {
+            target: chosen,
+            address: state.announcement.address,
+            started: process.started,
+            cold_permit_at: is_cold.then_some(now),
+        })
     }
 
     fn find_best(
@@ -456,7 +508,7 @@
         service: &ServiceId,
         tried: &[TargetId],
     ) -> Option<TargetId> {
-        let permitted = self.limits.is_active().then(|| self.permitted(now, service));
+        let permitted = self.has_limits().then(|| self.permitted(now, service));
         let is_permitted =
             |target: &TargetId| permitted.as_ref().is_none_or(|known| known.contains(target));
         let untried = |state: &&TargetState| {
@@ -511,6 +563,10 @@
         if self.evacuations.covers(&announcement.domain) {
             return Err(SendBarrier::Evacuated);
         }
+        let is_permitted = chosen.cold_permit_at.is_some_and(|at| ColdGate::is_fresh(now, at));
+        if !is_permitted && self.cold_rate(now, state).is_some() {
+            return Err(SendBarrier::Cold);
+        }
         self.check_notices(now, state)?;
         match announcement.phase {
             TargetPhase::Ready => Ok(()),
@@ -544,7 +600,8 @@
         self.states(service).any(|state| {
             let untried = self.is_open(now, state) && !tried.contains(&state.announcement.target);
             let free = state.queue(now, &self.settings) <= MAX_HEDGE_QUEUE;
-            untried && free && state.ejected_until <= now && !self.is_limited(state)
+            let is_limited = self.is_limited(state) || self.cold_rate(now, state).is_some();
+            untried && free && state.ejected_until <= now && !is_limited
         })
     }
 
--- a/hickoryspan_core/src/gateway/targets/send_check.rs
+++ b/hickoryspan_core/src/gateway/targets/send_check.rs
@@ -18,6 +18,8 @@
     Closed,
     /// The target's failure domain is evacuated.
     Evacuated,
+    /// The target is cold, and the request has no permit for it or waited too long with one.
+    Cold,
     /// The configuration sends the request to other services now.
     Rerouted,
     /// The configuration no longer contains the key of the request.
@@ -39,6 +41,7 @@
             Self::Leaving => "leaving",
             Self::Closed => "closed",
             Self::Evacuated => "evacuated",
+            Self::Cold => "cold",
             Self::Rerouted => "rerouted",
             Self::Revoked => "revoked",
             Self::Condemned => "condemned",
--- a/hickoryspan_gateway/src/directory_hub.rs
+++ b/hickoryspan_gateway/src/directory_hub.rs
@@ -204,7 +204,7 @@
                 }
             }
             DirectoryRequest::FetchTargets(targets) => {
-                let announcements = state.announcements_of(&targets);
+                let announcements = state.announcements_of(now, &targets);
                 state.send_to(number, &DirectoryUpdate::Targets(announcements));
             }
             DirectoryRequest::Suspicions(records) => state.merge_suspicions(now, records),
@@ -296,7 +296,8 @@
                             target: = announcement.target,
                             service: = announcement.service,
                             address: = announcement.address,
-                            phase: ? = announcement.phase
+                            phase: ? = announcement.phase,
+                            cold_ms: = announcement.cold.as_millis()
                         }
                     );
                     state.unsaved = true;
@@ -410,7 +411,11 @@
                 return;
             }
             CachedDirectory {
-                targets: state.directory.targets().map(|k| k.announcement.clone()).collect(),
+                targets: state
+                    .directory
+                    .targets()
+                    .map(|known| known.announcement_at(now))
+                    .collect(),
                 departures: state.directory.departures().collect(),
                 suspicions: state.poison.changed_since(now, ChangeNumber::default()),
             }
--- a/hickoryspan_gateway/src/entry_daemon.rs
+++ b/hickoryspan_gateway/src/entry_daemon.rs
@@ -217,7 +217,7 @@
     fn apply_entries(&self, from: SocketAddr, change: EntryListChange) {
         let mut decisions = self.state.decisions();
         decisions.entry_list.apply(from, change);
-        let has_changed = decisions.update_relays();
+        let has_changed = decisions.update_entries(self.state.now());
         drop(decisions);
         if has_changed {
             self.state.open_fanout_links();
@@ -383,7 +383,7 @@
         }
         decisions.liveness.remove_host(from);
         decisions.entry_list.remove_host(from);
-        decisions.update_relays();
+        decisions.update_entries(self.state.now());
         decisions.selector.limits_mut().remove_host(from);
         decisions.document_fetch.note_end(from);
         decisions.document_parts.forget(from);
@@ -576,6 +576,8 @@
         }
         decisions.poison.expire(now);
         decisions.selector.sweep_limits(now);
+        metrics::gauge!("hickoryspan_gateway_cold_targets")
+            .set(decisions.selector.cold_targets(now).count() as f64);
         decisions.selector.expire_notices(now);
         drop(guard);
         state.open_fanout_links();
--- a/hickoryspan_gateway/src/forward.rs
+++ b/hickoryspan_gateway/src/forward.rs
@@ -336,7 +336,7 @@
 ) -> bool {
     let now = state.now();
     let mut decisions = state.decisions();
-    if !decisions.selector.limits().is_active() {
+    if !decisions.selector.has_limits() {
         return false;
     }
     let is_divided =
--- a/hickoryspan_gateway/src/gateway_state.rs
+++ b/hickoryspan_gateway/src/gateway_state.rs
@@ -8,6 +8,7 @@
 
 use hickoryspan_core::entry::latency::{LatencyDistribution, LatencySettings};
 use hickoryspan_core::gateway::admission::budget::{EntryCount, RetryBudget};
+use hickoryspan_core::gateway::admission::cold_targets::ColdGate;
 use hickoryspan_core::gateway::documents::document::{
     DocumentVersion, RouteDestination, RouteRule, ShardSpread, WeightedService,
 };
@@ -115,7 +116,9 @@
         }
         let held = self.routes.as_ref().map(|routes| &**routes.document());
         let Some(document) = change.apply(held) else { return false };
-        self.routes = Some(Arc::new(RouteTable::new(Arc::new(document))));
+        let routes = RouteTable::new(Arc::new(document));
+        self.selector.cold_mut().set_rates(routes.cold_rates().clone());
+        self.routes = Some(Arc::new(routes));
         self.groups.clear();
         true
     }
@@ -204,9 +207,10 @@
         })
     }
 
-    /// Takes the entries that accept parts of wide fan-outs from the list of open entries. Returns whether they have
-    /// changed.
-    pub(crate) fn update_relays(&mut self) -> bool {
+    /// Takes over the list of open entries. Returns whether the entries that accept parts of wide fan-outs have changed.
+    pub(crate) fn update_entries(&mut self, now: MonotonicTime) -> bool {
+        let is_linked = self.liveness.is_linked();
+        self.selector.cold_mut().set_entries(now, is_linked, self.entry_list.entries());
         let has_changed = self.relays.set_peers(self.entry_list.relays());
         if has_changed {
             self.groups.clear();
@@ -277,11 +281,12 @@
 impl GatewayState {
     pub(crate) fn new(settings: GatewaySettings, seed: u64) -> Self {
         let mut generator = ChaCha12Rng::seed_from_u64(seed);
-        let selector = TargetSelector::new(
+        let mut selector = TargetSelector::new(
             settings.selection,
             settings.domain.clone(),
             ChaCha12Rng::seed_from_u64(generator.random()),
         );
+        selector.set_cold_gate(ColdGate::new(settings.caller_address, settings.cold));
         let decisions = SharedDecisions {
             routes: None,
             document_fetch: DocumentFetch::default(),
--- a/hickoryspan_gateway/src/hub_state.rs
+++ b/hickoryspan_gateway/src/hub_state.rs
@@ -326,7 +326,7 @@
             peer == LinkPeer::Control || known.announcement.phase != TargetPhase::Ready
         };
         let announcements = self.directory.targets().filter(is_sent);
-        let announcements = announcements.map(|known| known.announcement.clone()).collect();
+        let announcements = announcements.map(|known| known.announcement_at(now)).collect();
         let mut updates = vec![
             DirectoryUpdate::Departures(self.directory.departures().collect()),
             DirectoryUpdate::Targets(announcements),
@@ -352,9 +352,13 @@
         self.directory.targets().map(last_change_of).collect()
     }
 
-    pub(crate) fn announcements_of(&self, targets: &[TargetId]) -> Vec<TargetAnnouncement> {
+    pub(crate) fn announcements_of(
+        &self,
+        now: MonotonicTime,
+        targets: &[TargetId],
+    ) -> Vec<TargetAnnouncement> {
         let known = targets.iter().filter_map(|target| self.directory.find(target));
-        known.map(|known| known.announcement.clone()).collect()
+        known.map(|known| known.announcement_at(now)).collect()
     }
 
     pub(crate) fn entries(
--- a/hickoryspan_gateway/src/settings.rs
+++ b/hickoryspan_gateway/src/settings.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use hickoryspan_core::gateway::admission::budget::BudgetSettings;
+use hickoryspan_core::gateway::admission::cold_targets::ColdBounds;
 use hickoryspan_core::gateway::fanouts::relays::RelaySettings;
 use hickoryspan_core::gateway::targets::selection::SelectionSettings;
 use hickoryspan_core::types::{EntryId, FailureDomain};
@@ -54,6 +55,8 @@
     pub selection: SelectionSettings,
     /// Budget for retries and hedges to one service.
     pub budget: BudgetSettings,
+    /// Bounds of the requests to cold targets, for services that state how many these tolerate.
+    pub cold: ColdBounds,
     /// Address that other entries connect to for wide fan-outs; `None` if this entry takes no part in them.
     pub fanout_address: Option<SocketAddr>,
     /// How a wide fan-out is divided among entries.
@@ -90,6 +93,7 @@
             headers: GatewayHeaders::default(),
             selection: SelectionSettings::default(),
             budget: BudgetSettings::default(),
+            cold: ColdBounds::default(),
             fanout_address: None,
             relays: RelaySettings::default(),
             directory,
--- a/hickoryspan_gateway/tests/gateway/main.rs
+++ b/hickoryspan_gateway/tests/gateway/main.rs
@@ -1,5 +1,6 @@
 //! Tests with real entries, a real control host and scripted targets on loopback.
 
+mod cold_targets;
 mod common_start;
 mod crash_sharing;
 mod cut_requests;
--- a/hickoryspan_gateway/tests/gateway/support.rs
+++ b/hickoryspan_gateway/tests/gateway/support.rs
@@ -19,7 +19,7 @@
 use hickoryspan_core::gateway::targets::evacuations::{
     EvacuationAction, EvacuationOrder, EvacuationState,
 };
-use hickoryspan_core::types::{EntryId, FailureDomain, ServiceId, TargetId, WallTime};
+use hickoryspan_core::types::{EntryId, FailureDomain, RequestRate, ServiceId, TargetId, WallTime};
 use hickoryspan_gateway::{
     DirectoryHub, DirectoryServer, DirectorySettings, GatewayEntry, GatewaySettings, HostList,
 };
@@ -206,6 +206,8 @@
     pub address: SocketAddr,
     /// Limits for callers in the next configuration.
     pub limits: CallerLimits,
+    /// Requests per second that cold targets tolerate in the next configuration.
+    pub cold_rate: Option<RequestRate>,
     // Caller addresses of all entries, in the order of their start.
     addresses: Vec<SocketAddr>,
     template: GatewaySettings,
@@ -344,6 +346,7 @@
             others: Vec::new(),
             address,
             limits: CallerLimits::default(),
+            cold_rate: None,
             addresses: Vec::new(),
             template,
             hosts,
@@ -429,8 +432,9 @@
         self.version += 1;
         let names: Vec<ServiceId> =
             routes.iter().flat_map(|route| route.destination.services()).cloned().collect();
+        let cold_rate = self.cold_rate;
         let services =
-            names.into_iter().map(|service| ServiceRule { service, connections, cold_rate: None });
+            names.into_iter().map(|service| ServiceRule { service, connections, cold_rate });
         let document = Arc::new(ConfigurationDocument {
             version: DocumentVersion(self.version),
             routes: routes.into_iter().map(Arc::new).collect(),
@@ -491,6 +495,19 @@
         address: SocketAddr,
         started: u64,
         phase: TargetPhase,
+    ) {
+        self.announce_cold(name, service, address, started, phase, Duration::ZERO).await;
+    }
+
+    /// Announces a process of a target that is cold for this time, as [`Self::announce`] does.
+    pub async fn announce_cold(
+        &self,
+        name: &str,
+        service: &str,
+        address: SocketAddr,
+        started: u64,
+        phase: TargetPhase,
+        cold: Duration,
     ) {
         let sequence = self.announcements.fetch_add(1, Ordering::SeqCst);
         self.hub
@@ -502,7 +519,7 @@
                 domain: FailureDomain::new(TARGET_DOMAIN).expect("a domain"),
                 slots: 2,
                 phase,
-                cold: Duration::ZERO,
+                cold,
             })
             .await;
         let absent = TargetId::new("nobody").expect("a name");
