Leave cold targets out of the measured queue of a service

Cause: the shortest queue of a service decides what overload sheds, and a cold target that may get few requests has none. The limits of targets were also looked up for wide requests whose groups other entries send. Change: the queue is that of the warm targets; the look-up ends early. Conclusion: only services that state a rate for cold targets are affected.

--- a/hickoryspan_core/src/gateway/targets/selection.rs
+++ b/hickoryspan_core/src/gateway/targets/selection.rs
@@ -613,7 +613,10 @@
     /// without a usable target. A longer queue that another entry has recently reported takes
     /// precedence.
     pub fn shortest_queue(&self, now: MonotonicTime, service: &ServiceId) -> Option<f64> {
-        let usable = self.states(service).filter(|state| self.is_open(now, state));
+        // A cold target has no queue because it gets few requests, so it says nothing about the others.
+        let usable = self
+            .states(service)
+            .filter(|state| self.is_open(now, state) && self.cold_rate(now, state).is_none());
         let own = usable.map(|state| state.queue(now, &self.settings)).reduce(f64::min)?;
         let reported = self.queues.get(service);
         let reported =
--- a/hickoryspan_core/tests/gateway_cold_targets.rs
+++ b/hickoryspan_core/tests/gateway_cold_targets.rs
@@ -13,6 +13,7 @@
     AnnouncementAge, DirectoryChange, TargetAnnouncement, TargetDirectory, TargetPhase,
     TargetProcess,
 };
+use hickoryspan_core::gateway::targets::outcomes::ReportedLoad;
 use hickoryspan_core::gateway::targets::selection::{SelectionSettings, TargetSelector};
 use hickoryspan_core::gateway::targets::send_check::SendBarrier;
 use hickoryspan_core::types::{
@@ -509,6 +510,16 @@
     assert_eq!(selector.cold_targets(at(3_000)).count(), 1);
 }
 
+/// Guards against overload that is not seen because the cold target of an overloaded service has no queue.
+#[test]
+fn the_queue_of_a_service_is_that_of_its_warm_targets() {
+    let mut selector = selector(true);
+    let two = TargetId::new("two").expect("a target name");
+    let load = ReportedLoad { running: 2, waiting: 8, slots: 2, latency_percent: 100 };
+    selector.note_load(at(3_000), &two, load);
+    assert_eq!(selector.shortest_queue(at(3_100), &service()), Some(4.0));
+}
+
 /// Guards against requests that wait with their permits and reach the target together, and against one that was chosen for
 /// a target before it became cold again.
 #[test]
--- a/hickoryspan_gateway/src/forward.rs
+++ b/hickoryspan_gateway/src/forward.rs
@@ -341,12 +341,15 @@
     }
     let is_divided =
         spread.is_some_and(|spread| !decisions.shard_groups(&state.settings, spread).is_empty());
+    if is_divided {
+        return false;
+    }
     let selector = &mut decisions.selector;
     let closed = |service: &&ServiceId| {
         selector.count_usable(service) > 0 && !selector.has_permitted_target(now, service)
     };
     let closed = services.iter().filter(closed).count();
-    if is_divided || closed == 0 || services.len() - closed >= settings.min_parts {
+    if closed == 0 || services.len() - closed >= settings.min_parts {
         return false;
     }
     for service in services {
