--- a/hickoryspan_core/src/gateway/admission/cold_targets.rs
+++ b/hickoryspan_core/src/gateway/admission/cold_targets.rs
@@ -75,8 +75,9 @@
     decided_at: MonotonicTime,
 }
 
+/// What this entry may send to one target.
 #[derive(Clone, Copy, Debug)]
-struct ColdSender {
+struct ColdShare {
     bucket: PermitBucket,
     verdict: SenderVerdict,
 }
@@ -95,15 +96,16 @@
 /// This entry's part of the requests to cold targets.
 #[derive(Clone, Debug, Default)]
 pub struct ColdGate {
-    // `None` for an entry that callers cannot reach; it sends nothing to cold targets.
+    // `None` until the gate is set up; nothing is sent to cold targets then.
     own_address: Option<SocketAddr>,
     bounds: ColdBounds,
     rates: HashMap<ServiceId, RequestRate>,
     // By the address at which callers connect.
     entries: BTreeMap<SocketAddr, ListedEntry>,
+    // Number of changes of the list.
     list: u64,
     is_linked: bool,
-    targets: HashMap<TargetProcess, ColdSender>,
+    targets: HashMap<TargetProcess, ColdShare>,
 }
 
 impl ColdGate {
@@ -157,7 +159,7 @@
     /// Returns whether a request may be sent to a cold target now.
     pub fn has_permit(&mut self, now: MonotonicTime, target: &ColdTarget<'_>) -> bool {
         let known = self.targets.get(&target.process).copied();
-        let verdict = known.map(|sender| sender.verdict).filter(|verdict| {
+        let verdict = known.map(|share| share.verdict).filter(|verdict| {
             verdict.list == self.list && now.since(verdict.decided_at) < VERDICT_TIME
         });
         let verdict = verdict.unwrap_or_else(|| SenderVerdict {
@@ -165,19 +167,19 @@
             list: self.list,
             decided_at: now,
         });
-        let mut bucket = known.map_or_else(|| PermitBucket::full(now), |sender| sender.bucket);
+        let mut bucket = known.map_or_else(|| PermitBucket::full(now), |share| share.bucket);
         let part = verdict.senders.map_or(0.0, |senders| 1.0 / senders as f64);
         bucket.refill(now, self.bounds.used_rate(target.rate) * part, 1.0);
         let has_permit = verdict.senders.is_some() && bucket.has_permit();
-        self.targets.insert(target.process.clone(), ColdSender { bucket, verdict });
+        self.targets.insert(target.process.clone(), ColdShare { bucket, verdict });
         has_permit
     }
 
     /// Uses up a permit for a request to a target. It is not given back if the request is not sent, because the entry
     /// could collect such permits.
     pub fn take_permit(&mut self, process: &TargetProcess) {
-        if let Some(sender) = self.targets.get_mut(process) {
-            sender.bucket.take();
+        if let Some(share) = self.targets.get_mut(process) {
+            share.bucket.take();
         }
     }
 
