--- a/hickoryspan_core/src/gateway/admission/mod.rs
+++ b/hickoryspan_core/src/gateway/admission/mod.rs
@@ -1,6 +1,7 @@
-//! Which requests are admitted: limits of targets, quotas of accounts, retry budgets and overload.
+//! Which requests are admitted: limits of targets, cold targets, quotas of accounts, retry budgets and overload.
 
 pub mod budget;
+pub mod cold_targets;
 pub mod limit_gate;
 pub mod overload;
 pub mod quota;
