Refuse accounts beyond their fair share first under overload

Cause: while targets have queues, each entry refused the same part of all requests. An account that sent many times its usual filled the queues, and all others paid for it alike. Change: where a document names accounts, an entry refuses about the same part of all requests, but divides it by max-min shares of the demand that it has seen. Shares go by the rates of quotas and by the number of shards asked. The log line of a shed request names the account and both refused parts; a counter by account has at most 65 labels.

--- a/hickoryspan_core/src/gateway/admission/overload.rs
+++ b/hickoryspan_core/src/gateway/admission/overload.rs
@@ -11,7 +11,7 @@
 const QUEUE_RANGE: f64 = 2.0;
 /// Largest fraction that is shed. Targets report their queues with their answers, so some requests
 /// must always pass.
-const MAX_SHED_FRACTION: f64 = 0.9;
+pub(super) const MAX_SHED_FRACTION: f64 = 0.9;
 /// Relative increase of the shed fraction for each step to a less urgent priority.
 const PRIORITY_STEP: f64 = 0.4;
 
--- a/hickoryspan_core/src/gateway/documents/accounts.rs
+++ b/hickoryspan_core/src/gateway/documents/accounts.rs
@@ -7,11 +7,14 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::types::{AccountId, RequestRate};
+use crate::types::{AccountId, RequestRate, ShareWeight};
 
 /// Separates these digests from other uses of the hash function.
 const DIGEST_CONTEXT: &str = "hickoryspan 2026-12-06 key of a client account";
 
+/// Weight of all accounts if none has a quota.
+const EVEN_WEIGHT: ShareWeight = ShareWeight(1.0);
+
 /// Digest of a key. Entries know only digests, so that neither their memory nor a message between hosts contains a key.
 /// It has no `Display`, because it must not reach logs: short keys could be found from it.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
@@ -100,10 +103,17 @@
     Ok(())
 }
 
+/// Returns the rate of an account's quota. A rate of zero is no share.
+fn quota_rate(account: &ClientAccount) -> Option<f64> {
+    account.quota.map(|quota| quota.rate.0).filter(|rate| *rate > 0.0)
+}
+
 /// The accounts of one document by key.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct AccountTable {
     by_key: HashMap<KeyDigest, Arc<ClientAccount>>,
+    // Of accounts without a quota.
+    default_weight: ShareWeight,
 }
 
 impl AccountTable {
@@ -114,7 +124,17 @@
             let shared = Arc::new(account.clone());
             by_key.extend(account.keys.iter().map(|key| (*key, Arc::clone(&shared))));
         }
-        Self { by_key }
+        let rates: Vec<f64> = accounts.iter().filter_map(quota_rate).collect();
+        let default_weight = match rates.is_empty() {
+            true => EVEN_WEIGHT,
+            false => ShareWeight(rates.iter().sum::<f64>() / rates.len() as f64),
+        };
+        Self { by_key, default_weight }
+    }
+
+    /// Returns the weight of an account's fair share: the rate of its quota, or the mean of those of the others if it has none.
+    pub fn share_weight(&self, account: &ClientAccount) -> ShareWeight {
+        quota_rate(account).map_or(self.default_weight, ShareWeight)
     }
 
     /// Returns the account that holds a key. A comparison of digests reveals nothing of a key by its duration, since a
--- a/hickoryspan_core/src/gateway/documents/routes.rs
+++ b/hickoryspan_core/src/gateway/documents/routes.rs
@@ -5,7 +5,7 @@
 
 use super::accounts::{AccountTable, ClientAccount, KeyDigest};
 use super::document::{ConfigurationDocument, RouteRule, WeightedService};
-use crate::types::{RequestRate, ServiceId};
+use crate::types::{RequestRate, ServiceId, ShareWeight};
 
 /// Lookup table for the routes of one document.
 #[derive(Debug)]
@@ -63,6 +63,11 @@
         self.accounts.as_ref()?.find(key)
     }
 
+    /// Returns the weight of an account's fair share under overload; `None` if the document names no accounts.
+    pub fn share_weight(&self, account: &ClientAccount) -> Option<ShareWeight> {
+        Some(self.accounts.as_ref()?.share_weight(account))
+    }
+
     /// Returns how many requests per second a cold target of a service tolerates; `None` if any number.
     pub fn cold_rate(&self, service: &ServiceId) -> Option<RequestRate> {
         self.cold_rates.get(service).copied()
--- a/hickoryspan_core/src/gateway/mod.rs
+++ b/hickoryspan_core/src/gateway/mod.rs
@@ -1,6 +1,7 @@
 //! Decision logic of the gateway, which forwards HTTP requests by route and merges the records of
 //! many shards (`docs/design/gateway.md`).
 
+pub mod account_labels;
 pub mod admission;
 pub mod documents;
 pub mod fanouts;
--- a/hickoryspan_core/src/types/mod.rs
+++ b/hickoryspan_core/src/types/mod.rs
@@ -14,6 +14,6 @@
 pub use key_range::KeyRange;
 pub use quantity::{
     ByteCount, ConnectionCount, CostRate, CostUnits, CoverageShare, DocumentCount, ParseValueError,
-    RequestRate, SlotCount,
+    RequestRate, ShareWeight, SlotCount,
 };
 pub use time::{ClockReading, MonotonicTime, WallTime};
--- a/hickoryspan_core/src/types/quantity.rs
+++ b/hickoryspan_core/src/types/quantity.rs
@@ -113,6 +113,8 @@
     CostRate;
     /// Requests per second.
     RequestRate;
+    /// How large the fair share of an account is, compared with those of other accounts.
+    ShareWeight;
 }
 
 /// The share of a snapshot's documents that an answer covers, from 0 to 1.
--- a/hickoryspan_core/tests/gateway_accounts.rs
+++ b/hickoryspan_core/tests/gateway_accounts.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use hickoryspan_core::gateway::account_labels::AccountLabels;
 use hickoryspan_core::gateway::documents::accounts::{
     AccountQuota, ClientAccount, InvalidAccounts, KeyDigest,
 };
@@ -13,7 +14,7 @@
 use hickoryspan_core::gateway::documents::document_change::DocumentChange;
 use hickoryspan_core::gateway::documents::document_parts::{PartAssembly, encode_parts};
 use hickoryspan_core::gateway::documents::routes::RouteTable;
-use hickoryspan_core::types::{AccountId, RequestRate};
+use hickoryspan_core::types::{AccountId, RequestRate, ShareWeight};
 use rstest::rstest;
 
 const MANY_ACCOUNTS: usize = 10_000;
@@ -218,3 +219,33 @@
         "{text}"
     );
 }
+
+/// Guards against metrics whose number grows with the number of accounts.
+#[test]
+fn the_number_of_accounts_in_labels_is_bounded() {
+    let mut labels = AccountLabels::default();
+    let accounts = many_accounts();
+    let distinct: HashSet<String> =
+        accounts.iter().map(|account| labels.label(&account.account).to_owned()).collect();
+    assert_eq!(distinct.len(), 65);
+    assert_eq!(labels.label(&accounts[3].account), "account-3");
+    assert_eq!(labels.label(&accounts[9_000].account), "(other)");
+}
+
+/// Guards against weights of zero, by which an account would have no share at all.
+#[test]
+fn an_account_without_a_rate_has_a_share_as_the_others_on_average() {
+    let limited = |name: &str, rate: f64| ClientAccount {
+        quota: Some(AccountQuota { rate: RequestRate(rate), burst: 0.0 }),
+        ..account(name, &[])
+    };
+    let accounts = [limited("a", 10.0), limited("b", 30.0), limited("c", 0.0), account("d", &[])];
+    let table = RouteTable::new(Arc::new(document(1, Some(accounts.to_vec()))));
+    let weights =
+        accounts.each_ref().map(|account| table.share_weight(account).expect("a weight").0);
+    assert_eq!(weights, [10.0, 30.0, 20.0, 20.0]);
+    let table = RouteTable::new(Arc::new(document(1, Some(vec![account("d", &[])]))));
+    assert_eq!(table.share_weight(&account("d", &[])), Some(ShareWeight(1.0)));
+    let table = RouteTable::new(Arc::new(document(1, None)));
+    assert_eq!(table.share_weight(&account("d", &[])), None);
+}
--- a/hickoryspan_gateway/src/attempt.rs
+++ b/hickoryspan_gateway/src/attempt.rs
@@ -101,6 +101,11 @@
         }
     }
 
+    /// Returns the caller's account for logs, or `-` if it has none.
+    pub(crate) fn account_text(&self) -> &str {
+        self.identity.as_ref().map_or("-", |identity| identity.account.account.as_str())
+    }
+
     /// Returns the caller's request ID for logs, or `-` if it has none.
     pub(crate) fn request_text(&self) -> &str {
         self.request.as_ref().and_then(|value| value.to_str().ok()).unwrap_or("-")
--- a/hickoryspan_gateway/src/forward.rs
+++ b/hickoryspan_gateway/src/forward.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use hickoryspan_core::gateway::admission::fair_share::AccountRequest;
 use hickoryspan_core::gateway::admission::overload::{ShardQueues, shed_fraction};
 use hickoryspan_core::gateway::documents::accounts::KeyDigest;
 use hickoryspan_core::gateway::documents::document::{
@@ -13,7 +14,7 @@
 use hickoryspan_core::gateway::fanouts::fanout::{FanoutMachine, FanoutSettings, merge_records};
 use hickoryspan_core::gateway::log_limit::LogPriority;
 use hickoryspan_core::gateway::planned_stop::StopVerdict;
-use hickoryspan_core::types::{MonotonicTime, RequestFingerprint, ServiceId};
+use hickoryspan_core::types::{CostUnits, MonotonicTime, RequestFingerprint, ServiceId};
 use hickoryspan_runtime::http_client::HttpAnswer;
 use hickoryspan_runtime::http_server::{self, BodyError, HttpLimits};
 use http::header::{CONTENT_LENGTH, CONTENT_TYPE, HOST};
@@ -23,7 +24,7 @@
 use hyper::body::Incoming;
 
 use crate::attempt::{AttemptScope, CallerIdentity, GatewayJob};
-use crate::gateway_state::GatewayState;
+use crate::gateway_state::{GatewayState, SharedDecisions};
 use crate::headers::remove_connection_headers;
 use crate::refusal::{GatewayResponse, MIN_RETRY_DELAY, RefusalReason, refuse, refuse_job};
 use crate::relayed_groups::RelayedGroups;
@@ -373,7 +374,9 @@
     let queues = ShardQueues::new(services.iter().filter_map(queue));
     let queue = queues.limiting_queue(settings.min_parts);
     let fraction = shed_fraction(queue, job.priority());
-    let shed = fraction > 0.0 && decisions.draw() < fraction;
+    let refused_part = account_refused_part(&mut decisions, now, job, services, fraction);
+    let shed = refused_part > 0.0 && decisions.draw() < refused_part;
+    count_account_request(&mut decisions, job, shed);
     drop(decisions);
     if shed && state.admits_log_line(LogPriority::Important) {
         spdlog::info!(
@@ -381,14 +384,50 @@
             kv: {
                 request: = job.request_text(),
                 route: = job.route.name,
+                account: = job.account_text(),
                 waiting_per_slot: = queue,
-                refused_part: = fraction
+                refused_of_all: = fraction,
+                refused_part: = refused_part
             }
         );
     }
     shed
 }
 
+/// Returns the part of the requests of this request's account that is refused. Without an account, it is that of all requests.
+fn account_refused_part(
+    decisions: &mut SharedDecisions,
+    now: MonotonicTime,
+    job: &GatewayJob,
+    services: &[ServiceId],
+    refused_of_all: f64,
+) -> f64 {
+    let Some(identity) = &job.identity else { return refused_of_all };
+    // Routes with the same shards need the same targets, and so does a route to a single service.
+    let Some(service) = services.first() else { return refused_of_all };
+    let routes = decisions.routes.as_ref();
+    let weight = routes.and_then(|routes| routes.share_weight(&identity.account));
+    let Some(weight) = weight else { return refused_of_all };
+    let request = AccountRequest {
+        service,
+        account: &identity.account.account,
+        weight,
+        // Not the measured latency: it differs from the one assumed at first by orders of magnitude, and grows with queues.
+        cost: CostUnits(services.len() as f64),
+    };
+    decisions.shares.refused_part(now, &request, refused_of_all)
+}
+
+fn count_account_request(decisions: &mut SharedDecisions, job: &GatewayJob, shed: bool) {
+    let Some(identity) = &job.identity else { return };
+    let account = decisions.account_labels.label(&identity.account.account).to_owned();
+    let result = if shed { "overloaded" } else { "admitted" };
+    metrics::counter!(
+        "hickoryspan_gateway_account_requests_total", "account" => account, "result" => result
+    )
+    .increment(1);
+}
+
 fn fanout_settings(
     state: &GatewayState,
     job: &GatewayJob,
--- a/hickoryspan_gateway/src/gateway_state.rs
+++ b/hickoryspan_gateway/src/gateway_state.rs
@@ -7,7 +7,9 @@
 use std::time::Duration;
 
 use hickoryspan_core::entry::latency::{LatencyDistribution, LatencySettings};
+use hickoryspan_core::gateway::account_labels::AccountLabels;
 use hickoryspan_core::gateway::admission::budget::{EntryCount, RetryBudget};
+use hickoryspan_core::gateway::admission::fair_share::FairShares;
 use hickoryspan_core::gateway::documents::document::{
     DocumentVersion, RouteDestination, RouteRule, ShardSpread, WeightedService,
 };
@@ -71,6 +73,10 @@
     pub(crate) budget_entries: EntryCount,
     /// The shard groups of the wide routes in the active document, as the known targets and entries divide them.
     pub(crate) groups: GroupCache,
+    /// What client accounts ask of services, as this entry sees it.
+    pub(crate) shares: FairShares,
+    /// The accounts that are labels of metrics.
+    pub(crate) account_labels: AccountLabels,
     budgets: HashMap<ServiceId, RetryBudget>,
     latencies: HashMap<Arc<str>, LatencyDistribution>,
     splits: HashMap<Arc<str>, WeightedRoundRobin>,
@@ -114,7 +120,9 @@
         }
         let held = self.routes.as_ref().map(|routes| &**routes.document());
         let Some(document) = change.apply(held) else { return false };
-        self.routes = Some(Arc::new(RouteTable::new(Arc::new(document))));
+        let routes = RouteTable::new(Arc::new(document));
+        self.shares.retain(|service| routes.connections(service).is_some());
+        self.routes = Some(Arc::new(routes));
         self.groups.clear();
         true
     }
@@ -283,6 +291,8 @@
             groups: GroupCache::default(),
             entries: 1,
             budget_entries: EntryCount::default(),
+            shares: FairShares::default(),
+            account_labels: AccountLabels::default(),
             budgets: HashMap::new(),
             latencies: HashMap::new(),
             splits: HashMap::new(),
--- a/hickoryspan_gateway/tests/gateway/accounts.rs
+++ b/hickoryspan_gateway/tests/gateway/accounts.rs
@@ -301,29 +301,63 @@
     deployment.stop().await;
 }
 
+/// A target with queues, from whose answers an entry learns that it must refuse a part of all requests.
+async fn start_loaded_target(load: &'static str) -> ScriptedTarget {
+    ScriptedTarget::start(Arc::new(move |request: &SeenRequest| {
+        let answer = String::from_utf8(request.answer("stamp", RECORD)).expect("text");
+        let loaded = answer.replacen("OK\r\n", &format!("OK\r\nhs-load: {load}\r\n"), 1);
+        TargetAction::Send(loaded.into_bytes())
+    }))
+    .await
+}
+
+/// Sends requests with these keys one after the other, and returns how many of each key's were served.
+async fn count_served<const KEYS: usize>(
+    deployment: &Deployment,
+    keys: [&str; KEYS],
+    rounds: usize,
+    sent_each_round: [usize; KEYS],
+) -> [usize; KEYS] {
+    let mut stream = TcpStream::connect(deployment.address).await.expect("connect to the entry");
+    let mut served = [0; KEYS];
+    for _ in 0..rounds {
+        for (index, key) in keys.iter().enumerate() {
+            let request = request("/one/", &format!("hs-key: {key}\r\n"));
+            for _ in 0..sent_each_round[index] {
+                let answer = exchange_on(&mut stream, &request).await;
+                served[index] += usize::from(answer.status == 200);
+            }
+        }
+    }
+    served
+}
+
 /// Guards against shedding that ranks requests by their route alone. The queue is so long that requests of the route's
 /// priority are nearly all shed, and about half of those of the account's.
 #[tokio::test]
 async fn the_priority_of_an_account_goes_before_that_of_the_route() {
-    let target = ScriptedTarget::start(Arc::new(|request: &SeenRequest| {
-        let answer = String::from_utf8(request.answer("stamp", RECORD)).expect("text");
-        let loaded = answer.replacen("OK\r\n", "OK\r\nhs-load: 2,4,2\r\n", 1);
-        TargetAction::Send(loaded.into_bytes())
-    }))
-    .await;
+    let target = start_loaded_target("2,4,2").await;
     let urgent = ClientAccount { priority: Some(0), ..account("a", &["k-1"]) };
     let mut deployment = Deployment::start().await;
     deployment.accounts = Some(vec![urgent, account("b", &["k-2"])]);
     deployment.configure(vec![RouteRule { priority: 4, ..private_route() }]).await;
     deployment.announce("t", "one", target.address).await;
-    let mut stream = TcpStream::connect(deployment.address).await.expect("connect to the entry");
-    let mut served = [0, 0];
-    for _ in 0..150 {
-        for (count, key) in served.iter_mut().zip(["k-1", "k-2"]) {
-            let request = request("/one/", &format!("hs-key: {key}\r\n"));
-            *count += usize::from(exchange_on(&mut stream, &request).await.status == 200);
-        }
-    }
+    let served = count_served(&deployment, ["k-1", "k-2"], 150, [1, 1]).await;
     assert!(served[0] > 2 * served[1], "{served:?}");
     deployment.stop().await;
 }
+
+/// One account sends nine of ten requests. Guards against overload that the other account pays for alike, and against one that is
+/// refused altogether.
+#[tokio::test]
+async fn an_account_that_sends_most_requests_is_refused_first() {
+    let target = start_loaded_target("2,4,2").await;
+    let mut deployment = Deployment::start().await;
+    deployment.accounts = Some(vec![account("a", &["k-1"]), account("b", &["k-2"])]);
+    deployment.configure(vec![RouteRule { priority: 0, ..private_route() }]).await;
+    deployment.announce("t", "one", target.address).await;
+    let served = count_served(&deployment, ["k-1", "k-2"], 60, [9, 1]).await;
+    let parts = [served[0] as f64 / 540.0, served[1] as f64 / 60.0];
+    assert!(parts[1] > parts[0] + 0.2 && parts[0] > 0.25, "{parts:?}");
+    deployment.stop().await;
+}
