Test that a key in another entry's group goes no further

Cause: the removal of keys from groups of other entries, which may have an earlier configuration or be of an earlier release, had no test. Change: a test sends such a group over a fan-out link, with and without accounts in force. Without the removal, the new test fails. Conclusion: entries of different releases and configurations pass no key on to targets once the sending entry has accounts.

--- a/hickoryspan_core/src/gateway/account_labels.rs
+++ b/hickoryspan_core/src/gateway/account_labels.rs
@@ -4,7 +4,8 @@
 
 use crate::types::AccountId;
 
-/// Number of accounts with a label of their own in one process. The first to send requests are mostly those that send many.
+/// Number of accounts with a label of their own in one process. The first to send requests are mostly those that send
+/// many.
 const MAX_ACCOUNTS: usize = 64;
 /// Label that all other accounts share. Names of accounts contain no parentheses.
 const OTHER_ACCOUNTS: &str = "(other)";
--- a/hickoryspan_core/src/gateway/admission/fair_share.rs
+++ b/hickoryspan_core/src/gateway/admission/fair_share.rs
@@ -1,8 +1,9 @@
 //! Divides what overload refuses between client accounts, so that those beyond their fair share are refused first
 //! (`docs/design/accounts.md`).
 //!
-//! An entry goes by the requests that it has seen itself. Where it sees few of each account, it cannot tell a surge of a small account
-//! from chance, and refuses all accounts more alike; an account with a large part of all requests shows after few of them.
+//! An entry goes by the requests that it has seen itself. Where it sees few of each account, it cannot tell a surge of
+//! a small account from chance, and refuses all accounts more alike; an account with a large part of all requests shows
+//! after few of them.
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -10,7 +11,8 @@
 use super::overload::MAX_SHED_FRACTION;
 use crate::types::{AccountId, CostUnits, MonotonicTime, ServiceId, ShareWeight};
 
-/// Growth of the weight of new requests after which older ones are scaled down, and accounts that have become idle are forgotten.
+/// Growth of the weight of new requests after which older ones are scaled down, and accounts that have become idle are
+/// forgotten.
 const MAX_SCALE: f64 = 4.0;
 /// Number of decayed requests below which an account is forgotten.
 const IDLE_REQUESTS: f64 = 0.25;
@@ -64,8 +66,8 @@
     weight: f64,
 }
 
-/// What accounts ask of one service. All sums decay: instead of older requests, newer ones are scaled by a weight that grows with
-/// time.
+/// What accounts ask of one service. All sums decay: instead of older requests, newer ones are scaled by a weight that
+/// grows with time.
 #[derive(Clone, Debug)]
 struct ServiceDemand {
     origin: MonotonicTime,
@@ -180,8 +182,8 @@
 }
 
 impl UsedShares {
-    /// Returns the demand of an account divided by its fair share. With few requests seen it is near one: the demand is estimated
-    /// as if the account had sent `assumed_requests` more, in the time in which its share allows as many.
+    /// Returns the demand of an account divided by its fair share. With few requests seen it is near one: the demand is
+    /// estimated as if the account had sent `assumed_requests` more, in the time in which its share allows as many.
     fn level(&self, cost: f64, weight: f64) -> f64 {
         let sent = self.requests * cost / self.seen_cost;
         // The accounts that have been seen cause all demand but the first requests of others.
@@ -211,8 +213,8 @@
         Self { settings, services: HashMap::new() }
     }
 
-    /// Returns the part of an account's requests to refuse, from 0 to 1, so that about `refused_part` of all requests is refused. Counts
-    /// the request, whether it is then served or refused.
+    /// Returns the part of an account's requests to refuse, from 0 to 1, so that about `refused_part` of all requests
+    /// is refused. Counts the request, whether it is then served or refused.
     pub fn refused_part(
         &mut self,
         now: MonotonicTime,
@@ -244,8 +246,8 @@
     }
 }
 
-/// Returns the level up to which demand is served, so that `served` of all demand is, with at least the part `least` of each
-/// account.
+/// Returns the level up to which demand is served, so that `served` of all demand is, with at least the part `least` of
+/// each account.
 fn common_level(demands: &[RelativeDemand], served: f64, least: f64) -> f64 {
     let served_at = |level: f64| -> f64 {
         demands.iter().map(|demand| demand.part * (level / demand.level).clamp(least, 1.0)).sum()
--- a/hickoryspan_core/src/gateway/documents/accounts.rs
+++ b/hickoryspan_core/src/gateway/documents/accounts.rs
@@ -1,7 +1,7 @@
 //! Client accounts: the customers whose callers may send requests, and the keys by which these are recognized
 //! (`docs/design/accounts.md`).
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::fmt;
 use std::sync::Arc;
 
@@ -84,11 +84,11 @@
 
 /// Checks the constraints between accounts and returns the first violation.
 pub fn check_accounts(accounts: &[ClientAccount]) -> Result<(), InvalidAccounts> {
-    let mut names = HashMap::new();
+    let mut names = HashSet::new();
     let mut keys: HashMap<KeyDigest, &AccountId> = HashMap::new();
     for account in accounts {
         let name = &account.account;
-        if names.insert(name, ()).is_some() {
+        if !names.insert(name) {
             return Err(InvalidAccounts::DuplicateName(name.clone()));
         }
         for key in &account.keys {
@@ -132,7 +132,8 @@
         Self { by_key, default_weight }
     }
 
-    /// Returns the weight of an account's fair share: the rate of its quota, or the mean of those of the others if it has none.
+    /// Returns the weight of an account's fair share: the rate of its quota, or the mean of those of the others if it
+    /// has none.
     pub fn share_weight(&self, account: &ClientAccount) -> ShareWeight {
         quota_rate(account).map_or(self.default_weight, ShareWeight)
     }
--- a/hickoryspan_core/tests/gateway_fair_share.rs
+++ b/hickoryspan_core/tests/gateway_fair_share.rs
@@ -1,6 +1,7 @@
-//! Tests how overload is divided between client accounts, without a network: entries that each see a few requests of many
-//! accounts, while the queues of their targets have them refuse a part of all requests. Requests come at random times to random entries;
-//! the policy before, which refuses the same part of every account, decides about the same requests with the same draws.
+//! Tests how overload is divided between client accounts, without a network: entries that each see a few requests of
+//! many accounts, while the queues of their targets have them refuse a part of all requests. Requests come at random
+//! times to random entries; the policy before, which refuses the same part of every account, decides about the same
+//! requests with the same draws.
 
 use std::ops::{AddAssign, Range};
 use std::time::Duration;
@@ -173,9 +174,9 @@
     tallies
 }
 
-/// One account sends many times its usual. Guards against overload that all others pay for alike, also where an entry sees less than a
-/// request a second of all accounts together, and against refusals beyond what the queues call for. The last cases show what entries
-/// could do that knew of all requests.
+/// One account sends many times its usual. Guards against overload that all others pay for alike, also where an entry
+/// sees less than a request a second of all accounts together, and against refusals beyond what the queues call for.
+/// The last cases show what entries could do that knew of all requests.
 #[rstest]
 #[case::few_requests_large_account(81, 48.0, LARGE, 7.0, 6.0, 0.03)]
 #[case::few_requests_small_account(81, 48.0, SMALL, 40.0, 6.0, 0.01)]
@@ -215,8 +216,9 @@
     assert!(surging.part_after() > 0.25 * all.part_after(), "{surging:?} {all:?}");
 }
 
-/// All accounts send more than there is room for, each as much as usual compared with the others. Guards against large accounts that are
-/// refused for being large though their quotas say that they may be, and small ones for a single request.
+/// All accounts send more than there is room for, each as much as usual compared with the others. Guards against large
+/// accounts that are refused for being large though their quotas say that they may be, and small ones for a single
+/// request.
 #[rstest]
 #[case::few_requests(81, 48.0, 20.0)]
 #[case::more_requests(26, 200.0, 6.0)]
@@ -241,8 +243,8 @@
     assert!((sum(&tallies).part_after() - sum(&tallies).part_before()).abs() < 0.05);
 }
 
-/// One of twenty accounts of equal weight sends nine tenths of all requests. Guards against an account that is starved because it asks
-/// for too much: it is served more than a quarter as often as all, at any length of the queues.
+/// One of twenty accounts of equal weight sends nine tenths of all requests. Guards against an account that is starved
+/// because it asks for too much: it is served more than a quarter as often as all, at any length of the queues.
 #[rstest]
 fn no_account_is_starved(#[values(1.2, 1.6, 2.2, 4.0)] queue: f64) {
     let senders = senders(std::iter::once(90.0).chain(std::iter::repeat_n(10.0 / 19.0, 19)));
@@ -254,8 +256,8 @@
     }
 }
 
-/// Two of twenty accounts send as many requests as the others together, one of them ten times as costly. Guards against shares by
-/// the number of requests, which would refuse both alike.
+/// Two of twenty accounts send as many requests as the others together, one of them ten times as costly. Guards against
+/// shares by the number of requests, which would refuse both alike.
 #[test]
 fn shares_go_by_cost() {
     let mut senders = senders(std::iter::repeat_n(9.0, 2).chain(std::iter::repeat_n(1.0, 18)));
@@ -277,7 +279,8 @@
     MonotonicTime(seconds * 1_000_000)
 }
 
-/// Guards against an entry that refuses more or less than asked while it knows nothing yet, and against refusals without queues.
+/// Guards against an entry that refuses more or less than asked while it knows nothing yet, and against refusals
+/// without queues.
 #[test]
 fn an_entry_without_a_record_refuses_all_accounts_alike() {
     let mut shares = FairShares::default();
--- a/hickoryspan_gateway/src/attempt.rs
+++ b/hickoryspan_gateway/src/attempt.rs
@@ -54,8 +54,8 @@
     pub(crate) scope: AttemptScope,
     /// The account of the caller, if it sent a key that is known.
     pub(crate) identity: Option<CallerIdentity>,
-    /// Whether the configuration by which the request was accepted names accounts. Otherwise its headers are as the caller
-    /// sent them and may contain a key.
+    /// Whether the configuration by which the request was accepted names accounts. Otherwise its headers are as the
+    /// caller sent them and may contain a key.
     pub(crate) keys_checked: bool,
     /// Version of the configuration by which the route was chosen.
     pub(crate) version: DocumentVersion,
@@ -85,8 +85,8 @@
         account.unwrap_or(self.route.priority)
     }
 
-    /// Returns whether the accounts in force allow this request as it was accepted. For a request of another entry, that
-    /// entry has recognized the caller.
+    /// Returns whether the accounts in force allow this request as it was accepted. For a request of another entry,
+    /// that entry has recognized the caller.
     pub(crate) fn is_authorized(&self, routes: &RouteTable) -> bool {
         let is_current = routes.document().version == self.version;
         if is_current || self.scope == AttemptScope::Relayed || !routes.requires_keys() {
--- a/hickoryspan_gateway/src/forward.rs
+++ b/hickoryspan_gateway/src/forward.rs
@@ -137,8 +137,8 @@
     parts.headers.get(HOST)?.to_str().ok().map(str::to_owned)
 }
 
-/// Finds the account of the caller's key. If the document names accounts, the key is removed from the headers, so that it
-/// goes no further, and so is an account that the caller names itself.
+/// Finds the account of the caller's key. If the document names accounts, the key is removed from the headers, so that
+/// it goes no further, and so is an account that the caller names itself.
 fn identify_caller(
     state: &GatewayState,
     routes: &RouteTable,
@@ -394,7 +394,8 @@
     shed
 }
 
-/// Returns the part of the requests of this request's account that is refused. Without an account, it is that of all requests.
+/// Returns the part of the requests of this request's account that is refused. Without an account, it is that of all
+/// requests.
 fn account_refused_part(
     decisions: &mut SharedDecisions,
     now: MonotonicTime,
@@ -412,7 +413,7 @@
         service,
         account: &identity.account.account,
         weight,
-        // Not the measured latency: it differs from the one assumed at first by orders of magnitude, and grows with queues.
+        // Not the measured latency: the one assumed at first may be far above it, and it grows with queues.
         cost: CostUnits(services.len() as f64),
     };
     decisions.shares.refused_part(now, &request, refused_of_all)
--- a/hickoryspan_gateway/tests/gateway/accounts.rs
+++ b/hickoryspan_gateway/tests/gateway/accounts.rs
@@ -3,16 +3,21 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::scripted_peer::{PeerReaction, ScriptedPeer};
 use crate::support::{
     Deployment, ScriptedTarget, SeenRequest, TEST_TIMEOUT, TargetAction, exchange_on, route,
     to_service, to_shards,
 };
+use bytes::Bytes;
 use hickoryspan_core::gateway::documents::accounts::{ClientAccount, KeyDigest};
 use hickoryspan_core::gateway::documents::document::{RepeatRule, RouteRule};
 use hickoryspan_core::gateway::fanouts::relays::RelaySettings;
 use hickoryspan_core::types::AccountId;
 use rstest::rstest;
+use serde::Serialize;
+use serde::de::IgnoredAny;
 use tokio::net::TcpStream;
+use tokio::sync::mpsc;
 
 const RECORD: &[u8] = b"0123456789abcdef";
 
@@ -67,8 +72,8 @@
     tokio::time::timeout(TEST_TIMEOUT, answered).await.expect("the configuration is in force");
 }
 
-/// Guards against requests that are served without a key that a configuration holds, and against a 401 that repeats a key
-/// or lacks the challenge.
+/// Guards against requests that are served without a key that a configuration holds, and against a 401 that repeats a
+/// key or lacks the challenge.
 #[rstest]
 #[case::no_key("")]
 #[case::unknown_key("hs-key: k-9\r\n")]
@@ -211,8 +216,8 @@
     }
 }
 
-/// Guards against a revoked key whose requests reach a target because they waited for a connection, and against a refusal
-/// that does not say that the request has not run.
+/// Guards against a revoked key whose requests reach a target because they waited for a connection, and against a
+/// refusal that does not say that the request has not run.
 #[rstest]
 #[tokio::test]
 async fn a_waiting_request_is_checked_against_the_accounts_in_force(
@@ -347,8 +352,8 @@
     deployment.stop().await;
 }
 
-/// One account sends nine of ten requests. Guards against overload that the other account pays for alike, and against one that is
-/// refused altogether.
+/// One account sends nine of ten requests. Guards against overload that the other account pays for alike, and against
+/// one that is refused altogether.
 #[tokio::test]
 async fn an_account_that_sends_most_requests_is_refused_first() {
     let target = start_loaded_target("2,4,2").await;
@@ -361,3 +366,80 @@
     assert!(parts[1] > parts[0] + 0.2 && parts[0] > 0.25, "{parts:?}");
     deployment.stop().await;
 }
+
+/// A header in a message of a fan-out link.
+#[derive(Serialize)]
+struct HeaderField {
+    name: &'static str,
+    value: Bytes,
+}
+
+/// A group as another entry sends it. Times are in milliseconds.
+#[derive(Serialize)]
+struct GroupTask {
+    number: u64,
+    route: &'static str,
+    objective: u64,
+    max_attempts: u32,
+    method: &'static str,
+    target_path: &'static str,
+    headers: Vec<HeaderField>,
+    body: Bytes,
+    shards: Vec<&'static str>,
+    result_limit: usize,
+    first_batch_in: u64,
+    answer_in: u64,
+    give_up_in: u64,
+}
+
+#[derive(Serialize)]
+#[serde(rename_all = "snake_case")]
+enum GroupRequest {
+    Run(GroupTask),
+}
+
+fn group_with_key() -> GroupTask {
+    let headers = [("host", "search.example"), ("hs-request-id", "r-1"), ("hs-key", "k-1")];
+    let to_field = |(name, value)| HeaderField { name, value: Bytes::from_static(value) };
+    GroupTask {
+        number: 1,
+        route: "wide",
+        objective: 4_000,
+        max_attempts: 1,
+        method: "GET",
+        target_path: "/all/q",
+        headers: headers
+            .map(|(name, value): (_, &str)| (name, value.as_bytes()))
+            .map(to_field)
+            .into(),
+        body: Bytes::new(),
+        shards: vec!["one"],
+        result_limit: 3,
+        first_batch_in: 1_000,
+        answer_in: 2_000,
+        give_up_in: 6_000,
+    }
+}
+
+/// Guards against a key that an entry of an earlier release, or with an earlier configuration, passes on in a group.
+#[rstest]
+#[case::with_accounts(Some(vec![account("a", &["k-1"])]), None)]
+#[case::without_accounts(None, Some("k-1"))]
+#[tokio::test]
+async fn a_key_in_the_group_of_another_entry_goes_no_further(
+    #[case] accounts: Option<Vec<ClientAccount>>,
+    #[case] expected: Option<&str>,
+) {
+    let target = ScriptedTarget::start(answering()).await;
+    let deployment = start(accounts, &target).await;
+    let peer = ScriptedPeer::start(&deployment, PeerReaction::Freeze).await;
+    let link = peer.connect().await;
+    let (requests, outgoing) = mpsc::channel(1);
+    requests.send(GroupRequest::Run(group_with_key())).await.expect("a link");
+    // The first reply ends the link.
+    let replied = tokio::time::timeout(TEST_TIMEOUT, link.run(outgoing, |_: IgnoredAny| false));
+    // The link may end in any way.
+    let _ = replied.await.expect("a reply");
+    assert_eq!(last_seen(&target).header("hs-key"), expected);
+    deployment.stop().await;
+}
