--- a/hickoryspan_gateway/src/gateway_state.rs
+++ b/hickoryspan_gateway/src/gateway_state.rs
@@ -7,8 +7,10 @@
 use std::time::Duration;
 
 use hickoryspan_core::entry::latency::{LatencyDistribution, LatencySettings};
+use hickoryspan_core::gateway::account_labels::AccountLabels;
 use hickoryspan_core::gateway::admission::budget::{EntryCount, RetryBudget};
 use hickoryspan_core::gateway::admission::cold_targets::ColdGate;
+use hickoryspan_core::gateway::admission::fair_share::FairShares;
 use hickoryspan_core::gateway::admission::quota_gate::QuotaGate;
 use hickoryspan_core::gateway::documents::document::{
     DocumentVersion, RouteDestination, RouteRule, ShardSpread, WeightedService,
@@ -77,6 +79,10 @@
     pub(crate) quotas: QuotaGate,
     /// The shard groups of the wide routes in the active document, as the known targets and entries divide them.
     pub(crate) groups: GroupCache,
+    /// What client accounts ask of services, as this entry sees it.
+    pub(crate) shares: FairShares,
+    /// The accounts that are labels of metrics.
+    pub(crate) account_labels: AccountLabels,
     budgets: HashMap<ServiceId, RetryBudget>,
     latencies: HashMap<Arc<str>, LatencyDistribution>,
     splits: HashMap<Arc<str>, WeightedRoundRobin>,
@@ -122,6 +128,7 @@
         let Some(document) = change.apply(held) else { return false };
         let routes = RouteTable::new(Arc::new(document));
         self.selector.cold_mut().set_rates(routes.cold_rates().clone());
+        self.shares.retain(|service| routes.connections(service).is_some());
         self.routes = Some(Arc::new(routes));
         self.groups.clear();
         true
@@ -316,6 +323,8 @@
             entries: 1,
             budget_entries: EntryCount::default(),
             quotas,
+            shares: FairShares::default(),
+            account_labels: AccountLabels::default(),
             budgets: HashMap::new(),
             latencies: HashMap::new(),
             splits: HashMap::new(),
