--- a/hickoryspan_core/src/gateway/targets/selection.rs
+++ b/hickoryspan_core/src/gateway/targets/selection.rs
@@ -9,11 +9,13 @@
 use rand_chacha::ChaCha12Rng;
 
 use super::directory::{TargetAnnouncement, TargetPhase, TargetProcess};
+use super::evacuations::EvacuationState;
 use super::outcomes::{AttemptFailure, AttemptOutcome, ReportedLoad};
 use super::send_check::SendBarrier;
 use super::target_notices::NoticeTable;
+use crate::gateway::admission::cold_targets::{ColdGate, ColdTarget};
 use crate::gateway::admission::limit_gate::LimitGate;
-use crate::types::{FailureDomain, MonotonicTime, ServiceId, TargetId, WallTime};
+use crate::types::{FailureDomain, MonotonicTime, RequestRate, ServiceId, TargetId, WallTime};
 
 /// Settings of the target selection.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -82,6 +84,8 @@
     pub address: SocketAddr,
     /// Start time of its process, by its own clock.
     pub started: WallTime,
+    /// When a permit for a cold target was taken; `None` if the target needed none.
+    pub cold_permit_at: Option<MonotonicTime>,
 }
 
 impl ChosenTarget {
@@ -147,7 +151,7 @@
         TargetProcess { target: target.clone(), started: age.started }
     }
 
-    fn is_usable(&self) -> bool {
+    fn is_ready(&self) -> bool {
         self.announcement.phase == TargetPhase::Ready
     }
 
@@ -211,6 +215,8 @@
     queues: HashMap<ServiceId, ReportedQueue>,
     limits: LimitGate,
     notices: NoticeTable,
+    evacuations: EvacuationState,
+    cold: ColdGate,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -231,9 +237,31 @@
             queues: HashMap::new(),
             limits: LimitGate::default(),
             notices: NoticeTable::default(),
+            evacuations: EvacuationState::default(),
+            cold: ColdGate::default(),
         }
     }
 
+    /// Takes over the evacuated failure domains unless a newer state is known. Returns whether it did.
+    pub fn set_evacuations(&mut self, state: &EvacuationState) -> bool {
+        self.evacuations.advance(state)
+    }
+
+    /// Returns the evacuated failure domains.
+    pub fn evacuations(&self) -> &EvacuationState {
+        &self.evacuations
+    }
+
+    /// Returns whether a service gets no requests only because the failure domains of its targets are evacuated.
+    pub fn is_evacuated(&self, service: &ServiceId) -> bool {
+        let has_ready = self.states(service).any(TargetState::is_ready);
+        has_ready && self.count_usable(service) == 0
+    }
+
+    fn is_usable(&self, state: &TargetState) -> bool {
+        state.is_ready() && !self.evacuations.covers(&state.announcement.domain)
+    }
+
     /// Returns what targets have said of themselves with their answers.
     pub fn notices_mut(&mut self) -> &mut NoticeTable {
         &mut self.notices
@@ -274,7 +302,7 @@
         if self.count_open(now, service) > 0 {
             return None;
         }
-        let usable = self.states(service).filter(|state| state.is_usable());
+        let usable = self.states(service).filter(|state| self.is_usable(state));
         usable.filter_map(|state| self.notices.closed_until(now, &state.process())).min()
     }
 
@@ -284,7 +312,7 @@
     }
 
     fn is_open(&self, now: MonotonicTime, state: &TargetState) -> bool {
-        state.is_usable()
+        self.is_usable(state)
             && (self.notices.is_empty()
                 || self.notices.admits(now, &state.process(), state.in_flight))
     }
@@ -299,6 +327,34 @@
         &mut self.limits
     }
 
+    /// Replaces the gate of cold targets, which lets nothing through to begin with.
+    pub fn set_cold_gate(&mut self, gate: ColdGate) {
+        self.cold = gate;
+    }
+
+    /// Returns the gate of cold targets.
+    pub fn cold_mut(&mut self) -> &mut ColdGate {
+        &mut self.cold
+    }
+
+    /// Returns whether limits of targets, or of cold ones, may hold back requests.
+    pub fn has_limits(&self) -> bool {
+        self.limits.is_active() || self.cold.is_active()
+    }
+
+    /// Returns the targets that are cold and whose service states how many requests they tolerate.
+    pub fn cold_targets(&self, now: MonotonicTime) -> impl Iterator<Item = &TargetId> {
+        let states =
+            self.targets.values().filter(move |state| self.cold_rate(now, state).is_some());
+        states.map(|state| &state.announcement.target)
+    }
+
+    /// Returns how many requests a target tolerates while it is cold; `None` if any number.
+    fn cold_rate(&self, now: MonotonicTime, state: &TargetState) -> Option<RequestRate> {
+        let is_cold = self.cold.is_active() && state.cold_until > now;
+        is_cold.then(|| self.cold.rate(&state.announcement.service)).flatten()
+    }
+
     /// Returns the services that have a limited target.
     pub fn limited_services(&self) -> BTreeSet<&ServiceId> {
         let states = self.limits.table.limited().filter_map(|process| self.find(process));
@@ -319,6 +375,9 @@
 
     /// Forgets the limits of targets that are gone and the demand for services without a limited target.
     pub fn sweep_limits(&mut self, now: MonotonicTime) {
+        let mut cold = std::mem::take(&mut self.cold);
+        cold.retain(|process| self.find(process).is_some());
+        self.cold = cold;
         if !self.limits.is_active() {
             return;
         }
@@ -331,7 +390,7 @@
 
     /// Returns whether a request may be sent to any usable target of a service now.
     pub fn has_permitted_target(&mut self, now: MonotonicTime, service: &ServiceId) -> bool {
-        !self.limits.is_active() || !self.permitted(now, service).is_empty()
+        !self.has_limits() || !self.permitted(now, service).is_empty()
     }
 
     /// Returns the usable targets of a service to which a request may be sent now.
@@ -344,7 +403,13 @@
                 continue;
             }
             let draw = self.generator.random();
-            if self.limits.has_permit(now, &state.process(), share, draw) {
+            let process = state.process();
+            let cold_rate = self.cold_rate(now, state);
+            let has_cold_permit = cold_rate.is_none_or(|rate| {
+                let domain = &state.announcement.domain;
+                self.cold.has_permit(now, &ColdTarget { process: process.clone(), domain, rate })
+            });
+            if has_cold_permit && self.limits.has_permit(now, &process, share, draw) {
                 permitted.push(target.clone());
             }
         }
@@ -397,12 +462,12 @@
 
     /// Returns the number of a service's targets that accept new work, whether healthy or not.
     pub fn count_usable(&self, service: &ServiceId) -> usize {
-        self.states(service).filter(|state| state.is_usable()).count()
+        self.states(service).filter(|state| self.is_usable(state)).count()
     }
 
     /// Returns the failure domains of a service's targets that accept new work.
     pub fn usable_domains(&self, service: &ServiceId) -> BTreeSet<&FailureDomain> {
-        let usable = self.states(service).filter(|state| state.is_usable());
+        let usable = self.states(service).filter(|state| self.is_usable(state));
         usable.map(|state| &state.announcement.domain).collect()
     }
 
@@ -420,11 +485,21 @@
         tried: &[TargetId],
     ) -> Option<ChosenTarget> {
         let chosen = self.find_best(now, service, tried)?;
+        let is_cold =
+            self.targets.get(&chosen).is_some_and(|state| self.cold_rate(now, state).is_some());
         let state = self.targets.get_mut(&chosen)?;
         state.in_flight += 1;
-        self.limits.take_permit(&state.process());
-        let TargetAnnouncement { address, age, .. } = &state.announcement;
-        Some(ChosenTarget { target: chosen, address: *address, started: age.started })
+        let process = state.process();
+        self.limits.take_permit(&process);
+        if is_cold {
+            self.cold.take_permit(&process);
+        }
+        Some(ChosenTarget {
+            target: chosen,
+            address: state.announcement.address,
+            started: process.started,
+            cold_permit_at: is_cold.then_some(now),
+        })
     }
 
     fn find_best(
@@ -433,7 +508,7 @@
         service: &ServiceId,
         tried: &[TargetId],
     ) -> Option<TargetId> {
-        let permitted = self.limits.is_active().then(|| self.permitted(now, service));
+        let permitted = self.has_limits().then(|| self.permitted(now, service));
         let is_permitted =
             |target: &TargetId| permitted.as_ref().is_none_or(|known| known.contains(target));
         let untried = |state: &&TargetState| {
@@ -485,6 +560,13 @@
         if announcement.address != chosen.address || announcement.service != *service {
             return Err(SendBarrier::Moved);
         }
+        if self.evacuations.covers(&announcement.domain) {
+            return Err(SendBarrier::Evacuated);
+        }
+        let is_permitted = chosen.cold_permit_at.is_some_and(|at| ColdGate::is_fresh(now, at));
+        if !is_permitted && self.cold_rate(now, state).is_some() {
+            return Err(SendBarrier::Cold);
+        }
         self.check_notices(now, state)?;
         match announcement.phase {
             TargetPhase::Ready => Ok(()),
@@ -518,7 +600,8 @@
         self.states(service).any(|state| {
             let untried = self.is_open(now, state) && !tried.contains(&state.announcement.target);
             let free = state.queue(now, &self.settings) <= MAX_HEDGE_QUEUE;
-            untried && free && state.ejected_until <= now && !self.is_limited(state)
+            let is_limited = self.is_limited(state) || self.cold_rate(now, state).is_some();
+            untried && free && state.ejected_until <= now && !is_limited
         })
     }
 
@@ -530,7 +613,10 @@
     /// without a usable target. A longer queue that another entry has recently reported takes
     /// precedence.
     pub fn shortest_queue(&self, now: MonotonicTime, service: &ServiceId) -> Option<f64> {
-        let usable = self.states(service).filter(|state| self.is_open(now, state));
+        // A cold target has no queue because it gets few requests, so it says nothing about the others.
+        let usable = self
+            .states(service)
+            .filter(|state| self.is_open(now, state) && self.cold_rate(now, state).is_none());
         let own = usable.map(|state| state.queue(now, &self.settings)).reduce(f64::min)?;
         let reported = self.queues.get(service);
         let reported =
--- a/hickoryspan_core/src/gateway/targets/send_check.rs
+++ b/hickoryspan_core/src/gateway/targets/send_check.rs
@@ -16,6 +16,10 @@
     Leaving,
     /// The target has said in an answer that it wants no requests for a while.
     Closed,
+    /// The target's failure domain is evacuated.
+    Evacuated,
+    /// The target is cold, and the request has no permit for it or waited too long with one.
+    Cold,
     /// The configuration sends the request to other services now.
     Rerouted,
     /// The configuration no longer contains the key of the request.
@@ -36,6 +40,8 @@
             Self::Draining => "draining",
             Self::Leaving => "leaving",
             Self::Closed => "closed",
+            Self::Evacuated => "evacuated",
+            Self::Cold => "cold",
             Self::Rerouted => "rerouted",
             Self::Revoked => "revoked",
             Self::Condemned => "condemned",
--- a/hickoryspan_gateway/src/forward.rs
+++ b/hickoryspan_gateway/src/forward.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use hickoryspan_core::gateway::admission::fair_share::AccountRequest;
 use hickoryspan_core::gateway::admission::overload::{ShardQueues, shed_fraction};
 use hickoryspan_core::gateway::documents::accounts::KeyDigest;
 use hickoryspan_core::gateway::documents::document::{
@@ -13,7 +14,7 @@
 use hickoryspan_core::gateway::fanouts::fanout::{FanoutMachine, FanoutSettings, merge_records};
 use hickoryspan_core::gateway::log_limit::LogPriority;
 use hickoryspan_core::gateway::planned_stop::StopVerdict;
-use hickoryspan_core::types::{MonotonicTime, RequestFingerprint, ServiceId};
+use hickoryspan_core::types::{CostUnits, MonotonicTime, RequestFingerprint, ServiceId};
 use hickoryspan_runtime::http_client::HttpAnswer;
 use hickoryspan_runtime::http_server::{self, BodyError, HttpLimits};
 use http::header::{CONTENT_LENGTH, CONTENT_TYPE, HOST};
@@ -23,10 +24,12 @@
 use hyper::body::Incoming;
 
 use crate::attempt::{AttemptScope, CallerIdentity, GatewayJob};
-use crate::gateway_state::GatewayState;
+use crate::gateway_state::{GatewayState, SharedDecisions};
 use crate::headers::remove_connection_headers;
 use crate::quota_permits::{admit, give_back};
-use crate::refusal::{GatewayResponse, MIN_RETRY_DELAY, RefusalReason, refuse, refuse_job};
+use crate::refusal::{
+    GatewayResponse, MIN_RETRY_DELAY, RefusalReason, refuse, refuse_job, refuse_without_target,
+};
 use crate::relayed_groups::RelayedGroups;
 use crate::run::run_fanout;
 use crate::run_outcome::{AnswerRule, RunEnd, RunOutcome, ShardAnswer};
@@ -105,9 +108,13 @@
         Ok(body) => body,
         Err(reason) => return refuse(&state, &id_text, reason, MIN_RETRY_DELAY),
     };
-    let version = routes.document().version;
-    let job = to_job(&state, parts, body, RoutedBy { route, version }, id, position, received_at);
-    let job = GatewayJob { identity, ..job };
+    let accepted_by = AcceptedBy {
+        route,
+        identity,
+        keys_checked: routes.requires_keys(),
+        version: routes.document().version,
+    };
+    let job = to_job(&state, parts, body, accepted_by, id, position, received_at);
     if state.decisions().poison.is_condemned(received_at, &job.fingerprint) {
         return refuse(&state, &id_text, RefusalReason::Poisoned, Duration::from_secs(1));
     }
@@ -136,8 +143,8 @@
     parts.headers.get(HOST)?.to_str().ok().map(str::to_owned)
 }
 
-/// Finds the account of the caller's key. If the document names accounts, the key is removed from the headers and replaced
-/// by the name of the account, so that it goes no further.
+/// Finds the account of the caller's key. If the document names accounts, the key is removed from the headers, so that
+/// it goes no further, and so is an account that the caller names itself.
 fn identify_caller(
     state: &GatewayState,
     routes: &RouteTable,
@@ -154,16 +161,12 @@
     let key = key.filter(|_| keys.next().is_none());
     let identity = key.and_then(|key| {
         let account = Arc::clone(routes.find_account(&key)?);
-        Some(CallerIdentity { account, key })
+        // Names of accounts contain only characters that headers may contain.
+        let name = HeaderValue::from_str(account.account.as_str()).ok()?;
+        Some(CallerIdentity { account, key, name })
     });
     headers.remove(&names.key);
     headers.remove(&names.account);
-    if let Some(identity) = &identity {
-        let name = HeaderValue::from_str(identity.account.account.as_str());
-        // Names of accounts contain only characters that headers may contain.
-        let name = name.map_err(|_| RefusalReason::UnknownKey)?;
-        headers.insert(names.account.clone(), name);
-    }
     if identity.is_none() && !route.public {
         return Err(RefusalReason::UnknownKey);
     }
@@ -196,9 +199,11 @@
     text.trim().parse().ok().map(Duration::from_millis)
 }
 
-/// The route of a request and the version of the configuration that contains it.
-struct RoutedBy {
+/// The parts of the configuration by which a request was accepted.
+struct AcceptedBy {
     route: Arc<RouteRule>,
+    identity: Option<CallerIdentity>,
+    keys_checked: bool,
     version: DocumentVersion,
 }
 
@@ -206,12 +211,12 @@
     state: &GatewayState,
     parts: Parts,
     body: Bytes,
-    routed_by: RoutedBy,
+    accepted_by: AcceptedBy,
     request: Option<HeaderValue>,
     position: ConnectionPosition,
     received_at: MonotonicTime,
 ) -> GatewayJob {
-    let RoutedBy { route, version } = routed_by;
+    let AcceptedBy { route, identity, keys_checked, version } = accepted_by;
     let timeout = deadline_of(state, &parts.headers).map_or(route.timeout, |deadline| {
         deadline.saturating_sub(RESPONSE_MARGIN).min(route.timeout)
     });
@@ -220,6 +225,10 @@
     let fingerprint = fingerprint(&route.host, parts.method.as_str(), &target_path, &body);
     let mut headers = parts.headers;
     remove_connection_headers(&mut headers);
+    // Only now, because a caller may name this header in `Connection` to have it removed.
+    if let Some(identity) = &identity {
+        headers.insert(state.settings.headers.account.clone(), identity.name.clone());
+    }
     GatewayJob {
         give_up_at: received_at + timeout,
         route,
@@ -231,7 +240,8 @@
         fingerprint,
         position,
         scope: AttemptScope::Direct,
-        identity: None,
+        identity,
+        keys_checked,
         version,
         received_at,
     }
@@ -256,12 +266,12 @@
         RouteDestination::Service(_) | RouteDestination::Split(_) => None,
     };
     let Some(services) = choose_services(&state, &job) else {
-        return refuse_unsent(&state, &job, RefusalReason::NoTarget);
+        return refuse_without_target(&state, &job);
     };
     if let Some(spread) = &spread
         && !has_enough_targets(&state, spread)
     {
-        return refuse_unsent(&state, &job, RefusalReason::NoTarget);
+        return refuse_without_target(&state, &job);
     }
     let settings = fanout_settings(&state, &job, spread.as_ref());
     if exceeds_limits(&state, &services, spread.as_ref(), &settings) {
@@ -344,17 +354,20 @@
 ) -> bool {
     let now = state.now();
     let mut decisions = state.decisions();
-    if !decisions.selector.limits().is_active() {
+    if !decisions.selector.has_limits() {
         return false;
     }
     let is_divided =
         spread.is_some_and(|spread| !decisions.shard_groups(&state.settings, spread).is_empty());
+    if is_divided {
+        return false;
+    }
     let selector = &mut decisions.selector;
     let closed = |service: &&ServiceId| {
         selector.count_usable(service) > 0 && !selector.has_permitted_target(now, service)
     };
     let closed = services.iter().filter(closed).count();
-    if is_divided || closed == 0 || services.len() - closed >= settings.min_parts {
+    if closed == 0 || services.len() - closed >= settings.min_parts {
         return false;
     }
     for service in services {
@@ -376,7 +389,9 @@
     let queues = ShardQueues::new(services.iter().filter_map(queue));
     let queue = queues.limiting_queue(settings.min_parts);
     let fraction = shed_fraction(queue, job.priority());
-    let shed = fraction > 0.0 && decisions.draw() < fraction;
+    let refused_part = account_refused_part(&mut decisions, now, job, services, fraction);
+    let shed = refused_part > 0.0 && decisions.draw() < refused_part;
+    count_account_request(&mut decisions, job, shed);
     drop(decisions);
     if shed && state.admits_log_line(LogPriority::Important) {
         spdlog::info!(
@@ -384,14 +399,51 @@
             kv: {
                 request: = job.request_text(),
                 route: = job.route.name,
+                account: = job.account_text(),
                 waiting_per_slot: = queue,
-                refused_part: = fraction
+                refused_of_all: = fraction,
+                refused_part: = refused_part
             }
         );
     }
     shed
 }
 
+/// Returns the part of the requests of this request's account that is refused. Without an account, it is that of all
+/// requests.
+fn account_refused_part(
+    decisions: &mut SharedDecisions,
+    now: MonotonicTime,
+    job: &GatewayJob,
+    services: &[ServiceId],
+    refused_of_all: f64,
+) -> f64 {
+    let Some(identity) = &job.identity else { return refused_of_all };
+    // Routes with the same shards need the same targets, and so does a route to a single service.
+    let Some(service) = services.first() else { return refused_of_all };
+    let routes = decisions.routes.as_ref();
+    let weight = routes.and_then(|routes| routes.share_weight(&identity.account));
+    let Some(weight) = weight else { return refused_of_all };
+    let request = AccountRequest {
+        service,
+        account: &identity.account.account,
+        weight,
+        // Not the measured latency: the one assumed at first may be far above it, and it grows with queues.
+        cost: CostUnits(services.len() as f64),
+    };
+    decisions.shares.refused_part(now, &request, refused_of_all)
+}
+
+fn count_account_request(decisions: &mut SharedDecisions, job: &GatewayJob, shed: bool) {
+    let Some(identity) = &job.identity else { return };
+    let account = decisions.account_labels.label(&identity.account.account).to_owned();
+    let result = if shed { "overloaded" } else { "admitted" };
+    metrics::counter!(
+        "hickoryspan_gateway_account_requests_total", "account" => account, "result" => result
+    )
+    .increment(1);
+}
+
 fn fanout_settings(
     state: &GatewayState,
     job: &GatewayJob,
@@ -545,7 +597,7 @@
         }
     }
     let reason = match (outcome.end, outcome.may_have_run) {
-        (_, false) => return refuse_unsent(state, job, RefusalReason::NoTarget),
+        (_, false) => return refuse_without_target(state, job),
         (RunEnd::TimedOut, true) => RefusalReason::TimedOut,
         (RunEnd::Stopped, true) => RefusalReason::StopTimedOut,
         (_, true) => RefusalReason::MayHaveRun,
--- a/hickoryspan_gateway/src/gateway_state.rs
+++ b/hickoryspan_gateway/src/gateway_state.rs
@@ -7,7 +7,10 @@
 use std::time::Duration;
 
 use hickoryspan_core::entry::latency::{LatencyDistribution, LatencySettings};
+use hickoryspan_core::gateway::account_labels::AccountLabels;
 use hickoryspan_core::gateway::admission::budget::{EntryCount, RetryBudget};
+use hickoryspan_core::gateway::admission::cold_targets::ColdGate;
+use hickoryspan_core::gateway::admission::fair_share::FairShares;
 use hickoryspan_core::gateway::admission::quota_gate::QuotaGate;
 use hickoryspan_core::gateway::documents::document::{
     DocumentVersion, RouteDestination, RouteRule, ShardSpread, WeightedService,
@@ -24,6 +27,7 @@
 use hickoryspan_core::gateway::planned_stop::StopSchedule;
 use hickoryspan_core::gateway::processor_lag::{LagMonitor, LagSettings};
 use hickoryspan_core::gateway::targets::directory::TargetDirectory;
+use hickoryspan_core::gateway::targets::evacuations::EvacuationState;
 use hickoryspan_core::gateway::targets::liveness::LivenessTable;
 use hickoryspan_core::gateway::targets::poison::PoisonTable;
 use hickoryspan_core::gateway::targets::selection::{ChosenTarget, TargetSelector};
@@ -75,6 +79,10 @@
     pub(crate) quotas: QuotaGate,
     /// The shard groups of the wide routes in the active document, as the known targets and entries divide them.
     pub(crate) groups: GroupCache,
+    /// What client accounts ask of services, as this entry sees it.
+    pub(crate) shares: FairShares,
+    /// The accounts that are labels of metrics.
+    pub(crate) account_labels: AccountLabels,
     budgets: HashMap<ServiceId, RetryBudget>,
     latencies: HashMap<Arc<str>, LatencyDistribution>,
     splits: HashMap<Arc<str>, WeightedRoundRobin>,
@@ -118,11 +126,30 @@
         }
         let held = self.routes.as_ref().map(|routes| &**routes.document());
         let Some(document) = change.apply(held) else { return false };
-        self.routes = Some(Arc::new(RouteTable::new(Arc::new(document))));
+        let routes = RouteTable::new(Arc::new(document));
+        self.selector.cold_mut().set_rates(routes.cold_rates().clone());
+        self.shares.retain(|service| routes.connections(service).is_some());
+        self.routes = Some(Arc::new(routes));
         self.groups.clear();
         true
     }
 
+    /// Takes over the evacuated failure domains unless a newer state is known. Returns whether it did.
+    pub(crate) fn set_evacuations(&mut self, evacuations: &EvacuationState) -> bool {
+        let earlier = self.selector.evacuations().domains.clone();
+        if !self.selector.set_evacuations(evacuations) {
+            return false;
+        }
+        // Groups are made where targets are used.
+        self.groups.clear();
+        for domain in earlier.union(&evacuations.domains) {
+            let value = if evacuations.covers(domain) { 1.0 } else { 0.0 };
+            metrics::gauge!("hickoryspan_gateway_domain_evacuated", "domain" => domain.to_string())
+                .set(value);
+        }
+        true
+    }
+
     pub(crate) fn budget(
         &mut self,
         settings: &GatewaySettings,
@@ -191,9 +218,10 @@
         })
     }
 
-    /// Takes the entries that accept parts of wide fan-outs from the list of open entries. Returns whether they have
-    /// changed.
-    pub(crate) fn update_relays(&mut self) -> bool {
+    /// Takes over the list of open entries. Returns whether the entries that accept parts of wide fan-outs have changed.
+    pub(crate) fn update_entries(&mut self, now: MonotonicTime) -> bool {
+        let is_linked = self.liveness.is_linked();
+        self.selector.cold_mut().set_entries(now, is_linked, self.entry_list.entries());
         let has_changed = self.relays.set_peers(self.entry_list.relays());
         if has_changed {
             self.groups.clear();
@@ -265,7 +293,7 @@
 impl GatewayState {
     pub(crate) fn new(settings: GatewaySettings, seed: u64) -> Self {
         let mut generator = ChaCha12Rng::seed_from_u64(seed);
-        let selector = TargetSelector::new(
+        let mut selector = TargetSelector::new(
             settings.selection,
             settings.domain.clone(),
             ChaCha12Rng::seed_from_u64(generator.random()),
@@ -275,6 +303,7 @@
             settings.directory.quotas,
             ChaCha12Rng::seed_from_u64(generator.random()),
         );
+        selector.set_cold_gate(ColdGate::new(settings.caller_address, settings.cold));
         let decisions = SharedDecisions {
             routes: None,
             document_fetch: DocumentFetch::default(),
@@ -294,6 +323,8 @@
             entries: 1,
             budget_entries: EntryCount::default(),
             quotas,
+            shares: FairShares::default(),
+            account_labels: AccountLabels::default(),
             budgets: HashMap::new(),
             latencies: HashMap::new(),
             splits: HashMap::new(),
--- a/hickoryspan_gateway/src/refusal.rs
+++ b/hickoryspan_gateway/src/refusal.rs
@@ -4,18 +4,22 @@
 
 use bytes::Bytes;
 use hickoryspan_core::gateway::log_limit::LogPriority;
-use http::header::{CONTENT_TYPE, RETRY_AFTER};
+use http::header::{CONTENT_TYPE, RETRY_AFTER, WWW_AUTHENTICATE};
 use http::{HeaderValue, Response, StatusCode};
 use http_body_util::Full;
 
 use crate::attempt::GatewayJob;
 use crate::gateway_state::GatewayState;
+use crate::quota_permits::give_back;
 
 /// Longest `Retry-After` of a refusal.
 const MAX_RETRY_DELAY: Duration = Duration::from_secs(1);
 /// Shortest `Retry-After` of a refusal.
 pub(crate) const MIN_RETRY_DELAY: Duration = Duration::from_millis(60);
 
+/// Challenge of a 401, which RFC 9110 requires. No registered scheme describes a key in a header of its own.
+const KEY_CHALLENGE: &str = "ApiKey";
+
 pub(crate) type GatewayResponse = Response<Full<Bytes>>;
 
 /// Why the entry answers a request itself instead of forwarding a target's answer.
@@ -32,6 +36,7 @@
     Poisoned,
     Stopping,
     NoTarget,
+    Evacuated,
     Overloaded,
     Limited,
     MayHaveRun,
@@ -53,6 +58,7 @@
             Self::Poisoned => "poisoned",
             Self::Stopping => "stopping",
             Self::NoTarget => "no_target",
+            Self::Evacuated => "evacuated",
             Self::Overloaded => "overloaded",
             Self::Limited => "limited",
             Self::MayHaveRun => "may_have_run",
@@ -65,6 +71,7 @@
         match self {
             Self::NoConfiguration
             | Self::NoTarget
+            | Self::Evacuated
             | Self::Overloaded
             | Self::Limited
             | Self::Stopping
@@ -89,9 +96,15 @@
     retry_after: Duration,
 ) -> GatewayResponse {
     if state.admits_log_line(LogPriority::Important) {
+        let version = state.decisions().version();
         spdlog::info!(
             "request refused",
-            kv: { request: = request, reason: = reason.as_str(), status: = reason.status().as_u16() }
+            kv: {
+                request: = request,
+                reason: = reason.as_str(),
+                status: = reason.status().as_u16(),
+                version: = version.map_or_else(|| "-".to_owned(), |version| version.to_string())
+            }
         );
     }
     metrics::counter!("hickoryspan_gateway_refusals_total", "reason" => reason.as_str())
@@ -107,9 +120,23 @@
     {
         headers.insert(RETRY_AFTER, seconds);
     }
+    if reason.status() == StatusCode::UNAUTHORIZED {
+        headers.insert(WWW_AUTHENTICATE, HeaderValue::from_static(KEY_CHALLENGE));
+    }
     response
 }
 
+/// Refuses a request for which there is no target, or too few. It does not count towards the quota of its account.
+pub(crate) fn refuse_without_target(state: &GatewayState, job: &GatewayJob) -> GatewayResponse {
+    give_back(state, job);
+    let decisions = state.decisions();
+    let mut services = job.route.destination.services().into_iter();
+    let is_evacuated = services.any(|service| decisions.selector.is_evacuated(service));
+    drop(decisions);
+    let reason = if is_evacuated { RefusalReason::Evacuated } else { RefusalReason::NoTarget };
+    refuse_job(state, job, reason)
+}
+
 /// Refuses a request whose route is known.
 pub(crate) fn refuse_job(
     state: &GatewayState,
--- a/hickoryspan_gateway/tests/gateway/support.rs
+++ b/hickoryspan_gateway/tests/gateway/support.rs
@@ -17,7 +17,10 @@
 use hickoryspan_core::gateway::targets::directory::{
     AnnouncementAge, TargetAnnouncement, TargetDeparture, TargetPhase,
 };
-use hickoryspan_core::types::{EntryId, FailureDomain, ServiceId, TargetId, WallTime};
+use hickoryspan_core::gateway::targets::evacuations::{
+    EvacuationAction, EvacuationOrder, EvacuationState,
+};
+use hickoryspan_core::types::{EntryId, FailureDomain, RequestRate, ServiceId, TargetId, WallTime};
 use hickoryspan_gateway::{
     DirectoryHub, DirectoryServer, DirectorySettings, GatewayEntry, GatewaySettings, HostList,
 };
@@ -206,6 +209,8 @@
     pub limits: CallerLimits,
     /// Accounts in the next configuration.
     pub accounts: Option<Vec<ClientAccount>>,
+    /// Requests per second that cold targets tolerate in the next configuration.
+    pub cold_rate: Option<RequestRate>,
     // Caller addresses of all entries, in the order of their start.
     addresses: Vec<SocketAddr>,
     template: GatewaySettings,
@@ -268,6 +273,7 @@
         hosts.clone(),
         folder,
     ));
+    hub.set_evacuations(&EvacuationState::default());
     tasks.spawn(DirectoryServer { listener, hub: Arc::clone(&hub) }.run(stop.clone()));
     tasks.spawn(flush_regularly(Arc::clone(&hub), stop.clone()));
     (hub, hosts)
@@ -344,6 +350,7 @@
             address,
             limits: CallerLimits::default(),
             accounts: None,
+            cold_rate: None,
             addresses: Vec::new(),
             template,
             hosts,
@@ -429,8 +436,9 @@
         self.version += 1;
         let names: Vec<ServiceId> =
             routes.iter().flat_map(|route| route.destination.services()).cloned().collect();
+        let cold_rate = self.cold_rate;
         let services =
-            names.into_iter().map(|service| ServiceRule { service, connections, cold_rate: None });
+            names.into_iter().map(|service| ServiceRule { service, connections, cold_rate });
         let document = Arc::new(ConfigurationDocument {
             version: DocumentVersion(self.version),
             routes: routes.into_iter().map(Arc::new).collect(),
@@ -474,6 +482,15 @@
         self.hub.depart(TargetDeparture { target, started: Some(WallTime(1)) }).await;
     }
 
+    /// Evacuates the failure domain of the targets, and waits until the entries know it.
+    pub async fn evacuate(&self) {
+        let domain = FailureDomain::new(TARGET_DOMAIN).expect("a domain");
+        let mut evacuations = EvacuationState::default();
+        evacuations.apply(EvacuationOrder { domain, action: EvacuationAction::Start });
+        self.hub.set_evacuations(&evacuations);
+        self.depart("nobody").await;
+    }
+
     /// Announces a process of a target that started at this time, as [`Self::announce`] does.
     pub async fn announce_as(
         &self,
@@ -482,6 +499,19 @@
         address: SocketAddr,
         started: u64,
         phase: TargetPhase,
+    ) {
+        self.announce_cold(name, service, address, started, phase, Duration::ZERO).await;
+    }
+
+    /// Announces a process of a target that is cold for this time, as [`Self::announce`] does.
+    pub async fn announce_cold(
+        &self,
+        name: &str,
+        service: &str,
+        address: SocketAddr,
+        started: u64,
+        phase: TargetPhase,
+        cold: Duration,
     ) {
         let sequence = self.announcements.fetch_add(1, Ordering::SeqCst);
         self.hub
@@ -493,7 +523,7 @@
                 domain: FailureDomain::new(TARGET_DOMAIN).expect("a domain"),
                 slots: 2,
                 phase,
-                cold: Duration::ZERO,
+                cold,
             })
             .await;
         let absent = TargetId::new("nobody").expect("a name");
