Bound what the callers of a process may occupy together

Cause: each limit held for one request or connection and none for their sum. Bodies were collected whole, in the pieces in which they came, on any number of connections; answers that nobody read, half-sent heads (which had the idle time) and invented targets were kept as well. The gateway's port and each HttpServer charge heads, bodies and answers as they arrive. Without room, connections without a complete request are ended: those that have held most for the longest time, of the address where this sum is greatest. Bodies and answers are copied into one buffer. A head has header-timeout-ms from its first byte. Kernel receive buffers are 16 KiB, heads of targets 64 KiB at most. A connection beyond the limit of an HttpServer ends another one instead of waiting. With the idle time in place of the header time, half_sent_heads fails.

--- a/hickoryspan_control/src/http_routes.rs
+++ b/hickoryspan_control/src/http_routes.rs
@@ -11,8 +11,8 @@
 use hickoryspan_core::types::SheetNumber;
 use hickoryspan_runtime::credential::SharedCredential;
 use hickoryspan_runtime::http_server::{
-    HttpHandler, HttpLimits, ResponseBody, ResponseFuture, body_response, json_response, read_body,
-    text_response,
+    HttpHandler, HttpLimits, ResponseBody, ResponseFuture, body_response, charge_of, json_response,
+    read_body, text_response,
 };
 use hickoryspan_runtime::metrics_page::MetricsPage;
 use http::header::{HeaderValue, LOCATION, RETRY_AFTER};
@@ -177,7 +177,9 @@
         &self,
         request: Request<Incoming>,
     ) -> Result<T, RouteError> {
-        let body = read_body(request.into_body(), &self.limits)
+        let (parts, body) = request.into_parts();
+        let charge = charge_of(&parts);
+        let body = read_body(body, &self.limits, charge.as_deref())
             .await
             .map_err(|error| Box::new(refuse(error.status(), "bad_body", error.to_string())))?;
         serde_json::from_slice(&body).map_err(|error| {
--- a/hickoryspan_control/src/settings.rs
+++ b/hickoryspan_control/src/settings.rs
@@ -80,6 +80,13 @@
         meta = "COUNT"
     )]
     pub max_connections: Option<String>,
+    /// Memory that the process may use.
+    #[options(
+        help = "memory of the process in bytes, of which callers may occupy a part, 16777216 or more (default 1073741824)",
+        no_short,
+        meta = "BYTES"
+    )]
+    pub memory_bytes: Option<String>,
     /// Maximum time to read a request.
     #[options(
         help = "time to read a request, 100ms to 1m (default 5s)",
@@ -126,6 +133,7 @@
     "an IP address of this host that others reach, and a port, such as 127.0.0.1:7100";
 const MAX_BODY_BYTES: usize = 64 * 1024 * 1024;
 const DEFAULT_BODY_BYTES: usize = 8 * 1024 * 1024;
+const MIN_MEMORY_BYTES: usize = 16 * 1024 * 1024;
 const DEFAULT_CONNECTIONS: usize = 4096;
 
 impl ControlDaemonSettings {
@@ -211,6 +219,13 @@
         "a number from 1 to 65536",
         |count| (1..=65536).contains(count),
     );
+    let memory_bytes = reader.with_default(
+        "memory-bytes",
+        options.memory_bytes.as_deref(),
+        HttpLimits::default().memory_bytes,
+        "a number of 16777216 or more",
+        |bytes| *bytes >= MIN_MEMORY_BYTES,
+    );
     let read_time = reader.duration(
         "read-time",
         options.read_time.as_deref(),
@@ -223,7 +238,14 @@
         Duration::from_secs(30),
         Duration::from_secs(1)..=Duration::from_secs(3600),
     );
-    HttpLimits { body_bytes, connections, read_time, drain_time, ..Default::default() }
+    HttpLimits {
+        body_bytes,
+        connections,
+        memory_bytes,
+        read_time,
+        drain_time,
+        ..Default::default()
+    }
 }
 
 impl ProgramArguments for ControlOptions {
--- a/hickoryspan_entry/src/arguments.rs
+++ b/hickoryspan_entry/src/arguments.rs
@@ -63,6 +63,12 @@
     header_bytes: Option<String>,
     #[options(no_short, help = "bytes of a request's body", meta = "BYTES")]
     body_bytes: Option<String>,
+    #[options(
+        no_short,
+        help = "memory of the process in bytes, of which callers may occupy a part",
+        meta = "BYTES"
+    )]
+    memory_bytes: Option<String>,
     #[options(no_short, help = "connections of callers at the same time", meta = "COUNT")]
     caller_connections: Option<String>,
     #[options(no_short, help = "requests on one HTTP/2 connection", meta = "COUNT")]
@@ -217,6 +223,9 @@
         let given = self.caller_connections.as_deref();
         let connections =
             reader.with_default("caller-connections", given, defaults.connections, positive, check);
+        let given = self.memory_bytes.as_deref();
+        let memory_bytes =
+            reader.with_default("memory-bytes", given, defaults.memory_bytes, positive, check);
         let given = self.caller_streams.as_deref();
         let streams =
             reader.with_default("caller-streams", given, defaults.streams, positive, |count| {
@@ -227,8 +236,15 @@
         let given = self.drain_time.as_deref();
         let drain_time =
             reader.duration("drain-time", given, defaults.drain_time, DRAIN_TIME_RANGE);
-        daemon.caller_limits =
-            HttpLimits { header_bytes, body_bytes, connections, streams, read_time, drain_time };
+        daemon.caller_limits = HttpLimits {
+            header_bytes,
+            body_bytes,
+            connections,
+            memory_bytes,
+            streams,
+            read_time,
+            drain_time,
+        };
         let given = self.caller_requests.as_deref();
         daemon.caller_requests =
             reader.with_default("caller-requests", given, daemon.caller_requests, positive, check);
--- a/hickoryspan_entry/src/errors.rs
+++ b/hickoryspan_entry/src/errors.rs
@@ -84,7 +84,8 @@
     fn from(error: BodyError) -> Self {
         let kind = match error {
             BodyError::TooLarge(_) => CallerErrorKind::BodyTooLarge,
-            BodyError::TooSlow(_) => CallerErrorKind::BodyTooSlow,
+            BodyError::TooSlow(_) | BodyError::Displaced => CallerErrorKind::BodyTooSlow,
+            BodyError::NoRoom => CallerErrorKind::TooManyRequests,
             BodyError::Incomplete => CallerErrorKind::BodyIncomplete,
         };
         Self::new(kind, error.to_string())
--- a/hickoryspan_entry/src/filters/body.rs
+++ b/hickoryspan_entry/src/filters/body.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use hickoryspan_core::types::{ParseValueError, SearchId};
-use hickoryspan_runtime::http_server::{HttpLimits, read_body};
+use hickoryspan_runtime::http_server::{HttpLimits, charge_of, read_body};
 use serde::Deserialize;
 use serde_json::value::RawValue;
 
@@ -21,7 +21,8 @@
     fn apply<'a>(&'a self, exchange: &'a mut CallerExchange) -> FilterFuture<'a> {
         Box::pin(async move {
             let Some(incoming) = exchange.incoming.take() else { return CONTINUE };
-            exchange.body = read_body(incoming, &self.limits).await?;
+            let charge = charge_of(&exchange.parts);
+            exchange.body = read_body(incoming, &self.limits, charge.as_deref()).await?;
             let elapsed = Instant::now().saturating_duration_since(exchange.arrival);
             if exchange.headers.deadline.is_some_and(|deadline| deadline <= elapsed) {
                 let detail = "the deadline passed while the body arrived";
--- a/hickoryspan_gateway/src/attempt.rs
+++ b/hickoryspan_gateway/src/attempt.rs
@@ -11,6 +11,7 @@
 use hickoryspan_core::gateway::targets::outcomes::{AttemptFailure, AttemptOutcome};
 use hickoryspan_core::gateway::targets::selection::ChosenTarget;
 use hickoryspan_core::types::{MonotonicTime, RequestFingerprint, ServiceId};
+use hickoryspan_runtime::caller_budget::RequestCharge;
 use hickoryspan_runtime::http_client::{HttpAnswer, SendError};
 use http::{HeaderMap, HeaderValue, Method, Request};
 use http_body_util::Full;
@@ -52,6 +53,8 @@
     pub(crate) scope: AttemptScope,
     /// The account of the caller, if it sent a key that is known.
     pub(crate) identity: Option<CallerIdentity>,
+    /// What the request occupies on this entry; `None` if another entry has the caller.
+    pub(crate) charge: Option<Arc<RequestCharge>>,
     /// Version of the configuration by which the route was chosen.
     pub(crate) version: DocumentVersion,
     pub(crate) received_at: MonotonicTime,
@@ -200,7 +203,8 @@
                 return AttemptResult::Failure(AttemptFailure::Unreachable, None);
             }
         };
-        let sent = pooled.connection.send(request, state.settings.answer_bytes).await;
+        let (bytes, charge) = (state.settings.answer_bytes, job.charge.as_deref());
+        let sent = pooled.connection.send_charged(request, bytes, charge).await;
         match sent {
             Ok(answer) => return classify_answer(state, job, target, pooled, answer),
             // The target closed an idle connection before the request was written to it.
--- a/hickoryspan_gateway/src/caller_server.rs
+++ b/hickoryspan_gateway/src/caller_server.rs
@@ -6,11 +6,12 @@
 
 use hickoryspan_core::gateway::documents::document::CallerLimits;
 use hickoryspan_runtime::accept_queue::AcceptQueue;
+use hickoryspan_runtime::caller_budget::CallerAccount;
+use hickoryspan_runtime::caller_stream::CallerStream;
 use hickoryspan_runtime::tasks::join_all;
-use hickoryspan_runtime::write_timeout::WriteTimeoutStream;
 use http::header::CONNECTION;
 use http::{HeaderValue, Request};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -54,7 +55,11 @@
     shutdown: ShutdownSignals,
 ) {
     let mut connections = JoinSet::new();
-    let serve = |stream| serve_connection(stream, Arc::clone(&state), shutdown.clone());
+    let serve = |stream: TcpStream| {
+        // Without room for the connection it is closed; nothing was read.
+        let account = state.settings.caller_budget.open(stream.peer_addr().ok()?)?;
+        Some(serve_connection(stream, account, Arc::clone(&state), shutdown.clone()))
+    };
     loop {
         let accepted = tokio::select! {
             () = shutdown.abort.cancelled() => break,
@@ -64,7 +69,9 @@
         while connections.try_join_next().is_some() {}
         match accepted {
             Ok((stream, _)) => {
-                connections.spawn(serve(stream));
+                if let Some(connection) = serve(stream) {
+                    connections.spawn(connection);
+                }
             }
             Err(error) => {
                 spdlog::warn!("caller port: accept: {}", error);
@@ -72,8 +79,8 @@
             }
         }
     }
-    for stream in AcceptQueue::close(listener) {
-        connections.spawn(serve(stream));
+    for connection in AcceptQueue::close(listener).filter_map(serve) {
+        connections.spawn(connection);
     }
     tokio::select! {
         () = join_all(&mut connections) => {}
@@ -84,14 +91,21 @@
     connections.shutdown().await;
 }
 
-async fn serve_connection(stream: TcpStream, state: Arc<GatewayState>, shutdown: ShutdownSignals) {
+async fn serve_connection(
+    stream: TcpStream,
+    account: Arc<CallerAccount>,
+    state: Arc<GatewayState>,
+    shutdown: ShutdownSignals,
+) {
     if let Err(error) = stream.set_nodelay(true) {
         spdlog::debug!("caller port: set TCP_NODELAY: {}", error);
     }
     let routes = state.decisions().routes.clone();
     let limits = routes.map_or_else(CallerLimits::default, |routes| routes.document().limits);
     let idle_time = limits.idle_time.max(limits.header_time);
-    let stream = WriteTimeoutStream::new(stream, idle_time.max(MIN_WRITE_TIME));
+    let write_time = idle_time.max(MIN_WRITE_TIME);
+    let stream = CallerStream::new(stream, Arc::clone(&account), limits.header_time, write_time);
+    let requests = Arc::clone(&account);
     let has_request = CancellationToken::new();
     let first_request = has_request.clone();
     let caller = Arc::new(CallerConnection::open(Arc::clone(&state)));
@@ -100,14 +114,15 @@
     let service = service_fn(move |request| {
         let state = Arc::clone(&state);
         let shutdown = service_shutdown.clone();
-        let caller = Arc::clone(&exchanges);
+        let (caller, account) = (Arc::clone(&exchanges), Arc::clone(&requests));
         let position = match first_request.is_cancelled() {
             true => ConnectionPosition::Later,
             false => ConnectionPosition::First,
         };
         first_request.cancel();
         async move {
-            Ok::<_, Infallible>(answer_caller(shutdown, state, &caller, request, position).await)
+            let answer = answer_caller(shutdown, state, &caller, &account, request, position);
+            Ok::<_, Infallible>(answer.await)
         }
     });
     let connection = http1::Builder::new()
@@ -122,9 +137,14 @@
         // A request that has arrived is read before the connection is closed.
         biased;
         ended = connection.as_mut() => ended,
+        () = account.await_end() => return,
         () = await_close(&shutdown.close_listener, &has_request) => {
             connection.as_mut().graceful_shutdown();
-            connection.await
+            tokio::select! {
+                biased;
+                ended = connection.as_mut() => ended,
+                () = account.await_end() => return,
+            }
         }
     };
     caller.finish(ended);
@@ -144,13 +164,19 @@
     shutdown: ShutdownSignals,
     state: Arc<GatewayState>,
     caller: &CallerConnection,
+    account: &Arc<CallerAccount>,
     request: Request<Incoming>,
     position: ConnectionPosition,
 ) -> GatewayResponse {
+    let (mut parts, body) = request.into_parts();
+    let charge = account.begin_request(&parts);
+    parts.extensions.insert(Arc::clone(&charge));
+    let request = Request::from_parts(parts, body);
     caller.note_request(request.headers().get(&state.settings.headers.request).cloned());
     let mut response = answer_until_finish(Arc::clone(&state), request, position).await;
     caller.note_answer();
-    if shutdown.drain.is_cancelled() || state.should_leave_callers() {
+    charge.note_answer(response.body().size_hint().lower() as usize);
+    if charge.is_evicted() || shutdown.drain.is_cancelled() || state.should_leave_callers() {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
     response
--- a/hickoryspan_gateway/src/directory_hub.rs
+++ b/hickoryspan_gateway/src/directory_hub.rs
@@ -41,6 +41,8 @@
     Unconfirmed,
     /// This host knows no leader, so it may be partitioned from the other control hosts.
     Isolated,
+    /// The target is new, and this host knows as many as its memory allows.
+    Full,
 }
 
 /// How long a target that was loaded from disk stays known without an announcement.
@@ -280,6 +282,10 @@
         }
         {
             let mut state = self.lock();
+            let is_known = state.directory.find(&announcement.target).is_some();
+            if !is_known && state.directory.count() >= self.settings.max_targets {
+                return AnnounceVerdict::Full;
+            }
             match state.directory.announce(now, announcement.clone()) {
                 DirectoryChange::Stale => {}
                 DirectoryChange::Renewed => {
--- a/hickoryspan_gateway/src/entry_daemon.rs
+++ b/hickoryspan_gateway/src/entry_daemon.rs
@@ -19,6 +19,7 @@
     DirectoryChange, TargetAnnouncement, TargetPhase,
 };
 use hickoryspan_core::types::{MonotonicTime, TargetId};
+use hickoryspan_runtime::caller_stream::listen;
 use hickoryspan_runtime::tasks::join_all;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
@@ -416,8 +417,7 @@
     /// Binds the caller port and starts all tasks. `hosts` initially holds the seeds.
     pub async fn start(settings: GatewaySettings, hosts: HostList) -> anyhow::Result<Self> {
         let address = settings.caller_address;
-        let listener =
-            TcpListener::bind(address).await.with_context(|| format!("bind callers: {address}"))?;
+        let listener = listen(address).with_context(|| format!("bind callers: {address}"))?;
         let fanouts = bind_fanouts(&settings).await?;
         let fanout_address = match &fanouts {
             Some(listener) => Some(listener.local_addr().context("read the fan-out address")?),
--- a/hickoryspan_gateway/src/fanout_server.rs
+++ b/hickoryspan_gateway/src/fanout_server.rs
@@ -321,8 +321,9 @@
         body: task.body,
         position: ConnectionPosition::Later,
         scope: AttemptScope::Relayed,
-        // The entry that has the request has recognized the caller.
+        // The entry that has the request has recognized the caller and charges what it holds.
         identity: None,
+        charge: None,
         version: DocumentVersion::default(),
         received_at: now,
         give_up_at: now + task.give_up_in,
--- a/hickoryspan_gateway/src/forward.rs
+++ b/hickoryspan_gateway/src/forward.rs
@@ -15,7 +15,7 @@
 use hickoryspan_core::gateway::planned_stop::StopVerdict;
 use hickoryspan_core::types::{MonotonicTime, RequestFingerprint, ServiceId};
 use hickoryspan_runtime::http_client::HttpAnswer;
-use hickoryspan_runtime::http_server::{self, BodyError, HttpLimits};
+use hickoryspan_runtime::http_server::{self, BodyError, HttpLimits, charge_of};
 use http::header::{CONTENT_LENGTH, CONTENT_TYPE, HOST};
 use http::request::Parts;
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
@@ -83,7 +83,9 @@
     let id = parts.headers.get(&state.settings.headers.request).cloned();
     let id_text = id.as_ref().and_then(|value| value.to_str().ok()).unwrap_or("-").to_owned();
     let deadline = deadline_of(&state, &parts.headers).unwrap_or(DEFAULT_DEADLINE);
-    state.await_informed(deadline.mul_f64(START_PATIENCE)).await;
+    if !await_informed(&state, &parts, deadline.mul_f64(START_PATIENCE)).await {
+        return refuse(&state, &id_text, RefusalReason::NoRoom, MIN_RETRY_DELAY);
+    }
     let Some(routes) = state.decisions().routes.clone() else {
         let left = deadline.saturating_sub(state.now().since(received_at));
         let retry_after = left.mul_f64(START_PATIENCE / 2.0).max(MIN_RETRY_DELAY);
@@ -117,6 +119,23 @@
     run_job(state, routes, Arc::new(job)).await
 }
 
+/// Waits until this entry can serve requests, for `patience` at most. Returns false if the room of the request is needed
+/// for others before that.
+async fn await_informed(state: &GatewayState, parts: &Parts, patience: Duration) -> bool {
+    let informed = state.await_informed(patience);
+    match charge_of(parts) {
+        Some(charge) => tokio::select! {
+            biased;
+            () = informed => true,
+            () = charge.evicted() => false,
+        },
+        None => {
+            informed.await;
+            true
+        }
+    }
+}
+
 /// Returns whether this entry is stopping and ends before the request would.
 fn ends_too_late(state: &GatewayState, job: &GatewayJob) -> bool {
     let Some(schedule) = state.stop_schedule.get() else { return false };
@@ -179,9 +198,12 @@
     }
     let limits =
         HttpLimits { body_bytes: limits.body_bytes, read_time: time, ..HttpLimits::default() };
-    http_server::read_body(body, &limits).await.map_err(|error| match error {
+    let charge = charge_of(parts);
+    let body = http_server::read_body(body, &limits, charge.as_deref());
+    body.await.map_err(|error| match error {
         BodyError::TooLarge(_) => RefusalReason::BodyTooLarge,
-        BodyError::TooSlow(_) => RefusalReason::BodyTooSlow,
+        BodyError::TooSlow(_) | BodyError::Displaced => RefusalReason::BodyTooSlow,
+        BodyError::NoRoom => RefusalReason::NoRoom,
         BodyError::Incomplete => RefusalReason::BodyIncomplete,
     })
 }
@@ -214,9 +236,11 @@
     let target_path =
         parts.uri.path_and_query().map_or_else(|| "/".to_owned(), |path| path.to_string());
     let fingerprint = fingerprint(&route.host, parts.method.as_str(), &target_path, &body);
+    let charge = charge_of(&parts);
     let mut headers = parts.headers;
     remove_connection_headers(&mut headers);
     GatewayJob {
+        charge,
         give_up_at: received_at + timeout,
         route,
         method: parts.method,
--- a/hickoryspan_gateway/src/refusal.rs
+++ b/hickoryspan_gateway/src/refusal.rs
@@ -28,6 +28,7 @@
     BodyTooLarge,
     BodyTooSlow,
     BodyIncomplete,
+    NoRoom,
     Poisoned,
     Stopping,
     NoTarget,
@@ -48,6 +49,7 @@
             Self::BodyTooLarge => "body_too_large",
             Self::BodyTooSlow => "body_too_slow",
             Self::BodyIncomplete => "body_incomplete",
+            Self::NoRoom => "no_room",
             Self::Poisoned => "poisoned",
             Self::Stopping => "stopping",
             Self::NoTarget => "no_target",
@@ -65,6 +67,7 @@
             | Self::NoTarget
             | Self::Overloaded
             | Self::Limited
+            | Self::NoRoom
             | Self::Stopping
             | Self::Poisoned => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoHost | Self::BodyIncomplete => StatusCode::BAD_REQUEST,
--- a/hickoryspan_gateway/src/settings.rs
+++ b/hickoryspan_gateway/src/settings.rs
@@ -1,12 +1,14 @@
 //! Settings of a gateway entry and of the directory links.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use hickoryspan_core::gateway::admission::budget::BudgetSettings;
 use hickoryspan_core::gateway::fanouts::relays::RelaySettings;
 use hickoryspan_core::gateway::targets::selection::SelectionSettings;
 use hickoryspan_core::types::{EntryId, FailureDomain};
+use hickoryspan_runtime::caller_budget::{CallerBudget, CallerBudgetSettings};
 use hickoryspan_runtime::credential::SharedCredential;
 
 use crate::headers::GatewayHeaders;
@@ -22,6 +24,8 @@
     pub target_lease: Duration,
     /// How long a control host waits for entries to confirm that a target drains or leaves.
     pub confirm_timeout: Duration,
+    /// Number of targets that a control host knows at most. It refuses announcements of further ones.
+    pub max_targets: usize,
     /// The credential that all processes share.
     pub credential: SharedCredential,
 }
@@ -34,6 +38,7 @@
             receive_timeout: Duration::from_millis(1_500),
             target_lease: Duration::from_secs(6),
             confirm_timeout: Duration::from_millis(700),
+            max_targets: 64 * 1024,
             credential,
         }
     }
@@ -71,6 +76,8 @@
     /// How long a stopping entry waits for requests in flight, counted from the start of the stop. Those that are left
     /// then get an answer of the entry.
     pub finish_after_stop: Duration,
+    /// What callers may occupy together, on all ports of the process.
+    pub caller_budget: Arc<CallerBudget>,
     /// Idle timeout of connections to targets that state none themselves.
     pub target_idle: Duration,
 }
@@ -98,6 +105,7 @@
             connect_delay: Duration::from_millis(7),
             accept_after_stop: Duration::from_millis(4_600),
             finish_after_stop: Duration::from_millis(5_300),
+            caller_budget: CallerBudget::new(CallerBudgetSettings::default()),
             target_idle: Duration::from_secs(4),
         }
     }
--- a/hickoryspan_gateway/tests/gateway/main.rs
+++ b/hickoryspan_gateway/tests/gateway/main.rs
@@ -8,6 +8,7 @@
 mod fan_out_stops;
 mod far_targets;
 mod forwarding;
+mod half_sent_heads;
 mod last_check;
 mod odd_answers;
 mod planned_stop;
--- /dev/null
+++ b/hickoryspan_runtime/src/caller_stream.rs
@@ -0,0 +1,125 @@
+//! The TCP stream of a caller's connection, which tells the caller budget what arrives and what was sent.
+
+use std::io;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll, ready};
+use std::time::Duration;
+
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::time::Sleep;
+
+use crate::caller_budget::CallerAccount;
+use crate::write_timeout::WriteTimeoutStream;
+
+/// Size of the kernel's receive buffer of a connection, in bytes. Unread bytes count as memory of the process.
+pub(crate) const RECEIVE_BUFFER_BYTES: u32 = 16 * 1024;
+/// Connections that the kernel keeps until they are accepted.
+const ACCEPT_QUEUE: u32 = 1_024;
+/// Largest number of bytes that are read at once. The HTTP library enlarges the buffer of a connection after larger reads.
+const MAX_READ_BYTES: usize = 8 * 1024;
+
+/// Binds a port for callers.
+pub fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.set_reuseaddr(true)?;
+    // Accepted connections inherit it.
+    socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES)?;
+    socket.bind(address)?;
+    socket.listen(ACCEPT_QUEUE)
+}
+
+/// Charges what arrives, and fails the connection if there is no room for it or if a head that has begun does not arrive
+/// in time.
+pub struct CallerStream {
+    inner: WriteTimeoutStream,
+    account: Arc<CallerAccount>,
+    head_time: Duration,
+    /// Runs while a part of a head has arrived.
+    head_timer: Option<Pin<Box<Sleep>>>,
+}
+
+impl CallerStream {
+    /// Wraps a stream whose writes fail if they are pending for longer than `write_time`. A head that has begun must
+    /// arrive within `head_time`.
+    pub fn new(
+        inner: TcpStream,
+        account: Arc<CallerAccount>,
+        head_time: Duration,
+        write_time: Duration,
+    ) -> Self {
+        let inner = WriteTimeoutStream::new(inner, write_time);
+        Self { inner, account, head_time, head_timer: None }
+    }
+
+    fn check_head_time(&mut self, context: &mut Context<'_>) -> io::Result<()> {
+        if !self.account.has_partial_head() {
+            self.head_timer = None;
+            return Ok(());
+        }
+        let time = self.head_time;
+        let timer = self.head_timer.get_or_insert_with(|| Box::pin(tokio::time::sleep(time)));
+        match timer.as_mut().poll(context) {
+            Poll::Ready(()) => Err(io::ErrorKind::TimedOut.into()),
+            Poll::Pending => Ok(()),
+        }
+    }
+}
+
+impl AsyncRead for CallerStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        self.check_head_time(context)?;
+        let filled_before = buffer.filled().len();
+        if buffer.remaining() <= MAX_READ_BYTES {
+            ready!(Pin::new(&mut self.inner).poll_read(context, buffer))?;
+        } else {
+            let mut part = ReadBuf::new(buffer.initialize_unfilled_to(MAX_READ_BYTES));
+            ready!(Pin::new(&mut self.inner).poll_read(context, &mut part))?;
+            let read = part.filled().len();
+            buffer.advance(read);
+        }
+        let read = buffer.filled().len() - filled_before;
+        Poll::Ready(self.account.note_read(read).map_err(io::Error::other))
+    }
+}
+
+impl AsyncWrite for CallerStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.inner).poll_write(context, buffer)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffers: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.inner).poll_write_vectored(context, buffers)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.inner.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        ready!(Pin::new(&mut self.inner).poll_flush(context))?;
+        self.account.end_answers();
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_shutdown(context)
+    }
+}
--- a/hickoryspan_runtime/src/http_client.rs
+++ b/hickoryspan_runtime/src/http_client.rs
@@ -12,7 +12,8 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, Request, StatusCode};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full};
+use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
@@ -20,9 +21,15 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::AbortOnDropHandle;
 
+use crate::caller_budget::RequestCharge;
+
 /// Number of bytes that may arrive before and between responses, for example in response heads. A peer could otherwise
 /// keep the process busy with interim responses that never end.
 const MAX_EXTRA_BYTES: u64 = 512 * 1024;
+/// Largest head of a response, and largest buffer of a connection, in bytes.
+const MAX_BUFFER_BYTES: usize = 64 * 1024;
+/// First size of the buffer for a body, in bytes.
+const FIRST_BODY_BYTES: usize = 4 * 1024;
 /// Factor by which chunked encoding may enlarge a response.
 const CHUNK_OVERHEAD: u64 = 2;
 
@@ -145,8 +152,11 @@
             written: Arc::clone(&written),
             readable: Arc::clone(&readable),
         };
-        let (sender, connection) =
-            http1::handshake(TokioIo::new(counting)).await.map_err(io::Error::other)?;
+        let handshake = http1::Builder::new()
+            .max_buf_size(MAX_BUFFER_BYTES)
+            .handshake(TokioIo::new(counting))
+            .await;
+        let (sender, connection) = handshake.map_err(io::Error::other)?;
         let ended = CancellationToken::new();
         let guard = ended.clone().drop_guard();
         let driver = AbortOnDropHandle::new(tokio::spawn(async move {
@@ -190,6 +200,17 @@
         &mut self,
         request: Request<Full<Bytes>>,
         max_response_bytes: usize,
+    ) -> Result<HttpAnswer, SendError> {
+        self.send_charged(request, max_response_bytes, None).await
+    }
+
+    /// Does the same as [`Self::send`] and charges the response to the request for which it is read. If there is no room
+    /// for it, the connection ends.
+    pub async fn send_charged(
+        &mut self,
+        request: Request<Full<Bytes>>,
+        max_response_bytes: usize,
+        charge: Option<&RequestCharge>,
     ) -> Result<HttpAnswer, SendError> {
         let written_before = self.written.load(Ordering::Acquire);
         let max_bytes = max_response_bytes as u64 * CHUNK_OVERHEAD + MAX_EXTRA_BYTES;
@@ -210,17 +231,8 @@
             Err(error) => return Err(send_error(&self.written, &error)),
         };
         let (parts, body) = response.into_parts();
-        match Limited::new(body, max_response_bytes).collect().await {
-            Ok(body) => Ok(HttpAnswer {
-                status: parts.status,
-                headers: parts.headers,
-                body: body.to_bytes(),
-            }),
-            Err(error) if error.is::<http_body_util::LengthLimitError>() => {
-                Err(SendError::TooLarge(max_response_bytes))
-            }
-            Err(error) => Err(SendError::ConnectionLost(error.to_string().into())),
-        }
+        let body = collect_response(body, max_response_bytes, charge).await?;
+        Ok(HttpAnswer { status: parts.status, headers: parts.headers, body })
     }
 
     /// Closes the connection and waits until its task has ended.
@@ -231,3 +243,46 @@
         let _ = self.driver.await;
     }
 }
+
+/// Copies the body of a response into one buffer, as [`crate::http_server::read_body`] does with requests. Room for a body
+/// of known length is taken before any of it, so that responses of which each has arrived in part don't wait for each
+/// other.
+async fn collect_response(
+    mut body: Incoming,
+    max_bytes: usize,
+    charge: Option<&RequestCharge>,
+) -> Result<Bytes, SendError> {
+    let announced = body.size_hint().exact().unwrap_or(0);
+    if announced > max_bytes as u64 {
+        return Err(SendError::TooLarge(max_bytes));
+    }
+    let mut buffer = Vec::new();
+    let mut charged = 0;
+    if announced > 0 {
+        reserve(charge, announced as usize).await?;
+        charged = announced as usize;
+    }
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|error| SendError::ConnectionLost(error.to_string().into()))?;
+        let Ok(data) = frame.into_data() else { continue };
+        let length = buffer.len() + data.len();
+        if length > max_bytes {
+            return Err(SendError::TooLarge(max_bytes));
+        }
+        if length > buffer.capacity() {
+            let limit = if announced > 0 { announced as usize } else { max_bytes };
+            let grown = length.next_power_of_two().max(FIRST_BODY_BYTES).min(limit.max(length));
+            reserve(charge, grown.saturating_sub(charged)).await?;
+            charged = charged.max(grown);
+            buffer.reserve_exact(grown - buffer.len());
+        }
+        buffer.extend_from_slice(&data);
+    }
+    Ok(buffer.into())
+}
+
+async fn reserve(charge: Option<&RequestCharge>, bytes: usize) -> Result<(), SendError> {
+    let Some(charge) = charge.filter(|_| bytes > 0) else { return Ok(()) };
+    let reserved = charge.reserve_answer(bytes).await;
+    reserved.map_err(|error| SendError::ConnectionLost(error.to_string().into()))
+}
--- a/hickoryspan_runtime/src/http_server.rs
+++ b/hickoryspan_runtime/src/http_server.rs
@@ -8,19 +8,22 @@
 use anyhow::Context;
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
+use http_body_util::{BodyExt, Full};
+use hyper::body::{Body, Incoming};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
 
 use crate::accept_queue::AcceptQueue;
+use crate::caller_budget::{CallerBudget, CallerBudgetSettings, RequestCharge};
+use crate::caller_stream::listen;
 use crate::server_connection::ServerConnection;
 use crate::tasks::join_all;
 
 /// Delay after a failed accept, so that a lack of file descriptors does not cause a busy loop.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
+/// First size of the buffer for a body, in bytes.
+const FIRST_BODY_BYTES: usize = 4 * 1024;
 /// Time to send the last answers after the drain time.
 const LAST_ANSWER_TIME: Duration = Duration::from_millis(200);
 
@@ -31,8 +34,10 @@
     pub header_bytes: usize,
     /// Maximum size in bytes of a request body.
     pub body_bytes: usize,
-    /// Maximum number of open connections; further ones wait to be accepted.
+    /// Maximum number of open connections. For further ones, connections without a complete request are ended.
     pub connections: usize,
+    /// Memory of the process in bytes, of which callers may occupy a part.
+    pub memory_bytes: usize,
     /// Maximum number of concurrent requests on one HTTP/2 connection.
     pub streams: u32,
     /// Timeout for the headers and, separately, for the body of a request. A connection also fails if its response
@@ -48,6 +53,7 @@
             header_bytes: 16 * 1024,
             body_bytes: 256 * 1024,
             connections: 1024,
+            memory_bytes: 1024 * 1024 * 1024,
             streams: 100,
             read_time: Duration::from_secs(5),
             drain_time: Duration::from_secs(30),
@@ -70,15 +76,24 @@
 pub struct HttpServer {
     listener: TcpListener,
     limits: HttpLimits,
+    budget: Arc<CallerBudget>,
 }
 
 impl HttpServer {
     /// Binds to an address; port zero selects a free port.
     pub async fn bind(address: SocketAddr, limits: HttpLimits) -> anyhow::Result<Self> {
-        let listener = TcpListener::bind(address)
-            .await
-            .with_context(|| format!("bind HTTP server: {address}"))?;
-        Ok(Self { listener, limits })
+        let listener = listen(address).with_context(|| format!("bind HTTP server: {address}"))?;
+        let budget = CallerBudget::new(CallerBudgetSettings {
+            connections: limits.connections,
+            ..CallerBudgetSettings::new(limits.memory_bytes, usize::MAX)
+        });
+        Ok(Self { listener, limits, budget })
+    }
+
+    /// Charges connections, requests and answers to a budget that several servers share, in place of
+    /// [`HttpLimits::connections`] and [`HttpLimits::memory_bytes`].
+    pub fn with_budget(self, budget: Arc<CallerBudget>) -> Self {
+        Self { budget, ..self }
     }
 
     /// Returns the bound address with the actual port.
@@ -89,22 +104,17 @@
     /// Serves until `stop` is cancelled, then accepts no more connections and finishes the requests in flight and those
     /// that are already on their way. Those that exceed the drain time are answered with status 504.
     pub async fn serve(self, handler: Arc<dyn HttpHandler>, stop: CancellationToken) {
-        let permits = Arc::new(Semaphore::new(self.limits.connections));
         let finish = CancellationToken::new();
         let settings =
             ServerConnection { limits: self.limits.clone(), handler, stop, finish: finish.clone() };
         let mut connections = JoinSet::new();
-        while let Some((stream, permit)) = self.accept(&permits, &settings.stop).await {
-            settings.spawn(stream, permit, &mut connections);
+        while let Some(stream) = self.accept(&settings.stop).await {
+            settings.spawn(stream, &self.budget, &mut connections);
             while connections.try_join_next().is_some() {}
         }
-        let mut queue = AcceptQueue::close(self.listener);
-        while let Ok(permit) = Arc::clone(&permits).try_acquire_owned()
-            && let Some(stream) = queue.next()
-        {
-            settings.spawn(stream, permit, &mut connections);
+        for stream in AcceptQueue::close(self.listener) {
+            settings.spawn(stream, &self.budget, &mut connections);
         }
-        drop(queue);
         if tokio::time::timeout(self.limits.drain_time, join_all(&mut connections)).await.is_err() {
             spdlog::warn!("HTTP server: {} connections exceeded the drain time", connections.len());
             finish.cancel();
@@ -115,16 +125,11 @@
         connections.shutdown().await;
     }
 
-    async fn accept(
-        &self,
-        permits: &Arc<Semaphore>,
-        stop: &CancellationToken,
-    ) -> Option<(TcpStream, OwnedSemaphorePermit)> {
+    async fn accept(&self, stop: &CancellationToken) -> Option<TcpStream> {
         let next = async {
-            let permit = Arc::clone(permits).acquire_owned().await.ok()?;
             loop {
                 match self.listener.accept().await {
-                    Ok((stream, _)) => return Some((stream, permit)),
+                    Ok((stream, _)) => return Some(stream),
                     Err(error) => {
                         spdlog::warn!("HTTP server: accept: {}", error);
                         tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
@@ -152,6 +157,12 @@
     /// The client disconnected or the body was malformed.
     #[error("the body ended early")]
     Incomplete,
+    /// There is no room for the body.
+    #[error("there is no room for the body")]
+    NoRoom,
+    /// The connection was ended to make room for others, because the body did not arrive.
+    #[error("the body did not arrive before its room was needed")]
+    Displaced,
 }
 
 impl BodyError {
@@ -159,24 +170,70 @@
     pub fn status(self) -> StatusCode {
         match self {
             Self::TooLarge(_) => StatusCode::PAYLOAD_TOO_LARGE,
-            Self::TooSlow(_) => StatusCode::REQUEST_TIMEOUT,
+            Self::TooSlow(_) | Self::Displaced => StatusCode::REQUEST_TIMEOUT,
+            Self::NoRoom => StatusCode::SERVICE_UNAVAILABLE,
             Self::Incomplete => StatusCode::BAD_REQUEST,
         }
     }
 }
 
-/// Reads a complete request body, subject to the limits on size and read time.
-pub async fn read_body(body: Incoming, limits: &HttpLimits) -> Result<Bytes, BodyError> {
-    let limited = Limited::new(body, limits.body_bytes);
-    let collected = tokio::time::timeout(limits.read_time, limited.collect()).await;
-    match collected {
-        Err(_) => Err(BodyError::TooSlow(limits.read_time)),
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
-            Err(BodyError::TooLarge(limits.body_bytes))
+/// Reads a complete request body, subject to the limits on size and read time, and charges it.
+pub async fn read_body(
+    body: Incoming,
+    limits: &HttpLimits,
+    charge: Option<&RequestCharge>,
+) -> Result<Bytes, BodyError> {
+    let collected = tokio::time::timeout(limits.read_time, collect_body(body, limits, charge));
+    let displaced = async {
+        match charge {
+            Some(charge) => charge.evicted().await,
+            None => std::future::pending().await,
+        }
+    };
+    let body = tokio::select! {
+        biased;
+        collected = collected => collected.map_err(|_| BodyError::TooSlow(limits.read_time))??,
+        () = displaced => return Err(BodyError::Displaced),
+    };
+    if let Some(charge) = charge {
+        charge.complete();
+    }
+    Ok(body)
+}
+
+/// Copies a body into one buffer. The library's own collector keeps every piece apart, which takes far more memory than
+/// the bytes of a body in small chunks.
+async fn collect_body(
+    mut body: Incoming,
+    limits: &HttpLimits,
+    charge: Option<&RequestCharge>,
+) -> Result<Bytes, BodyError> {
+    let announced = body.size_hint().exact().map_or(limits.body_bytes, |bytes| bytes as usize);
+    let max_bytes = announced.min(limits.body_bytes);
+    let mut buffer: Vec<u8> = Vec::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| BodyError::Incomplete)?;
+        let Ok(data) = frame.into_data() else { continue };
+        let length = buffer.len() + data.len();
+        if length > limits.body_bytes {
+            return Err(BodyError::TooLarge(limits.body_bytes));
+        }
+        let capacity = buffer.capacity();
+        if length > capacity {
+            let grown = length.next_power_of_two().max(FIRST_BODY_BYTES).min(max_bytes.max(length));
+            if let Some(charge) = charge {
+                charge.add(grown - capacity).map_err(|_| BodyError::NoRoom)?;
+            }
+            buffer.reserve_exact(grown - buffer.len());
         }
-        Ok(Err(_)) => Err(BodyError::Incomplete),
+        buffer.extend_from_slice(&data);
     }
+    Ok(buffer.into())
+}
+
+/// Returns what the request of these headers occupies, if its connection has a budget.
+pub fn charge_of(parts: &http::request::Parts) -> Option<Arc<RequestCharge>> {
+    parts.extensions.get().cloned()
 }
 
 /// Builds a response with a JSON body. If the value cannot be encoded, the response is an empty one with status 500.
--- a/hickoryspan_runtime/src/lib.rs
+++ b/hickoryspan_runtime/src/lib.rs
@@ -4,6 +4,8 @@
 #![warn(missing_docs)]
 
 pub mod accept_queue;
+pub mod caller_budget;
+pub mod caller_stream;
 pub mod clock;
 pub mod credential;
 pub mod http_client;
--- a/hickoryspan_runtime/src/server_connection.rs
+++ b/hickoryspan_runtime/src/server_connection.rs
@@ -8,17 +8,17 @@
 
 use http::header::{CONNECTION, HeaderValue};
 use http::{Request, Response, StatusCode, Version};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::conn::auto;
 use tokio::net::TcpStream;
-use tokio::sync::OwnedSemaphorePermit;
 use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
 
+use crate::caller_budget::{CallerAccount, CallerBudget};
+use crate::caller_stream::CallerStream;
 use crate::http_server::{HttpHandler, HttpLimits, ResponseBody, text_response};
-use crate::write_timeout::WriteTimeoutStream;
 
 /// Maximum number of header lines in an HTTP/1.1 request.
 const MAX_HEADERS: usize = 64;
@@ -28,6 +28,9 @@
 /// the client could know of the stop.
 const LAST_REQUEST_TIME: Duration = Duration::from_millis(500);
 
+/// Window of the bytes that an HTTP/2 connection, or a stream on it, may send ahead, in bytes.
+const HTTP2_WINDOW_BYTES: u32 = 64 * 1024;
+
 /// What all connections of a server have in common.
 #[derive(Clone)]
 pub(crate) struct ServerConnection {
@@ -40,22 +43,22 @@
 }
 
 impl ServerConnection {
-    /// Serves a connection in a task of its own, which holds the permit until the connection ends.
+    /// Serves a connection in a task of its own. It is closed at once if there is no room for it.
     pub(crate) fn spawn(
         &self,
         stream: TcpStream,
-        permit: OwnedSemaphorePermit,
+        budget: &Arc<CallerBudget>,
         tasks: &mut JoinSet<()>,
     ) {
         let Ok(peer) = stream.peer_addr() else { return };
+        let Some(account) = budget.open(peer) else { return };
         let connection = self.clone();
         tasks.spawn(async move {
-            connection.serve(stream, peer).await;
-            drop(permit);
+            connection.serve(stream, account, peer).await;
         });
     }
 
-    async fn serve(self, stream: TcpStream, peer: SocketAddr) {
+    async fn serve(self, stream: TcpStream, account: Arc<CallerAccount>, peer: SocketAddr) {
         // Without TCP_NODELAY, small responses could wait for the acknowledgement of earlier ones.
         if let Err(error) = stream.set_nodelay(true) {
             spdlog::debug!("HTTP server: {}: set TCP_NODELAY: {}", peer, error);
@@ -65,12 +68,17 @@
         let builder = self.to_builder();
         let first_request = CancellationToken::new();
         let arrived = first_request.clone();
+        let stream = CallerStream::new(stream, Arc::clone(&account), read_time, read_time);
+        let evicted = Arc::clone(&account);
         let service = service_fn(move |request| {
             arrived.cancel();
-            let connection = self.clone();
-            async move { Ok::<_, Infallible>(connection.answer(request, peer).await) }
+            let (connection, account) = (self.clone(), Arc::clone(&account));
+            async move {
+                let answer = connection.answer_charged(request, &account, peer);
+                Ok::<_, Infallible>(answer.await)
+            }
         });
-        let stream = TokioIo::new(WriteTimeoutStream::new(stream, read_time));
+        let stream = TokioIo::new(stream);
         let mut connection = pin!(builder.serve_connection(stream, service));
         let served = async {
             tokio::select! {
@@ -97,6 +105,8 @@
             }
             () = first_request_timeout =>
                 spdlog::debug!("HTTP server: {}: no request within the read time", peer),
+            () = evicted.await_end() =>
+                spdlog::debug!("HTTP server: {}: ended to make room", peer),
         }
     }
 
@@ -112,6 +122,8 @@
         builder
             .http2()
             .timer(TokioTimer::new())
+            .initial_connection_window_size(HTTP2_WINDOW_BYTES)
+            .initial_stream_window_size(HTTP2_WINDOW_BYTES)
             .max_concurrent_streams(limits.streams)
             .max_header_list_size(u32::try_from(limits.header_bytes).unwrap_or(u32::MAX))
             .keep_alive_interval(limits.read_time)
@@ -119,6 +131,24 @@
         builder
     }
 
+    /// Answers a request and charges the request and its answer to the account of the connection.
+    async fn answer_charged(
+        &self,
+        request: Request<Incoming>,
+        account: &Arc<CallerAccount>,
+        peer: SocketAddr,
+    ) -> Response<ResponseBody> {
+        let (mut parts, body) = request.into_parts();
+        let charge = account.begin_request(&parts);
+        parts.extensions.insert(Arc::clone(&charge));
+        let mut response = self.answer(Request::from_parts(parts, body), peer).await;
+        charge.note_answer(response.body().size_hint().lower() as usize);
+        if charge.is_evicted() && response.version() != Version::HTTP_2 {
+            response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+        }
+        response
+    }
+
     /// Answers a request. After a stop, the answer is the last one of an HTTP/1.1 connection.
     async fn answer(&self, request: Request<Incoming>, peer: SocketAddr) -> Response<ResponseBody> {
         let is_http2 = request.version() == Version::HTTP_2;
--- /dev/null
+++ b/hickoryspan_runtime/tests/caller_budget.rs
@@ -0,0 +1,157 @@
+//! Which connections are ended when callers need more room than there is.
+
+#![allow(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
+
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+
+use hickoryspan_runtime::caller_budget::{
+    BudgetExhausted, CallerAccount, CallerBudget, CallerBudgetSettings, RequestCharge,
+};
+use http::Request;
+
+const SETTINGS: CallerBudgetSettings = CallerBudgetSettings {
+    connections: 8,
+    small_bytes: 20_000,
+    large_bytes: 200_000,
+    answer_bytes: 100_000,
+};
+
+fn peer(last: u8) -> SocketAddr {
+    SocketAddr::new(IpAddr::V4(Ipv4Addr::new(127, 0, 0, last)), 1)
+}
+
+/// A connection with one request.
+struct Caller {
+    account: Arc<CallerAccount>,
+    charge: Arc<RequestCharge>,
+}
+
+impl Caller {
+    fn open(budget: &Arc<CallerBudget>, last: u8) -> Self {
+        let account = budget.open(peer(last)).unwrap();
+        let (parts, ()) = Request::new(()).into_parts();
+        let charge = account.begin_request(&parts);
+        Self { account, charge }
+    }
+
+    fn with_bytes(budget: &Arc<CallerBudget>, last: u8, bytes: usize) -> Self {
+        let caller = Self::open(budget, last);
+        caller.charge.add(bytes).unwrap();
+        caller
+    }
+}
+
+// Guards against the loss of a caller that has just begun while one stays that began long ago and holds as much.
+#[test]
+fn the_slowest_goes_first() {
+    let budget = CallerBudget::new(SETTINGS);
+    let slow = Caller::with_bytes(&budget, 1, 60_000);
+    let middle = Caller::with_bytes(&budget, 2, 60_000);
+    let fast = Caller::with_bytes(&budget, 3, 60_000);
+    let next = Caller::with_bytes(&budget, 4, 60_000);
+    assert!(slow.charge.is_evicted());
+    assert!([middle, fast, next].iter().all(|caller| !caller.charge.is_evicted()));
+}
+
+// Guards against the loss of a request that is complete.
+#[test]
+fn complete_requests_stay() {
+    let budget = CallerBudget::new(SETTINGS);
+    let complete: Vec<_> = (1..4).map(|last| Caller::with_bytes(&budget, last, 60_000)).collect();
+    complete.iter().for_each(|caller| caller.charge.complete());
+    let next = Caller::open(&budget, 4);
+    assert_eq!(next.charge.add(60_000), Err(BudgetExhausted));
+    assert!(complete.iter().all(|caller| !caller.charge.is_evicted()));
+}
+
+// Guards against a crowd at one address that displaces a caller at another one, or that takes all room.
+#[test]
+fn an_address_that_holds_much_goes_before_others() {
+    let budget = CallerBudget::new(SETTINGS);
+    let crowd: Vec<_> = (0..3).map(|_| Caller::with_bytes(&budget, 1, 45_000)).collect();
+    let other = Caller::with_bytes(&budget, 9, 50_000);
+    let next = Caller::with_bytes(&budget, 2, 50_000);
+    assert!(!other.charge.is_evicted());
+    assert!(!next.charge.is_evicted());
+    assert!(crowd[0].charge.is_evicted());
+    // Complete requests of one address take three quarters of the room at most.
+    let budget = CallerBudget::new(SETTINGS);
+    let complete: Vec<_> = (0..3).map(|_| Caller::with_bytes(&budget, 1, 50_000)).collect();
+    complete.iter().for_each(|caller| caller.charge.complete());
+    assert_eq!(Caller::open(&budget, 1).charge.add(20_000), Err(BudgetExhausted));
+    Caller::with_bytes(&budget, 2, 50_000);
+}
+
+// Guards against small requests that are refused because large ones have taken the room.
+#[test]
+fn small_requests_have_room_beside_large_ones() {
+    let budget = CallerBudget::new(SETTINGS);
+    let large: Vec<_> = (1..4).map(|last| Caller::with_bytes(&budget, last, 60_000)).collect();
+    large.iter().for_each(|caller| caller.charge.complete());
+    let small = Caller::with_bytes(&budget, 5, 10_000);
+    assert!(!small.charge.is_evicted());
+}
+
+// Guards against a request inside the limits that is refused though nobody else is there.
+#[test]
+fn a_request_larger_than_all_room_is_kept_while_it_is_alone() {
+    let budget = CallerBudget::new(SETTINGS);
+    let alone = Caller::with_bytes(&budget, 1, 262_144);
+    alone.charge.complete();
+    assert!(!alone.charge.is_evicted());
+}
+
+// Guards against room that is never given back, after which nobody is served any more.
+#[test]
+fn everything_is_given_back() {
+    let budget = CallerBudget::new(SETTINGS);
+    for _ in 0..1_000 {
+        let caller = Caller::with_bytes(&budget, 1, 140_000);
+        caller.charge.complete();
+        caller.charge.note_answer(50_000);
+    }
+    for _ in 0..1_000 {
+        // Each is ended by the next one.
+        Caller::with_bytes(&budget, 1, 140_000);
+    }
+    let whole = Caller::with_bytes(&budget, 1, 140_000);
+    assert!(!whole.charge.is_evicted());
+    assert_eq!(budget.connections(), 1);
+}
+
+// Guards against callers that cannot connect because others have connected and send nothing.
+#[test]
+fn a_new_connection_ends_the_oldest_idle_one() {
+    let budget = CallerBudget::new(SETTINGS);
+    let running = Caller::open(&budget, 1);
+    running.charge.complete();
+    let idle: Vec<_> = (0..7).map(|_| Caller::open(&budget, 1)).collect();
+    let next = budget.open(peer(2));
+    assert!(next.is_some());
+    assert!(!running.charge.is_evicted());
+    let evicted = idle.iter().map(|caller| caller.charge.is_evicted()).collect::<Vec<_>>();
+    assert_eq!(evicted.iter().filter(|evicted| **evicted).count(), 1);
+    assert!(evicted[0]);
+    drop((running.account, idle));
+}
+
+// Guards against answers whose callers do not read them and that take the room of others, and against requests that wait
+// for each other's answers.
+#[tokio::test]
+async fn an_unread_answer_makes_room_for_the_next_one() {
+    let budget = CallerBudget::new(SETTINGS);
+    let unread = Caller::open(&budget, 1);
+    unread.charge.complete();
+    unread.charge.reserve_answer(80_000).await.unwrap();
+    unread.charge.note_answer(80_000);
+    let next = Caller::open(&budget, 2);
+    next.charge.complete();
+    next.charge.reserve_answer(80_000).await.unwrap();
+    assert!(unread.charge.is_evicted());
+    // Another part of an answer is not waited for.
+    let other = Caller::open(&budget, 3);
+    other.charge.complete();
+    other.charge.reserve_answer(10_000).await.unwrap();
+    assert_eq!(other.charge.reserve_answer(80_000).await, Err(BudgetExhausted));
+}
--- a/hickoryspan_runtime/tests/http.rs
+++ b/hickoryspan_runtime/tests/http.rs
@@ -43,7 +43,7 @@
             if request.uri().path() == "/large" {
                 return text_response(StatusCode::OK, "x".repeat(LARGE_BYTES));
             }
-            match read_body(request.into_body(), &self.limits).await {
+            match read_body(request.into_body(), &self.limits, None).await {
                 Ok(body) => text_response(StatusCode::OK, body.len().to_string()),
                 Err(error) => text_response(error.status(), error.to_string()),
             }
--- a/hickoryspan_target/src/handler.rs
+++ b/hickoryspan_target/src/handler.rs
@@ -198,7 +198,7 @@
             read_time: settings.read_time,
             ..HttpLimits::default()
         };
-        let body = match read_body(body, &limits).await {
+        let body = match read_body(body, &limits, None).await {
             Ok(body) => body,
             Err(error) => return error_reply(error.status(), &error.to_string()),
         };
--- a/hickoryspan_target/tests/announce.rs
+++ b/hickoryspan_target/tests/announce.rs
@@ -40,7 +40,7 @@
         Box::pin(async move {
             assert!(credential().matches_headers(request.headers()));
             let path = request.uri().path().to_owned();
-            let body = read_body(request.into_body(), &HttpLimits::default()).await.unwrap();
+            let body = read_body(request.into_body(), &HttpLimits::default(), None).await.unwrap();
             match self {
                 Self::Leader(received) => {
                     received.send((path, serde_json::from_slice(&body).unwrap())).unwrap();
