Take responses whose status is none for no answer

Cause: the HTTP library accepts any status from 100 to 999, so that 600, 999 and 101 from a target reached the caller with their stamp. The own path's entry read the body of such a response as an answer. Change: HttpConnection::send fails for a status outside 200 to 599. The gateway counts it as a malformed answer: nothing that it says is recorded, its connection is closed, another attempt follows where that is allowed, and the caller gets 502 otherwise. The own path's entry treats it alike. Conclusion: no such response reaches a caller.

--- a/hickoryspan_entry/src/target_client.rs
+++ b/hickoryspan_entry/src/target_client.rs
@@ -172,7 +172,9 @@
                 let failure = match error {
                     SendError::NotSent(_) => AttemptFailure::NotSent,
                     SendError::ConnectionLost(_) => AttemptFailure::ConnectionLost,
-                    SendError::TooLarge(_) => AttemptFailure::Malformed,
+                    SendError::TooLarge(_) | SendError::InvalidStatus(_) => {
+                        AttemptFailure::Malformed
+                    }
                 };
                 (ConnectionEvent::Failed(attempt, failure), ReuseState::Broken)
             }
--- a/hickoryspan_entry/tests/faults.rs
+++ b/hickoryspan_entry/tests/faults.rs
@@ -78,6 +78,12 @@
 #[case::closed_mid_request(String::new(), "unknown")]
 #[case::malformed(http_answer("200 OK", "{\"status\":\"fine\"}"), "unknown")]
 #[case::no_result(http_answer("200 OK", "{\"status\":\"done\"}"), "unknown")]
+#[case::status_above_all(http_answer("600 Odd", "{\"status\":\"done\",\"result\":1}"), "unknown")]
+#[case::upgrade(
+    http_answer("101 Switching Protocols", "{\"status\":\"done\",\"result\":1}"),
+    "unknown"
+)]
+#[case::status_that_claims_no_run(http_answer("999 Odd", "{\"status\":\"shed\"}"), "unknown")]
 #[case::not_http("nonsense\r\n\r\n".to_owned(), "unknown")]
 #[case::too_large(http_answer("200 OK", &"x".repeat(2 * 1024 * 1024)), "unknown")]
 #[case::shed(http_answer("503 Service Unavailable", "{\"status\":\"shed\"}"), "not_run")]
--- a/hickoryspan_gateway/src/attempt.rs
+++ b/hickoryspan_gateway/src/attempt.rs
@@ -217,6 +217,10 @@
                 spdlog::debug!("answer of {}: more than {} bytes", target.address, bytes);
                 return AttemptResult::Failure(AttemptFailure::Malformed, None);
             }
+            Err(error @ SendError::InvalidStatus(_)) => {
+                spdlog::debug!("answer of {}: {}", target.address, error);
+                return AttemptResult::Failure(AttemptFailure::Malformed, None);
+            }
             Err(error @ SendError::ConnectionLost(_)) => {
                 spdlog::debug!("answer of {}: {}", target.address, error);
                 return AttemptResult::Failure(AttemptFailure::Lost, None);
--- a/hickoryspan_gateway/tests/gateway/main.rs
+++ b/hickoryspan_gateway/tests/gateway/main.rs
@@ -13,6 +13,7 @@
 mod odd_answers;
 mod planned_stop;
 mod scripted_peer;
+mod statuses;
 mod support;
 mod target_limits;
 mod target_notices;
--- a/hickoryspan_runtime/src/http_client.rs
+++ b/hickoryspan_runtime/src/http_client.rs
@@ -4,6 +4,7 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -28,6 +29,9 @@
 const MAX_EXTRA_BYTES: u64 = 512 * 1024;
 /// Largest head of a response, and largest buffer of a connection, in bytes.
 const MAX_BUFFER_BYTES: usize = 64 * 1024;
+/// Statuses of final responses. The HTTP library also accepts 101, after which the connection has another protocol, and
+/// numbers up to 999.
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
 /// First size of the buffer for a body, in bytes.
 const FIRST_BODY_BYTES: usize = 4 * 1024;
 /// Factor by which chunked encoding may enlarge a response.
@@ -126,6 +130,9 @@
     /// The body of the response exceeds this limit in bytes.
     #[error("the answer is larger than {0} bytes")]
     TooLarge(usize),
+    /// The status of the response is not one of a final response. The peer may have run the request.
+    #[error("{0} is not the status of an answer")]
+    InvalidStatus(u16),
 }
 
 /// An open connection, which handles one request at a time. Dropping it closes the connection.
@@ -231,6 +238,9 @@
             Err(error) => return Err(send_error(&self.written, &error)),
         };
         let (parts, body) = response.into_parts();
+        if !FINAL_STATUSES.contains(&parts.status.as_u16()) {
+            return Err(SendError::InvalidStatus(parts.status.as_u16()));
+        }
         let body = collect_response(body, max_response_bytes, charge).await?;
         Ok(HttpAnswer { status: parts.status, headers: parts.headers, body })
     }
