Refuse requests with two hosts or a malformed deadline

Cause: of several Host headers the first one was used, and a deadline such as -1 or 1e99 was taken for none, so that targets got the route's whole timeout. Change: both get 400 and reach no target. A deadline may have a fraction, and one beyond 64 bits counts as the largest; before, both were taken for none. Conclusion: what a caller means is not guessed.

--- a/hickoryspan_gateway/src/forward.rs
+++ b/hickoryspan_gateway/src/forward.rs
@@ -82,7 +82,10 @@
     let (mut parts, body) = request.into_parts();
     let id = parts.headers.get(&state.settings.headers.request).cloned();
     let id_text = id.as_ref().and_then(|value| value.to_str().ok()).unwrap_or("-").to_owned();
-    let deadline = deadline_of(&state, &parts.headers).unwrap_or(DEFAULT_DEADLINE);
+    let Ok(deadline) = deadline_of(&state, &parts.headers) else {
+        return refuse(&state, &id_text, RefusalReason::MalformedDeadline, MIN_RETRY_DELAY);
+    };
+    let deadline = deadline.unwrap_or(DEFAULT_DEADLINE);
     if !await_informed(&state, &parts, deadline.mul_f64(START_PATIENCE)).await {
         return refuse(&state, &id_text, RefusalReason::NoRoom, MIN_RETRY_DELAY);
     }
@@ -144,7 +147,11 @@
     schedule.verdict(now, give_up_at, job.route.repeat, latency) == StopVerdict::Refuse
 }
 
+/// Returns the host that a request is for; `None` if it names none or several.
 fn host_of(parts: &Parts) -> Option<String> {
+    if parts.headers.get_all(HOST).iter().count() > 1 {
+        return None;
+    }
     if let Some(authority) = parts.uri.authority() {
         return Some(authority.host().to_owned());
     }
@@ -208,10 +215,25 @@
     })
 }
 
-/// Returns how long the caller waits, if it says so.
-fn deadline_of(state: &GatewayState, headers: &HeaderMap) -> Option<Duration> {
-    let text = headers.get(&state.settings.headers.deadline)?.to_str().ok()?;
-    text.trim().parse().ok().map(Duration::from_millis)
+/// A caller says how long it waits in a way that is not understood.
+struct MalformedDeadline;
+
+/// Returns how long the caller waits, if it says so: in milliseconds, which may have a fraction. A number that is too large
+/// counts as the largest one.
+fn deadline_of(
+    state: &GatewayState,
+    headers: &HeaderMap,
+) -> Result<Option<Duration>, MalformedDeadline> {
+    let mut values = headers.get_all(&state.settings.headers.deadline).iter();
+    let Some(value) = values.next() else { return Ok(None) };
+    let text = value.to_str().map_err(|_| MalformedDeadline)?.trim();
+    let (whole, fraction) = text.split_once('.').unwrap_or((text, "0"));
+    let is_number = |digits: &str| !digits.is_empty() && digits.bytes().all(|b| b.is_ascii_digit());
+    if values.next().is_some() || !is_number(whole) || !is_number(fraction) {
+        return Err(MalformedDeadline);
+    }
+    // Only a number that is too large is left to fail.
+    Ok(Some(Duration::from_millis(whole.parse().unwrap_or(u64::MAX))))
 }
 
 /// The route of a request and the version of the configuration that contains it.
@@ -230,7 +252,8 @@
     received_at: MonotonicTime,
 ) -> GatewayJob {
     let RoutedBy { route, version } = routed_by;
-    let timeout = deadline_of(state, &parts.headers).map_or(route.timeout, |deadline| {
+    let deadline = deadline_of(state, &parts.headers).ok().flatten();
+    let timeout = deadline.map_or(route.timeout, |deadline| {
         deadline.saturating_sub(RESPONSE_MARGIN).min(route.timeout)
     });
     let target_path =
--- a/hickoryspan_gateway/src/refusal.rs
+++ b/hickoryspan_gateway/src/refusal.rs
@@ -23,6 +23,7 @@
 pub(crate) enum RefusalReason {
     NoConfiguration,
     NoHost,
+    MalformedDeadline,
     NoRoute,
     UnknownKey,
     BodyTooLarge,
@@ -44,6 +45,7 @@
         match self {
             Self::NoConfiguration => "no_configuration",
             Self::NoHost => "no_host",
+            Self::MalformedDeadline => "malformed_deadline",
             Self::NoRoute => "no_route",
             Self::UnknownKey => "unknown_key",
             Self::BodyTooLarge => "body_too_large",
@@ -70,7 +72,9 @@
             | Self::NoRoom
             | Self::Stopping
             | Self::Poisoned => StatusCode::SERVICE_UNAVAILABLE,
-            Self::NoHost | Self::BodyIncomplete => StatusCode::BAD_REQUEST,
+            Self::NoHost | Self::MalformedDeadline | Self::BodyIncomplete => {
+                StatusCode::BAD_REQUEST
+            }
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
--- a/hickoryspan_gateway/tests/gateway/main.rs
+++ b/hickoryspan_gateway/tests/gateway/main.rs
@@ -11,6 +11,7 @@
 mod half_sent_heads;
 mod last_check;
 mod odd_answers;
+mod odd_requests;
 mod planned_stop;
 mod scripted_peer;
 mod statuses;
