--- a/hickoryspan_gateway/src/attempt.rs
+++ b/hickoryspan_gateway/src/attempt.rs
@@ -11,6 +11,7 @@
 use hickoryspan_core::gateway::targets::outcomes::{AttemptFailure, AttemptOutcome};
 use hickoryspan_core::gateway::targets::selection::ChosenTarget;
 use hickoryspan_core::types::{MonotonicTime, RequestFingerprint, ServiceId};
+use hickoryspan_runtime::caller_budget::RequestCharge;
 use hickoryspan_runtime::http_client::{HttpAnswer, SendError};
 use http::{HeaderMap, HeaderValue, Method, Request};
 use http_body_util::Full;
@@ -57,6 +58,8 @@
     /// Whether the configuration by which the request was accepted names accounts. Otherwise its headers are as the
     /// caller sent them and may contain a key.
     pub(crate) keys_checked: bool,
+    /// What the request occupies on this entry; `None` if another entry has the caller.
+    pub(crate) charge: Option<Arc<RequestCharge>>,
     /// Version of the configuration by which the route was chosen.
     pub(crate) version: DocumentVersion,
     pub(crate) received_at: MonotonicTime,
@@ -220,7 +223,8 @@
                 return AttemptResult::Failure(AttemptFailure::Unreachable, None);
             }
         };
-        let sent = pooled.connection.send(request, state.settings.answer_bytes).await;
+        let (bytes, charge) = (state.settings.answer_bytes, job.charge.as_deref());
+        let sent = pooled.connection.send_charged(request, bytes, charge).await;
         match sent {
             Ok(answer) => return classify_answer(state, job, target, pooled, answer),
             // The target closed an idle connection before the request was written to it.
@@ -233,6 +237,10 @@
                 spdlog::debug!("answer of {}: more than {} bytes", target.address, bytes);
                 return AttemptResult::Failure(AttemptFailure::Malformed, None);
             }
+            Err(error @ SendError::InvalidStatus(_)) => {
+                spdlog::debug!("answer of {}: {}", target.address, error);
+                return AttemptResult::Failure(AttemptFailure::Malformed, None);
+            }
             Err(error @ SendError::ConnectionLost(_)) => {
                 spdlog::debug!("answer of {}: {}", target.address, error);
                 return AttemptResult::Failure(AttemptFailure::Lost, None);
