Split the target selection by concern

Cause: selection.rs held the observations of a target, its cost, the limits of targets and the selector in 651 lines, and a second way to choose would have gone into the same file. Change: target_state.rs, target_cost.rs and selection_limits.rs hold the first three; selection.rs keeps the settings and the selector. The code is moved, not changed.

--- a/hickoryspan_core/src/gateway/targets/mod.rs
+++ b/hickoryspan_core/src/gateway/targets/mod.rs
@@ -6,5 +6,8 @@
 pub mod outcomes;
 pub mod poison;
 pub mod selection;
+mod selection_limits;
 pub mod send_check;
+mod target_cost;
 pub mod target_notices;
+mod target_state;
--- a/hickoryspan_core/src/gateway/targets/selection.rs
+++ b/hickoryspan_core/src/gateway/targets/selection.rs
@@ -12,6 +12,7 @@
 use super::outcomes::{AttemptFailure, AttemptOutcome, ReportedLoad};
 use super::send_check::SendBarrier;
 use super::target_notices::NoticeTable;
+use super::target_state::TargetState;
 use crate::gateway::admission::limit_gate::LimitGate;
 use crate::types::{FailureDomain, MonotonicTime, ServiceId, TargetId, WallTime};
 
@@ -53,25 +54,8 @@
     }
 }
 
-/// Weight of a new observation in the moving averages.
-const OBSERVATION_WEIGHT: f64 = 0.25;
-/// Cost of an expected failure, relative to the cost of the work itself.
-const FAILURE_COST: f64 = 8.0;
-/// Cost factor for a target that has left a request unanswered.
-const OVERDUE_FACTOR: f64 = 20.0;
-/// Lower bound of a route's median latency in seconds, which bounds the relative latency.
-const MIN_MEDIAN_SECONDS: f64 = 1e-4;
-/// Largest number of doublings of a back-off or an ejection. More would only overflow.
-const MAX_DOUBLINGS: u32 = 8;
 /// Queued requests per slot up to which a target is used for a hedge.
 const MAX_HEDGE_QUEUE: f64 = 2.0;
-/// Smallest relative latency that is expected of a target.
-const MIN_RELATIVE_LATENCY: f64 = 0.2;
-/// Cost of each busy slot, relative to the work, because a busy slot may still be busy for a moment
-/// when the next request arrives.
-const SHARING_COST: f64 = 0.25;
-/// Largest relative latency that a single observation counts as.
-const MAX_RELATIVE_LATENCY: f64 = 30.0;
 
 /// A selected target.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -91,126 +75,18 @@
     }
 }
 
-#[derive(Clone, Debug)]
-struct TargetState {
-    announcement: TargetAnnouncement,
-    cold_until: MonotonicTime,
-    in_flight: u32,
-    // Moving average of the latency divided by the route's median latency.
-    relative_latency: f64,
-    failure_rate: f64,
-    observed_at: MonotonicTime,
-    failures: u32,
-    ejections: u32,
-    ejected_until: MonotonicTime,
-    overdue_until: MonotonicTime,
-    overdue_count: u32,
-    load: Option<ReportedLoad>,
-    load_at: MonotonicTime,
-}
-
-impl TargetState {
-    fn new(now: MonotonicTime, announcement: TargetAnnouncement) -> Self {
-        let cold_until = now + announcement.cold;
-        Self {
-            announcement,
-            cold_until,
-            in_flight: 0,
-            relative_latency: 1.0,
-            failure_rate: 0.0,
-            observed_at: now,
-            failures: 0,
-            ejections: 0,
-            ejected_until: MonotonicTime(0),
-            overdue_until: MonotonicTime(0),
-            overdue_count: 0,
-            load: None,
-            load_at: now,
-        }
-    }
-
-    fn decay(&self, now: MonotonicTime, half_life: Duration) -> f64 {
-        0.5_f64.powf(now.since(self.observed_at).as_secs_f64() / half_life.as_secs_f64())
-    }
-
-    fn observe(&mut self, now: MonotonicTime, settings: &SelectionSettings, failed: bool) {
-        let decay = self.decay(now, settings.half_life);
-        self.relative_latency = 1.0 + (self.relative_latency - 1.0) * decay;
-        let rate = self.failure_rate * decay;
-        let sample = if failed { 1.0 } else { 0.0 };
-        self.failure_rate = rate + (sample - rate) * OBSERVATION_WEIGHT;
-        self.observed_at = now;
-    }
-
-    fn process(&self) -> TargetProcess {
-        let TargetAnnouncement { target, age, .. } = &self.announcement;
-        TargetProcess { target: target.clone(), started: age.started }
-    }
-
-    fn is_usable(&self) -> bool {
-        self.announcement.phase == TargetPhase::Ready
-    }
-
-    /// Returns the expected latency, relative to the median latency of the same route.
-    fn expected_latency(&self, now: MonotonicTime, settings: &SelectionSettings) -> f64 {
-        let decay = self.decay(now, settings.half_life);
-        let relative_latency = 1.0 + (self.relative_latency - 1.0) * decay;
-        let load = self.load.filter(|_| now.since(self.load_at) < settings.load_lifetime);
-        let reported_latency =
-            load.map_or(1.0, |load| f64::from(load.latency_percent.max(100)) / 100.0);
-        // The report includes the request whose response carried it.
-        let reported =
-            load.map_or(0, |load| load.running.saturating_add(load.waiting).saturating_sub(1));
-        let ahead = f64::from(self.in_flight.max(reported));
-        let slots = f64::from(self.announcement.slots.max(1));
-        let waiting = (ahead + 1.0 - slots).max(0.0) / slots;
-        let sharing = SHARING_COST * ahead / slots;
-        let mut expected = relative_latency.max(reported_latency).max(MIN_RELATIVE_LATENCY)
-            * (1.0 + waiting + sharing);
-        if self.cold_until > now {
-            expected *= settings.cold_factor;
-        }
-        expected
-    }
-
-    /// Returns the queued requests per slot, or zero without a recent report.
-    fn queue(&self, now: MonotonicTime, settings: &SelectionSettings) -> f64 {
-        let load = self.load.filter(|_| now.since(self.load_at) < settings.load_lifetime);
-        let slots = f64::from(self.announcement.slots.max(1));
-        load.map_or(0.0, |load| f64::from(load.waiting) / slots)
-    }
-
-    fn cost(
-        &self,
-        now: MonotonicTime,
-        settings: &SelectionSettings,
-        domain: &FailureDomain,
-    ) -> f64 {
-        let decay = self.decay(now, settings.half_life);
-        let mut cost = self.expected_latency(now, settings);
-        cost *= 1.0 + FAILURE_COST * self.failure_rate * decay;
-        if self.announcement.domain != *domain {
-            cost *= settings.remote_factor;
-        }
-        if self.overdue_until > now {
-            cost *= OVERDUE_FACTOR;
-        }
-        cost
-    }
-}
-
 /// All targets and what this entry has observed of them.
 #[derive(Debug)]
 pub struct TargetSelector {
     settings: SelectionSettings,
     domain: FailureDomain,
-    generator: ChaCha12Rng,
-    targets: HashMap<TargetId, TargetState>,
-    by_service: BTreeMap<ServiceId, Vec<TargetId>>,
+    pub(super) generator: ChaCha12Rng,
+    pub(super) targets: HashMap<TargetId, TargetState>,
+    pub(super) by_service: BTreeMap<ServiceId, Vec<TargetId>>,
     // Shortest queues by service, as reported by other entries that send to the service.
     queues: HashMap<ServiceId, ReportedQueue>,
-    limits: LimitGate,
-    notices: NoticeTable,
+    pub(super) limits: LimitGate,
+    pub(super) notices: NoticeTable,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -283,74 +159,12 @@
         self.states(service).filter(|state| self.is_open(now, state)).count()
     }
 
-    fn is_open(&self, now: MonotonicTime, state: &TargetState) -> bool {
+    pub(super) fn is_open(&self, now: MonotonicTime, state: &TargetState) -> bool {
         state.is_usable()
             && (self.notices.is_empty()
                 || self.notices.admits(now, &state.process(), state.in_flight))
     }
 
-    /// Returns the limits of the targets.
-    pub fn limits(&self) -> &LimitGate {
-        &self.limits
-    }
-
-    /// Returns the limits of the targets, to record what was heard of them.
-    pub fn limits_mut(&mut self) -> &mut LimitGate {
-        &mut self.limits
-    }
-
-    /// Returns the services that have a limited target.
-    pub fn limited_services(&self) -> BTreeSet<&ServiceId> {
-        let states = self.limits.table.limited().filter_map(|process| self.find(process));
-        states.map(|state| &state.announcement.service).collect()
-    }
-
-    fn find(&self, process: &TargetProcess) -> Option<&TargetState> {
-        let state = self.targets.get(&process.target)?;
-        (state.announcement.age.started == process.started).then_some(state)
-    }
-
-    /// Counts a request for a service if any of its targets is limited.
-    pub fn note_request(&mut self, now: MonotonicTime, service: &ServiceId) {
-        if self.states(service).any(|state| self.is_limited(state)) {
-            self.limits.note_request(now, service);
-        }
-    }
-
-    /// Forgets the limits of targets that are gone and the demand for services without a limited target.
-    pub fn sweep_limits(&mut self, now: MonotonicTime) {
-        if !self.limits.is_active() {
-            return;
-        }
-        let limited: BTreeSet<ServiceId> = self.limited_services().into_iter().cloned().collect();
-        let mut limits = std::mem::take(&mut self.limits);
-        let is_known = |process: &TargetProcess| self.find(process).is_some();
-        limits.retain(now, is_known, |service| limited.contains(service));
-        self.limits = limits;
-    }
-
-    /// Returns whether a request may be sent to any usable target of a service now.
-    pub fn has_permitted_target(&mut self, now: MonotonicTime, service: &ServiceId) -> bool {
-        !self.limits.is_active() || !self.permitted(now, service).is_empty()
-    }
-
-    /// Returns the usable targets of a service to which a request may be sent now.
-    fn permitted(&mut self, now: MonotonicTime, service: &ServiceId) -> Vec<TargetId> {
-        let share = self.limits.share(now, service);
-        let mut permitted = Vec::new();
-        for target in self.by_service.get(service).into_iter().flatten() {
-            let Some(state) = self.targets.get(target) else { continue };
-            if !self.is_open(now, state) {
-                continue;
-            }
-            let draw = self.generator.random();
-            if self.limits.has_permit(now, &state.process(), share, draw) {
-                permitted.push(target.clone());
-            }
-        }
-        permitted
-    }
-
     /// Adds or updates a target. Observations are discarded if its process, address or service has
     /// changed.
     pub fn put(&mut self, now: MonotonicTime, announcement: TargetAnnouncement) {
@@ -406,7 +220,7 @@
         usable.map(|state| &state.announcement.domain).collect()
     }
 
-    fn states(&self, service: &ServiceId) -> impl Iterator<Item = &TargetState> {
+    pub(super) fn states(&self, service: &ServiceId) -> impl Iterator<Item = &TargetState> {
         let targets = self.by_service.get(service).into_iter().flatten();
         targets.filter_map(|target| self.targets.get(target))
     }
@@ -522,7 +336,7 @@
         })
     }
 
-    fn is_limited(&self, state: &TargetState) -> bool {
+    pub(super) fn is_limited(&self, state: &TargetState) -> bool {
         self.limits.is_active() && self.limits.table.find(&state.process()).is_some()
     }
 
@@ -601,51 +415,3 @@
         }
     }
 }
-
-impl TargetState {
-    fn back_off(&mut self, now: MonotonicTime, settings: &SelectionSettings) {
-        // Requests that were sent before the back-off started carry no new information.
-        if self.overdue_until > now {
-            return;
-        }
-        let doubled = settings.overdue_backoff * 2_u32.pow(self.overdue_count.min(MAX_DOUBLINGS));
-        self.overdue_until = now + doubled.min(settings.eject_max);
-        self.overdue_count += 1;
-    }
-
-    fn observe_latency(
-        &mut self,
-        now: MonotonicTime,
-        settings: &SelectionSettings,
-        latency: Duration,
-        median: Duration,
-    ) {
-        self.observe(now, settings, false);
-        let relative_latency = latency.as_secs_f64() / median.as_secs_f64().max(MIN_MEDIAN_SECONDS);
-        self.relative_latency += (relative_latency.min(MAX_RELATIVE_LATENCY)
-            - self.relative_latency)
-            * OBSERVATION_WEIGHT;
-    }
-
-    fn note_failure(
-        &mut self,
-        now: MonotonicTime,
-        settings: &SelectionSettings,
-        failure: AttemptFailure,
-    ) {
-        self.observe(now, settings, true);
-        if failure == AttemptFailure::Timeout {
-            self.back_off(now, settings);
-        }
-        self.failures += 1;
-        let certain = matches!(failure, AttemptFailure::Unreachable | AttemptFailure::OtherTarget);
-        if self.failures < settings.eject_after && !certain {
-            return;
-        }
-        let doubled = settings.eject_min * 2_u32.pow(self.ejections.min(MAX_DOUBLINGS));
-        self.ejected_until = now + doubled.min(settings.eject_max);
-        self.ejections += 1;
-        // After the ejection, the next result decides: a single failure ejects the target again.
-        self.failures = settings.eject_after.saturating_sub(1);
-    }
-}
