Choose targets by expected work, off by default

Cause: the selection counts requests, so that a light request waits behind a heavy one and one heavy answer makes its target look slow for six seconds. Change: with TargetPolicy::ExpectedWork the selector estimates the work of a request by account, size and content (cost_model), keeps what each target still has to do and its speed (work_left) and takes the earliest expected completion (work_choice). A hedge is withheld if no other target would be done sooner. The gateway does not use it yet; the default policy and its order of random draws are unchanged.

--- a/hickoryspan_core/src/gateway/targets/mod.rs
+++ b/hickoryspan_core/src/gateway/targets/mod.rs
@@ -1,5 +1,6 @@
 //! Targets: which exist and live, what they say of themselves, which one gets a request, and which requests crash them.
 
+pub mod cost_model;
 pub mod directory;
 pub mod liveness;
 pub mod loss_witness;
@@ -11,3 +12,5 @@
 mod target_cost;
 pub mod target_notices;
 mod target_state;
+pub mod work_choice;
+pub mod work_left;
--- a/hickoryspan_core/src/gateway/targets/selection.rs
+++ b/hickoryspan_core/src/gateway/targets/selection.rs
@@ -2,23 +2,72 @@
 //! targets report.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::fmt;
 use std::net::SocketAddr;
+use std::str::FromStr;
 use std::time::Duration;
 
 use rand::RngExt;
 use rand_chacha::ChaCha12Rng;
 
+use super::cost_model::{CostModel, WorkEstimate};
 use super::directory::{TargetAnnouncement, TargetPhase, TargetProcess};
 use super::outcomes::{AttemptFailure, AttemptOutcome, ReportedLoad};
 use super::send_check::SendBarrier;
 use super::target_notices::NoticeTable;
 use super::target_state::TargetState;
+use super::work_choice::{ChoiceReason, ExpectedCompletion, WorkPlacement};
+use super::work_left::{AssumedLoad, ExpectedStart, WorkTicket};
 use crate::gateway::admission::limit_gate::LimitGate;
 use crate::types::{FailureDomain, MonotonicTime, ServiceId, TargetId, WallTime};
 
+/// By what targets are compared.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum TargetPolicy {
+    /// Recent latency relative to the route's median, and the number of requests in flight.
+    #[default]
+    Latency,
+    /// When each target is expected to have done the request: its expected work, the work that is left on the target and
+    /// the target's speed.
+    ExpectedWork,
+}
+
+impl TargetPolicy {
+    /// Returns the name used in settings and logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Latency => "latency",
+            Self::ExpectedWork => "expected-work",
+        }
+    }
+}
+
+impl fmt::Display for TargetPolicy {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(self.as_str())
+    }
+}
+
+/// A text names no policy.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("target policy {0:?}: expected latency or expected-work")]
+pub struct PolicyError(String);
+
+impl FromStr for TargetPolicy {
+    type Err = PolicyError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let known = [Self::Latency, Self::ExpectedWork];
+        let policy = known.into_iter().find(|policy| policy.as_str() == text);
+        policy.ok_or_else(|| PolicyError(text.to_owned()))
+    }
+}
+
 /// Settings of the target selection.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct SelectionSettings {
+    /// By what targets are compared.
+    pub policy: TargetPolicy,
     /// Time after which the observations of a target lose half of their weight.
     pub half_life: Duration,
     /// How long an unanswered request keeps other requests away from a target. The time doubles
@@ -42,6 +91,7 @@
 impl Default for SelectionSettings {
     fn default() -> Self {
         Self {
+            policy: TargetPolicy::default(),
             half_life: Duration::from_secs(6),
             overdue_backoff: Duration::from_millis(150),
             eject_after: 3,
@@ -78,8 +128,8 @@
 /// All targets and what this entry has observed of them.
 #[derive(Debug)]
 pub struct TargetSelector {
-    settings: SelectionSettings,
-    domain: FailureDomain,
+    pub(super) settings: SelectionSettings,
+    pub(super) domain: FailureDomain,
     pub(super) generator: ChaCha12Rng,
     pub(super) targets: HashMap<TargetId, TargetState>,
     pub(super) by_service: BTreeMap<ServiceId, Vec<TargetId>>,
@@ -87,6 +137,31 @@
     queues: HashMap<ServiceId, ReportedQueue>,
     pub(super) limits: LimitGate,
     pub(super) notices: NoticeTable,
+    pub(super) costs: CostModel,
+    next_ticket: u64,
+}
+
+/// A selected target, and what was expected of the request there if targets are compared by work.
+#[derive(Clone, Debug, PartialEq)]
+pub struct PlacedRequest {
+    /// The target.
+    pub target: ChosenTarget,
+    /// What was expected.
+    pub placement: Option<WorkPlacement>,
+}
+
+/// A target that a request may be sent to, with its cost.
+struct RatedTarget {
+    target: TargetId,
+    cost: f64,
+    completion: Option<ExpectedCompletion>,
+}
+
+/// The best target for a request.
+struct Candidate {
+    target: TargetId,
+    completion: Option<ExpectedCompletion>,
+    reason: ChoiceReason,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -107,6 +182,8 @@
             queues: HashMap::new(),
             limits: LimitGate::default(),
             notices: NoticeTable::default(),
+            costs: CostModel::default(),
+            next_ticket: 0,
         }
     }
 
@@ -233,12 +310,33 @@
         service: &ServiceId,
         tried: &[TargetId],
     ) -> Option<ChosenTarget> {
-        let chosen = self.find_best(now, service, tried)?;
+        self.choose_placed(now, service, tried, None).map(|placed| placed.target)
+    }
+
+    /// Selects a target like [`Self::choose`], by the expected work of the request if it is given.
+    pub fn choose_placed(
+        &mut self,
+        now: MonotonicTime,
+        service: &ServiceId,
+        tried: &[TargetId],
+        estimate: Option<&WorkEstimate>,
+    ) -> Option<PlacedRequest> {
+        let Candidate { target: chosen, completion, reason } =
+            self.find_best(now, service, tried, estimate)?;
+        let ticket = WorkTicket(self.next_ticket);
+        self.next_ticket += 1;
         let state = self.targets.get_mut(&chosen)?;
         state.in_flight += 1;
         self.limits.take_permit(&state.process());
         let TargetAnnouncement { address, age, .. } = &state.announcement;
-        Some(ChosenTarget { target: chosen, address: *address, started: age.started })
+        let target = ChosenTarget { target: chosen, address: *address, started: age.started };
+        let placement = completion.zip(estimate).map(|(completion, estimate)| {
+            let knowledge = state.work.knowledge(now, state.announcement.slots);
+            let start = ExpectedStart { wait: completion.wait, knowledge };
+            state.work.note_sent(now, ticket, estimate, start);
+            WorkPlacement { ticket, completion, reason }
+        });
+        Some(PlacedRequest { target, placement })
     }
 
     fn find_best(
@@ -246,7 +344,8 @@
         now: MonotonicTime,
         service: &ServiceId,
         tried: &[TargetId],
-    ) -> Option<TargetId> {
+        estimate: Option<&WorkEstimate>,
+    ) -> Option<Candidate> {
         let permitted = self.limits.is_active().then(|| self.permitted(now, service));
         let is_permitted =
             |target: &TargetId| permitted.as_ref().is_none_or(|known| known.contains(target));
@@ -255,25 +354,42 @@
             self.is_open(now, state) && !tried.contains(target) && is_permitted(target)
         };
         let healthy = self.states(service).filter(untried).any(|state| state.ejected_until <= now);
-        let costs: Vec<(TargetId, f64)> = self
+        let candidates: Vec<RatedTarget> = self
             .states(service)
             .filter(untried)
             // If all targets are ejected, the fault may be on this side, so all of them are used.
             .filter(|state| !healthy || state.ejected_until <= now)
-            .map(|state| {
-                let cost = state.cost(now, &self.settings, &self.domain);
-                (state.announcement.target.clone(), cost)
-            })
+            .map(|state| self.rate(now, state, estimate))
             .collect();
-        let mut best: Option<(TargetId, f64)> = None;
-        for (target, cost) in costs {
+        let mut rated: Vec<RatedTarget> = Vec::with_capacity(candidates.len());
+        for candidate in candidates {
             // A random factor spreads requests over targets with equal cost.
-            let cost = cost * (1.0 + self.generator.random::<f64>() * 0.1);
-            if best.as_ref().is_none_or(|(_, lowest)| cost < *lowest) {
-                best = Some((target, cost));
-            }
+            let cost = candidate.cost * (1.0 + self.generator.random::<f64>() * 0.1);
+            rated.push(RatedTarget { cost, ..candidate });
         }
-        best.map(|(target, _)| target)
+        rated.sort_by(|left, right| left.cost.total_cmp(&right.cost));
+        let completions: Vec<ExpectedCompletion> =
+            rated.iter().filter_map(|rated| rated.completion).take(2).collect();
+        let best = rated.into_iter().next()?;
+        let reason = ChoiceReason::of(&completions);
+        Some(Candidate { target: best.target, completion: best.completion, reason })
+    }
+
+    fn rate(
+        &self,
+        now: MonotonicTime,
+        state: &TargetState,
+        estimate: Option<&WorkEstimate>,
+    ) -> RatedTarget {
+        let target = state.announcement.target.clone();
+        let completion = estimate.map(|estimate| {
+            state.completion(now, &self.settings, &self.domain, estimate, AssumedLoad::Usual)
+        });
+        let cost = match &completion {
+            Some(completion) => completion.cost(),
+            None => state.cost(now, &self.settings, &self.domain),
+        };
+        RatedTarget { target, cost, completion }
     }
 
     /// Releases a selected target to which no request was sent.
@@ -400,6 +516,7 @@
         let Some(state) = self.targets.get_mut(target) else { return };
         state.load = Some(load);
         state.load_at = now;
+        state.work.note_load(now, load);
     }
 
     /// Returns whether other requests are kept away from a target that has left one unanswered.
--- a/hickoryspan_core/src/gateway/targets/target_cost.rs
+++ b/hickoryspan_core/src/gateway/targets/target_cost.rs
@@ -1,5 +1,6 @@
 //! The cost of sending a request to one target: its expected latency, increased by what speaks against it.
 
+use super::outcomes::ReportedLoad;
 use super::selection::SelectionSettings;
 use super::target_state::TargetState;
 use crate::types::{FailureDomain, MonotonicTime};
@@ -19,9 +20,8 @@
     fn expected_latency(&self, now: MonotonicTime, settings: &SelectionSettings) -> f64 {
         let decay = self.decay(now, settings.half_life);
         let relative_latency = 1.0 + (self.relative_latency - 1.0) * decay;
-        let load = self.load.filter(|_| now.since(self.load_at) < settings.load_lifetime);
-        let reported_latency =
-            load.map_or(1.0, |load| f64::from(load.latency_percent.max(100)) / 100.0);
+        let load = self.recent_load(now, settings);
+        let reported_latency = self.reported_latency(now, settings);
         // The report includes the request whose response carried it.
         let reported =
             load.map_or(0, |load| load.running.saturating_add(load.waiting).saturating_sub(1));
@@ -29,17 +29,32 @@
         let slots = f64::from(self.announcement.slots.max(1));
         let waiting = (ahead + 1.0 - slots).max(0.0) / slots;
         let sharing = SHARING_COST * ahead / slots;
-        let mut expected = relative_latency.max(reported_latency).max(MIN_RELATIVE_LATENCY)
-            * (1.0 + waiting + sharing);
-        if self.cold_until > now {
-            expected *= settings.cold_factor;
-        }
-        expected
+        relative_latency.max(reported_latency).max(MIN_RELATIVE_LATENCY)
+            * (1.0 + waiting + sharing)
+            * self.cold_factor(now, settings)
+    }
+
+    fn recent_load(
+        &self,
+        now: MonotonicTime,
+        settings: &SelectionSettings,
+    ) -> Option<ReportedLoad> {
+        self.load.filter(|_| now.since(self.load_at) < settings.load_lifetime)
+    }
+
+    /// Returns the time that work takes on the target's host by its own report, relative to the usual time.
+    pub(super) fn reported_latency(&self, now: MonotonicTime, settings: &SelectionSettings) -> f64 {
+        let load = self.recent_load(now, settings);
+        load.map_or(1.0, |load| f64::from(load.latency_percent.max(100)) / 100.0)
+    }
+
+    pub(super) fn cold_factor(&self, now: MonotonicTime, settings: &SelectionSettings) -> f64 {
+        if self.cold_until > now { settings.cold_factor } else { 1.0 }
     }
 
     /// Returns the queued requests per slot, or zero without a recent report.
     pub(super) fn queue(&self, now: MonotonicTime, settings: &SelectionSettings) -> f64 {
-        let load = self.load.filter(|_| now.since(self.load_at) < settings.load_lifetime);
+        let load = self.recent_load(now, settings);
         let slots = f64::from(self.announcement.slots.max(1));
         load.map_or(0.0, |load| f64::from(load.waiting) / slots)
     }
@@ -49,16 +64,25 @@
         now: MonotonicTime,
         settings: &SelectionSettings,
         domain: &FailureDomain,
+    ) -> f64 {
+        self.expected_latency(now, settings) * self.aversion(now, settings, domain)
+    }
+
+    /// Returns the factor for what speaks against the target besides its latency.
+    pub(super) fn aversion(
+        &self,
+        now: MonotonicTime,
+        settings: &SelectionSettings,
+        domain: &FailureDomain,
     ) -> f64 {
         let decay = self.decay(now, settings.half_life);
-        let mut cost = self.expected_latency(now, settings);
-        cost *= 1.0 + FAILURE_COST * self.failure_rate * decay;
+        let mut aversion = 1.0 + FAILURE_COST * self.failure_rate * decay;
         if self.announcement.domain != *domain {
-            cost *= settings.remote_factor;
+            aversion *= settings.remote_factor;
         }
         if self.overdue_until > now {
-            cost *= OVERDUE_FACTOR;
+            aversion *= OVERDUE_FACTOR;
         }
-        cost
+        aversion
     }
 }
--- a/hickoryspan_core/src/gateway/targets/target_state.rs
+++ b/hickoryspan_core/src/gateway/targets/target_state.rs
@@ -5,6 +5,7 @@
 use super::directory::{TargetAnnouncement, TargetPhase, TargetProcess};
 use super::outcomes::{AttemptFailure, ReportedLoad};
 use super::selection::SelectionSettings;
+use super::work_left::TargetWork;
 use crate::types::MonotonicTime;
 
 /// Weight of a new observation in the moving averages.
@@ -32,6 +33,7 @@
     pub(super) overdue_count: u32,
     pub(super) load: Option<ReportedLoad>,
     pub(super) load_at: MonotonicTime,
+    pub(super) work: TargetWork,
 }
 
 impl TargetState {
@@ -51,6 +53,7 @@
             overdue_count: 0,
             load: None,
             load_at: now,
+            work: TargetWork::new(now),
         }
     }
 
