Let entries choose targets by expected work

Cause: the selector knows the policy, but no request states its work, and no setting switches it on. Change: an entry estimates each request once, places every attempt by the estimate and reports its end. A hedge that would not pay is considered again after a quarter of its delay. The line request outcome and four metrics say what was expected. An attempt whose run ends before its first poll is now reported to the selector too; before, it stayed in flight for good.

--- a/hickoryspan_core/src/gateway/fanouts/fanout.rs
+++ b/hickoryspan_core/src/gateway/fanouts/fanout.rs
@@ -5,6 +5,11 @@
 
 use crate::types::MonotonicTime;
 
+/// How often a hedge that would not pay is considered again within one hedge delay.
+const HEDGE_CHECKS: u32 = 4;
+/// Shortest time between two such checks, because each takes processor time.
+const MIN_HEDGE_CHECK: Duration = Duration::from_millis(2);
+
 /// Index of a shard in its route's list.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ShardIndex(pub usize);
@@ -133,6 +138,13 @@
         self.shards[shard.0].hedge_at = Some(now + self.settings.hedge_after);
     }
 
+    /// Postpones the hedge of a shard by a part of the hedge delay, because no other target would be done sooner. That
+    /// changes as soon as the present one is late.
+    pub fn reconsider_hedge(&mut self, now: MonotonicTime, shard: ShardIndex) {
+        let delay = self.settings.hedge_after / HEDGE_CHECKS;
+        self.shards[shard.0].hedge_at = Some(now + delay.max(MIN_HEDGE_CHECK));
+    }
+
     /// Records that the retry budget refuses the hedge of a shard. It is tried again while a target asked then could still
     /// answer in time, because its first target may never answer.
     pub fn note_hedge_refused(&mut self, now: MonotonicTime, shard: ShardIndex) {
--- a/hickoryspan_core/tests/gateway_gather.rs
+++ b/hickoryspan_core/tests/gateway_gather.rs
@@ -72,6 +72,17 @@
     assert_eq!(launch_all(&mut machine, at(20)), [(ShardIndex(0), LaunchReason::Hedge)]);
 }
 
+/// Guards against a hedge that is withheld for a whole delay although it pays a moment later.
+#[test]
+fn a_hedge_that_does_not_pay_yet_is_considered_again_soon() {
+    let mut machine = FanoutMachine::new(settings(1, 1));
+    launch_all(&mut machine, at(0));
+    machine.reconsider_hedge(at(10), ShardIndex(0));
+    let FanoutStep::Wait(until) = machine.next_step(at(10)) else { panic!("nothing is due") };
+    assert!(at(11) < until && until <= at(13), "{until}");
+    assert_eq!(machine.next_step(until), FanoutStep::Launch(ShardIndex(0), LaunchReason::Hedge));
+}
+
 /// Guards against requests that wait for a silent target until their deadline because the retry budget was used up for a
 /// moment.
 #[test]
--- a/hickoryspan_gateway/src/attempt.rs
+++ b/hickoryspan_gateway/src/attempt.rs
@@ -15,6 +15,7 @@
 use http::{HeaderMap, HeaderValue, Method, Request};
 use http_body_util::Full;
 
+use crate::expected_work::AttemptWork;
 use crate::forward::ConnectionPosition;
 use crate::gateway_state::GatewayState;
 use crate::target_answer::classify_answer;
@@ -116,6 +117,7 @@
     state: Arc<GatewayState>,
     job: Arc<GatewayJob>,
     target: ChosenTarget,
+    work: Option<AttemptWork>,
     started_at: MonotonicTime,
     outcome: Option<AttemptOutcome>,
 }
@@ -127,45 +129,57 @@
         let mut decisions = self.state.decisions();
         let median = decisions.route_latency(&self.job.route).median;
         let outcome = self.outcome.unwrap_or(AttemptOutcome::Cancelled(elapsed));
-        decisions.selector.finish(now, &self.target.target, outcome, median);
+        let target = &self.target.target;
+        if let Some(AttemptWork { ticket, traits }) = &self.work {
+            decisions.selector.end_work(now, target, *ticket, traits, Some(outcome));
+        }
+        decisions.selector.finish(now, target, outcome, median);
     }
 }
 
-/// Runs one attempt, which was decided on at `launched_at`. Dropping the future closes the connection, upon which the target stops the work.
-pub(crate) async fn run_attempt(
+/// Returns the run of one attempt, which was decided on at `launched_at`. Dropping the future closes the connection, upon
+/// which the target stops the work. The selector learns of the end also if the future is dropped before it starts.
+pub(crate) fn run_attempt(
     state: Arc<GatewayState>,
     job: Arc<GatewayJob>,
     service: ServiceId,
     shard: ShardIndex,
     target: ChosenTarget,
+    work: Option<AttemptWork>,
     launched_at: MonotonicTime,
-) -> AttemptReport {
-    let started_at = state.now();
-    let start_delay = started_at.since(launched_at);
-    let mut guard = AttemptGuard {
-        state: Arc::clone(&state),
-        job: Arc::clone(&job),
-        target: target.clone(),
-        started_at,
-        outcome: None,
-    };
-    let mut connected_at = None;
-    let result = exchange(&state, &job, &service, &target, &mut connected_at).await;
-    let now = state.now();
-    guard.outcome = Some(match &result {
-        AttemptResult::Answer(_) => AttemptOutcome::Success(now.since(started_at)),
-        AttemptResult::Failure(failure, _) => AttemptOutcome::Failure(*failure),
-    });
-    if let AttemptResult::Answer(_) = &result {
-        let mut decisions = state.decisions();
-        decisions.record_latency(&job.route, now.since(started_at));
-        decisions.selector.note_served(now, &target);
-        if let Some(connected_at) = connected_at.filter(|_| decisions.poison.has_crashes()) {
-            decisions.poison.note_response(&target.process(), connected_at, started_at);
+) -> impl Future<Output = AttemptReport> + Send {
+    let mut guard =
+        AttemptGuard { state, job, target, work, started_at: launched_at, outcome: None };
+    async move {
+        guard.started_at = guard.state.now();
+        let (result, connected_at) = guard.run(&service).await;
+        let start_delay = guard.started_at.since(launched_at);
+        let target = guard.target.clone();
+        AttemptReport { shard, target, start_delay, connected_at, result }
+    }
+}
+
+impl AttemptGuard {
+    async fn run(&mut self, service: &ServiceId) -> (AttemptResult, Option<MonotonicTime>) {
+        let Self { state, job, target, started_at, .. } = self;
+        let mut connected_at = None;
+        let result = exchange(state, job, service, target, &mut connected_at).await;
+        let now = state.now();
+        let elapsed = now.since(*started_at);
+        if let AttemptResult::Answer(_) = &result {
+            let mut decisions = state.decisions();
+            decisions.record_latency(&job.route, elapsed);
+            decisions.selector.note_served(now, target);
+            if let Some(connected_at) = connected_at.filter(|_| decisions.poison.has_crashes()) {
+                decisions.poison.note_response(&target.process(), connected_at, *started_at);
+            }
         }
+        self.outcome = Some(match &result {
+            AttemptResult::Answer(_) => AttemptOutcome::Success(elapsed),
+            AttemptResult::Failure(failure, _) => AttemptOutcome::Failure(*failure),
+        });
+        (result, connected_at)
     }
-    drop(guard);
-    AttemptReport { shard, target, start_delay, connected_at, result }
 }
 
 async fn exchange(
--- a/hickoryspan_gateway/src/forward.rs
+++ b/hickoryspan_gateway/src/forward.rs
@@ -23,6 +23,7 @@
 use hyper::body::Incoming;
 
 use crate::attempt::{AttemptScope, CallerIdentity, GatewayJob};
+use crate::expected_work::expect_work;
 use crate::gateway_state::GatewayState;
 use crate::headers::remove_connection_headers;
 use crate::refusal::{GatewayResponse, MIN_RETRY_DELAY, RefusalReason, refuse, refuse_job};
@@ -414,7 +415,11 @@
 pub(crate) fn hedge_delay(state: &GatewayState, job: &GatewayJob, answer_in: Duration) -> Duration {
     let latency = state.decisions().route_latency(&job.route);
     let latest = answer_in.mul_f64(MAX_HEDGE_SHARE).max(MIN_HEDGE_DELAY);
-    latency.hedge.clamp(MIN_HEDGE_DELAY, latest)
+    let delay = match expect_work(state, job) {
+        Some(work) => work.estimate.hedge_delay(latency.hedge),
+        None => latency.hedge,
+    };
+    delay.clamp(MIN_HEDGE_DELAY, latest)
 }
 
 fn record_outcome(
@@ -451,6 +456,10 @@
             hedges: = outcome.hedges,
             relayed_groups: = outcome.relayed_groups,
             hedge_after_ms: = latency.hedge.as_millis(),
+            expected_ms: = outcome.work.expected_text(),
+            cost_source: = outcome.work.source_text(),
+            target_wait_ms: = outcome.work.wait_text(),
+            target_reason: = outcome.work.reason_text(),
             failure: = outcome.last_failure.map_or("-", |failure| failure.as_str()),
             elapsed_ms: = elapsed.as_millis()
         }
--- a/hickoryspan_gateway/src/gateway_state.rs
+++ b/hickoryspan_gateway/src/gateway_state.rs
@@ -43,7 +43,7 @@
 /// Quantile of a route's latency after which an attempt is hedged.
 const HEDGE_QUANTILE: f64 = 0.9;
 /// Initially assumed latency of a route: its objective divided by this.
-const INITIAL_LATENCY_DIVISOR: u32 = 3;
+pub(crate) const INITIAL_LATENCY_DIVISOR: u32 = 3;
 /// Number of requests that must be measured before the measured latency of a route replaces the assumed one.
 const MIN_LATENCY_RECORDS: u32 = 40;
 
--- a/hickoryspan_gateway/src/lib.rs
+++ b/hickoryspan_gateway/src/lib.rs
@@ -13,6 +13,7 @@
 mod directory_server;
 mod document_history;
 mod entry_daemon;
+mod expected_work;
 mod fanout_links;
 mod fanout_messages;
 mod fanout_server;
--- a/hickoryspan_gateway/src/run.rs
+++ b/hickoryspan_gateway/src/run.rs
@@ -14,12 +14,14 @@
 use hickoryspan_core::gateway::targets::loss_witness::{LossVerdict, LossWitness};
 use hickoryspan_core::gateway::targets::outcomes::AttemptFailure;
 use hickoryspan_core::gateway::targets::poison::{NoticedCrash, SuspicionChange};
-use hickoryspan_core::gateway::targets::selection::ChosenTarget;
+use hickoryspan_core::gateway::targets::selection::{ChosenTarget, PlacedRequest};
 use hickoryspan_core::gateway::targets::send_check::SendBarrier;
+use hickoryspan_core::gateway::targets::work_left::WorkTicket;
 use hickoryspan_core::types::{MonotonicTime, ServiceId, TargetId};
 use hickoryspan_runtime::http_client::HttpAnswer;
 
 use crate::attempt::{AttemptReport, AttemptResult, GatewayJob, run_attempt};
+use crate::expected_work::{AttemptWork, ExpectedWork, expect_work};
 use crate::fanout_links::GroupIndex;
 use crate::fanout_messages::FanoutBatch;
 use crate::gateway_state::GatewayState;
@@ -51,6 +53,8 @@
     sends: usize,
     // Number of sends when the last target was noted as overdue.
     overdue_sends: usize,
+    // The last attempt as the selector counts it, if targets are chosen by work.
+    ticket: Option<WorkTicket>,
 }
 
 struct FanoutRun {
@@ -65,6 +69,7 @@
     relayed: RelayedGroups,
     sink: Option<RunSink>,
     witness: LossWitness,
+    work: Option<ExpectedWork>,
     // Whether the suspicion of this request was noted before its end.
     suspected: bool,
     // The longest time between the launch of an attempt and its start.
@@ -83,7 +88,12 @@
 ) -> RunOutcome {
     let shards = services.iter().map(|_| ShardAttempts::default()).collect();
     let witness = LossWitness::new(services.len());
-    let outcome = RunOutcome::new(services.len(), relayed.count());
+    let mut outcome = RunOutcome::new(services.len(), relayed.count());
+    let work = expect_work(&state, &job);
+    if let Some(work) = &work {
+        work.record_metrics(&state);
+        outcome.work.estimate = Some(work.estimate);
+    }
     let pending = FuturesUnordered::new();
     let run = FanoutRun {
         state,
@@ -97,6 +107,7 @@
         relayed,
         sink,
         witness,
+        work,
         suspected: false,
         longest_start_delay: Duration::ZERO,
     };
@@ -362,6 +373,19 @@
         {
             return self.machine.note_unsent(shard, true);
         }
+        if reason == LaunchReason::Hedge
+            && let (Some(work), Some(ticket)) = (&self.work, attempts.ticket)
+            && !decisions.selector.hedge_pays(
+                now,
+                &service,
+                &attempts.tried,
+                &work.estimate,
+                ticket,
+            )
+        {
+            metrics::counter!("hickoryspan_gateway_hedges_withheld_total").increment(1);
+            return self.machine.reconsider_hedge(now, shard);
+        }
         let sink = self.sink.as_ref().filter(|_| is_extra);
         match sink.map_or(RetryVerdict::Allowed, |sink| sink.retry_verdict(now)) {
             RetryVerdict::Allowed => {}
@@ -378,18 +402,29 @@
         if !can_hedge {
             return self.machine.postpone_hedge(now, shard);
         }
-        let chosen = decisions.selector.choose(now, &service, &attempts.tried);
-        let allow_tried = chosen.is_none() && reason == LaunchReason::Retry && !attempts.unreached;
-        let chosen =
-            if allow_tried { decisions.selector.choose(now, &service, &[]) } else { chosen };
-        let Some(chosen) = chosen else {
+        let estimate = self.work.as_ref().map(|work| &work.estimate);
+        let selector = &mut decisions.selector;
+        let placed = selector.choose_placed(now, &service, &attempts.tried, estimate);
+        let allow_tried = placed.is_none() && reason == LaunchReason::Retry && !attempts.unreached;
+        let placed = match allow_tried {
+            true => selector.choose_placed(now, &service, &[], estimate),
+            false => placed,
+        };
+        let Some(PlacedRequest { target: chosen, placement }) = placed else {
             return self.machine.note_unsent(shard, true);
         };
+        let attempt_work = placement.zip(self.work.as_ref()).map(|(placement, work)| AttemptWork {
+            ticket: placement.ticket,
+            traits: Arc::clone(&work.traits),
+        });
         let settings = &self.state.settings;
         if reason == LaunchReason::First {
             decisions.budget(settings, &service).note_request(now);
         } else if is_extra && !decisions.try_take_extra(now, settings, &service) {
             decisions.selector.release(&chosen.target);
+            if let Some(AttemptWork { ticket, traits }) = &attempt_work {
+                decisions.selector.end_work(now, &chosen.target, *ticket, traits, None);
+            }
             metrics::counter!("hickoryspan_gateway_budget_refusals_total").increment(1);
             return match reason {
                 LaunchReason::Hedge => self.machine.note_hedge_refused(now, shard),
@@ -397,6 +432,13 @@
             };
         }
         drop(decisions);
+        if let Some(placement) = placement {
+            let reason = placement.reason.as_str();
+            metrics::counter!("hickoryspan_gateway_target_choices_total", "reason" => reason)
+                .increment(1);
+            attempts.ticket = Some(placement.ticket);
+            self.outcome.work.placement = Some(placement);
+        }
         attempts.tried.push(chosen.target.clone());
         attempts.sends += 1;
         attempts.unreached = false;
@@ -404,7 +446,15 @@
         self.outcome.hedges += u32::from(reason == LaunchReason::Hedge);
         self.machine.note_sent(now, shard);
         let (state, job) = (Arc::clone(&self.state), Arc::clone(&self.job));
-        self.pending.push(Box::pin(run_attempt(state, job, service, shard, chosen, now)));
+        self.pending.push(Box::pin(run_attempt(
+            state,
+            job,
+            service,
+            shard,
+            chosen,
+            attempt_work,
+            now,
+        )));
     }
 
     fn handle_report(&mut self, report: AttemptReport) {
--- a/hickoryspan_gateway/src/run_outcome.rs
+++ b/hickoryspan_gateway/src/run_outcome.rs
@@ -12,6 +12,7 @@
 use hickoryspan_runtime::http_client::HttpAnswer;
 use tokio::sync::mpsc;
 
+use crate::expected_work::WorkReport;
 use crate::fanout_links::lock;
 
 /// Which answers of a target count as a result.
@@ -115,6 +116,7 @@
     pub(crate) attempts: u32,
     pub(crate) hedges: u32,
     pub(crate) last_failure: Option<AttemptFailure>,
+    pub(crate) work: WorkReport,
 }
 
 impl RunOutcome {
@@ -133,6 +135,7 @@
             attempts: 0,
             hedges: 0,
             last_failure: None,
+            work: WorkReport::default(),
         }
     }
 }
--- a/hickoryspan_gateway/tests/gateway/main.rs
+++ b/hickoryspan_gateway/tests/gateway/main.rs
@@ -5,6 +5,7 @@
 mod cut_requests;
 mod endless_answers;
 mod entry_lookups;
+mod expected_work;
 mod fan_out_stops;
 mod far_targets;
 mod forwarding;
