Explain where a request would go without sending it

Cause: operators see where a request went only from the log of one that was sent, and not what spoke against the other targets. Change: an entry answers POST /explain on its metrics address with the checks that a request passes or fails, its expected work, the hedge delay and the targets of its first services by cost. hickoryspan-ctl explain prints that as text or as JSON. Measured: tests only. explaining_changes_nothing explains a request 50 times with either policy; targets see only the requests that were sent, and the answers stay the same. Conclusion: the command works for requests. It leaves out quotas, the entry that sends a group of a wide route, and jobs.

--- a/hickoryspan_core/src/gateway/mod.rs
+++ b/hickoryspan_core/src/gateway/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod admission;
 pub mod documents;
+pub mod explanation;
 pub mod fanouts;
 pub mod log_limit;
 pub mod membership;
--- a/hickoryspan_core/src/gateway/targets/mod.rs
+++ b/hickoryspan_core/src/gateway/targets/mod.rs
@@ -10,6 +10,7 @@
 mod selection_limits;
 pub mod send_check;
 mod target_cost;
+mod target_explanation;
 pub mod target_notices;
 mod target_state;
 pub mod work_choice;
--- a/hickoryspan_core/src/gateway/targets/selection.rs
+++ b/hickoryspan_core/src/gateway/targets/selection.rs
@@ -151,10 +151,10 @@
 }
 
 /// A target that a request may be sent to, with its cost.
-struct RatedTarget {
+pub(super) struct RatedTarget {
     target: TargetId,
-    cost: f64,
-    completion: Option<ExpectedCompletion>,
+    pub(super) cost: f64,
+    pub(super) completion: Option<ExpectedCompletion>,
 }
 
 /// The best target for a request.
@@ -375,7 +375,7 @@
         Some(Candidate { target: best.target, completion: best.completion, reason })
     }
 
-    fn rate(
+    pub(super) fn rate(
         &self,
         now: MonotonicTime,
         state: &TargetState,
--- a/hickoryspan_ctl/src/arguments.rs
+++ b/hickoryspan_ctl/src/arguments.rs
@@ -95,6 +95,32 @@
     /// Lists the commands of operators and their outcomes, newest first.
     #[options(help = "show the operators' commands and their outcomes, newest first")]
     History(HistoryArguments),
+    /// Explains where an entry would send a request.
+    #[options(help = "explain where an entry would send a request now, without sending it")]
+    Explain(ExplainArguments),
+}
+
+/// Explains where an entry would send a request now and why. Sends nothing to targets.
+#[derive(Debug, Default, Options)]
+pub struct ExplainArguments {
+    /// Prints the help text and exits.
+    #[options(help = "print this help", no_short)]
+    pub help: bool,
+    /// Address of the entry's metrics.
+    #[options(free, required, help = "metrics address of the entry as IP:PORT")]
+    pub entry: String,
+    /// Host that the caller names.
+    #[options(free, required, help = "host that the caller names")]
+    pub host: String,
+    /// Path and query of the request.
+    #[options(free, required, help = "path and query of the request")]
+    pub path: String,
+    /// HTTP method; `GET` if it is not given.
+    #[options(help = "HTTP method (default GET)", no_short, meta = "METHOD")]
+    pub method: Option<String>,
+    /// File with the caller's key. A flag with the key itself would show it to other users of the host.
+    #[options(help = "file with the key of the caller (default: no key)", no_short, meta = "FILE")]
+    pub key_file: Option<String>,
 }
 
 /// Takes no further flags.
--- a/hickoryspan_ctl/src/lib.rs
+++ b/hickoryspan_ctl/src/lib.rs
@@ -8,6 +8,7 @@
 mod changes;
 pub mod control_client;
 pub mod exit_status;
+mod explain_command;
 mod member_commands;
 mod pages;
 mod program;
--- a/hickoryspan_ctl/src/program.rs
+++ b/hickoryspan_ctl/src/program.rs
@@ -12,7 +12,7 @@
 use crate::exit_status::ExitStatus;
 use crate::report::{outcome_text, print_result};
 use crate::settings::{CommandIdentity, CtlSettings};
-use crate::{member_commands, sheet_commands};
+use crate::{explain_command, member_commands, sheet_commands};
 
 /// Output streams of a run.
 pub struct CommandConsole {
@@ -174,6 +174,7 @@
         CtlCommand::Sheet(arguments) => sheet_commands::run(context, arguments).await,
         CtlCommand::Targets(_) => member_commands::targets(context).await,
         CtlCommand::History(arguments) => member_commands::history(context, arguments).await,
+        CtlCommand::Explain(arguments) => explain_command::run(context, arguments).await,
         CtlCommand::Quarantine(_) => member_commands::quarantines(context).await,
         // `run` has already submitted the commands that change the deployment.
         CtlCommand::Status(_)
--- a/hickoryspan_ctl/src/settings.rs
+++ b/hickoryspan_ctl/src/settings.rs
@@ -92,7 +92,8 @@
         Some(CtlCommand::Status(_) | CtlCommand::Targets(_) | CtlCommand::History(_)) => {
             RequiredAccess::Read
         }
-        None => RequiredAccess::Offline,
+        // It asks an entry, not the control replicas.
+        Some(CtlCommand::Explain(_)) | None => RequiredAccess::Offline,
     }
 }
 
--- a/hickoryspan_gateway/src/entry_daemon.rs
+++ b/hickoryspan_gateway/src/entry_daemon.rs
@@ -27,6 +27,7 @@
 
 use crate::caller_server::{ShutdownSignals, serve_callers};
 use crate::directory_links::{DirectoryLinks, KnownChanges, LinkHandler};
+use crate::explainer::EntryExplainer;
 use crate::fanout_server::serve_fanouts;
 use crate::gateway_state::{GatewayState, SharedDecisions};
 use crate::host_list::HostList;
@@ -465,6 +466,11 @@
         EntryListView { state: Arc::clone(&self.state), readiness: self.readiness() }
     }
 
+    /// Returns what explains the decisions of this entry.
+    pub fn explainer(&self) -> EntryExplainer {
+        EntryExplainer { state: Arc::clone(&self.state) }
+    }
+
     /// Returns the counts of this entry's work for the fan-outs of other entries.
     pub fn fanout_counts(&self) -> FanoutCounts {
         let usual = self.state.usual_relays();
--- a/hickoryspan_gateway/src/forward.rs
+++ b/hickoryspan_gateway/src/forward.rs
@@ -13,6 +13,7 @@
 use hickoryspan_core::gateway::fanouts::fanout::{FanoutMachine, FanoutSettings, merge_records};
 use hickoryspan_core::gateway::log_limit::LogPriority;
 use hickoryspan_core::gateway::planned_stop::StopVerdict;
+use hickoryspan_core::gateway::targets::cost_model::WorkEstimate;
 use hickoryspan_core::types::{MonotonicTime, RequestFingerprint, ServiceId};
 use hickoryspan_runtime::http_client::HttpAnswer;
 use hickoryspan_runtime::http_server::{self, BodyError, HttpLimits};
@@ -394,7 +395,7 @@
         ConnectionPosition::Later => Duration::ZERO,
     };
     let delay = state.settings.caller_delay + connect;
-    let answer_in = objective.saturating_sub(delay).max(objective / 3);
+    let answer_in = answer_time(objective, delay);
     let answer_by = (job.received_at + answer_in).min(job.give_up_at);
     let hedge_after = hedge_delay(state, job, answer_in);
     let max_attempts = match job.route.repeat {
@@ -411,14 +412,26 @@
     }
 }
 
+/// Returns the time for an answer, for callers whose connection and network take `delay` of the objective.
+pub(crate) fn answer_time(objective: Duration, delay: Duration) -> Duration {
+    objective.saturating_sub(delay).max(objective / 3)
+}
+
 /// Returns how long an attempt may run before it is hedged. `answer_in` is the time for an answer.
 pub(crate) fn hedge_delay(state: &GatewayState, job: &GatewayJob, answer_in: Duration) -> Duration {
-    let latency = state.decisions().route_latency(&job.route);
+    let usual = state.decisions().route_latency(&job.route).hedge;
+    let work = expect_work(state, job);
+    clamp_hedge_delay(usual, work.as_ref().map(|work| &work.estimate), answer_in)
+}
+
+/// Returns the delay for a route whose attempts are usually hedged after `usual`.
+pub(crate) fn clamp_hedge_delay(
+    usual: Duration,
+    estimate: Option<&WorkEstimate>,
+    answer_in: Duration,
+) -> Duration {
     let latest = answer_in.mul_f64(MAX_HEDGE_SHARE).max(MIN_HEDGE_DELAY);
-    let delay = match expect_work(state, job) {
-        Some(work) => work.estimate.hedge_delay(latency.hedge),
-        None => latency.hedge,
-    };
+    let delay = estimate.map_or(usual, |estimate| estimate.hedge_delay(usual));
     delay.clamp(MIN_HEDGE_DELAY, latest)
 }
 
--- a/hickoryspan_gateway/src/gateway_state.rs
+++ b/hickoryspan_gateway/src/gateway_state.rs
@@ -100,6 +100,14 @@
     pub(crate) hedge: Duration,
 }
 
+fn initial_latency(route: &RouteRule) -> LatencyDistribution {
+    LatencyDistribution::new(LatencySettings {
+        hedge_quantile: HEDGE_QUANTILE,
+        min_records: MIN_LATENCY_RECORDS,
+        initial: route.objective / INITIAL_LATENCY_DIVISOR,
+    })
+}
+
 impl SharedDecisions {
     /// Returns the version of the active document.
     pub(crate) fn version(&self) -> Option<DocumentVersion> {
@@ -155,13 +163,15 @@
     }
 
     fn latency(&mut self, route: &RouteRule) -> &mut LatencyDistribution {
-        self.latencies.entry(route.name.clone()).or_insert_with(|| {
-            LatencyDistribution::new(LatencySettings {
-                hedge_quantile: HEDGE_QUANTILE,
-                min_records: MIN_LATENCY_RECORDS,
-                initial: route.objective / INITIAL_LATENCY_DIVISOR,
-            })
-        })
+        let latencies = self.latencies.entry(route.name.clone());
+        latencies.or_insert_with(|| initial_latency(route))
+    }
+
+    /// Returns the latency of a route like [`Self::route_latency`], without creating a record of it.
+    pub(crate) fn known_latency(&self, route: &RouteRule) -> RouteLatency {
+        let known = self.latencies.get(&route.name).map(LatencyDistribution::quantiles);
+        let quantiles = known.unwrap_or_else(|| initial_latency(route).quantiles());
+        RouteLatency { median: quantiles.median, hedge: quantiles.hedge }
     }
 
     pub(crate) fn record_latency(&mut self, route: &RouteRule, latency: Duration) {
--- a/hickoryspan_gateway/tests/gateway/main.rs
+++ b/hickoryspan_gateway/tests/gateway/main.rs
@@ -6,6 +6,7 @@
 mod endless_answers;
 mod entry_lookups;
 mod expected_work;
+mod explanations;
 mod fan_out_stops;
 mod far_targets;
 mod forwarding;
