Count as predictable only what was known before a request was sent

Cause: the first answers to a wide request made its content a known key, so that the other answers of the same request counted as predicted. Change: a key counts for an answer only if it existed when that request was sent. Conclusion: the share that is reported as explained is what an entry can use.

--- a/hickoryspan_core/src/gateway/targets/cost_model.rs
+++ b/hickoryspan_core/src/gateway/targets/cost_model.rs
@@ -111,6 +111,15 @@
     }
 }
 
+/// The work of an answered request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct AnsweredWork {
+    /// When the request was sent. What was learned since then does not count as known before.
+    pub sent_at: MonotonicTime,
+    /// Its work, as the time on a target at usual speed.
+    pub work: Duration,
+}
+
 const KEY_SOURCES: [CostSource; 3] = [CostSource::Account, CostSource::Size, CostSource::Content];
 
 /// The answers to requests with one key.
@@ -120,12 +129,13 @@
     mean: f64,
     log_mean: f64,
     log_variance: f64,
+    created_at: MonotonicTime,
     at: MonotonicTime,
 }
 
 impl CostCell {
     fn new(now: MonotonicTime) -> Self {
-        Self { weight: 0.0, mean: 0.0, log_mean: 0.0, log_variance: 0.0, at: now }
+        Self { weight: 0.0, mean: 0.0, log_mean: 0.0, log_variance: 0.0, created_at: now, at: now }
     }
 
     fn weight(&self, now: MonotonicTime) -> f64 {
@@ -250,12 +260,16 @@
     }
 
     /// Records the work of an answered request.
-    pub fn record(&mut self, now: MonotonicTime, traits: &RequestTraits, work: Duration) {
+    pub fn record(&mut self, now: MonotonicTime, traits: &RequestTraits, answered: AnsweredWork) {
         if !self.routes.contains_key(&traits.route) && self.routes.len() >= MAX_ROUTES {
             return;
         }
-        let work = (work.as_secs_f64() * 1_000.0).max(MIN_WORK_MILLIS);
-        let known = KEY_SOURCES.map(|source| self.known_cell(now, traits, source).copied());
+        let work = (answered.work.as_secs_f64() * 1_000.0).max(MIN_WORK_MILLIS);
+        // Other shards of a wide request tell its cost only after it was sent.
+        let known = KEY_SOURCES.map(|source| {
+            let cell = self.known_cell(now, traits, source)?;
+            (cell.created_at < answered.sent_at).then_some(*cell)
+        });
         let costs = self.routes.entry(traits.route.clone()).or_insert_with(|| RouteCosts {
             cell: CostCell::new(now),
             errors: Default::default(),
--- a/hickoryspan_core/src/gateway/targets/work_choice.rs
+++ b/hickoryspan_core/src/gateway/targets/work_choice.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use super::cost_model::{RequestTraits, WorkEstimate};
+use super::cost_model::{AnsweredWork, RequestTraits, WorkEstimate};
 use super::outcomes::AttemptOutcome;
 use super::selection::{SelectionSettings, TargetPolicy, TargetSelector};
 use super::target_state::TargetState;
@@ -174,7 +174,8 @@
             Some(AttemptOutcome::Success(_)) => {
                 state.work.note_speed(now, ended.served, expected);
                 let work = ended.served.div_f64(learned.max(reported) * cold_factor);
-                self.costs.record(now, traits, work);
+                let answered = AnsweredWork { sent_at: ended.sent_at, work };
+                self.costs.record(now, traits, answered);
             }
             Some(AttemptOutcome::Cancelled(_)) if ended.served > expected * CANCELLED_OVERRUN => {
                 state.work.note_speed(now, ended.served, expected);
--- a/hickoryspan_core/src/gateway/targets/work_left.rs
+++ b/hickoryspan_core/src/gateway/targets/work_left.rs
@@ -85,6 +85,8 @@
     pub served: Duration,
     /// Work that was expected of it.
     pub expected: Duration,
+    /// When it was sent.
+    pub sent_at: MonotonicTime,
 }
 
 fn millis(time: Duration) -> f64 {
@@ -216,7 +218,11 @@
         // A wait that did not occur must not make the work look like none.
         let total = millis(now.since(sent.sent_at));
         let served = sent.elapsed(now).max(total.min(sent.work));
-        Some(EndedWork { served: to_time(served), expected: to_time(sent.work) })
+        Some(EndedWork {
+            served: to_time(served),
+            expected: to_time(sent.work),
+            sent_at: sent.sent_at,
+        })
     }
 
     /// Returns how much longer a request in flight is expected to take; `None` if it is not known. `knowledge`, from 0 to
--- a/hickoryspan_core/tests/gateway_expected_work.rs
+++ b/hickoryspan_core/tests/gateway_expected_work.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use hickoryspan_core::gateway::targets::cost_model::{
-    CostModel, CostSource, RequestTraits, WorkEstimate,
+    AnsweredWork, CostModel, CostSource, RequestTraits, WorkEstimate,
 };
 use hickoryspan_core::gateway::targets::directory::{
     AnnouncementAge, TargetAnnouncement, TargetPhase,
@@ -50,6 +50,12 @@
     millis(mean) * (70 + (index * 37 % 61) as u32) / 100
 }
 
+/// Records a request that was sent just before its answer.
+fn record(model: &mut CostModel, now: u64, traits: &RequestTraits, work: Duration) {
+    let sent_at = at(now.saturating_sub(1));
+    model.record(at(now), traits, AnsweredWork { sent_at, work });
+}
+
 // Guards against a first request that is taken to cost nothing.
 #[test]
 fn unknown_route_has_the_prior() {
@@ -63,7 +69,7 @@
     let mut model = CostModel::default();
     for index in 0..400 {
         let (account, mean) = if index % 4 == 0 { ("heavy", 120) } else { ("usual", 20) };
-        model.record(at(index * 20), &traits(account, index), varied(mean, index));
+        record(&mut model, index * 20, &traits(account, index), varied(mean, index));
     }
     let now = at(8_000);
     let heavy = model.estimate(now, &traits("heavy", 1_000));
@@ -80,19 +86,37 @@
     let mut model = CostModel::default();
     for index in 0..600 {
         let account = ["a", "b", "c"][(index * 7 % 3) as usize];
-        model.record(at(index * 20), &traits(account, index * 13 % 40), varied(30, index));
+        record(&mut model, index * 20, &traits(account, index * 13 % 40), varied(30, index));
     }
     let estimate = model.estimate(at(12_000), &traits("a", 13));
     assert_eq!(estimate.source, CostSource::Route, "{estimate:?}");
     assert!(model.explained("list") < 0.1, "{}", model.explained("list"));
 }
 
+// Guards against counting a cost as predictable that only the first answers to the same wide request tell.
+#[test]
+fn answers_to_one_wide_request_do_not_predict_each_other() {
+    let mut model = CostModel::default();
+    for request in 0..40 {
+        let sent_at = at(request * 1_000);
+        let mean = if request % 3 == 0 { 100 } else { 20 };
+        for shard in 0..30 {
+            let work = varied(mean, shard);
+            let now = at(request * 1_000 + 20 + shard);
+            model.record(now, &traits("a", request), AnsweredWork { sent_at, work });
+        }
+    }
+    assert!(model.explained("list") < 0.1, "{}", model.explained("list"));
+    let next = model.estimate(at(41_000), &traits("a", 40));
+    assert_eq!(next.source, CostSource::Route, "{next:?}");
+}
+
 // Guards against memory that grows with the number of different requests.
 #[test]
 fn number_of_known_keys_is_bounded() {
     let mut model = CostModel::default();
     for index in 0..10_000 {
-        model.record(at(index), &traits(&format!("account-{index}"), index), millis(20));
+        record(&mut model, index, &traits(&format!("account-{index}"), index), millis(20));
     }
     assert!(model.count_keys() <= 2_048, "{}", model.count_keys());
 }
@@ -102,9 +126,9 @@
 fn a_pause_hardly_changes_the_estimate() {
     let mut model = CostModel::default();
     for index in 0..100 {
-        model.record(at(index * 20), &traits("a", index), varied(9, index));
+        record(&mut model, index * 20, &traits("a", index), varied(9, index));
     }
-    model.record(at(2_000), &traits("a", 100), millis(250));
+    record(&mut model, 2_000, &traits("a", 100), millis(250));
     let estimate = model.estimate(at(2_000), &traits("a", 101));
     assert!(estimate.mean < millis(11), "{estimate:?}");
 }
@@ -115,7 +139,7 @@
     let mut model = CostModel::default();
     for index in 0..1_200 {
         let mean = if index < 600 { 20 } else { 60 };
-        model.record(at(index * 100), &traits("a", index), varied(mean, index));
+        record(&mut model, index * 100, &traits("a", index), varied(mean, index));
     }
     let estimate = model.estimate(at(120_000), &traits("a", 2_000));
     assert!(estimate.mean > millis(45), "{estimate:?}");
