Consider only open targets when a hedge is weighed

Cause: a draining target could make a hedge pay that another one then got, and a service without a second target checked four times in each hedge delay whether one pays. Change: only open targets count, and without one the hedge is postponed by its whole delay as before. Conclusion: checks of hedges are bounded by the hedges that could be sent.

--- a/hickoryspan_core/src/gateway/targets/work_choice.rs
+++ b/hickoryspan_core/src/gateway/targets/work_choice.rs
@@ -141,7 +141,7 @@
             return true;
         };
         self.states(service).any(|state| {
-            let untried = !tried.contains(&state.announcement.target);
+            let untried = self.is_open(now, state) && !tried.contains(&state.announcement.target);
             let knowledge = state.work.knowledge(now, state.announcement.slots);
             let Some(rest) = first.work.expected_rest(now, in_flight, knowledge) else {
                 return true;
--- a/hickoryspan_core/tests/gateway_expected_work.rs
+++ b/hickoryspan_core/tests/gateway_expected_work.rs
@@ -181,27 +181,27 @@
     TargetId::new(name).expect("a target name")
 }
 
+fn announcement(name: &str, port: u16) -> TargetAnnouncement {
+    TargetAnnouncement {
+        target: target(name),
+        age: AnnouncementAge { started: WallTime(1), sequence: 1 },
+        service: service(),
+        address: ([127, 0, 0, 1], port).into(),
+        domain: FailureDomain::new("a").expect("a domain name"),
+        slots: 1,
+        phase: TargetPhase::Ready,
+        cold: Duration::ZERO,
+    }
+}
+
 /// Two targets with one slot each, compared by expected work.
 fn pair() -> TargetSelector {
     let domain = FailureDomain::new("a").expect("a domain name");
     let settings =
         SelectionSettings { policy: TargetPolicy::ExpectedWork, ..SelectionSettings::default() };
-    let mut selector =
-        TargetSelector::new(settings, domain.clone(), ChaCha12Rng::seed_from_u64(41));
+    let mut selector = TargetSelector::new(settings, domain, ChaCha12Rng::seed_from_u64(41));
     for (name, port) in [("one", 9_001), ("two", 9_002)] {
-        selector.put(
-            at(0),
-            TargetAnnouncement {
-                target: target(name),
-                age: AnnouncementAge { started: WallTime(1), sequence: 1 },
-                service: service(),
-                address: ([127, 0, 0, 1], port).into(),
-                domain: domain.clone(),
-                slots: 1,
-                phase: TargetPhase::Ready,
-                cold: Duration::ZERO,
-            },
-        );
+        selector.put(at(0), announcement(name, port));
     }
     selector
 }
@@ -277,6 +277,22 @@
     assert!(selector.hedge_pays(at(45), &service(), &tried, &estimate(20), ticket));
 }
 
+// Guards against a hedge for the sake of a target that accepts no requests.
+#[test]
+fn hedge_does_not_pay_on_a_target_that_drains() {
+    let mut selector = pair();
+    let first = send(&mut selector, 0, 20);
+    let ticket = first.placement.expect("placed by work").ticket;
+    let tried = [first.target.target.clone()];
+    for (name, port) in [("one", 9_001), ("two", 9_002)] {
+        if target(name) != tried[0] {
+            let phase = TargetPhase::Draining;
+            selector.put(at(10), TargetAnnouncement { phase, ..announcement(name, port) });
+        }
+    }
+    assert!(!selector.hedge_pays(at(45), &service(), &tried, &estimate(20), ticket));
+}
+
 // Guards against hedging a request that is known to be heavy at the time at which usual ones of its route are late.
 #[test]
 fn heavy_request_is_hedged_later_than_its_route() {
--- a/hickoryspan_gateway/src/run.rs
+++ b/hickoryspan_gateway/src/run.rs
@@ -375,6 +375,7 @@
         }
         if reason == LaunchReason::Hedge
             && let (Some(work), Some(ticket)) = (&self.work, attempts.ticket)
+            && decisions.selector.has_alternative(now, &service, &attempts.tried)
             && !decisions.selector.hedge_pays(
                 now,
                 &service,
