--- a/hickoryspan_runtime/src/caller_budget.rs
+++ b/hickoryspan_runtime/src/caller_budget.rs
@@ -35,6 +35,8 @@
 const ANSWER_SHARE: f64 = 1.0 / 8.0;
 /// Part of the room for requests that one address may occupy.
 const ADDRESS_SHARE: f64 = 3.0 / 4.0;
+/// Part of the room for larger requests that connections may hold while they are being ended.
+const ENDING_DIVISOR: usize = 8;
 /// Descriptors that are not used for connections of callers: files, and what the platform reserves for them.
 const RESERVED_DESCRIPTORS: usize = 200;
 /// Part of the other descriptors that callers may occupy. The rest is for targets, links and the store.
@@ -126,6 +128,8 @@
     reserved_bytes: usize,
     /// Bytes of answers that the caller has not read.
     unsent_bytes: usize,
+    /// What a connection that is being ended held, until its task drops it.
+    ending_bytes: usize,
     /// Number of complete requests without an answer. A connection with any is not ended.
     running: usize,
     /// Start of the incomplete request, of the answer or of the idle time.
@@ -155,6 +159,7 @@
     }
 
     fn clear(&mut self) {
+        self.ending_bytes = 0;
         self.request_bytes = 0;
         self.reserved_bytes = 0;
         self.unsent_bytes = 0;
@@ -179,6 +184,7 @@
     small_bytes: usize,
     large_bytes: usize,
     answer_bytes: usize,
+    ending_bytes: usize,
     logged_at: Option<Instant>,
     unlogged: u64,
 }
@@ -195,13 +201,14 @@
     fn change(&mut self, number: u64, change: impl FnOnce(&mut Holding)) {
         let Some(holding) = self.holdings.get_mut(&number) else { return };
         let (size, request_bytes) = (holding.size(), holding.request_bytes);
-        let answer_bytes = holding.answer_bytes();
+        let (answer_bytes, ending_bytes) = (holding.answer_bytes(), holding.ending_bytes);
         change(holding);
         let (new_size, new_bytes) = (holding.size(), holding.request_bytes);
-        let new_answer_bytes = holding.answer_bytes();
+        let (new_answer_bytes, new_ending_bytes) = (holding.answer_bytes(), holding.ending_bytes);
         *self.request_sum(size) -= request_bytes;
         *self.request_sum(new_size) += new_bytes;
         self.answer_bytes = self.answer_bytes - answer_bytes + new_answer_bytes;
+        self.ending_bytes = self.ending_bytes - ending_bytes + new_ending_bytes;
     }
 
     /// Chooses the connection to end for room in a pool: of the address that has occupied most for the longest time, the
@@ -233,10 +240,13 @@
         self.holdings.values().filter(|holding| !holding.evicted.is_cancelled()).count()
     }
 
-    /// Ends a connection. What it occupies counts as free, because its task drops it at once.
+    /// Ends a connection. What it occupies is free for others as soon as its task has dropped it; see
+    /// [`RequestCharge::await_room`].
     fn evict(&mut self, number: u64, cause: &'static str) {
         self.change(number, |holding| {
+            let ending_bytes = holding.request_bytes + holding.answer_bytes();
             holding.clear();
+            holding.ending_bytes = ending_bytes;
             holding.evicted.cancel();
         });
         self.note_loss(cause);
@@ -281,6 +291,7 @@
             small_bytes: 0,
             large_bytes: 0,
             answer_bytes: 0,
+            ending_bytes: 0,
             logged_at: None,
             unlogged: 0,
         };
@@ -326,6 +337,7 @@
                 request_bytes: 0,
                 reserved_bytes: 0,
                 unsent_bytes: 0,
+                ending_bytes: 0,
                 running: 0,
                 since: now,
                 evicted: evicted.clone(),
@@ -533,6 +545,21 @@
         self.account.budget.make_room(self.account.number)
     }
 
+    /// Waits until connections that were ended have dropped most of what they held. Memory for bytes that were charged is
+    /// taken only after that.
+    pub async fn await_room(&self) {
+        let budget = &self.account.budget;
+        let most = budget.settings.large_bytes / ENDING_DIVISOR;
+        loop {
+            let mut freed = std::pin::pin!(budget.freed.notified());
+            freed.as_mut().enable();
+            if budget.lock().ending_bytes <= most {
+                return;
+            }
+            freed.await;
+        }
+    }
+
     /// Notes that the request is complete. Its connection is not ended any more until it has an answer.
     pub fn complete(&self) {
         let mut state = self.lock();
@@ -581,6 +608,7 @@
             holding.request_bytes = holding.request_bytes.saturating_sub(bytes);
             holding.reserved_bytes = holding.reserved_bytes.saturating_sub(reserved_bytes);
             holding.running -= usize::from(running);
+            holding.ending_bytes = 0;
             then(holding);
         });
         self.account.budget.freed.notify_waiters();
--- a/hickoryspan_runtime/src/http_client.rs
+++ b/hickoryspan_runtime/src/http_client.rs
@@ -294,5 +294,7 @@
 async fn reserve(charge: Option<&RequestCharge>, bytes: usize) -> Result<(), SendError> {
     let Some(charge) = charge.filter(|_| bytes > 0) else { return Ok(()) };
     let reserved = charge.reserve_answer(bytes).await;
-    reserved.map_err(|error| SendError::ConnectionLost(error.to_string().into()))
+    reserved.map_err(|error| SendError::ConnectionLost(error.to_string().into()))?;
+    charge.await_room().await;
+    Ok(())
 }
--- a/hickoryspan_runtime/src/http_server.rs
+++ b/hickoryspan_runtime/src/http_server.rs
@@ -223,6 +223,7 @@
             let grown = length.next_power_of_two().max(FIRST_BODY_BYTES).min(max_bytes.max(length));
             if let Some(charge) = charge {
                 charge.add(grown - capacity).map_err(|_| BodyError::NoRoom)?;
+                charge.await_room().await;
             }
             buffer.reserve_exact(grown - buffer.len());
         }
--- a/hickoryspan_runtime/tests/caller_budget.rs
+++ b/hickoryspan_runtime/tests/caller_budget.rs
@@ -120,6 +120,28 @@
     assert_eq!(budget.connections(), 1);
 }
 
+// Guards against memory that is taken for a request before those that were ended for it have dropped theirs.
+#[tokio::test]
+async fn a_request_waits_for_what_ended_ones_hold() {
+    let budget = CallerBudget::new(SETTINGS);
+    let ended: Vec<_> = (1..4).map(|last| Caller::with_bytes(&budget, last, 60_000)).collect();
+    let next = Caller::with_bytes(&budget, 4, 60_000);
+    assert!(ended[0].charge.is_evicted());
+    let mut room = Box::pin(next.charge.await_room());
+    assert!(is_pending(&mut room).await);
+    drop(ended);
+    room.await;
+}
+
+/// Returns whether a future waits.
+async fn is_pending(future: &mut (impl Future<Output = ()> + Unpin)) -> bool {
+    tokio::select! {
+        biased;
+        () = future => false,
+        () = tokio::task::yield_now() => true,
+    }
+}
+
 // Guards against callers that cannot connect because others have connected and send nothing.
 #[test]
 fn a_new_connection_ends_the_oldest_idle_one() {
