Hold quotas while control hosts are lost, split or restarted

Change: hosts tell entries the class of each account's usual rate, from which an entry out of touch computes its share; requests need permits as soon as no control host is heard for 500 ms; hosts keep the use of entries that they do not hear, count only with a leader and most of the entries, and learn from the first report of a process what it admitted in the last window. A gate for windows next to the level decides which accounts are tight.

--- a/hickoryspan_core/src/gateway/admission/limit_gate.rs
+++ b/hickoryspan_core/src/gateway/admission/limit_gate.rs
@@ -9,14 +9,13 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::demand_meter::DemandMeter;
 use super::target_limits::LimitTable;
 use crate::gateway::targets::directory::TargetProcess;
 use crate::types::{MonotonicTime, RequestRate, ServiceId};
 
 /// Time after which a request counts half in the measured demand.
 const DEMAND_HALF_LIFE: Duration = Duration::from_secs(4);
-/// Shortest time over which demand is measured. The first requests after a shorter one would count for too much.
-const MIN_METERED_TIME: Duration = Duration::from_secs(1);
 /// Demand in requests per second that an entry without requests reports, so that a first request is not refused.
 const IDLE_DEMAND: f64 = 0.05;
 /// Part of a limit that is used, because the entries' views of the demand differ for a moment.
@@ -68,41 +67,6 @@
     }
 }
 
-#[derive(Clone, Copy, Debug)]
-struct DemandMeter {
-    // Requests since the start, each halved for every half-life since.
-    weight: f64,
-    started_at: MonotonicTime,
-    updated_at: MonotonicTime,
-}
-
-impl DemandMeter {
-    fn start(now: MonotonicTime) -> Self {
-        Self { weight: 0.0, started_at: now, updated_at: now }
-    }
-
-    fn weight_at(&self, now: MonotonicTime) -> f64 {
-        self.weight * remaining_part(now.since(self.updated_at))
-    }
-
-    fn note_request(&mut self, now: MonotonicTime) {
-        self.weight = self.weight_at(now) + 1.0;
-        self.updated_at = now;
-    }
-
-    /// Returns the rate over the time since the start, in which recent requests count more.
-    fn rate(&self, now: MonotonicTime) -> f64 {
-        let elapsed = now.since(self.started_at).max(MIN_METERED_TIME);
-        let metered = DEMAND_HALF_LIFE.as_secs_f64() / std::f64::consts::LN_2;
-        self.weight_at(now) / (metered * (1.0 - remaining_part(elapsed)))
-    }
-}
-
-/// Returns the weight of a request after some time.
-fn remaining_part(elapsed: Duration) -> f64 {
-    0.5_f64.powf(elapsed.as_secs_f64() / DEMAND_HALF_LIFE.as_secs_f64())
-}
-
 #[derive(Clone, Copy, Debug)]
 struct PermitBucket {
     permits: f64,
@@ -135,10 +99,10 @@
     /// Counts a request for a service with a limited target, whether it is sent or refused.
     pub fn note_request(&mut self, now: MonotonicTime, service: &ServiceId) {
         if !self.meters.contains_key(service) {
-            self.meters.insert(service.clone(), DemandMeter::start(now));
+            self.meters.insert(service.clone(), DemandMeter::start(now, DEMAND_HALF_LIFE));
         }
         if let Some(meter) = self.meters.get_mut(service) {
-            meter.note_request(now);
+            meter.note(now, 1.0);
         }
     }
 
--- a/hickoryspan_core/src/gateway/admission/quota.rs
+++ b/hickoryspan_core/src/gateway/admission/quota.rs
@@ -5,6 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::usage_class::UsageClass;
 use crate::gateway::documents::accounts::AccountQuota;
 use crate::types::AccountId;
 
@@ -19,13 +20,20 @@
 const REGULAR_NOTICE: f64 = 0.6;
 /// The same with prompt reports.
 const PROMPT_NOTICE: f64 = 0.25;
+/// Requests of some entries as a multiple of their even part of what all entries run, because callers choose at random and
+/// entries may have used more than their share while they were in touch.
+const UNEVEN_FACTOR: f64 = 1.5;
+/// Largest share of an entry as a multiple of an equal part.
+const MAX_SHARE_FACTOR: f64 = 8.0;
 /// Least number of requests that an entry admits before the control hosts know of them, so that requests that come
 /// together by chance need no permits.
 const LEAST_FREE: f64 = 2.0;
 /// Time after which control hosts know of an admitted request.
 pub const NOTICE_TIME: Duration = Duration::from_millis(250);
+/// Multiple of its usual rate that an account may send while entries are out of touch with all control hosts.
+const UNHEARD_PEAK: f64 = 8.0;
 /// Part of the bound that entries may use which get no permits, all together.
-const UNHEARD_PART: f64 = 0.75;
+const UNHEARD_PART: f64 = 0.5;
 
 /// How quotas are counted.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -51,6 +59,8 @@
     pub rate: f64,
     /// Largest number of requests in a window.
     pub most: f64,
+    /// Length of the window in seconds.
+    pub window: f64,
     /// Difference between the largest number and what the rate and the burst allow.
     pub margin: f64,
     /// Requests that may come at once after a pause.
@@ -65,7 +75,8 @@
     /// Computes the figures of a quota.
     pub fn new(settings: &QuotaSettings, quota: &AccountQuota) -> Self {
         let rate = quota.rate.0;
-        let allowed = rate * settings.window.as_secs_f64() + quota.burst;
+        let window = settings.window.as_secs_f64();
+        let allowed = rate * window + quota.burst;
         let margin = allowed * settings.overshoot + settings.slack;
         let capacity = (quota.burst + margin * BURST_PART).max(1.0);
         let covered = margin * NOTICE_PART;
@@ -73,7 +84,7 @@
         let is_prompt = exposure(REGULAR_NOTICE) > 1.0;
         let notice = if is_prompt { PROMPT_NOTICE } else { REGULAR_NOTICE };
         let tight_below = exposure(notice).min(capacity / 2.0).max(1.0);
-        Self { rate, most: allowed + margin, margin, capacity, tight_below, is_prompt }
+        Self { rate, most: allowed + margin, window, margin, capacity, tight_below, is_prompt }
     }
 
     /// Returns the number of requests that one of several entries admits without permits before the control hosts know
@@ -83,10 +94,45 @@
         (free / f64::from(entries.max(1))).max(LEAST_FREE)
     }
 
-    /// Returns the number of requests that one of several entries may run in a window without permits.
-    pub fn unheard_share(&self, entries: u32) -> f64 {
-        self.most * UNHEARD_PART / f64::from(entries.max(1))
+    /// Returns the number of requests that one of several entries is likely to run in a window at most while it is out of
+    /// touch with all control hosts.
+    pub fn unheard_use(&self, entries: u32, usual: f64) -> f64 {
+        let entries = f64::from(entries.max(1));
+        let peak = usual * UNHEARD_PEAK * self.window;
+        peak.min(self.most * UNHEARD_PART) / entries * UNEVEN_FACTOR
     }
+
+    /// Returns the number of requests that one of several entries may run in a window while it is out of touch with all
+    /// control hosts. `usual` is the highest usual rate of the account, if it is known.
+    ///
+    /// All entries together stay within their part of the bound if the account sends its peak at random entries, and
+    /// whatever it sends if its usual rate is unknown.
+    pub fn unheard_share(&self, entries: u32, usual: Option<f64>) -> f64 {
+        let entries = f64::from(entries.max(1));
+        let bound = self.most * UNHEARD_PART / entries;
+        let Some(usual) = usual else { return bound };
+        let mean = usual * UNHEARD_PEAK * self.window / entries;
+        if mean <= bound {
+            return mean + 3.0 * mean.sqrt() + LEAST_FREE;
+        }
+        share_for_mean(mean, bound)
+    }
+}
+
+/// Returns the share `k` for which the mean of `min(X, k)` is `bound`, where X is a number of requests with a Poisson
+/// distribution of this mean, which is larger than the bound.
+fn share_for_mean(mean: f64, bound: f64) -> f64 {
+    let mut probability = (-mean).exp();
+    let mut at_least_next = 1.0 - probability;
+    let mut left = bound;
+    let mut share = 0.0;
+    while left > at_least_next && share < bound * MAX_SHARE_FACTOR {
+        left -= at_least_next;
+        share += 1.0;
+        probability *= mean / share;
+        at_least_next -= probability;
+    }
+    share + (left / at_least_next.max(f64::EPSILON)).min(1.0)
 }
 
 /// A process of an entry, which counts its requests from zero.
@@ -107,6 +153,8 @@
     pub account: AccountId,
     /// Admitted requests, without those that had a permit of the receiver.
     pub admitted: u64,
+    /// Admitted requests in the last window, with all permits.
+    pub recent: u64,
     /// Requests that were admitted and not sent to a target, and permits of the receiver that were not used.
     pub returned: u64,
 }
@@ -165,6 +213,16 @@
     Complete,
 }
 
+/// How much an account usually sends.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct AccountUsage {
+    /// The account.
+    pub account: AccountId,
+    /// The class of its rate.
+    pub class: UsageClass,
+}
+
 /// What has changed in a control host's count since the last such message on a link.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -175,6 +233,8 @@
     pub tightened: Vec<AccountId>,
     /// Accounts whose requests no longer do.
     pub calmed: Vec<AccountId>,
+    /// Accounts whose usual rate is in another class than before. Others are in the lowest class.
+    pub usage: Vec<AccountUsage>,
 }
 
 /// Returns the rank of a control host for an account. Entries of all releases must compute the same.
--- a/hickoryspan_core/src/gateway/admission/quota_gate.rs
+++ b/hickoryspan_core/src/gateway/admission/quota_gate.rs
@@ -11,6 +11,7 @@
     AccountCount, CountingState, NOTICE_TIME, PermitAnswer, PermitNumber, PermitRequest,
     ProcessNumber, QuotaBounds, QuotaChange, QuotaCounts, QuotaSettings, host_rank,
 };
+use super::usage_class::UsageClass;
 use super::usage_window::UsageWindow;
 use crate::gateway::documents::accounts::AccountQuota;
 use crate::gateway::membership::shared_table::ChangeNumber;
@@ -20,6 +21,11 @@
 const STOCK_LIFETIME: Duration = Duration::from_millis(400);
 /// Time for which a control host that did not answer in time is not asked again.
 const AVOID_TIME: Duration = Duration::from_secs(1);
+/// Time without a message of a control host that counts after which requests need permits, also those of calm accounts.
+/// Hosts report more often, so that either none is reached or this entry does not get to read.
+const SILENCE_TIME: Duration = Duration::from_millis(500);
+/// Part of its own share that a process may use at its start.
+const START_PART: f64 = 0.1;
 /// Shortest time between two reports that are sent before they are due.
 const MIN_PROMPT_INTERVAL: Duration = Duration::from_millis(100);
 /// Time over which the need for permits is estimated.
@@ -49,6 +55,7 @@
 struct HostState {
     counting: CountingState,
     tight: HashSet<AccountId>,
+    has_reported_usage: bool,
     avoided_until: Option<MonotonicTime>,
 }
 
@@ -67,6 +74,21 @@
     expired: u64,
 }
 
+/// What an entry may run without a control host, as a token bucket.
+#[derive(Clone, Copy, Debug)]
+struct OwnBucket {
+    level: f64,
+    refilled_at: MonotonicTime,
+}
+
+impl OwnBucket {
+    fn refill(&mut self, now: MonotonicTime, rate: f64, capacity: f64) {
+        let earned = rate * now.since(self.refilled_at).as_secs_f64();
+        self.level = (self.level + earned).min(capacity);
+        self.refilled_at = now;
+    }
+}
+
 #[derive(Debug)]
 struct AccountState {
     admitted: u64,
@@ -77,6 +99,8 @@
     // Requests that ran without a permit while the account was calm, and since when they are counted.
     free: u32,
     free_since: MonotonicTime,
+    // In use since the last request that a control host knew of or permitted.
+    own: Option<OwnBucket>,
     // Rounds the share of this process, from 0 to 1.
     phase: f64,
     changed: ChangeNumber,
@@ -111,6 +135,12 @@
     started_at: MonotonicTime,
     entries: u32,
     hosts: BTreeMap<SocketAddr, HostState>,
+    // The usual rates that each control host has reported. They are needed most when no host is linked any more.
+    usage: BTreeMap<SocketAddr, HashMap<AccountId, UsageClass>>,
+    // The accounts that were tight when the last control host that counts was lost.
+    last_tight: HashSet<AccountId>,
+    // When a control host that counts was last heard.
+    heard_at: MonotonicTime,
     accounts: HashMap<AccountId, AccountState>,
     newest: ChangeNumber,
     next_number: u64,
@@ -129,6 +159,9 @@
             started_at: now,
             entries: 1,
             hosts: BTreeMap::new(),
+            usage: BTreeMap::new(),
+            last_tight: HashSet::new(),
+            heard_at: now,
             accounts: HashMap::new(),
             newest: ChangeNumber::default(),
             next_number: 0,
@@ -145,7 +178,17 @@
 
     /// Applies what a control host reports of its count.
     pub fn apply(&mut self, from: SocketAddr, change: QuotaChange) {
+        if change.counting == CountingState::Isolated {
+            self.keep_tight(from);
+        }
         let host = self.hosts.entry(from).or_default();
+        if change.counting == CountingState::Complete {
+            let usage = self.usage.entry(from).or_default();
+            if !std::mem::replace(&mut host.has_reported_usage, true) {
+                usage.clear();
+            }
+            usage.extend(change.usage.into_iter().map(|usage| (usage.account, usage.class)));
+        }
         host.counting = change.counting;
         for account in &change.calmed {
             host.tight.remove(account);
@@ -153,8 +196,43 @@
         host.tight.extend(change.tightened);
     }
 
+    /// Keeps the list of tight accounts if this host is the last one that counts.
+    fn keep_tight(&mut self, host: SocketAddr) {
+        let mut counting = self.counting_hosts();
+        let is_last = counting.next().is_some_and(|(first, _)| first == host);
+        if is_last && counting.next().is_none() {
+            drop(counting);
+            self.last_tight =
+                self.hosts.get(&host).map(|host| host.tight.clone()).unwrap_or_default();
+        }
+    }
+
+    fn is_tight(&self, account: &AccountId) -> bool {
+        let mut hosts = self.counting_hosts().peekable();
+        match hosts.peek() {
+            Some(_) => hosts.any(|(_, host)| host.tight.contains(account)),
+            None => self.last_tight.contains(account),
+        }
+    }
+
+    /// Records that a control host has been heard.
+    pub fn note_heard(&mut self, now: MonotonicTime, from: SocketAddr) {
+        if self.counting_hosts().any(|(host, _)| host == from) {
+            self.heard_at = now;
+        }
+    }
+
+    /// Returns the highest usual rate of an account; `None` if no control host has reported any.
+    fn usual_rate(&self, account: &AccountId) -> Option<f64> {
+        let class = |usage: &HashMap<AccountId, UsageClass>| {
+            usage.get(account).copied().unwrap_or_default()
+        };
+        self.usage.values().map(class).max().map(UsageClass::highest_rate)
+    }
+
     /// Forgets a control host whose link was lost, and its permits.
     pub fn remove_host(&mut self, from: SocketAddr) {
+        self.keep_tight(from);
         self.hosts.remove(&from);
         self.drop_stock(|permits| permits.host != from);
     }
@@ -197,6 +275,7 @@
                 given_back: 0,
                 by_host: BTreeMap::new(),
                 stock: Vec::new(),
+                own: None,
                 free: 0,
                 free_since: MonotonicTime::default(),
                 window: UsageWindow::default(),
@@ -231,11 +310,11 @@
         if self.counting_hosts().next().is_none() {
             return self.decide_alone(now, account, quota);
         }
-        let is_calm = !self.counting_hosts().any(|(_, host)| host.tight.contains(account));
         let bounds = QuotaBounds::new(&self.settings, quota);
-        if is_calm && self.take_free(now, account, &bounds) {
+        if !self.is_tight(account) && self.take_free(now, account, &bounds) {
             self.report_wanted |= bounds.is_prompt;
             self.count_admitted(now, account);
+            self.state(account).own = None;
             return QuotaVerdict::Admitted;
         }
         if self.take_stored(now, account) {
@@ -261,10 +340,19 @@
         let window = self.settings.window;
         // The process before this one may have used the share of the last window.
         let started = now.since(self.started_at).as_secs_f64() / window.as_secs_f64();
-        let share = bounds.unheard_share(self.entries) * started.min(1.0);
+        let usual = self.usual_rate(account);
+        let part = started.clamp(START_PART, 1.0);
+        let share = bounds.unheard_share(self.entries, usual) * part;
+        let rate = bounds.rate / f64::from(self.entries.max(1));
+        // A tight account has just used what it may.
+        let start = if self.is_tight(account) { 0.0 } else { share };
         let jitter = self.generator.random_range(1.0..1.25);
         let state = self.state(account);
-        if state.window.count(now, window) + state.phase < share {
+        let own = state.own.get_or_insert(OwnBucket { level: start, refilled_at: now });
+        own.refill(now, rate, share);
+        let has_room = state.window.count(now, window) + state.phase < share;
+        if has_room && own.level > state.phase {
+            own.level -= 1.0;
             self.report_wanted = true;
             self.count_admitted(now, account);
             return QuotaVerdict::Admitted;
@@ -275,11 +363,16 @@
         QuotaVerdict::Refused { retry_after, share }
     }
 
-    /// Returns whether a request of a calm account may run without a permit.
+    /// Returns whether a request of a calm account may run without a permit: if few have run since a control host was
+    /// heard that may have known of them.
     fn take_free(&mut self, now: MonotonicTime, account: &AccountId, bounds: &QuotaBounds) -> bool {
         let share = bounds.free_share(self.entries);
+        let heard_at = self.heard_at;
+        if now.since(heard_at) > SILENCE_TIME {
+            return false;
+        }
         let state = self.state(account);
-        if now.since(state.free_since) >= NOTICE_TIME {
+        if heard_at.since(state.free_since) >= NOTICE_TIME {
             state.free_since = now;
             state.free = 0;
         }
@@ -302,6 +395,7 @@
         state.drop_stock(|permits| now < permits.expires_at);
         let is_taken = state.take_stored();
         if is_taken {
+            state.own = None;
             self.count_admitted(now, account);
         }
         is_taken
@@ -340,6 +434,11 @@
         true
     }
 
+    /// Returns whether any request has been counted.
+    pub fn has_counts(&self) -> bool {
+        self.newest != ChangeNumber::default()
+    }
+
     /// Returns the position of the last change.
     pub fn newest(&self) -> ChangeNumber {
         self.newest
@@ -352,12 +451,17 @@
         host: SocketAddr,
         known: ChangeNumber,
     ) -> Option<QuotaCounts> {
-        let changed = self.accounts.iter().filter(|(_, state)| state.changed > known);
-        let to_count = |(account, state): (&AccountId, &AccountState)| {
+        if known == self.newest {
+            return None;
+        }
+        let window = self.settings.window;
+        let changed = self.accounts.iter_mut().filter(|(_, state)| state.changed > known);
+        let to_count = |(account, state): (&AccountId, &mut AccountState)| {
             let by_host = state.by_host.get(&host).copied().unwrap_or_default();
             AccountCount {
                 account: account.clone(),
                 admitted: state.admitted - by_host.used,
+                recent: state.window.count(now, window) as u64,
                 returned: state.given_back + by_host.expired,
             }
         };
--- a/hickoryspan_core/src/gateway/admission/quota_ledger.rs
+++ b/hickoryspan_core/src/gateway/admission/quota_ledger.rs
@@ -6,27 +6,46 @@
 use rand_chacha::ChaCha12Rng;
 
 use super::budget::EntryCount;
+use super::demand_meter::DemandMeter;
 use super::quota::{
-    CountingState, PermitAnswer, PermitRequest, ProcessNumber, QuotaBounds, QuotaChange,
-    QuotaCounts, QuotaSettings,
+    AccountUsage, CountingState, PermitAnswer, PermitRequest, ProcessNumber, QuotaBounds,
+    QuotaChange, QuotaCounts, QuotaSettings,
 };
+use super::usage_class::UsageClass;
 use super::usage_window::UsageWindow;
 use crate::entry::pacer::RetryPacer;
 use crate::gateway::documents::accounts::{AccountQuota, ClientAccount};
 use crate::types::{AccountId, MonotonicTime};
 
-/// Time for which this host counts on after it has lost its leader. An election takes less.
-const LEADER_GRACE: Duration = Duration::from_millis(1_500);
+/// Time after which a request counts half in the usual rate of an account.
+const USUAL_HALF_LIFE: Duration = Duration::from_secs(20);
 /// Time for which the shares of entries that are no longer heard are kept for them.
 const ENTRY_MEMORY: Duration = Duration::from_secs(30);
 /// Time after its last report after which a process of an entry is forgotten.
 const PROCESS_MEMORY: Duration = Duration::from_secs(120);
+/// Time after its start, or after it has found a leader again, in which entries link to this host and report what they
+/// have admitted.
+const LINK_TIME: Duration = Duration::from_secs(1);
+/// Part of the entries that this host must hear to count before that time.
+const LINKED_PART: f64 = 0.8;
+/// Part of the entries of the last window that this host must hear to count at all. Below it, the others are more likely to
+/// hear another host.
+const ATTACHED_PART: f64 = 0.5;
 /// Part of the margin that a host which has just started may give out in addition to the rate. It does not know what
 /// was used before.
 const START_PART: f64 = 1.0 / 3.0;
 /// Multiple of the level for tight accounts at which an account is calm again.
 const CALM_FACTOR: f64 = 1.5;
 
+/// Which entries a control host hears.
+#[derive(Clone, Copy, Debug)]
+struct EntryReach {
+    /// Entries that report.
+    heard: u32,
+    /// Entries that reported some time ago and may run requests without being heard.
+    lost: u32,
+}
+
 #[derive(Debug)]
 struct AccountState {
     quota: AccountQuota,
@@ -34,6 +53,8 @@
     level: f64,
     refilled_at: MonotonicTime,
     window: UsageWindow,
+    usual: DemandMeter,
+    usage_class: UsageClass,
     pacer: RetryPacer,
     tight: bool,
 }
@@ -51,6 +72,7 @@
         // from now on should not be refused for it.
         self.level = (self.level - count).max(0.0);
         self.window.add(now, count);
+        self.usual.note(now, count);
     }
 
     fn give_back(&mut self, now: MonotonicTime, count: f64) {
@@ -59,11 +81,40 @@
         self.window.take_back(count);
     }
 
-    fn update_tight(&mut self, now: MonotonicTime) {
+    /// Returns how many requests may run now.
+    fn available(&mut self, now: MonotonicTime, reach: &EntryReach) -> f64 {
         self.refill(now);
+        self.level.min(self.room(now, reach))
+    }
+
+    /// Returns how many requests the window has room for, less what entries may run that this host does not hear.
+    fn room(&mut self, now: MonotonicTime, reach: &EntryReach) -> f64 {
+        let usual = self.usage_class.highest_rate();
+        let unheard = self.bounds.unheard_use(reach.heard + reach.lost, usual);
+        let window = Duration::from_secs_f64(self.bounds.window);
+        self.bounds.most - unheard * f64::from(reach.lost) - self.window.count(now, window)
+    }
+
+    /// Returns when the caller of a refused request may try again.
+    fn retry_delay(
+        &mut self,
+        now: MonotonicTime,
+        reach: &EntryReach,
+        generator: &mut ChaCha12Rng,
+    ) -> Duration {
+        let missing = 1.0 - self.level;
+        let delay = self.pacer.retry_delay(now, 1.0, missing, self.bounds.rate, generator);
+        if self.room(now, reach) >= 1.0 {
+            return delay;
+        }
+        delay.max(self.window.time_to_room(now, Duration::from_secs_f64(self.bounds.window)))
+    }
+
+    fn update_tight(&mut self, now: MonotonicTime, reach: &EntryReach) {
         let QuotaBounds { tight_below, capacity, .. } = self.bounds;
         let calm_at = (tight_below * CALM_FACTOR).min(capacity);
-        self.tight = self.level < if self.tight { calm_at } else { tight_below };
+        let border = if self.tight { calm_at } else { tight_below };
+        self.tight = self.available(now, reach) < border;
     }
 
     fn set_quota(&mut self, now: MonotonicTime, settings: &QuotaSettings, quota: AccountQuota) {
@@ -89,6 +140,13 @@
     returned: u64,
 }
 
+/// What a report adds to the count of an account.
+struct CountChange {
+    account: AccountId,
+    recent: u64,
+    returned: u64,
+}
+
 #[derive(Debug)]
 struct ProcessState {
     counts: HashMap<AccountId, ReportedCount>,
@@ -106,9 +164,13 @@
     processes: HashMap<ProcessNumber, ProcessState>,
     entries: u32,
     entry_count: EntryCount,
-    leader_seen_at: Option<MonotonicTime>,
+    // The same, of which less is remembered.
+    recent_count: EntryCount,
+    // Since when this host has known a leader, if it does.
+    led_since: Option<MonotonicTime>,
     told_counting: CountingState,
     told_tight: BTreeSet<AccountId>,
+    told_usage: HashMap<AccountId, UsageClass>,
     generator: ChaCha12Rng,
 }
 
@@ -123,9 +185,11 @@
             processes: HashMap::new(),
             entries: 0,
             entry_count: EntryCount::default(),
-            leader_seen_at: None,
+            recent_count: EntryCount::default(),
+            led_since: None,
             told_counting: CountingState::default(),
             told_tight: BTreeSet::new(),
+            told_usage: HashMap::new(),
             generator,
         }
     }
@@ -150,18 +214,28 @@
         !self.quotas.is_empty()
     }
 
-    /// Records how many entries are linked to this host, and whether it knows a leader.
-    pub fn note_hosts(&mut self, now: MonotonicTime, entries: u32, has_leader: bool) {
+    /// Records how many entries are linked to this host.
+    pub fn note_entries(&mut self, now: MonotonicTime, entries: u32) {
         self.entries = entries;
         self.entry_count.note(now, entries);
-        if has_leader {
-            self.leader_seen_at = Some(now);
-        }
+        self.recent_count.note(now, entries);
+    }
+
+    /// Records whether this host knows a leader. Without one, other hosts may count without it.
+    pub fn note_leader(&mut self, now: MonotonicTime, has_leader: bool) {
+        self.led_since = has_leader.then(|| self.led_since.unwrap_or(now));
     }
 
-    fn counting(&self, now: MonotonicTime) -> CountingState {
-        let is_led = self.leader_seen_at.is_some_and(|seen_at| now.since(seen_at) < LEADER_GRACE);
-        match (is_led, now.since(self.started_at) < self.settings.window) {
+    /// Returns whether this host counts the requests of all entries.
+    pub fn counting(&mut self, now: MonotonicTime) -> CountingState {
+        let Some(led_since) = self.led_since else { return CountingState::Isolated };
+        let hears = |part: f64, highest: u32| f64::from(self.entries) >= part * f64::from(highest);
+        let is_attached =
+            hears(ATTACHED_PART, self.recent_count.highest(now, self.settings.window));
+        let is_linked = hears(LINKED_PART, self.entry_count.highest(now, ENTRY_MEMORY));
+        let age = now.since(self.started_at);
+        let is_ready = age >= LINK_TIME && (is_linked || now.since(led_since) >= LINK_TIME);
+        match (is_ready && is_attached, age < self.settings.window) {
             (false, _) => CountingState::Isolated,
             (true, true) => CountingState::Fresh,
             (true, false) => CountingState::Complete,
@@ -180,21 +254,18 @@
 
     fn new_state(&self, now: MonotonicTime, quota: AccountQuota) -> AccountState {
         let bounds = QuotaBounds::new(&self.settings, &quota);
-        let since_start = now.since(self.started_at);
-        let unknown = self.settings.window.saturating_sub(since_start);
-        let (level, window) = if unknown.is_zero() {
-            (bounds.capacity, UsageWindow::default())
-        } else {
-            let start = (bounds.margin * START_PART).max(1.0);
-            let earned = bounds.rate * since_start.as_secs_f64();
-            (start + earned, UsageWindow::filled(self.started_at, unknown, bounds.rate))
-        };
+        // A host that has just started does not know what was used before, apart from what entries report.
+        let is_fresh = now.since(self.started_at) < self.settings.window;
+        let level = if is_fresh { bounds.margin * START_PART } else { bounds.capacity };
         AccountState {
             quota,
             bounds,
-            level: level.min(bounds.capacity),
-            refilled_at: now,
-            window,
+            level: level.max(1.0).min(bounds.capacity),
+            refilled_at: if is_fresh { self.started_at } else { now },
+            window: UsageWindow::default(),
+            // The time before the first request counts a little, so that one request does not make a high rate.
+            usual: DemandMeter::start(now - self.settings.window, USUAL_HALF_LIFE),
+            usage_class: UsageClass::default(),
             pacer: RetryPacer::default(),
             tight: false,
         }
@@ -202,6 +273,7 @@
 
     /// Counts what a process of an entry reports.
     pub fn note_counts(&mut self, now: MonotonicTime, report: QuotaCounts) {
+        let reach = self.reach(now);
         let is_known = self.processes.contains_key(&report.process);
         // What an older process has admitted before this host started is not known to be recent.
         let is_older = report.age >= now.since(self.started_at);
@@ -215,25 +287,30 @@
             let admitted = count.admitted.saturating_sub(known.admitted);
             let returned = count.returned.saturating_sub(known.returned);
             *known = ReportedCount { admitted: count.admitted, returned: count.returned };
-            if is_known || !is_older {
-                changes.push((count.account, admitted, returned));
-            }
+            // The first report of an older process, and the first one after a cut, contain requests that have left the
+            // window.
+            let recent = admitted.min(count.recent);
+            let returned = if is_known || !is_older { returned } else { 0 };
+            changes.push(CountChange { account: count.account, recent, returned });
         }
-        for (account, admitted, returned) in changes {
+        for CountChange { account, recent, returned } in changes {
             self.ensure_state(now, &account);
             let Some(state) = self.accounts.get_mut(&account) else { continue };
-            state.deduct(now, admitted as f64);
+            state.deduct(now, recent as f64);
             state.give_back(now, returned as f64);
-            state.update_tight(now);
+            state.update_tight(now, &reach);
         }
     }
 
+    fn reach(&mut self, now: MonotonicTime) -> EntryReach {
+        let highest = self.entry_count.highest(now, ENTRY_MEMORY);
+        EntryReach { heard: self.entries, lost: highest.saturating_sub(self.entries) }
+    }
+
     /// Answers an entry that needs permits.
     pub fn grant(&mut self, now: MonotonicTime, request: &PermitRequest) -> PermitAnswer {
         let PermitRequest { number, account, wanted } = request.clone();
-        let entries = self.entries.max(1);
-        let window = self.settings.window;
-        let lost = self.entry_count.highest(now, ENTRY_MEMORY).max(entries) - entries;
+        let reach = self.reach(now);
         self.ensure_state(now, &account);
         let Some(state) = self.accounts.get_mut(&account) else {
             // The entry has another document; the one in force here sets no limit.
@@ -241,58 +318,84 @@
             let level = f64::from(permits);
             return PermitAnswer { number, account, permits, retry_after: Duration::ZERO, level };
         };
-        state.refill(now);
-        let reserve = state.bounds.unheard_share(entries + lost) * f64::from(lost);
-        let room = state.bounds.most - reserve - state.window.count(now, window);
-        let available = state.level.min(room);
-        let level = available;
-        let answer = if available >= 1.0 {
-            // What one entry keeps in stock is missing elsewhere.
-            let stock = (available / (2.0 * f64::from(entries))).floor().max(1.0);
-            let permits = (stock as u32).min(wanted.max(1));
-            state.deduct(now, f64::from(permits));
-            PermitAnswer { number, account, permits, retry_after: Duration::ZERO, level }
-        } else {
-            let missing = 1.0 - state.level;
-            let rate = state.bounds.rate;
-            let delay = state.pacer.retry_delay(now, 1.0, missing, rate, &mut self.generator);
-            let blocked = room < 1.0;
-            let retry_after =
-                if blocked { delay.max(state.window.time_to_room(now, window)) } else { delay };
-            PermitAnswer { number, account, permits: 0, retry_after, level }
-        };
-        state.update_tight(now);
-        answer
+        let level = state.available(now, &reach);
+        if level < 1.0 {
+            let retry_after = state.retry_delay(now, &reach, &mut self.generator);
+            return PermitAnswer { number, account, permits: 0, retry_after, level };
+        }
+        // What one entry keeps in stock is missing elsewhere.
+        let stock = (level / (2.0 * f64::from(reach.heard.max(1)))).floor().max(1.0);
+        let permits = (stock as u32).min(wanted.max(1));
+        state.deduct(now, f64::from(permits));
+        state.update_tight(now, &reach);
+        PermitAnswer { number, account, permits, retry_after: Duration::ZERO, level }
     }
 
     /// Returns what has changed since the last call, for the entries; `None` if nothing has.
     pub fn take_change(&mut self, now: MonotonicTime) -> Option<QuotaChange> {
+        let counting = self.counting(now);
+        let reach = self.reach(now);
         for state in self.accounts.values_mut() {
-            state.update_tight(now);
+            state.update_tight(now, &reach);
+            state.usage_class = state.usage_class.after(state.usual.rate(now));
         }
-        let counting = self.counting(now);
         let states = self.accounts.iter();
         let tight: BTreeSet<AccountId> =
             states.filter(|(_, state)| state.tight).map(|(account, _)| account.clone()).collect();
-        if counting == self.told_counting && tight == self.told_tight {
+        let usage = self.take_usage(counting);
+        if counting == self.told_counting && tight == self.told_tight && usage.is_empty() {
             return None;
         }
         let change = QuotaChange {
             counting,
             tightened: tight.difference(&self.told_tight).cloned().collect(),
             calmed: self.told_tight.difference(&tight).cloned().collect(),
+            usage,
         };
         self.told_counting = counting;
         self.told_tight = tight;
         Some(change)
     }
 
+    /// Returns the accounts whose usual rate is in another class than entries were told.
+    fn take_usage(&mut self, counting: CountingState) -> Vec<AccountUsage> {
+        if counting != CountingState::Complete {
+            // What a host that has just started has counted says little.
+            return Vec::new();
+        }
+        let (accounts, told) = (&self.accounts, &mut self.told_usage);
+        let class_of =
+            |account: &AccountId| accounts.get(account).map_or(UsageClass(0), |s| s.usage_class);
+        let mut usage = Vec::new();
+        told.retain(|account, class| {
+            let now_in = class_of(account);
+            if now_in != *class {
+                usage.push(AccountUsage { account: account.clone(), class: now_in });
+                *class = now_in;
+            }
+            now_in > UsageClass(0)
+        });
+        for (account, state) in accounts {
+            if state.usage_class > UsageClass(0) && !told.contains_key(account) {
+                told.insert(account.clone(), state.usage_class);
+                usage.push(AccountUsage { account: account.clone(), class: state.usage_class });
+            }
+        }
+        usage
+    }
+
     /// Returns what all entries have been told, for a new link.
     pub fn told(&self) -> QuotaChange {
+        let usage = self.told_usage.iter();
+        let to_usage = |(account, class): (&AccountId, &UsageClass)| AccountUsage {
+            account: account.clone(),
+            class: *class,
+        };
         QuotaChange {
             counting: self.told_counting,
             tightened: self.told_tight.iter().cloned().collect(),
             calmed: Vec::new(),
+            usage: usage.map(to_usage).collect(),
         }
     }
 
@@ -303,7 +406,7 @@
             .any(|(account, state)| state.tight && !self.told_tight.contains(account))
     }
 
-    /// Forgets processes that are gone, and accounts with a full bucket and an empty window.
+    /// Forgets processes that are gone, and accounts with a full bucket, an empty window and hardly any use.
     pub fn expire(&mut self, now: MonotonicTime) {
         self.processes.retain(|_, process| now.since(process.reported_at) < PROCESS_MEMORY);
         let window = self.settings.window;
@@ -312,7 +415,9 @@
         }
         self.accounts.retain(|_, state| {
             state.refill(now);
-            state.level < state.bounds.capacity || state.window.count(now, window) > 0.0
+            state.level < state.bounds.capacity
+                || state.window.count(now, window) > 0.0
+                || state.usage_class > UsageClass(0)
         });
     }
 }
--- a/hickoryspan_gateway/src/directory_hub.rs
+++ b/hickoryspan_gateway/src/directory_hub.rs
@@ -212,7 +212,10 @@
                 link.demands = ReportedDemands { demands, reported_at: now };
             }
             DirectoryRequest::QuotaCounts(counts) => state.count_requests(now, counts),
-            DirectoryRequest::AskPermits(request) => state.answer_permits(now, number, &request),
+            DirectoryRequest::AskPermits(request) => {
+                state.quotas.note_leader(now, self.has_leader());
+                state.answer_permits(now, number, &request);
+            }
         }
     }
 
@@ -458,7 +461,8 @@
         state.poison.expire(now);
         state.forget_limits(now);
         state.send_demands(now);
-        state.update_quotas(now, self.has_leader(), &self.settings);
+        state.quotas.note_leader(now, self.has_leader());
+        state.update_quotas(now, &self.settings);
         let expired = state.directory.expire(now, self.settings.target_lease);
         if expired.is_empty() {
             return;
--- a/hickoryspan_gateway/src/entry_daemon.rs
+++ b/hickoryspan_gateway/src/entry_daemon.rs
@@ -94,6 +94,11 @@
         self.host_reports.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn note_heard(&self, from: SocketAddr) {
+        let now = self.state.now();
+        self.state.decisions().quotas.note_heard(now, from);
+    }
+
     /// Returns the last report of a host; `None` if it has sent none on its current link.
     fn report_of(&self, host: SocketAddr) -> Option<HostReport> {
         self.lock_reports().get(&host).copied()
@@ -227,10 +232,17 @@
         match update {
             DirectoryUpdate::Hosts { controls, entries, document, link_version } => {
                 self.hosts.add(controls);
+                let is_first = self.report_of(from).is_none();
                 self.set_report(from, Some(HostReport { entries, document, link_version }));
+                self.note_heard(from);
+                if is_first && self.state.decisions().quotas.has_counts() {
+                    // Only now is it known that this host counts requests, and it should know of earlier ones soon.
+                    self.state.trigger_report();
+                }
                 return self.next_request(from, document);
             }
             DirectoryUpdate::Unchanged => {
+                self.note_heard(from);
                 let document = self.report_of(from).and_then(|report| report.document);
                 return self.next_request(from, document);
             }
--- a/hickoryspan_gateway/src/hub_state.rs
+++ b/hickoryspan_gateway/src/hub_state.rs
@@ -8,7 +8,7 @@
 use hickoryspan_core::gateway::admission::limit_gate::{
     DEMAND_LIFETIME, DemandTotals, ServiceDemand,
 };
-use hickoryspan_core::gateway::admission::quota::{PermitRequest, QuotaCounts};
+use hickoryspan_core::gateway::admission::quota::{CountingState, PermitRequest, QuotaCounts};
 use hickoryspan_core::gateway::admission::quota_ledger::QuotaLedger;
 use hickoryspan_core::gateway::admission::target_limits::{LimitRecord, LimitTable};
 use hickoryspan_core::gateway::fanouts::relays::RelayPeer;
@@ -39,6 +39,9 @@
 /// Smallest size in bytes of a frame that is compressed.
 const MIN_PACKED_BYTES: usize = 300;
 
+/// Number of report intervals after which an entry that sends nothing is taken to count requests alone.
+const QUOTA_HEARD_INTERVALS: f64 = 2.25;
+
 /// How long a change is delayed so that it is sent together with others.
 pub(crate) const BATCH_DELAY: Duration = Duration::from_millis(20);
 
@@ -272,13 +275,18 @@
         }
     }
 
-    /// Answers an entry that needs permits for requests of an account.
+    /// Answers an entry that needs permits for requests of an account. Without a leader, other hosts may count without
+    /// this one, so the entry has to decide itself.
     pub(crate) fn answer_permits(
         &mut self,
         now: MonotonicTime,
         number: LinkNumber,
         request: &PermitRequest,
     ) {
+        if self.quotas.counting(now) == CountingState::Isolated {
+            self.send_quota_change(now);
+            return;
+        }
         let answer = self.quotas.grant(now, request);
         self.send_to(number, &DirectoryUpdate::Permits(answer));
     }
@@ -291,15 +299,13 @@
         }
     }
 
-    /// Notes which entries and leader this host knows, and sends what that and the time change in its count.
-    pub(crate) fn update_quotas(
-        &mut self,
-        now: MonotonicTime,
-        has_leader: bool,
-        settings: &DirectorySettings,
-    ) {
-        let entries = u32::try_from(self.entries(now, settings).len()).unwrap_or(u32::MAX);
-        self.quotas.note_hosts(now, entries, has_leader);
+    /// Notes which entries this host knows, and sends what that and the time change in its count.
+    pub(crate) fn update_quotas(&mut self, now: MonotonicTime, settings: &DirectorySettings) {
+        // An entry that has missed two reports may be cut off, and counts alone then.
+        let heard_time = settings.report_interval.mul_f64(QUOTA_HEARD_INTERVALS);
+        let links = self.links.values().filter(|link| link.entry.is_some());
+        let heard = links.filter(|link| now.since(link.last_received_at) <= heard_time).count();
+        self.quotas.note_entries(now, u32::try_from(heard).unwrap_or(u32::MAX));
         self.quotas.expire(now);
         self.send_quota_change(now);
     }
--- a/hickoryspan_gateway/src/quota_permits.rs
+++ b/hickoryspan_gateway/src/quota_permits.rs
@@ -19,7 +19,8 @@
 /// Time for the answer of a control host. A longer wait would cost more of a request's objective than a decision of the
 /// entry itself is worse.
 const PERMIT_TIMEOUT: Duration = Duration::from_millis(30);
-/// Number of times that a request asks for a permit. Another request of the entry may take the one that it got.
+/// Number of times that a request asks for a permit. The first host may not answer, or another request of the entry may
+/// take the permit.
 const MAX_ASKS: usize = 2;
 
 /// The links over which control hosts are asked for permits, and the requests that wait for their answers.
@@ -137,8 +138,8 @@
             Some(_) => {}
             None => {
                 metrics::counter!("hickoryspan_gateway_permit_timeouts_total").increment(1);
+                // The next round asks another host.
                 state.decisions().quotas.note_timeout(state.now(), host);
-                break;
             }
         }
     }
--- a/hickoryspan_gateway/tests/gateway/quotas.rs
+++ b/hickoryspan_gateway/tests/gateway/quotas.rs
@@ -16,6 +16,8 @@
 const QUOTA: AccountQuota = AccountQuota { rate: RequestRate(4.0), burst: 4.0 };
 /// Requests in 5 s that users allow: `(4 * 5 + 4) * 1.1 + 20`.
 const ALLOWED: usize = 46;
+/// Time after its start from which a control host counts requests, and some more.
+const COUNTING_TIME: Duration = Duration::from_millis(1_500);
 /// More requests than the quota allows at once, and with the slack that users tolerate.
 const REQUESTS: usize = 70;
 
@@ -37,6 +39,8 @@
     let rule = route("/", RepeatRule::AtMostOnce, to_service("records"));
     deployment.configure(vec![rule]).await;
     deployment.announce("target", "records", target.address).await;
+    // Until then, a control host that has just started leaves each entry a small share.
+    tokio::time::sleep(COUNTING_TIME).await;
     deployment
 }
 
@@ -66,6 +70,8 @@
     assert!((QUOTA.burst as usize..=ALLOWED).contains(&served), "{served} requests served");
     let refusal = refusal.expect("a refusal");
     tokio::time::sleep(retry_after(&refusal)).await;
+    // The lease of the target may have expired meanwhile.
+    deployment.announce("target", "records", target.address).await;
     let answer = deployment.exchange_at(0, &get_with_key("/parcel")).await;
     assert_eq!(answer.status, 200);
     deployment.stop().await;
