--- a/hickoryspan_core/src/gateway/admission/mod.rs
+++ b/hickoryspan_core/src/gateway/admission/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod budget;
 pub mod cold_targets;
+pub mod demand_meter;
 pub mod fair_share;
 pub mod limit_gate;
 pub mod overload;
@@ -10,4 +11,5 @@
 pub mod quota_gate;
 pub mod quota_ledger;
 pub mod target_limits;
+pub mod usage_class;
 pub mod usage_window;
