Give callers time to read an answer before its room is taken

Cause: a request that waited for room for its answer ended the connection of the answer that had come last, before it could be sent. Under pressure of large answers each would have been lost to the next one. Change: an unsent answer is given up for others only after 250 ms, and an eighth of the room for answers is kept for those up to 16 KiB.

--- a/hickoryspan_runtime/src/caller_budget.rs
+++ b/hickoryspan_runtime/src/caller_budget.rs
@@ -43,6 +43,11 @@
 const DESCRIPTOR_SHARE: f64 = 2.0 / 3.0;
 /// How long a connection that is ended to make room may send the answer to its last request.
 const LAST_ANSWER_TIME: Duration = Duration::from_millis(200);
+/// Time in which a caller may read an answer before its connection is ended for others. An answer that has just come would
+/// otherwise be lost to the next one before it is sent.
+const ANSWER_GRACE: Duration = Duration::from_millis(250);
+/// Part of the room for answers that is kept for answers as small as small requests.
+const SMALL_ANSWER_DIVISOR: usize = 8;
 /// Shortest time between two log lines.
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
 /// Memory of a process whose settings state none, in bytes.
@@ -216,6 +221,8 @@
     fn choose(&self, now: Instant, pool: Pool, only: Option<IpAddr>) -> Option<u64> {
         let is_candidate = |holding: &&Holding| {
             holding.is_evictable()
+                && (pool != Pool::Answers
+                    || now.saturating_duration_since(holding.since) >= ANSWER_GRACE)
                 && holding.bytes_in(pool) > 0
                 && only.is_none_or(|only| only == holding.peer)
         };
@@ -392,7 +399,10 @@
     /// Takes room for an answer if there is any. Connections whose callers do not read are ended for it.
     fn try_reserve_answer(&self, number: u64, bytes: usize) -> bool {
         let now = Instant::now();
-        let limit = self.settings.answer_bytes;
+        let limit = match bytes <= SMALL_REQUEST_BYTES {
+            true => self.settings.answer_bytes,
+            false => self.settings.answer_bytes - self.settings.answer_bytes / SMALL_ANSWER_DIVISOR,
+        };
         let mut ledger = self.lock();
         while ledger.answer_bytes > 0 && ledger.answer_bytes + bytes > limit {
             match ledger.choose(now, Pool::Answers, None) {
@@ -583,7 +593,8 @@
                 budget.lock().note_loss("answers");
                 return Err(BudgetExhausted);
             }
-            freed.await;
+            // Unread answers may be given up after a while, which nothing announces.
+            let _ = tokio::time::timeout(ANSWER_GRACE, freed).await;
         }
     }
 
