Bound the memory of quota counts and show the use of accounts

Cause: counts of each account and process were kept for ever, each report searched all accounts, and operators could not see who is near a limit. Change: idle counts are forgotten on both sides; hosts note when an account becomes tight instead of searching; they keep three standard deviations for entries out of touch; logs and metrics show what a host counts.

--- a/hickoryspan_core/src/gateway/admission/quota.rs
+++ b/hickoryspan_core/src/gateway/admission/quota.rs
@@ -20,9 +20,9 @@
 const REGULAR_NOTICE: f64 = 0.6;
 /// The same with prompt reports.
 const PROMPT_NOTICE: f64 = 0.25;
-/// Requests of some entries as a multiple of their even part of what all entries run, because callers choose at random and
-/// entries may have used more than their share while they were in touch.
-const UNEVEN_FACTOR: f64 = 1.5;
+/// Standard deviations that are kept in addition to the mean use of entries out of touch, because callers choose entries at
+/// random.
+const UNHEARD_DEVIATIONS: f64 = 3.0;
 /// Largest share of an entry as a multiple of an equal part.
 const MAX_SHARE_FACTOR: f64 = 8.0;
 /// Least number of requests that an entry admits before the control hosts know of them, so that requests that come
@@ -32,6 +32,8 @@
 pub const NOTICE_TIME: Duration = Duration::from_millis(250);
 /// Multiple of its usual rate that an account may send while entries are out of touch with all control hosts.
 const UNHEARD_PEAK: f64 = 8.0;
+/// Time without a request of an account after which an entry forgets its count. Control hosts remember it for longer.
+pub const IDLE_MEMORY: Duration = Duration::from_secs(60);
 /// Part of the bound that entries may use which get no permits, all together.
 const UNHEARD_PART: f64 = 0.5;
 
@@ -63,6 +65,8 @@
     pub window: f64,
     /// Difference between the largest number and what the rate and the burst allow.
     pub margin: f64,
+    /// Part of the margin for requests that are admitted before an account is known to be tight.
+    pub covered: f64,
     /// Requests that may come at once after a pause.
     pub capacity: f64,
     /// Level below which requests need permits.
@@ -84,22 +88,32 @@
         let is_prompt = exposure(REGULAR_NOTICE) > 1.0;
         let notice = if is_prompt { PROMPT_NOTICE } else { REGULAR_NOTICE };
         let tight_below = exposure(notice).min(capacity / 2.0).max(1.0);
-        Self { rate, most: allowed + margin, window, margin, capacity, tight_below, is_prompt }
+        Self {
+            rate,
+            most: allowed + margin,
+            window,
+            margin,
+            covered,
+            capacity,
+            tight_below,
+            is_prompt,
+        }
     }
 
     /// Returns the number of requests that one of several entries admits without permits before the control hosts know
     /// of them, while an account is calm.
     pub fn free_share(&self, entries: u32) -> f64 {
-        let free = self.capacity / 2.0 + self.margin * NOTICE_PART;
+        let free = self.capacity / 2.0 + self.covered;
         (free / f64::from(entries.max(1))).max(LEAST_FREE)
     }
 
-    /// Returns the number of requests that one of several entries is likely to run in a window at most while it is out of
-    /// touch with all control hosts.
-    pub fn unheard_use(&self, entries: u32, usual: f64) -> f64 {
-        let entries = f64::from(entries.max(1));
+    /// Returns the number of requests that `lost` of several entries run in a window at most, as is likely, while they are out
+    /// of touch with all control hosts.
+    pub fn unheard_use(&self, entries: u32, lost: u32, usual: f64) -> f64 {
         let peak = usual * UNHEARD_PEAK * self.window;
-        peak.min(self.most * UNHEARD_PART) / entries * UNEVEN_FACTOR
+        let part = f64::from(lost) / f64::from(entries.max(1));
+        let mean = peak.min(self.most * UNHEARD_PART) * part;
+        mean + UNHEARD_DEVIATIONS * mean.sqrt()
     }
 
     /// Returns the number of requests that one of several entries may run in a window while it is out of touch with all
@@ -213,6 +227,17 @@
     Complete,
 }
 
+impl CountingState {
+    /// Returns the name of the state for logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Isolated => "isolated",
+            Self::Fresh => "fresh",
+            Self::Complete => "complete",
+        }
+    }
+}
+
 /// How much an account usually sends.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
--- a/hickoryspan_core/src/gateway/admission/quota_gate.rs
+++ b/hickoryspan_core/src/gateway/admission/quota_gate.rs
@@ -8,8 +8,8 @@
 use rand_chacha::ChaCha12Rng;
 
 use super::quota::{
-    AccountCount, CountingState, NOTICE_TIME, PermitAnswer, PermitNumber, PermitRequest,
-    ProcessNumber, QuotaBounds, QuotaChange, QuotaCounts, QuotaSettings, host_rank,
+    AccountCount, CountingState, IDLE_MEMORY, NOTICE_TIME, PermitAnswer, PermitNumber,
+    PermitRequest, ProcessNumber, QuotaBounds, QuotaChange, QuotaCounts, QuotaSettings, host_rank,
 };
 use super::usage_class::UsageClass;
 use super::usage_window::UsageWindow;
@@ -103,6 +103,7 @@
     own: Option<OwnBucket>,
     // Rounds the share of this process, from 0 to 1.
     phase: f64,
+    used_at: MonotonicTime,
     changed: ChangeNumber,
 }
 
@@ -237,9 +238,11 @@
         self.drop_stock(|permits| permits.host != from);
     }
 
-    /// Drops permits that were not used in time. They are returned with the next report.
+    /// Drops permits that were not used in time, which are returned with the next report, and the counts of accounts that
+    /// have not sent for long.
     pub fn expire(&mut self, now: MonotonicTime) {
         self.drop_stock(|permits| now < permits.expires_at);
+        self.accounts.retain(|_, state| now.since(state.used_at) < IDLE_MEMORY);
     }
 
     fn drop_stock(&mut self, keep: impl Fn(&StoredPermits) -> bool) {
@@ -258,7 +261,7 @@
         }
         let expires_at = now + STOCK_LIFETIME;
         let permits = StoredPermits { count: answer.permits, host: from, expires_at };
-        self.state(&answer.account).stock.push(permits);
+        self.state(now, &answer.account).stock.push(permits);
     }
 
     /// Records that a control host did not answer in time.
@@ -268,7 +271,7 @@
         }
     }
 
-    fn state(&mut self, account: &AccountId) -> &mut AccountState {
+    fn state(&mut self, now: MonotonicTime, account: &AccountId) -> &mut AccountState {
         if !self.accounts.contains_key(account) {
             let state = AccountState {
                 admitted: 0,
@@ -280,12 +283,15 @@
                 free_since: MonotonicTime::default(),
                 window: UsageWindow::default(),
                 phase: self.generator.random(),
+                used_at: now,
                 changed: ChangeNumber::default(),
             };
             self.accounts.insert(account.clone(), state);
         }
         // The block above inserts a missing state.
-        self.accounts.get_mut(account).expect("the state exists")
+        let state = self.accounts.get_mut(account).expect("the state exists");
+        state.used_at = now;
+        state
     }
 
     /// Returns the control hosts that count the requests of all entries.
@@ -314,7 +320,7 @@
         if !self.is_tight(account) && self.take_free(now, account, &bounds) {
             self.report_wanted |= bounds.is_prompt;
             self.count_admitted(now, account);
-            self.state(account).own = None;
+            self.state(now, account).own = None;
             return QuotaVerdict::Admitted;
         }
         if self.take_stored(now, account) {
@@ -347,7 +353,7 @@
         // A tight account has just used what it may.
         let start = if self.is_tight(account) { 0.0 } else { share };
         let jitter = self.generator.random_range(1.0..1.25);
-        let state = self.state(account);
+        let state = self.state(now, account);
         let own = state.own.get_or_insert(OwnBucket { level: start, refilled_at: now });
         own.refill(now, rate, share);
         let has_room = state.window.count(now, window) + state.phase < share;
@@ -371,7 +377,7 @@
         if now.since(heard_at) > SILENCE_TIME {
             return false;
         }
-        let state = self.state(account);
+        let state = self.state(now, account);
         if heard_at.since(state.free_since) >= NOTICE_TIME {
             state.free_since = now;
             state.free = 0;
@@ -383,14 +389,14 @@
     fn count_admitted(&mut self, now: MonotonicTime, account: &AccountId) {
         self.newest.0 += 1;
         let newest = self.newest;
-        let state = self.state(account);
+        let state = self.state(now, account);
         state.admitted += 1;
         state.window.add(now, 1.0);
         state.changed = newest;
     }
 
     fn take_stored(&mut self, now: MonotonicTime, account: &AccountId) -> bool {
-        let state = self.state(account);
+        let state = self.state(now, account);
         // Expired permits that are dropped here are returned with the count of this request or the next one.
         state.drop_stock(|permits| now < permits.expires_at);
         let is_taken = state.take_stored();
@@ -405,17 +411,17 @@
         self.next_number += 1;
         let number = PermitNumber(self.next_number);
         let window = self.settings.window;
-        let recent = self.state(account).window.count(now, window);
+        let recent = self.state(now, account).window.count(now, window);
         let soon = recent * STOCK_TIME.as_secs_f64() / window.as_secs_f64();
         let wanted = (soon as u32).saturating_add(1).min(MAX_WANTED);
         PermitRequest { number, account: account.clone(), wanted }
     }
 
     /// Takes back an admitted request that was refused before a target got it.
-    pub fn give_back(&mut self, account: &AccountId) {
+    pub fn give_back(&mut self, now: MonotonicTime, account: &AccountId) {
         self.newest.0 += 1;
         let newest = self.newest;
-        let state = self.state(account);
+        let state = self.state(now, account);
         state.given_back += 1;
         state.window.take_back(1.0);
         state.changed = newest;
--- a/hickoryspan_core/src/gateway/admission/quota_ledger.rs
+++ b/hickoryspan_core/src/gateway/admission/quota_ledger.rs
@@ -8,8 +8,8 @@
 use super::budget::EntryCount;
 use super::demand_meter::DemandMeter;
 use super::quota::{
-    AccountUsage, CountingState, PermitAnswer, PermitRequest, ProcessNumber, QuotaBounds,
-    QuotaChange, QuotaCounts, QuotaSettings,
+    AccountCount, AccountUsage, CountingState, IDLE_MEMORY, PermitAnswer, PermitRequest,
+    ProcessNumber, QuotaBounds, QuotaChange, QuotaCounts, QuotaSettings,
 };
 use super::usage_class::UsageClass;
 use super::usage_window::UsageWindow;
@@ -37,6 +37,23 @@
 /// Multiple of the level for tight accounts at which an account is calm again.
 const CALM_FACTOR: f64 = 1.5;
 
+impl ProcessState {
+    fn note(&mut self, now: MonotonicTime, count: AccountCount) -> CountChange {
+        let AccountCount { account, admitted, recent, returned } = count;
+        let reported = ReportedCount { admitted, returned, reported_at: now };
+        let known = self.counts.insert(account.clone(), reported);
+        // An entry that has not used an account for long counts from zero again.
+        let known = known.filter(|known| known.admitted <= admitted && known.returned <= returned);
+        let (new, returned) = match known {
+            Some(known) => (admitted - known.admitted, returned - known.returned),
+            // It is not known which requests were returned before this host heard of them.
+            None => (admitted, 0),
+        };
+        // The first report of an older process, and the first one after a cut, contain requests that have left the window.
+        CountChange { account, recent: new.min(recent), returned }
+    }
+}
+
 /// Which entries a control host hears.
 #[derive(Clone, Copy, Debug)]
 struct EntryReach {
@@ -90,9 +107,9 @@
     /// Returns how many requests the window has room for, less what entries may run that this host does not hear.
     fn room(&mut self, now: MonotonicTime, reach: &EntryReach) -> f64 {
         let usual = self.usage_class.highest_rate();
-        let unheard = self.bounds.unheard_use(reach.heard + reach.lost, usual);
+        let unheard = self.bounds.unheard_use(reach.heard + reach.lost, reach.lost, usual);
         let window = Duration::from_secs_f64(self.bounds.window);
-        self.bounds.most - unheard * f64::from(reach.lost) - self.window.count(now, window)
+        self.bounds.most - unheard - self.window.count(now, window)
     }
 
     /// Returns when the caller of a refused request may try again.
@@ -114,7 +131,10 @@
         let QuotaBounds { tight_below, capacity, .. } = self.bounds;
         let calm_at = (tight_below * CALM_FACTOR).min(capacity);
         let border = if self.tight { calm_at } else { tight_below };
-        self.tight = self.available(now, reach) < border;
+        self.refill(now);
+        // Requests that are admitted before entries know that the account is tight must fit into the window.
+        let room = self.room(now, reach) - self.bounds.covered;
+        self.tight = self.level.min(room) < border;
     }
 
     fn set_quota(&mut self, now: MonotonicTime, settings: &QuotaSettings, quota: AccountQuota) {
@@ -134,10 +154,11 @@
     }
 }
 
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug)]
 struct ReportedCount {
     admitted: u64,
     returned: u64,
+    reported_at: MonotonicTime,
 }
 
 /// What a report adds to the count of an account.
@@ -168,6 +189,7 @@
     recent_count: EntryCount,
     // Since when this host has known a leader, if it does.
     led_since: Option<MonotonicTime>,
+    has_tightened: bool,
     told_counting: CountingState,
     told_tight: BTreeSet<AccountId>,
     told_usage: HashMap<AccountId, UsageClass>,
@@ -187,6 +209,7 @@
             entry_count: EntryCount::default(),
             recent_count: EntryCount::default(),
             led_since: None,
+            has_tightened: false,
             told_counting: CountingState::default(),
             told_tight: BTreeSet::new(),
             told_usage: HashMap::new(),
@@ -274,34 +297,29 @@
     /// Counts what a process of an entry reports.
     pub fn note_counts(&mut self, now: MonotonicTime, report: QuotaCounts) {
         let reach = self.reach(now);
-        let is_known = self.processes.contains_key(&report.process);
-        // What an older process has admitted before this host started is not known to be recent.
-        let is_older = report.age >= now.since(self.started_at);
         let process = self.processes.entry(report.process);
         let process =
             process.or_insert_with(|| ProcessState { counts: HashMap::new(), reported_at: now });
         process.reported_at = now;
-        let mut changes = Vec::new();
-        for count in report.counts {
-            let known = process.counts.entry(count.account.clone()).or_default();
-            let admitted = count.admitted.saturating_sub(known.admitted);
-            let returned = count.returned.saturating_sub(known.returned);
-            *known = ReportedCount { admitted: count.admitted, returned: count.returned };
-            // The first report of an older process, and the first one after a cut, contain requests that have left the
-            // window.
-            let recent = admitted.min(count.recent);
-            let returned = if is_known || !is_older { returned } else { 0 };
-            changes.push(CountChange { account: count.account, recent, returned });
-        }
+        let changes: Vec<CountChange> =
+            report.counts.into_iter().map(|count| process.note(now, count)).collect();
         for CountChange { account, recent, returned } in changes {
             self.ensure_state(now, &account);
             let Some(state) = self.accounts.get_mut(&account) else { continue };
             state.deduct(now, recent as f64);
             state.give_back(now, returned as f64);
+            let was_tight = state.tight;
             state.update_tight(now, &reach);
+            self.has_tightened |= state.tight && !was_tight;
         }
     }
 
+    /// Returns whether an account became tight since the last call of [`Self::take_change`]. Entries should learn of it at
+    /// once.
+    pub fn has_tightened(&self) -> bool {
+        self.has_tightened
+    }
+
     fn reach(&mut self, now: MonotonicTime) -> EntryReach {
         let highest = self.entry_count.highest(now, ENTRY_MEMORY);
         EntryReach { heard: self.entries, lost: highest.saturating_sub(self.entries) }
@@ -326,13 +344,16 @@
         // What one entry keeps in stock is missing elsewhere.
         let stock = (level / (2.0 * f64::from(reach.heard.max(1)))).floor().max(1.0);
         let permits = (stock as u32).min(wanted.max(1));
+        let was_tight = state.tight;
         state.deduct(now, f64::from(permits));
         state.update_tight(now, &reach);
+        self.has_tightened |= state.tight && !was_tight;
         PermitAnswer { number, account, permits, retry_after: Duration::ZERO, level }
     }
 
     /// Returns what has changed since the last call, for the entries; `None` if nothing has.
     pub fn take_change(&mut self, now: MonotonicTime) -> Option<QuotaChange> {
+        self.has_tightened = false;
         let counting = self.counting(now);
         let reach = self.reach(now);
         for state in self.accounts.values_mut() {
@@ -399,16 +420,31 @@
         }
     }
 
-    /// Returns whether an account became tight since entries were told, which they should learn at once.
-    pub fn has_tightened(&self) -> bool {
-        self.accounts
-            .iter()
-            .any(|(account, state)| state.tight && !self.told_tight.contains(account))
+    /// Returns the number of accounts whose requests need permits.
+    pub fn tight_count(&self) -> usize {
+        self.told_tight.len()
+    }
+
+    /// Returns the largest uses of accounts in the last window, in descending order, as parts of what their rates and
+    /// bursts allow.
+    pub fn largest_uses(&mut self, now: MonotonicTime, count: usize) -> Vec<f64> {
+        let window = self.settings.window;
+        let to_use = |state: &mut AccountState| {
+            let allowed = state.bounds.most - state.bounds.margin;
+            state.window.count(now, window) / allowed.max(f64::EPSILON)
+        };
+        let mut uses: Vec<f64> = self.accounts.values_mut().map(to_use).collect();
+        uses.sort_by(|left, right| right.total_cmp(left));
+        uses.truncate(count);
+        uses
     }
 
     /// Forgets processes that are gone, and accounts with a full bucket, an empty window and hardly any use.
     pub fn expire(&mut self, now: MonotonicTime) {
         self.processes.retain(|_, process| now.since(process.reported_at) < PROCESS_MEMORY);
+        for process in self.processes.values_mut() {
+            process.counts.retain(|_, count| now.since(count.reported_at) < IDLE_MEMORY * 2);
+        }
         let window = self.settings.window;
         if now.since(self.started_at) < window {
             return;
--- a/hickoryspan_core/tests/gateway_quotas/model.rs
+++ b/hickoryspan_core/tests/gateway_quotas/model.rs
@@ -521,7 +521,11 @@
             ToHost::Ask(_) if ledger.counting(self.now) == CountingState::Isolated => {}
             ToHost::Ask(request) => {
                 let answer = ledger.grant(self.now, &request);
+                let has_tightened = ledger.has_tightened();
                 self.send_to_entry(path.entry, path.host, ToEntry::Answer(answer));
+                if has_tightened {
+                    self.send_change(path.host);
+                }
             }
         }
     }
--- a/hickoryspan_gateway/src/hub_state.rs
+++ b/hickoryspan_gateway/src/hub_state.rs
@@ -42,6 +42,9 @@
 /// Number of report intervals after which an entry that sends nothing is taken to count requests alone.
 const QUOTA_HEARD_INTERVALS: f64 = 2.25;
 
+/// Number of accounts whose use the metrics show.
+const SHOWN_ACCOUNTS: usize = 5;
+
 /// How long a change is delayed so that it is sent together with others.
 pub(crate) const BATCH_DELAY: Duration = Duration::from_millis(20);
 
@@ -289,6 +292,9 @@
         }
         let answer = self.quotas.grant(now, request);
         self.send_to(number, &DirectoryUpdate::Permits(answer));
+        if self.quotas.has_tightened() {
+            self.send_quota_change(now);
+        }
     }
 
     /// Sends what this host counts over a link that an entry has just opened.
@@ -308,13 +314,34 @@
         self.quotas.note_entries(now, u32::try_from(heard).unwrap_or(u32::MAX));
         self.quotas.expire(now);
         self.send_quota_change(now);
+        if self.quotas.is_active() {
+            self.show_quotas(now);
+        }
+    }
+
+    fn show_quotas(&mut self, now: MonotonicTime) {
+        metrics::gauge!("hickoryspan_gateway_tight_accounts").set(self.quotas.tight_count() as f64);
+        let uses = self.quotas.largest_uses(now, SHOWN_ACCOUNTS).into_iter();
+        // Ranks without an account are shown as zero, not with their last value.
+        let uses = uses.chain(std::iter::repeat(0.0)).take(SHOWN_ACCOUNTS);
+        for (index, part) in uses.enumerate() {
+            let rank = (index + 1).to_string();
+            metrics::gauge!("hickoryspan_gateway_account_use", "rank" => rank).set(part);
+        }
     }
 
     fn send_quota_change(&mut self, now: MonotonicTime) {
         if !self.quotas.is_active() {
             return;
         }
+        let before = self.quotas.told().counting;
         let Some(change) = self.quotas.take_change(now) else { return };
+        if change.counting != before {
+            spdlog::info!(
+                "quota counting changed",
+                kv: { counting: = change.counting.as_str(), tight: = self.quotas.tight_count() }
+            );
+        }
         let Some(frame) = UpdateFrame::new(&DirectoryUpdate::Quotas(change)) else { return };
         self.links.retain(|_, link| {
             let receives = link.peer == LinkPeer::Entry && link.version() >= LinkVersion::QUOTAS;
--- a/hickoryspan_gateway/src/quota_permits.rs
+++ b/hickoryspan_gateway/src/quota_permits.rs
@@ -187,6 +187,6 @@
 pub(crate) fn give_back(state: &GatewayState, job: &GatewayJob) {
     let Some(identity) = &job.identity else { return };
     if identity.account.quota.is_some() {
-        state.decisions().quotas.give_back(&identity.account.account);
+        state.decisions().quotas.give_back(state.now(), &identity.account.account);
     }
 }
