Tell entries again what is counted after quotas were removed and set anew

Cause: reading the diff: an entry that linked while no account had a quota was not told that a host counts when quotas came back, and the usual rates that hosts reported were kept after the hosts were gone. Change: a host starts its list for entries anew when the last quota is removed; an entry forgets the rates of hosts that are gone once another one reports.

--- a/hickoryspan_core/src/gateway/admission/quota_gate.rs
+++ b/hickoryspan_core/src/gateway/admission/quota_gate.rs
@@ -99,7 +99,7 @@
     // Requests that ran without a permit while the account was calm, and since when they are counted.
     free: u32,
     free_since: MonotonicTime,
-    // In use since the last request that a control host knew of or permitted.
+    // In use since the last request that was calm or had a permit.
     own: Option<OwnBucket>,
     // Rounds the share of this process, from 0 to 1.
     phase: f64,
@@ -189,7 +189,11 @@
                 usage.clear();
             }
             usage.extend(change.usage.into_iter().map(|usage| (usage.account, usage.class)));
+            // What hosts that are gone have reported is needed only until another one reports.
+            let hosts = &self.hosts;
+            self.usage.retain(|host, _| hosts.contains_key(host));
         }
+        let host = self.hosts.entry(from).or_default();
         host.counting = change.counting;
         for account in &change.calmed {
             host.tight.remove(account);
--- a/hickoryspan_core/src/gateway/admission/quota_ledger.rs
+++ b/hickoryspan_core/src/gateway/admission/quota_ledger.rs
@@ -222,6 +222,12 @@
         let limited =
             accounts.iter().filter_map(|account| Some((account.account.clone(), account.quota?)));
         self.quotas = limited.collect();
+        if self.quotas.is_empty() {
+            // Links that open while nothing is counted are told nothing, and must be told all when that changes.
+            self.told_counting = CountingState::Isolated;
+            self.told_tight.clear();
+            self.told_usage.clear();
+        }
         let (quotas, settings) = (&self.quotas, &self.settings);
         self.accounts.retain(|account, state| match quotas.get(account) {
             Some(quota) => {
