Serve accounts with a quota sooner after a common restart

Change: control hosts count from 0.4 s after their start, and for its first 3 s an entry keeps a request for up to half of its time until one counts. The seeded test also restarts everything at once. The wait is not part of the model.

--- a/hickoryspan_core/src/gateway/admission/quota_gate.rs
+++ b/hickoryspan_core/src/gateway/admission/quota_gate.rs
@@ -310,6 +310,11 @@
             .map(|(address, host)| (*address, host))
     }
 
+    /// Returns whether any control host counts the requests of all entries.
+    pub fn is_counted(&self) -> bool {
+        self.counting_hosts().next().is_some()
+    }
+
     /// Decides on a request of a caller.
     pub fn decide(
         &mut self,
--- a/hickoryspan_core/src/gateway/admission/quota_ledger.rs
+++ b/hickoryspan_core/src/gateway/admission/quota_ledger.rs
@@ -25,7 +25,7 @@
 const PROCESS_MEMORY: Duration = Duration::from_secs(120);
 /// Time after its start, or after it has found a leader again, in which entries link to this host and report what they
 /// have admitted.
-const LINK_TIME: Duration = Duration::from_secs(1);
+const LINK_TIME: Duration = Duration::from_millis(400);
 /// Part of the entries that this host must hear to count before that time.
 const LINKED_PART: f64 = 0.8;
 /// Part of the entries of the last window that this host must hear to count at all. Below it, the others are more likely to
--- a/hickoryspan_core/tests/gateway_quotas/main.rs
+++ b/hickoryspan_core/tests/gateway_quotas/main.rs
@@ -157,6 +157,7 @@
     LoseAllHosts,
     FreezeOneHost,
     Split,
+    RestartEverything,
 }
 
 fn draw_fault(
@@ -191,6 +192,17 @@
             let timed = |fault| TimedFault { during: during.clone(), fault };
             return faults.into_iter().map(timed).collect();
         }
+        FaultKind::RestartEverything => {
+            // Processes are back within a second, and control hosts then elect a leader.
+            let back = begin + Duration::from_secs_f64(generator.random_range(0.1..1.0));
+            let led = back + Duration::from_secs_f64(generator.random_range(0.4..1.0));
+            let started = back + Duration::from_secs_f64(generator.random_range(0.0..0.5));
+            return vec![
+                TimedFault { during: begin..back, fault: Fault::LoseHosts(0..hosts) },
+                TimedFault { during: begin..led, fault: Fault::Isolate(0..hosts) },
+                TimedFault { during: started..led, fault: Fault::RestartEntries(0..entries) },
+            ];
+        }
     };
     vec![TimedFault { during, fault }]
 }
@@ -206,6 +218,8 @@
 #[case(FaultKind::LoseAllHosts, 0.25, 0.15)]
 #[case(FaultKind::FreezeOneHost, 0.03, 0.002)]
 #[case(FaultKind::Split, 0.1, 0.06)]
+// All are back within 2.5 s of the 20 s that are played.
+#[case(FaultKind::RestartEverything, 0.125, 0.125)]
 fn quotas_hold_through_a_failure(
     #[case] kind: FaultKind,
     #[case] refused_hot: f64,
--- a/hickoryspan_gateway/src/quota_permits.rs
+++ b/hickoryspan_gateway/src/quota_permits.rs
@@ -10,6 +10,7 @@
 use hickoryspan_core::gateway::documents::accounts::{AccountQuota, ClientAccount};
 use hickoryspan_core::gateway::log_limit::LogPriority;
 use hickoryspan_core::gateway::membership::messages::DirectoryRequest;
+use hickoryspan_core::types::MonotonicTime;
 use tokio::sync::{mpsc, oneshot};
 
 use crate::attempt::GatewayJob;
@@ -19,6 +20,13 @@
 /// Time for the answer of a control host. A longer wait would cost more of a request's objective than a decision of the
 /// entry itself is worse.
 const PERMIT_TIMEOUT: Duration = Duration::from_millis(30);
+/// Time after its start in which this process may not have heard yet that a control host counts. After a common restart,
+/// control hosts first elect a leader.
+const START_TIME: Duration = Duration::from_secs(3);
+/// Share of the time left for which a request waits for that. The rest is left for running it, or for another try.
+const START_PATIENCE: f64 = 0.5;
+/// Interval in which a request that waits looks for a control host that counts.
+const START_POLL_INTERVAL: Duration = Duration::from_millis(10);
 /// Number of times that a request asks for a permit. The first host may not answer, or another request of the entry may
 /// take the permit.
 const MAX_ASKS: usize = 2;
@@ -79,6 +87,7 @@
 pub(crate) async fn admit(state: &GatewayState, job: &GatewayJob) -> Result<(), Duration> {
     let Some(identity) = &job.identity else { return Ok(()) };
     let Some(quota) = &identity.account.quota else { return Ok(()) };
+    await_counting(state, job).await;
     let verdict = decide(state, &identity.account, quota).await;
     if state.decisions().quotas.take_prompt(state.now()) {
         state.trigger_report();
@@ -92,6 +101,17 @@
     }
 }
 
+/// Waits until a control host counts requests, if this process has just started. Its own share is next to nothing then, so
+/// that nearly all requests of accounts with a quota would be refused.
+async fn await_counting(state: &GatewayState, job: &GatewayJob) {
+    let now = state.now();
+    let until = now + job.give_up_at.since(now).mul_f64(START_PATIENCE);
+    let until = until.min(MonotonicTime(0) + START_TIME);
+    while state.now() < until && !state.decisions().quotas.is_counted() {
+        tokio::time::sleep(START_POLL_INTERVAL).await;
+    }
+}
+
 /// Why a request is beyond the quota of its account.
 struct QuotaRefusal {
     retry_after: Duration,
