Refuse a request that becomes complete while its connection is ended for room

Cause: a connection that was chosen to make room could still read a whole request, in the moment before its task saw the choice. Change: read_body refuses it with 408. Conclusion: a complete request is either kept to its answer or not run.

--- a/hickoryspan_runtime/src/http_server.rs
+++ b/hickoryspan_runtime/src/http_server.rs
@@ -197,6 +197,10 @@
     };
     if let Some(charge) = charge {
         charge.complete();
+        // Once it is complete, its connection is not chosen any more, but it may have been before.
+        if charge.is_evicted() {
+            return Err(BodyError::Displaced);
+        }
     }
     Ok(body)
 }
--- a/hickoryspan_runtime/tests/caller_budget.rs
+++ b/hickoryspan_runtime/tests/caller_budget.rs
@@ -4,11 +4,23 @@
 
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::sync::Arc;
+use std::time::Duration;
 
 use hickoryspan_runtime::caller_budget::{
     BudgetExhausted, CallerAccount, CallerBudget, CallerBudgetSettings, RequestCharge,
 };
-use http::Request;
+use hickoryspan_runtime::http_server::{
+    HttpHandler, HttpLimits, HttpServer, ResponseFuture, charge_of, read_body, text_response,
+};
+use http::{Request, StatusCode};
+use hyper::body::Incoming;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::sync::Notify;
+use tokio_util::sync::CancellationToken;
+
+/// Much longer than any step takes when it works.
+const TIMEOUT: Duration = Duration::from_secs(10);
 
 const SETTINGS: CallerBudgetSettings = CallerBudgetSettings {
     connections: 8,
@@ -155,3 +167,50 @@
     other.charge.reserve_answer(10_000).await.unwrap();
     assert_eq!(other.charge.reserve_answer(80_000).await, Err(BudgetExhausted));
 }
+
+/// Reads a body once `release` is notified, which stands for a pause of this process.
+#[derive(Default)]
+struct PausingHandler {
+    arrived: Notify,
+    release: Notify,
+}
+
+impl HttpHandler for PausingHandler {
+    fn handle(&self, request: Request<Incoming>, _peer: SocketAddr) -> ResponseFuture<'_> {
+        Box::pin(async move {
+            self.arrived.notify_one();
+            self.release.notified().await;
+            let (parts, body) = request.into_parts();
+            let charge = charge_of(&parts);
+            match read_body(body, &HttpLimits::default(), charge.as_deref()).await {
+                Ok(_) => text_response(StatusCode::OK, "run"),
+                Err(error) => text_response(error.status(), error.to_string()),
+            }
+        })
+    }
+}
+
+// Guards against a request that becomes complete while its connection is being ended: it would be passed on to a target,
+// and the connection would be closed without its answer.
+#[tokio::test]
+async fn a_request_on_a_connection_that_is_being_ended_is_not_passed_on() {
+    let budget = CallerBudget::new(CallerBudgetSettings { connections: 1, ..SETTINGS });
+    let server = HttpServer::bind(([127, 0, 0, 1], 0).into(), HttpLimits::default()).await.unwrap();
+    let server = server.with_budget(Arc::clone(&budget));
+    let address = server.local_address().unwrap();
+    let handler = Arc::new(PausingHandler::default());
+    let stop = CancellationToken::new();
+    let task = tokio::spawn(server.serve(handler.clone(), stop.clone()));
+    let mut caller = TcpStream::connect(address).await.unwrap();
+    caller.write_all(b"POST / HTTP/1.1\r\nhost: h\r\ncontent-length: 2\r\n\r\nab").await.unwrap();
+    tokio::time::timeout(TIMEOUT, handler.arrived.notified()).await.unwrap();
+    let next = budget.open(peer(9));
+    assert!(next.is_some());
+    handler.release.notify_one();
+    let mut answer = Vec::new();
+    tokio::time::timeout(TIMEOUT, caller.read_to_end(&mut answer)).await.unwrap().unwrap();
+    let answer = String::from_utf8_lossy(&answer);
+    assert!(answer.starts_with("HTTP/1.1 408"), "{answer}");
+    stop.cancel();
+    task.await.unwrap();
+}
