--- a/hickoryspan_gateway/tests/gateway/support.rs
+++ b/hickoryspan_gateway/tests/gateway/support.rs
@@ -261,12 +261,13 @@
     folder: &Path,
     tasks: &mut JoinSet<()>,
     stop: &CancellationToken,
+    settings: DirectorySettings,
 ) -> (Arc<DirectoryHub>, HostList) {
     let listener = TcpListener::bind(ANY_PORT).await.expect("a directory port");
     let directory = listener.local_addr().expect("the directory's address");
     let hosts = HostList::new([directory]);
     let hub = Arc::new(DirectoryHub::new(
-        DirectorySettings::new(credential()),
+        settings,
         daemon.handle(),
         daemon.record().clone(),
         directory,
@@ -310,6 +311,20 @@
         Self::start_adjusted(0, RelaySettings::default(), settings).await
     }
 
+    /// Starts a deployment whose control host knows so many targets at most.
+    pub async fn start_with_targets(max_targets: usize) -> Self {
+        let settings = |template: GatewaySettings| {
+            let directory = DirectorySettings { max_targets, ..template.directory };
+            GatewaySettings { directory, ..template }
+        };
+        Self::start_adjusted(0, RelaySettings::default(), settings).await
+    }
+
+    /// Returns the size in bytes of what the directory has saved.
+    pub fn saved_bytes(&self) -> u64 {
+        std::fs::metadata(self.folder.path().join("targets")).map_or(0, |file| file.len())
+    }
+
     /// Starts a deployment with `others` further entries.
     pub async fn start_with(others: usize, relays: RelaySettings) -> Self {
         Self::start_adjusted(others, relays, |template| template).await
@@ -327,7 +342,6 @@
         let daemon = ControlDaemon::start(settings).await.expect("a control host");
         let stop = CancellationToken::new();
         let mut tasks = JoinSet::new();
-        let (hub, hosts) = start_hub(&daemon, folder.path(), &mut tasks, &stop).await;
         let address = free_address().await;
         let template = GatewaySettings {
             relays,
@@ -343,6 +357,8 @@
             )
         };
         let template = adjust(template);
+        let directory = template.directory.clone();
+        let (hub, hosts) = start_hub(&daemon, folder.path(), &mut tasks, &stop, directory).await;
         let mut deployment = Self {
             hub,
             entry: None,
@@ -388,7 +404,9 @@
         while self.tasks.join_next().await.is_some() {}
         self.stop = CancellationToken::new();
         let daemon = self.daemon.as_ref().expect("a control host");
-        let started = start_hub(daemon, self.folder.path(), &mut self.tasks, &self.stop).await;
+        let settings = self.template.directory.clone();
+        let started =
+            start_hub(daemon, self.folder.path(), &mut self.tasks, &self.stop, settings).await;
         (self.hub, self.hosts) = started;
         for _ in 0..std::mem::take(&mut self.addresses).len() {
             self.add_entry().await;
