Test that targets which other control hosts pass on are bounded

Each control host limits the targets that are announced at itself, and takes over all that the others pass on. The test of departures moves beside it.

--- /dev/null
+++ b/hickoryspan_gateway/tests/gateway/invented_targets.rs
@@ -0,0 +1,70 @@
+//! Targets that do not exist, which anyone who reaches a control host can announce and report as gone.
+
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::time::Duration;
+
+use crate::support::{Deployment, TEST_TIMEOUT, route, to_service};
+use hickoryspan_core::gateway::documents::document::RepeatRule;
+use hickoryspan_core::gateway::membership::messages::DirectoryUpdate;
+use hickoryspan_core::gateway::targets::directory::{
+    AnnouncementAge, TargetAnnouncement, TargetPhase,
+};
+use hickoryspan_core::types::{FailureDomain, ServiceId, TargetId, WallTime};
+use hickoryspan_gateway::LinkHandler;
+
+/// Number of targets that the control host may know.
+const MAX_TARGETS: usize = 16;
+/// Departures that are reported. Far more than there is room for.
+const DEPARTURES: usize = 400;
+/// Targets that another control host passes on.
+const PEER_TARGETS: u16 = 400;
+/// Bytes of one target in memory, as the limit assumes. It takes fewer on disk.
+const TARGET_BYTES: u64 = 1_024;
+/// Bytes of one departure on disk at most: a short name and a time.
+const DEPARTURE_BYTES: u64 = 100;
+
+/// Guards against departures that fill the memory of the control hosts and entries that remember them, and the disk.
+#[tokio::test]
+async fn departures_of_unknown_targets_are_bounded() {
+    let mut deployment = Deployment::start_with_targets(MAX_TARGETS).await;
+    // Departures are accepted only where a leader is known.
+    deployment.configure(vec![route("/one/", RepeatRule::Idempotent, to_service("one"))]).await;
+    let departures = async {
+        for number in 0..DEPARTURES {
+            deployment.depart(&format!("invented-{number}")).await;
+        }
+    };
+    tokio::time::timeout(TEST_TIMEOUT + Duration::from_secs(30), departures).await.expect("an end");
+    deployment.hub.save();
+    let saved = deployment.saved_bytes();
+    let room = (MAX_TARGETS as u64 + 1) * DEPARTURE_BYTES;
+    assert!(saved <= room, "{saved} bytes are remembered, {room} at most");
+    deployment.stop().await;
+}
+
+fn invented_target(number: u16) -> TargetAnnouncement {
+    TargetAnnouncement {
+        target: TargetId::new(format!("invented-{number}")).expect("a name"),
+        age: AnnouncementAge { started: WallTime(1), sequence: 1 },
+        service: ServiceId::new("one").expect("a name"),
+        address: SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 10_000 + number),
+        domain: FailureDomain::new("a").expect("a domain"),
+        slots: 2,
+        phase: TargetPhase::Ready,
+        cold: Duration::ZERO,
+    }
+}
+
+/// Guards against a limit that each control host applies to what is announced at itself, while all of them know the sum.
+#[tokio::test]
+async fn targets_that_other_hosts_pass_on_are_bounded() {
+    let deployment = Deployment::start_with_targets(MAX_TARGETS).await;
+    let peer = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 9);
+    let targets = (0..PEER_TARGETS).map(invented_target).collect();
+    deployment.hub.apply(peer, DirectoryUpdate::Targets(targets));
+    deployment.hub.save();
+    let saved = deployment.saved_bytes();
+    let room = MAX_TARGETS as u64 * TARGET_BYTES;
+    assert!(saved <= room, "{saved} bytes are remembered, {room} at most");
+    deployment.stop().await;
+}
--- a/hickoryspan_gateway/tests/gateway/main.rs
+++ b/hickoryspan_gateway/tests/gateway/main.rs
@@ -13,7 +13,7 @@
 mod far_targets;
 mod forwarding;
 mod half_sent_heads;
-mod invented_departures;
+mod invented_targets;
 mod last_check;
 mod odd_answers;
 mod odd_requests;
