--- a/hickoryspan_gateway/src/hub_state.rs
+++ b/hickoryspan_gateway/src/hub_state.rs
@@ -8,7 +8,7 @@
 use hickoryspan_core::gateway::admission::limit_gate::{
     DEMAND_LIFETIME, DemandTotals, ServiceDemand,
 };
-use hickoryspan_core::gateway::admission::quota::{PermitRequest, QuotaCounts};
+use hickoryspan_core::gateway::admission::quota::{CountingState, PermitRequest, QuotaCounts};
 use hickoryspan_core::gateway::admission::quota_ledger::QuotaLedger;
 use hickoryspan_core::gateway::admission::target_limits::{LimitRecord, LimitTable};
 use hickoryspan_core::gateway::fanouts::relays::RelayPeer;
@@ -40,6 +40,12 @@
 /// Smallest size in bytes of a frame that is compressed.
 const MIN_PACKED_BYTES: usize = 300;
 
+/// Number of report intervals after which an entry that sends nothing is taken to count requests alone.
+const QUOTA_HEARD_INTERVALS: f64 = 2.25;
+
+/// Number of accounts whose use the metrics show.
+const SHOWN_ACCOUNTS: usize = 5;
+
 /// How long a change is delayed so that it is sent together with others.
 pub(crate) const BATCH_DELAY: Duration = Duration::from_millis(20);
 
@@ -295,15 +301,23 @@
         }
     }
 
-    /// Answers an entry that needs permits for requests of an account.
+    /// Answers an entry that needs permits for requests of an account. Without a leader, other hosts may count without
+    /// this one, so the entry has to decide itself.
     pub(crate) fn answer_permits(
         &mut self,
         now: MonotonicTime,
         number: LinkNumber,
         request: &PermitRequest,
     ) {
+        if self.quotas.counting(now) == CountingState::Isolated {
+            self.send_quota_change(now);
+            return;
+        }
         let answer = self.quotas.grant(now, request);
         self.send_to(number, &DirectoryUpdate::Permits(answer));
+        if self.quotas.has_tightened() {
+            self.send_quota_change(now);
+        }
     }
 
     /// Sends what this host counts over a link that an entry has just opened.
@@ -314,24 +328,43 @@
         }
     }
 
-    /// Notes which entries and leader this host knows, and sends what that and the time change in its count.
-    pub(crate) fn update_quotas(
-        &mut self,
-        now: MonotonicTime,
-        has_leader: bool,
-        settings: &DirectorySettings,
-    ) {
-        let entries = u32::try_from(self.entries(now, settings).len()).unwrap_or(u32::MAX);
-        self.quotas.note_hosts(now, entries, has_leader);
+    /// Notes which entries this host knows, and sends what that and the time change in its count.
+    pub(crate) fn update_quotas(&mut self, now: MonotonicTime, settings: &DirectorySettings) {
+        // An entry that has missed two reports may be cut off, and counts alone then.
+        let heard_time = settings.report_interval.mul_f64(QUOTA_HEARD_INTERVALS);
+        let links = self.links.values().filter(|link| link.entry.is_some());
+        let heard = links.filter(|link| now.since(link.last_received_at) <= heard_time).count();
+        self.quotas.note_entries(now, u32::try_from(heard).unwrap_or(u32::MAX));
         self.quotas.expire(now);
         self.send_quota_change(now);
+        if self.quotas.is_active() {
+            self.show_quotas(now);
+        }
+    }
+
+    fn show_quotas(&mut self, now: MonotonicTime) {
+        metrics::gauge!("hickoryspan_gateway_tight_accounts").set(self.quotas.tight_count() as f64);
+        let uses = self.quotas.largest_uses(now, SHOWN_ACCOUNTS).into_iter();
+        // Ranks without an account are shown as zero, not with their last value.
+        let uses = uses.chain(std::iter::repeat(0.0)).take(SHOWN_ACCOUNTS);
+        for (index, part) in uses.enumerate() {
+            let rank = (index + 1).to_string();
+            metrics::gauge!("hickoryspan_gateway_account_use", "rank" => rank).set(part);
+        }
     }
 
     fn send_quota_change(&mut self, now: MonotonicTime) {
         if !self.quotas.is_active() {
             return;
         }
+        let before = self.quotas.told().counting;
         let Some(change) = self.quotas.take_change(now) else { return };
+        if change.counting != before {
+            spdlog::info!(
+                "quota counting changed",
+                kv: { counting: = change.counting.as_str(), tight: = self.quotas.tight_count() }
+            );
+        }
         let Some(frame) = UpdateFrame::new(&DirectoryUpdate::Quotas(change)) else { return };
         self.links.retain(|_, link| {
             let receives = link.peer == LinkPeer::Entry && link.version() >= LinkVersion::QUOTAS;
