Bound the targets and departures that a process knows

Cause: anyone who reaches a control host can report departures of targets that never existed; each was remembered for 120 s, saved, logged and sent to all entries. The limit on targets held only for announcements at the host itself, not for those that other hosts pass on, nor on entries. Each new target was compared with all others to find whose address it takes. Entries kept the names of targets that had left in their lists of live ones for as long as a link lasted. Change: the directory itself bounds its targets. It remembers as many departures of targets that were known, and a quarter as many of others, and drops the oldest of each kind first. A control host sends at most 32 departures of unknown targets a second to others; the rest are recorded and answered as unconfirmed (503). Such a departure may be true if the announcement has reached only another host, so it cannot be answered as done. Entries request targets that were left out when there is room. Addresses have an index. Log lines of a control host about targets are bounded, and new metrics count what is left out. Entries forget the names of targets that have left. Conclusion: invented departures and targets occupy bounded memory, disk and log lines on control hosts. Not bounded: rounds of confirmations for invented targets that announce themselves as draining, which are 20 ms apart.

--- a/hickoryspan_core/src/gateway/targets/directory.rs
+++ b/hickoryspan_core/src/gateway/targets/directory.rs
@@ -2,20 +2,19 @@
 //! host forwards the announcements that it receives, and the newest start time and sequence number
 //! of a target win everywhere.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
+use super::departures::DepartureRecords;
 use crate::gateway::membership::messages::TargetRenewal;
 use crate::sheet::duration_millis;
 use crate::types::{FailureDomain, MonotonicTime, ServiceId, TargetId, WallTime};
 
 /// Smallest rise of the remaining cold time that counts as a change. Announcements may be delayed on their way.
 const COLD_TOLERANCE: Duration = Duration::from_millis(300);
-/// How long a departed target is remembered, so that a delayed announcement does not bring it back.
-const TOMBSTONE_LIFETIME: Duration = Duration::from_secs(120);
 
 /// Whether a target accepts new work.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -135,22 +134,40 @@
     Renewed,
     /// The target is new, or a property changed.
     Changed,
-}
-
-#[derive(Clone, Copy, Debug)]
-struct Tombstone {
-    started: WallTime,
-    until: MonotonicTime,
+    /// The target is new, and there is no room for it.
+    Full,
 }
 
 /// All known targets.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct TargetDirectory {
+    max_targets: usize,
     targets: BTreeMap<TargetId, KnownTarget>,
-    tombstones: HashMap<TargetId, Tombstone>,
+    // An address belongs to one target. Without this index, each announcement would be compared with all targets.
+    by_address: HashMap<SocketAddr, TargetId>,
+    departures: DepartureRecords,
+    // Targets for which there was no room, at most as many as there may be known ones.
+    left_out: BTreeSet<TargetId>,
+}
+
+impl Default for TargetDirectory {
+    fn default() -> Self {
+        Self::new(usize::MAX)
+    }
 }
 
 impl TargetDirectory {
+    /// Creates an empty directory of this many targets at most. It remembers as many departures of them.
+    pub fn new(max_targets: usize) -> Self {
+        Self {
+            max_targets,
+            targets: BTreeMap::new(),
+            by_address: HashMap::new(),
+            departures: DepartureRecords::new(max_targets),
+            left_out: BTreeSet::new(),
+        }
+    }
+
     /// Applies an announcement and returns its effect.
     pub fn announce(
         &mut self,
@@ -158,17 +175,19 @@
         announcement: TargetAnnouncement,
     ) -> DirectoryChange {
         let target = &announcement.target;
-        if self
-            .tombstones
-            .get(target)
-            .is_some_and(|tombstone| tombstone.started >= announcement.age.started)
-        {
+        if self.departures.covers(target, announcement.age.started) {
             return DirectoryChange::Stale;
         }
         if self.is_address_taken(&announcement) {
             return DirectoryChange::Stale;
         }
         let Some(known) = self.targets.get_mut(target) else {
+            if !self.has_room_for(announcement.address) {
+                if self.left_out.len() < self.max_targets {
+                    self.left_out.insert(announcement.target);
+                }
+                return DirectoryChange::Full;
+            }
             self.insert(now, announcement);
             return DirectoryChange::Changed;
         };
@@ -208,23 +227,45 @@
 
     // A process that started later at the same address proves that the earlier one has ended.
     fn is_address_taken(&self, announcement: &TargetAnnouncement) -> bool {
-        self.targets.values().any(|known| {
-            known.announcement.address == announcement.address
-                && known.announcement.target != announcement.target
-                && known.announcement.age.started > announcement.age.started
-        })
+        let holder = self.by_address.get(&announcement.address);
+        let holder = holder.filter(|holder| **holder != announcement.target);
+        let known = holder.and_then(|holder| self.targets.get(holder));
+        known.is_some_and(|known| known.announcement.age.started > announcement.age.started)
+    }
+
+    // A new target at a known address replaces the one that was there.
+    fn has_room_for(&self, address: SocketAddr) -> bool {
+        self.targets.len() < self.max_targets || self.by_address.contains_key(&address)
+    }
+
+    /// Returns whether the target was left out for lack of room and has not been taken out of that list since.
+    pub fn is_left_out(&self, target: &TargetId) -> bool {
+        self.left_out.contains(target)
+    }
+
+    /// Takes as many of the targets that were left out as there is room for now.
+    pub fn take_left_out(&mut self) -> Vec<TargetId> {
+        let room = self.max_targets.saturating_sub(self.targets.len());
+        std::iter::from_fn(|| self.left_out.pop_first()).take(room).collect()
     }
 
     fn insert(&mut self, now: MonotonicTime, announcement: TargetAnnouncement) {
-        let address = announcement.address;
-        self.targets.retain(|target, known| {
-            known.announcement.address != address || *target == announcement.target
-        });
         let target = announcement.target.clone();
+        self.left_out.remove(&target);
+        self.remove(&target);
+        if let Some(earlier) = self.by_address.insert(announcement.address, target.clone()) {
+            self.targets.remove(&earlier);
+        }
         let changed = announcement.age;
         self.targets.insert(target, KnownTarget::new(now, announcement, changed));
     }
 
+    fn remove(&mut self, target: &TargetId) -> Option<KnownTarget> {
+        let known = self.targets.remove(target)?;
+        self.by_address.remove(&known.announcement.address);
+        Some(known)
+    }
+
     /// Removes a target and records its departure, so that delayed announcements are ignored.
     /// Returns true if anything changed.
     pub fn depart(&mut self, now: MonotonicTime, departure: &TargetDeparture) -> bool {
@@ -234,15 +275,20 @@
         if known_start.is_some_and(|known| known > started) {
             return false;
         }
-        let until = now + TOMBSTONE_LIFETIME;
-        let tombstone = Tombstone { started, until };
-        let is_new = self.tombstones.insert(departure.target.clone(), tombstone).is_none();
-        self.targets.remove(&departure.target).is_some() || is_new
+        self.left_out.remove(&departure.target);
+        let is_known = known_start.is_some();
+        let is_new = self.departures.record(now, &departure.target, started, is_known);
+        self.remove(&departure.target).is_some() || is_new
+    }
+
+    /// Returns whether the target is known, or was when it left.
+    pub fn has_known(&self, target: &TargetId) -> bool {
+        self.targets.contains_key(target) || self.departures.was_known(target)
     }
 
-    /// Removes and returns the targets whose lease has expired, and discards old tombstones.
+    /// Removes and returns the targets whose lease has expired, and discards old departures.
     pub fn expire(&mut self, now: MonotonicTime, lease: Duration) -> Vec<TargetRenewal> {
-        self.tombstones.retain(|_, tombstone| tombstone.until > now);
+        self.departures.expire(now);
         let expired: Vec<TargetRenewal> = self
             .targets
             .iter()
@@ -253,7 +299,7 @@
             })
             .collect();
         for renewal in &expired {
-            self.targets.remove(&renewal.target);
+            self.remove(&renewal.target);
         }
         expired
     }
@@ -264,16 +310,22 @@
         let known = self.targets.get(&expired.target);
         let outdated = known.is_some_and(|known| known.announcement.age <= expired.age);
         if outdated {
-            self.targets.remove(&expired.target);
+            self.remove(&expired.target);
         }
         outdated
     }
 
-    /// Restores a target that was known before a restart. Its lease is counted from `seen_at`.
+    /// Restores a target that was known before a restart, if there is room. Its lease is counted from `seen_at`.
     pub fn restore(&mut self, seen_at: MonotonicTime, announcement: TargetAnnouncement) {
         let target = announcement.target.clone();
         let changed = announcement.age;
-        self.targets.entry(target).or_insert(KnownTarget::new(seen_at, announcement, changed));
+        let address = announcement.address;
+        let is_known = self.targets.contains_key(&target) || self.by_address.contains_key(&address);
+        if is_known || !self.has_room_for(address) {
+            return;
+        }
+        self.by_address.insert(address, target.clone());
+        self.targets.insert(target, KnownTarget::new(seen_at, announcement, changed));
     }
 
     /// Returns the known targets.
@@ -283,9 +335,9 @@
 
     /// Returns the departures that are still remembered.
     pub fn departures(&self) -> impl Iterator<Item = TargetDeparture> + '_ {
-        self.tombstones.iter().map(|(target, tombstone)| TargetDeparture {
+        self.departures.iter().map(|(target, started)| TargetDeparture {
             target: target.clone(),
-            started: Some(tombstone.started),
+            started: Some(started),
         })
     }
 
--- a/hickoryspan_core/src/gateway/targets/liveness.rs
+++ b/hickoryspan_core/src/gateway/targets/liveness.rs
@@ -15,6 +15,9 @@
 /// sent it.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Shorter lists of live targets are not pruned.
+const MIN_PRUNED: usize = 64;
+
 /// The targets that each connected control host reports as alive.
 #[derive(Clone, Debug, Default)]
 pub struct LivenessTable {
@@ -58,6 +61,33 @@
         self.undescribed.entry(target.clone()).or_default();
     }
 
+    /// Requests the announcement of a target again if a connected host reports it as alive.
+    pub fn request(&mut self, target: TargetId) {
+        if self.is_alive(&target) {
+            self.undescribed.entry(target).or_default();
+        }
+    }
+
+    /// Removes a target that has left, unless its announcement is awaited: that may be of its next process.
+    pub fn forget(&mut self, target: &TargetId) {
+        if self.undescribed.contains_key(target) {
+            return;
+        }
+        for alive in self.by_host.values_mut() {
+            alive.remove(target);
+        }
+    }
+
+    /// Removes the described targets for which `is_needed` returns false from the lists that have grown to more than
+    /// twice this number. Hosts do not report a target that another one replaces at its address.
+    pub fn prune(&mut self, needed: usize, is_needed: impl Fn(&TargetId) -> bool) {
+        let undescribed = &self.undescribed;
+        let max_length = needed.saturating_mul(2).max(MIN_PRUNED);
+        for alive in self.by_host.values_mut().filter(|alive| alive.len() > max_length) {
+            alive.retain(|target| undescribed.contains_key(target) || is_needed(target));
+        }
+    }
+
     /// Records that a host no longer reports a target as alive. Returns true if no other connected
     /// host does either.
     pub fn mark_expired(&mut self, host: SocketAddr, target: &TargetId) -> bool {
--- a/hickoryspan_core/src/gateway/targets/mod.rs
+++ b/hickoryspan_core/src/gateway/targets/mod.rs
@@ -1,6 +1,7 @@
 //! Targets: which exist and live, what they say of themselves, which one gets a request, and which requests crash them.
 
 pub mod cost_model;
+mod departures;
 pub mod directory;
 pub mod evacuations;
 pub mod liveness;
--- a/hickoryspan_core/tests/gateway_directory.rs
+++ b/hickoryspan_core/tests/gateway_directory.rs
@@ -8,6 +8,7 @@
     AnnouncementAge, DirectoryChange, TargetAnnouncement, TargetDeparture, TargetDirectory,
     TargetPhase,
 };
+use hickoryspan_core::gateway::targets::liveness::LivenessTable;
 use hickoryspan_core::types::{FailureDomain, MonotonicTime, ServiceId, TargetId, WallTime};
 
 const LEASE: Duration = Duration::from_secs(6);
@@ -139,3 +140,99 @@
     let next = TargetAnnouncement { service, ..announcement("t", 11, 1) };
     assert_eq!(directory.announce(at(4), next), DirectoryChange::Changed);
 }
+
+fn announcement_at(name: &str, port: u16) -> TargetAnnouncement {
+    TargetAnnouncement { address: ([127, 0, 0, 1], port).into(), ..announcement(name, 10, 1) }
+}
+
+/// Guards against a flood of invented departures that makes a directory forget which true targets have left.
+#[test]
+fn departures_of_unknown_targets_do_not_displace_those_of_known_ones() {
+    let mut directory = TargetDirectory::new(8);
+    directory.announce(at(1), announcement("t", 10, 1));
+    assert!(directory.depart(at(2), &TargetDeparture { target: target("t"), started: None }));
+    for number in 0..100 {
+        let invented = target(&format!("invented-{number}"));
+        directory.depart(at(3), &TargetDeparture { target: invented, started: Some(WallTime(1)) });
+    }
+    assert_eq!(directory.departures().count(), 3);
+    assert_eq!(directory.announce(at(4), announcement("t", 10, 9)), DirectoryChange::Stale);
+    assert!(directory.has_known(&target("t")));
+    assert!(!directory.has_known(&target("invented-99")));
+    // The newest are kept, until they are old.
+    let invented = announcement_at("invented-99", 1);
+    let invented = TargetAnnouncement {
+        age: AnnouncementAge { started: WallTime(1), sequence: 1 },
+        ..invented
+    };
+    assert_eq!(directory.announce(at(4), invented), DirectoryChange::Stale);
+    directory.expire(at(124), LEASE);
+    assert_eq!(directory.departures().count(), 0);
+}
+
+/// Guards against a full directory that no longer renews the targets it knows, or keeps the room of one that has gone.
+#[test]
+fn a_full_directory_renews_its_targets_and_takes_others_when_there_is_room() {
+    let mut directory = TargetDirectory::new(2);
+    directory.announce(at(1), announcement_at("a", 1));
+    directory.announce(at(1), announcement_at("b", 2));
+    assert_eq!(directory.announce(at(2), announcement_at("c", 3)), DirectoryChange::Full);
+    assert!(directory.take_left_out().is_empty());
+    assert!(directory.is_left_out(&target("c")));
+    let age = AnnouncementAge { started: WallTime(10), sequence: 2 };
+    let renewed = TargetAnnouncement { age, ..announcement_at("a", 1) };
+    assert_eq!(directory.announce(at(6), renewed), DirectoryChange::Renewed);
+    // The next process at a known address needs no further room.
+    let age = AnnouncementAge { started: WallTime(11), sequence: 1 };
+    let next = TargetAnnouncement { age, ..announcement_at("d", 2) };
+    assert_eq!(directory.announce(at(6), next), DirectoryChange::Changed);
+    assert!(directory.find(&target("b")).is_none());
+    assert!(directory.depart(at(7), &TargetDeparture { target: target("a"), started: None }));
+    assert_eq!(directory.take_left_out(), [target("c")]);
+    assert_eq!(directory.announce(at(8), announcement_at("c", 3)), DirectoryChange::Changed);
+}
+
+/// Guards against an index of addresses that still names the earlier address of a target.
+#[test]
+fn the_earlier_address_of_a_target_is_free() {
+    let mut directory = TargetDirectory::default();
+    directory.announce(at(1), announcement_at("a", 1));
+    let age = AnnouncementAge { started: WallTime(20), sequence: 1 };
+    let moved = TargetAnnouncement { age, ..announcement_at("a", 2) };
+    assert_eq!(directory.announce(at(2), moved), DirectoryChange::Changed);
+    assert_eq!(directory.announce(at(3), announcement_at("b", 1)), DirectoryChange::Changed);
+    assert_eq!(directory.announce(at(4), announcement_at("c", 2)), DirectoryChange::Stale);
+    assert_eq!(directory.count(), 2);
+}
+
+/// Guards against a live target that was left out for lack of room and is never requested again.
+#[test]
+fn live_targets_that_were_left_out_are_requested() {
+    let host = ([127, 0, 0, 1], 1).into();
+    let mut liveness = LivenessTable::default();
+    liveness.add_host(host);
+    liveness.mark_alive(host, &target("left-out"));
+    assert!(liveness.take_fetches(at(1), host).is_empty());
+    liveness.request(target("left-out"));
+    liveness.request(target("gone"));
+    assert_eq!(liveness.take_fetches(at(2), host), [target("left-out")]);
+}
+
+/// Guards against names of targets that have left or were replaced, which an entry would keep as long as a link lasts.
+#[test]
+fn targets_that_are_gone_do_not_stay_in_the_lists_of_live_ones() {
+    let host = ([127, 0, 0, 1], 1).into();
+    let mut liveness = LivenessTable::default();
+    liveness.add_host(host);
+    for number in 0..100 {
+        liveness.mark_alive(host, &target(&format!("t-{number}")));
+    }
+    liveness.forget(&target("t-0"));
+    assert!(!liveness.is_alive(&target("t-0")));
+    // The next process of a target that leaves may have been reported already.
+    liveness.mark_undescribed(host, &target("new"));
+    liveness.forget(&target("new"));
+    liveness.prune(1, |name| *name == target("t-1"));
+    assert!(liveness.is_alive(&target("t-1")) && liveness.is_alive(&target("new")));
+    assert!(!liveness.is_alive(&target("t-2")));
+}
--- a/hickoryspan_gateway/src/directory_hub.rs
+++ b/hickoryspan_gateway/src/directory_hub.rs
@@ -9,6 +9,7 @@
 use hickoryspan_control::ControlHandle;
 use hickoryspan_core::control::interface::ReplicaRecord;
 use hickoryspan_core::gateway::documents::document::ConfigurationDocument;
+use hickoryspan_core::gateway::log_limit::LogPriority;
 use hickoryspan_core::gateway::membership::entry_list::OpenEntry;
 use hickoryspan_core::gateway::membership::messages::{
     ConfirmNumber, DirectoryRequest, DirectoryUpdate, LinkVersion, TargetRenewal,
@@ -49,6 +50,14 @@
 /// How long a target that was loaded from disk stays known without an announcement.
 const RESTORED_LEASE: Duration = Duration::from_millis(2_800);
 
+// A flood of targets that are new or never existed must not suppress the lines about those that are known.
+fn log_priority(is_known: bool) -> LogPriority {
+    match is_known {
+        true => LogPriority::Important,
+        false => LogPriority::Ordinary,
+    }
+}
+
 /// Returns the monotonic time plus one target lease. The offset keeps the announcement times of restored targets, which
 /// lie before the start of this process, from being negative.
 fn offset_now(clock: &SystemClock, settings: &DirectorySettings) -> MonotonicTime {
@@ -291,27 +300,27 @@
         }
         {
             let mut state = self.lock();
-            let is_known = state.directory.find(&announcement.target).is_some();
-            if !is_known && state.directory.count() >= self.settings.max_targets {
-                return AnnounceVerdict::Full;
-            }
+            let priority = log_priority(state.directory.has_known(&announcement.target));
             match state.directory.announce(now, announcement.clone()) {
                 DirectoryChange::Stale => {}
+                DirectoryChange::Full => return AnnounceVerdict::Full,
                 DirectoryChange::Renewed => {
                     let TargetAnnouncement { target, age, .. } = announcement;
                     state.renewals.push(TargetRenewal { target, age });
                 }
                 DirectoryChange::Changed => {
-                    spdlog::info!(
-                        "target changed",
-                        kv: {
-                            target: = announcement.target,
-                            service: = announcement.service,
-                            address: = announcement.address,
-                            phase: ? = announcement.phase,
-                            cold_ms: = announcement.cold.as_millis()
-                        }
-                    );
+                    if state.admits_log_line(now, priority) {
+                        spdlog::info!(
+                            "target changed",
+                            kv: {
+                                target: = announcement.target,
+                                service: = announcement.service,
+                                address: = announcement.address,
+                                phase: ? = announcement.phase,
+                                cold_ms: = announcement.cold.as_millis()
+                            }
+                        );
+                    }
                     state.unsaved = true;
                     state.changes.targets.push(announcement);
                     self.schedule_changes(&mut state);
@@ -321,7 +330,9 @@
         if is_leaving { self.await_confirmations().await } else { AnnounceVerdict::Accepted }
     }
 
-    /// Records a departure, and returns only after the entries have confirmed it.
+    /// Records a departure, and returns only after the entries have confirmed it. Anyone can report targets that never
+    /// existed, so only some departures of unknown targets are sent to others. The rest are unconfirmed, and a true
+    /// target reports its departure again.
     pub async fn depart(&self, departure: TargetDeparture) -> AnnounceVerdict {
         if !self.has_leader() {
             return AnnounceVerdict::Isolated;
@@ -329,9 +340,18 @@
         let now = self.now();
         {
             let mut state = self.lock();
-            if state.directory.depart(now, &departure) {
+            let is_known = state.directory.has_known(&departure.target);
+            let is_new = state.directory.depart(now, &departure);
+            state.unsaved |= is_new;
+            if is_new && state.admits_log_line(now, log_priority(is_known)) {
                 spdlog::info!("target left", kv: { target: = departure.target });
-                state.unsaved = true;
+            }
+            if !is_known && !state.unknown_departures.admit(now) {
+                metrics::counter!("hickoryspan_departures_not_sent_total").increment(1);
+                return AnnounceVerdict::Unconfirmed;
+            }
+            // Of an unknown target the record may be there already and not have been sent.
+            if is_new || (!is_known && departure.started.is_some()) {
                 state.changes.departures.push(departure);
             }
         }
@@ -502,7 +522,9 @@
             return;
         }
         for renewal in &expired {
-            spdlog::info!("target lease expired", kv: { target: = renewal.target });
+            if state.admits_log_line(now, LogPriority::Important) {
+                spdlog::info!("target lease expired", kv: { target: = renewal.target });
+            }
         }
         state.unsaved = true;
         state.send_where(&DirectoryUpdate::Silent(expired), |peer| peer == LinkPeer::Entry);
@@ -516,17 +538,26 @@
 
     // Entries receive another host's announcements from that host directly. This host only reports that it knows these
     // targets too, so that the loss of the other host does not take them out of use.
-    fn apply(&self, _from: SocketAddr, update: DirectoryUpdate) -> Option<DirectoryRequest> {
+    fn apply(&self, from: SocketAddr, update: DirectoryUpdate) -> Option<DirectoryRequest> {
         let now = self.now();
         match update {
             DirectoryUpdate::Targets(targets) => {
                 let mut state = self.lock();
                 for announcement in targets {
                     let target = announcement.target.clone();
-                    if state.directory.announce(now, announcement) == DirectoryChange::Changed {
-                        state.unsaved = true;
-                        let change = state.directory.find(&target).map(last_change_of);
-                        state.peer_changes.extend(change);
+                    match state.directory.announce(now, announcement) {
+                        DirectoryChange::Stale | DirectoryChange::Renewed => {}
+                        DirectoryChange::Full => {
+                            metrics::counter!("hickoryspan_targets_left_out_total").increment(1);
+                            if state.admits_log_line(now, LogPriority::Ordinary) {
+                                spdlog::warn!("target left out", kv: { target: = target, from: = from });
+                            }
+                        }
+                        DirectoryChange::Changed => {
+                            state.unsaved = true;
+                            let change = state.directory.find(&target).map(last_change_of);
+                            state.peer_changes.extend(change);
+                        }
                     }
                 }
             }
--- a/hickoryspan_gateway/src/entry_daemon.rs
+++ b/hickoryspan_gateway/src/entry_daemon.rs
@@ -9,6 +9,7 @@
 use anyhow::Context;
 use hickoryspan_core::gateway::documents::document::DocumentVersion;
 use hickoryspan_core::gateway::documents::document_parts::DocumentPart;
+use hickoryspan_core::gateway::log_limit::LogPriority;
 use hickoryspan_core::gateway::membership::entry_list::{EntryListChange, OpenEntry};
 use hickoryspan_core::gateway::membership::messages::{
     DirectoryRequest, DirectoryUpdate, EntryHost, LinkVersion,
@@ -141,6 +142,7 @@
                 for departure in departures {
                     if decisions.directory.depart(now, &departure) {
                         self.state.pool.remove(&departure.target);
+                        decisions.liveness.forget(&departure.target);
                     }
                 }
             }
@@ -193,6 +195,15 @@
     ) {
         let target = announcement.target.clone();
         let change = decisions.directory.announce(now, announcement);
+        if change == DirectoryChange::Full {
+            // It is described, so that the start of this entry does not wait for it.
+            decisions.liveness.mark_alive(from, &target);
+            metrics::counter!("hickoryspan_targets_left_out_total").increment(1);
+            if self.state.admits_log_line(LogPriority::Ordinary) {
+                spdlog::warn!("target left out", kv: { target: = target, from: = from });
+            }
+            return;
+        }
         let Some(known) = decisions.directory.find(&target) else { return };
         decisions.liveness.mark_alive(from, &target);
         if change == DirectoryChange::Stale {
@@ -609,6 +620,13 @@
             decisions.selector.remove(&expired.target);
             decisions.groups.clear();
         }
+        for target in decisions.directory.take_left_out() {
+            decisions.liveness.request(target);
+        }
+        let directory = &decisions.directory;
+        let is_needed =
+            |target: &TargetId| directory.find(target).is_some() || directory.is_left_out(target);
+        decisions.liveness.prune(directory.count(), is_needed);
         decisions.poison.expire(now);
         decisions.selector.sweep_limits(now);
         metrics::gauge!("hickoryspan_gateway_cold_targets")
--- a/hickoryspan_gateway/src/gateway_state.rs
+++ b/hickoryspan_gateway/src/gateway_state.rs
@@ -318,7 +318,7 @@
             routes: None,
             document_fetch: DocumentFetch::default(),
             document_parts: PartAssembly::default(),
-            directory: TargetDirectory::default(),
+            directory: TargetDirectory::new(settings.directory.max_targets),
             liveness: LivenessTable::default(),
             entry_list: EntryList::default(),
             lag: LagMonitor::new(LagSettings::default()),
--- a/hickoryspan_gateway/src/hub_state.rs
+++ b/hickoryspan_gateway/src/hub_state.rs
@@ -12,6 +12,7 @@
 use hickoryspan_core::gateway::admission::quota_ledger::QuotaLedger;
 use hickoryspan_core::gateway::admission::target_limits::{LimitRecord, LimitTable};
 use hickoryspan_core::gateway::fanouts::relays::RelayPeer;
+use hickoryspan_core::gateway::log_limit::{LogLimiter, LogPriority};
 use hickoryspan_core::gateway::membership::entry_list::{
     EntryListChange, OpenEntry, listed_entries,
 };
@@ -153,6 +154,34 @@
     pub(crate) confirm_number: ConfirmNumber,
     // Whether the directory has changed since it was last saved.
     pub(crate) unsaved: bool,
+    // Bounds the log lines about targets, because anyone can announce one.
+    pub(crate) log_limiter: LogLimiter,
+    // Bounds the departures of unknown targets that are sent to others.
+    pub(crate) unknown_departures: DepartureAllowance,
+}
+
+/// Number of departures of unknown targets that a host sends to others in a second. It does not know a target that left
+/// only if the announcement has not come through from another host, which concerns few.
+const UNKNOWN_DEPARTURES: u32 = 32;
+const ALLOWANCE_PERIOD: Duration = Duration::from_secs(1);
+
+/// Counts the departures of unknown targets in a second.
+#[derive(Default)]
+pub(crate) struct DepartureAllowance {
+    started_at: MonotonicTime,
+    count: u32,
+}
+
+impl DepartureAllowance {
+    /// Returns whether one more departure is sent to others.
+    pub(crate) fn admit(&mut self, now: MonotonicTime) -> bool {
+        if now.since(self.started_at) >= ALLOWANCE_PERIOD {
+            *self = Self { started_at: now, count: 0 };
+        }
+        let is_admitted = self.count < UNKNOWN_DEPARTURES;
+        self.count += u32::from(is_admitted);
+        is_admitted
+    }
 }
 
 impl HubState {
@@ -162,7 +191,7 @@
         Self {
             initial: None,
             changes: ChangeBatch::default(),
-            directory: TargetDirectory::default(),
+            directory: TargetDirectory::new(settings.max_targets),
             links: BTreeMap::new(),
             next_link: 0,
             renewals: Vec::new(),
@@ -174,10 +203,21 @@
             quotas: QuotaLedger::new(now, settings.quotas, generator),
             confirm_number: ConfirmNumber::default(),
             unsaved: false,
+            log_limiter: LogLimiter::default(),
+            unknown_departures: DepartureAllowance::default(),
             evacuations: None,
         }
     }
 
+    /// Returns whether a log line about a target may be written. Logs the number of suppressed lines.
+    pub(crate) fn admits_log_line(&mut self, now: MonotonicTime, priority: LogPriority) -> bool {
+        let verdict = self.log_limiter.admit(now, priority);
+        if verdict.suppressed > 0 {
+            spdlog::warn!("target log lines suppressed", kv: { count: = verdict.suppressed });
+        }
+        verdict.write
+    }
+
     /// Sends an update to every entry and control host.
     pub(crate) fn broadcast(&mut self, update: &DirectoryUpdate) {
         self.send_where(update, |peer| peer != LinkPeer::Unknown);
--- a/hickoryspan_gateway/src/settings.rs
+++ b/hickoryspan_gateway/src/settings.rs
@@ -28,7 +28,8 @@
     pub confirm_timeout: Duration,
     /// How quotas of accounts are counted, on entries and on control hosts.
     pub quotas: QuotaSettings,
-    /// Number of targets that a control host knows at most. It refuses announcements of further ones.
+    /// Number of targets that a control host or an entry knows at most. Announcements of further ones are refused, and
+    /// left out where another host passes them on. As many departures are remembered.
     pub max_targets: usize,
     /// The credential that all processes share.
     pub credential: SharedCredential,
--- a/hickoryspan_gateway/tests/gateway/support.rs
+++ b/hickoryspan_gateway/tests/gateway/support.rs
@@ -434,6 +434,13 @@
         self.others.push(entry);
     }
 
+    /// Starts a further entry that knows so many targets at most.
+    pub async fn add_entry_with_targets(&mut self, max_targets: usize) {
+        let earlier = std::mem::replace(&mut self.template.directory.max_targets, max_targets);
+        self.add_entry().await;
+        self.template.directory.max_targets = earlier;
+    }
+
     /// Returns the known control hosts.
     pub fn hosts(&self) -> &HostList {
         &self.hosts
