--- a/hickoryspan_core/tests/gateway_quota_reports.rs
+++ b/hickoryspan_core/tests/gateway_quota_reports.rs
@@ -27,6 +27,9 @@
     AccountId::new("account").expect("a name")
 }
 
+/// The window of the default settings.
+const WINDOW_MILLIS: u64 = 5_000;
+
 fn ledger() -> QuotaLedger {
     let generator = ChaCha12Rng::seed_from_u64(41);
     let mut ledger = QuotaLedger::new(at(0), QuotaSettings::default(), generator);
@@ -37,10 +40,15 @@
     ledger
 }
 
-/// Reports what each entry has admitted since its start.
-fn report(ledger: &mut QuotaLedger, millis: u64, admitted: u64) {
+fn note_hosts(ledger: &mut QuotaLedger, millis: u64) {
+    ledger.note_entries(at(millis), ENTRIES as u32);
+    ledger.note_leader(at(millis), true);
+}
+
+/// Reports what each entry has admitted since its start, and how much of it in the last window.
+fn report(ledger: &mut QuotaLedger, millis: u64, admitted: u64, recent: u64) {
     for entry in 0..ENTRIES {
-        let count = AccountCount { account: account(), admitted, returned: 0 };
+        let count = AccountCount { account: account(), admitted, recent, returned: 0 };
         let report = QuotaCounts {
             process: ProcessNumber(entry),
             age: Duration::from_millis(millis - ENTRY_START),
@@ -54,15 +62,16 @@
 fn report_regularly(ledger: &mut QuotaLedger, from: u64, until: u64) {
     let mut millis = from;
     while millis < until {
-        report(ledger, millis, (millis - ENTRY_START) * RATE / ENTRIES / 1_000);
-        ledger.note_hosts(at(millis), ENTRIES as u32, true);
+        let admitted = (millis - ENTRY_START) * RATE / ENTRIES / 1_000;
+        report(ledger, millis, admitted, admitted.min(WINDOW_MILLIS * RATE / ENTRIES / 1_000));
+        note_hosts(ledger, millis);
         ledger.expire(at(millis));
         millis += REPORT_MILLIS;
     }
 }
 
 fn is_granted(ledger: &mut QuotaLedger, millis: u64) -> bool {
-    ledger.note_hosts(at(millis), ENTRIES as u32, true);
+    note_hosts(ledger, millis);
     let request = PermitRequest { number: PermitNumber(1), account: account(), wanted: 1 };
     ledger.grant(at(millis), &request).permits > 0
 }
@@ -88,10 +97,10 @@
     let admitted = (60_000 - ENTRY_START) * RATE / ENTRIES / 1_000;
     // Without requests there are no reports.
     for millis in (60_000..300_000).step_by(1_000) {
-        ledger.note_hosts(at(millis), ENTRIES as u32, true);
+        note_hosts(&mut ledger, millis);
         ledger.expire(at(millis));
     }
     assert!(is_granted(&mut ledger, 300_000), "nothing was sent for minutes");
-    report(&mut ledger, 300_400, admitted + 1);
+    report(&mut ledger, 300_400, admitted + 1, 1);
     assert!(is_granted(&mut ledger, 300_500), "each entry has admitted one request");
 }
--- a/hickoryspan_gateway/tests/gateway/invented_targets.rs
+++ b/hickoryspan_gateway/tests/gateway/invented_targets.rs
@@ -4,7 +4,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::support::{Deployment, TEST_TIMEOUT, route, to_service};
+use crate::support::{
+    Deployment, ScriptedTarget, SeenRequest, TEST_TIMEOUT, TargetAction, get, route, to_service,
+};
 use hickoryspan_core::gateway::documents::document::RepeatRule;
 use hickoryspan_core::gateway::membership::messages::DirectoryUpdate;
 use hickoryspan_core::gateway::targets::directory::{
@@ -96,3 +98,30 @@
     assert_eq!(verdict, AnnounceVerdict::Accepted);
     deployment.stop().await;
 }
+
+/// Guards against an entry that takes all targets that control hosts name, and against one that never learns those it
+/// had no room for.
+#[tokio::test]
+async fn an_entry_takes_a_target_when_there_is_room() {
+    let mut deployment = Deployment::start().await;
+    let answer = |request: &SeenRequest| TargetAction::Send(request.answer("stamp", b"answer"));
+    let target = ScriptedTarget::start(Arc::new(answer)).await;
+    let invented = invented_target(0);
+    deployment.add_entry_with_targets(1).await;
+    deployment.configure(vec![route("/two/", RepeatRule::Idempotent, to_service("two"))]).await;
+    assert_eq!(deployment.hub.announce(invented.clone()).await, AnnounceVerdict::Accepted);
+    // Confirmed by both entries, so the invented target comes first.
+    deployment.depart("nobody").await;
+    deployment.announce("true", "two", target.address).await;
+    let answer = deployment.exchange_at(1, &get("/two/")).await;
+    assert_eq!((answer.status, answer.body.as_slice()), (503, b"no_target".as_slice()));
+    assert_eq!(deployment.exchange_at(0, &get("/two/")).await.status, 200);
+    deployment.hub.depart(TargetDeparture { target: invented.target, started: None }).await;
+    let served = async {
+        while deployment.exchange_at(1, &get("/two/")).await.status != 200 {
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+    };
+    tokio::time::timeout(TEST_TIMEOUT, served).await.expect("the target is learned");
+    deployment.stop().await;
+}
