--- a/hickoryspan_core/src/gateway/mod.rs
+++ b/hickoryspan_core/src/gateway/mod.rs
@@ -4,6 +4,7 @@
 pub mod account_labels;
 pub mod admission;
 pub mod documents;
+pub mod explanation;
 pub mod fanouts;
 pub mod log_limit;
 pub mod membership;
--- a/hickoryspan_core/src/gateway/targets/selection.rs
+++ b/hickoryspan_core/src/gateway/targets/selection.rs
@@ -2,24 +2,74 @@
 //! targets report.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::fmt;
 use std::net::SocketAddr;
+use std::str::FromStr;
 use std::time::Duration;
 
 use rand::RngExt;
 use rand_chacha::ChaCha12Rng;
 
+use super::cost_model::{CostModel, WorkEstimate};
 use super::directory::{TargetAnnouncement, TargetPhase, TargetProcess};
 use super::evacuations::EvacuationState;
 use super::outcomes::{AttemptFailure, AttemptOutcome, ReportedLoad};
 use super::send_check::SendBarrier;
 use super::target_notices::NoticeTable;
-use crate::gateway::admission::cold_targets::{ColdGate, ColdTarget};
+use super::target_state::TargetState;
+use super::work_choice::{ChoiceReason, ExpectedCompletion, WorkPlacement};
+use super::work_left::{AssumedLoad, ExpectedStart, WorkTicket};
+use crate::gateway::admission::cold_targets::ColdGate;
 use crate::gateway::admission::limit_gate::LimitGate;
-use crate::types::{FailureDomain, MonotonicTime, RequestRate, ServiceId, TargetId, WallTime};
+use crate::types::{FailureDomain, MonotonicTime, ServiceId, TargetId, WallTime};
+
+/// By what targets are compared.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum TargetPolicy {
+    /// Recent latency relative to the route's median, and the number of requests in flight.
+    #[default]
+    Latency,
+    /// When each target is expected to have done the request: its expected work, the work that is left on the target and
+    /// the target's speed.
+    ExpectedWork,
+}
+
+impl TargetPolicy {
+    /// Returns the name used in settings and logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Latency => "latency",
+            Self::ExpectedWork => "expected-work",
+        }
+    }
+}
+
+impl fmt::Display for TargetPolicy {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(self.as_str())
+    }
+}
+
+/// A text names no policy.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("target policy {0:?}: expected latency or expected-work")]
+pub struct PolicyError(String);
+
+impl FromStr for TargetPolicy {
+    type Err = PolicyError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let known = [Self::Latency, Self::ExpectedWork];
+        let policy = known.into_iter().find(|policy| policy.as_str() == text);
+        policy.ok_or_else(|| PolicyError(text.to_owned()))
+    }
+}
 
 /// Settings of the target selection.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct SelectionSettings {
+    /// By what targets are compared.
+    pub policy: TargetPolicy,
     /// Time after which the observations of a target lose half of their weight.
     pub half_life: Duration,
     /// How long an unanswered request keeps other requests away from a target. The time doubles
@@ -43,6 +93,7 @@
 impl Default for SelectionSettings {
     fn default() -> Self {
         Self {
+            policy: TargetPolicy::default(),
             half_life: Duration::from_secs(6),
             overdue_backoff: Duration::from_millis(150),
             eject_after: 3,
@@ -55,25 +106,8 @@
     }
 }
 
-/// Weight of a new observation in the moving averages.
-const OBSERVATION_WEIGHT: f64 = 0.25;
-/// Cost of an expected failure, relative to the cost of the work itself.
-const FAILURE_COST: f64 = 8.0;
-/// Cost factor for a target that has left a request unanswered.
-const OVERDUE_FACTOR: f64 = 20.0;
-/// Lower bound of a route's median latency in seconds, which bounds the relative latency.
-const MIN_MEDIAN_SECONDS: f64 = 1e-4;
-/// Largest number of doublings of a back-off or an ejection. More would only overflow.
-const MAX_DOUBLINGS: u32 = 8;
 /// Queued requests per slot up to which a target is used for a hedge.
 const MAX_HEDGE_QUEUE: f64 = 2.0;
-/// Smallest relative latency that is expected of a target.
-const MIN_RELATIVE_LATENCY: f64 = 0.2;
-/// Cost of each busy slot, relative to the work, because a busy slot may still be busy for a moment
-/// when the next request arrives.
-const SHARING_COST: f64 = 0.25;
-/// Largest relative latency that a single observation counts as.
-const MAX_RELATIVE_LATENCY: f64 = 30.0;
 
 /// A selected target.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -95,128 +129,45 @@
     }
 }
 
-#[derive(Clone, Debug)]
-struct TargetState {
-    announcement: TargetAnnouncement,
-    cold_until: MonotonicTime,
-    in_flight: u32,
-    // Moving average of the latency divided by the route's median latency.
-    relative_latency: f64,
-    failure_rate: f64,
-    observed_at: MonotonicTime,
-    failures: u32,
-    ejections: u32,
-    ejected_until: MonotonicTime,
-    overdue_until: MonotonicTime,
-    overdue_count: u32,
-    load: Option<ReportedLoad>,
-    load_at: MonotonicTime,
-}
-
-impl TargetState {
-    fn new(now: MonotonicTime, announcement: TargetAnnouncement) -> Self {
-        let cold_until = now + announcement.cold;
-        Self {
-            announcement,
-            cold_until,
-            in_flight: 0,
-            relative_latency: 1.0,
-            failure_rate: 0.0,
-            observed_at: now,
-            failures: 0,
-            ejections: 0,
-            ejected_until: MonotonicTime(0),
-            overdue_until: MonotonicTime(0),
-            overdue_count: 0,
-            load: None,
-            load_at: now,
-        }
-    }
-
-    fn decay(&self, now: MonotonicTime, half_life: Duration) -> f64 {
-        0.5_f64.powf(now.since(self.observed_at).as_secs_f64() / half_life.as_secs_f64())
-    }
-
-    fn observe(&mut self, now: MonotonicTime, settings: &SelectionSettings, failed: bool) {
-        let decay = self.decay(now, settings.half_life);
-        self.relative_latency = 1.0 + (self.relative_latency - 1.0) * decay;
-        let rate = self.failure_rate * decay;
-        let sample = if failed { 1.0 } else { 0.0 };
-        self.failure_rate = rate + (sample - rate) * OBSERVATION_WEIGHT;
-        self.observed_at = now;
-    }
-
-    fn process(&self) -> TargetProcess {
-        let TargetAnnouncement { target, age, .. } = &self.announcement;
-        TargetProcess { target: target.clone(), started: age.started }
-    }
-
-    fn is_ready(&self) -> bool {
-        self.announcement.phase == TargetPhase::Ready
-    }
-
-    /// Returns the expected latency, relative to the median latency of the same route.
-    fn expected_latency(&self, now: MonotonicTime, settings: &SelectionSettings) -> f64 {
-        let decay = self.decay(now, settings.half_life);
-        let relative_latency = 1.0 + (self.relative_latency - 1.0) * decay;
-        let load = self.load.filter(|_| now.since(self.load_at) < settings.load_lifetime);
-        let reported_latency =
-            load.map_or(1.0, |load| f64::from(load.latency_percent.max(100)) / 100.0);
-        // The report includes the request whose response carried it.
-        let reported =
-            load.map_or(0, |load| load.running.saturating_add(load.waiting).saturating_sub(1));
-        let ahead = f64::from(self.in_flight.max(reported));
-        let slots = f64::from(self.announcement.slots.max(1));
-        let waiting = (ahead + 1.0 - slots).max(0.0) / slots;
-        let sharing = SHARING_COST * ahead / slots;
-        let mut expected = relative_latency.max(reported_latency).max(MIN_RELATIVE_LATENCY)
-            * (1.0 + waiting + sharing);
-        if self.cold_until > now {
-            expected *= settings.cold_factor;
-        }
-        expected
-    }
-
-    /// Returns the queued requests per slot, or zero without a recent report.
-    fn queue(&self, now: MonotonicTime, settings: &SelectionSettings) -> f64 {
-        let load = self.load.filter(|_| now.since(self.load_at) < settings.load_lifetime);
-        let slots = f64::from(self.announcement.slots.max(1));
-        load.map_or(0.0, |load| f64::from(load.waiting) / slots)
-    }
-
-    fn cost(
-        &self,
-        now: MonotonicTime,
-        settings: &SelectionSettings,
-        domain: &FailureDomain,
-    ) -> f64 {
-        let decay = self.decay(now, settings.half_life);
-        let mut cost = self.expected_latency(now, settings);
-        cost *= 1.0 + FAILURE_COST * self.failure_rate * decay;
-        if self.announcement.domain != *domain {
-            cost *= settings.remote_factor;
-        }
-        if self.overdue_until > now {
-            cost *= OVERDUE_FACTOR;
-        }
-        cost
-    }
-}
-
 /// All targets and what this entry has observed of them.
 #[derive(Debug)]
 pub struct TargetSelector {
-    settings: SelectionSettings,
-    domain: FailureDomain,
-    generator: ChaCha12Rng,
-    targets: HashMap<TargetId, TargetState>,
-    by_service: BTreeMap<ServiceId, Vec<TargetId>>,
+    pub(super) settings: SelectionSettings,
+    pub(super) domain: FailureDomain,
+    pub(super) generator: ChaCha12Rng,
+    pub(super) targets: HashMap<TargetId, TargetState>,
+    pub(super) by_service: BTreeMap<ServiceId, Vec<TargetId>>,
     // Shortest queues by service, as reported by other entries that send to the service.
     queues: HashMap<ServiceId, ReportedQueue>,
-    limits: LimitGate,
-    notices: NoticeTable,
-    evacuations: EvacuationState,
-    cold: ColdGate,
+    pub(super) limits: LimitGate,
+    pub(super) notices: NoticeTable,
+    pub(super) evacuations: EvacuationState,
+    pub(super) cold: ColdGate,
+    pub(super) costs: CostModel,
+    next_ticket: u64,
+}
+
+/// A selected target, and what was expected of the request there if targets are compared by work.
+#[derive(Clone, Debug, PartialEq)]
+pub struct PlacedRequest {
+    /// The target.
+    pub target: ChosenTarget,
+    /// What was expected.
+    pub placement: Option<WorkPlacement>,
+}
+
+/// A target that a request may be sent to, with its cost.
+pub(super) struct RatedTarget {
+    target: TargetId,
+    pub(super) cost: f64,
+    pub(super) completion: Option<ExpectedCompletion>,
+}
+
+/// The best target for a request.
+struct Candidate {
+    target: TargetId,
+    completion: Option<ExpectedCompletion>,
+    reason: ChoiceReason,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -239,6 +190,8 @@
             notices: NoticeTable::default(),
             evacuations: EvacuationState::default(),
             cold: ColdGate::default(),
+            costs: CostModel::default(),
+            next_ticket: 0,
         }
     }
 
@@ -258,7 +211,7 @@
         has_ready && self.count_usable(service) == 0
     }
 
-    fn is_usable(&self, state: &TargetState) -> bool {
+    pub(super) fn is_usable(&self, state: &TargetState) -> bool {
         state.is_ready() && !self.evacuations.covers(&state.announcement.domain)
     }
 
@@ -311,111 +264,12 @@
         self.states(service).filter(|state| self.is_open(now, state)).count()
     }
 
-    fn is_open(&self, now: MonotonicTime, state: &TargetState) -> bool {
+    pub(super) fn is_open(&self, now: MonotonicTime, state: &TargetState) -> bool {
         self.is_usable(state)
             && (self.notices.is_empty()
                 || self.notices.admits(now, &state.process(), state.in_flight))
     }
 
-    /// Returns the limits of the targets.
-    pub fn limits(&self) -> &LimitGate {
-        &self.limits
-    }
-
-    /// Returns the limits of the targets, to record what was heard of them.
-    pub fn limits_mut(&mut self) -> &mut LimitGate {
-        &mut self.limits
-    }
-
-    /// Replaces the gate of cold targets, which lets nothing through to begin with.
-    pub fn set_cold_gate(&mut self, gate: ColdGate) {
-        self.cold = gate;
-    }
-
-    /// Returns the gate of cold targets.
-    pub fn cold_mut(&mut self) -> &mut ColdGate {
-        &mut self.cold
-    }
-
-    /// Returns whether limits of targets, or of cold ones, may hold back requests.
-    pub fn has_limits(&self) -> bool {
-        self.limits.is_active() || self.cold.is_active()
-    }
-
-    /// Returns the targets that are cold and whose service states how many requests they tolerate.
-    pub fn cold_targets(&self, now: MonotonicTime) -> impl Iterator<Item = &TargetId> {
-        let states =
-            self.targets.values().filter(move |state| self.cold_rate(now, state).is_some());
-        states.map(|state| &state.announcement.target)
-    }
-
-    /// Returns how many requests a target tolerates while it is cold; `None` if any number.
-    fn cold_rate(&self, now: MonotonicTime, state: &TargetState) -> Option<RequestRate> {
-        let is_cold = self.cold.is_active() && state.cold_until > now;
-        is_cold.then(|| self.cold.rate(&state.announcement.service)).flatten()
-    }
-
-    /// Returns the services that have a limited target.
-    pub fn limited_services(&self) -> BTreeSet<&ServiceId> {
-        let states = self.limits.table.limited().filter_map(|process| self.find(process));
-        states.map(|state| &state.announcement.service).collect()
-    }
-
-    fn find(&self, process: &TargetProcess) -> Option<&TargetState> {
-        let state = self.targets.get(&process.target)?;
-        (state.announcement.age.started == process.started).then_some(state)
-    }
-
-    /// Counts a request for a service if any of its targets is limited.
-    pub fn note_request(&mut self, now: MonotonicTime, service: &ServiceId) {
-        if self.states(service).any(|state| self.is_limited(state)) {
-            self.limits.note_request(now, service);
-        }
-    }
-
-    /// Forgets the limits of targets that are gone and the demand for services without a limited target.
-    pub fn sweep_limits(&mut self, now: MonotonicTime) {
-        let mut cold = std::mem::take(&mut self.cold);
-        cold.retain(|process| self.find(process).is_some());
-        self.cold = cold;
-        if !self.limits.is_active() {
-            return;
-        }
-        let limited: BTreeSet<ServiceId> = self.limited_services().into_iter().cloned().collect();
-        let mut limits = std::mem::take(&mut self.limits);
-        let is_known = |process: &TargetProcess| self.find(process).is_some();
-        limits.retain(now, is_known, |service| limited.contains(service));
-        self.limits = limits;
-    }
-
-    /// Returns whether a request may be sent to any usable target of a service now.
-    pub fn has_permitted_target(&mut self, now: MonotonicTime, service: &ServiceId) -> bool {
-        !self.has_limits() || !self.permitted(now, service).is_empty()
-    }
-
-    /// Returns the usable targets of a service to which a request may be sent now.
-    fn permitted(&mut self, now: MonotonicTime, service: &ServiceId) -> Vec<TargetId> {
-        let share = self.limits.share(now, service);
-        let mut permitted = Vec::new();
-        for target in self.by_service.get(service).into_iter().flatten() {
-            let Some(state) = self.targets.get(target) else { continue };
-            if !self.is_open(now, state) {
-                continue;
-            }
-            let draw = self.generator.random();
-            let process = state.process();
-            let cold_rate = self.cold_rate(now, state);
-            let has_cold_permit = cold_rate.is_none_or(|rate| {
-                let domain = &state.announcement.domain;
-                self.cold.has_permit(now, &ColdTarget { process: process.clone(), domain, rate })
-            });
-            if has_cold_permit && self.limits.has_permit(now, &process, share, draw) {
-                permitted.push(target.clone());
-            }
-        }
-        permitted
-    }
-
     /// Adds or updates a target. Observations are discarded if its process, address or service has
     /// changed.
     pub fn put(&mut self, now: MonotonicTime, announcement: TargetAnnouncement) {
@@ -471,7 +325,7 @@
         usable.map(|state| &state.announcement.domain).collect()
     }
 
-    fn states(&self, service: &ServiceId) -> impl Iterator<Item = &TargetState> {
+    pub(super) fn states(&self, service: &ServiceId) -> impl Iterator<Item = &TargetState> {
         let targets = self.by_service.get(service).into_iter().flatten();
         targets.filter_map(|target| self.targets.get(target))
     }
@@ -484,7 +338,21 @@
         service: &ServiceId,
         tried: &[TargetId],
     ) -> Option<ChosenTarget> {
-        let chosen = self.find_best(now, service, tried)?;
+        self.choose_placed(now, service, tried, None).map(|placed| placed.target)
+    }
+
+    /// Selects a target like [`Self::choose`], by the expected work of the request if it is given.
+    pub fn choose_placed(
+        &mut self,
+        now: MonotonicTime,
+        service: &ServiceId,
+        tried: &[TargetId],
+        estimate: Option<&WorkEstimate>,
+    ) -> Option<PlacedRequest> {
+        let Candidate { target: chosen, completion, reason } =
+            self.find_best(now, service, tried, estimate)?;
+        let ticket = WorkTicket(self.next_ticket);
+        self.next_ticket += 1;
         let is_cold =
             self.targets.get(&chosen).is_some_and(|state| self.cold_rate(now, state).is_some());
         let state = self.targets.get_mut(&chosen)?;
@@ -494,12 +362,19 @@
         if is_cold {
             self.cold.take_permit(&process);
         }
-        Some(ChosenTarget {
+        let target = ChosenTarget {
             target: chosen,
             address: state.announcement.address,
             started: process.started,
             cold_permit_at: is_cold.then_some(now),
-        })
+        };
+        let placement = completion.zip(estimate).map(|(completion, estimate)| {
+            let knowledge = state.work.knowledge(now, state.announcement.slots);
+            let start = ExpectedStart { wait: completion.wait, knowledge };
+            state.work.note_sent(now, ticket, estimate, start);
+            WorkPlacement { ticket, completion, reason }
+        });
+        Some(PlacedRequest { target, placement })
     }
 
     fn find_best(
@@ -507,7 +382,8 @@
         now: MonotonicTime,
         service: &ServiceId,
         tried: &[TargetId],
-    ) -> Option<TargetId> {
+        estimate: Option<&WorkEstimate>,
+    ) -> Option<Candidate> {
         let permitted = self.has_limits().then(|| self.permitted(now, service));
         let is_permitted =
             |target: &TargetId| permitted.as_ref().is_none_or(|known| known.contains(target));
@@ -516,25 +392,42 @@
             self.is_open(now, state) && !tried.contains(target) && is_permitted(target)
         };
         let healthy = self.states(service).filter(untried).any(|state| state.ejected_until <= now);
-        let costs: Vec<(TargetId, f64)> = self
+        let candidates: Vec<RatedTarget> = self
             .states(service)
             .filter(untried)
             // If all targets are ejected, the fault may be on this side, so all of them are used.
             .filter(|state| !healthy || state.ejected_until <= now)
-            .map(|state| {
-                let cost = state.cost(now, &self.settings, &self.domain);
-                (state.announcement.target.clone(), cost)
-            })
+            .map(|state| self.rate(now, state, estimate))
             .collect();
-        let mut best: Option<(TargetId, f64)> = None;
-        for (target, cost) in costs {
+        let mut rated: Vec<RatedTarget> = Vec::with_capacity(candidates.len());
+        for candidate in candidates {
             // A random factor spreads requests over targets with equal cost.
-            let cost = cost * (1.0 + self.generator.random::<f64>() * 0.1);
-            if best.as_ref().is_none_or(|(_, lowest)| cost < *lowest) {
-                best = Some((target, cost));
-            }
+            let cost = candidate.cost * (1.0 + self.generator.random::<f64>() * 0.1);
+            rated.push(RatedTarget { cost, ..candidate });
         }
-        best.map(|(target, _)| target)
+        rated.sort_by(|left, right| left.cost.total_cmp(&right.cost));
+        let completions: Vec<ExpectedCompletion> =
+            rated.iter().filter_map(|rated| rated.completion).take(2).collect();
+        let best = rated.into_iter().next()?;
+        let reason = ChoiceReason::of(&completions);
+        Some(Candidate { target: best.target, completion: best.completion, reason })
+    }
+
+    pub(super) fn rate(
+        &self,
+        now: MonotonicTime,
+        state: &TargetState,
+        estimate: Option<&WorkEstimate>,
+    ) -> RatedTarget {
+        let target = state.announcement.target.clone();
+        let completion = estimate.map(|estimate| {
+            state.completion(now, &self.settings, &self.domain, estimate, AssumedLoad::Usual)
+        });
+        let cost = match &completion {
+            Some(completion) => completion.cost(),
+            None => state.cost(now, &self.settings, &self.domain),
+        };
+        RatedTarget { target, cost, completion }
     }
 
     /// Releases a selected target to which no request was sent.
@@ -605,7 +498,7 @@
         })
     }
 
-    fn is_limited(&self, state: &TargetState) -> bool {
+    pub(super) fn is_limited(&self, state: &TargetState) -> bool {
         self.limits.is_active() && self.limits.table.find(&state.process()).is_some()
     }
 
@@ -672,6 +565,7 @@
         let Some(state) = self.targets.get_mut(target) else { return };
         state.load = Some(load);
         state.load_at = now;
+        state.work.note_load(now, load);
     }
 
     /// Returns whether other requests are kept away from a target that has left one unanswered.
@@ -687,51 +581,3 @@
         }
     }
 }
-
-impl TargetState {
-    fn back_off(&mut self, now: MonotonicTime, settings: &SelectionSettings) {
-        // Requests that were sent before the back-off started carry no new information.
-        if self.overdue_until > now {
-            return;
-        }
-        let doubled = settings.overdue_backoff * 2_u32.pow(self.overdue_count.min(MAX_DOUBLINGS));
-        self.overdue_until = now + doubled.min(settings.eject_max);
-        self.overdue_count += 1;
-    }
-
-    fn observe_latency(
-        &mut self,
-        now: MonotonicTime,
-        settings: &SelectionSettings,
-        latency: Duration,
-        median: Duration,
-    ) {
-        self.observe(now, settings, false);
-        let relative_latency = latency.as_secs_f64() / median.as_secs_f64().max(MIN_MEDIAN_SECONDS);
-        self.relative_latency += (relative_latency.min(MAX_RELATIVE_LATENCY)
-            - self.relative_latency)
-            * OBSERVATION_WEIGHT;
-    }
-
-    fn note_failure(
-        &mut self,
-        now: MonotonicTime,
-        settings: &SelectionSettings,
-        failure: AttemptFailure,
-    ) {
-        self.observe(now, settings, true);
-        if failure == AttemptFailure::Timeout {
-            self.back_off(now, settings);
-        }
-        self.failures += 1;
-        let certain = matches!(failure, AttemptFailure::Unreachable | AttemptFailure::OtherTarget);
-        if self.failures < settings.eject_after && !certain {
-            return;
-        }
-        let doubled = settings.eject_min * 2_u32.pow(self.ejections.min(MAX_DOUBLINGS));
-        self.ejected_until = now + doubled.min(settings.eject_max);
-        self.ejections += 1;
-        // After the ejection, the next result decides: a single failure ejects the target again.
-        self.failures = settings.eject_after.saturating_sub(1);
-    }
-}
--- a/hickoryspan_gateway/src/attempt.rs
+++ b/hickoryspan_gateway/src/attempt.rs
@@ -11,10 +11,12 @@
 use hickoryspan_core::gateway::targets::outcomes::{AttemptFailure, AttemptOutcome};
 use hickoryspan_core::gateway::targets::selection::ChosenTarget;
 use hickoryspan_core::types::{MonotonicTime, RequestFingerprint, ServiceId};
+use hickoryspan_runtime::caller_budget::RequestCharge;
 use hickoryspan_runtime::http_client::{HttpAnswer, SendError};
 use http::{HeaderMap, HeaderValue, Method, Request};
 use http_body_util::Full;
 
+use crate::expected_work::AttemptWork;
 use crate::forward::ConnectionPosition;
 use crate::gateway_state::GatewayState;
 use crate::target_answer::classify_answer;
@@ -57,6 +59,8 @@
     /// Whether the configuration by which the request was accepted names accounts. Otherwise its headers are as the
     /// caller sent them and may contain a key.
     pub(crate) keys_checked: bool,
+    /// What the request occupies on this entry; `None` if another entry has the caller.
+    pub(crate) charge: Option<Arc<RequestCharge>>,
     /// Version of the configuration by which the route was chosen.
     pub(crate) version: DocumentVersion,
     pub(crate) received_at: MonotonicTime,
@@ -136,6 +140,7 @@
     state: Arc<GatewayState>,
     job: Arc<GatewayJob>,
     target: ChosenTarget,
+    work: Option<AttemptWork>,
     started_at: MonotonicTime,
     outcome: Option<AttemptOutcome>,
 }
@@ -147,45 +152,57 @@
         let mut decisions = self.state.decisions();
         let median = decisions.route_latency(&self.job.route).median;
         let outcome = self.outcome.unwrap_or(AttemptOutcome::Cancelled(elapsed));
-        decisions.selector.finish(now, &self.target.target, outcome, median);
+        let target = &self.target.target;
+        if let Some(AttemptWork { ticket, traits }) = &self.work {
+            decisions.selector.end_work(now, target, *ticket, traits, Some(outcome));
+        }
+        decisions.selector.finish(now, target, outcome, median);
     }
 }
 
-/// Runs one attempt, which was decided on at `launched_at`. Dropping the future closes the connection, upon which the target stops the work.
-pub(crate) async fn run_attempt(
+/// Returns the run of one attempt, which was decided on at `launched_at`. Dropping the future closes the connection, upon
+/// which the target stops the work. The selector learns of the end also if the future is dropped before it starts.
+pub(crate) fn run_attempt(
     state: Arc<GatewayState>,
     job: Arc<GatewayJob>,
     service: ServiceId,
     shard: ShardIndex,
     target: ChosenTarget,
+    work: Option<AttemptWork>,
     launched_at: MonotonicTime,
-) -> AttemptReport {
-    let started_at = state.now();
-    let start_delay = started_at.since(launched_at);
-    let mut guard = AttemptGuard {
-        state: Arc::clone(&state),
-        job: Arc::clone(&job),
-        target: target.clone(),
-        started_at,
-        outcome: None,
-    };
-    let mut connected_at = None;
-    let result = exchange(&state, &job, &service, &target, &mut connected_at).await;
-    let now = state.now();
-    guard.outcome = Some(match &result {
-        AttemptResult::Answer(_) => AttemptOutcome::Success(now.since(started_at)),
-        AttemptResult::Failure(failure, _) => AttemptOutcome::Failure(*failure),
-    });
-    if let AttemptResult::Answer(_) = &result {
-        let mut decisions = state.decisions();
-        decisions.record_latency(&job.route, now.since(started_at));
-        decisions.selector.note_served(now, &target);
-        if let Some(connected_at) = connected_at.filter(|_| decisions.poison.has_crashes()) {
-            decisions.poison.note_response(&target.process(), connected_at, started_at);
+) -> impl Future<Output = AttemptReport> + Send {
+    let mut guard =
+        AttemptGuard { state, job, target, work, started_at: launched_at, outcome: None };
+    async move {
+        guard.started_at = guard.state.now();
+        let (result, connected_at) = guard.run(&service).await;
+        let start_delay = guard.started_at.since(launched_at);
+        let target = guard.target.clone();
+        AttemptReport { shard, target, start_delay, connected_at, result }
+    }
+}
+
+impl AttemptGuard {
+    async fn run(&mut self, service: &ServiceId) -> (AttemptResult, Option<MonotonicTime>) {
+        let Self { state, job, target, started_at, .. } = self;
+        let mut connected_at = None;
+        let result = exchange(state, job, service, target, &mut connected_at).await;
+        let now = state.now();
+        let elapsed = now.since(*started_at);
+        if let AttemptResult::Answer(_) = &result {
+            let mut decisions = state.decisions();
+            decisions.record_latency(&job.route, elapsed);
+            decisions.selector.note_served(now, target);
+            if let Some(connected_at) = connected_at.filter(|_| decisions.poison.has_crashes()) {
+                decisions.poison.note_response(&target.process(), connected_at, *started_at);
+            }
         }
+        self.outcome = Some(match &result {
+            AttemptResult::Answer(_) => AttemptOutcome::Success(elapsed),
+            AttemptResult::Failure(failure, _) => AttemptOutcome::Failure(*failure),
+        });
+        (result, connected_at)
     }
-    drop(guard);
-    AttemptReport { shard, target, start_delay, connected_at, result }
 }
 
 async fn exchange(
@@ -220,7 +237,8 @@
                 return AttemptResult::Failure(AttemptFailure::Unreachable, None);
             }
         };
-        let sent = pooled.connection.send(request, state.settings.answer_bytes).await;
+        let (bytes, charge) = (state.settings.answer_bytes, job.charge.as_deref());
+        let sent = pooled.connection.send_charged(request, bytes, charge).await;
         match sent {
             Ok(answer) => return classify_answer(state, job, target, pooled, answer),
             // The target closed an idle connection before the request was written to it.
@@ -233,6 +251,10 @@
                 spdlog::debug!("answer of {}: more than {} bytes", target.address, bytes);
                 return AttemptResult::Failure(AttemptFailure::Malformed, None);
             }
+            Err(error @ SendError::InvalidStatus(_)) => {
+                spdlog::debug!("answer of {}: {}", target.address, error);
+                return AttemptResult::Failure(AttemptFailure::Malformed, None);
+            }
             Err(error @ SendError::ConnectionLost(_)) => {
                 spdlog::debug!("answer of {}: {}", target.address, error);
                 return AttemptResult::Failure(AttemptFailure::Lost, None);
--- a/hickoryspan_gateway/src/entry_daemon.rs
+++ b/hickoryspan_gateway/src/entry_daemon.rs
@@ -9,6 +9,7 @@
 use anyhow::Context;
 use hickoryspan_core::gateway::documents::document::DocumentVersion;
 use hickoryspan_core::gateway::documents::document_parts::DocumentPart;
+use hickoryspan_core::gateway::log_limit::LogPriority;
 use hickoryspan_core::gateway::membership::entry_list::{EntryListChange, OpenEntry};
 use hickoryspan_core::gateway::membership::messages::{
     DirectoryRequest, DirectoryUpdate, EntryHost, LinkVersion,
@@ -20,6 +21,7 @@
 };
 use hickoryspan_core::gateway::targets::evacuations::EvacuationState;
 use hickoryspan_core::types::{MonotonicTime, TargetId};
+use hickoryspan_runtime::caller_stream::listen;
 use hickoryspan_runtime::tasks::join_all;
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
@@ -28,6 +30,7 @@
 
 use crate::caller_server::{ShutdownSignals, serve_callers};
 use crate::directory_links::{DirectoryLinks, KnownChanges, LinkHandler};
+use crate::explainer::EntryExplainer;
 use crate::fanout_server::serve_fanouts;
 use crate::gateway_state::{GatewayState, SharedDecisions};
 use crate::host_list::HostList;
@@ -97,6 +100,11 @@
         self.host_reports.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn note_heard(&self, from: SocketAddr) {
+        let now = self.state.now();
+        self.state.decisions().quotas.note_heard(now, from);
+    }
+
     /// Returns the last report of a host; `None` if it has sent none on its current link.
     fn report_of(&self, host: SocketAddr) -> Option<HostReport> {
         self.lock_reports().get(&host).copied()
@@ -134,6 +142,7 @@
                 for departure in departures {
                     if decisions.directory.depart(now, &departure) {
                         self.state.pool.remove(&departure.target);
+                        decisions.liveness.forget(&departure.target);
                     }
                 }
             }
@@ -186,6 +195,15 @@
     ) {
         let target = announcement.target.clone();
         let change = decisions.directory.announce(now, announcement);
+        if change == DirectoryChange::Full {
+            // It is described, so that the start of this entry does not wait for it.
+            decisions.liveness.mark_alive(from, &target);
+            metrics::counter!("hickoryspan_targets_left_out_total").increment(1);
+            if self.state.admits_log_line(LogPriority::Ordinary) {
+                spdlog::warn!("target left out", kv: { target: = target, from: = from });
+            }
+            return;
+        }
         let Some(known) = decisions.directory.find(&target) else { return };
         decisions.liveness.mark_alive(from, &target);
         if change == DirectoryChange::Stale {
@@ -250,10 +268,17 @@
         match update {
             DirectoryUpdate::Hosts { controls, entries, document, link_version } => {
                 self.hosts.add(controls);
+                let is_first = self.report_of(from).is_none();
                 self.set_report(from, Some(HostReport { entries, document, link_version }));
+                self.note_heard(from);
+                if is_first && self.state.decisions().quotas.has_counts() {
+                    // Only now is it known that this host counts requests, and it should know of earlier ones soon.
+                    self.state.trigger_report();
+                }
                 return self.next_request(from, document);
             }
             DirectoryUpdate::Unchanged => {
+                self.note_heard(from);
                 let document = self.report_of(from).and_then(|report| report.document);
                 return self.next_request(from, document);
             }
@@ -457,8 +482,7 @@
     /// Binds the caller port and starts all tasks. `hosts` initially holds the seeds.
     pub async fn start(settings: GatewaySettings, hosts: HostList) -> anyhow::Result<Self> {
         let address = settings.caller_address;
-        let listener =
-            TcpListener::bind(address).await.with_context(|| format!("bind callers: {address}"))?;
+        let listener = listen(address).with_context(|| format!("bind callers: {address}"))?;
         let fanouts = bind_fanouts(&settings).await?;
         let fanout_address = match &fanouts {
             Some(listener) => Some(listener.local_addr().context("read the fan-out address")?),
@@ -507,6 +531,11 @@
         EntryListView { state: Arc::clone(&self.state), readiness: self.readiness() }
     }
 
+    /// Returns what explains the decisions of this entry.
+    pub fn explainer(&self) -> EntryExplainer {
+        EntryExplainer { state: Arc::clone(&self.state) }
+    }
+
     /// Returns the counts of this entry's work for the fan-outs of other entries.
     pub fn fanout_counts(&self) -> FanoutCounts {
         let usual = self.state.usual_relays();
@@ -591,6 +620,13 @@
             decisions.selector.remove(&expired.target);
             decisions.groups.clear();
         }
+        for target in decisions.directory.take_left_out() {
+            decisions.liveness.request(target);
+        }
+        let directory = &decisions.directory;
+        let is_needed =
+            |target: &TargetId| directory.find(target).is_some() || directory.is_left_out(target);
+        decisions.liveness.prune(directory.count(), is_needed);
         decisions.poison.expire(now);
         decisions.selector.sweep_limits(now);
         metrics::gauge!("hickoryspan_gateway_cold_targets")
--- a/hickoryspan_gateway/src/fanout_server.rs
+++ b/hickoryspan_gateway/src/fanout_server.rs
@@ -327,9 +327,10 @@
         body: task.body,
         position: ConnectionPosition::Later,
         scope: AttemptScope::Relayed,
-        // The entry that has the request has recognized the caller.
+        // The entry that has the request has recognized the caller and charges what it holds.
         identity: None,
         keys_checked: requires_keys,
+        charge: None,
         version: DocumentVersion::default(),
         received_at: now,
         give_up_at: now + task.give_up_in,
--- a/hickoryspan_gateway/src/forward.rs
+++ b/hickoryspan_gateway/src/forward.rs
@@ -14,9 +14,10 @@
 use hickoryspan_core::gateway::fanouts::fanout::{FanoutMachine, FanoutSettings, merge_records};
 use hickoryspan_core::gateway::log_limit::LogPriority;
 use hickoryspan_core::gateway::planned_stop::StopVerdict;
+use hickoryspan_core::gateway::targets::cost_model::WorkEstimate;
 use hickoryspan_core::types::{CostUnits, MonotonicTime, RequestFingerprint, ServiceId};
 use hickoryspan_runtime::http_client::HttpAnswer;
-use hickoryspan_runtime::http_server::{self, BodyError, HttpLimits};
+use hickoryspan_runtime::http_server::{self, BodyError, HttpLimits, charge_of};
 use http::header::{CONTENT_LENGTH, CONTENT_TYPE, HOST};
 use http::request::Parts;
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
@@ -24,6 +25,7 @@
 use hyper::body::Incoming;
 
 use crate::attempt::{AttemptScope, CallerIdentity, GatewayJob};
+use crate::expected_work::expect_work;
 use crate::gateway_state::{GatewayState, SharedDecisions};
 use crate::headers::remove_connection_headers;
 use crate::quota_permits::{admit, give_back};
@@ -86,8 +88,13 @@
     let (mut parts, body) = request.into_parts();
     let id = parts.headers.get(&state.settings.headers.request).cloned();
     let id_text = id.as_ref().and_then(|value| value.to_str().ok()).unwrap_or("-").to_owned();
-    let deadline = deadline_of(&state, &parts.headers).unwrap_or(DEFAULT_DEADLINE);
-    state.await_informed(deadline.mul_f64(START_PATIENCE)).await;
+    let Ok(deadline) = deadline_of(&state, &parts.headers) else {
+        return refuse(&state, &id_text, RefusalReason::MalformedDeadline, MIN_RETRY_DELAY);
+    };
+    let deadline = deadline.unwrap_or(DEFAULT_DEADLINE);
+    if !await_informed(&state, &parts, deadline.mul_f64(START_PATIENCE)).await {
+        return refuse(&state, &id_text, RefusalReason::NoRoom, MIN_RETRY_DELAY);
+    }
     let Some(routes) = state.decisions().routes.clone() else {
         let left = deadline.saturating_sub(state.now().since(received_at));
         let retry_after = left.mul_f64(START_PATIENCE / 2.0).max(MIN_RETRY_DELAY);
@@ -128,6 +135,23 @@
     run_job(state, routes, Arc::new(job)).await
 }
 
+/// Waits until this entry can serve requests, for `patience` at most. Returns false if the room of the request is needed
+/// for others before that.
+async fn await_informed(state: &GatewayState, parts: &Parts, patience: Duration) -> bool {
+    let informed = state.await_informed(patience);
+    match charge_of(parts) {
+        Some(charge) => tokio::select! {
+            biased;
+            () = informed => true,
+            () = charge.evicted() => false,
+        },
+        None => {
+            informed.await;
+            true
+        }
+    }
+}
+
 /// Returns whether this entry is stopping and ends before the request would.
 fn ends_too_late(state: &GatewayState, job: &GatewayJob) -> bool {
     let Some(schedule) = state.stop_schedule.get() else { return false };
@@ -136,7 +160,11 @@
     schedule.verdict(now, give_up_at, job.route.repeat, latency) == StopVerdict::Refuse
 }
 
+/// Returns the host that a request is for; `None` if it names none or several.
 fn host_of(parts: &Parts) -> Option<String> {
+    if parts.headers.get_all(HOST).iter().count() > 1 {
+        return None;
+    }
     if let Some(authority) = parts.uri.authority() {
         return Some(authority.host().to_owned());
     }
@@ -186,17 +214,35 @@
     }
     let limits =
         HttpLimits { body_bytes: limits.body_bytes, read_time: time, ..HttpLimits::default() };
-    http_server::read_body(body, &limits).await.map_err(|error| match error {
+    let charge = charge_of(parts);
+    let body = http_server::read_body(body, &limits, charge.as_deref());
+    body.await.map_err(|error| match error {
         BodyError::TooLarge(_) => RefusalReason::BodyTooLarge,
-        BodyError::TooSlow(_) => RefusalReason::BodyTooSlow,
+        BodyError::TooSlow(_) | BodyError::Displaced => RefusalReason::BodyTooSlow,
+        BodyError::NoRoom => RefusalReason::NoRoom,
         BodyError::Incomplete => RefusalReason::BodyIncomplete,
     })
 }
 
-/// Returns how long the caller waits, if it says so.
-fn deadline_of(state: &GatewayState, headers: &HeaderMap) -> Option<Duration> {
-    let text = headers.get(&state.settings.headers.deadline)?.to_str().ok()?;
-    text.trim().parse().ok().map(Duration::from_millis)
+/// A caller says how long it waits in a way that is not understood.
+struct MalformedDeadline;
+
+/// Returns how long the caller waits, if it says so: in milliseconds, which may have a fraction. A number that is too large
+/// counts as the largest one.
+fn deadline_of(
+    state: &GatewayState,
+    headers: &HeaderMap,
+) -> Result<Option<Duration>, MalformedDeadline> {
+    let mut values = headers.get_all(&state.settings.headers.deadline).iter();
+    let Some(value) = values.next() else { return Ok(None) };
+    let text = value.to_str().map_err(|_| MalformedDeadline)?.trim();
+    let (whole, fraction) = text.split_once('.').unwrap_or((text, "0"));
+    let is_number = |digits: &str| !digits.is_empty() && digits.bytes().all(|b| b.is_ascii_digit());
+    if values.next().is_some() || !is_number(whole) || !is_number(fraction) {
+        return Err(MalformedDeadline);
+    }
+    // Only a number that is too large is left to fail.
+    Ok(Some(Duration::from_millis(whole.parse().unwrap_or(u64::MAX))))
 }
 
 /// The parts of the configuration by which a request was accepted.
@@ -217,12 +263,14 @@
     received_at: MonotonicTime,
 ) -> GatewayJob {
     let AcceptedBy { route, identity, keys_checked, version } = accepted_by;
-    let timeout = deadline_of(state, &parts.headers).map_or(route.timeout, |deadline| {
+    let deadline = deadline_of(state, &parts.headers).ok().flatten();
+    let timeout = deadline.map_or(route.timeout, |deadline| {
         deadline.saturating_sub(RESPONSE_MARGIN).min(route.timeout)
     });
     let target_path =
         parts.uri.path_and_query().map_or_else(|| "/".to_owned(), |path| path.to_string());
     let fingerprint = fingerprint(&route.host, parts.method.as_str(), &target_path, &body);
+    let charge = charge_of(&parts);
     let mut headers = parts.headers;
     remove_connection_headers(&mut headers);
     // Only now, because a caller may name this header in `Connection` to have it removed.
@@ -230,6 +278,7 @@
         headers.insert(state.settings.headers.account.clone(), identity.name.clone());
     }
     GatewayJob {
+        charge,
         give_up_at: received_at + timeout,
         route,
         method: parts.method,
@@ -455,7 +504,7 @@
         ConnectionPosition::Later => Duration::ZERO,
     };
     let delay = state.settings.caller_delay + connect;
-    let answer_in = objective.saturating_sub(delay).max(objective / 3);
+    let answer_in = answer_time(objective, delay);
     let answer_by = (job.received_at + answer_in).min(job.give_up_at);
     let hedge_after = hedge_delay(state, job, answer_in);
     let max_attempts = match job.route.repeat {
@@ -472,11 +521,27 @@
     }
 }
 
+/// Returns the time for an answer, for callers whose connection and network take `delay` of the objective.
+pub(crate) fn answer_time(objective: Duration, delay: Duration) -> Duration {
+    objective.saturating_sub(delay).max(objective / 3)
+}
+
 /// Returns how long an attempt may run before it is hedged. `answer_in` is the time for an answer.
 pub(crate) fn hedge_delay(state: &GatewayState, job: &GatewayJob, answer_in: Duration) -> Duration {
-    let latency = state.decisions().route_latency(&job.route);
+    let usual = state.decisions().route_latency(&job.route).hedge;
+    let work = expect_work(state, job);
+    clamp_hedge_delay(usual, work.as_ref().map(|work| &work.estimate), answer_in)
+}
+
+/// Returns the delay for a route whose attempts are usually hedged after `usual`.
+pub(crate) fn clamp_hedge_delay(
+    usual: Duration,
+    estimate: Option<&WorkEstimate>,
+    answer_in: Duration,
+) -> Duration {
     let latest = answer_in.mul_f64(MAX_HEDGE_SHARE).max(MIN_HEDGE_DELAY);
-    latency.hedge.clamp(MIN_HEDGE_DELAY, latest)
+    let delay = estimate.map_or(usual, |estimate| estimate.hedge_delay(usual));
+    delay.clamp(MIN_HEDGE_DELAY, latest)
 }
 
 fn record_outcome(
@@ -513,6 +578,10 @@
             hedges: = outcome.hedges,
             relayed_groups: = outcome.relayed_groups,
             hedge_after_ms: = latency.hedge.as_millis(),
+            expected_ms: = outcome.work.expected_text(),
+            cost_source: = outcome.work.source_text(),
+            target_wait_ms: = outcome.work.wait_text(),
+            target_reason: = outcome.work.reason_text(),
             failure: = outcome.last_failure.map_or("-", |failure| failure.as_str()),
             elapsed_ms: = elapsed.as_millis()
         }
--- a/hickoryspan_gateway/src/gateway_state.rs
+++ b/hickoryspan_gateway/src/gateway_state.rs
@@ -49,7 +49,7 @@
 /// Quantile of a route's latency after which an attempt is hedged.
 const HEDGE_QUANTILE: f64 = 0.9;
 /// Initially assumed latency of a route: its objective divided by this.
-const INITIAL_LATENCY_DIVISOR: u32 = 3;
+pub(crate) const INITIAL_LATENCY_DIVISOR: u32 = 3;
 /// Number of requests that must be measured before the measured latency of a route replaces the assumed one.
 const MIN_LATENCY_RECORDS: u32 = 40;
 
@@ -112,6 +112,14 @@
     pub(crate) hedge: Duration,
 }
 
+fn initial_latency(route: &RouteRule) -> LatencyDistribution {
+    LatencyDistribution::new(LatencySettings {
+        hedge_quantile: HEDGE_QUANTILE,
+        min_records: MIN_LATENCY_RECORDS,
+        initial: route.objective / INITIAL_LATENCY_DIVISOR,
+    })
+}
+
 impl SharedDecisions {
     /// Returns the version of the active document.
     pub(crate) fn version(&self) -> Option<DocumentVersion> {
@@ -186,13 +194,15 @@
     }
 
     fn latency(&mut self, route: &RouteRule) -> &mut LatencyDistribution {
-        self.latencies.entry(route.name.clone()).or_insert_with(|| {
-            LatencyDistribution::new(LatencySettings {
-                hedge_quantile: HEDGE_QUANTILE,
-                min_records: MIN_LATENCY_RECORDS,
-                initial: route.objective / INITIAL_LATENCY_DIVISOR,
-            })
-        })
+        let latencies = self.latencies.entry(route.name.clone());
+        latencies.or_insert_with(|| initial_latency(route))
+    }
+
+    /// Returns the latency of a route like [`Self::route_latency`], without creating a record of it.
+    pub(crate) fn known_latency(&self, route: &RouteRule) -> RouteLatency {
+        let known = self.latencies.get(&route.name).map(LatencyDistribution::quantiles);
+        let quantiles = known.unwrap_or_else(|| initial_latency(route).quantiles());
+        RouteLatency { median: quantiles.median, hedge: quantiles.hedge }
     }
 
     pub(crate) fn record_latency(&mut self, route: &RouteRule, latency: Duration) {
@@ -308,7 +318,7 @@
             routes: None,
             document_fetch: DocumentFetch::default(),
             document_parts: PartAssembly::default(),
-            directory: TargetDirectory::default(),
+            directory: TargetDirectory::new(settings.directory.max_targets),
             liveness: LivenessTable::default(),
             entry_list: EntryList::default(),
             lag: LagMonitor::new(LagSettings::default()),
--- a/hickoryspan_gateway/src/hub_state.rs
+++ b/hickoryspan_gateway/src/hub_state.rs
@@ -8,10 +8,11 @@
 use hickoryspan_core::gateway::admission::limit_gate::{
     DEMAND_LIFETIME, DemandTotals, ServiceDemand,
 };
-use hickoryspan_core::gateway::admission::quota::{PermitRequest, QuotaCounts};
+use hickoryspan_core::gateway::admission::quota::{CountingState, PermitRequest, QuotaCounts};
 use hickoryspan_core::gateway::admission::quota_ledger::QuotaLedger;
 use hickoryspan_core::gateway::admission::target_limits::{LimitRecord, LimitTable};
 use hickoryspan_core::gateway::fanouts::relays::RelayPeer;
+use hickoryspan_core::gateway::log_limit::{LogLimiter, LogPriority};
 use hickoryspan_core::gateway::membership::entry_list::{
     EntryListChange, OpenEntry, listed_entries,
 };
@@ -40,6 +41,12 @@
 /// Smallest size in bytes of a frame that is compressed.
 const MIN_PACKED_BYTES: usize = 300;
 
+/// Number of report intervals after which an entry that sends nothing is taken to count requests alone.
+const QUOTA_HEARD_INTERVALS: f64 = 2.25;
+
+/// Number of accounts whose use the metrics show.
+const SHOWN_ACCOUNTS: usize = 5;
+
 /// How long a change is delayed so that it is sent together with others.
 pub(crate) const BATCH_DELAY: Duration = Duration::from_millis(20);
 
@@ -147,6 +154,34 @@
     pub(crate) confirm_number: ConfirmNumber,
     // Whether the directory has changed since it was last saved.
     pub(crate) unsaved: bool,
+    // Bounds the log lines about targets, because anyone can announce one.
+    pub(crate) log_limiter: LogLimiter,
+    // Bounds the departures of unknown targets that are sent to others.
+    pub(crate) unknown_departures: DepartureAllowance,
+}
+
+/// Number of departures of unknown targets that a host sends to others in a second. It does not know a target that left
+/// only if the announcement has not come through from another host, which concerns few.
+const UNKNOWN_DEPARTURES: u32 = 32;
+const ALLOWANCE_PERIOD: Duration = Duration::from_secs(1);
+
+/// Counts the departures of unknown targets in a second.
+#[derive(Default)]
+pub(crate) struct DepartureAllowance {
+    started_at: MonotonicTime,
+    count: u32,
+}
+
+impl DepartureAllowance {
+    /// Returns whether one more departure is sent to others.
+    pub(crate) fn admit(&mut self, now: MonotonicTime) -> bool {
+        if now.since(self.started_at) >= ALLOWANCE_PERIOD {
+            *self = Self { started_at: now, count: 0 };
+        }
+        let is_admitted = self.count < UNKNOWN_DEPARTURES;
+        self.count += u32::from(is_admitted);
+        is_admitted
+    }
 }
 
 impl HubState {
@@ -156,7 +191,7 @@
         Self {
             initial: None,
             changes: ChangeBatch::default(),
-            directory: TargetDirectory::default(),
+            directory: TargetDirectory::new(settings.max_targets),
             links: BTreeMap::new(),
             next_link: 0,
             renewals: Vec::new(),
@@ -168,10 +203,21 @@
             quotas: QuotaLedger::new(now, settings.quotas, generator),
             confirm_number: ConfirmNumber::default(),
             unsaved: false,
+            log_limiter: LogLimiter::default(),
+            unknown_departures: DepartureAllowance::default(),
             evacuations: None,
         }
     }
 
+    /// Returns whether a log line about a target may be written. Logs the number of suppressed lines.
+    pub(crate) fn admits_log_line(&mut self, now: MonotonicTime, priority: LogPriority) -> bool {
+        let verdict = self.log_limiter.admit(now, priority);
+        if verdict.suppressed > 0 {
+            spdlog::warn!("target log lines suppressed", kv: { count: = verdict.suppressed });
+        }
+        verdict.write
+    }
+
     /// Sends an update to every entry and control host.
     pub(crate) fn broadcast(&mut self, update: &DirectoryUpdate) {
         self.send_where(update, |peer| peer != LinkPeer::Unknown);
@@ -295,15 +341,23 @@
         }
     }
 
-    /// Answers an entry that needs permits for requests of an account.
+    /// Answers an entry that needs permits for requests of an account. Without a leader, other hosts may count without
+    /// this one, so the entry has to decide itself.
     pub(crate) fn answer_permits(
         &mut self,
         now: MonotonicTime,
         number: LinkNumber,
         request: &PermitRequest,
     ) {
+        if self.quotas.counting(now) == CountingState::Isolated {
+            self.send_quota_change(now);
+            return;
+        }
         let answer = self.quotas.grant(now, request);
         self.send_to(number, &DirectoryUpdate::Permits(answer));
+        if self.quotas.has_tightened() {
+            self.send_quota_change(now);
+        }
     }
 
     /// Sends what this host counts over a link that an entry has just opened.
@@ -314,24 +368,43 @@
         }
     }
 
-    /// Notes which entries and leader this host knows, and sends what that and the time change in its count.
-    pub(crate) fn update_quotas(
-        &mut self,
-        now: MonotonicTime,
-        has_leader: bool,
-        settings: &DirectorySettings,
-    ) {
-        let entries = u32::try_from(self.entries(now, settings).len()).unwrap_or(u32::MAX);
-        self.quotas.note_hosts(now, entries, has_leader);
+    /// Notes which entries this host knows, and sends what that and the time change in its count.
+    pub(crate) fn update_quotas(&mut self, now: MonotonicTime, settings: &DirectorySettings) {
+        // An entry that has missed two reports may be cut off, and counts alone then.
+        let heard_time = settings.report_interval.mul_f64(QUOTA_HEARD_INTERVALS);
+        let links = self.links.values().filter(|link| link.entry.is_some());
+        let heard = links.filter(|link| now.since(link.last_received_at) <= heard_time).count();
+        self.quotas.note_entries(now, u32::try_from(heard).unwrap_or(u32::MAX));
         self.quotas.expire(now);
         self.send_quota_change(now);
+        if self.quotas.is_active() {
+            self.show_quotas(now);
+        }
+    }
+
+    fn show_quotas(&mut self, now: MonotonicTime) {
+        metrics::gauge!("hickoryspan_gateway_tight_accounts").set(self.quotas.tight_count() as f64);
+        let uses = self.quotas.largest_uses(now, SHOWN_ACCOUNTS).into_iter();
+        // Ranks without an account are shown as zero, not with their last value.
+        let uses = uses.chain(std::iter::repeat(0.0)).take(SHOWN_ACCOUNTS);
+        for (index, part) in uses.enumerate() {
+            let rank = (index + 1).to_string();
+            metrics::gauge!("hickoryspan_gateway_account_use", "rank" => rank).set(part);
+        }
     }
 
     fn send_quota_change(&mut self, now: MonotonicTime) {
         if !self.quotas.is_active() {
             return;
         }
+        let before = self.quotas.told().counting;
         let Some(change) = self.quotas.take_change(now) else { return };
+        if change.counting != before {
+            spdlog::info!(
+                "quota counting changed",
+                kv: { counting: = change.counting.as_str(), tight: = self.quotas.tight_count() }
+            );
+        }
         let Some(frame) = UpdateFrame::new(&DirectoryUpdate::Quotas(change)) else { return };
         self.links.retain(|_, link| {
             let receives = link.peer == LinkPeer::Entry && link.version() >= LinkVersion::QUOTAS;
--- a/hickoryspan_gateway/src/refusal.rs
+++ b/hickoryspan_gateway/src/refusal.rs
@@ -27,12 +27,14 @@
 pub(crate) enum RefusalReason {
     NoConfiguration,
     NoHost,
+    MalformedDeadline,
     NoRoute,
     UnknownKey,
     QuotaExceeded,
     BodyTooLarge,
     BodyTooSlow,
     BodyIncomplete,
+    NoRoom,
     Poisoned,
     Stopping,
     NoTarget,
@@ -49,12 +51,14 @@
         match self {
             Self::NoConfiguration => "no_configuration",
             Self::NoHost => "no_host",
+            Self::MalformedDeadline => "malformed_deadline",
             Self::NoRoute => "no_route",
             Self::UnknownKey => "unknown_key",
             Self::QuotaExceeded => "quota_exceeded",
             Self::BodyTooLarge => "body_too_large",
             Self::BodyTooSlow => "body_too_slow",
             Self::BodyIncomplete => "body_incomplete",
+            Self::NoRoom => "no_room",
             Self::Poisoned => "poisoned",
             Self::Stopping => "stopping",
             Self::NoTarget => "no_target",
@@ -74,9 +78,12 @@
             | Self::Evacuated
             | Self::Overloaded
             | Self::Limited
+            | Self::NoRoom
             | Self::Stopping
             | Self::Poisoned => StatusCode::SERVICE_UNAVAILABLE,
-            Self::NoHost | Self::BodyIncomplete => StatusCode::BAD_REQUEST,
+            Self::NoHost | Self::MalformedDeadline | Self::BodyIncomplete => {
+                StatusCode::BAD_REQUEST
+            }
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
             Self::QuotaExceeded => StatusCode::TOO_MANY_REQUESTS,
