--- a/review/standins-2/rig.rs
+++ b/review/standins-2/rig.rs
@@ -224,6 +224,7 @@
             .stdout(log.try_clone()?)
             .stderr(log)
             .spawn()?;
+        note_process(child.id());
         self.processes.insert(machine.name.clone(), child);
         self.machines.insert(machine.name.clone(), machine.clone());
         Ok(())
@@ -239,6 +240,13 @@
         child.try_wait().ok()?.map(|status| status.to_string())
     }
 
+    /// Kills a process without waiting for its end.
+    pub fn kill_now(&mut self, name: &str) {
+        if let Some(child) = self.processes.get_mut(name) {
+            let _ = child.kill();
+        }
+    }
+
     pub fn kill(&mut self, name: &str) {
         if let Some(child) = self.processes.get_mut(name) {
             let _ = child.kill();
@@ -288,6 +296,10 @@
             let _ = child.kill();
             let _ = child.wait();
         }
+        if let Ok(list) = std::env::var("REVIEW_PIDS") {
+            // All of them have ended.
+            let _ = fs::write(list, "");
+        }
         if std::env::var("KEEP").is_err() {
             let _ = fs::remove_dir_all(&self.folder);
         } else {
@@ -296,6 +308,14 @@
     }
 }
 
+/// Tells `start.sh` of a process, which ends it if the case is interrupted.
+pub fn note_process(pid: u32) {
+    if let Ok(list) = std::env::var("REVIEW_PIDS") {
+        let list = fs::OpenOptions::new().append(true).open(list);
+        let _ = list.and_then(|mut list| writeln!(list, "{pid}"));
+    }
+}
+
 /// An HTTP/1.1 message: its first line, its headers with lower-case names, and its body.
 #[derive(Clone, Debug, Default)]
 pub struct Message {
