Split the caller budget into its ledger, the charge of a request and the budget

Change: what connections occupy and which one is ended is in ledger.rs, the charge of one request in request_charge.rs; no behaviour changes.

--- a/hickoryspan_runtime/src/caller_budget.rs
+++ b/hickoryspan_runtime/src/caller_budget/mod.rs
@@ -4,9 +4,11 @@
 //! Bytes are charged as they arrive. If there is no room left, connections without a complete request are ended: first
 //! those of the address that has held most for the longest time, and of these the one that has done so itself.
 
-use std::cmp::Ordering;
+mod ledger;
+mod request_charge;
+
 use std::collections::HashMap;
-use std::net::{IpAddr, SocketAddr};
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering::Relaxed};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
@@ -16,10 +18,10 @@
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 
+use self::ledger::{Holding, Ledger, Pool, RequestSize, SMALL_REQUEST_BYTES};
+pub use self::request_charge::RequestCharge;
 use crate::caller_stream::RECEIVE_BUFFER_BYTES;
 
-/// Largest size in bytes of a request that counts as small. Small requests have room of their own.
-const SMALL_REQUEST_BYTES: usize = 16 * 1024;
 /// Size of the buffer that each connection has, in bytes.
 const MIN_BUFFER_BYTES: usize = 8 * 1024;
 /// Memory of a connection apart from its requests and answers, in bytes: its buffer and that of the kernel, whose unread
@@ -43,13 +45,8 @@
 const DESCRIPTOR_SHARE: f64 = 2.0 / 3.0;
 /// How long a connection that is ended to make room may send the answer to its last request.
 const LAST_ANSWER_TIME: Duration = Duration::from_millis(200);
-/// Time in which a caller may read an answer before its connection is ended for others. An answer that has just come would
-/// otherwise be lost to the next one before it is sent.
-const ANSWER_GRACE: Duration = Duration::from_millis(250);
 /// Part of the room for answers that is kept for answers as small as small requests.
 const SMALL_ANSWER_DIVISOR: usize = 8;
-/// Shortest time between two log lines.
-const LOG_INTERVAL: Duration = Duration::from_secs(1);
 /// Memory of a process whose settings state none, in bytes.
 const DEFAULT_MEMORY_BYTES: usize = 1024 * 1024 * 1024;
 /// Descriptors of a process whose settings state none.
@@ -94,193 +91,6 @@
 #[error("no room is left for callers")]
 pub struct BudgetExhausted;
 
-/// The kinds of room.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Pool {
-    Connections,
-    Requests(RequestSize),
-    Answers,
-}
-
-/// Small requests have room of their own.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum RequestSize {
-    Small,
-    Large,
-}
-
-/// What decides whose connection is ended. Many idle connections of one address go before an old one of another.
-#[derive(Clone, Copy, Debug, Default)]
-struct AddressRank {
-    connections: usize,
-    occupancy: f64,
-}
-
-impl AddressRank {
-    fn compare(&self, other: &Self) -> Ordering {
-        let connections = self.connections.cmp(&other.connections);
-        connections.then(self.occupancy.total_cmp(&other.occupancy))
-    }
-}
-
-/// What one connection occupies.
-#[derive(Debug)]
-struct Holding {
-    peer: IpAddr,
-    /// Bytes of requests, also of incomplete ones.
-    request_bytes: usize,
-    /// Bytes of answers that targets send or have sent.
-    reserved_bytes: usize,
-    /// Bytes of answers that the caller has not read.
-    unsent_bytes: usize,
-    /// What a connection that is being ended held, until its task drops it.
-    ending_bytes: usize,
-    /// Number of complete requests without an answer. A connection with any is not ended.
-    running: usize,
-    /// Start of the incomplete request, of the answer or of the idle time.
-    since: Instant,
-    evicted: CancellationToken,
-}
-
-impl Holding {
-    fn size(&self) -> RequestSize {
-        match self.request_bytes <= SMALL_REQUEST_BYTES {
-            true => RequestSize::Small,
-            false => RequestSize::Large,
-        }
-    }
-
-    fn bytes_in(&self, pool: Pool) -> usize {
-        match pool {
-            Pool::Connections => CONNECTION_BYTES,
-            Pool::Answers => self.answer_bytes(),
-            Pool::Requests(size) if size == self.size() => self.request_bytes,
-            Pool::Requests(_) => 0,
-        }
-    }
-
-    fn answer_bytes(&self) -> usize {
-        self.reserved_bytes + self.unsent_bytes
-    }
-
-    fn clear(&mut self) {
-        self.ending_bytes = 0;
-        self.request_bytes = 0;
-        self.reserved_bytes = 0;
-        self.unsent_bytes = 0;
-    }
-
-    fn is_evictable(&self) -> bool {
-        self.running == 0 && !self.evicted.is_cancelled()
-    }
-
-    /// Bytes times the time for which they have been held. A caller that sends single bytes from time to time does not
-    /// lower it.
-    fn occupancy(&self, now: Instant, pool: Pool) -> f64 {
-        self.bytes_in(pool) as f64
-            * now.saturating_duration_since(self.since).as_secs_f64().max(1e-6)
-    }
-}
-
-#[derive(Debug)]
-struct Ledger {
-    holdings: HashMap<u64, Holding>,
-    next_number: u64,
-    small_bytes: usize,
-    large_bytes: usize,
-    answer_bytes: usize,
-    ending_bytes: usize,
-    logged_at: Option<Instant>,
-    unlogged: u64,
-}
-
-impl Ledger {
-    fn request_sum(&mut self, size: RequestSize) -> &mut usize {
-        match size {
-            RequestSize::Small => &mut self.small_bytes,
-            RequestSize::Large => &mut self.large_bytes,
-        }
-    }
-
-    /// Changes a holding and keeps the sums.
-    fn change(&mut self, number: u64, change: impl FnOnce(&mut Holding)) {
-        let Some(holding) = self.holdings.get_mut(&number) else { return };
-        let (size, request_bytes) = (holding.size(), holding.request_bytes);
-        let (answer_bytes, ending_bytes) = (holding.answer_bytes(), holding.ending_bytes);
-        change(holding);
-        let (new_size, new_bytes) = (holding.size(), holding.request_bytes);
-        let (new_answer_bytes, new_ending_bytes) = (holding.answer_bytes(), holding.ending_bytes);
-        *self.request_sum(size) -= request_bytes;
-        *self.request_sum(new_size) += new_bytes;
-        self.answer_bytes = self.answer_bytes - answer_bytes + new_answer_bytes;
-        self.ending_bytes = self.ending_bytes - ending_bytes + new_ending_bytes;
-    }
-
-    /// Chooses the connection to end for room in a pool: of the address that has occupied most for the longest time, the
-    /// one that has done so itself. Only connections of `only` are considered, if it is given.
-    fn choose(&self, now: Instant, pool: Pool, only: Option<IpAddr>) -> Option<u64> {
-        let is_candidate = |holding: &&Holding| {
-            holding.is_evictable()
-                && (pool != Pool::Answers
-                    || now.saturating_duration_since(holding.since) >= ANSWER_GRACE)
-                && holding.bytes_in(pool) > 0
-                && only.is_none_or(|only| only == holding.peer)
-        };
-        let mut addresses: HashMap<IpAddr, AddressRank> = HashMap::new();
-        for holding in self.holdings.values().filter(is_candidate) {
-            let rank = addresses.entry(holding.peer).or_default();
-            rank.connections += usize::from(pool == Pool::Connections);
-            rank.occupancy += holding.occupancy(now, pool);
-        }
-        let first = addresses.into_iter().max_by(|(_, left), (_, right)| left.compare(right));
-        let (first, _) = first?;
-        let of_address = self.holdings.iter().filter(|(_, holding)| holding.peer == first);
-        let of_address = of_address.filter(|(_, holding)| is_candidate(holding));
-        let chosen = of_address.max_by(|(_, left), (_, right)| {
-            left.occupancy(now, pool).total_cmp(&right.occupancy(now, pool))
-        });
-        chosen.map(|(number, _)| *number)
-    }
-
-    /// Returns the number of connections that are not being ended.
-    fn count_staying(&self) -> usize {
-        self.holdings.values().filter(|holding| !holding.evicted.is_cancelled()).count()
-    }
-
-    /// Ends a connection. What it occupies is free for others as soon as its task has dropped it; see
-    /// [`RequestCharge::await_room`].
-    fn evict(&mut self, number: u64, cause: &'static str) {
-        self.change(number, |holding| {
-            let ending_bytes = holding.request_bytes + holding.answer_bytes();
-            holding.clear();
-            holding.ending_bytes = ending_bytes;
-            holding.evicted.cancel();
-        });
-        self.note_loss(cause);
-    }
-
-    fn note_loss(&mut self, cause: &'static str) {
-        metrics::counter!("hickoryspan_callers_ended_total", "cause" => cause).increment(1);
-        let now = Instant::now();
-        self.unlogged += 1;
-        if self.logged_at.is_some_and(|logged| now.duration_since(logged) < LOG_INTERVAL) {
-            return;
-        }
-        self.logged_at = Some(now);
-        spdlog::warn!(
-            "callers ended or refused for lack of room",
-            kv: {
-                cause: = cause,
-                count: = std::mem::take(&mut self.unlogged),
-                connections: = self.holdings.len(),
-                small_request_bytes: = self.small_bytes,
-                large_request_bytes: = self.large_bytes,
-                answer_bytes: = self.answer_bytes
-            }
-        );
-    }
-}
-
 /// The room for all callers of a process.
 #[derive(Debug)]
 pub struct CallerBudget {
@@ -482,8 +292,7 @@
             self.change(|holding| holding.request_bytes += head);
             bytes += head;
         }
-        let state = ChargeState { bytes, reserved_bytes: 0, running: false };
-        Arc::new(RequestCharge { account: Arc::clone(self), state: Mutex::new(state) })
+        Arc::new(RequestCharge::new(Arc::clone(self), bytes))
     }
 
     /// Notes that all answers were sent.
@@ -518,117 +327,3 @@
         self.budget.freed.notify_waiters();
     }
 }
-
-#[derive(Debug)]
-struct ChargeState {
-    bytes: usize,
-    reserved_bytes: usize,
-    running: bool,
-}
-
-/// What one request occupies. It is given back when the charge is dropped.
-#[derive(Debug)]
-pub struct RequestCharge {
-    account: Arc<CallerAccount>,
-    state: Mutex<ChargeState>,
-}
-
-impl RequestCharge {
-    fn lock(&self) -> MutexGuard<'_, ChargeState> {
-        self.state.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
-    /// Waits until the connection is to be ended because there is no room.
-    pub async fn evicted(&self) {
-        self.account.evicted().await;
-    }
-
-    /// Returns whether the connection is being ended because there is no room.
-    pub fn is_evicted(&self) -> bool {
-        self.account.evicted.is_cancelled()
-    }
-
-    /// Charges further bytes of the request.
-    pub fn add(&self, bytes: usize) -> Result<(), BudgetExhausted> {
-        self.lock().bytes += bytes;
-        self.account.change(|holding| holding.request_bytes += bytes);
-        self.account.budget.make_room(self.account.number)
-    }
-
-    /// Waits until connections that were ended have dropped most of what they held. Memory for bytes that were charged is
-    /// taken only after that.
-    pub async fn await_room(&self) {
-        let budget = &self.account.budget;
-        let most = budget.settings.large_bytes / ENDING_DIVISOR;
-        loop {
-            let mut freed = std::pin::pin!(budget.freed.notified());
-            freed.as_mut().enable();
-            if budget.lock().ending_bytes <= most {
-                return;
-            }
-            freed.await;
-        }
-    }
-
-    /// Notes that the request is complete. Its connection is not ended any more until it has an answer.
-    pub fn complete(&self) {
-        let mut state = self.lock();
-        if !std::mem::replace(&mut state.running, true) {
-            self.account.change(|holding| holding.running += 1);
-        }
-    }
-
-    /// Takes room for an answer of a target, or for a part of one. Waits for room if the request holds no other answer;
-    /// otherwise requests could wait for each other.
-    pub async fn reserve_answer(&self, bytes: usize) -> Result<(), BudgetExhausted> {
-        let budget = &self.account.budget;
-        loop {
-            let mut freed = std::pin::pin!(budget.freed.notified());
-            freed.as_mut().enable();
-            if budget.try_reserve_answer(self.account.number, bytes) {
-                self.lock().reserved_bytes += bytes;
-                return Ok(());
-            }
-            if self.lock().reserved_bytes > 0 {
-                budget.lock().note_loss("answers");
-                return Err(BudgetExhausted);
-            }
-            // Unread answers may be given up after a while, which nothing announces.
-            let _ = tokio::time::timeout(ANSWER_GRACE, freed).await;
-        }
-    }
-
-    /// Notes that there is an answer of this size, which waits to be sent. The request occupies nothing any more.
-    pub fn note_answer(&self, bytes: usize) {
-        let now = Instant::now();
-        self.give_back(|holding| {
-            holding.unsent_bytes += bytes;
-            holding.since = now;
-        });
-    }
-
-    fn give_back(&self, then: impl FnOnce(&mut Holding)) {
-        let mut state = self.lock();
-        let ChargeState { bytes, reserved_bytes, running } = std::mem::replace(
-            &mut *state,
-            ChargeState { bytes: 0, reserved_bytes: 0, running: false },
-        );
-        drop(state);
-        self.account.change(|holding| {
-            // An evicted connection has given back everything already.
-            holding.request_bytes = holding.request_bytes.saturating_sub(bytes);
-            holding.reserved_bytes = holding.reserved_bytes.saturating_sub(reserved_bytes);
-            holding.running -= usize::from(running);
-            holding.ending_bytes = 0;
-            then(holding);
-        });
-        self.account.budget.freed.notify_waiters();
-    }
-}
-
-impl Drop for RequestCharge {
-    fn drop(&mut self) {
-        self.account.requests.fetch_sub(1, Relaxed);
-        self.give_back(|_| {});
-    }
-}
