--- a/hickoryspan_entry/src/arguments.rs
+++ b/hickoryspan_entry/src/arguments.rs
@@ -242,6 +242,7 @@
             connections,
             memory_bytes,
             streams,
+            http2: true,
             read_time,
             drain_time,
         };
--- a/hickoryspan_entry/tests/caller_crowd.rs
+++ b/hickoryspan_entry/tests/caller_crowd.rs
@@ -3,6 +3,9 @@
 
 #![allow(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
 
+#[path = "../../platform/tests/caller_crowds/multiplexed.rs"]
+mod multiplexed;
+
 use std::net::{Ipv4Addr, SocketAddr};
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
@@ -21,6 +24,11 @@
 /// Memory of the daemon in bytes. An idle one in a debug build takes about 15 MB of it.
 const MEMORY_BYTES: usize = 48_000_000;
 const BODY_BYTES: usize = 262_144;
+/// Largest header that the daemon accepts, in bytes.
+const HEADER_BYTES: usize = 16 * 1024;
+/// The headers of a caller, which each request needs.
+const CALLER_FIELDS: [(&str, &str); 4] =
+    [("hs-tenant", "t"), ("hs-caller", "console"), ("hs-class", "phone"), ("hs-request-id", "r1")];
 const MEMBERS: usize = 400;
 /// Longest time for anything that the test waits for.
 const TIMEOUT: Duration = Duration::from_secs(60);
@@ -96,10 +104,8 @@
 }
 
 fn head(method_and_path: &str) -> String {
-    format!(
-        "{method_and_path} HTTP/1.1\r\nhost: entry\r\nhs-tenant: t\r\nhs-caller: console\r\n\
-         hs-class: phone\r\nhs-request-id: r1\r\n"
-    )
+    let fields = CALLER_FIELDS.iter().map(|(name, value)| format!("{name}: {value}\r\n"));
+    format!("{method_and_path} HTTP/1.1\r\nhost: entry\r\n{}", fields.collect::<String>())
 }
 
 /// Sends as much of a request as the daemon reads and returns the connection.
@@ -116,30 +122,50 @@
     Some(stream)
 }
 
+/// What each member of the crowd sends.
+#[derive(Clone, Copy, Debug)]
+enum Habit {
+    /// A body with a length but for its last byte.
+    Length,
+    /// A body in small chunks but for its last byte.
+    Chunks,
+    /// The headers of many streams of HTTP/2.
+    Streams,
+}
+
+impl Habit {
+    fn request(self) -> Vec<u8> {
+        let path = "/v1/search";
+        let head = head(&format!("POST {path}"));
+        match self {
+            Self::Length => {
+                let body = "x".repeat(BODY_BYTES - 1);
+                format!("{head}content-length: {BODY_BYTES}\r\n\r\n{body}").into_bytes()
+            }
+            Self::Chunks => {
+                let chunk = format!("{CHUNK_BYTES:x}\r\n{}\r\n", "x".repeat(CHUNK_BYTES));
+                let chunks = chunk.repeat(BODY_BYTES / CHUNK_BYTES - 1);
+                format!("{head}transfer-encoding: chunked\r\n\r\n{chunks}").into_bytes()
+            }
+            Self::Streams => multiplexed::open_streams(path, HEADER_BYTES, &CALLER_FIELDS),
+        }
+    }
+}
+
 /// Guards against a daemon that keeps all that callers send and do not complete.
 #[rstest]
-#[case::with_a_length(false)]
-#[case::in_chunks(true)]
+#[case::with_a_length(Habit::Length)]
+#[case::in_chunks(Habit::Chunks)]
+#[case::in_streams(Habit::Streams)]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn the_daemon_outlives_a_crowd(#[case] in_chunks: bool) {
+async fn the_daemon_outlives_a_crowd(#[case] habit: Habit) {
     let _one = ONE_CROWD.lock().await;
     let mut daemon = Daemon::start().await;
-    let head = head("POST /v1/search");
-    let request = match in_chunks {
-        true => {
-            let chunk = format!("{CHUNK_BYTES:x}\r\n{}\r\n", "x".repeat(CHUNK_BYTES));
-            let chunks = chunk.repeat(BODY_BYTES / CHUNK_BYTES - 1);
-            format!("{head}transfer-encoding: chunked\r\n\r\n{chunks}")
-        }
-        false => {
-            let body = "x".repeat(BODY_BYTES - 1);
-            format!("{head}content-length: {BODY_BYTES}\r\n\r\n{body}")
-        }
-    };
+    let request = habit.request();
     let address = SocketAddr::from((daemon.address, CALLER_PORT));
     let mut members = JoinSet::new();
     for _ in 0..MEMBERS {
-        members.spawn(send(address, request.clone().into_bytes()));
+        members.spawn(send(address, request.clone()));
     }
     let mut open = Vec::new();
     while let Some(ended) = members.join_next().await {
--- a/hickoryspan_runtime/src/caller_budget/mod.rs
+++ b/hickoryspan_runtime/src/caller_budget/mod.rs
@@ -26,6 +26,10 @@
 const MIN_BUFFER_BYTES: usize = 8 * 1024;
 /// Memory of a connection apart from its requests and answers, in bytes: its buffer and that of the kernel, whose unread
 /// bytes count as memory of the process.
+/// Memory of a connection with several requests at once, apart from these, in bytes: the tables and buffers of HTTP/2.
+const MULTIPLEXED_BYTES: usize = 128 * 1024;
+/// Memory of one of several requests on a connection apart from its head and its body, in bytes: its stream and its task.
+const STREAM_BYTES: usize = 4 * 1024;
 const CONNECTION_BYTES: usize = MIN_BUFFER_BYTES + RECEIVE_BUFFER_BYTES as usize;
 /// Part of the memory that connections may occupy apart from their requests and answers.
 const CONNECTION_SHARE: f64 = 5.0 / 16.0;
@@ -252,8 +256,8 @@
     /// Waits until the connection must be closed to make room for others. Until then it may send its last answer.
     pub async fn await_end(&self) {
         self.evicted().await;
-        // A connection without a request has nothing to send.
-        if self.requests.load(Relaxed) > 0 {
+        // A connection without a request has nothing to send, and one with many holds too much until it has sent all.
+        if self.requests.load(Relaxed) > 0 && !self.multiplexed.load(Relaxed) {
             tokio::time::sleep(LAST_ANSWER_TIME).await;
         }
     }
@@ -280,16 +284,19 @@
         self.budget.make_room(self.number)
     }
 
-    /// Notes that the head of a request has arrived. What it occupies belongs to the request from now on.
+    /// Notes that the head of a request has arrived. What it occupies belongs to the request from now on. For one of
+    /// several requests on a connection there may be no room; see [`RequestCharge::admit`].
     pub fn begin_request(self: &Arc<Self>, parts: &Parts) -> Arc<RequestCharge> {
         let head_bytes = self.head_bytes.swap(0, Relaxed);
         self.requests.fetch_add(1, Relaxed);
         let mut bytes = buffer_bytes(head_bytes);
         if parts.version == Version::HTTP_2 {
-            self.multiplexed.store(true, Relaxed);
+            let is_first = !self.multiplexed.swap(true, Relaxed);
+            let connection_bytes = if is_first { MULTIPLEXED_BYTES } else { 0 };
             let fields = parts.headers.iter();
             let head: usize = fields.map(|(name, value)| name.as_str().len() + value.len()).sum();
-            self.change(|holding| holding.request_bytes += head);
+            let head = head + STREAM_BYTES;
+            self.change(|holding| holding.request_bytes += connection_bytes + head);
             bytes += head;
         }
         Arc::new(RequestCharge::new(Arc::clone(self), bytes))
--- a/hickoryspan_runtime/src/caller_budget/request_charge.rs
+++ b/hickoryspan_runtime/src/caller_budget/request_charge.rs
@@ -42,6 +42,12 @@
         self.account.evicted.is_cancelled()
     }
 
+    /// Makes room for the head of one of several requests on a connection, which is charged when it is complete. That of a
+    /// single request has been charged as it arrived.
+    pub fn admit(&self) -> Result<(), BudgetExhausted> {
+        self.account.budget.make_room(self.account.number)
+    }
+
     /// Charges further bytes of the request.
     pub fn add(&self, bytes: usize) -> Result<(), BudgetExhausted> {
         self.lock().bytes += bytes;
--- a/hickoryspan_runtime/src/http_server.rs
+++ b/hickoryspan_runtime/src/http_server.rs
@@ -38,6 +38,8 @@
     pub connections: usize,
     /// Memory of the process in bytes, of which callers may occupy a part.
     pub memory_bytes: usize,
+    /// Whether connections may speak HTTP/2. Others are closed.
+    pub http2: bool,
     /// Maximum number of concurrent requests on one HTTP/2 connection.
     pub streams: u32,
     /// Timeout for the headers and, separately, for the body of a request. A connection also fails if its response
@@ -54,6 +56,7 @@
             body_bytes: 256 * 1024,
             connections: 1024,
             memory_bytes: 1024 * 1024 * 1024,
+            http2: true,
             streams: 100,
             read_time: Duration::from_secs(5),
             drain_time: Duration::from_secs(30),
--- a/hickoryspan_runtime/src/server_connection.rs
+++ b/hickoryspan_runtime/src/server_connection.rs
@@ -112,7 +112,8 @@
 
     fn to_builder(&self) -> auto::Builder<TokioExecutor> {
         let limits = &self.limits;
-        let mut builder = auto::Builder::new(TokioExecutor::new());
+        let builder = auto::Builder::new(TokioExecutor::new());
+        let mut builder = if limits.http2 { builder } else { builder.http1_only() };
         builder
             .http1()
             .timer(TokioTimer::new())
@@ -140,6 +141,9 @@
     ) -> Response<ResponseBody> {
         let (mut parts, body) = request.into_parts();
         let charge = account.begin_request(&parts);
+        if parts.version == Version::HTTP_2 && (charge.admit().is_err() || charge.is_evicted()) {
+            return text_response(StatusCode::SERVICE_UNAVAILABLE, "no room for the request");
+        }
         parts.extensions.insert(Arc::clone(&charge));
         let mut response = self.answer(Request::from_parts(parts, body), peer).await;
         charge.note_answer(response.body().size_hint().lower() as usize);
