Limit the connections to the ports for links that have not shown the credential

Cause: the ports for links accepted any number of connections and gave each two seconds for its handshake. Strangers that connect and send nothing, or a header without its end, took all descriptors of an entry or a control host, which then could accept neither callers nor links. For further ones the oldest of the address that has most are closed. Links that have shown it do not count. Conclusion: strangers hold a bounded part of the descriptors, and a handshake finds room beside them.

--- a/hickoryspan_control/src/daemon.rs
+++ b/hickoryspan_control/src/daemon.rs
@@ -96,7 +96,12 @@
             limits: settings.limits.clone(),
             metrics,
         };
-        let links = LinkServer { listener, credential: settings.credential, inbox: inbox.clone() };
+        let links = LinkServer {
+            listener,
+            credential: settings.credential,
+            inbox: inbox.clone(),
+            handshakes: settings.handshakes,
+        };
 
         let mut tasks = JoinSet::new();
         tasks.spawn(xtra::run(mailbox, actor));
--- a/hickoryspan_control/src/link_server.rs
+++ b/hickoryspan_control/src/link_server.rs
@@ -10,7 +10,8 @@
 use hickoryspan_core::types::ReplicaId;
 use hickoryspan_runtime::credential::SharedCredential;
 use hickoryspan_runtime::peer_link::{AcceptedLink, PeerLink};
-use tokio::net::{TcpListener, TcpStream};
+use hickoryspan_runtime::pending_link::{HandshakeLimit, PendingLink};
+use tokio::net::TcpListener;
 use tokio::sync::{Semaphore, mpsc, watch};
 use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
@@ -38,6 +39,8 @@
     pub(crate) listener: TcpListener,
     pub(crate) credential: SharedCredential,
     pub(crate) inbox: ControlInbox,
+    /// Connections that have not shown the credential yet.
+    pub(crate) handshakes: usize,
 }
 
 impl LinkServer {
@@ -45,6 +48,7 @@
     pub(crate) async fn serve(self, stop: CancellationToken) {
         let mut links = JoinSet::new();
         let permits = Arc::new(Semaphore::new(MAX_LINKS));
+        let handshakes = HandshakeLimit::new(self.handshakes);
         let next_link = Arc::new(AtomicU64::new(1));
         loop {
             let accepted = tokio::select! {
@@ -64,11 +68,12 @@
                 spdlog::warn!("peer port: limit of {} links reached, connection closed", MAX_LINKS);
                 continue;
             };
+            let Some(pending) = handshakes.admit(stream) else { continue };
             let link = LinkId(next_link.fetch_add(1, Ordering::Relaxed));
             let (credential, inbox) = (self.credential.clone(), self.inbox.clone());
             let stop = stop.clone();
             links.spawn(async move {
-                let serve = serve_link(stream, link, &credential, &inbox);
+                let serve = serve_link(pending, link, &credential, &inbox);
                 let ended = tokio::select! {
                     () = stop.cancelled() => Ok(()),
                     ended = serve => ended,
@@ -85,12 +90,12 @@
 }
 
 async fn serve_link(
-    stream: TcpStream,
+    pending: PendingLink,
     link: LinkId,
     credential: &SharedCredential,
     inbox: &ControlInbox,
 ) -> anyhow::Result<()> {
-    let accepted = PeerLink::accept(stream, credential).await?;
+    let accepted = pending.accept(credential).await?;
     match accepted.path.as_str() {
         REPLICA_PATH => serve_replica(accepted, inbox).await,
         ENTRY_PATH => serve_entry(accepted.link, link, inbox).await,
--- a/hickoryspan_control/src/settings.rs
+++ b/hickoryspan_control/src/settings.rs
@@ -127,12 +127,16 @@
     pub members: Option<MemberSettings>,
     /// Timing and limits of log replication.
     pub raft: RaftSettings,
+    /// Connections to the peer port that have not shown the credential yet.
+    pub handshakes: usize,
 }
 
 const ADDRESS: &str =
     "an IP address of this host that others reach, and a port, such as 127.0.0.1:7100";
 const MAX_BODY_BYTES: usize = 64 * 1024 * 1024;
 const DEFAULT_BODY_BYTES: usize = 8 * 1024 * 1024;
+/// More than all replicas and entries of a deployment that start at the same time.
+const MAX_HANDSHAKES: usize = 512;
 const MIN_MEMORY_BYTES: usize = 16 * 1024 * 1024;
 const DEFAULT_CONNECTIONS: usize = 4096;
 
@@ -188,6 +192,7 @@
             seed: None,
             members: None,
             raft: RaftSettings::default(),
+            handshakes: MAX_HANDSHAKES,
         };
         Ok((settings, values))
     }
--- a/hickoryspan_control/tests/support/mod.rs
+++ b/hickoryspan_control/tests/support/mod.rs
@@ -67,6 +67,7 @@
         logs: LogSettings::default(),
         members: None,
         raft: Default::default(),
+        handshakes: 512,
         seed: Some(seed),
     }
 }
--- a/hickoryspan_ctl/tests/sheet_day.rs
+++ b/hickoryspan_ctl/tests/sheet_day.rs
@@ -41,6 +41,7 @@
             logs: LogSettings::default(),
             members: None,
             raft: Default::default(),
+            handshakes: 512,
             seed: Some(seed),
         });
         Self { folder, daemon: daemon.await.unwrap() }
--- a/hickoryspan_gateway/src/directory_server.rs
+++ b/hickoryspan_gateway/src/directory_server.rs
@@ -4,8 +4,8 @@
 
 use anyhow::bail;
 use hickoryspan_core::gateway::membership::messages::DirectoryRequest;
-use hickoryspan_runtime::peer_link::PeerLink;
-use tokio::net::{TcpListener, TcpStream};
+use hickoryspan_runtime::pending_link::PendingLink;
+use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
 use tokio_util::sync::CancellationToken;
 
@@ -35,8 +35,9 @@
                 hub.send_changes();
             }
         };
-        let links = serve_links(listener, stop.clone(), stop, "directory", |stream| {
-            serve_link(stream, Arc::clone(&hub))
+        let handshakes = hub.settings().handshakes;
+        let links = serve_links(listener, handshakes, stop.clone(), stop, "directory", |pending| {
+            serve_link(pending, Arc::clone(&hub))
         });
         tokio::select! {
             () = links => {}
@@ -45,9 +46,9 @@
     }
 }
 
-async fn serve_link(stream: TcpStream, hub: Arc<DirectoryHub>) -> anyhow::Result<()> {
+async fn serve_link(pending: PendingLink, hub: Arc<DirectoryHub>) -> anyhow::Result<()> {
     let settings = hub.settings().clone();
-    let accepted = PeerLink::accept(stream, &settings.credential).await?;
+    let accepted = pending.accept(&settings.credential).await?;
     let peer = accepted.link.peer();
     if accepted.path != DIRECTORY_PATH {
         bail!("{peer}: unknown path {:?}", accepted.path);
--- a/hickoryspan_gateway/src/fanout_server.rs
+++ b/hickoryspan_gateway/src/fanout_server.rs
@@ -17,9 +17,9 @@
 use hickoryspan_core::gateway::targets::directory::TargetProcess;
 use hickoryspan_core::types::{MonotonicTime, ServiceId};
 use hickoryspan_runtime::http_client::HttpAnswer;
-use hickoryspan_runtime::peer_link::PeerLink;
+use hickoryspan_runtime::pending_link::PendingLink;
 use http::Method;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 use tokio::task::{AbortHandle, JoinSet};
 use tokio_util::sync::CancellationToken;
@@ -47,16 +47,17 @@
     shutdown: ShutdownSignals,
 ) {
     let (stop, abort) = (shutdown.close_listener.clone(), shutdown.abort.clone());
-    let serve = |stream| serve_link(stream, Arc::clone(&state), shutdown.clone());
-    serve_links(listener, stop, abort, "fan-out", serve).await;
+    let serve = |pending| serve_link(pending, Arc::clone(&state), shutdown.clone());
+    let handshakes = state.settings.directory.handshakes;
+    serve_links(listener, handshakes, stop, abort, "fan-out", serve).await;
 }
 
 async fn serve_link(
-    stream: TcpStream,
+    pending: PendingLink,
     state: Arc<GatewayState>,
     shutdown: ShutdownSignals,
 ) -> anyhow::Result<()> {
-    let accept = PeerLink::accept(stream, &state.settings.directory.credential);
+    let accept = pending.accept(&state.settings.directory.credential);
     let Some(accepted) = shutdown.close_listener.run_until_cancelled(accept).await else {
         return Ok(());
     };
--- a/hickoryspan_gateway/src/settings.rs
+++ b/hickoryspan_gateway/src/settings.rs
@@ -31,6 +31,10 @@
     /// Number of targets that a control host or an entry knows at most. Announcements of further ones are refused, and
     /// left out where another host passes them on. As many departures are remembered.
     pub max_targets: usize,
+    /// Bytes of earlier documents that a control host keeps, so that entries need only the changes from them.
+    pub document_bytes: usize,
+    /// Connections to each port for links that have not shown the credential yet.
+    pub handshakes: usize,
     /// The credential that all processes share.
     pub credential: SharedCredential,
 }
@@ -45,6 +49,8 @@
             confirm_timeout: Duration::from_millis(700),
             quotas: QuotaSettings::default(),
             max_targets: 64 * 1024,
+            document_bytes: 16 * 1024 * 1024,
+            handshakes: 512,
             credential,
         }
     }
@@ -86,6 +92,8 @@
     pub finish_after_stop: Duration,
     /// What callers may occupy together, on all ports of the process.
     pub caller_budget: Arc<CallerBudget>,
+    /// Number of connections to all targets together, busy and idle ones.
+    pub target_connections: usize,
     /// Idle timeout of connections to targets that state none themselves.
     pub target_idle: Duration,
 }
@@ -115,6 +123,7 @@
             accept_after_stop: Duration::from_millis(4_600),
             finish_after_stop: Duration::from_millis(5_300),
             caller_budget: CallerBudget::new(CallerBudgetSettings::default()),
+            target_connections: 4_096,
             target_idle: Duration::from_secs(4),
         }
     }
--- a/hickoryspan_gateway/tests/gateway/support.rs
+++ b/hickoryspan_gateway/tests/gateway/support.rs
@@ -241,6 +241,7 @@
         seed: Some(DATA_FOLDER_SEED),
         members: None,
         raft: Default::default(),
+        handshakes: 512,
     }
 }
 
--- a/hickoryspan_local/src/deployment.rs
+++ b/hickoryspan_local/src/deployment.rs
@@ -301,6 +301,7 @@
         logs: LogSettings::default(),
         members: None,
         raft: Default::default(),
+        handshakes: 512,
         seed: Some(seed),
     })
 }
--- a/hickoryspan_runtime/src/caller_budget/mod.rs
+++ b/hickoryspan_runtime/src/caller_budget/mod.rs
@@ -44,7 +44,7 @@
 /// Part of the room for larger requests that connections may hold while they are being ended.
 const ENDING_DIVISOR: usize = 8;
 /// Descriptors that are not used for connections of callers: files, and what the platform reserves for them.
-const RESERVED_DESCRIPTORS: usize = 200;
+pub const RESERVED_DESCRIPTORS: usize = 200;
 /// Part of the other descriptors that callers may occupy. The rest is for targets, links and the store.
 const DESCRIPTOR_SHARE: f64 = 2.0 / 3.0;
 /// How long a connection that is ended to make room may send the answer to its last request.
--- a/hickoryspan_runtime/src/lib.rs
+++ b/hickoryspan_runtime/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod metrics_page;
 mod metrics_recorder;
 pub mod peer_link;
+pub mod pending_link;
 pub mod process;
 mod server_connection;
 pub mod settings;
--- /dev/null
+++ b/hickoryspan_runtime/src/pending_link.rs
@@ -0,0 +1,49 @@
+//! Connections to a port for links whose peers have not shown the credential yet.
+//!
+//! Strangers can open such connections too, so their number is limited. For further ones, those are ended that have waited
+//! for longest, of the address that has most.
+
+use std::sync::Arc;
+
+use anyhow::bail;
+use tokio::net::TcpStream;
+
+use crate::caller_budget::{CallerAccount, CallerBudget, CallerBudgetSettings};
+use crate::credential::SharedCredential;
+use crate::peer_link::{AcceptedLink, PeerLink};
+
+/// The room for handshakes at one port.
+pub struct HandshakeLimit(Arc<CallerBudget>);
+
+impl HandshakeLimit {
+    /// Creates the room for this many handshakes at the same time.
+    pub fn new(handshakes: usize) -> Self {
+        let settings =
+            CallerBudgetSettings { connections: handshakes.max(1), ..Default::default() };
+        Self(CallerBudget::new(settings))
+    }
+
+    /// Admits a connection; `None` if it is to be closed, because others are still being ended.
+    pub fn admit(&self, stream: TcpStream) -> Option<PendingLink> {
+        let account = self.0.open(stream.peer_addr().ok()?)?;
+        Some(PendingLink { stream, account })
+    }
+}
+
+/// A connection that counts towards the limit until its handshake has ended.
+pub struct PendingLink {
+    stream: TcpStream,
+    account: Arc<CallerAccount>,
+}
+
+impl PendingLink {
+    /// Accepts the link as [`PeerLink::accept`] does, unless its room is needed before.
+    pub async fn accept(self, credential: &SharedCredential) -> anyhow::Result<AcceptedLink> {
+        let Self { stream, account } = self;
+        tokio::select! {
+            biased;
+            accepted = PeerLink::accept(stream, credential) => accepted,
+            () = account.evicted() => bail!("accept peer link: ended to make room"),
+        }
+    }
+}
