Bound the configurations that a control host handles and keeps

Cause: each configuration that had arrived was parsed at once, and the parsed form, the command for the log and its message took several times the bytes that were charged. The log in memory, the commands before a decision and the earlier versions for entries had fixed bounds of 8 to 16 MiB or 16 versions, whatever the memory. 400 operators that each send a valid configuration of 200 KB took a control host of 64 MB to 114 MB. Conclusion: the memory grows with the memory that the settings state, not with the number of operators.

--- a/hickoryspan_core/src/control/machine/mod.rs
+++ b/hickoryspan_core/src/control/machine/mod.rs
@@ -267,7 +267,7 @@
         // Encoding a snapshot blocks the replica, so the thresholds differ by identity to keep replicas from doing it
         // at the same time.
         let stagger = |limit: u64| limit + limit / 2 * (self.raft.identity().0 % 8) / 8;
-        let bytes = stagger(self.settings.snapshot_log_bytes.max(self.snapshot_bytes));
+        let bytes = stagger(self.settings.raft.snapshot_log_bytes.max(self.snapshot_bytes));
         let due = self.bytes_since_snapshot >= bytes
             || self.entries_since_snapshot >= stagger(self.settings.snapshot_log_entries);
         if !due || self.raft.is_disk_full() || self.fault.is_some() {
--- a/hickoryspan_core/src/control/raft/mod.rs
+++ b/hickoryspan_core/src/control/raft/mod.rs
@@ -205,6 +205,8 @@
     pub snapshot_chunk_bytes: usize,
     /// Maximum size in bytes of a snapshot that is accepted from a leader.
     pub max_snapshot_bytes: u64,
+    /// Log size in bytes after which a snapshot is taken. If the last snapshot is larger, its size applies instead.
+    pub snapshot_log_bytes: u64,
     /// Number of entries kept in memory after they are included in a snapshot, so that a replica that lags
     /// slightly does not need the snapshot.
     pub retained_entries: u64,
@@ -230,6 +232,7 @@
             max_batch_bytes: 4 << 20,
             snapshot_chunk_bytes: 256 << 10,
             max_snapshot_bytes: 1 << 30,
+            snapshot_log_bytes: 16 << 20,
             retained_entries: 4_096,
             retained_bytes: 8 << 20,
             space_retry: Duration::from_secs(1),
--- a/hickoryspan_core/src/control/settings.rs
+++ b/hickoryspan_core/src/control/settings.rs
@@ -55,8 +55,6 @@
     pub retry_after: Duration,
     /// Maximum time that a planned stop waits for another leader.
     pub drain_timeout: Duration,
-    /// Log size in bytes after which a snapshot is taken. If the last snapshot is larger, its size applies instead.
-    pub snapshot_log_bytes: u64,
     /// Number of log entries after which a snapshot is taken, regardless of their size; limits the time of a restart.
     pub snapshot_log_entries: u64,
 }
@@ -85,7 +83,6 @@
             max_delta_changes: 65_536,
             retry_after: Duration::from_millis(500),
             drain_timeout: Duration::from_secs(3),
-            snapshot_log_bytes: 16 * 1024 * 1024,
             snapshot_log_entries: 100_000,
         }
     }
--- a/hickoryspan_gateway/src/document_history.rs
+++ b/hickoryspan_gateway/src/document_history.rs
@@ -7,7 +7,7 @@
 use hickoryspan_core::gateway::documents::document_change::DocumentChange;
 use hickoryspan_core::gateway::documents::document_parts::{DocumentPart, encode_parts};
 
-/// Number of documents kept, so that an entry receives only the changes since the one it has.
+/// Number of documents kept at most, so that an entry receives only the changes since the one it has.
 const MAX_DOCUMENTS: usize = 16;
 
 /// The encoded form of a change, cached because many entries need the same change.
@@ -18,26 +18,38 @@
 }
 
 /// The latest documents, in the order in which they became active.
-#[derive(Default)]
 pub(crate) struct DocumentHistory {
+    /// Bytes that the documents may have together as operators sent them. The active one is kept in any case.
+    max_bytes: usize,
     // Sorted by version; the last one is active.
     documents: VecDeque<Arc<ConfigurationDocument>>,
     last_change: Option<EncodedChange>,
 }
 
 impl DocumentHistory {
+    /// Creates a history of this many bytes at most, without a document.
+    pub(crate) fn new(max_bytes: usize) -> Self {
+        Self { max_bytes, documents: VecDeque::new(), last_change: None }
+    }
+
     /// Activates a document. Returns false if it is not newer than the active one.
     pub(crate) fn push(&mut self, document: Arc<ConfigurationDocument>) -> bool {
         if self.version().is_some_and(|current| current >= document.version) {
             return false;
         }
         self.documents.push_back(document);
-        if self.documents.len() > MAX_DOCUMENTS {
+        while self.documents.len() > 1
+            && (self.documents.len() > MAX_DOCUMENTS || self.bytes() > self.max_bytes)
+        {
             self.documents.pop_front();
         }
         true
     }
 
+    fn bytes(&self) -> usize {
+        self.documents.iter().map(|document| document.source.len()).sum()
+    }
+
     /// Returns the version of the active document.
     pub(crate) fn version(&self) -> Option<DocumentVersion> {
         self.documents.back().map(|document| document.version)
--- a/hickoryspan_gateway/src/hub_state.rs
+++ b/hickoryspan_gateway/src/hub_state.rs
@@ -197,7 +197,7 @@
             renewals: Vec::new(),
             peer_changes: Vec::new(),
             listed: BTreeSet::new(),
-            documents: DocumentHistory::default(),
+            documents: DocumentHistory::new(settings.document_bytes),
             poison: PoisonTable::default(),
             limits: LimitTable::default(),
             quotas: QuotaLedger::new(now, settings.quotas, generator),
