Keep of a shard's part what can be in the answer, charge what is collected for others, and bound connections to targets

Cause: an entry kept the whole part of each shard until all had answered, and charged nothing at all for the parts that it collected for another entry. Connections to targets were limited for each target, not together. With 400 callers that ask for wide requests whose 50 parts have 200 KB each, an entry that helps another one used twice its memory and three times its descriptors. A part for which there was no room counted as the crash of a target: the request was suspected, and the target left out. Change: of a part that has arrived only the records are kept that can be in the merged answer, and the rest of its room is given back. A task for another entry has a charge of its own, and is refused as not begun if its body finds no room. Parts wait for room instead of being lost. An attempt that this entry ends for lack of room says nothing about its target. Conclusion: an entry collects for others within its own memory and descriptors. The tests of answer room use its new interface; each of their assertions stays.

--- a/hickoryspan_core/src/gateway/targets/mod.rs
+++ b/hickoryspan_core/src/gateway/targets/mod.rs
@@ -1,5 +1,6 @@
 //! Targets: which exist and live, what they say of themselves, which one gets a request, and which requests crash them.
 
+pub mod connection_shares;
 pub mod cost_model;
 mod departures;
 pub mod directory;
--- a/hickoryspan_core/src/gateway/targets/outcomes.rs
+++ b/hickoryspan_core/src/gateway/targets/outcomes.rs
@@ -38,6 +38,9 @@
     Malformed,
     /// No answer arrived in time.
     Timeout,
+    /// This entry ended the attempt, because it needed the room of the answer or the connection for others. The target may
+    /// have run the request.
+    Displaced,
 }
 
 impl AttemptFailure {
@@ -66,6 +69,7 @@
             Self::Lost => "lost",
             Self::Malformed => "malformed",
             Self::Timeout => "timeout",
+            Self::Displaced => "displaced",
         }
     }
 }
--- a/hickoryspan_core/src/gateway/targets/selection.rs
+++ b/hickoryspan_core/src/gateway/targets/selection.rs
@@ -544,7 +544,7 @@
             AttemptOutcome::Cancelled(elapsed) if elapsed > median * 2 => {
                 state.observe_latency(now, &settings, elapsed, median);
             }
-            AttemptOutcome::Cancelled(_) => {}
+            AttemptOutcome::Cancelled(_) | AttemptOutcome::Failure(AttemptFailure::Displaced) => {}
             AttemptOutcome::Success(latency) => {
                 state.observe_latency(now, &settings, latency, median);
                 state.failures = 0;
--- a/hickoryspan_entry/src/target_client.rs
+++ b/hickoryspan_entry/src/target_client.rs
@@ -172,7 +172,8 @@
                 let failure = match error {
                     SendError::NotSent(_) => AttemptFailure::NotSent,
                     SendError::ConnectionLost(_) => AttemptFailure::ConnectionLost,
-                    SendError::TooLarge(_) | SendError::InvalidStatus(_) => {
+                    // Answers are not charged here, so there is always room for them.
+                    SendError::TooLarge(_) | SendError::NoRoom | SendError::InvalidStatus(_) => {
                         AttemptFailure::Malformed
                     }
                 };
--- a/hickoryspan_gateway/src/attempt.rs
+++ b/hickoryspan_gateway/src/attempt.rs
@@ -5,14 +5,16 @@
 
 use bytes::Bytes;
 use hickoryspan_core::gateway::documents::accounts::{ClientAccount, KeyDigest};
-use hickoryspan_core::gateway::documents::document::{DocumentVersion, RouteRule};
+use hickoryspan_core::gateway::documents::document::{
+    DocumentVersion, RouteDestination, RouteRule,
+};
 use hickoryspan_core::gateway::documents::routes::RouteTable;
-use hickoryspan_core::gateway::fanouts::fanout::ShardIndex;
+use hickoryspan_core::gateway::fanouts::fanout::{RECORD_BYTES, ShardIndex, merge_records};
 use hickoryspan_core::gateway::targets::outcomes::{AttemptFailure, AttemptOutcome};
 use hickoryspan_core::gateway::targets::selection::ChosenTarget;
 use hickoryspan_core::types::{MonotonicTime, RequestFingerprint, ServiceId};
 use hickoryspan_runtime::caller_budget::RequestCharge;
-use hickoryspan_runtime::http_client::{HttpAnswer, SendError};
+use hickoryspan_runtime::http_client::{HttpAnswer, ResponseReading, SendError};
 use http::{HeaderMap, HeaderValue, Method, Request};
 use http_body_util::Full;
 
@@ -59,7 +61,7 @@
     /// Whether the configuration by which the request was accepted names accounts. Otherwise its headers are as the
     /// caller sent them and may contain a key.
     pub(crate) keys_checked: bool,
-    /// What the request occupies on this entry; `None` if another entry has the caller.
+    /// What the request occupies on this entry; `None` in tests without callers.
     pub(crate) charge: Option<Arc<RequestCharge>>,
     /// Version of the configuration by which the route was chosen.
     pub(crate) version: DocumentVersion,
@@ -105,6 +107,25 @@
         }
     }
 
+    /// Returns how many records the merged answer of a request to several shards has at most.
+    fn result_limit(&self) -> Option<usize> {
+        match &self.route.destination {
+            RouteDestination::Shards(spread) => Some(spread.result_limit),
+            RouteDestination::Service(_) | RouteDestination::Split(_) => None,
+        }
+    }
+
+    /// Returns the records of a shard's part that can be among those of the merged answer. A part may be much larger, and
+    /// parts are kept until all shards have answered.
+    fn keep_records(&self, part: Bytes) -> Bytes {
+        match self.result_limit() {
+            Some(limit) if part.len() / RECORD_BYTES > limit => {
+                merge_records([&*part], limit).into()
+            }
+            Some(_) | None => part,
+        }
+    }
+
     /// Returns the caller's account for logs, or `-` if it has none.
     pub(crate) fn account_text(&self) -> &str {
         self.identity.as_ref().map_or("-", |identity| identity.account.account.as_str())
@@ -237,8 +258,21 @@
                 return AttemptResult::Failure(AttemptFailure::Unreachable, None);
             }
         };
-        let (bytes, charge) = (state.settings.answer_bytes, job.charge.as_deref());
-        let sent = pooled.connection.send_charged(request, bytes, charge).await;
+        let keep_records = |part: Bytes| job.keep_records(part);
+        let reading = ResponseReading {
+            max_bytes: state.settings.answer_bytes,
+            charge: job.charge.as_deref(),
+            reduce: job.result_limit().map(|_| &keep_records as _),
+        };
+        let needed = pooled.needed();
+        let exchange = pooled.connection.send_and_read(request, reading);
+        let sent = tokio::select! {
+            biased;
+            sent = exchange => sent,
+            () = needed.cancelled() => {
+                return AttemptResult::Failure(AttemptFailure::Displaced, None);
+            }
+        };
         match sent {
             Ok(answer) => return classify_answer(state, job, target, pooled, answer),
             // The target closed an idle connection before the request was written to it.
@@ -247,6 +281,10 @@
                 spdlog::debug!("send to {}: {}", target.address, cause);
                 return AttemptResult::Failure(AttemptFailure::Unreachable, None);
             }
+            Err(error @ SendError::NoRoom) => {
+                spdlog::debug!("answer of {}: {}", target.address, error);
+                return AttemptResult::Failure(AttemptFailure::Displaced, None);
+            }
             Err(SendError::TooLarge(bytes)) => {
                 spdlog::debug!("answer of {}: more than {} bytes", target.address, bytes);
                 return AttemptResult::Failure(AttemptFailure::Malformed, None);
--- a/hickoryspan_gateway/src/fanout_server.rs
+++ b/hickoryspan_gateway/src/fanout_server.rs
@@ -1,6 +1,7 @@
 //! Accepts fan-out links and sends the shard requests that other entries delegate.
 
 use std::collections::{HashMap, VecDeque};
+use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -16,6 +17,7 @@
 use hickoryspan_core::gateway::fanouts::relays::RetryGate;
 use hickoryspan_core::gateway::targets::directory::TargetProcess;
 use hickoryspan_core::types::{MonotonicTime, ServiceId};
+use hickoryspan_runtime::caller_budget::RequestCharge;
 use hickoryspan_runtime::http_client::HttpAnswer;
 use hickoryspan_runtime::pending_link::PendingLink;
 use http::Method;
@@ -66,7 +68,7 @@
         bail!("{}: unknown path {:?}", accepted.link.peer(), accepted.path);
     }
     let (replies, outgoing) = mpsc::channel(QUEUE_CAPACITY);
-    let mut tasks = LinkTasks::new(state, replies.downgrade());
+    let mut tasks = LinkTasks::new(state, accepted.link.peer(), replies.downgrade());
     let run = accepted.link.run(outgoing, |request| tasks.receive(request));
     let ended = run_until_idle(run, &shutdown.close_listener, replies).await;
     tasks.jobs.shutdown().await;
@@ -92,6 +94,7 @@
 /// The tasks of one link.
 struct LinkTasks {
     state: Arc<GatewayState>,
+    peer: SocketAddr,
     replies: mpsc::WeakSender<FanoutReply>,
     jobs: JoinSet<()>,
     running: HashMap<TaskNumber, RunningTask>,
@@ -104,8 +107,12 @@
 }
 
 impl LinkTasks {
-    fn new(state: Arc<GatewayState>, replies: mpsc::WeakSender<FanoutReply>) -> Self {
-        Self { state, replies, jobs: JoinSet::new(), running: HashMap::new() }
+    fn new(
+        state: Arc<GatewayState>,
+        peer: SocketAddr,
+        replies: mpsc::WeakSender<FanoutReply>,
+    ) -> Self {
+        Self { state, peer, replies, jobs: JoinSet::new(), running: HashMap::new() }
     }
 
     /// Handles a message. Returns true, since none ends the link.
@@ -133,19 +140,21 @@
         let Some(replies) = self.replies.upgrade() else { return };
         let number = task.number;
         let retry_gate = Arc::<Mutex<RetryGate>>::default();
-        let run = run_task(Arc::clone(&self.state), task, Arc::clone(&retry_gate), replies);
+        let run =
+            run_task(Arc::clone(&self.state), self.peer, task, Arc::clone(&retry_gate), replies);
         self.running.insert(number, RunningTask { job: self.jobs.spawn(run), retry_gate });
     }
 }
 
 async fn run_task(
     state: Arc<GatewayState>,
+    peer: SocketAddr,
     task: FanoutTask,
     retry_gate: Arc<Mutex<RetryGate>>,
     replies: mpsc::Sender<FanoutReply>,
 ) {
     let number = task.number;
-    if let Err(error) = serve_task(state, task, retry_gate, &replies).await {
+    if let Err(error) = serve_task(state, peer, task, retry_gate, &replies).await {
         spdlog::warn!("fan-out task failed: {:#}", error);
         let batch = FanoutBatch { last: true, ..FanoutBatch::empty(number) };
         // The link may have closed in the meantime, which also ends the task.
@@ -155,6 +164,7 @@
 
 async fn serve_task(
     state: Arc<GatewayState>,
+    peer: SocketAddr,
     task: FanoutTask,
     retry_gate: Arc<Mutex<RetryGate>>,
     replies: &mpsc::Sender<FanoutReply>,
@@ -162,11 +172,16 @@
     state.tasks_served.fetch_add(1, Ordering::Relaxed);
     metrics::counter!("hickoryspan_gateway_fanout_tasks_total").increment(1);
     let now = state.now();
-    if outlasts_stop(&state, now + task.give_up_in) {
+    let budget = &state.settings.caller_budget;
+    let charge = match outlasts_stop(&state, now + task.give_up_in) {
+        true => None,
+        false => budget.begin_task(peer, task.body.len()).ok(),
+    };
+    let Some(charge) = charge else {
         metrics::counter!("hickoryspan_gateway_fanout_refusals_total").increment(1);
         let refusal = FanoutReply::Batch(FanoutBatch::refusal(&task));
         return replies.send(refusal).await.context("the link ended");
-    }
+    };
     let services: Arc<[ServiceId]> = task.shards.as_slice().into();
     let mut run = TaskRun {
         batch_times: VecDeque::from([now + task.first_batch_in, now + task.answer_in]),
@@ -176,7 +191,7 @@
         state: Arc::clone(&state),
         replies,
     };
-    let job = to_job(&state, task, now)?;
+    let job = to_job(&state, task, charge, now)?;
     let condemned = state.decisions().poison.is_condemned(now, &job.fingerprint);
     let mut batch = match condemned {
         true => run.batcher.take_batch(),
@@ -291,6 +306,7 @@
 fn to_job(
     state: &GatewayState,
     task: FanoutTask,
+    charge: Arc<RequestCharge>,
     now: MonotonicTime,
 ) -> anyhow::Result<GatewayJob> {
     let mut headers = from_fields(task.headers)?;
@@ -328,10 +344,10 @@
         body: task.body,
         position: ConnectionPosition::Later,
         scope: AttemptScope::Relayed,
-        // The entry that has the request has recognized the caller and charges what it holds.
+        // The entry that has the request has recognized the caller.
         identity: None,
         keys_checked: requires_keys,
-        charge: None,
+        charge: Some(charge),
         version: DocumentVersion::default(),
         received_at: now,
         give_up_at: now + task.give_up_in,
--- a/hickoryspan_gateway/src/gateway_state.rs
+++ b/hickoryspan_gateway/src/gateway_state.rs
@@ -341,6 +341,7 @@
             generator,
         };
         let fanout = FanoutLinks::new(settings.directory.credential.clone());
+        let pool = TargetPool::new(settings.target_connections);
         Self {
             settings,
             fanout,
@@ -352,7 +353,7 @@
             stop_schedule: OnceLock::new(),
             finish: CancellationToken::new(),
             clock: SystemClock::start(),
-            pool: TargetPool::default(),
+            pool,
             decisions: Mutex::new(decisions),
             log_limiter: Mutex::default(),
         }
--- a/hickoryspan_gateway/src/lib.rs
+++ b/hickoryspan_gateway/src/lib.rs
@@ -30,6 +30,7 @@
 mod run;
 mod run_outcome;
 mod settings;
+mod socket_budget;
 mod target_answer;
 mod target_pool;
 
--- a/hickoryspan_gateway/src/target_pool.rs
+++ b/hickoryspan_gateway/src/target_pool.rs
@@ -1,4 +1,5 @@
-//! Connections to targets, bounded by this entry's share of the connections that a target accepts.
+//! Connections to targets, bounded by this entry's share of the connections that a target accepts, and together by the
+//! descriptors of the process.
 
 use std::collections::HashMap;
 use std::io;
@@ -10,6 +11,9 @@
 use hickoryspan_runtime::clock::SystemClock;
 use hickoryspan_runtime::http_client::HttpConnection;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio_util::sync::CancellationToken;
+
+use crate::socket_budget::{SocketBudget, SocketPermit};
 
 /// Longest time for opening a connection; with more, no time would be left for the request.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
@@ -19,7 +23,9 @@
 struct IdleConnection {
     connection: HttpConnection,
     connected_at: MonotonicTime,
+    returned_at: Instant,
     usable_until: Instant,
+    socket: SocketPermit,
 }
 
 struct TargetConnections {
@@ -40,15 +46,28 @@
     /// When the connection was established. The target's process is at least as old.
     pub(crate) connected_at: MonotonicTime,
     _permit: OwnedSemaphorePermit,
+    socket: SocketPermit,
+}
+
+impl PooledConnection {
+    /// Returns a token that is cancelled when others need the connection more.
+    pub(crate) fn needed(&self) -> CancellationToken {
+        self.socket.needed()
+    }
 }
 
 /// The connections to all targets.
-#[derive(Default)]
 pub(crate) struct TargetPool {
     targets: Mutex<HashMap<TargetId, TargetConnections>>,
+    sockets: Arc<SocketBudget>,
 }
 
 impl TargetPool {
+    /// Creates a pool of this many connections to all targets together.
+    pub(crate) fn new(max_connections: usize) -> Self {
+        Self { targets: Mutex::default(), sockets: SocketBudget::new(max_connections) }
+    }
+
     fn lock(&self) -> MutexGuard<'_, HashMap<TargetId, TargetConnections>> {
         self.targets.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -66,18 +85,47 @@
         let permits = self.permits(target, address, share);
         let permit = permits.acquire_owned().await.map_err(io::Error::other)?;
         if let Some(idle) = self.take_idle(target, allow_reuse) {
-            let IdleConnection { connection, connected_at, .. } = idle;
+            let IdleConnection { connection, connected_at, mut socket, .. } = idle;
+            socket.begin_use();
             return Ok(PooledConnection {
                 connection,
                 reused: true,
                 connected_at,
                 _permit: permit,
+                socket,
             });
         }
+        let socket = self.acquire_socket(target).await;
         let connection = HttpConnection::open(address, CONNECT_TIMEOUT).await?;
         metrics::counter!("hickoryspan_gateway_connections_opened_total").increment(1);
         let connected_at = clock.reading().monotonic;
-        Ok(PooledConnection { connection, reused: false, connected_at, _permit: permit })
+        Ok(PooledConnection { connection, reused: false, connected_at, _permit: permit, socket })
+    }
+
+    /// Waits until there may be another connection to the target. Idle ones are closed for it, those first that were not
+    /// used for longest.
+    async fn acquire_socket(&self, target: &TargetId) -> SocketPermit {
+        loop {
+            if let Some(socket) = self.sockets.try_acquire(target) {
+                return socket;
+            }
+            if !self.close_oldest_idle() {
+                return self.sockets.acquire(target).await;
+            }
+        }
+    }
+
+    /// Closes the idle connection that was not used for longest. Returns false if there is none.
+    fn close_oldest_idle(&self) -> bool {
+        let mut targets = self.lock();
+        // The idle connections of a target are in the order in which they were returned.
+        let oldest = targets
+            .values_mut()
+            .filter(|connections| !connections.idle.is_empty())
+            .min_by_key(|connections| connections.idle[0].returned_at);
+        let Some(oldest) = oldest else { return false };
+        drop(oldest.idle.remove(0));
+        true
     }
 
     fn permits(&self, target: &TargetId, address: SocketAddr, share: usize) -> Arc<Semaphore> {
@@ -122,11 +170,20 @@
         if keep_for.is_zero() || pooled.connection.is_closed() {
             return;
         }
+        if self.sockets.has_waiters() {
+            // Its socket goes to a request for another target.
+            return;
+        }
+        let PooledConnection { connection, connected_at, mut socket, .. } = pooled;
+        socket.end_use();
+        let now = Instant::now();
         if let Some(connections) = self.lock().get_mut(target) {
             connections.idle.push(IdleConnection {
-                connection: pooled.connection,
-                connected_at: pooled.connected_at,
-                usable_until: Instant::now() + keep_for,
+                connection,
+                connected_at,
+                returned_at: now,
+                usable_until: now + keep_for,
+                socket,
             });
         }
     }
@@ -134,6 +191,7 @@
     /// Closes connections that were idle for too long, and removes unwanted targets that have no idle connections.
     pub(crate) fn sweep(&self, is_wanted: impl Fn(&TargetId) -> bool) {
         let now = Instant::now();
+        self.sockets.retain(&is_wanted);
         self.lock().retain(|target, connections| {
             connections.idle.retain(|idle| idle.usable_until > now && !idle.connection.is_closed());
             is_wanted(target) || !connections.idle.is_empty()
--- a/hickoryspan_runtime/src/caller_budget/ledger.rs
+++ b/hickoryspan_runtime/src/caller_budget/ledger.rs
@@ -46,9 +46,19 @@
     }
 }
 
+/// For whom bytes are held.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum HolderKind {
+    /// A connection of a caller.
+    Connection,
+    /// Work for a caller of another process, which has no connection here.
+    Task,
+}
+
 /// What one connection occupies.
 #[derive(Debug)]
 pub(super) struct Holding {
+    pub(super) kind: HolderKind,
     pub(super) peer: IpAddr,
     /// Bytes of requests, also of incomplete ones.
     pub(super) request_bytes: usize,
@@ -66,6 +76,21 @@
 }
 
 impl Holding {
+    /// Creates a holding that has nothing yet.
+    pub(super) fn new(kind: HolderKind, peer: IpAddr, evicted: CancellationToken) -> Self {
+        Self {
+            kind,
+            peer,
+            request_bytes: 0,
+            reserved_bytes: 0,
+            unsent_bytes: 0,
+            ending_bytes: 0,
+            running: 0,
+            since: Instant::now(),
+            evicted,
+        }
+    }
+
     pub(super) fn size(&self) -> RequestSize {
         match self.request_bytes <= SMALL_REQUEST_BYTES {
             true => RequestSize::Small,
@@ -75,6 +100,7 @@
 
     pub(super) fn bytes_in(&self, pool: Pool) -> usize {
         match pool {
+            Pool::Connections if self.kind == HolderKind::Task => 0,
             Pool::Connections => CONNECTION_BYTES,
             Pool::Answers => self.answer_bytes(),
             Pool::Requests(size) if size == self.size() => self.request_bytes,
@@ -105,10 +131,12 @@
     }
 }
 
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub(super) struct Ledger {
     pub(super) holdings: HashMap<u64, Holding>,
-    pub(super) next_number: u64,
+    /// Number of connections among the holdings.
+    pub(super) connections: usize,
+    next_number: u64,
     pub(super) small_bytes: usize,
     pub(super) large_bytes: usize,
     pub(super) answer_bytes: usize,
@@ -165,9 +193,29 @@
         chosen.map(|(number, _)| *number)
     }
 
+    /// Adds a holding and returns its number.
+    pub(super) fn insert(&mut self, holding: Holding) -> u64 {
+        let number = self.next_number;
+        self.next_number += 1;
+        self.connections += usize::from(holding.kind == HolderKind::Connection);
+        self.holdings.insert(number, holding);
+        number
+    }
+
+    /// Removes a holding with all that it has.
+    pub(super) fn remove(&mut self, number: u64) {
+        self.change(number, Holding::clear);
+        let removed = self.holdings.remove(&number);
+        let is_connection = removed.is_some_and(|holding| holding.kind == HolderKind::Connection);
+        self.connections -= usize::from(is_connection);
+    }
+
     /// Returns the number of connections that are not being ended.
     pub(super) fn count_staying(&self) -> usize {
-        self.holdings.values().filter(|holding| !holding.evicted.is_cancelled()).count()
+        let stays = |holding: &&Holding| {
+            holding.kind == HolderKind::Connection && !holding.evicted.is_cancelled()
+        };
+        self.holdings.values().filter(stays).count()
     }
 
     /// Ends a connection. What it occupies is free for others as soon as its task has dropped it; see
@@ -195,7 +243,7 @@
             kv: {
                 cause: = cause,
                 count: = std::mem::take(&mut self.unlogged),
-                connections: = self.holdings.len(),
+                connections: = self.connections,
                 small_request_bytes: = self.small_bytes,
                 large_request_bytes: = self.large_bytes,
                 answer_bytes: = self.answer_bytes
--- a/hickoryspan_runtime/src/caller_budget/mod.rs
+++ b/hickoryspan_runtime/src/caller_budget/mod.rs
@@ -7,7 +7,6 @@
 mod ledger;
 mod request_charge;
 
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering::Relaxed};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -18,19 +17,19 @@
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 
-use self::ledger::{Holding, Ledger, Pool, RequestSize, SMALL_REQUEST_BYTES};
-pub use self::request_charge::RequestCharge;
+use self::ledger::{HolderKind, Holding, Ledger, Pool, RequestSize, SMALL_REQUEST_BYTES};
+pub use self::request_charge::{AnswerRoom, RequestCharge};
 use crate::caller_stream::RECEIVE_BUFFER_BYTES;
 
 /// Size of the buffer that each connection has, in bytes.
 const MIN_BUFFER_BYTES: usize = 8 * 1024;
 /// Memory of a connection apart from its requests and answers, in bytes: its buffer and that of the kernel, whose unread
 /// bytes count as memory of the process.
+const CONNECTION_BYTES: usize = MIN_BUFFER_BYTES + RECEIVE_BUFFER_BYTES as usize;
 /// Memory of a connection with several requests at once, apart from these, in bytes: the tables and buffers of HTTP/2.
 const MULTIPLEXED_BYTES: usize = 128 * 1024;
 /// Memory of one of several requests on a connection apart from its head and its body, in bytes: its stream and its task.
 const STREAM_BYTES: usize = 4 * 1024;
-const CONNECTION_BYTES: usize = MIN_BUFFER_BYTES + RECEIVE_BUFFER_BYTES as usize;
 /// Part of the memory that connections may occupy apart from their requests and answers.
 const CONNECTION_SHARE: f64 = 5.0 / 16.0;
 /// Part of the memory for small requests.
@@ -106,17 +105,7 @@
 impl CallerBudget {
     /// Creates a budget that nobody uses yet.
     pub fn new(settings: CallerBudgetSettings) -> Arc<Self> {
-        let ledger = Ledger {
-            holdings: HashMap::new(),
-            next_number: 0,
-            small_bytes: 0,
-            large_bytes: 0,
-            answer_bytes: 0,
-            ending_bytes: 0,
-            logged_at: None,
-            unlogged: 0,
-        };
-        Arc::new(Self { settings, ledger: Mutex::new(ledger), freed: Notify::new() })
+        Arc::new(Self { settings, ledger: Mutex::default(), freed: Notify::new() })
     }
 
     fn lock(&self) -> MutexGuard<'_, Ledger> {
@@ -125,7 +114,7 @@
 
     /// Returns the number of connections, also of those that are being ended.
     pub fn connections(&self) -> usize {
-        self.lock().holdings.len()
+        self.lock().connections
     }
 
     /// Admits a connection. If there are too many, another one without a complete request is ended. `None` if there is
@@ -134,7 +123,7 @@
         let now = Instant::now();
         let mut ledger = self.lock();
         let limit = self.settings.connections;
-        if ledger.holdings.len() >= limit && ledger.count_staying() >= limit {
+        if ledger.connections >= limit && ledger.count_staying() >= limit {
             match ledger.choose(now, Pool::Connections, None) {
                 Some(number) => ledger.evict(number, "connections"),
                 None => {
@@ -144,35 +133,33 @@
             }
         }
         // Connections end within moments. Until then they keep their descriptors.
-        if ledger.holdings.len() >= limit + (limit / 8).max(1) {
+        if ledger.connections >= limit + (limit / 8).max(1) {
             ledger.note_loss("connections");
             return None;
         }
-        let number = ledger.next_number;
-        ledger.next_number += 1;
         let evicted = CancellationToken::new();
-        ledger.holdings.insert(
-            number,
-            Holding {
-                peer: peer.ip(),
-                request_bytes: 0,
-                reserved_bytes: 0,
-                unsent_bytes: 0,
-                ending_bytes: 0,
-                running: 0,
-                since: now,
-                evicted: evicted.clone(),
-            },
-        );
+        let holding = Holding::new(HolderKind::Connection, peer.ip(), evicted.clone());
+        let number = ledger.insert(holding);
         drop(ledger);
-        Some(Arc::new(CallerAccount {
-            budget: Arc::clone(self),
-            number,
-            evicted,
-            head_bytes: AtomicUsize::new(0),
-            requests: AtomicUsize::new(0),
-            multiplexed: AtomicBool::new(false),
-        }))
+        Some(CallerAccount::new(self, number, evicted))
+    }
+
+    /// Charges work for a caller of another process, whose request has this many bytes here. It has no connection, so it
+    /// is never ended to make room.
+    pub fn begin_task(
+        self: &Arc<Self>,
+        peer: SocketAddr,
+        bytes: usize,
+    ) -> Result<Arc<RequestCharge>, BudgetExhausted> {
+        let evicted = CancellationToken::new();
+        let holding = Holding::new(HolderKind::Task, peer.ip(), evicted.clone());
+        let number = self.lock().insert(holding);
+        let account = CallerAccount::new(self, number, evicted);
+        account.requests.fetch_add(1, Relaxed);
+        let charge = RequestCharge::new(account, 0);
+        charge.complete();
+        charge.add(bytes)?;
+        Ok(Arc::new(charge))
     }
 
     /// Makes room for what a connection holds now. A request that is larger than all room is kept while it is alone.
@@ -244,6 +231,17 @@
 }
 
 impl CallerAccount {
+    fn new(budget: &Arc<CallerBudget>, number: u64, evicted: CancellationToken) -> Arc<Self> {
+        Arc::new(Self {
+            budget: Arc::clone(budget),
+            number,
+            evicted,
+            head_bytes: AtomicUsize::new(0),
+            requests: AtomicUsize::new(0),
+            multiplexed: AtomicBool::new(false),
+        })
+    }
+
     fn change(&self, change: impl FnOnce(&mut Holding)) {
         self.budget.lock().change(self.number, change);
     }
@@ -327,10 +325,7 @@
 
 impl Drop for CallerAccount {
     fn drop(&mut self) {
-        let mut ledger = self.budget.lock();
-        ledger.change(self.number, Holding::clear);
-        ledger.holdings.remove(&self.number);
-        drop(ledger);
+        self.budget.lock().remove(self.number);
         self.budget.freed.notify_waiters();
     }
 }
--- a/hickoryspan_runtime/src/caller_budget/request_charge.rs
+++ b/hickoryspan_runtime/src/caller_budget/request_charge.rs
@@ -78,26 +78,6 @@
         }
     }
 
-    /// Takes room for an answer of a target, or for a part of one. Waits for room if the request holds no other answer;
-    /// otherwise requests could wait for each other.
-    pub async fn reserve_answer(&self, bytes: usize) -> Result<(), BudgetExhausted> {
-        let budget = &self.account.budget;
-        loop {
-            let mut freed = std::pin::pin!(budget.freed.notified());
-            freed.as_mut().enable();
-            if budget.try_reserve_answer(self.account.number, bytes) {
-                self.lock().reserved_bytes += bytes;
-                return Ok(());
-            }
-            if self.lock().reserved_bytes > 0 {
-                budget.lock().note_loss("answers");
-                return Err(BudgetExhausted);
-            }
-            // Unread answers may be given up after a while, which nothing announces.
-            let _ = tokio::time::timeout(ANSWER_GRACE, freed).await;
-        }
-    }
-
     /// Notes that there is an answer of this size, which waits to be sent. The request occupies nothing any more.
     pub fn note_answer(&self, bytes: usize) {
         let now = Instant::now();
@@ -129,3 +109,66 @@
         self.give_back(|_| {});
     }
 }
+
+/// The room that one answer of a target takes while it is read. It is given back when this is dropped, unless it is kept.
+#[derive(Debug)]
+pub struct AnswerRoom<'a> {
+    charge: &'a RequestCharge,
+    bytes: usize,
+}
+
+impl<'a> AnswerRoom<'a> {
+    /// Creates the room of an answer to this request, which takes none yet.
+    pub fn new(charge: &'a RequestCharge) -> Self {
+        Self { charge, bytes: 0 }
+    }
+
+    /// Takes room for the answer or for a further part of it. The first time it waits for room, since what other answers
+    /// hold is given back without it. A further part is not waited for: answers that have arrived in part could otherwise
+    /// wait for each other.
+    pub async fn grow(&mut self, bytes: usize) -> Result<(), BudgetExhausted> {
+        let budget = &self.charge.account.budget;
+        loop {
+            let mut freed = std::pin::pin!(budget.freed.notified());
+            freed.as_mut().enable();
+            if budget.try_reserve_answer(self.charge.account.number, bytes) {
+                self.charge.lock().reserved_bytes += bytes;
+                self.bytes += bytes;
+                return Ok(());
+            }
+            if self.bytes > 0 {
+                budget.lock().note_loss("answers");
+                return Err(BudgetExhausted);
+            }
+            // Unread answers may be given up after a while, which nothing announces.
+            let _ = tokio::time::timeout(ANSWER_GRACE, freed).await;
+        }
+    }
+
+    /// Waits as [`RequestCharge::await_room`] does.
+    pub async fn await_room(&self) {
+        self.charge.await_room().await;
+    }
+
+    /// Leaves this many bytes to the request until it has an answer, and gives the rest back.
+    pub fn keep(mut self, bytes: usize) {
+        self.bytes = self.bytes.saturating_sub(bytes);
+    }
+}
+
+impl Drop for AnswerRoom<'_> {
+    fn drop(&mut self) {
+        let bytes = self.bytes;
+        if bytes == 0 {
+            return;
+        }
+        let mut state = self.charge.lock();
+        state.reserved_bytes = state.reserved_bytes.saturating_sub(bytes);
+        drop(state);
+        self.charge.account.change(|holding| {
+            // A connection that is being ended has given back everything already.
+            holding.reserved_bytes = holding.reserved_bytes.saturating_sub(bytes);
+        });
+        self.charge.account.budget.freed.notify_waiters();
+    }
+}
--- a/hickoryspan_runtime/src/http_client.rs
+++ b/hickoryspan_runtime/src/http_client.rs
@@ -22,7 +22,7 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::AbortOnDropHandle;
 
-use crate::caller_budget::RequestCharge;
+use crate::caller_budget::{AnswerRoom, RequestCharge};
 
 /// Number of bytes that may arrive before and between responses, for example in response heads. A peer could otherwise
 /// keep the process busy with interim responses that never end.
@@ -130,6 +130,9 @@
     /// The body of the response exceeds this limit in bytes.
     #[error("the answer is larger than {0} bytes")]
     TooLarge(usize),
+    /// This process has no room for the body of the response. The peer may have run the request.
+    #[error("no room for the answer")]
+    NoRoom,
     /// The status of the response is not one of a final response. The peer may have run the request.
     #[error("{0} is not the status of an answer")]
     InvalidStatus(u16),
@@ -208,19 +211,19 @@
         request: Request<Full<Bytes>>,
         max_response_bytes: usize,
     ) -> Result<HttpAnswer, SendError> {
-        self.send_charged(request, max_response_bytes, None).await
+        let reading = ResponseReading { max_bytes: max_response_bytes, charge: None, reduce: None };
+        self.send_and_read(request, reading).await
     }
 
-    /// Does the same as [`Self::send`] and charges the response to the request for which it is read. If there is no room
-    /// for it, the connection ends.
-    pub async fn send_charged(
+    /// Does the same as [`Self::send`], but reads the response as `reading` says. If there is no room for it, the
+    /// connection ends.
+    pub async fn send_and_read(
         &mut self,
         request: Request<Full<Bytes>>,
-        max_response_bytes: usize,
-        charge: Option<&RequestCharge>,
+        reading: ResponseReading<'_>,
     ) -> Result<HttpAnswer, SendError> {
         let written_before = self.written.load(Ordering::Acquire);
-        let max_bytes = max_response_bytes as u64 * CHUNK_OVERHEAD + MAX_EXTRA_BYTES;
+        let max_bytes = reading.max_bytes as u64 * CHUNK_OVERHEAD + MAX_EXTRA_BYTES;
         self.readable.store(max_bytes, Ordering::Release);
         let send_error = |written: &AtomicU64, error: &dyn std::fmt::Display| {
             let cause: Arc<str> = error.to_string().into();
@@ -241,7 +244,7 @@
         if !FINAL_STATUSES.contains(&parts.status.as_u16()) {
             return Err(SendError::InvalidStatus(parts.status.as_u16()));
         }
-        let body = collect_response(body, max_response_bytes, charge).await?;
+        let body = reading.collect(body).await?;
         Ok(HttpAnswer { status: parts.status, headers: parts.headers, body })
     }
 
@@ -254,47 +257,64 @@
     }
 }
 
-/// Copies the body of a response into one buffer, as [`crate::http_server::read_body`] does with requests. Room for a body
-/// of known length is taken before any of it, so that responses of which each has arrived in part don't wait for each
-/// other.
-async fn collect_response(
-    mut body: Incoming,
-    max_bytes: usize,
-    charge: Option<&RequestCharge>,
-) -> Result<Bytes, SendError> {
-    let announced = body.size_hint().exact().unwrap_or(0);
-    if announced > max_bytes as u64 {
-        return Err(SendError::TooLarge(max_bytes));
-    }
-    let mut buffer = Vec::new();
-    let mut charged = 0;
-    if announced > 0 {
-        reserve(charge, announced as usize).await?;
-        charged = announced as usize;
-    }
-    while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|error| SendError::ConnectionLost(error.to_string().into()))?;
-        let Ok(data) = frame.into_data() else { continue };
-        let length = buffer.len() + data.len();
-        if length > max_bytes {
+/// How the body of a response is read.
+#[derive(Clone, Copy)]
+pub struct ResponseReading<'a> {
+    /// Largest body in bytes.
+    pub max_bytes: usize,
+    /// The request that the body is charged to.
+    pub charge: Option<&'a RequestCharge>,
+    /// Returns what is needed of a whole body. The rest is not kept.
+    pub reduce: Option<&'a (dyn Fn(Bytes) -> Bytes + Sync)>,
+}
+
+impl ResponseReading<'_> {
+    /// Copies the body into one buffer, as [`crate::http_server::read_body`] does with requests. Room for a body of known
+    /// length is taken before any of it, so that responses of which each has arrived in part don't wait for each other.
+    async fn collect(self, mut body: Incoming) -> Result<Bytes, SendError> {
+        let Self { max_bytes, charge, reduce } = self;
+        let announced = body.size_hint().exact().unwrap_or(0);
+        if announced > max_bytes as u64 {
             return Err(SendError::TooLarge(max_bytes));
         }
-        if length > buffer.capacity() {
-            let limit = if announced > 0 { announced as usize } else { max_bytes };
-            let grown = length.next_power_of_two().max(FIRST_BODY_BYTES).min(limit.max(length));
-            reserve(charge, grown.saturating_sub(charged)).await?;
-            charged = charged.max(grown);
-            buffer.reserve_exact(grown - buffer.len());
+        let mut room = charge.map(AnswerRoom::new);
+        let mut buffer = Vec::new();
+        let mut charged = 0;
+        if announced > 0 {
+            reserve(room.as_mut(), announced as usize).await?;
+            charged = announced as usize;
+        }
+        while let Some(frame) = body.frame().await {
+            let frame =
+                frame.map_err(|error| SendError::ConnectionLost(error.to_string().into()))?;
+            let Ok(data) = frame.into_data() else { continue };
+            let length = buffer.len() + data.len();
+            if length > max_bytes {
+                return Err(SendError::TooLarge(max_bytes));
+            }
+            if length > buffer.capacity() {
+                let limit = if announced > 0 { announced as usize } else { max_bytes };
+                let grown = length.next_power_of_two().max(FIRST_BODY_BYTES).min(limit.max(length));
+                reserve(room.as_mut(), grown.saturating_sub(charged)).await?;
+                charged = charged.max(grown);
+                buffer.reserve_exact(grown - buffer.len());
+            }
+            buffer.extend_from_slice(&data);
+        }
+        let body = match reduce {
+            Some(reduce) => reduce(buffer.into()),
+            None => buffer.into(),
+        };
+        if let Some(room) = room {
+            room.keep(if reduce.is_some() { body.len() } else { charged });
         }
-        buffer.extend_from_slice(&data);
+        Ok(body)
     }
-    Ok(buffer.into())
 }
 
-async fn reserve(charge: Option<&RequestCharge>, bytes: usize) -> Result<(), SendError> {
-    let Some(charge) = charge.filter(|_| bytes > 0) else { return Ok(()) };
-    let reserved = charge.reserve_answer(bytes).await;
-    reserved.map_err(|error| SendError::ConnectionLost(error.to_string().into()))?;
-    charge.await_room().await;
+async fn reserve(room: Option<&mut AnswerRoom<'_>>, bytes: usize) -> Result<(), SendError> {
+    let Some(room) = room.filter(|_| bytes > 0) else { return Ok(()) };
+    room.grow(bytes).await.map_err(|_| SendError::NoRoom)?;
+    room.await_room().await;
     Ok(())
 }
--- a/hickoryspan_runtime/tests/caller_budget.rs
+++ b/hickoryspan_runtime/tests/caller_budget.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use hickoryspan_runtime::caller_budget::{
-    BudgetExhausted, CallerAccount, CallerBudget, CallerBudgetSettings, RequestCharge,
+    AnswerRoom, BudgetExhausted, CallerAccount, CallerBudget, CallerBudgetSettings, RequestCharge,
 };
 use hickoryspan_runtime::http_server::{
     HttpHandler, HttpLimits, HttpServer, ResponseFuture, charge_of, read_body, text_response,
@@ -146,10 +146,10 @@
 }
 
 /// Returns whether a future waits.
-async fn is_pending(future: &mut (impl Future<Output = ()> + Unpin)) -> bool {
+async fn is_pending<T>(future: &mut (impl Future<Output = T> + Unpin)) -> bool {
     tokio::select! {
         biased;
-        () = future => false,
+        _ = future => false,
         () = tokio::task::yield_now() => true,
     }
 }
@@ -177,11 +177,11 @@
     for last in 1..4 {
         let caller = Caller::open(&budget, last);
         caller.charge.complete();
-        caller.charge.reserve_answer(80_000).await.unwrap();
+        hold_answer(&caller.charge, 80_000).await;
         caller.charge.note_answer(80_000);
         let next = Caller::open(&budget, 9);
         next.charge.complete();
-        let mut reserved = Box::pin(async { next.charge.reserve_answer(80_000).await.unwrap() });
+        let mut reserved = Box::pin(hold_answer(&next.charge, 80_000));
         assert!(is_pending(&mut reserved).await);
         assert!(!caller.charge.is_evicted());
         drop(caller);
@@ -196,22 +196,68 @@
     let budget = CallerBudget::new(SETTINGS);
     let unread = Caller::open(&budget, 1);
     unread.charge.complete();
-    unread.charge.reserve_answer(80_000).await.unwrap();
+    hold_answer(&unread.charge, 80_000).await;
     unread.charge.note_answer(80_000);
     let next = Caller::open(&budget, 2);
     next.charge.complete();
     // A small answer has room, and a large one waits until the caller had time to read.
-    next.charge.reserve_answer(10_000).await.unwrap();
+    hold_answer(&next.charge, 10_000).await;
     assert!(!unread.charge.is_evicted());
     let next = Caller::open(&budget, 2);
     next.charge.complete();
-    next.charge.reserve_answer(70_000).await.unwrap();
+    hold_answer(&next.charge, 70_000).await;
     assert!(unread.charge.is_evicted());
     // Another part of an answer is not waited for.
     let other = Caller::open(&budget, 3);
     other.charge.complete();
-    other.charge.reserve_answer(5_000).await.unwrap();
-    assert_eq!(other.charge.reserve_answer(80_000).await, Err(BudgetExhausted));
+    let mut room = AnswerRoom::new(&other.charge);
+    room.grow(5_000).await.unwrap();
+    assert_eq!(room.grow(80_000).await, Err(BudgetExhausted));
+}
+
+/// Takes room for an answer, which the request keeps.
+async fn hold_answer(charge: &RequestCharge, bytes: usize) {
+    let mut room = AnswerRoom::new(charge);
+    room.grow(bytes).await.unwrap();
+    room.keep(bytes);
+}
+
+// Guards against a request to many shards that is lost because its parts do not fit all at once, though little of each is
+// kept.
+#[tokio::test]
+async fn parts_of_a_request_wait_for_each_other() {
+    let budget = CallerBudget::new(SETTINGS);
+    let caller = Caller::open(&budget, 1);
+    caller.charge.complete();
+    let mut first = AnswerRoom::new(&caller.charge);
+    first.grow(60_000).await.unwrap();
+    let mut second = AnswerRoom::new(&caller.charge);
+    let mut waiting = Box::pin(second.grow(60_000));
+    assert!(is_pending(&mut waiting).await);
+    first.keep(320);
+    waiting.await.unwrap();
+}
+
+// Guards against work for another process that takes all room of answers, counts as a connection or is ended for one.
+#[tokio::test]
+async fn tasks_share_the_room_of_answers() {
+    let budget = CallerBudget::new(SETTINGS);
+    let task = budget.begin_task(peer(1), 100).unwrap();
+    assert_eq!(budget.connections(), 0);
+    let mut room = AnswerRoom::new(&task);
+    room.grow(60_000).await.unwrap();
+    let caller = Caller::open(&budget, 2);
+    caller.charge.complete();
+    let mut next = AnswerRoom::new(&caller.charge);
+    let mut waiting = Box::pin(next.grow(60_000));
+    assert!(is_pending(&mut waiting).await);
+    assert!(!task.is_evicted());
+    drop(room);
+    waiting.await.unwrap();
+    let large = budget.begin_task(peer(1), 100_000).unwrap();
+    assert!(budget.begin_task(peer(1), 100_000).is_err());
+    budget.begin_task(peer(3), 100).unwrap();
+    drop(large);
 }
 
 /// Reads a body once `release` is notified, which stands for a pause of this process.
