End long runs of those who occupy most for callers who have little

Cause: a whole request was never ended, however long it ran. 400 callers at four addresses whose requests were never answered kept all others out for as long as the time limit of their route: small requests found no connection, large ones no room. Change: where no unfinished request can be ended, one that has run for a second is, of the address that occupies most, and at least twice as much as the newcomer's with what it needs. It gets 502, since a target may have run it, and its attempts are cancelled. Conclusion: a crowd can hold what nobody else needs, and callers of one address do not end each other.

--- a/hickoryspan_gateway/src/forward.rs
+++ b/hickoryspan_gateway/src/forward.rs
@@ -132,7 +132,22 @@
     if let Err(retry_after) = admit(&state, &job).await {
         return refuse(&state, &id_text, RefusalReason::QuotaExceeded, retry_after);
     }
-    run_job(state, routes, Arc::new(job)).await
+    run_unless_displaced(state, routes, Arc::new(job)).await
+}
+
+/// Runs a request. If its room is needed for other callers, its attempts are cancelled.
+async fn run_unless_displaced(
+    state: Arc<GatewayState>,
+    routes: Arc<RouteTable>,
+    job: Arc<GatewayJob>,
+) -> GatewayResponse {
+    let Some(charge) = job.charge.clone() else { return run_job(state, routes, job).await };
+    tokio::select! {
+        biased;
+        response = run_job(Arc::clone(&state), routes, Arc::clone(&job)) => response,
+        // A target may have run it.
+        () = charge.evicted() => refuse_job(&state, &job, RefusalReason::MayHaveRun),
+    }
 }
 
 /// Waits until this entry can serve requests, for `patience` at most. Returns false if the room of the request is needed
--- a/hickoryspan_runtime/src/caller_budget/ledger.rs
+++ b/hickoryspan_runtime/src/caller_budget/ledger.rs
@@ -14,6 +14,10 @@
 /// Time in which a caller may read an answer before its connection is ended for others. An answer that has just come would
 /// otherwise be lost to the next one before it is sent.
 pub(super) const ANSWER_GRACE: Duration = Duration::from_millis(250);
+/// Time after which a request that runs may be ended for another caller. Few requests take so long.
+const RUNNING_GRACE: Duration = Duration::from_secs(1);
+/// How many times as much as another address an address must occupy for its running requests to be ended for that one.
+const RUNNING_FACTOR: usize = 2;
 /// Shortest time between two log lines.
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -167,16 +171,51 @@
         self.ending_bytes = self.ending_bytes - ending_bytes + new_ending_bytes;
     }
 
-    /// Chooses the connection to end for room in a pool: of the address that has occupied most for the longest time, the
-    /// one that has done so itself. Only connections of `only` are considered, if it is given.
+    /// Chooses the connection to end for room in a pool, of those without a complete request. Only connections of `only`
+    /// are considered, if it is given.
     pub(super) fn choose(&self, now: Instant, pool: Pool, only: Option<IpAddr>) -> Option<u64> {
-        let is_candidate = |holding: &&Holding| {
+        self.choose_of(now, pool, |holding| {
             holding.is_evictable()
                 && (pool != Pool::Answers
                     || now.saturating_duration_since(holding.since) >= ANSWER_GRACE)
-                && holding.bytes_in(pool) > 0
                 && only.is_none_or(|only| only == holding.peer)
-        };
+        })
+    }
+
+    /// Chooses the connection to end for room in a pool, of those whose requests have run for long. Only connections of
+    /// addresses that occupy far more than `newcomer` are considered, so that callers do not take turns in ending each
+    /// other. `further_bytes` are what the newcomer needs beside what it holds.
+    pub(super) fn choose_running(
+        &self,
+        now: Instant,
+        pool: Pool,
+        newcomer: IpAddr,
+        further_bytes: usize,
+    ) -> Option<u64> {
+        let mut occupied: HashMap<IpAddr, usize> = HashMap::new();
+        for holding in self.holdings.values().filter(|holding| !holding.evicted.is_cancelled()) {
+            *occupied.entry(holding.peer).or_default() += holding.bytes_in(pool);
+        }
+        let own = occupied.get(&newcomer).copied().unwrap_or_default() + further_bytes;
+        self.choose_of(now, pool, |holding| {
+            holding.kind == HolderKind::Connection
+                && holding.running > 0
+                && !holding.evicted.is_cancelled()
+                && now.saturating_duration_since(holding.since) >= RUNNING_GRACE
+                && holding.peer != newcomer
+                && occupied[&holding.peer] >= own * RUNNING_FACTOR
+        })
+    }
+
+    /// Chooses one of the connections that may be ended: of the address that has occupied most for the longest time, the
+    /// one that has done so itself.
+    fn choose_of(
+        &self,
+        now: Instant,
+        pool: Pool,
+        may_end: impl Fn(&Holding) -> bool,
+    ) -> Option<u64> {
+        let is_candidate = |holding: &&Holding| holding.bytes_in(pool) > 0 && may_end(holding);
         let mut addresses: HashMap<IpAddr, AddressRank> = HashMap::new();
         for holding in self.holdings.values().filter(is_candidate) {
             let rank = addresses.entry(holding.peer).or_default();
--- a/hickoryspan_runtime/src/caller_budget/mod.rs
+++ b/hickoryspan_runtime/src/caller_budget/mod.rs
@@ -117,8 +117,8 @@
         self.lock().connections
     }
 
-    /// Admits a connection. If there are too many, another one without a complete request is ended. `None` if there is
-    /// none, or if connections that are being ended still take too much room; the new one is then to be closed.
+    /// Admits a connection. If there are too many, another one without a complete request is ended, or one whose request
+    /// runs for long, of an address that has far more. `None` if there is none, or if connections that are being ended still take too much room; the new one is then to be closed.
     pub fn open(self: &Arc<Self>, peer: SocketAddr) -> Option<Arc<CallerAccount>> {
         let now = Instant::now();
         let mut ledger = self.lock();
@@ -129,7 +129,11 @@
             return None;
         }
         if ledger.connections >= limit && ledger.count_staying() >= limit {
-            match ledger.choose(now, Pool::Connections, None) {
+            let chosen = ledger.choose(now, Pool::Connections, None);
+            let chosen = chosen.or_else(|| {
+                ledger.choose_running(now, Pool::Connections, peer.ip(), CONNECTION_BYTES)
+            });
+            match chosen {
                 Some(number) => ledger.evict(number, "connections"),
                 None => {
                     ledger.note_loss("connections");
@@ -187,9 +191,13 @@
                 (true, _) => Some(peer),
                 (false, true) => None,
             };
-            match ledger.choose(now, pool, only) {
-                Some(chosen) if chosen != number => ledger.evict(chosen, "requests"),
-                Some(_) | None => {
+            let mut chosen = ledger.choose(now, pool, only).filter(|chosen| *chosen != number);
+            if chosen.is_none() && only.is_none() {
+                chosen = ledger.choose_running(now, pool, peer, 0);
+            }
+            match chosen {
+                Some(chosen) => ledger.evict(chosen, "requests"),
+                None => {
                     ledger.note_loss("requests");
                     return Err(BudgetExhausted);
                 }
--- a/hickoryspan_runtime/tests/caller_budget.rs
+++ b/hickoryspan_runtime/tests/caller_budget.rs
@@ -19,6 +19,8 @@
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 
+/// Time after which a request that runs may be ended for others.
+const LONG_RUN: Duration = Duration::from_millis(1_050);
 /// Much longer than any step takes when it works.
 const TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -326,3 +328,55 @@
 fn is_ended(account: &CallerAccount) -> bool {
     futures::FutureExt::now_or_never(account.evicted()).is_some()
 }
+
+/// Opens connections of one address whose requests are complete and run.
+fn run_requests(budget: &Arc<CallerBudget>, last: u8, count: usize, bytes: usize) -> Vec<Caller> {
+    let open = |_| {
+        let caller = Caller::with_bytes(budget, last, bytes);
+        caller.charge.complete();
+        caller
+    };
+    (0..count).map(open).collect()
+}
+
+// Guards against a crowd of whole requests that run for long and keep all others from connecting.
+#[tokio::test]
+async fn a_long_run_is_ended_for_an_address_that_has_less() {
+    let budget = CallerBudget::new(SETTINGS);
+    let crowd = run_requests(&budget, 1, SETTINGS.connections, 100);
+    // Requests that have just begun are not ended.
+    assert!(budget.open(peer(2)).is_none());
+    tokio::time::sleep(LONG_RUN).await;
+    // Members of the crowd do not end each other.
+    assert!(budget.open(peer(1)).is_none());
+    let next = budget.open(peer(2)).unwrap();
+    let ended = crowd.iter().filter(|caller| caller.charge.is_evicted()).count();
+    assert_eq!(ended, 1);
+    drop(next);
+}
+
+// Guards against large whole requests that run for long and take the room of all others.
+#[tokio::test]
+async fn a_large_run_makes_room_for_an_address_that_has_less() {
+    let budget = CallerBudget::new(SETTINGS);
+    let crowd = [run_requests(&budget, 1, 2, 50_000), run_requests(&budget, 2, 2, 50_000)];
+    let next = Caller::open(&budget, 3);
+    assert_eq!(next.charge.add(50_000), Err(BudgetExhausted));
+    drop(next);
+    tokio::time::sleep(LONG_RUN).await;
+    let next = Caller::with_bytes(&budget, 3, 50_000);
+    let ended = crowd.iter().flatten().filter(|caller| caller.charge.is_evicted()).count();
+    assert_eq!(ended, 1);
+    drop(next);
+}
+
+// Guards against callers with a fair part that lose their requests to others.
+#[tokio::test]
+async fn a_fair_part_is_not_ended() {
+    let budget = CallerBudget::new(SETTINGS);
+    let half = SETTINGS.connections / 2;
+    let crowd = [run_requests(&budget, 1, half, 100), run_requests(&budget, 2, half, 100)];
+    tokio::time::sleep(LONG_RUN).await;
+    assert!(budget.open(peer(1)).is_none());
+    assert!(crowd.iter().flatten().all(|caller| !caller.charge.is_evicted()));
+}
