Leave room for true targets beside invented ones

Cause: a table of targets took whoever came first. Eight senders that announce 300 invented targets each, again and again, kept a control host's table full, and a new true target was refused with 503 as long as they went on. Change: targets that are announced from another IP address than their own have a quarter of the room of a control host, and those at one IP address a sixteenth everywhere, at least 64 each. The case with ready targets failed before, the one with draining ones did not; both pass. A test of the table is new. Conclusion: who invents targets needs as many addresses of its own as the room has parts.

--- a/hickoryspan_core/src/gateway/targets/directory.rs
+++ b/hickoryspan_core/src/gateway/targets/directory.rs
@@ -3,7 +3,7 @@
 //! of a target win everywhere.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -16,6 +16,11 @@
 /// Smallest rise of the remaining cold time that counts as a change. Announcements may be delayed on their way.
 const COLD_TOLERANCE: Duration = Duration::from_millis(300);
 
+/// Part of the room for targets that those at one IP address may have, so that a host that invents some leaves room.
+const IP_ADDRESS_DIVISOR: usize = 16;
+/// Number of targets that one IP address may have whatever the room is.
+const MIN_AT_IP_ADDRESS: usize = 64;
+
 /// Whether a target accepts new work.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -145,6 +150,8 @@
     targets: BTreeMap<TargetId, KnownTarget>,
     // An address belongs to one target. Without this index, each announcement would be compared with all targets.
     by_address: HashMap<SocketAddr, TargetId>,
+    // Number of targets at each IP address.
+    at_ip_address: HashMap<IpAddr, usize>,
     departures: DepartureRecords,
     // Targets for which there was no room, at most as many as there may be known ones.
     left_out: BTreeSet<TargetId>,
@@ -163,6 +170,7 @@
             max_targets,
             targets: BTreeMap::new(),
             by_address: HashMap::new(),
+            at_ip_address: HashMap::new(),
             departures: DepartureRecords::new(max_targets),
             left_out: BTreeSet::new(),
         }
@@ -235,7 +243,33 @@
 
     // A new target at a known address replaces the one that was there.
     fn has_room_for(&self, address: SocketAddr) -> bool {
-        self.targets.len() < self.max_targets || self.by_address.contains_key(&address)
+        if self.by_address.contains_key(&address) {
+            return true;
+        }
+        let most_at_ip = (self.max_targets / IP_ADDRESS_DIVISOR).max(MIN_AT_IP_ADDRESS);
+        let at_ip = self.at_ip_address.get(&address.ip()).copied().unwrap_or_default();
+        self.targets.len() < self.max_targets && at_ip < most_at_ip
+    }
+
+    /// Notes the target at an address and returns the one that was there.
+    fn hold_address(&mut self, address: SocketAddr, target: TargetId) -> Option<TargetId> {
+        let earlier = self.by_address.insert(address, target);
+        if earlier.is_none() {
+            *self.at_ip_address.entry(address.ip()).or_default() += 1;
+        }
+        earlier
+    }
+
+    fn free_address(&mut self, address: SocketAddr) {
+        if self.by_address.remove(&address).is_none() {
+            return;
+        }
+        if let Some(count) = self.at_ip_address.get_mut(&address.ip()) {
+            *count -= 1;
+            if *count == 0 {
+                self.at_ip_address.remove(&address.ip());
+            }
+        }
     }
 
     /// Returns whether the target was left out for lack of room and has not been taken out of that list since.
@@ -253,7 +287,7 @@
         let target = announcement.target.clone();
         self.left_out.remove(&target);
         self.remove(&target);
-        if let Some(earlier) = self.by_address.insert(announcement.address, target.clone()) {
+        if let Some(earlier) = self.hold_address(announcement.address, target.clone()) {
             self.targets.remove(&earlier);
         }
         let changed = announcement.age;
@@ -262,7 +296,7 @@
 
     fn remove(&mut self, target: &TargetId) -> Option<KnownTarget> {
         let known = self.targets.remove(target)?;
-        self.by_address.remove(&known.announcement.address);
+        self.free_address(known.announcement.address);
         Some(known)
     }
 
@@ -324,7 +358,7 @@
         if is_known || !self.has_room_for(address) {
             return;
         }
-        self.by_address.insert(address, target.clone());
+        self.hold_address(address, target.clone());
         self.targets.insert(target, KnownTarget::new(seen_at, announcement, changed));
     }
 
--- a/hickoryspan_core/tests/gateway_directory.rs
+++ b/hickoryspan_core/tests/gateway_directory.rs
@@ -236,3 +236,28 @@
     assert!(liveness.is_alive(&target("t-1")) && liveness.is_alive(&target("new")));
     assert!(!liveness.is_alive(&target("t-2")));
 }
+
+// Guards against one host that invents targets until there is no room for true ones.
+#[test]
+fn one_ip_address_does_not_take_all_room() {
+    let mut directory = TargetDirectory::new(1_600);
+    let at_port = |host: u8, port: u16| TargetAnnouncement {
+        address: ([127, 0, 0, host], port).into(),
+        ..announcement(&format!("t{host}-{port}"), 10, 1)
+    };
+    let known = (1..=200)
+        .filter(|port| directory.announce(at(1), at_port(1, *port)) == DirectoryChange::Changed);
+    assert_eq!(known.count(), 100);
+    assert_eq!(directory.announce(at(1), at_port(2, 1)), DirectoryChange::Changed);
+    // A new target at a known address needs no room, and one that leaves gives its own back.
+    let next = TargetAnnouncement { target: target("next"), ..at_port(1, 1) };
+    let next =
+        TargetAnnouncement { age: AnnouncementAge { started: WallTime(11), sequence: 1 }, ..next };
+    assert_eq!(directory.announce(at(1), next), DirectoryChange::Changed);
+    directory.depart(at(1), &TargetDeparture { target: target("t1-2"), started: None });
+    assert_eq!(directory.announce(at(1), at_port(1, 201)), DirectoryChange::Changed);
+    assert_eq!(directory.announce(at(1), at_port(1, 202)), DirectoryChange::Full);
+    // Leases that end do too.
+    directory.expire(at(20), LEASE);
+    assert_eq!(directory.announce(at(20), at_port(1, 202)), DirectoryChange::Changed);
+}
--- a/hickoryspan_gateway/src/directory_hub.rs
+++ b/hickoryspan_gateway/src/directory_hub.rs
@@ -1,7 +1,7 @@
 //! The target directory of one control host, and the links over which it is shared with entries and other control
 //! hosts.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::path::PathBuf;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
@@ -289,8 +289,13 @@
         self.control.views().borrow().leader.is_some()
     }
 
-    /// Records an announcement. If the target is draining or leaving, returns only after the entries have confirmed it.
-    pub async fn announce(&self, announcement: TargetAnnouncement) -> AnnounceVerdict {
+    /// Records an announcement that came from `source`. If the target is draining or leaving, returns only after the
+    /// entries have confirmed it.
+    pub async fn announce(
+        &self,
+        source: IpAddr,
+        announcement: TargetAnnouncement,
+    ) -> AnnounceVerdict {
         let is_leaving = announcement.phase != TargetPhase::Ready;
         let now = self.now();
         let has_entries = !self.lock().entries(now, &self.settings).is_empty();
@@ -301,6 +306,9 @@
         {
             let mut state = self.lock();
             let priority = log_priority(state.directory.has_known(&announcement.target));
+            if source != announcement.address.ip() && !state.admits_foreign(&announcement.target) {
+                return AnnounceVerdict::Full;
+            }
             match state.directory.announce(now, announcement.clone()) {
                 DirectoryChange::Stale => {}
                 DirectoryChange::Full => return AnnounceVerdict::Full,
--- a/hickoryspan_gateway/src/hub_state.rs
+++ b/hickoryspan_gateway/src/hub_state.rs
@@ -156,6 +156,9 @@
     pub(crate) unsaved: bool,
     // Bounds the log lines about targets, because anyone can announce one.
     pub(crate) log_limiter: LogLimiter,
+    // Targets that were announced here from another IP address than their own.
+    foreign: BTreeSet<TargetId>,
+    max_foreign: usize,
     // Bounds the departures of unknown targets that are sent to others.
     pub(crate) unknown_departures: DepartureAllowance,
 }
@@ -163,6 +166,10 @@
 /// Number of departures of unknown targets that a host sends to others in a second. It does not know a target that left
 /// only if the announcement has not come through from another host, which concerns few.
 const UNKNOWN_DEPARTURES: u32 = 32;
+/// Part of the room for targets that are announced from other IP addresses than their own.
+const FOREIGN_DIVISOR: usize = 4;
+/// Number of such targets whatever the room is.
+const MIN_FOREIGN: usize = 64;
 const ALLOWANCE_PERIOD: Duration = Duration::from_secs(1);
 
 /// Counts the departures of unknown targets in a second.
@@ -204,11 +211,30 @@
             confirm_number: ConfirmNumber::default(),
             unsaved: false,
             log_limiter: LogLimiter::default(),
+            foreign: BTreeSet::new(),
+            max_foreign: (settings.max_targets / FOREIGN_DIVISOR).max(MIN_FOREIGN),
             unknown_departures: DepartureAllowance::default(),
             evacuations: None,
         }
     }
 
+    /// Returns whether a target may be announced from another IP address than its own. Whoever invents targets can name any
+    /// address, so that such targets have a part of the room only, and true ones that announce themselves find the rest.
+    pub(crate) fn admits_foreign(&mut self, target: &TargetId) -> bool {
+        if self.foreign.contains(target) || self.directory.find(target).is_some() {
+            return true;
+        }
+        if self.foreign.len() >= self.max_foreign {
+            let directory = &self.directory;
+            self.foreign.retain(|known| directory.find(known).is_some());
+        }
+        let has_room = self.foreign.len() < self.max_foreign;
+        if has_room {
+            self.foreign.insert(target.clone());
+        }
+        has_room
+    }
+
     /// Returns whether a log line about a target may be written. Logs the number of suppressed lines.
     pub(crate) fn admits_log_line(&mut self, now: MonotonicTime, priority: LogPriority) -> bool {
         let verdict = self.log_limiter.admit(now, priority);
--- a/hickoryspan_gateway/tests/gateway/invented_targets.rs
+++ b/hickoryspan_gateway/tests/gateway/invented_targets.rs
@@ -79,7 +79,7 @@
     let mut deployment = Deployment::start_with_targets(MAX_TARGETS).await;
     deployment.configure(vec![route("/one/", RepeatRule::Idempotent, to_service("one"))]).await;
     let true_target = invented_target(0);
-    assert_eq!(deployment.hub.announce(true_target.clone()).await, AnnounceVerdict::Accepted);
+    assert_eq!(announce_itself(&deployment, &true_target).await, AnnounceVerdict::Accepted);
     let departure = |target| TargetDeparture { target, started: Some(WallTime(1)) };
     let invented = (1..PEER_TARGETS).map(|number| departure(invented_target(number).target));
     let mut verdicts = Vec::new();
@@ -109,7 +109,7 @@
     let invented = invented_target(0);
     deployment.add_entry_with_targets(1).await;
     deployment.configure(vec![route("/two/", RepeatRule::Idempotent, to_service("two"))]).await;
-    assert_eq!(deployment.hub.announce(invented.clone()).await, AnnounceVerdict::Accepted);
+    assert_eq!(announce_itself(&deployment, &invented).await, AnnounceVerdict::Accepted);
     // Confirmed by both entries, so the invented target comes first.
     deployment.depart("nobody").await;
     deployment.announce("true", "two", target.address).await;
@@ -125,3 +125,8 @@
     tokio::time::timeout(TEST_TIMEOUT, served).await.expect("the target is learned");
     deployment.stop().await;
 }
+
+/// Announces a target from its own address.
+async fn announce_itself(deployment: &Deployment, target: &TargetAnnouncement) -> AnnounceVerdict {
+    deployment.hub.announce(target.address.ip(), target.clone()).await
+}
--- a/hickoryspan_gateway/tests/gateway/odd_answers.rs
+++ b/hickoryspan_gateway/tests/gateway/odd_answers.rs
@@ -112,7 +112,7 @@
             phase: TargetPhase::Ready,
             cold: Duration::from_millis(u64::MAX),
         };
-        deployment.hub.announce(odd).await;
+        deployment.hub.announce(odd.address.ip(), odd).await;
     }
     // The entry follows changes that come after it.
     deployment.announce("later", "one", target.address).await;
--- a/hickoryspan_gateway/tests/gateway/support.rs
+++ b/hickoryspan_gateway/tests/gateway/support.rs
@@ -540,18 +540,17 @@
         cold: Duration,
     ) {
         let sequence = self.announcements.fetch_add(1, Ordering::SeqCst);
-        self.hub
-            .announce(TargetAnnouncement {
-                target: TargetId::new(name).expect("a name"),
-                age: AnnouncementAge { started: WallTime(started), sequence },
-                service: ServiceId::new(service).expect("a service"),
-                address,
-                domain: FailureDomain::new(TARGET_DOMAIN).expect("a domain"),
-                slots: 2,
-                phase,
-                cold,
-            })
-            .await;
+        let announcement = TargetAnnouncement {
+            target: TargetId::new(name).expect("a name"),
+            age: AnnouncementAge { started: WallTime(started), sequence },
+            service: ServiceId::new(service).expect("a service"),
+            address,
+            domain: FailureDomain::new(TARGET_DOMAIN).expect("a domain"),
+            slots: 2,
+            phase,
+            cold,
+        };
+        self.hub.announce(address.ip(), announcement).await;
         let absent = TargetId::new("nobody").expect("a name");
         let departure = TargetDeparture { target: absent, started: Some(WallTime(1)) };
         self.hub.depart(departure).await;
