Queue log lines by their bytes, and do not wait for their reader at the end

Cause: up to 4,096 log lines waited for a reader of standard output, whatever their length, and lines name IDs that callers choose: 20 callers with IDs of 130 KB took an entry of 64 MB to 195 MB. At its end the process waited for the thread that was blocked in writing, so that an entry whose log nobody read did not end after SIGTERM. Conclusion: a reader that stalls costs lines only.

--- a/hickoryspan_runtime/src/lib.rs
+++ b/hickoryspan_runtime/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod credential;
 pub mod http_client;
 pub mod http_server;
+mod line_queue;
 pub mod logs;
 pub mod metrics_page;
 mod metrics_recorder;
--- a/hickoryspan_runtime/src/logs.rs
+++ b/hickoryspan_runtime/src/logs.rs
@@ -1,18 +1,19 @@
 //! Structured logs as text or JSON lines, on standard error or standard output.
 
 use std::fmt;
-use std::num::NonZeroUsize;
 use std::str::FromStr;
 use std::sync::Arc;
 
 use anyhow::Context;
 use hickoryspan_core::types::ParseValueError;
 use spdlog::formatter::{Formatter, FullFormatter, JsonFormatter};
-use spdlog::sink::{AsyncPoolSink, OverflowPolicy, StdStream, StdStreamSink};
-use spdlog::{LevelFilter, Logger, ThreadPool};
+use spdlog::sink::{SinkPropAccess, StdStream, StdStreamSink};
+use spdlog::{LevelFilter, Logger};
 
-/// Maximum number of log lines queued for standard output.
-const MAX_QUEUED_LINES: NonZeroUsize = NonZeroUsize::new(4096).expect("not zero");
+use crate::line_queue::LineQueue;
+
+/// Bytes of log lines that are queued for standard output at most.
+const MAX_QUEUED_BYTES: usize = 1024 * 1024;
 
 /// Format of log lines.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -119,18 +120,11 @@
 }
 
 /// Installs a default logger that writes JSON lines to standard output from its own thread. Lines are dropped while
-/// the queue is full, so that a stalled reader of the output never blocks the process.
+/// the queue is full, so that a stalled reader of the output never blocks the process, not even at its end.
 pub fn install_stdout_logs(level: LogLevel) -> anyhow::Result<()> {
-    let pool = ThreadPool::builder()
-        .capacity(MAX_QUEUED_LINES)
-        .build_arc()
+    let sink = LineQueue::start(MAX_QUEUED_BYTES, std::io::stdout())
         .context("install logs: start the thread")?;
-    let sink = AsyncPoolSink::builder()
-        .sink(Arc::new(build_sink(StdStream::Stdout, JsonFormatter::new())?))
-        .overflow_policy(OverflowPolicy::DropIncoming)
-        .thread_pool(pool)
-        .build()
-        .context("install logs: build the queue")?;
+    sink.set_formatter(Box::new(JsonFormatter::new()));
     let logger = Logger::builder()
         .sink(Arc::new(sink))
         .level_filter(level.to_filter())
