Test what becomes of requests that are ended for others

Two tests with a real entry: a use of the only connection to targets that lasts over a second is ended for a request that waits, and gets 502, while its target is not left out; and of two callers whose requests are never answered one gets 502 when another address finds no connection.

--- a/hickoryspan_gateway/tests/gateway/main.rs
+++ b/hickoryspan_gateway/tests/gateway/main.rs
@@ -19,6 +19,7 @@
 mod odd_requests;
 mod planned_stop;
 mod quotas;
+mod scarce_connections;
 mod scripted_peer;
 mod statuses;
 mod support;
