--- a/hickoryspan_control/src/settings.rs
+++ b/hickoryspan_control/src/settings.rs
@@ -9,6 +9,7 @@
 use hickoryspan_core::gateway::membership::members::MemberSettings;
 use hickoryspan_runtime::credential::SharedCredential;
 use hickoryspan_runtime::http_server::HttpLimits;
+use hickoryspan_runtime::pending_link::DEFAULT_HANDSHAKES;
 use hickoryspan_runtime::process::{LogSettings, ProgramArguments, SettingsRequest};
 use hickoryspan_runtime::settings::{SettingFaults, SettingValue, SettingsReader};
 
@@ -135,8 +136,6 @@
     "an IP address of this host that others reach, and a port, such as 127.0.0.1:7100";
 const MAX_BODY_BYTES: usize = 64 * 1024 * 1024;
 const DEFAULT_BODY_BYTES: usize = 8 * 1024 * 1024;
-/// More than all replicas and entries of a deployment that start at the same time.
-const MAX_HANDSHAKES: usize = 512;
 const MIN_MEMORY_BYTES: usize = 16 * 1024 * 1024;
 const DEFAULT_CONNECTIONS: usize = 4096;
 
@@ -192,7 +191,7 @@
             seed: None,
             members: None,
             raft: RaftSettings::default(),
-            handshakes: MAX_HANDSHAKES,
+            handshakes: DEFAULT_HANDSHAKES,
         };
         Ok((settings, values))
     }
--- a/hickoryspan_control/tests/support/mod.rs
+++ b/hickoryspan_control/tests/support/mod.rs
@@ -18,6 +18,7 @@
 use hickoryspan_runtime::credential::SharedCredential;
 use hickoryspan_runtime::http_client::{HttpAnswer, HttpConnection};
 use hickoryspan_runtime::http_server::HttpLimits;
+use hickoryspan_runtime::pending_link::DEFAULT_HANDSHAKES;
 use hickoryspan_runtime::process::LogSettings;
 use hickoryspan_sheet::{SheetReader, SheetRules};
 use http::header::{AUTHORIZATION, HOST};
@@ -67,7 +68,7 @@
         logs: LogSettings::default(),
         members: None,
         raft: Default::default(),
-        handshakes: 512,
+        handshakes: DEFAULT_HANDSHAKES,
         seed: Some(seed),
     }
 }
--- a/hickoryspan_ctl/tests/sheet_day.rs
+++ b/hickoryspan_ctl/tests/sheet_day.rs
@@ -13,6 +13,7 @@
 use hickoryspan_ctl::exit_status::ExitStatus;
 use hickoryspan_runtime::credential::SharedCredential;
 use hickoryspan_runtime::http_server::HttpLimits;
+use hickoryspan_runtime::pending_link::DEFAULT_HANDSHAKES;
 use hickoryspan_runtime::process::LogSettings;
 use support::*;
 use tempfile::TempDir;
@@ -41,7 +42,7 @@
             logs: LogSettings::default(),
             members: None,
             raft: Default::default(),
-            handshakes: 512,
+            handshakes: DEFAULT_HANDSHAKES,
             seed: Some(seed),
         });
         Self { folder, daemon: daemon.await.unwrap() }
--- a/hickoryspan_gateway/src/attempt.rs
+++ b/hickoryspan_gateway/src/attempt.rs
@@ -115,17 +115,6 @@
         }
     }
 
-    /// Returns the records of a shard's part that can be among those of the merged answer. A part may be much larger, and
-    /// parts are kept until all shards have answered.
-    fn keep_records(&self, part: Bytes) -> Bytes {
-        match self.result_limit() {
-            Some(limit) if part.len() / RECORD_BYTES > limit => {
-                merge_records([&*part], limit).into()
-            }
-            Some(_) | None => part,
-        }
-    }
-
     /// Returns the caller's account for logs, or `-` if it has none.
     pub(crate) fn account_text(&self) -> &str {
         self.identity.as_ref().map_or("-", |identity| identity.account.account.as_str())
@@ -258,11 +247,11 @@
                 return AttemptResult::Failure(AttemptFailure::Unreachable, None);
             }
         };
-        let keep_records = |part: Bytes| job.keep_records(part);
+        let reduce = job.result_limit().map(|limit| move |part| keep_records(part, limit));
         let reading = ResponseReading {
             max_bytes: state.settings.answer_bytes,
             charge: job.charge.as_deref(),
-            reduce: job.result_limit().map(|_| &keep_records as _),
+            reduce: reduce.as_ref().map(|reduce| reduce as _),
         };
         let needed = pooled.needed();
         let exchange = pooled.connection.send_and_read(request, reading);
@@ -301,6 +290,15 @@
     }
 }
 
+/// Returns the records of a shard's part that can be among the `limit` ones of the merged answer. A part may be much larger,
+/// and parts are kept until all shards have answered.
+fn keep_records(part: Bytes, limit: usize) -> Bytes {
+    if part.len() / RECORD_BYTES <= limit {
+        return part;
+    }
+    merge_records([&*part], limit).into()
+}
+
 fn build_request(
     state: &GatewayState,
     job: &GatewayJob,
--- a/hickoryspan_gateway/src/link_listener.rs
+++ b/hickoryspan_gateway/src/link_listener.rs
@@ -11,8 +11,9 @@
 /// Delay after a failed accept, so that a lack of file descriptors does not cause a busy loop.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
-/// Serves the accepted connections, of which `handshakes` at most have not shown the credential. Once `stop` is cancelled no further ones are accepted, and once `abort` is cancelled
-/// those that have not ended by themselves are closed. `port` names the port in the log.
+/// Serves the accepted connections, of which `handshakes` at most have not shown the credential. Once `stop` is cancelled
+/// no further ones are accepted, and once `abort` is cancelled those that have not ended by themselves are closed. `port`
+/// names the port in the log.
 pub(crate) async fn serve_links<F>(
     listener: TcpListener,
     handshakes: usize,
--- a/hickoryspan_gateway/src/settings.rs
+++ b/hickoryspan_gateway/src/settings.rs
@@ -12,6 +12,7 @@
 use hickoryspan_core::types::{EntryId, FailureDomain};
 use hickoryspan_runtime::caller_budget::{CallerBudget, CallerBudgetSettings};
 use hickoryspan_runtime::credential::SharedCredential;
+use hickoryspan_runtime::pending_link::DEFAULT_HANDSHAKES;
 
 use crate::headers::GatewayHeaders;
 
@@ -50,7 +51,7 @@
             quotas: QuotaSettings::default(),
             max_targets: 64 * 1024,
             document_bytes: 16 * 1024 * 1024,
-            handshakes: 512,
+            handshakes: DEFAULT_HANDSHAKES,
             credential,
         }
     }
--- a/hickoryspan_gateway/tests/gateway/support.rs
+++ b/hickoryspan_gateway/tests/gateway/support.rs
@@ -27,6 +27,7 @@
 use hickoryspan_runtime::credential::SharedCredential;
 use hickoryspan_runtime::http_server::HttpLimits;
 use hickoryspan_runtime::logs::{LogFormat, LogLevel};
+use hickoryspan_runtime::pending_link::DEFAULT_HANDSHAKES;
 use hickoryspan_runtime::process::LogSettings;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -241,7 +242,7 @@
         seed: Some(DATA_FOLDER_SEED),
         members: None,
         raft: Default::default(),
-        handshakes: 512,
+        handshakes: DEFAULT_HANDSHAKES,
     }
 }
 
--- a/hickoryspan_local/src/deployment.rs
+++ b/hickoryspan_local/src/deployment.rs
@@ -15,6 +15,7 @@
 use hickoryspan_runtime::clock::incarnation_from_clock;
 use hickoryspan_runtime::credential::SharedCredential;
 use hickoryspan_runtime::http_server::HttpLimits;
+use hickoryspan_runtime::pending_link::DEFAULT_HANDSHAKES;
 use hickoryspan_runtime::process::LogSettings;
 use hickoryspan_sheet::{SheetReader, SheetRules};
 use hickoryspan_target::record::RunRecord;
@@ -301,7 +302,7 @@
         logs: LogSettings::default(),
         members: None,
         raft: Default::default(),
-        handshakes: 512,
+        handshakes: DEFAULT_HANDSHAKES,
         seed: Some(seed),
     })
 }
--- a/hickoryspan_runtime/src/http_client.rs
+++ b/hickoryspan_runtime/src/http_client.rs
@@ -22,6 +22,7 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::AbortOnDropHandle;
 
+use crate::body_buffer::BodyBuffer;
 use crate::caller_budget::{AnswerRoom, RequestCharge};
 use crate::caller_stream::RECEIVE_BUFFER_BYTES;
 
@@ -33,8 +34,6 @@
 /// Statuses of final responses. The HTTP library also accepts 101, after which the connection has another protocol, and
 /// numbers up to 999.
 const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
-/// First size of the buffer for a body, in bytes.
-const FIRST_BODY_BYTES: usize = 4 * 1024;
 /// Factor by which chunked encoding may enlarge a response.
 const CHUNK_OVERHEAD: u64 = 2;
 
@@ -279,41 +278,38 @@
 }
 
 impl ResponseReading<'_> {
-    /// Copies the body into one buffer, as [`crate::http_server::read_body`] does with requests. Room for a body of known
-    /// length is taken before any of it, so that responses of which each has arrived in part don't wait for each other.
+    /// Reads the body into one buffer. Room for a body of known length is taken before any of it, so that responses of which
+    /// each has arrived in part don't wait for each other.
     async fn collect(self, mut body: Incoming) -> Result<Bytes, SendError> {
         let Self { max_bytes, charge, reduce } = self;
+        // Zero if it is not known.
         let announced = body.size_hint().exact().unwrap_or(0);
         if announced > max_bytes as u64 {
             return Err(SendError::TooLarge(max_bytes));
         }
         let mut room = charge.map(AnswerRoom::new);
-        let mut buffer = Vec::new();
-        let mut charged = 0;
-        if announced > 0 {
-            reserve(room.as_mut(), announced as usize).await?;
-            charged = announced as usize;
-        }
+        let mut charged = announced as usize;
+        reserve(room.as_mut(), charged).await?;
+        let mut buffer = BodyBuffer::new(if charged > 0 { charged } else { max_bytes });
         while let Some(frame) = body.frame().await {
             let frame =
                 frame.map_err(|error| SendError::ConnectionLost(error.to_string().into()))?;
             let Ok(data) = frame.into_data() else { continue };
-            let length = buffer.len() + data.len();
+            let length = buffer.length_with(data.len());
             if length > max_bytes {
                 return Err(SendError::TooLarge(max_bytes));
             }
-            if length > buffer.capacity() {
-                let limit = if announced > 0 { announced as usize } else { max_bytes };
-                let grown = length.next_power_of_two().max(FIRST_BODY_BYTES).min(limit.max(length));
-                reserve(room.as_mut(), grown.saturating_sub(charged)).await?;
-                charged = charged.max(grown);
-                buffer.reserve_exact(grown - buffer.len());
+            let capacity = buffer.next_capacity(length);
+            if let Some(capacity) = capacity {
+                reserve(room.as_mut(), capacity.saturating_sub(charged)).await?;
+                charged = charged.max(capacity);
             }
-            buffer.extend_from_slice(&data);
+            buffer.push(&data, capacity);
         }
+        let whole = buffer.into_bytes();
         let body = match reduce {
-            Some(reduce) => reduce(buffer.into()),
-            None => buffer.into(),
+            Some(reduce) => reduce(whole),
+            None => whole,
         };
         if let Some(room) = room {
             room.keep(if reduce.is_some() { body.len() } else { charged });
--- a/hickoryspan_runtime/src/http_server.rs
+++ b/hickoryspan_runtime/src/http_server.rs
@@ -15,6 +15,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::accept_queue::AcceptQueue;
+use crate::body_buffer::BodyBuffer;
 use crate::caller_budget::{CallerBudget, CallerBudgetSettings, RequestCharge};
 use crate::caller_stream::listen;
 use crate::server_connection::ServerConnection;
@@ -22,8 +23,6 @@
 
 /// Delay after a failed accept, so that a lack of file descriptors does not cause a busy loop.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
-/// First size of the buffer for a body, in bytes.
-const FIRST_BODY_BYTES: usize = 4 * 1024;
 /// Time to send the last answers after the drain time.
 const LAST_ANSWER_TIME: Duration = Duration::from_millis(200);
 
@@ -38,7 +37,7 @@
     pub connections: usize,
     /// Memory of the process in bytes, of which callers may occupy a part.
     pub memory_bytes: usize,
-    /// Whether connections may speak HTTP/2. Others are closed.
+    /// Whether connections may speak HTTP/2. If not, one that tries to is closed.
     pub http2: bool,
     /// Maximum number of concurrent requests on one HTTP/2 connection.
     pub streams: u32,
@@ -208,35 +207,28 @@
     Ok(body)
 }
 
-/// Copies a body into one buffer. The library's own collector keeps every piece apart, which takes far more memory than
-/// the bytes of a body in small chunks.
 async fn collect_body(
     mut body: Incoming,
     limits: &HttpLimits,
     charge: Option<&RequestCharge>,
 ) -> Result<Bytes, BodyError> {
     let announced = body.size_hint().exact().map_or(limits.body_bytes, |bytes| bytes as usize);
-    let max_bytes = announced.min(limits.body_bytes);
-    let mut buffer: Vec<u8> = Vec::new();
+    let mut buffer = BodyBuffer::new(announced.min(limits.body_bytes));
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|_| BodyError::Incomplete)?;
         let Ok(data) = frame.into_data() else { continue };
-        let length = buffer.len() + data.len();
+        let length = buffer.length_with(data.len());
         if length > limits.body_bytes {
             return Err(BodyError::TooLarge(limits.body_bytes));
         }
-        let capacity = buffer.capacity();
-        if length > capacity {
-            let grown = length.next_power_of_two().max(FIRST_BODY_BYTES).min(max_bytes.max(length));
-            if let Some(charge) = charge {
-                charge.add(grown - capacity).map_err(|_| BodyError::NoRoom)?;
-                charge.await_room().await;
-            }
-            buffer.reserve_exact(grown - buffer.len());
+        let capacity = buffer.next_capacity(length);
+        if let (Some(capacity), Some(charge)) = (capacity, charge) {
+            charge.add(capacity - buffer.capacity()).map_err(|_| BodyError::NoRoom)?;
+            charge.await_room().await;
         }
-        buffer.extend_from_slice(&data);
+        buffer.push(&data, capacity);
     }
-    Ok(buffer.into())
+    Ok(buffer.into_bytes())
 }
 
 /// Returns what the request of these headers occupies, if its connection has a budget.
--- a/hickoryspan_runtime/src/lib.rs
+++ b/hickoryspan_runtime/src/lib.rs
@@ -4,6 +4,7 @@
 #![warn(missing_docs)]
 
 pub mod accept_queue;
+mod body_buffer;
 pub mod caller_budget;
 pub mod caller_stream;
 pub mod clock;
--- a/hickoryspan_runtime/src/pending_link.rs
+++ b/hickoryspan_runtime/src/pending_link.rs
@@ -12,6 +12,10 @@
 use crate::credential::SharedCredential;
 use crate::peer_link::{AcceptedLink, PeerLink};
 
+/// Number of handshakes at one port, for processes whose settings state none. More than all replicas and entries of a
+/// deployment that start at the same time.
+pub const DEFAULT_HANDSHAKES: usize = 512;
+
 /// The room for handshakes at one port.
 pub struct HandshakeLimit(Arc<CallerBudget>);
 
