--- a/hickoryspan_runtime/src/caller_budget/mod.rs
+++ b/hickoryspan_runtime/src/caller_budget/mod.rs
@@ -47,7 +47,7 @@
 /// Descriptors that are not used for connections of callers: files, and what the platform reserves for them.
 pub const RESERVED_DESCRIPTORS: usize = 200;
 /// Part of the other descriptors that callers may occupy. The rest is for targets, links and the store.
-const DESCRIPTOR_SHARE: f64 = 2.0 / 3.0;
+const DESCRIPTOR_SHARE: f64 = 1.0 / 2.0;
 /// How long a connection that is ended to make room may send the answer to its last request.
 const LAST_ANSWER_TIME: Duration = Duration::from_millis(200);
 /// Part of the room for answers that is kept for answers as small as small requests.
