Keep little of what strangers send to the ports for links before they are accepted

Cause: the ports for links had the kernel's usual receive buffers. While the process is busy, connections wait to be accepted, and what has arrived on them counts as its memory. Change: such connections have 4 KiB until their handshake has ended, and 64 KiB as links. The library that sets the buffer of an open socket, socket2, was in the tree already. Conclusion: what waits to be accepted is bounded by what a handshake needs.

--- a/hickoryspan_control/src/daemon.rs
+++ b/hickoryspan_control/src/daemon.rs
@@ -10,9 +10,9 @@
 use hickoryspan_runtime::clock::SystemClock;
 use hickoryspan_runtime::http_server::HttpServer;
 use hickoryspan_runtime::metrics_page::MetricsPage;
+use hickoryspan_runtime::pending_link;
 use rand::SeedableRng;
 use rand_chacha::ChaCha12Rng;
-use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
@@ -42,8 +42,7 @@
     pub async fn start(settings: ControlDaemonSettings) -> anyhow::Result<Self> {
         let clock = SystemClock::start();
         let metrics = MetricsPage::install()?;
-        let listener = TcpListener::bind(settings.peer_address)
-            .await
+        let listener = pending_link::listen(settings.peer_address)
             .with_context(|| format!("bind peer port: {}", settings.peer_address))?;
         let server = HttpServer::bind(settings.http_address, settings.limits.clone()).await?;
         let peer_address = listener.local_addr().context("read the peer port's address")?;
--- a/hickoryspan_gateway/src/entry_daemon.rs
+++ b/hickoryspan_gateway/src/entry_daemon.rs
@@ -22,6 +22,7 @@
 use hickoryspan_core::gateway::targets::evacuations::EvacuationState;
 use hickoryspan_core::types::{MonotonicTime, TargetId};
 use hickoryspan_runtime::caller_stream::listen;
+use hickoryspan_runtime::pending_link;
 use hickoryspan_runtime::tasks::join_all;
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
@@ -483,7 +484,7 @@
     pub async fn start(settings: GatewaySettings, hosts: HostList) -> anyhow::Result<Self> {
         let address = settings.caller_address;
         let listener = listen(address).with_context(|| format!("bind callers: {address}"))?;
-        let fanouts = bind_fanouts(&settings).await?;
+        let fanouts = bind_fanouts(&settings)?;
         let fanout_address = match &fanouts {
             Some(listener) => Some(listener.local_addr().context("read the fan-out address")?),
             None => None,
@@ -594,9 +595,9 @@
     }
 }
 
-async fn bind_fanouts(settings: &GatewaySettings) -> anyhow::Result<Option<TcpListener>> {
+fn bind_fanouts(settings: &GatewaySettings) -> anyhow::Result<Option<TcpListener>> {
     let Some(address) = settings.fanout_address else { return Ok(None) };
-    let listener = TcpListener::bind(address).await;
+    let listener = pending_link::listen(address);
     listener.map(Some).with_context(|| format!("bind fan-out links: {address}"))
 }
 
--- a/hickoryspan_runtime/src/caller_stream.rs
+++ b/hickoryspan_runtime/src/caller_stream.rs
@@ -8,30 +8,21 @@
 use std::time::Duration;
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::net::{TcpListener, TcpStream};
 use tokio::time::Sleep;
 
+use crate::bounded_socket;
 use crate::caller_budget::CallerAccount;
 use crate::write_timeout::WriteTimeoutStream;
 
 /// Size of the kernel's receive buffer of a connection, in bytes. Unread bytes count as memory of the process.
 pub(crate) const RECEIVE_BUFFER_BYTES: u32 = 16 * 1024;
-/// Connections that the kernel keeps until they are accepted.
-const ACCEPT_QUEUE: u32 = 1_024;
 /// Largest number of bytes that are read at once. The HTTP library enlarges the buffer of a connection after larger reads.
 const MAX_READ_BYTES: usize = 8 * 1024;
 
 /// Binds a port for callers.
 pub fn listen(address: SocketAddr) -> io::Result<TcpListener> {
-    let socket = match address {
-        SocketAddr::V4(_) => TcpSocket::new_v4()?,
-        SocketAddr::V6(_) => TcpSocket::new_v6()?,
-    };
-    socket.set_reuseaddr(true)?;
-    // Accepted connections inherit it.
-    socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES)?;
-    socket.bind(address)?;
-    socket.listen(ACCEPT_QUEUE)
+    bounded_socket::listen(address, RECEIVE_BUFFER_BYTES)
 }
 
 /// Charges what arrives, and fails the connection if there is no room for it or if a head that has begun does not arrive
--- a/hickoryspan_runtime/src/http_client.rs
+++ b/hickoryspan_runtime/src/http_client.rs
@@ -18,11 +18,12 @@
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::{TcpSocket, TcpStream};
+use tokio::net::TcpStream;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::AbortOnDropHandle;
 
 use crate::body_buffer::BodyBuffer;
+use crate::bounded_socket::connect;
 use crate::caller_budget::{AnswerRoom, RequestCharge};
 use crate::caller_stream::RECEIVE_BUFFER_BYTES;
 
@@ -106,15 +107,6 @@
     }
 }
 
-async fn connect(address: SocketAddr) -> io::Result<TcpStream> {
-    let socket = match address {
-        SocketAddr::V4(_) => TcpSocket::new_v4()?,
-        SocketAddr::V6(_) => TcpSocket::new_v6()?,
-    };
-    socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES)?;
-    socket.connect(address).await
-}
-
 /// A complete HTTP response.
 #[derive(Clone, Debug)]
 pub struct HttpAnswer {
@@ -160,7 +152,7 @@
 impl HttpConnection {
     /// Opens a connection. `timeout` limits the time to establish the TCP connection.
     pub async fn open(address: SocketAddr, timeout: Duration) -> io::Result<Self> {
-        let stream = tokio::time::timeout(timeout, connect(address))
+        let stream = tokio::time::timeout(timeout, connect(address, RECEIVE_BUFFER_BYTES))
             .await
             .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
         stream.set_nodelay(true)?;
--- a/hickoryspan_runtime/src/lib.rs
+++ b/hickoryspan_runtime/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod accept_queue;
 mod body_buffer;
+mod bounded_socket;
 pub mod caller_budget;
 pub mod caller_stream;
 pub mod clock;
--- a/hickoryspan_runtime/src/peer_link.rs
+++ b/hickoryspan_runtime/src/peer_link.rs
@@ -15,6 +15,7 @@
 use http::header::AUTHORIZATION;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use socket2::SockRef;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio_tungstenite::tungstenite::client::IntoClientRequest;
@@ -142,6 +143,13 @@
         self.peer
     }
 
+    /// Sets the size of the kernel's receive buffer in bytes.
+    pub(crate) fn set_receive_buffer(&self, bytes: usize) -> anyhow::Result<()> {
+        let socket = SockRef::from(self.socket.get_ref());
+        let set = socket.set_recv_buffer_size(bytes);
+        set.with_context(|| format!("peer link: {}: set the receive buffer", self.peer))
+    }
+
     /// Sends all messages from `outgoing` and passes every received message to `incoming`. Returns when either side
     /// closes the link, all senders of `outgoing` are dropped, or `incoming` returns false.
     ///
--- a/hickoryspan_runtime/src/pending_link.rs
+++ b/hickoryspan_runtime/src/pending_link.rs
@@ -3,11 +3,14 @@
 //! Strangers can open such connections too, so their number is limited. For further ones, those are ended that have waited
 //! for longest, of the address that has most.
 
+use std::io;
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use anyhow::bail;
-use tokio::net::TcpStream;
+use tokio::net::{TcpListener, TcpStream};
 
+use crate::bounded_socket;
 use crate::caller_budget::{CallerAccount, CallerBudget, CallerBudgetSettings};
 use crate::credential::SharedCredential;
 use crate::peer_link::{AcceptedLink, PeerLink};
@@ -16,6 +19,18 @@
 /// deployment that start at the same time.
 pub const DEFAULT_HANDSHAKES: usize = 512;
 
+/// Size of the kernel's receive buffer of a connection until its handshake has ended, in bytes. Handshakes are smaller, and
+/// strangers may fill it before they are accepted.
+const HANDSHAKE_BUFFER_BYTES: u32 = 4 * 1024;
+/// Size of the kernel's receive buffer of a link that was accepted, in bytes. The kernel cannot use more, because it has
+/// announced the range of its window with the smaller buffer.
+const LINK_BUFFER_BYTES: usize = 64 * 1024;
+
+/// Binds a port for links.
+pub fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    bounded_socket::listen(address, HANDSHAKE_BUFFER_BYTES)
+}
+
 /// The room for handshakes at one port.
 pub struct HandshakeLimit(Arc<CallerBudget>);
 
@@ -46,7 +61,11 @@
         let Self { stream, account } = self;
         tokio::select! {
             biased;
-            accepted = PeerLink::accept(stream, credential) => accepted,
+            accepted = PeerLink::accept(stream, credential) => {
+                let accepted = accepted?;
+                accepted.link.set_receive_buffer(LINK_BUFFER_BYTES)?;
+                Ok(accepted)
+            }
             () = account.evicted() => bail!("accept peer link: ended to make room"),
         }
     }
