Split the handling of a caller's request by concern

Change: the checks before a run are in load_checks.rs, the answers in caller_answer.rs; functions were moved as they are.

--- a/hickoryspan_gateway/src/forward.rs
+++ b/hickoryspan_gateway/src/forward.rs
@@ -1,41 +1,38 @@
-//! Handles a caller's request: reads it, finds its route, runs it and builds the response.
+//! Handles a caller's request: reads it, finds its route and runs it.
 
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use hickoryspan_core::gateway::admission::fair_share::AccountRequest;
-use hickoryspan_core::gateway::admission::overload::{ShardQueues, shed_fraction};
 use hickoryspan_core::gateway::documents::accounts::KeyDigest;
 use hickoryspan_core::gateway::documents::document::{
     CallerLimits, DocumentVersion, RepeatRule, RouteDestination, RouteRule, ShardSpread,
 };
 use hickoryspan_core::gateway::documents::routes::RouteTable;
-use hickoryspan_core::gateway::fanouts::fanout::{FanoutMachine, FanoutSettings, merge_records};
+use hickoryspan_core::gateway::fanouts::fanout::{FanoutMachine, FanoutSettings};
 use hickoryspan_core::gateway::log_limit::LogPriority;
 use hickoryspan_core::gateway::planned_stop::StopVerdict;
 use hickoryspan_core::gateway::targets::cost_model::WorkEstimate;
-use hickoryspan_core::types::{CostUnits, MonotonicTime, RequestFingerprint, ServiceId};
-use hickoryspan_runtime::http_client::HttpAnswer;
+use hickoryspan_core::types::{MonotonicTime, RequestFingerprint, ServiceId};
 use hickoryspan_runtime::http_server::{self, BodyError, HttpLimits, charge_of};
-use http::header::{CONTENT_LENGTH, CONTENT_TYPE, HOST};
+use http::header::{CONTENT_LENGTH, HOST};
 use http::request::Parts;
-use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
-use http_body_util::Full;
+use http::{HeaderMap, HeaderValue, Request};
 use hyper::body::Incoming;
 
 use crate::attempt::{AttemptScope, CallerIdentity, GatewayJob};
+use crate::caller_answer::{failure_response, find_direct_answer, forward_answer, merge_answers};
 use crate::expected_work::expect_work;
-use crate::gateway_state::{GatewayState, SharedDecisions};
+use crate::gateway_state::GatewayState;
 use crate::headers::remove_connection_headers;
+use crate::load_checks::{exceeds_limits, has_enough_targets, is_overloaded};
 use crate::quota_permits::{admit, give_back};
 use crate::refusal::{
     GatewayResponse, MIN_RETRY_DELAY, RefusalReason, refuse, refuse_job, refuse_without_target,
 };
 use crate::relayed_groups::RelayedGroups;
 use crate::run::run_fanout;
-use crate::run_outcome::{AnswerRule, RunEnd, RunOutcome, ShardAnswer};
-use crate::target_answer::claims_not_run;
+use crate::run_outcome::{AnswerRule, RunEnd, RunOutcome};
 
 /// Subtracted from a caller's deadline so that the response still arrives in time.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(8);
@@ -49,9 +46,6 @@
 /// Longest hedge delay, as a share of the time for an answer. Below one half, because the hedge takes as long again as
 /// the first attempt.
 const MAX_HEDGE_SHARE: f64 = 0.45;
-/// Content type of merged shard answers.
-const RECORDS_TYPE: &str = "application/octet-stream";
-
 /// Position of a request on its connection. The caller's time for the first request includes opening the connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum ConnectionPosition {
@@ -400,114 +394,6 @@
     }
 }
 
-/// Returns whether enough shards have a usable target. If not, the request is refused before anything is sent.
-fn has_enough_targets(state: &GatewayState, spread: &ShardSpread) -> bool {
-    let now = state.now();
-    let decisions = state.decisions();
-    let reachable = |shard: &&ServiceId| decisions.selector.count_open(now, shard) > 0;
-    spread.shards.iter().filter(reachable).count() >= spread.min_parts()
-}
-
-/// Returns whether the limits of targets leave too few of them for an answer. If so, the request is refused before
-/// anything is sent. Shards that other entries send to are left to these.
-fn exceeds_limits(
-    state: &GatewayState,
-    services: &[ServiceId],
-    spread: Option<&ShardSpread>,
-    settings: &FanoutSettings,
-) -> bool {
-    let now = state.now();
-    let mut decisions = state.decisions();
-    if !decisions.selector.has_limits() {
-        return false;
-    }
-    let is_divided =
-        spread.is_some_and(|spread| !decisions.shard_groups(&state.settings, spread).is_empty());
-    if is_divided {
-        return false;
-    }
-    let selector = &mut decisions.selector;
-    let closed = |service: &&ServiceId| {
-        selector.count_usable(service) > 0 && !selector.has_permitted_target(now, service)
-    };
-    let closed = services.iter().filter(closed).count();
-    if closed == 0 || services.len() - closed >= settings.min_parts {
-        return false;
-    }
-    for service in services {
-        decisions.selector.note_request(now, service);
-    }
-    true
-}
-
-/// Returns whether admission control sheds this request because the queues of its targets are too long.
-fn is_overloaded(
-    state: &GatewayState,
-    job: &GatewayJob,
-    services: &[ServiceId],
-    settings: &FanoutSettings,
-) -> bool {
-    let now = state.now();
-    let mut decisions = state.decisions();
-    let queue = |service| decisions.selector.shortest_queue(now, service);
-    let queues = ShardQueues::new(services.iter().filter_map(queue));
-    let queue = queues.limiting_queue(settings.min_parts);
-    let fraction = shed_fraction(queue, job.priority());
-    let refused_part = account_refused_part(&mut decisions, now, job, services, fraction);
-    let shed = refused_part > 0.0 && decisions.draw() < refused_part;
-    count_account_request(&mut decisions, job, shed);
-    drop(decisions);
-    if shed && state.admits_log_line(LogPriority::Important) {
-        spdlog::info!(
-            "request shed, target queues are long",
-            kv: {
-                request: = job.request_text(),
-                route: = job.route.name,
-                account: = job.account_text(),
-                waiting_per_slot: = queue,
-                refused_of_all: = fraction,
-                refused_part: = refused_part
-            }
-        );
-    }
-    shed
-}
-
-/// Returns the part of the requests of this request's account that is refused. Without an account, it is that of all
-/// requests.
-fn account_refused_part(
-    decisions: &mut SharedDecisions,
-    now: MonotonicTime,
-    job: &GatewayJob,
-    services: &[ServiceId],
-    refused_of_all: f64,
-) -> f64 {
-    let Some(identity) = &job.identity else { return refused_of_all };
-    // Routes with the same shards need the same targets, and so does a route to a single service.
-    let Some(service) = services.first() else { return refused_of_all };
-    let routes = decisions.routes.as_ref();
-    let weight = routes.and_then(|routes| routes.share_weight(&identity.account));
-    let Some(weight) = weight else { return refused_of_all };
-    let request = AccountRequest {
-        service,
-        account: &identity.account.account,
-        weight,
-        // Not the measured latency: the one assumed at first may be far above it, and it grows with queues.
-        cost: CostUnits(services.len() as f64),
-    };
-    decisions.shares.refused_part(now, &request, refused_of_all)
-}
-
-fn count_account_request(decisions: &mut SharedDecisions, job: &GatewayJob, shed: bool) {
-    let Some(identity) = &job.identity else { return };
-    let account = decisions.account_labels.label(&identity.account.account).to_owned();
-    let result = if shed { "overloaded" } else { "admitted" };
-    metrics::counter!(
-        "hickoryspan_gateway_account_requests_total", "account" => account, "result" => result
-    )
-    .increment(1);
-}
-
 fn fanout_settings(
     state: &GatewayState,
     job: &GatewayJob,
@@ -608,83 +494,3 @@
     let missing: Vec<String> = outcome.missing.iter().map(ToString::to_string).collect();
     if missing.is_empty() { "-".to_owned() } else { missing.join(" ") }
 }
-
-fn merge_answers(
-    state: &GatewayState,
-    spread: &ShardSpread,
-    outcome: RunOutcome,
-) -> GatewayResponse {
-    let names = &state.settings.headers;
-    let missing = outcome.answers.iter().filter(|answer| answer.is_none()).count();
-    let answers = || outcome.answers.iter().flatten();
-    let direct = answers().filter_map(|answer| match answer {
-        ShardAnswer::Direct(answer) => Some(&*answer.body),
-        ShardAnswer::Relayed(_) => None,
-    });
-    let relayed = outcome.relayed_records.iter().map(|records| &**records);
-    let records = merge_records(direct.chain(relayed), spread.result_limit);
-    let stamps: Vec<&str> = answers()
-        .filter_map(|answer| match answer {
-            ShardAnswer::Direct(answer) => answer.headers.get(&names.stamp)?.to_str().ok(),
-            ShardAnswer::Relayed(stamp) => Some(&**stamp),
-        })
-        .collect();
-    let mut response = Response::new(Full::new(Bytes::from(records)));
-    let headers = response.headers_mut();
-    headers.insert(CONTENT_TYPE, HeaderValue::from_static(RECORDS_TYPE));
-    match HeaderValue::from_str(&stamps.join(", ")) {
-        Ok(stamps) => headers.insert(names.part_stamps.clone(), stamps),
-        Err(error) => {
-            // Unreachable, since the stamps were read from valid header values.
-            spdlog::error!("cannot encode part stamps: {}", error);
-            None
-        }
-    };
-    headers.insert(names.missing_parts.clone(), HeaderValue::from(missing));
-    response
-}
-
-fn find_direct_answer(answers: Vec<Option<ShardAnswer>>) -> Option<HttpAnswer> {
-    answers.into_iter().flatten().find_map(|answer| match answer {
-        ShardAnswer::Direct(answer) => Some(answer),
-        ShardAnswer::Relayed(_) => None,
-    })
-}
-
-fn forward_answer(state: &GatewayState, answer: Option<HttpAnswer>) -> GatewayResponse {
-    let Some(HttpAnswer { status, headers, body }) = answer else {
-        // Unreachable: a run for a single shard is `Answered` only with the answer of that shard.
-        let mut response = Response::new(Full::new(Bytes::new()));
-        *response.status_mut() = StatusCode::BAD_GATEWAY;
-        return response;
-    };
-    let mut response = Response::new(Full::new(body));
-    *response.status_mut() = status;
-    let mut headers: HeaderMap = headers;
-    remove_connection_headers(&mut headers);
-    // It concerns the entry's choice of targets; callers choose none.
-    headers.remove(&state.settings.headers.leaving);
-    *response.headers_mut() = headers;
-    response
-}
-
-fn failure_response(
-    state: &GatewayState,
-    job: &GatewayJob,
-    outcome: RunOutcome,
-) -> GatewayResponse {
-    let single = !matches!(job.route.destination, RouteDestination::Shards(_));
-    if single && let Some(answer) = outcome.failure_answer {
-        // Statuses which say that the request did not run are not forwarded, because the target may have run it.
-        if !claims_not_run(answer.status) {
-            return forward_answer(state, Some(answer));
-        }
-    }
-    let reason = match (outcome.end, outcome.may_have_run) {
-        (_, false) => return refuse_without_target(state, job),
-        (RunEnd::TimedOut, true) => RefusalReason::TimedOut,
-        (RunEnd::Stopped, true) => RefusalReason::StopTimedOut,
-        (_, true) => RefusalReason::MayHaveRun,
-    };
-    refuse_job(state, job, reason)
-}
--- a/hickoryspan_gateway/src/lib.rs
+++ b/hickoryspan_gateway/src/lib.rs
@@ -5,6 +5,7 @@
 #![warn(missing_docs)]
 
 mod attempt;
+mod caller_answer;
 mod caller_connection;
 mod caller_server;
 mod directory_cache;
@@ -24,6 +25,7 @@
 mod host_list;
 mod hub_state;
 mod link_listener;
+mod load_checks;
 mod quota_permits;
 mod refusal;
 mod relayed_groups;
