--- a/hickoryspan_runtime/tests/daemon_crowd/mod.rs
+++ b/hickoryspan_runtime/tests/daemon_crowd/mod.rs
@@ -4,8 +4,8 @@
 #![allow(dead_code, reason = "each test binary uses a part of the module")]
 #![allow(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
 
-#[path = "../../../platform/tests/caller_crowds/multiplexed.rs"]
 mod multiplexed;
+mod stalling_writer;
 
 use std::net::{Ipv4Addr, SocketAddr};
 use std::process::{Child, Command, Stdio};
@@ -15,12 +15,12 @@
 use tokio::net::TcpStream;
 use tokio::task::JoinSet;
 
+use self::stalling_writer::write_until_stalled;
+
 /// Number of members of a crowd.
 const MEMBERS: usize = 400;
 /// Longest time for anything that a test waits for.
 const TIMEOUT: Duration = Duration::from_secs(60);
-/// Time in which a member may not make progress before it counts as settled.
-const SETTLE_TIME: Duration = Duration::from_secs(2);
 /// Bytes that each chunk holds.
 const CHUNK_BYTES: usize = 8;
 /// Largest header that the daemons accept, in bytes.
@@ -136,15 +136,7 @@
 /// Sends as much of a request as the daemon reads and returns the connection.
 async fn send(address: SocketAddr, request: Vec<u8>) -> Option<TcpStream> {
     let mut stream = TcpStream::connect(address).await.ok()?;
-    let mut rest = request.as_slice();
-    while !rest.is_empty() {
-        match tokio::time::timeout(SETTLE_TIME, stream.write(rest)).await {
-            Ok(Ok(count)) => rest = &rest[count..],
-            Ok(Err(_)) => return None,
-            Err(_) => break,
-        }
-    }
-    Some(stream)
+    write_until_stalled(&mut stream, &request).await.then_some(stream)
 }
 
 /// Sends a crowd to a daemon and returns the connections that it has not closed, once each member has settled.
