Count a shard that a configuration lists twice once

A list of shards was kept as it was submitted, and sending, merging and counting go by the position in it. Change: lists of shards have a type that names each service once, also when it is decoded, since control hosts of earlier releases have stored such lists and pass them on. Conclusion: nothing that works by position can see a service twice.

--- a/hickoryspan_core/src/gateway/documents/document.rs
+++ b/hickoryspan_core/src/gateway/documents/document.rs
@@ -9,6 +9,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::accounts::{ClientAccount, InvalidAccounts, check_accounts};
+use super::shard_list::ShardList;
 use crate::sheet::duration_millis;
 use crate::types::{ParseValueError, RequestRate, ServiceId};
 
@@ -59,7 +60,7 @@
 #[serde(rename_all = "snake_case")]
 pub struct ShardSpread {
     /// One service for each shard. Routes over the same shards share the list.
-    pub shards: Arc<[ServiceId]>,
+    pub shards: ShardList,
     /// Largest number of records in an answer.
     pub result_limit: usize,
     /// Smallest share of the shards in a successful answer, from 0 to 1.
--- a/hickoryspan_core/src/gateway/documents/document_change.rs
+++ b/hickoryspan_core/src/gateway/documents/document_change.rs
@@ -16,6 +16,7 @@
 use super::document::{
     CallerLimits, ConfigurationDocument, DocumentVersion, RouteDestination, RouteRule, ServiceRule,
 };
+use super::shard_list::ShardList;
 use crate::types::{AccountId, MonotonicTime, ServiceId};
 
 /// Time after which a document is requested from another host if the first one has not sent it.
@@ -52,7 +53,7 @@
 /// Collects the distinct lists of shards.
 #[derive(Default)]
 struct ListTable {
-    lists: Vec<Arc<[ServiceId]>>,
+    lists: Vec<ShardList>,
 }
 
 impl ListTable {
@@ -62,7 +63,7 @@
         let RouteDestination::Shards(spread) = &mut rule.destination else {
             return RouteChange { rule, shard_list: None };
         };
-        let list = std::mem::replace(&mut spread.shards, Arc::from([]));
+        let list = std::mem::take(&mut spread.shards);
         let known = self.lists.iter().position(|known| *known == list);
         let position = known.unwrap_or_else(|| {
             self.lists.push(list);
@@ -74,12 +75,12 @@
 
 impl RouteChange {
     /// Returns the route with its list of shards, or `None` if the list is missing.
-    fn join(&self, lists: &[Arc<[ServiceId]>]) -> Option<RouteRule> {
+    fn join(&self, lists: &[ShardList]) -> Option<RouteRule> {
         let mut rule = self.rule.clone();
         if let (Some(position), RouteDestination::Shards(spread)) =
             (self.shard_list, &mut rule.destination)
         {
-            spread.shards = Arc::clone(lists.get(position)?);
+            spread.shards = lists.get(position)?.clone();
         }
         Some(rule)
     }
@@ -128,7 +129,7 @@
     /// New or changed routes.
     pub routes: Vec<RouteChange>,
     /// The distinct lists of shards of these routes.
-    pub shard_lists: Vec<Arc<[ServiceId]>>,
+    pub shard_lists: Vec<ShardList>,
     /// Removed routes.
     pub dropped_routes: Vec<RouteKey>,
     /// New or changed services.
--- a/hickoryspan_core/src/gateway/documents/mod.rs
+++ b/hickoryspan_core/src/gateway/documents/mod.rs
@@ -5,3 +5,4 @@
 pub mod document_change;
 pub mod document_parts;
 pub mod routes;
+pub mod shard_list;
--- a/hickoryspan_core/tests/gateway_document.rs
+++ b/hickoryspan_core/tests/gateway_document.rs
@@ -9,7 +9,9 @@
     RepeatRule, RouteDestination, RouteRule, ServiceRule, ShardSpread, WeightedService,
     decide_document,
 };
+use hickoryspan_core::gateway::documents::document_change::DocumentChange;
 use hickoryspan_core::gateway::documents::routes::{RouteTable, WeightedRoundRobin};
+use hickoryspan_core::gateway::documents::shard_list::ShardList;
 use hickoryspan_core::types::ServiceId;
 use rstest::rstest;
 
@@ -77,7 +79,7 @@
         document(1, vec![zero_timeout]).check(),
         Err(InvalidDocument::ZeroTimeout(_))
     ));
-    let spread = ShardSpread { shards: Arc::from([]), result_limit: 5, minimum_share: 0.5 };
+    let spread = ShardSpread { shards: ShardList::default(), result_limit: 5, minimum_share: 0.5 };
     let no_shards = document(1, vec![route("r", "/a/", RouteDestination::Shards(spread))]);
     assert!(matches!(no_shards.check(), Err(InvalidDocument::EmptyShards(_))));
 }
@@ -100,6 +102,25 @@
     assert_eq!(decide_document(Some(&in_force), &other), DocumentOutcome::Conflict { current });
 }
 
+// Guards against answers with two parts of one shard after an upgrade: earlier releases stored and passed on lists as they
+// were submitted.
+#[test]
+fn a_list_of_an_earlier_release_names_each_shard_once() {
+    let stored = serde_json::json!({
+        "shards": ["b", "a", "b", "a"], "result_limit": 5, "minimum_share": 1.0
+    });
+    let spread: ShardSpread = serde_json::from_value(stored).expect("a list of shards");
+    assert_eq!((&spread.shards[..], spread.min_parts()), (&[service("b"), service("a")][..], 2));
+
+    let next = document(2, vec![route("r", "/a/", RouteDestination::Shards(spread))]);
+    let change = DocumentChange::between(Some(&document(1, vec![])), &next);
+    let mut passed_on = serde_json::to_value(change).expect("a change");
+    passed_on["shard_lists"][0] = serde_json::json!(["b", "a", "b"]);
+    let change: DocumentChange = serde_json::from_value(passed_on).expect("a change");
+    let applied = change.apply(Some(&document(1, vec![]))).expect("the next document");
+    assert_eq!(applied.routes, next.routes);
+}
+
 #[rstest]
 #[case::exact(20, 0.75, 15)]
 #[case::rounded_up(20, 0.89, 18)]
@@ -110,7 +131,7 @@
     #[case] minimum_share: f64,
     #[case] expected: usize,
 ) {
-    let shards = vec![service("a"); shards];
+    let shards: Vec<ServiceId> = (0..shards).map(|number| service(&format!("s{number}"))).collect();
     let spread = ShardSpread { shards: shards.into(), result_limit: 5, minimum_share };
     assert_eq!(spread.min_parts(), expected);
 }
--- a/hickoryspan_gateway/src/forward.rs
+++ b/hickoryspan_gateway/src/forward.rs
@@ -390,7 +390,7 @@
         RouteDestination::Split(parts) => {
             state.decisions().next_service(&job.route, parts).map(|service| Arc::from([service]))
         }
-        RouteDestination::Shards(spread) => Some(Arc::clone(&spread.shards)),
+        RouteDestination::Shards(spread) => Some(Arc::clone(spread.shards.as_shared())),
     }
 }
 
--- a/hickoryspan_gateway/src/gateway_state.rs
+++ b/hickoryspan_gateway/src/gateway_state.rs
@@ -222,7 +222,7 @@
     ) -> Arc<[ShardGroup]> {
         let Self { groups, selector, relays, .. } = self;
         let places = KnownPlaces { selector, relays };
-        groups.groups(&spread.shards, |shards| {
+        groups.groups(spread.shards.as_shared(), |shards| {
             let GatewaySettings { relays, entry, domain, .. } = settings;
             divide_shards(relays, entry, domain, shards, &places)
         })
--- a/hickoryspan_gateway/tests/gateway/forwarding.rs
+++ b/hickoryspan_gateway/tests/gateway/forwarding.rs
@@ -77,6 +77,27 @@
     deployment.stop().await;
 }
 
+// Guards against answers with two parts of one shard, whose records then take the places of others.
+#[tokio::test]
+async fn a_shard_that_is_listed_twice_is_one_part() {
+    let record = |byte: u8| [byte; RECORD];
+    let first = [record(3), record(9)].concat();
+    let left = ScriptedTarget::start(answering("stamp-a", first)).await;
+    let right = ScriptedTarget::start(answering("stamp-b", record(7).to_vec())).await;
+    let mut deployment = Deployment::start().await;
+    let destination = to_shards(&["a", "b", "a"], 1.0);
+    deployment.configure(vec![route("/all/", RepeatRule::Idempotent, destination)]).await;
+    deployment.announce("ta", "a", left.address).await;
+    deployment.announce("tb", "b", right.address).await;
+    let answer = deployment.exchange(&get("/all/q")).await;
+    assert_eq!(answer.status, 200);
+    assert_eq!(answer.header("hs-missing-parts"), Some("0"));
+    assert_eq!(answer.header("hs-part-stamps"), Some("stamp-a, stamp-b"));
+    assert_eq!(answer.body, [record(9), record(7), record(3)].concat());
+    assert_eq!((left.count(), right.count()), (1, 1));
+    deployment.stop().await;
+}
+
 #[tokio::test]
 async fn a_request_below_the_minimum_share_is_refused_before_any_target_is_asked() {
     let target = ScriptedTarget::start(answering("stamp-a", vec![])).await;
