Send a request again on another connection only

Both targets of its service rejected it, and it was sent again to the first, on the connection on which the rejection had come. A faulty target's second copy of that rejection arrived there, where the answer was due. The request ID in it is that of the request, so it passed for the answer to the second send, and the request was sent a third time. Change: connections have numbers. A run keeps those on which its request was sent, and a further send takes another idle connection or a new one. Where all idle ones are to be avoided, one is closed, so that the target's share holds. Conclusion: a late answer comes on the connection of the first one; on any other, an answer with this ID is that of this send.

--- a/hickoryspan_gateway/src/attempt.rs
+++ b/hickoryspan_gateway/src/attempt.rs
@@ -22,6 +22,7 @@
 use crate::forward::ConnectionPosition;
 use crate::gateway_state::GatewayState;
 use crate::target_answer::classify_answer;
+use crate::target_pool::{ConnectionNumber, IdleReuse};
 
 /// Subtracted from the deadline that a target gets, so that its answer still arrives in time.
 const ANSWER_MARGIN: Duration = Duration::from_millis(2);
@@ -134,14 +135,34 @@
     Failure(AttemptFailure, Option<HttpAnswer>),
 }
 
+/// The connection on which a request was sent.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct UsedConnection {
+    pub(crate) number: ConnectionNumber,
+    /// When it was established.
+    pub(crate) connected_at: MonotonicTime,
+}
+
+/// An attempt that was decided on.
+pub(crate) struct PlannedAttempt {
+    pub(crate) service: ServiceId,
+    pub(crate) shard: ShardIndex,
+    pub(crate) target: ChosenTarget,
+    pub(crate) work: Option<AttemptWork>,
+    /// Connections on which the request was sent before. On these, a late answer to the earlier send could not be told from
+    /// the answer to this one, because both have the same request ID.
+    pub(crate) avoided: Vec<ConnectionNumber>,
+    pub(crate) launched_at: MonotonicTime,
+}
+
 /// The result of an attempt with the shard and the target that it was for.
 pub(crate) struct AttemptReport {
     pub(crate) shard: ShardIndex,
     pub(crate) target: ChosenTarget,
     /// Time between the launch of the attempt and its start, in which this process did other work.
     pub(crate) start_delay: Duration,
-    /// When the connection was established on which the request was sent; `None` if there was none.
-    pub(crate) connected_at: Option<MonotonicTime>,
+    /// `None` if the request was not sent.
+    pub(crate) connection: Option<UsedConnection>,
     pub(crate) result: AttemptResult,
 }
 
@@ -170,48 +191,49 @@
     }
 }
 
-/// Returns the run of one attempt, which was decided on at `launched_at`. Dropping the future closes the connection, upon
-/// which the target stops the work. The selector learns of the end also if the future is dropped before it starts.
+/// Returns the run of one attempt. Dropping the future closes the connection, upon which the target stops the work. The selector learns of the end also if the future is dropped before it starts.
 pub(crate) fn run_attempt(
     state: Arc<GatewayState>,
     job: Arc<GatewayJob>,
-    service: ServiceId,
-    shard: ShardIndex,
-    target: ChosenTarget,
-    work: Option<AttemptWork>,
-    launched_at: MonotonicTime,
+    planned: PlannedAttempt,
 ) -> impl Future<Output = AttemptReport> + Send {
+    let PlannedAttempt { service, shard, target, work, avoided, launched_at } = planned;
     let mut guard =
         AttemptGuard { state, job, target, work, started_at: launched_at, outcome: None };
     async move {
         guard.started_at = guard.state.now();
-        let (result, connected_at) = guard.run(&service).await;
+        let mut connection = None;
+        let result = guard.run(&service, &avoided, &mut connection).await;
         let start_delay = guard.started_at.since(launched_at);
         let target = guard.target.clone();
-        AttemptReport { shard, target, start_delay, connected_at, result }
+        AttemptReport { shard, target, start_delay, connection, result }
     }
 }
 
 impl AttemptGuard {
-    async fn run(&mut self, service: &ServiceId) -> (AttemptResult, Option<MonotonicTime>) {
+    async fn run(
+        &mut self,
+        service: &ServiceId,
+        avoided: &[ConnectionNumber],
+        connection: &mut Option<UsedConnection>,
+    ) -> AttemptResult {
         let Self { state, job, target, started_at, .. } = self;
-        let mut connected_at = None;
-        let result = exchange(state, job, service, target, &mut connected_at).await;
+        let result = exchange(state, job, service, target, avoided, connection).await;
         let now = state.now();
         let elapsed = now.since(*started_at);
         if let AttemptResult::Answer(_) = &result {
             let mut decisions = state.decisions();
             decisions.record_latency(&job.route, elapsed);
             decisions.selector.note_served(now, target);
-            if let Some(connected_at) = connected_at.filter(|_| decisions.poison.has_crashes()) {
-                decisions.poison.note_response(&target.process(), connected_at, *started_at);
+            if let Some(used) = connection.filter(|_| decisions.poison.has_crashes()) {
+                decisions.poison.note_response(&target.process(), used.connected_at, *started_at);
             }
         }
         self.outcome = Some(match &result {
             AttemptResult::Answer(_) => AttemptOutcome::Success(elapsed),
             AttemptResult::Failure(failure, _) => AttemptOutcome::Failure(*failure),
         });
-        (result, connected_at)
+        result
     }
 }
 
@@ -220,13 +242,14 @@
     job: &GatewayJob,
     service: &ServiceId,
     target: &ChosenTarget,
-    connected_at: &mut Option<MonotonicTime>,
+    avoided: &[ConnectionNumber],
+    connection: &mut Option<UsedConnection>,
 ) -> AttemptResult {
     let share = state.connection_share(service, job.scope);
-    let mut allow_reuse = true;
+    let mut reuse = IdleReuse::Except(avoided);
     loop {
         let (pool, clock) = (&state.pool, &state.clock);
-        let acquired = pool.acquire(&target.target, target.address, share, allow_reuse, clock);
+        let acquired = pool.acquire(&target.target, target.address, share, reuse, clock);
         let mut pooled = match acquired.await {
             Ok(pooled) => pooled,
             Err(error) => {
@@ -239,7 +262,8 @@
                 .increment(1);
             return AttemptResult::Failure(AttemptFailure::Withheld(barrier), None);
         }
-        *connected_at = Some(pooled.connected_at);
+        *connection =
+            Some(UsedConnection { number: pooled.number, connected_at: pooled.connected_at });
         let request = match build_request(state, job, target) {
             Ok(request) => request,
             Err(error) => {
@@ -265,7 +289,7 @@
         match sent {
             Ok(answer) => return classify_answer(state, job, target, pooled, answer),
             // The target closed an idle connection before the request was written to it.
-            Err(SendError::NotSent(_)) if pooled.reused && allow_reuse => allow_reuse = false,
+            Err(SendError::NotSent(_)) if pooled.reused => reuse = IdleReuse::Never,
             Err(SendError::NotSent(cause)) => {
                 spdlog::debug!("send to {}: {}", target.address, cause);
                 return AttemptResult::Failure(AttemptFailure::Unreachable, None);
--- a/hickoryspan_gateway/src/run.rs
+++ b/hickoryspan_gateway/src/run.rs
@@ -20,7 +20,7 @@
 use hickoryspan_core::types::{MonotonicTime, ServiceId, TargetId};
 use hickoryspan_runtime::http_client::HttpAnswer;
 
-use crate::attempt::{AttemptReport, AttemptResult, GatewayJob, run_attempt};
+use crate::attempt::{AttemptReport, AttemptResult, GatewayJob, PlannedAttempt, run_attempt};
 use crate::expected_work::{AttemptWork, ExpectedWork, expect_work};
 use crate::fanout_links::GroupIndex;
 use crate::fanout_messages::FanoutBatch;
@@ -29,6 +29,7 @@
 use crate::run_outcome::{
     AnswerRule, MissingShard, RunEnd, RunEvent, RunOutcome, RunSink, ShardAnswer,
 };
+use crate::target_pool::ConnectionNumber;
 
 /// Time that the links get to send queued cancellations.
 const CANCEL_FLUSH_DELAY: Duration = Duration::from_millis(1);
@@ -53,6 +54,8 @@
     sends: usize,
     // Number of sends when the last target was noted as overdue.
     overdue_sends: usize,
+    // Connections on which the request was sent.
+    connections: Vec<ConnectionNumber>,
     // The last attempt as the selector counts it, if targets are chosen by work.
     ticket: Option<WorkTicket>,
 }
@@ -446,21 +449,22 @@
         self.outcome.attempts += 1;
         self.outcome.hedges += u32::from(reason == LaunchReason::Hedge);
         self.machine.note_sent(now, shard);
-        let (state, job) = (Arc::clone(&self.state), Arc::clone(&self.job));
-        self.pending.push(Box::pin(run_attempt(
-            state,
-            job,
+        let planned = PlannedAttempt {
             service,
             shard,
-            chosen,
-            attempt_work,
-            now,
-        )));
+            target: chosen,
+            work: attempt_work,
+            avoided: attempts.connections.clone(),
+            launched_at: now,
+        };
+        let (state, job) = (Arc::clone(&self.state), Arc::clone(&self.job));
+        self.pending.push(Box::pin(run_attempt(state, job, planned)));
     }
 
     fn handle_report(&mut self, report: AttemptReport) {
-        let AttemptReport { shard, target, start_delay, connected_at, result } = report;
+        let AttemptReport { shard, target, start_delay, connection, result } = report;
         self.longest_start_delay = self.longest_start_delay.max(start_delay);
+        self.shards[shard.0].connections.extend(connection.map(|used| used.number));
         match result {
             AttemptResult::Answer(answer)
                 if self.rule == AnswerRule::Any || answer.status.is_success() =>
@@ -482,9 +486,8 @@
                     // The same target may be chosen again, as it is now.
                     self.shards[shard.0].tried.retain(|tried| *tried != target.target);
                 }
-                if let Some(connected_at) = connected_at.filter(|_| failure == AttemptFailure::Lost)
-                {
-                    self.note_crash(&target, connected_at);
+                if let Some(used) = connection.filter(|_| failure == AttemptFailure::Lost) {
+                    self.note_crash(&target, used.connected_at);
                 }
                 self.note_failure(shard, failure, answer);
             }
--- a/hickoryspan_gateway/src/target_pool.rs
+++ b/hickoryspan_gateway/src/target_pool.rs
@@ -4,6 +4,7 @@
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -20,7 +21,21 @@
 /// Subtracted from the idle timeout of a target, so that no request arrives after the target closed the connection.
 const IDLE_MARGIN: Duration = Duration::from_millis(700);
 
+/// Number of a connection to a target, unique in this process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct ConnectionNumber(u64);
+
+/// Which of a target's idle connections a request may be sent on.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum IdleReuse<'a> {
+    /// All but these.
+    Except(&'a [ConnectionNumber]),
+    /// None; they are closed.
+    Never,
+}
+
 struct IdleConnection {
+    number: ConnectionNumber,
     connection: HttpConnection,
     connected_at: MonotonicTime,
     returned_at: Instant,
@@ -28,6 +43,12 @@
     socket: SocketPermit,
 }
 
+impl IdleConnection {
+    fn is_usable(&self, now: Instant) -> bool {
+        self.usable_until > now && !self.connection.is_closed()
+    }
+}
+
 struct TargetConnections {
     address: SocketAddr,
     // One permit for each request in flight. A request reuses an idle connection if there is one, so idle and busy
@@ -40,6 +61,7 @@
 
 /// A connection in use. Dropping it closes the connection.
 pub(crate) struct PooledConnection {
+    pub(crate) number: ConnectionNumber,
     pub(crate) connection: HttpConnection,
     /// Whether the connection was used before, in which case the target may have closed it in the meantime.
     pub(crate) reused: bool,
@@ -60,12 +82,18 @@
 pub(crate) struct TargetPool {
     targets: Mutex<HashMap<TargetId, TargetConnections>>,
     sockets: Arc<SocketBudget>,
+    // Number of connections that were opened.
+    opened: AtomicU64,
 }
 
 impl TargetPool {
     /// Creates a pool of this many connections to all targets together.
     pub(crate) fn new(max_connections: usize) -> Self {
-        Self { targets: Mutex::default(), sockets: SocketBudget::new(max_connections) }
+        Self {
+            targets: Mutex::default(),
+            sockets: SocketBudget::new(max_connections),
+            opened: AtomicU64::new(0),
+        }
     }
 
     fn lock(&self) -> MutexGuard<'_, HashMap<TargetId, TargetConnections>> {
@@ -79,15 +107,16 @@
         target: &TargetId,
         address: SocketAddr,
         share: usize,
-        allow_reuse: bool,
+        reuse: IdleReuse<'_>,
         clock: &SystemClock,
     ) -> io::Result<PooledConnection> {
         let permits = self.permits(target, address, share);
         let permit = permits.acquire_owned().await.map_err(io::Error::other)?;
-        if let Some(idle) = self.take_idle(target, allow_reuse) {
-            let IdleConnection { connection, connected_at, mut socket, .. } = idle;
+        if let Some(idle) = self.take_idle(target, reuse) {
+            let IdleConnection { number, connection, connected_at, mut socket, .. } = idle;
             socket.begin_use();
             return Ok(PooledConnection {
+                number,
                 connection,
                 reused: true,
                 connected_at,
@@ -98,8 +127,14 @@
         let socket = self.acquire_socket(target).await;
         let connection = HttpConnection::open(address, CONNECT_TIMEOUT).await?;
         metrics::counter!("hickoryspan_gateway_connections_opened_total").increment(1);
-        let connected_at = clock.reading().monotonic;
-        Ok(PooledConnection { connection, reused: false, connected_at, _permit: permit, socket })
+        Ok(PooledConnection {
+            number: ConnectionNumber(self.opened.fetch_add(1, Ordering::Relaxed)),
+            connection,
+            reused: false,
+            connected_at: clock.reading().monotonic,
+            _permit: permit,
+            socket,
+        })
     }
 
     /// Waits until there may be another connection to the target. Idle ones are closed for it, those first that were not
@@ -148,20 +183,22 @@
         Arc::clone(&connections.permits)
     }
 
-    /// Returns the most recently used idle connection. Without `allow_reuse`, all idle connections are closed instead.
-    fn take_idle(&self, target: &TargetId, allow_reuse: bool) -> Option<IdleConnection> {
+    /// Returns the most recently used idle connection that may be reused. If there is none, another one is closed, so that a
+    /// new connection does not exceed the share.
+    fn take_idle(&self, target: &TargetId, reuse: IdleReuse<'_>) -> Option<IdleConnection> {
         let mut targets = self.lock();
         let connections = targets.get_mut(target)?;
-        if !allow_reuse {
-            connections.idle.clear();
-        }
         let now = Instant::now();
-        while let Some(idle) = connections.idle.pop() {
-            if idle.usable_until > now && !idle.connection.is_closed() {
-                return Some(idle);
-            }
+        connections.idle.retain(|idle| idle.is_usable(now));
+        let IdleReuse::Except(avoided) = reuse else {
+            connections.idle.clear();
+            return None;
+        };
+        let allowed = connections.idle.iter().rposition(|idle| !avoided.contains(&idle.number));
+        if allowed.is_none() {
+            connections.idle.pop();
         }
-        None
+        allowed.map(|position| connections.idle.remove(position))
     }
 
     /// Puts a connection back into the pool after a complete response.
@@ -174,11 +211,12 @@
             // Its socket goes to a request for another target.
             return;
         }
-        let PooledConnection { connection, connected_at, mut socket, .. } = pooled;
+        let PooledConnection { number, connection, connected_at, mut socket, .. } = pooled;
         socket.end_use();
         let now = Instant::now();
         if let Some(connections) = self.lock().get_mut(target) {
             connections.idle.push(IdleConnection {
+                number,
                 connection,
                 connected_at,
                 returned_at: now,
@@ -193,7 +231,7 @@
         let now = Instant::now();
         let mut targets = self.lock();
         targets.retain(|target, connections| {
-            connections.idle.retain(|idle| idle.usable_until > now && !idle.connection.is_closed());
+            connections.idle.retain(|idle| idle.is_usable(now));
             is_wanted(target) || !connections.idle.is_empty()
         });
         self.sockets.retain(|target| targets.contains_key(target));
--- a/hickoryspan_gateway/tests/gateway/main.rs
+++ b/hickoryspan_gateway/tests/gateway/main.rs
@@ -15,6 +15,7 @@
 mod half_sent_heads;
 mod invented_targets;
 mod last_check;
+mod late_copies;
 mod odd_answers;
 mod odd_requests;
 mod planned_stop;
--- a/hickoryspan_gateway/tests/gateway/support.rs
+++ b/hickoryspan_gateway/tests/gateway/support.rs
@@ -52,6 +52,8 @@
 pub struct SeenRequest {
     pub head: String,
     pub body: Vec<u8>,
+    /// Number of the connection at this target, in the order in which they were opened.
+    pub connection: usize,
 }
 
 impl SeenRequest {
@@ -115,7 +117,7 @@
         tasks.spawn(async move {
             let mut connections = JoinSet::new();
             let crash = CancellationToken::new();
-            loop {
+            for number in 0.. {
                 let accepted = tokio::select! {
                     () = crash.cancelled() => return,
                     accepted = listener.accept() => accepted,
@@ -123,7 +125,7 @@
                 let Ok((stream, _)) = accepted else { return };
                 let (script, requests) = (Arc::clone(&script), Arc::clone(&requests));
                 let (open, crash) = (Arc::clone(&open), crash.clone());
-                connections.spawn(serve(stream, script, requests, open, crash));
+                connections.spawn(serve(stream, number, script, requests, open, crash));
             }
         });
         Self { address, seen, endless, _tasks: tasks }
@@ -136,12 +138,14 @@
 
 async fn serve(
     mut stream: TcpStream,
+    number: usize,
     script: TargetScript,
     seen: Arc<Mutex<Vec<SeenRequest>>>,
     endless: Arc<AtomicUsize>,
     crash: CancellationToken,
 ) {
     while let Some(request) = read_request(&mut stream).await {
+        let request = SeenRequest { connection: number, ..request };
         let action = script(&request);
         seen.lock().expect("the seen requests").push(request);
         let sent = match action {
@@ -189,7 +193,7 @@
         }
     };
     let head = String::from_utf8(bytes[..end].to_vec()).ok()?;
-    let mut request = SeenRequest { head, body: bytes[end..].to_vec() };
+    let mut request = SeenRequest { head, body: bytes[end..].to_vec(), connection: 0 };
     let length = request.header("content-length").and_then(|text| text.parse().ok()).unwrap_or(0);
     while request.body.len() < length {
         if stream.read_buf(&mut request.body).await.ok()? == 0 {
