Apply limits for callers to open connections when a configuration changes them

The HTTP library takes its limits when a connection begins, and the entry gave it those of that moment. The times for a head, for an idle connection and for reading answers were kept in the same way, and so were the built-in ones on connections from before the first configuration. Change: the limits in force are a watched value. When they change, the task of a connection takes the socket back from the library between two requests and begins anew with what has arrived of the next head. A request that was refused before its body had arrived is answered with `Connection: close`, since the rest of its body cannot be told from a request. Ten of the eleven cases of kept_limits fail on the code before. The eleventh fails if the condition that the last request was read to its end is taken out (two runs of two): the target then gets a request out of a body. Conclusion: no connection closes for a change, and none outlives the limits that it was accepted with.

--- a/hickoryspan_gateway/src/caller_server.rs
+++ b/hickoryspan_gateway/src/caller_server.rs
@@ -1,6 +1,7 @@
 //! Serves callers over HTTP/1.1, and shuts down without interrupting requests.
 
 use std::convert::Infallible;
+use std::pin::Pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -16,6 +17,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
 use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
 
@@ -100,18 +102,16 @@
     if let Err(error) = stream.set_nodelay(true) {
         spdlog::debug!("caller port: set TCP_NODELAY: {}", error);
     }
-    let routes = state.decisions().routes.clone();
-    let limits = routes.map_or_else(CallerLimits::default, |routes| routes.document().limits);
-    let idle_time = limits.idle_time.max(limits.header_time);
-    let write_time = idle_time.max(MIN_WRITE_TIME);
-    let stream = CallerStream::new(stream, Arc::clone(&account), limits.header_time, write_time);
+    let mut limits = state.decisions().limits.subscribe();
+    let Lifetimes { head, write, .. } = Lifetimes::of(&limits.borrow());
+    let mut stream = CallerStream::new(stream, Arc::clone(&account), head, write);
     let requests = Arc::clone(&account);
     let has_request = CancellationToken::new();
     let first_request = has_request.clone();
     let caller = Arc::new(CallerConnection::open(Arc::clone(&state)));
     let exchanges = Arc::clone(&caller);
     let service_shutdown = shutdown.clone();
-    let service = service_fn(move |request| {
+    let mut service = service_fn(move |request| {
         let state = Arc::clone(&state);
         let shutdown = service_shutdown.clone();
         let (caller, account) = (Arc::clone(&exchanges), Arc::clone(&requests));
@@ -125,29 +125,69 @@
             Ok::<_, Infallible>(answer.await)
         }
     });
-    let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        // The timeout of the library also applies to idle connections between requests.
-        .header_read_timeout(idle_time)
-        .max_headers(MAX_HEADERS)
-        .max_buf_size(limits.header_bytes.max(MIN_BUFFER_BYTES))
-        .serve_connection(TokioIo::new(stream), service);
-    tokio::pin!(connection);
-    let ended = tokio::select! {
-        // A request that has arrived is read before the connection is closed.
-        biased;
-        ended = connection.as_mut() => ended,
-        () = account.await_end() => return,
-        () = await_close(&shutdown.close_listener, &has_request) => {
-            connection.as_mut().graceful_shutdown();
-            tokio::select! {
-                biased;
-                ended = connection.as_mut() => ended,
-                () = account.await_end() => return,
-            }
+    let mut close = std::pin::pin!(await_close(&shutdown.close_listener, &has_request));
+    let mut connection = loop {
+        let in_force = *limits.borrow_and_update();
+        let times = Lifetimes::of(&in_force);
+        stream.set_times(times.head, times.write);
+        let mut connection =
+            to_builder(&in_force, &times).serve_connection(TokioIo::new(stream), service);
+        tokio::select! {
+            // A request that has arrived is read before the connection is closed.
+            biased;
+            ended = &mut connection => return caller.finish(ended),
+            () = account.await_end() => return,
+            () = close.as_mut() => break connection,
+            () = await_other_limits(&mut limits, &account) => {}
         }
+        // The library takes its limits at the start only, so that it starts anew with what has arrived of the next head.
+        let parts = connection.into_parts();
+        stream = parts.io.into_inner();
+        stream.put_back(parts.read_buf);
+        service = parts.service;
     };
-    caller.finish(ended);
+    Pin::new(&mut connection).graceful_shutdown();
+    tokio::select! {
+        biased;
+        ended = connection => caller.finish(ended),
+        () = account.await_end() => {}
+    }
+}
+
+/// How long a connection may wait for its caller.
+struct Lifetimes {
+    /// For the rest of a head.
+    head: Duration,
+    /// For the next request. The timeout of the HTTP library for a head also applies to connections between requests.
+    idle: Duration,
+    /// Until the caller reads the next part of an answer.
+    write: Duration,
+}
+
+impl Lifetimes {
+    fn of(limits: &CallerLimits) -> Self {
+        let idle = limits.idle_time.max(limits.header_time);
+        Self { head: limits.header_time, idle, write: idle.max(MIN_WRITE_TIME) }
+    }
+}
+
+fn to_builder(limits: &CallerLimits, times: &Lifetimes) -> http1::Builder {
+    let mut builder = http1::Builder::new();
+    builder
+        .timer(TokioTimer::new())
+        .header_read_timeout(times.idle)
+        .max_headers(MAX_HEADERS)
+        .max_buf_size(limits.header_bytes.max(MIN_BUFFER_BYTES));
+    builder
+}
+
+/// Waits until other limits are in force than the connection is handled by, and it is between two requests.
+async fn await_other_limits(limits: &mut watch::Receiver<CallerLimits>, account: &CallerAccount) {
+    if limits.changed().await.is_err() {
+        // The state of the entry is gone, so there will be no other limits.
+        std::future::pending::<()>().await;
+    }
+    account.between_requests().await;
 }
 
 /// Waits until the connection may be closed for a shutdown. An idle connection is not closed before that, because a
@@ -170,13 +210,23 @@
 ) -> GatewayResponse {
     let (mut parts, body) = request.into_parts();
     let charge = account.begin_request(&parts);
+    let has_body = !body.is_end_stream();
     parts.extensions.insert(Arc::clone(&charge));
     let request = Request::from_parts(parts, body);
     caller.note_request(request.headers().get(&state.settings.headers.request).cloned());
     let mut response = answer_until_finish(Arc::clone(&state), request, position).await;
     caller.note_answer();
+    let is_read = !has_body || charge.is_complete();
+    if is_read {
+        account.end_request();
+    }
     charge.note_answer(response.body().size_hint().lower() as usize);
-    if charge.is_evicted() || shutdown.drain.is_cancelled() || state.should_leave_callers() {
+    // The rest of a body that was not read cannot be told from the next request.
+    if !is_read
+        || charge.is_evicted()
+        || shutdown.drain.is_cancelled()
+        || state.should_leave_callers()
+    {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
     response
--- a/hickoryspan_gateway/src/gateway_state.rs
+++ b/hickoryspan_gateway/src/gateway_state.rs
@@ -13,7 +13,7 @@
 use hickoryspan_core::gateway::admission::fair_share::FairShares;
 use hickoryspan_core::gateway::admission::quota_gate::QuotaGate;
 use hickoryspan_core::gateway::documents::document::{
-    DocumentVersion, RouteDestination, RouteRule, ShardSpread, WeightedService,
+    CallerLimits, DocumentVersion, RouteDestination, RouteRule, ShardSpread, WeightedService,
 };
 use hickoryspan_core::gateway::documents::document_change::{DocumentChange, DocumentFetch};
 use hickoryspan_core::gateway::documents::document_parts::PartAssembly;
@@ -60,6 +60,8 @@
 /// point.
 pub(crate) struct SharedDecisions {
     pub(crate) routes: Option<Arc<RouteTable>>,
+    /// The limits for callers of the active document, or the usual ones before there is any.
+    pub(crate) limits: watch::Sender<CallerLimits>,
     pub(crate) document_fetch: DocumentFetch,
     pub(crate) document_parts: PartAssembly,
     pub(crate) directory: TargetDirectory,
@@ -134,6 +136,8 @@
         }
         let held = self.routes.as_ref().map(|routes| &**routes.document());
         let Some(document) = change.apply(held) else { return false };
+        let limits = document.limits;
+        self.limits.send_if_modified(|in_force| std::mem::replace(in_force, limits) != limits);
         let routes = RouteTable::new(Arc::new(document));
         self.selector.cold_mut().set_rates(routes.cold_rates().clone());
         self.shares.retain(|service| routes.connections(service).is_some());
@@ -316,6 +320,7 @@
         selector.set_cold_gate(ColdGate::new(settings.caller_address, settings.cold));
         let decisions = SharedDecisions {
             routes: None,
+            limits: watch::Sender::new(CallerLimits::default()),
             document_fetch: DocumentFetch::default(),
             document_parts: PartAssembly::default(),
             directory: TargetDirectory::new(settings.directory.max_targets),
--- a/hickoryspan_gateway/tests/gateway/main.rs
+++ b/hickoryspan_gateway/tests/gateway/main.rs
@@ -14,6 +14,7 @@
 mod forwarding;
 mod half_sent_heads;
 mod invented_targets;
+mod kept_limits;
 mod last_check;
 mod late_copies;
 mod odd_answers;
--- a/hickoryspan_runtime/src/caller_budget/mod.rs
+++ b/hickoryspan_runtime/src/caller_budget/mod.rs
@@ -20,6 +20,7 @@
 use self::ledger::{HolderKind, Holding, Ledger, Pool, RequestSize, SMALL_REQUEST_BYTES};
 pub use self::request_charge::{AnswerRoom, RequestCharge};
 use crate::caller_stream::RECEIVE_BUFFER_BYTES;
+use crate::exchange_progress::ExchangeProgress;
 
 /// Size of the buffer that each connection has, in bytes.
 const MIN_BUFFER_BYTES: usize = 8 * 1024;
@@ -241,6 +242,7 @@
     head_bytes: AtomicUsize,
     /// Number of requests without an answer.
     requests: AtomicUsize,
+    progress: ExchangeProgress,
     /// Set if several requests share the connection. Their heads are charged when they are complete.
     multiplexed: AtomicBool,
 }
@@ -253,6 +255,7 @@
             evicted,
             head_bytes: AtomicUsize::new(0),
             requests: AtomicUsize::new(0),
+            progress: ExchangeProgress::default(),
             multiplexed: AtomicBool::new(false),
         })
     }
@@ -300,6 +303,7 @@
     /// Notes that the head of a request has arrived. What it occupies belongs to the request from now on. For one of
     /// several requests on a connection there may be no room; see [`RequestCharge::admit`].
     pub fn begin_request(self: &Arc<Self>, parts: &Parts) -> Arc<RequestCharge> {
+        self.progress.note_head();
         let head_bytes = self.head_bytes.swap(0, Relaxed);
         self.requests.fetch_add(1, Relaxed);
         let mut bytes = buffer_bytes(head_bytes);
@@ -315,8 +319,24 @@
         Arc::new(RequestCharge::new(Arc::clone(self), bytes))
     }
 
+    /// Notes that the request was read to its end and has an answer.
+    pub fn end_request(&self) {
+        self.progress.note_answer();
+    }
+
+    /// Waits until the connection, which speaks HTTP/1.1, is between two requests.
+    pub async fn between_requests(&self) {
+        self.progress.await_between().await;
+    }
+
+    /// Notes that the connection is being closed.
+    pub(crate) fn note_shutdown(&self) {
+        self.progress.note_shutdown();
+    }
+
     /// Notes that all answers were sent.
     pub(crate) fn end_answers(&self) {
+        self.progress.note_flush();
         let now = Instant::now();
         let mut has_freed = false;
         self.change(|holding| {
--- a/hickoryspan_runtime/src/caller_budget/request_charge.rs
+++ b/hickoryspan_runtime/src/caller_budget/request_charge.rs
@@ -78,6 +78,11 @@
         }
     }
 
+    /// Returns whether the whole request has arrived.
+    pub fn is_complete(&self) -> bool {
+        self.lock().running
+    }
+
     /// Notes that there is an answer of this size, which waits to be sent. The request occupies nothing any more.
     pub fn note_answer(&self, bytes: usize) {
         let now = Instant::now();
--- a/hickoryspan_runtime/src/caller_stream.rs
+++ b/hickoryspan_runtime/src/caller_stream.rs
@@ -7,6 +7,7 @@
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
+use bytes::Bytes;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::Sleep;
@@ -33,6 +34,8 @@
     head_time: Duration,
     /// Runs while a part of a head has arrived.
     head_timer: Option<Pin<Box<Sleep>>>,
+    /// Bytes that were read and put back.
+    unread: Bytes,
 }
 
 impl CallerStream {
@@ -45,7 +48,21 @@
         write_time: Duration,
     ) -> Self {
         let inner = WriteTimeoutStream::new(inner, write_time);
-        Self { inner, account, head_time, head_timer: None }
+        Self { inner, account, head_time, head_timer: None, unread: Bytes::new() }
+    }
+
+    /// Changes the times that [`Self::new`] was given. A head that has begun to arrive and a pending write keep theirs.
+    pub fn set_times(&mut self, head_time: Duration, write_time: Duration) {
+        self.head_time = head_time;
+        self.inner.set_timeout(write_time);
+    }
+
+    /// Puts back bytes that were read last. They are charged already.
+    pub fn put_back(&mut self, bytes: Bytes) {
+        self.unread = match self.unread.is_empty() {
+            true => bytes,
+            false => [bytes, std::mem::take(&mut self.unread)].concat().into(),
+        };
     }
 
     fn check_head_time(&mut self, context: &mut Context<'_>) -> io::Result<()> {
@@ -69,6 +86,11 @@
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         self.check_head_time(context)?;
+        if !self.unread.is_empty() {
+            let part = buffer.remaining().min(self.unread.len());
+            buffer.put_slice(&self.unread.split_to(part));
+            return Poll::Ready(Ok(()));
+        }
         let filled_before = buffer.filled().len();
         if buffer.remaining() <= MAX_READ_BYTES {
             ready!(Pin::new(&mut self.inner).poll_read(context, buffer))?;
@@ -111,6 +133,7 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.account.note_shutdown();
         Pin::new(&mut self.inner).poll_shutdown(context)
     }
 }
--- a/hickoryspan_runtime/src/lib.rs
+++ b/hickoryspan_runtime/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod caller_stream;
 pub mod clock;
 pub mod credential;
+mod exchange_progress;
 pub mod http_client;
 pub mod http_server;
 mod line_queue;
--- a/hickoryspan_runtime/src/write_timeout.rs
+++ b/hickoryspan_runtime/src/write_timeout.rs
@@ -51,6 +51,11 @@
         Self { inner, timeout, timer: None, closing: None }
     }
 
+    /// Changes the time after which a pending write fails. One that is pending already keeps the former time.
+    pub fn set_timeout(&mut self, timeout: Duration) {
+        self.timeout = timeout;
+    }
+
     fn apply_timeout<T>(
         &mut self,
         context: &mut Context<'_>,
