Take bytes that are no answer for what they are, not for a crash

Cause: a faulty target answered a request with bytes that are no answer, or with a head or trailers without end. The connection's failure looked like that of a process that ended, so each such answer counted as a crash of the target by this request. The entries of the own path take lost connections for crashes in the same way. Change: a failure because of what the peer sent is an error of its own (`InvalidResponse`). The attempt counts as malformed: it may have run, and it says nothing about a crash. Conclusion: only the end of a connection is evidence of a crash.

--- a/hickoryspan_entry/src/target_client.rs
+++ b/hickoryspan_entry/src/target_client.rs
@@ -173,9 +173,10 @@
                     SendError::NotSent(_) => AttemptFailure::NotSent,
                     SendError::ConnectionLost(_) => AttemptFailure::ConnectionLost,
                     // Answers are not charged here, so there is always room for them.
-                    SendError::TooLarge(_) | SendError::NoRoom | SendError::InvalidStatus(_) => {
-                        AttemptFailure::Malformed
-                    }
+                    SendError::TooLarge(_)
+                    | SendError::NoRoom
+                    | SendError::InvalidResponse(_)
+                    | SendError::InvalidStatus(_) => AttemptFailure::Malformed,
                 };
                 (ConnectionEvent::Failed(attempt, failure), ReuseState::Broken)
             }
--- a/hickoryspan_gateway/src/attempt.rs
+++ b/hickoryspan_gateway/src/attempt.rs
@@ -302,7 +302,7 @@
                 spdlog::debug!("answer of {}: more than {} bytes", target.address, bytes);
                 return AttemptResult::Failure(AttemptFailure::Malformed, None);
             }
-            Err(error @ SendError::InvalidStatus(_)) => {
+            Err(error @ (SendError::InvalidStatus(_) | SendError::InvalidResponse(_))) => {
                 spdlog::debug!("answer of {}: {}", target.address, error);
                 return AttemptResult::Failure(AttemptFailure::Malformed, None);
             }
--- a/hickoryspan_gateway/tests/gateway/endless_answers.rs
+++ b/hickoryspan_gateway/tests/gateway/endless_answers.rs
@@ -2,7 +2,7 @@
 //! connection. Memory and time must stay bounded, and other requests must not suffer.
 
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use crate::support::{
@@ -14,6 +14,8 @@
 
 /// Size of each write of an endless answer.
 const WRITE_BYTES: usize = 16 * 1024;
+/// Number of crashes after which a request is refused.
+const FAULTY_ANSWERS: usize = 3;
 
 /// What an endless answer starts with, and what it repeats.
 #[derive(Clone, Copy)]
@@ -109,6 +111,41 @@
     deployment.stop().await;
 }
 
+// Guards against a request that every entry refuses for minutes, because a faulty target's bytes were taken for crashes of its
+// process.
+#[rstest]
+#[tokio::test]
+async fn bytes_that_are_no_answer_are_no_crash(
+    #[values(
+        Some(EndlessAnswer::HeaderLines),
+        Some(EndlessAnswer::BodyWithoutLength),
+        Some(EndlessAnswer::Trailers),
+        None
+    )]
+    endless: Option<EndlessAnswer>,
+) {
+    let seen = AtomicUsize::new(0);
+    let target = ScriptedTarget::start(Arc::new(move |request: &SeenRequest| {
+        match (seen.fetch_add(1, Ordering::SeqCst) < FAULTY_ANSWERS, endless) {
+            (true, Some(endless)) => endless.action(request),
+            (true, None) => TargetAction::Send(b"\x16\x03\x01 no answer\r\n\r\n".to_vec()),
+            (false, _) => TargetAction::Send(request.answer("stamp", b"sound")),
+        }
+    }))
+    .await;
+    let mut deployment = Deployment::start().await;
+    let destination = to_service("one");
+    deployment.configure(vec![route("/one/", RepeatRule::AtMostOnce, destination)]).await;
+    deployment.announce("t", "one", target.address).await;
+    for _ in 0..FAULTY_ANSWERS {
+        let failed = deployment.exchange(&get("/one/")).await;
+        assert!(matches!(failed.status, 502 | 504), "{failed:?}");
+    }
+    let answer = deployment.exchange(&get("/one/")).await;
+    assert_eq!((answer.status, answer.body.as_slice()), (200, b"sound".as_slice()));
+    deployment.stop().await;
+}
+
 // In a fan-out the other target of the shard takes over.
 #[rstest]
 #[tokio::test]
--- a/hickoryspan_runtime/src/http_client.rs
+++ b/hickoryspan_runtime/src/http_client.rs
@@ -2,7 +2,8 @@
 //!
 //! A caller may be told that a request was not run only if none was written; see `docs/design.md`, section 6.8.
 
-use std::io;
+use std::error::Error;
+use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
 use std::ops::RangeInclusive;
 use std::pin::Pin;
@@ -38,6 +39,14 @@
 /// Factor by which chunked encoding may enlarge a response.
 const CHUNK_OVERHEAD: u64 = 2;
 
+/// Returns whether a connection failed because of what the peer sent, not because it ended. The HTTP library and
+/// [`CountingStream`] report both as errors of input and output.
+fn is_invalid_response(error: &hyper::Error) -> bool {
+    let cause = error.source().and_then(|source| source.downcast_ref::<io::Error>());
+    let is_invalid = |kind| matches!(kind, ErrorKind::InvalidData | ErrorKind::InvalidInput);
+    error.is_parse() || cause.is_some_and(|cause| is_invalid(cause.kind()))
+}
+
 /// A TCP stream that counts the bytes written to the operating system and limits the bytes read from it.
 struct CountingStream {
     inner: TcpStream,
@@ -53,9 +62,8 @@
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         if self.readable.load(Ordering::Acquire) == 0 {
-            return Poll::Ready(Err(io::Error::other(
-                "too many bytes without a complete response",
-            )));
+            let message = "too many bytes without a complete response";
+            return Poll::Ready(Err(io::Error::new(ErrorKind::InvalidData, message)));
         }
         let filled_before = buffer.filled().len();
         let polled = Pin::new(&mut self.inner).poll_read(context, buffer);
@@ -134,6 +142,10 @@
     /// This process has no room for the body of the response. The peer may have run the request.
     #[error("no room for the answer")]
     NoRoom,
+    /// The peer sent bytes that are no response, or too many before the end of one. It may have run the request, and its
+    /// process has not ended.
+    #[error("no response: {0}")]
+    InvalidResponse(Arc<str>),
     /// The status of the response is not one of a final response. The peer may have run the request.
     #[error("{0} is not the status of an answer")]
     InvalidStatus(u16),
@@ -154,7 +166,7 @@
     pub async fn open(address: SocketAddr, timeout: Duration) -> io::Result<Self> {
         let stream = tokio::time::timeout(timeout, connect(address, RECEIVE_BUFFER_BYTES))
             .await
-            .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
+            .map_err(|_| io::Error::from(ErrorKind::TimedOut))??;
         stream.set_nodelay(true)?;
         let written = Arc::new(AtomicU64::new(0));
         let readable = Arc::new(AtomicU64::new(MAX_EXTRA_BYTES));
@@ -226,10 +238,12 @@
         let written_before = self.written.load(Ordering::Acquire);
         let max_bytes = reading.max_bytes as u64 * CHUNK_OVERHEAD + MAX_EXTRA_BYTES;
         self.readable.store(max_bytes, Ordering::Release);
-        let send_error = |written: &AtomicU64, error: &dyn std::fmt::Display| {
+        let send_error = |written: &AtomicU64, error: &hyper::Error| {
             let cause: Arc<str> = error.to_string().into();
             if written.load(Ordering::Acquire) == written_before {
                 SendError::NotSent(cause)
+            } else if is_invalid_response(error) {
+                SendError::InvalidResponse(cause)
             } else {
                 SendError::ConnectionLost(cause)
             }
@@ -284,8 +298,13 @@
         reserve(room.as_mut(), charged).await?;
         let mut buffer = BodyBuffer::new(if charged > 0 { charged } else { max_bytes });
         while let Some(frame) = body.frame().await {
-            let frame =
-                frame.map_err(|error| SendError::ConnectionLost(error.to_string().into()))?;
+            let frame = frame.map_err(|error| {
+                let cause = error.to_string().into();
+                match is_invalid_response(&error) {
+                    true => SendError::InvalidResponse(cause),
+                    false => SendError::ConnectionLost(cause),
+                }
+            })?;
             let Ok(data) = frame.into_data() else { continue };
             let length = buffer.length_with(data.len());
             if length > max_bytes {
