Bound the heads of targets' answers for the whole process

Cause: a faulty target that never ends a header line filled an entry's memory (report of another operator). A head may have 64 KiB, and that was a limit for each connection; an entry of 64 MB may have about 390 to its targets. The library also enlarges the buffer of a connection after large reads. Change: what exceeds 8 KiB of a head, the buffer of each connection, takes room from a budget of the process, 1/32 of its memory. Without room, the incomplete head that has been awaited for longest is given up; the attempt counts as displaced. A complete head keeps its room with its answer. Reads are of 8 KiB at most while a head is awaited; this read stood in CallerStream, and both use it from one place now. The entries of the own path have the budget too. Conclusion: the memory that targets can take with heads no longer grows with the number of connections.

--- a/hickoryspan_entry/src/controller.rs
+++ b/hickoryspan_entry/src/controller.rs
@@ -19,6 +19,7 @@
 };
 use hickoryspan_runtime::clock::SystemClock;
 use hickoryspan_runtime::credential::SharedCredential;
+use hickoryspan_runtime::head_budget::HeadBudget;
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::{AbortHandle, JoinSet};
 use tokio_util::sync::CancellationToken;
@@ -105,6 +106,8 @@
     pub(crate) credential: SharedCredential,
     pub(crate) requests: RequestBuilder,
     pub(crate) target_client: Arc<TargetClientSettings>,
+    /// Room for large heads of targets' answers.
+    pub(crate) answer_heads: Arc<HeadBudget>,
     pub(crate) readiness: Arc<ReadinessState>,
     /// Cancelled when the drain is complete.
     pub(crate) drained: CancellationToken,
@@ -295,7 +298,9 @@
         let ConnectionConfig { connection, address, .. } = config;
         let (commands, queue) = mpsc::channel(COMMAND_QUEUE_CAPACITY);
         let settings = Arc::clone(&self.parts.target_client);
-        let task = self.tasks.spawn(run_connection(config, settings, queue, self.address.clone()));
+        let heads = Arc::clone(&self.parts.answer_heads);
+        let run = run_connection(config, settings, heads, queue, self.address.clone());
+        let task = self.tasks.spawn(run);
         self.target_connections.entry(target.clone()).or_default().insert(connection);
         let active =
             ActiveConnection { target, address, open: false, attempt: None, commands, task };
--- a/hickoryspan_entry/src/target_client.rs
+++ b/hickoryspan_entry/src/target_client.rs
@@ -6,6 +6,7 @@
 
 use hickoryspan_core::entry::interface::AttemptFailure;
 use hickoryspan_core::types::{AttemptId, ConnectionId, RequestId};
+use hickoryspan_runtime::head_budget::HeadBudget;
 use hickoryspan_runtime::http_client::{HttpConnection, SendError};
 use tokio::sync::mpsc;
 use xtra::Address;
@@ -68,11 +69,12 @@
 pub(crate) async fn run_connection(
     config: ConnectionConfig,
     settings: Arc<TargetClientSettings>,
+    heads: Arc<HeadBudget>,
     commands: mpsc::Receiver<ConnectionCommand>,
     controller: Address<EntryController>,
 ) {
     let reporter = ConnectionReporter { connection: config.connection, controller };
-    match HttpConnection::open(config.address, config.timeout).await {
+    match HttpConnection::open_within(config.address, config.timeout, &heads).await {
         Ok(connection) => {
             reporter.report(ConnectionEvent::Opened).await;
             TargetConnection { connection, settings, reporter: &reporter }.serve(commands).await;
@@ -172,7 +174,7 @@
                 let failure = match error {
                     SendError::NotSent(_) => AttemptFailure::NotSent,
                     SendError::ConnectionLost(_) => AttemptFailure::ConnectionLost,
-                    // Answers are not charged here, so there is always room for them.
+                    // Bodies of answers are not charged here, so there is always room for them.
                     SendError::TooLarge(_)
                     | SendError::NoRoom
                     | SendError::InvalidResponse(_)
--- a/hickoryspan_gateway/src/caller_answer.rs
+++ b/hickoryspan_gateway/src/caller_answer.rs
@@ -64,7 +64,7 @@
 
 /// Returns the answer of a target as its caller gets it.
 pub(crate) fn forward_answer(state: &GatewayState, answer: Option<HttpAnswer>) -> GatewayResponse {
-    let Some(HttpAnswer { status, headers, body }) = answer else {
+    let Some(HttpAnswer { status, headers, body, .. }) = answer else {
         // Unreachable: a run for a single shard is `Answered` only with the answer of that shard.
         let mut response = Response::new(Full::new(Bytes::new()));
         *response.status_mut() = StatusCode::BAD_GATEWAY;
--- a/hickoryspan_gateway/src/gateway_state.rs
+++ b/hickoryspan_gateway/src/gateway_state.rs
@@ -346,7 +346,7 @@
             generator,
         };
         let fanout = FanoutLinks::new(settings.directory.credential.clone());
-        let pool = TargetPool::new(settings.target_connections);
+        let pool = TargetPool::new(settings.target_connections, Arc::clone(&settings.answer_heads));
         Self {
             settings,
             fanout,
--- a/hickoryspan_gateway/src/settings.rs
+++ b/hickoryspan_gateway/src/settings.rs
@@ -10,8 +10,11 @@
 use hickoryspan_core::gateway::fanouts::relays::RelaySettings;
 use hickoryspan_core::gateway::targets::selection::SelectionSettings;
 use hickoryspan_core::types::{EntryId, FailureDomain};
-use hickoryspan_runtime::caller_budget::{CallerBudget, CallerBudgetSettings};
+use hickoryspan_runtime::caller_budget::{
+    CallerBudget, CallerBudgetSettings, DEFAULT_MEMORY_BYTES,
+};
 use hickoryspan_runtime::credential::SharedCredential;
+use hickoryspan_runtime::head_budget::HeadBudget;
 use hickoryspan_runtime::pending_link::DEFAULT_HANDSHAKES;
 
 use crate::headers::GatewayHeaders;
@@ -95,6 +98,8 @@
     pub caller_budget: Arc<CallerBudget>,
     /// Number of connections to all targets together, busy and idle ones.
     pub target_connections: usize,
+    /// Room for large heads of targets' answers, of all connections together.
+    pub answer_heads: Arc<HeadBudget>,
     /// Idle timeout of connections to targets that state none themselves.
     pub target_idle: Duration,
 }
@@ -125,6 +130,7 @@
             finish_after_stop: Duration::from_millis(5_300),
             caller_budget: CallerBudget::new(CallerBudgetSettings::default()),
             target_connections: 4_096,
+            answer_heads: HeadBudget::of_memory(DEFAULT_MEMORY_BYTES),
             target_idle: Duration::from_secs(4),
         }
     }
--- a/hickoryspan_gateway/src/target_pool.rs
+++ b/hickoryspan_gateway/src/target_pool.rs
@@ -10,6 +10,7 @@
 
 use hickoryspan_core::types::{MonotonicTime, TargetId};
 use hickoryspan_runtime::clock::SystemClock;
+use hickoryspan_runtime::head_budget::HeadBudget;
 use hickoryspan_runtime::http_client::HttpConnection;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio_util::sync::CancellationToken;
@@ -82,16 +83,19 @@
 pub(crate) struct TargetPool {
     targets: Mutex<HashMap<TargetId, TargetConnections>>,
     sockets: Arc<SocketBudget>,
+    heads: Arc<HeadBudget>,
     // Number of connections that were opened.
     opened: AtomicU64,
 }
 
 impl TargetPool {
-    /// Creates a pool of this many connections to all targets together.
-    pub(crate) fn new(max_connections: usize) -> Self {
+    /// Creates a pool of this many connections to all targets together. Large heads of answers take their room from
+    /// `heads`.
+    pub(crate) fn new(max_connections: usize, heads: Arc<HeadBudget>) -> Self {
         Self {
             targets: Mutex::default(),
             sockets: SocketBudget::new(max_connections),
+            heads,
             opened: AtomicU64::new(0),
         }
     }
@@ -125,7 +129,7 @@
             });
         }
         let socket = self.acquire_socket(target).await;
-        let connection = HttpConnection::open(address, CONNECT_TIMEOUT).await?;
+        let connection = HttpConnection::open_within(address, CONNECT_TIMEOUT, &self.heads).await?;
         metrics::counter!("hickoryspan_gateway_connections_opened_total").increment(1);
         Ok(PooledConnection {
             number: ConnectionNumber(self.opened.fetch_add(1, Ordering::Relaxed)),
--- a/hickoryspan_runtime/src/caller_budget/mod.rs
+++ b/hickoryspan_runtime/src/caller_budget/mod.rs
@@ -54,7 +54,7 @@
 /// Part of the room for answers that is kept for answers as small as small requests.
 const SMALL_ANSWER_DIVISOR: usize = 8;
 /// Memory of a process whose settings state none, in bytes.
-const DEFAULT_MEMORY_BYTES: usize = 1024 * 1024 * 1024;
+pub const DEFAULT_MEMORY_BYTES: usize = 1024 * 1024 * 1024;
 /// Descriptors of a process whose settings state none.
 const DEFAULT_DESCRIPTORS: usize = 16 * 1024;
 
--- a/hickoryspan_runtime/src/caller_stream.rs
+++ b/hickoryspan_runtime/src/caller_stream.rs
@@ -14,6 +14,7 @@
 
 use crate::bounded_socket;
 use crate::caller_budget::CallerAccount;
+use crate::partial_read::poll_read_part;
 use crate::write_timeout::WriteTimeoutStream;
 
 /// Size of the kernel's receive buffer of a connection, in bytes. Unread bytes count as memory of the process.
@@ -91,16 +92,8 @@
             buffer.put_slice(&self.unread.split_to(part));
             return Poll::Ready(Ok(()));
         }
-        let filled_before = buffer.filled().len();
-        if buffer.remaining() <= MAX_READ_BYTES {
-            ready!(Pin::new(&mut self.inner).poll_read(context, buffer))?;
-        } else {
-            let mut part = ReadBuf::new(buffer.initialize_unfilled_to(MAX_READ_BYTES));
-            ready!(Pin::new(&mut self.inner).poll_read(context, &mut part))?;
-            let read = part.filled().len();
-            buffer.advance(read);
-        }
-        let read = buffer.filled().len() - filled_before;
+        let inner = Pin::new(&mut self.inner);
+        let read = ready!(poll_read_part(inner, context, buffer, MAX_READ_BYTES))?;
         Poll::Ready(self.account.note_read(read).map_err(io::Error::other))
     }
 }
--- a/hickoryspan_runtime/src/http_client.rs
+++ b/hickoryspan_runtime/src/http_client.rs
@@ -6,20 +6,17 @@
 use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
 use std::ops::RangeInclusive;
-use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::task::{Context, Poll};
 use std::time::Duration;
 
 use bytes::Bytes;
+use http::response::Parts;
 use http::{HeaderMap, Request, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::TcpStream;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::AbortOnDropHandle;
 
@@ -27,91 +24,25 @@
 use crate::bounded_socket::connect;
 use crate::caller_budget::{AnswerRoom, RequestCharge};
 use crate::caller_stream::RECEIVE_BUFFER_BYTES;
+use crate::head_budget::{HeadBudget, HeadRoom};
+use crate::metered_stream::{MAX_HEAD_BYTES, MeteredStream, NO_ROOM, ResponseMeter};
 
-/// Number of bytes that may arrive before and between responses, for example in response heads. A peer could otherwise
-/// keep the process busy with interim responses that never end.
-const MAX_EXTRA_BYTES: u64 = 512 * 1024;
-/// Largest head of a response, and largest buffer of a connection, in bytes.
-const MAX_BUFFER_BYTES: usize = 64 * 1024;
 /// Statuses of final responses. The HTTP library also accepts 101, after which the connection has another protocol, and
 /// numbers up to 999.
 const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
 /// Factor by which chunked encoding may enlarge a response.
 const CHUNK_OVERHEAD: u64 = 2;
 
-/// Returns whether a connection failed because of what the peer sent, not because it ended. The HTTP library and
-/// [`CountingStream`] report both as errors of input and output.
-fn is_invalid_response(error: &hyper::Error) -> bool {
-    let cause = error.source().and_then(|source| source.downcast_ref::<io::Error>());
-    let is_invalid = |kind| matches!(kind, ErrorKind::InvalidData | ErrorKind::InvalidInput);
-    error.is_parse() || cause.is_some_and(|cause| is_invalid(cause.kind()))
-}
-
-/// A TCP stream that counts the bytes written to the operating system and limits the bytes read from it.
-struct CountingStream {
-    inner: TcpStream,
-    written: Arc<AtomicU64>,
-    // Number of bytes that may still be read.
-    readable: Arc<AtomicU64>,
-}
-
-impl AsyncRead for CountingStream {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffer: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        if self.readable.load(Ordering::Acquire) == 0 {
-            let message = "too many bytes without a complete response";
-            return Poll::Ready(Err(io::Error::new(ErrorKind::InvalidData, message)));
-        }
-        let filled_before = buffer.filled().len();
-        let polled = Pin::new(&mut self.inner).poll_read(context, buffer);
-        let read = (buffer.filled().len() - filled_before) as u64;
-        let left = self.readable.load(Ordering::Acquire).saturating_sub(read);
-        self.readable.store(left, Ordering::Release);
-        polled
-    }
-}
-
-impl CountingStream {
-    fn count(&self, result: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
-        if let Poll::Ready(Ok(count)) = &result {
-            self.written.fetch_add(*count as u64, Ordering::Release);
-        }
-        result
-    }
-}
-
-impl AsyncWrite for CountingStream {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffer: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        let result = Pin::new(&mut self.inner).poll_write(context, buffer);
-        self.count(result)
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffers: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        let result = Pin::new(&mut self.inner).poll_write_vectored(context, buffers);
-        self.count(result)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.inner.is_write_vectored()
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.inner).poll_flush(context)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.inner).poll_shutdown(context)
+/// Returns why a response did not arrive, after a request was sent. The HTTP library and [`MeteredStream`] report what is wrong
+/// with the peer's bytes as an error of input and output.
+fn to_response_error(error: &hyper::Error) -> SendError {
+    let cause: Arc<str> = error.to_string().into();
+    let io_error = error.source().and_then(|source| source.downcast_ref::<io::Error>());
+    match io_error.map(io::Error::kind) {
+        Some(NO_ROOM) => SendError::NoRoom,
+        Some(ErrorKind::InvalidData | ErrorKind::InvalidInput) => SendError::InvalidResponse(cause),
+        _ if error.is_parse() => SendError::InvalidResponse(cause),
+        _ => SendError::ConnectionLost(cause),
     }
 }
 
@@ -124,6 +55,8 @@
     pub headers: HeaderMap,
     /// Complete body of the response.
     pub body: Bytes,
+    /// What the headers occupy, if they are large. It is given back with the last clone.
+    _head_room: Option<Arc<HeadRoom>>,
 }
 
 /// A failure to send a request or to receive its response.
@@ -139,7 +72,7 @@
     /// The body of the response exceeds this limit in bytes.
     #[error("the answer is larger than {0} bytes")]
     TooLarge(usize),
-    /// This process has no room for the body of the response. The peer may have run the request.
+    /// This process has no room for the response. The peer may have run the request.
     #[error("no room for the answer")]
     NoRoom,
     /// The peer sent bytes that are no response, or too many before the end of one. It may have run the request, and its
@@ -155,7 +88,7 @@
 pub struct HttpConnection {
     sender: http1::SendRequest<Full<Bytes>>,
     written: Arc<AtomicU64>,
-    readable: Arc<AtomicU64>,
+    meter: Arc<ResponseMeter>,
     driver: AbortOnDropHandle<()>,
     ended: CancellationToken,
     peer: SocketAddr,
@@ -164,20 +97,37 @@
 impl HttpConnection {
     /// Opens a connection. `timeout` limits the time to establish the TCP connection.
     pub async fn open(address: SocketAddr, timeout: Duration) -> io::Result<Self> {
+        Self::open_metered(address, timeout, ResponseMeter::new(None)).await
+    }
+
+    /// Opens a connection to a peer that may be faulty. Large heads of its responses take their room from `heads`.
+    pub async fn open_within(
+        address: SocketAddr,
+        timeout: Duration,
+        heads: &Arc<HeadBudget>,
+    ) -> io::Result<Self> {
+        let meter = ResponseMeter::new(Some(Arc::clone(heads)));
+        Self::open_metered(address, timeout, meter).await
+    }
+
+    async fn open_metered(
+        address: SocketAddr,
+        timeout: Duration,
+        meter: Arc<ResponseMeter>,
+    ) -> io::Result<Self> {
         let stream = tokio::time::timeout(timeout, connect(address, RECEIVE_BUFFER_BYTES))
             .await
             .map_err(|_| io::Error::from(ErrorKind::TimedOut))??;
         stream.set_nodelay(true)?;
         let written = Arc::new(AtomicU64::new(0));
-        let readable = Arc::new(AtomicU64::new(MAX_EXTRA_BYTES));
-        let counting = CountingStream {
+        let metered = MeteredStream {
             inner: stream,
             written: Arc::clone(&written),
-            readable: Arc::clone(&readable),
+            meter: Arc::clone(&meter),
         };
         let handshake = http1::Builder::new()
-            .max_buf_size(MAX_BUFFER_BYTES)
-            .handshake(TokioIo::new(counting))
+            .max_buf_size(MAX_HEAD_BYTES)
+            .handshake(TokioIo::new(metered))
             .await;
         let (sender, connection) = handshake.map_err(io::Error::other)?;
         let ended = CancellationToken::new();
@@ -188,7 +138,7 @@
                 spdlog::debug!("HTTP connection: {}: {}", address, error);
             }
         }));
-        Ok(Self { sender, written, readable, driver, ended, peer: address })
+        Ok(Self { sender, written, meter, driver, ended, peer: address })
     }
 
     /// Returns the address of the peer.
@@ -236,16 +186,12 @@
         reading: ResponseReading<'_>,
     ) -> Result<HttpAnswer, SendError> {
         let written_before = self.written.load(Ordering::Acquire);
-        let max_bytes = reading.max_bytes as u64 * CHUNK_OVERHEAD + MAX_EXTRA_BYTES;
-        self.readable.store(max_bytes, Ordering::Release);
+        self.meter.begin(reading.max_bytes as u64 * CHUNK_OVERHEAD);
         let send_error = |written: &AtomicU64, error: &hyper::Error| {
-            let cause: Arc<str> = error.to_string().into();
             if written.load(Ordering::Acquire) == written_before {
-                SendError::NotSent(cause)
-            } else if is_invalid_response(error) {
-                SendError::InvalidResponse(cause)
+                SendError::NotSent(error.to_string().into())
             } else {
-                SendError::ConnectionLost(cause)
+                to_response_error(error)
             }
         };
         if let Err(error) = self.sender.ready().await {
@@ -255,12 +201,14 @@
             Ok(response) => response,
             Err(error) => return Err(send_error(&self.written, &error)),
         };
+        let head_room = self.meter.end_head().map(Arc::new);
         let (parts, body) = response.into_parts();
         if !FINAL_STATUSES.contains(&parts.status.as_u16()) {
             return Err(SendError::InvalidStatus(parts.status.as_u16()));
         }
         let body = reading.collect(body).await?;
-        Ok(HttpAnswer { status: parts.status, headers: parts.headers, body })
+        let Parts { status, headers, .. } = parts;
+        Ok(HttpAnswer { status, headers, body, _head_room: head_room })
     }
 
     /// Closes the connection and waits until its task has ended.
@@ -298,13 +246,7 @@
         reserve(room.as_mut(), charged).await?;
         let mut buffer = BodyBuffer::new(if charged > 0 { charged } else { max_bytes });
         while let Some(frame) = body.frame().await {
-            let frame = frame.map_err(|error| {
-                let cause = error.to_string().into();
-                match is_invalid_response(&error) {
-                    true => SendError::InvalidResponse(cause),
-                    false => SendError::ConnectionLost(cause),
-                }
-            })?;
+            let frame = frame.map_err(|error| to_response_error(&error))?;
             let Ok(data) = frame.into_data() else { continue };
             let length = buffer.length_with(data.len());
             if length > max_bytes {
