Let answers of targets name their attempt, so that late ones are known

Cause: on the own path an answer of a target named no request. Change: answers repeat `hs-attempt-id`, and the stand-in target does. An answer that names another attempt is malformed and its connection is closed; the attempt may have run. Each send has an ID of its own here, so the connection need not be avoided. Answers of targets of earlier releases name none and are taken as before. Conclusion: `not_run` rests on an answer to this attempt wherever targets name it.

--- a/hickoryspan_entry/src/target_client.rs
+++ b/hickoryspan_entry/src/target_client.rs
@@ -7,13 +7,14 @@
 use hickoryspan_core::entry::interface::AttemptFailure;
 use hickoryspan_core::types::{AttemptId, ConnectionId, RequestId};
 use hickoryspan_runtime::head_budget::HeadBudget;
-use hickoryspan_runtime::http_client::{HttpConnection, SendError};
+use hickoryspan_runtime::http_client::{HttpAnswer, HttpConnection, SendError};
+use http::HeaderValue;
 use tokio::sync::mpsc;
 use xtra::Address;
 
 use crate::controller::EntryController;
 use crate::settings::TargetClientSettings;
-use crate::target_protocol::{AnswerKind, TargetAnswer, TargetRequest};
+use crate::target_protocol::{AnswerKind, TargetAnswer, TargetRequest, named_attempt};
 
 /// Capacity of a connection's command queue: its own attempt and a few cancellations of attempts
 /// that run on other connections.
@@ -100,6 +101,11 @@
     }
 }
 
+/// Returns whether an answer belongs to another attempt than the one that was sent.
+fn is_late(answer: &HttpAnswer, sent: Option<&HeaderValue>) -> bool {
+    named_attempt(&answer.headers).is_some_and(|answered| Some(answered) != sent)
+}
+
 struct ConnectionReporter {
     connection: ConnectionId,
     controller: Address<EntryController>,
@@ -148,7 +154,19 @@
         let PreparedAttempt { attempt, request_id, kind, request } = prepared;
         let peer = self.connection.peer();
         let limit = usize::try_from(self.settings.answer_bytes.0).unwrap_or(usize::MAX);
+        let sent_attempt = named_attempt(request.headers()).cloned();
         let (event, state) = match self.connection.send(request, limit).await {
+            Ok(answer) if is_late(&answer, sent_attempt.as_ref()) => {
+                spdlog::warn!(
+                    "request {}: attempt {}: target {}: late answer to another attempt",
+                    request_id,
+                    attempt,
+                    peer
+                );
+                // The answer to this attempt may still come, so the connection cannot be used again.
+                let failure = AttemptFailure::Malformed;
+                (ConnectionEvent::Failed(attempt, failure), ReuseState::Broken)
+            }
             Ok(answer) => match TargetAnswer::parse(&answer, kind) {
                 Some(answer) => (ConnectionEvent::Answered(attempt, answer), ReuseState::Usable),
                 None => {
@@ -191,8 +209,12 @@
         let PreparedAttempt { attempt, request_id, request, .. } = prepared;
         let peer = self.connection.peer();
         let limit = usize::try_from(self.settings.answer_bytes.0).unwrap_or(usize::MAX);
+        let sent_attempt = named_attempt(request.headers()).cloned();
         let sent = self.connection.send(request, limit);
         let cause = match tokio::time::timeout(self.settings.cancel_time, sent).await {
+            Ok(Ok(answer)) if is_late(&answer, sent_attempt.as_ref()) => {
+                "late answer to another attempt".to_owned()
+            }
             Ok(Ok(_)) => return ReuseState::Usable,
             Ok(Err(error)) => error.to_string(),
             Err(_) => "the answer timed out".to_owned(),
--- a/hickoryspan_entry/src/target_protocol.rs
+++ b/hickoryspan_entry/src/target_protocol.rs
@@ -21,6 +21,8 @@
 const QUERY_PATH: &str = "/v1/query";
 const EXECUTE_PATH: &str = "/v1/execute";
 const CANCEL_PATH: &str = "/v1/cancel";
+/// Header that names the attempt, in requests and in their answers.
+const ATTEMPT_HEADER: &str = "hs-attempt-id";
 
 /// HTTP request to a target.
 pub(crate) type TargetRequest = Request<Full<Bytes>>;
@@ -58,7 +60,7 @@
         Request::post(path)
             .header(HOST, address.to_string())
             .header(AUTHORIZATION, self.authorization.clone())
-            .header("hs-attempt-id", format!("{}/{attempt}", self.prefix))
+            .header(ATTEMPT_HEADER, format!("{}/{attempt}", self.prefix))
     }
 
     /// Builds the request that starts an attempt of a search or an order.
@@ -172,6 +174,11 @@
     }
 }
 
+/// Returns the name of the attempt in the headers of a request or of an answer. Targets of earlier releases do not name it.
+pub(crate) fn named_attempt(headers: &HeaderMap) -> Option<&HeaderValue> {
+    headers.get(ATTEMPT_HEADER)
+}
+
 /// Parses a load report such as `hs-load: running=2,queued=5`. Returns `None` if the header is
 /// missing or malformed.
 fn parse_load(headers: &HeaderMap) -> Option<LoadReport> {
--- a/hickoryspan_target/src/handler.rs
+++ b/hickoryspan_target/src/handler.rs
@@ -23,6 +23,8 @@
 
 /// Response header with the load report.
 const LOAD_HEADER: &str = "hs-load";
+/// Header that names the attempt, in requests and in their answers.
+const ATTEMPT_HEADER: &str = "hs-attempt-id";
 
 /// Body of a response; fields that are `None` are omitted.
 #[derive(Debug, Default, Serialize)]
@@ -74,7 +76,7 @@
 
 impl WorkHeaders {
     fn parse(headers: &HeaderMap) -> Result<Self, &'static str> {
-        let attempt = find_header(headers, "hs-attempt-id").ok_or("hs-attempt-id is missing")?;
+        let attempt = find_header(headers, ATTEMPT_HEADER).ok_or("hs-attempt-id is missing")?;
         let remaining_ms = find_header(headers, "hs-deadline-ms")
             .and_then(|text| text.parse().ok())
             .ok_or("hs-deadline-ms is missing or not a whole number")?;
@@ -202,7 +204,7 @@
             Ok(body) => body,
             Err(error) => return error_reply(error.status(), &error.to_string()),
         };
-        match (&parts.method, parts.uri.path()) {
+        let mut response = match (&parts.method, parts.uri.path()) {
             (&Method::POST, "/v1/query") => self.run(RunKind::Query, &parts.headers, body).await,
             (&Method::POST, "/v1/execute") => self.run(RunKind::Order, &parts.headers, body).await,
             (&Method::POST, "/v1/cancel") => self.cancel(&parts.headers),
@@ -215,11 +217,16 @@
             }
             (&Method::POST, "/v1/faults") if settings.allow_faults => self.set_faults(&body),
             _ => text_response(StatusCode::NOT_FOUND, "no such route"),
+        };
+        // Tells a late answer from the one that is due.
+        if let Some(attempt) = parts.headers.get(ATTEMPT_HEADER) {
+            response.headers_mut().insert(ATTEMPT_HEADER, attempt.clone());
         }
+        response
     }
 
     fn cancel(&self, headers: &HeaderMap) -> Response<ResponseBody> {
-        let Some(attempt) = find_header(headers, "hs-attempt-id") else {
+        let Some(attempt) = find_header(headers, ATTEMPT_HEADER) else {
             return error_reply(StatusCode::BAD_REQUEST, "hs-attempt-id is missing");
         };
         let status = if self.state.cancel(attempt) { "cancelled" } else { "absent" };
