Split the entry's side of the directory links from the start and stop of an entry

The failures of an attempt are named in one place, and RouteTable::cold_rate, which nobody called, is gone. Nothing else changes.

--- a/hickoryspan_core/src/gateway/documents/routes.rs
+++ b/hickoryspan_core/src/gateway/documents/routes.rs
@@ -73,11 +73,6 @@
         Some(self.accounts.as_ref()?.share_weight(account))
     }
 
-    /// Returns how many requests per second a cold target of a service tolerates; `None` if any number.
-    pub fn cold_rate(&self, service: &ServiceId) -> Option<RequestRate> {
-        self.cold_rates.get(service).copied()
-    }
-
     /// Returns the number of connections that each target of a service accepts, or `None` if the
     /// document does not contain the service.
     pub fn connections(&self, service: &ServiceId) -> Option<u32> {
--- a/hickoryspan_gateway/src/attempt.rs
+++ b/hickoryspan_gateway/src/attempt.rs
@@ -290,30 +290,25 @@
             Ok(answer) => return classify_answer(state, job, target, pooled, answer),
             // The target closed an idle connection before the request was written to it.
             Err(SendError::NotSent(_)) if pooled.reused => reuse = IdleReuse::Never,
-            Err(SendError::NotSent(cause)) => {
-                spdlog::debug!("send to {}: {}", target.address, cause);
-                return AttemptResult::Failure(AttemptFailure::Unreachable, None);
-            }
-            Err(error @ SendError::NoRoom) => {
-                spdlog::debug!("answer of {}: {}", target.address, error);
-                return AttemptResult::Failure(AttemptFailure::Displaced, None);
-            }
-            Err(SendError::TooLarge(bytes)) => {
-                spdlog::debug!("answer of {}: more than {} bytes", target.address, bytes);
-                return AttemptResult::Failure(AttemptFailure::Malformed, None);
-            }
-            Err(error @ (SendError::InvalidStatus(_) | SendError::InvalidResponse(_))) => {
-                spdlog::debug!("answer of {}: {}", target.address, error);
-                return AttemptResult::Failure(AttemptFailure::Malformed, None);
-            }
-            Err(error @ SendError::ConnectionLost(_)) => {
-                spdlog::debug!("answer of {}: {}", target.address, error);
-                return AttemptResult::Failure(AttemptFailure::Lost, None);
+            Err(error) => {
+                spdlog::debug!("exchange with {}: {}", target.address, error);
+                return AttemptResult::Failure(to_failure(&error), None);
             }
         }
     }
 }
 
+fn to_failure(error: &SendError) -> AttemptFailure {
+    match error {
+        SendError::NotSent(_) => AttemptFailure::Unreachable,
+        SendError::ConnectionLost(_) => AttemptFailure::Lost,
+        SendError::NoRoom => AttemptFailure::Displaced,
+        SendError::TooLarge(_) | SendError::InvalidResponse(_) | SendError::InvalidStatus(_) => {
+            AttemptFailure::Malformed
+        }
+    }
+}
+
 /// Returns the records of a shard's part that can be among the `limit` ones of the merged answer. A part may be much larger,
 /// and parts are kept until all shards have answered.
 fn keep_records(part: Bytes, limit: usize) -> Bytes {
--- a/hickoryspan_gateway/src/lib.rs
+++ b/hickoryspan_gateway/src/lib.rs
@@ -14,6 +14,7 @@
 mod directory_server;
 mod document_history;
 mod entry_daemon;
+mod entry_link_handler;
 mod expected_work;
 mod explainer;
 mod fanout_links;
