Give the entries of tests addresses that nothing else takes

Seen once: statuses::a_status_that_is_none_is_no_answer failed to bind its entry's address, beside a build and a review case. A test took a free port, let it go and bound it later; in between another test's connection got it, since both came from the ports that the system gives out. Entries of tests now get a loopback address of their own and a port below that range.

--- a/hickoryspan_gateway/tests/gateway/support.rs
+++ b/hickoryspan_gateway/tests/gateway/support.rs
@@ -2,7 +2,7 @@
 
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::Path;
-use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicU16, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -250,9 +250,13 @@
     }
 }
 
-async fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind(ANY_PORT).await.expect("bind a free port");
-    listener.local_addr().expect("a free port")
+/// Returns an address that nothing else binds or connects from: a loopback address of its own, and a port below those that
+/// the system gives out. A port that was free a moment ago may have been given to a connection since.
+fn own_address() -> SocketAddr {
+    static COUNT: AtomicU16 = AtomicU16::new(0);
+    let [high, low] = COUNT.fetch_add(1, Ordering::Relaxed).to_be_bytes();
+    let port = 10_000 + (std::process::id() % 20_000) as u16;
+    SocketAddr::from(([127, 128, high, low], port))
 }
 
 async fn flush_regularly(hub: Arc<DirectoryHub>, stop: CancellationToken) {
@@ -348,7 +352,7 @@
         let daemon = ControlDaemon::start(settings).await.expect("a control host");
         let stop = CancellationToken::new();
         let mut tasks = JoinSet::new();
-        let address = free_address().await;
+        let address = own_address();
         let template = GatewaySettings {
             relays,
             fanout_address: Some(ANY_PORT),
@@ -435,7 +439,7 @@
 
     /// Starts one more entry.
     pub async fn add_entry(&mut self) {
-        let address = free_address().await;
+        let address = own_address();
         let entry = self.start_entry(address).await;
         self.others.push(entry);
     }
