Bound the bodies of answers that the own entry collects

Cause: faulty targets whose answers begin and never end filled the memory of an entry of the own path. Change: the bodies take room from a budget, 1/8 of the memory, as long as any part of them is kept. It is the budget of answers' heads, which has a name for both now (`ResponseBudget`): without room, the incomplete answer that has had some for longest is given up. Those that were given up may hold a quarter of the room in addition until they are dropped; otherwise a new one is refused. One that is larger than all room gets it while it is alone. Where the room of a body comes from is one choice (`BodyRoom`) in place of an optional charge. Conclusion: what targets send is bounded for the process on both paths.

--- a/hickoryspan_entry/src/controller.rs
+++ b/hickoryspan_entry/src/controller.rs
@@ -19,7 +19,6 @@
 };
 use hickoryspan_runtime::clock::SystemClock;
 use hickoryspan_runtime::credential::SharedCredential;
-use hickoryspan_runtime::head_budget::HeadBudget;
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::{AbortHandle, JoinSet};
 use tokio_util::sync::CancellationToken;
@@ -32,8 +31,8 @@
 use crate::readiness::ReadinessState;
 use crate::settings::TargetClientSettings;
 use crate::target_client::{
-    COMMAND_QUEUE_CAPACITY, ConnectionCommand, ConnectionConfig, ConnectionEvent, ConnectionReport,
-    PreparedAttempt, run_connection,
+    AnswerBudgets, COMMAND_QUEUE_CAPACITY, ConnectionCommand, ConnectionConfig, ConnectionEvent,
+    ConnectionReport, PreparedAttempt, run_connection,
 };
 use crate::target_protocol::{AnswerKind, CallContent, RequestBuilder, TargetAnswer};
 
@@ -106,8 +105,7 @@
     pub(crate) credential: SharedCredential,
     pub(crate) requests: RequestBuilder,
     pub(crate) target_client: Arc<TargetClientSettings>,
-    /// Room for large heads of targets' answers.
-    pub(crate) answer_heads: Arc<HeadBudget>,
+    pub(crate) answers: AnswerBudgets,
     pub(crate) readiness: Arc<ReadinessState>,
     /// Cancelled when the drain is complete.
     pub(crate) drained: CancellationToken,
@@ -298,8 +296,8 @@
         let ConnectionConfig { connection, address, .. } = config;
         let (commands, queue) = mpsc::channel(COMMAND_QUEUE_CAPACITY);
         let settings = Arc::clone(&self.parts.target_client);
-        let heads = Arc::clone(&self.parts.answer_heads);
-        let run = run_connection(config, settings, heads, queue, self.address.clone());
+        let answers = self.parts.answers.clone();
+        let run = run_connection(config, settings, answers, queue, self.address.clone());
         let task = self.tasks.spawn(run);
         self.target_connections.entry(target.clone()).or_default().insert(connection);
         let active =
--- a/hickoryspan_entry/src/daemon.rs
+++ b/hickoryspan_entry/src/daemon.rs
@@ -11,7 +11,6 @@
 use hickoryspan_core::messages::EntryRegistration;
 use hickoryspan_core::types::EntryId;
 use hickoryspan_runtime::clock::{SystemClock, incarnation_from_clock};
-use hickoryspan_runtime::head_budget::HeadBudget;
 use hickoryspan_runtime::http_server::HttpServer;
 use hickoryspan_runtime::metrics_page::MetricsPage;
 use rand::SeedableRng;
@@ -27,6 +26,7 @@
 use crate::filters::ControllerHandle;
 use crate::readiness::ReadinessState;
 use crate::settings::EntryDaemonSettings;
+use crate::target_client::AnswerBudgets;
 use crate::target_protocol::RequestBuilder;
 
 /// Capacity of the controller's mailbox in messages. Senders wait while it is full.
@@ -73,7 +73,7 @@
             credential: settings.credential.clone(),
             requests,
             target_client: Arc::new(settings.target_client.clone()),
-            answer_heads: HeadBudget::of_memory(settings.caller_limits.memory_bytes),
+            answers: AnswerBudgets::of_memory(settings.caller_limits.memory_bytes),
             readiness: Arc::clone(&readiness),
             drained: drained.clone(),
             disconnects,
--- a/hickoryspan_entry/src/target_client.rs
+++ b/hickoryspan_entry/src/target_client.rs
@@ -6,8 +6,10 @@
 
 use hickoryspan_core::entry::interface::AttemptFailure;
 use hickoryspan_core::types::{AttemptId, ConnectionId, RequestId};
-use hickoryspan_runtime::head_budget::HeadBudget;
-use hickoryspan_runtime::http_client::{HttpAnswer, HttpConnection, SendError};
+use hickoryspan_runtime::http_client::{
+    BodyRoom, HttpAnswer, HttpConnection, ResponseReading, SendError,
+};
+use hickoryspan_runtime::response_budget::ResponseBudget;
 use http::HeaderValue;
 use tokio::sync::mpsc;
 use xtra::Address;
@@ -51,6 +53,25 @@
     pub(crate) event: ConnectionEvent,
 }
 
+/// Room for the answers of all targets.
+#[derive(Clone, Debug)]
+pub(crate) struct AnswerBudgets {
+    /// For heads beyond the buffer of a connection.
+    heads: Arc<ResponseBudget>,
+    /// For bodies, as long as they are kept.
+    bodies: Arc<ResponseBudget>,
+}
+
+impl AnswerBudgets {
+    /// Creates the budgets of a process with this much memory, in bytes.
+    pub(crate) fn of_memory(memory_bytes: usize) -> Self {
+        Self {
+            heads: ResponseBudget::for_heads(memory_bytes),
+            bodies: ResponseBudget::for_bodies(memory_bytes),
+        }
+    }
+}
+
 /// Parameters of a connection to open.
 pub(crate) struct ConnectionConfig {
     pub(crate) connection: ConnectionId,
@@ -70,15 +91,17 @@
 pub(crate) async fn run_connection(
     config: ConnectionConfig,
     settings: Arc<TargetClientSettings>,
-    heads: Arc<HeadBudget>,
+    answers: AnswerBudgets,
     commands: mpsc::Receiver<ConnectionCommand>,
     controller: Address<EntryController>,
 ) {
     let reporter = ConnectionReporter { connection: config.connection, controller };
-    match HttpConnection::open_within(config.address, config.timeout, &heads).await {
+    match HttpConnection::open_within(config.address, config.timeout, &answers.heads).await {
         Ok(connection) => {
             reporter.report(ConnectionEvent::Opened).await;
-            TargetConnection { connection, settings, reporter: &reporter }.serve(commands).await;
+            let bodies = answers.bodies;
+            let target = TargetConnection { connection, settings, bodies, reporter: &reporter };
+            target.serve(commands).await;
         }
         Err(error) => {
             spdlog::debug!("connecting to target {} failed: {}", config.address, error);
@@ -123,10 +146,21 @@
 struct TargetConnection<'a> {
     connection: HttpConnection,
     settings: Arc<TargetClientSettings>,
+    bodies: Arc<ResponseBudget>,
     reporter: &'a ConnectionReporter,
 }
 
 impl TargetConnection<'_> {
+    /// Sends a request and reads its answer. The answer takes room as long as any part of it is kept.
+    async fn send(&mut self, request: TargetRequest) -> Result<HttpAnswer, SendError> {
+        let reading = ResponseReading {
+            max_bytes: usize::try_from(self.settings.answer_bytes.0).unwrap_or(usize::MAX),
+            room: BodyRoom::Budgeted(&self.bodies),
+            reduce: None,
+        };
+        self.connection.send_and_read(request, reading).await
+    }
+
     async fn serve(mut self, mut commands: mpsc::Receiver<ConnectionCommand>) {
         let ended = self.connection.ended();
         loop {
@@ -153,9 +187,8 @@
     async fn attempt(&mut self, prepared: PreparedAttempt) -> ReuseState {
         let PreparedAttempt { attempt, request_id, kind, request } = prepared;
         let peer = self.connection.peer();
-        let limit = usize::try_from(self.settings.answer_bytes.0).unwrap_or(usize::MAX);
         let sent_attempt = named_attempt(request.headers()).cloned();
-        let (event, state) = match self.connection.send(request, limit).await {
+        let (event, state) = match self.send(request).await {
             Ok(answer) if is_late(&answer, sent_attempt.as_ref()) => {
                 spdlog::warn!(
                     "request {}: attempt {}: target {}: late answer to another attempt",
@@ -192,7 +225,7 @@
                 let failure = match error {
                     SendError::NotSent(_) => AttemptFailure::NotSent,
                     SendError::ConnectionLost(_) => AttemptFailure::ConnectionLost,
-                    // Bodies of answers are not charged here, so there is always room for them.
+                    // Nothing is concluded from a lack of room, but the target may have run the request.
                     SendError::TooLarge(_)
                     | SendError::NoRoom
                     | SendError::InvalidResponse(_)
@@ -208,10 +241,9 @@
     async fn cancel(&mut self, prepared: PreparedAttempt) -> ReuseState {
         let PreparedAttempt { attempt, request_id, request, .. } = prepared;
         let peer = self.connection.peer();
-        let limit = usize::try_from(self.settings.answer_bytes.0).unwrap_or(usize::MAX);
         let sent_attempt = named_attempt(request.headers()).cloned();
-        let sent = self.connection.send(request, limit);
-        let cause = match tokio::time::timeout(self.settings.cancel_time, sent).await {
+        let time = self.settings.cancel_time;
+        let cause = match tokio::time::timeout(time, self.send(request)).await {
             Ok(Ok(answer)) if is_late(&answer, sent_attempt.as_ref()) => {
                 "late answer to another attempt".to_owned()
             }
--- a/hickoryspan_gateway/src/attempt.rs
+++ b/hickoryspan_gateway/src/attempt.rs
@@ -14,7 +14,7 @@
 use hickoryspan_core::gateway::targets::selection::ChosenTarget;
 use hickoryspan_core::types::{MonotonicTime, RequestFingerprint, ServiceId};
 use hickoryspan_runtime::caller_budget::RequestCharge;
-use hickoryspan_runtime::http_client::{HttpAnswer, ResponseReading, SendError};
+use hickoryspan_runtime::http_client::{BodyRoom, HttpAnswer, ResponseReading, SendError};
 use http::{HeaderMap, HeaderValue, Method, Request};
 use http_body_util::Full;
 
@@ -274,7 +274,7 @@
         let reduce = job.result_limit().map(|limit| move |part| keep_records(part, limit));
         let reading = ResponseReading {
             max_bytes: state.settings.answer_bytes,
-            charge: job.charge.as_deref(),
+            room: job.charge.as_deref().map_or(BodyRoom::Unbounded, BodyRoom::Charged),
             reduce: reduce.as_ref().map(|reduce| reduce as _),
         };
         let needed = pooled.needed();
--- a/hickoryspan_gateway/src/settings.rs
+++ b/hickoryspan_gateway/src/settings.rs
@@ -14,8 +14,8 @@
     CallerBudget, CallerBudgetSettings, DEFAULT_MEMORY_BYTES,
 };
 use hickoryspan_runtime::credential::SharedCredential;
-use hickoryspan_runtime::head_budget::HeadBudget;
 use hickoryspan_runtime::pending_link::DEFAULT_HANDSHAKES;
+use hickoryspan_runtime::response_budget::ResponseBudget;
 
 use crate::headers::GatewayHeaders;
 
@@ -99,7 +99,7 @@
     /// Number of connections to all targets together, busy and idle ones.
     pub target_connections: usize,
     /// Room for large heads of targets' answers, of all connections together.
-    pub answer_heads: Arc<HeadBudget>,
+    pub answer_heads: Arc<ResponseBudget>,
     /// Idle timeout of connections to targets that state none themselves.
     pub target_idle: Duration,
 }
@@ -130,7 +130,7 @@
             finish_after_stop: Duration::from_millis(5_300),
             caller_budget: CallerBudget::new(CallerBudgetSettings::default()),
             target_connections: 4_096,
-            answer_heads: HeadBudget::of_memory(DEFAULT_MEMORY_BYTES),
+            answer_heads: ResponseBudget::for_heads(DEFAULT_MEMORY_BYTES),
             target_idle: Duration::from_secs(4),
         }
     }
--- a/hickoryspan_gateway/src/target_pool.rs
+++ b/hickoryspan_gateway/src/target_pool.rs
@@ -10,8 +10,8 @@
 
 use hickoryspan_core::types::{MonotonicTime, TargetId};
 use hickoryspan_runtime::clock::SystemClock;
-use hickoryspan_runtime::head_budget::HeadBudget;
 use hickoryspan_runtime::http_client::HttpConnection;
+use hickoryspan_runtime::response_budget::ResponseBudget;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio_util::sync::CancellationToken;
 
@@ -83,7 +83,7 @@
 pub(crate) struct TargetPool {
     targets: Mutex<HashMap<TargetId, TargetConnections>>,
     sockets: Arc<SocketBudget>,
-    heads: Arc<HeadBudget>,
+    heads: Arc<ResponseBudget>,
     // Number of connections that were opened.
     opened: AtomicU64,
 }
@@ -91,7 +91,7 @@
 impl TargetPool {
     /// Creates a pool of this many connections to all targets together. Large heads of answers take their room from
     /// `heads`.
-    pub(crate) fn new(max_connections: usize, heads: Arc<HeadBudget>) -> Self {
+    pub(crate) fn new(max_connections: usize, heads: Arc<ResponseBudget>) -> Self {
         Self {
             targets: Mutex::default(),
             sockets: SocketBudget::new(max_connections),
--- a/hickoryspan_runtime/src/http_client.rs
+++ b/hickoryspan_runtime/src/http_client.rs
@@ -21,11 +21,12 @@
 use tokio_util::task::AbortOnDropHandle;
 
 use crate::body_buffer::BodyBuffer;
+use crate::body_room::TakenRoom;
 use crate::bounded_socket::connect;
-use crate::caller_budget::{AnswerRoom, RequestCharge};
+use crate::caller_budget::RequestCharge;
 use crate::caller_stream::RECEIVE_BUFFER_BYTES;
-use crate::head_budget::{HeadBudget, HeadRoom};
 use crate::metered_stream::{MAX_HEAD_BYTES, MeteredStream, NO_ROOM, ResponseMeter};
+use crate::response_budget::{ResponseBudget, ResponseRoom};
 
 /// Statuses of final responses. The HTTP library also accepts 101, after which the connection has another protocol, and
 /// numbers up to 999.
@@ -56,7 +57,7 @@
     /// Complete body of the response.
     pub body: Bytes,
     /// What the headers occupy, if they are large. It is given back with the last clone.
-    _head_room: Option<Arc<HeadRoom>>,
+    _head_room: Option<Arc<ResponseRoom>>,
 }
 
 /// A failure to send a request or to receive its response.
@@ -104,7 +105,7 @@
     pub async fn open_within(
         address: SocketAddr,
         timeout: Duration,
-        heads: &Arc<HeadBudget>,
+        heads: &Arc<ResponseBudget>,
     ) -> io::Result<Self> {
         let meter = ResponseMeter::new(Some(Arc::clone(heads)));
         Self::open_metered(address, timeout, meter).await
@@ -174,7 +175,11 @@
         request: Request<Full<Bytes>>,
         max_response_bytes: usize,
     ) -> Result<HttpAnswer, SendError> {
-        let reading = ResponseReading { max_bytes: max_response_bytes, charge: None, reduce: None };
+        let reading = ResponseReading {
+            max_bytes: max_response_bytes,
+            room: BodyRoom::Unbounded,
+            reduce: None,
+        };
         self.send_and_read(request, reading).await
     }
 
@@ -220,30 +225,50 @@
     }
 }
 
+/// Where the room for the body of a response comes from.
+#[derive(Clone, Copy)]
+pub enum BodyRoom<'a> {
+    /// There is always enough.
+    Unbounded,
+    /// The body is charged to this request of a caller.
+    Charged(&'a RequestCharge),
+    /// From this budget, as long as any part of the body is kept.
+    Budgeted(&'a Arc<ResponseBudget>),
+}
+
 /// How the body of a response is read.
 #[derive(Clone, Copy)]
 pub struct ResponseReading<'a> {
     /// Largest body in bytes.
     pub max_bytes: usize,
-    /// The request that the body is charged to.
-    pub charge: Option<&'a RequestCharge>,
+    /// Where its room comes from.
+    pub room: BodyRoom<'a>,
     /// Returns what is needed of a whole body. The rest is not kept.
     pub reduce: Option<&'a (dyn Fn(Bytes) -> Bytes + Sync)>,
 }
 
 impl ResponseReading<'_> {
+    async fn collect(self, body: Incoming) -> Result<Bytes, SendError> {
+        let mut room = TakenRoom::new(self.room);
+        let Some(given_up) = room.given_up() else { return self.read(body, &mut room).await };
+        tokio::select! {
+            biased;
+            read = self.read(body, &mut room) => Ok(room.attach_to(read?)),
+            () = given_up.cancelled() => Err(SendError::NoRoom),
+        }
+    }
+
     /// Reads the body into one buffer. Room for a body of known length is taken before any of it, so that responses of which
     /// each has arrived in part don't wait for each other.
-    async fn collect(self, mut body: Incoming) -> Result<Bytes, SendError> {
-        let Self { max_bytes, charge, reduce } = self;
+    async fn read(self, mut body: Incoming, room: &mut TakenRoom<'_>) -> Result<Bytes, SendError> {
+        let Self { max_bytes, reduce, .. } = self;
         // Zero if it is not known.
         let announced = body.size_hint().exact().unwrap_or(0);
         if announced > max_bytes as u64 {
             return Err(SendError::TooLarge(max_bytes));
         }
-        let mut room = charge.map(AnswerRoom::new);
         let mut charged = announced as usize;
-        reserve(room.as_mut(), charged).await?;
+        room.grow_to(charged).await?;
         let mut buffer = BodyBuffer::new(if charged > 0 { charged } else { max_bytes });
         while let Some(frame) = body.frame().await {
             let frame = frame.map_err(|error| to_response_error(&error))?;
@@ -254,8 +279,8 @@
             }
             let capacity = buffer.next_capacity(length);
             if let Some(capacity) = capacity {
-                reserve(room.as_mut(), capacity.saturating_sub(charged)).await?;
                 charged = charged.max(capacity);
+                room.grow_to(charged).await?;
             }
             buffer.push(&data, capacity);
         }
@@ -264,16 +289,7 @@
             Some(reduce) => reduce(whole),
             None => whole,
         };
-        if let Some(room) = room {
-            room.keep(if reduce.is_some() { body.len() } else { charged });
-        }
+        room.keep(if reduce.is_some() { body.len() } else { charged });
         Ok(body)
     }
 }
-
-async fn reserve(room: Option<&mut AnswerRoom<'_>>, bytes: usize) -> Result<(), SendError> {
-    let Some(room) = room.filter(|_| bytes > 0) else { return Ok(()) };
-    room.grow(bytes).await.map_err(|_| SendError::NoRoom)?;
-    room.await_room().await;
-    Ok(())
-}
--- a/hickoryspan_runtime/src/lib.rs
+++ b/hickoryspan_runtime/src/lib.rs
@@ -5,13 +5,13 @@
 
 pub mod accept_queue;
 mod body_buffer;
+mod body_room;
 mod bounded_socket;
 pub mod caller_budget;
 pub mod caller_stream;
 pub mod clock;
 pub mod credential;
 mod exchange_progress;
-pub mod head_budget;
 pub mod http_client;
 pub mod http_server;
 mod line_queue;
@@ -23,6 +23,7 @@
 pub mod peer_link;
 pub mod pending_link;
 pub mod process;
+pub mod response_budget;
 mod server_connection;
 pub mod settings;
 pub mod tasks;
--- a/hickoryspan_runtime/src/metered_stream.rs
+++ b/hickoryspan_runtime/src/metered_stream.rs
@@ -10,8 +10,8 @@
 use tokio::net::TcpStream;
 use tokio_util::sync::WaitForCancellationFutureOwned;
 
-use crate::head_budget::{HeadBudget, HeadRoom};
 use crate::partial_read::poll_read_part;
+use crate::response_budget::{ResponseBudget, ResponseRoom};
 
 /// Number of bytes that may arrive before and between responses, for example in response heads. A peer could otherwise
 /// keep the process busy with interim responses that never end.
@@ -36,7 +36,7 @@
 
 /// The room of a head that is no longer small.
 struct LargeHead {
-    room: HeadRoom,
+    room: ResponseRoom,
     given_up: Pin<Box<WaitForCancellationFutureOwned>>,
 }
 
@@ -49,7 +49,7 @@
         }
     }
 
-    fn note_read(&mut self, bytes: usize, budget: &Arc<HeadBudget>) -> io::Result<()> {
+    fn note_read(&mut self, bytes: usize, budget: &Arc<ResponseBudget>) -> io::Result<()> {
         self.bytes += bytes;
         if self.bytes <= SMALL_HEAD_BYTES {
             return Ok(());
@@ -74,12 +74,12 @@
 /// What the peer of a connection may still send.
 pub(crate) struct ResponseMeter {
     state: Mutex<MeterState>,
-    heads: Option<Arc<HeadBudget>>,
+    heads: Option<Arc<ResponseBudget>>,
 }
 
 impl ResponseMeter {
     /// Creates the meter of a connection without a request. Large heads take their room from `heads`, if it is given.
-    pub(crate) fn new(heads: Option<Arc<HeadBudget>>) -> Arc<Self> {
+    pub(crate) fn new(heads: Option<Arc<ResponseBudget>>) -> Arc<Self> {
         let state = MeterState { readable: MAX_EXTRA_BYTES, head: None };
         Arc::new(Self { state: Mutex::new(state), heads })
     }
@@ -95,7 +95,7 @@
     }
 
     /// Notes that the head has arrived. Returns its room if it is large.
-    pub(crate) fn end_head(&self) -> Option<HeadRoom> {
+    pub(crate) fn end_head(&self) -> Option<ResponseRoom> {
         let LargeHead { room, .. } = self.lock().head.take()?.room?;
         room.complete();
         Some(room)
--- a/hickoryspan_runtime/tests/daemon_crowd/mod.rs
+++ b/hickoryspan_runtime/tests/daemon_crowd/mod.rs
@@ -63,7 +63,28 @@
         }
     }
 
+    /// Asks until the answer has this status.
+    pub async fn await_status(&self, port: u16, method_and_path: &str, status: u16) {
+        let end_at = Instant::now() + TIMEOUT;
+        let expected = format!("HTTP/1.1 {status} ");
+        loop {
+            let answer = self.read_answer(port, method_and_path, "").await;
+            if answer.is_some_and(|answer| answer.starts_with(&expected)) {
+                return;
+            }
+            assert!(Instant::now() < end_at, "{method_and_path} is not answered with {status}");
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    }
+
     async fn call(&self, port: u16, method_and_path: &str, body: &str) -> Option<()> {
+        let answer = self.read_answer(port, method_and_path, body).await?;
+        // A request that made room for others was not served.
+        let is_displaced = answer.starts_with("HTTP/1.1 408 ");
+        (answer.starts_with("HTTP/1.1 ") && !is_displaced).then_some(())
+    }
+
+    async fn read_answer(&self, port: u16, method_and_path: &str, body: &str) -> Option<String> {
         let mut stream = TcpStream::connect(SocketAddr::from((self.address, port))).await.ok()?;
         let head = head(method_and_path);
         let request =
@@ -71,9 +92,7 @@
         stream.write_all(request.as_bytes()).await.ok()?;
         let mut answer = String::new();
         stream.read_to_string(&mut answer).await.ok()?;
-        // A request that made room for others was not served.
-        let is_displaced = answer.starts_with("HTTP/1.1 408 ");
-        (answer.starts_with("HTTP/1.1 ") && !is_displaced).then_some(())
+        Some(answer)
     }
 
     /// Checks that the daemon lives and has stayed within its memory.
--- a/hickoryspan_runtime/tests/response_heads.rs
+++ b/hickoryspan_runtime/tests/response_heads.rs
@@ -7,8 +7,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hickoryspan_runtime::head_budget::HeadBudget;
 use hickoryspan_runtime::http_client::{HttpAnswer, HttpConnection, SendError};
+use hickoryspan_runtime::response_budget::ResponseBudget;
 use http::Request;
 use http_body_util::Full;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -50,7 +50,7 @@
         Self { address, complete, _task: task }
     }
 
-    async fn send(&self, heads: &Arc<HeadBudget>) -> Result<HttpAnswer, SendError> {
+    async fn send(&self, heads: &Arc<ResponseBudget>) -> Result<HttpAnswer, SendError> {
         let mut connection =
             HttpConnection::open_within(self.address, TIMEOUT, heads).await.unwrap();
         let request = Request::get("/").body(Full::<Bytes>::default()).unwrap();
@@ -58,7 +58,7 @@
         tokio::time::timeout(TIMEOUT, sent).await.expect("an end of the request")
     }
 
-    async fn exchange(&self, heads: &Arc<HeadBudget>) -> Result<HttpAnswer, SendError> {
+    async fn exchange(&self, heads: &Arc<ResponseBudget>) -> Result<HttpAnswer, SendError> {
         self.complete.cancel();
         self.send(heads).await
     }
@@ -67,7 +67,7 @@
 /// Guards against room for large heads that a few peers keep by never completing theirs.
 #[tokio::test]
 async fn the_head_that_is_awaited_for_longest_makes_room() {
-    let heads = HeadBudget::of_memory(MEMORY_BYTES);
+    let heads = ResponseBudget::for_heads(MEMORY_BYTES);
     let mut waiting = JoinSet::new();
     let mut peers = Vec::new();
     for _ in 0..2 {
@@ -94,7 +94,7 @@
 /// Guards against complete heads that are kept beyond the room there is, and against room that is not given back.
 #[tokio::test]
 async fn a_complete_head_keeps_its_room_until_the_answer_is_dropped() {
-    let heads = HeadBudget::of_memory(MEMORY_BYTES);
+    let heads = ResponseBudget::for_heads(MEMORY_BYTES);
     let mut answers = Vec::new();
     for _ in 0..2 {
         answers.push(HeadPeer::start(LARGE_HEAD).await.exchange(&heads).await.unwrap());
@@ -108,7 +108,10 @@
 /// Guards against usual heads that suffer from large ones.
 #[tokio::test]
 async fn a_small_head_needs_no_room() {
-    let heads = HeadBudget::of_memory(0);
+    let heads = ResponseBudget::for_heads(0);
+    // One that is larger than all room gets it while it is alone.
+    let large = HeadPeer::start(LARGE_HEAD).await.exchange(&heads).await;
+    assert!(large.is_ok(), "{large:?}");
     assert!(HeadPeer::start(4 * 1024).await.exchange(&heads).await.is_ok());
     let refused = HeadPeer::start(LARGE_HEAD).await.exchange(&heads).await;
     assert!(matches!(refused, Err(SendError::NoRoom)), "{refused:?}");
