--- a/hickoryspan_gateway/src/attempt.rs
+++ b/hickoryspan_gateway/src/attempt.rs
@@ -191,7 +191,8 @@
     }
 }
 
-/// Returns the run of one attempt. Dropping the future closes the connection, upon which the target stops the work. The selector learns of the end also if the future is dropped before it starts.
+/// Returns the run of one attempt. Dropping the future closes the connection, upon which the target stops the work. The
+/// selector learns of the end also if the future is dropped before it starts.
 pub(crate) fn run_attempt(
     state: Arc<GatewayState>,
     job: Arc<GatewayJob>,
--- a/hickoryspan_gateway/src/target_pool.rs
+++ b/hickoryspan_gateway/src/target_pool.rs
@@ -187,8 +187,8 @@
         Arc::clone(&connections.permits)
     }
 
-    /// Returns the most recently used idle connection that may be reused. If there is none, another one is closed, so that a
-    /// new connection does not exceed the share.
+    /// Returns the most recently used idle connection that may be reused. If there is none, another one is closed, so that
+    /// a new connection does not exceed the share.
     fn take_idle(&self, target: &TargetId, reuse: IdleReuse<'_>) -> Option<IdleConnection> {
         let mut targets = self.lock();
         let connections = targets.get_mut(target)?;
--- a/hickoryspan_gateway/tests/gateway/endless_answers.rs
+++ b/hickoryspan_gateway/tests/gateway/endless_answers.rs
@@ -111,8 +111,8 @@
     deployment.stop().await;
 }
 
-// Guards against a request that every entry refuses for minutes, because a faulty target's bytes were taken for crashes of its
-// process.
+// Guards against a request that every entry refuses for minutes, because a faulty target's bytes were taken for crashes
+// of its process.
 #[rstest]
 #[tokio::test]
 async fn bytes_that_are_no_answer_are_no_crash(
--- a/hickoryspan_gateway/tests/gateway/kept_limits.rs
+++ b/hickoryspan_gateway/tests/gateway/kept_limits.rs
@@ -104,7 +104,8 @@
     (stream, request)
 }
 
-// Guards against a limit for heads that a kept connection keeps for ever: a request that the configuration allows is refused.
+// Guards against a limit for heads that a kept connection keeps for ever, so that it refuses requests that the
+// configuration allows.
 #[rstest]
 #[tokio::test]
 async fn a_kept_connection_takes_larger_heads_once_they_are_allowed(
--- a/hickoryspan_runtime/src/http_client.rs
+++ b/hickoryspan_runtime/src/http_client.rs
@@ -34,8 +34,8 @@
 /// Factor by which chunked encoding may enlarge a response.
 const CHUNK_OVERHEAD: u64 = 2;
 
-/// Returns why a response did not arrive, after a request was sent. The HTTP library and [`MeteredStream`] report what is wrong
-/// with the peer's bytes as an error of input and output.
+/// Returns why a response did not arrive, after a request was sent. The HTTP library and [`MeteredStream`] report what is
+/// wrong with the peer's bytes as an error of input and output.
 fn to_response_error(error: &hyper::Error) -> SendError {
     let cause: Arc<str> = error.to_string().into();
     let io_error = error.source().and_then(|source| source.downcast_ref::<io::Error>());
--- a/hickoryspan_runtime/src/metered_stream.rs
+++ b/hickoryspan_runtime/src/metered_stream.rs
@@ -18,8 +18,8 @@
 const MAX_EXTRA_BYTES: u64 = 512 * 1024;
 /// Largest head of a response, and largest buffer of a connection, in bytes.
 pub(crate) const MAX_HEAD_BYTES: usize = 64 * 1024;
-/// Size in bytes of a head that needs no room of its own, because it fits in the buffer that each connection has. It is also
-/// the largest read before the head is complete; the HTTP library would enlarge the buffer after larger ones.
+/// Size in bytes of a head that needs no room of its own, because it fits in the buffer that each connection has. It is
+/// also the largest read before the head is complete; the HTTP library would enlarge the buffer after larger ones.
 const SMALL_HEAD_BYTES: usize = 8 * 1024;
 
 /// Kind of the error of a read that finds no room for a head. It says nothing about the peer.
--- a/hickoryspan_runtime/src/response_budget.rs
+++ b/hickoryspan_runtime/src/response_budget.rs
@@ -101,8 +101,8 @@
 }
 
 impl ResponseRoom {
-    /// Takes room for an incomplete response of this size. Others are given up for it. One that is larger than all room gets
-    /// it while it is alone.
+    /// Takes room for an incomplete response of this size. Others are given up for it. One that is larger than all room
+    /// gets it while it is alone.
     pub(crate) fn grow_to(&mut self, bytes: usize) -> Result<(), NoResponseRoom> {
         let further = bytes.saturating_sub(self.bytes);
         let mut ledger = self.budget.lock();
